--- /dev/null
+++ b/tests/support/testmain.cpp
@@ -0,0 +1,1 @@
+#include <boost/test/unit_test.hpp>
