--- /dev/null
+++ b/tests/support/childprocess.h
@@ -0,0 +1,73 @@
+// ChildProcess: a program started by a test or an experiment, with its output in a file.
+//
+// The child gets SIGKILL when the starting process dies, so an aborted test leaves nothing behind.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburn::testing {
+
+class ChildProcess
+{
+public:
+    struct Options
+    {
+        std::string name;
+        // File name of a program in the folder of the running test program.
+        std::string program;
+        std::vector<std::string> arguments;
+        std::map<std::string, std::string> environment;
+        // Folder for NAME.log, which gets standard output and standard error.
+        std::string logFolder;
+    };
+
+    // Null with lastError() set if the program cannot be started. Call it from the main thread
+    // only, since the kernel sends the death signal when the starting thread ends.
+    static std::unique_ptr<ChildProcess> start(Options options);
+    ~ChildProcess();
+
+    ChildProcess(const ChildProcess &) = delete;
+    ChildProcess &operator=(const ChildProcess &) = delete;
+
+    const std::string &name() const { return options_.name; }
+    int pid() const;
+    bool running() const;
+    // Sends a signal, for example SIGSTOP.
+    void sendSignal(int signal);
+    // The exit code; 128 + number for a signal; empty if the process still runs after the timeout.
+    std::optional<int> waitForExit(std::chrono::milliseconds timeout);
+    // The rest of the first count lines of output that start with prefix; fewer on timeout or exit.
+    std::vector<std::string> waitForLines(const std::string &prefix, std::size_t count,
+                                          std::chrono::milliseconds timeout) const;
+    // Everything written so far.
+    std::string output() const;
+
+private:
+    struct Impl;
+    explicit ChildProcess(Options options);
+
+    Options options_;
+    std::string logPath_;
+    std::unique_ptr<Impl> impl_;
+};
+
+// Runs a program to its end; the exit code and the output.
+struct ProgramResult
+{
+    int exitCode = -1;
+    std::string output;
+};
+ProgramResult runProgram(ChildProcess::Options options, std::chrono::milliseconds timeout);
+
+// Processor time used by a process so far, user and system; empty if it is gone.
+std::optional<std::chrono::microseconds> processorTime(int pid);
+
+// Resident memory of a process in bytes; empty if it is gone.
+std::optional<std::size_t> residentBytes(int pid);
+
+} // namespace auburn::testing
