Add cluster fixture, load poller and request telemetry

Cause: the daemon needs load reports, spans and metrics; tests need the whole system as processes. Ruled out: every daemon polling every runner; only a cell's owner polls. Change: Cluster, LoadPoller, RequestTelemetry; not yet built into a program.

--- /dev/null
+++ b/packages/daemon/src/loadpoller.h
@@ -0,0 +1,51 @@
+// LoadPoller: reads the load reports of the engines in the cells that this daemon owns.
+//
+// Only a cell's owner polls, so a runner is asked once per interval however many daemons there are.
+#pragma once
+
+#include "auburn/config/configstate.h"
+#include "auburn/mesh/memberview.h"
+#include "auburn/schedule/runnertable.h"
+
+#include <QNetworkAccessManager>
+#include <QTimer>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace auburn {
+
+// Lives on the thread of Qt's event loop.
+class LoadPoller
+{
+public:
+    struct Options
+    {
+        std::function<std::shared_ptr<const ConfigState>()> config;
+        const MemberViewSource *views = nullptr;
+        std::function<void(const std::string &runner, RunnerLoad load)> report;
+        std::chrono::milliseconds interval{ 1000 };
+        std::chrono::milliseconds timeout{ 1000 };
+    };
+
+    explicit LoadPoller(Options options);
+
+    void start();
+    void stop();
+
+private:
+    void pollAll();
+    void pollPool(const Service &service, const ConfigState &config, const MemberView &view);
+    void poll(const Runner &runner);
+
+    const Options options_;
+    QNetworkAccessManager network_;
+    QTimer timer_;
+    // Runners with a poll in progress; a slow runner is not asked twice.
+    std::set<std::string> pending_;
+};
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/src/requesttelemetry.cpp
@@ -0,0 +1,182 @@
+#include "requesttelemetry.h"
+
+#include "auburn/core/log.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+double seconds(std::chrono::microseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+// Gaps between tokens are around 26 ms, so their buckets start at 0.25 ms.
+constexpr HistogramOptions kGapBuckets{ .lowest = 0.00025, .highest = 8.192, .steps = 15 };
+
+// Spans and metrics of one request; all calls come from the request's worker thread.
+class RequestTelemetryTrace : public RequestTrace
+{
+public:
+    RequestTelemetryTrace(Tracer &tracer, Metrics &metrics, const RelayRequest &request)
+        : tracer_(tracer)
+        , metrics_(metrics)
+        , requestId_(request.id)
+        , organisation_(request.organisation)
+        , labels_{ { "service", request.service.name }, { "class", request.className } }
+        , caller_(tracer.start("caller", SpanKind::Server, parseTraceparent(request.traceparent)))
+        , gaps_(metrics.histogram("auburn_token_gap_seconds", "Time between tokens to the caller.",
+                                  labels_, kGapBuckets))
+        , tokens_(metrics.counter("auburn_tokens_total", "Tokens relayed to callers.", labels_))
+    {
+        caller_.setAttribute("auburn.request_id", request.id);
+        caller_.setAttribute("auburn.organisation", request.organisation);
+        caller_.setAttribute("auburn.class", request.className);
+        caller_.setAttribute("auburn.service", request.service.name);
+    }
+
+    std::string traceparent() const override { return formatTraceparent(caller_.context()); }
+
+    void queueBegin() override { queue_.emplace(child("queue", SpanKind::Client)); }
+
+    void queueEnd(bool granted) override { endSpan(queue_, granted, "not granted"); }
+
+    void claimBegin() override { claim_.emplace(child("claim", SpanKind::Client)); }
+
+    void claimEnd(bool won) override { endSpan(claim_, won, "not won"); }
+
+    std::string attemptBegin(const std::string &runner, unsigned number) override
+    {
+        attempt_.emplace(child("attempt", SpanKind::Internal));
+        attempt_->setAttribute("auburn.attempt", static_cast<std::int64_t>(number));
+        runner_.emplace(tracer_.start("runner", SpanKind::Client, attempt_->context()));
+        runner_->setAttribute("auburn.runner", runner);
+        return formatTraceparent(runner_->context());
+    }
+
+    void firstToken(std::chrono::microseconds sinceReceived) override
+    {
+        metrics_.histogram("auburn_first_token_seconds", "Time from receipt to the first token.",
+                           labels_)
+                .observe(seconds(sinceReceived));
+        if (runner_)
+            runner_->setAttribute("auburn.first_token_us",
+                                  static_cast<std::int64_t>(sinceReceived.count()));
+    }
+
+    void tokenGap(std::chrono::microseconds gap) override { gaps_.observe(seconds(gap)); }
+
+    void attemptEnd(const AttemptEnd &end) override
+    {
+        if (runner_) {
+            runner_->setAttribute("auburn.tokens", static_cast<std::int64_t>(end.tokens));
+            runner_->setAttribute("auburn.verdict", std::string(verdictName(end.verdict)));
+        }
+        endSpan(runner_, end.complete, end.error);
+        endSpan(attempt_, end.complete, end.error);
+    }
+
+    void end(const RequestEnd &end) override
+    {
+        count(end);
+        log(end);
+        caller_.setAttribute("http.response.status_code",
+                             static_cast<std::int64_t>(end.httpStatus));
+        caller_.setAttribute("auburn.verdict", std::string(verdictName(end.verdict)));
+        caller_.setStatus(end.complete ? SpanStatus::Ok : SpanStatus::Error, outcome(end));
+        caller_.end();
+    }
+
+private:
+    Span child(std::string name, SpanKind kind)
+    {
+        return tracer_.start(std::move(name), kind, caller_.context());
+    }
+
+    static void endSpan(std::optional<Span> &span, bool good, const std::string &reason)
+    {
+        if (!span)
+            return;
+        span->setStatus(good ? SpanStatus::Ok : SpanStatus::Error, good ? std::string() : reason);
+        span.reset();
+    }
+
+    static std::string outcome(const RequestEnd &end)
+    {
+        if (end.refusal)
+            return std::string(refusalCodeName(*end.refusal));
+        if (end.callerGone)
+            return "caller_gone";
+        return end.complete ? "complete" : "incomplete";
+    }
+
+    void count(const RequestEnd &end)
+    {
+        MetricLabels labels = labels_;
+        labels.emplace_back("outcome", outcome(end));
+        metrics_.counter("auburn_requests_total", "Requests by outcome.", labels).add();
+        tokens_.add(end.tokens);
+        metrics_.counter("auburn_wasted_tokens_total", "Tokens of attempts that were discarded.",
+                         labels_)
+                .add(end.wastedTokens);
+        metrics_.histogram("auburn_request_seconds", "Time from receipt to the end of the answer.",
+                           labels_)
+                .observe(seconds(end.duration));
+    }
+
+    void log(const RequestEnd &end) const
+    {
+        logEvent(LogLevel::Info, "request_end",
+                 { { "request_id", requestId_ },
+                   { "class", labels_[1].second },
+                   { "organisation", organisation_ },
+                   { "service", labels_[0].second },
+                   { "outcome", outcome(end) },
+                   { "verdict", verdictName(end.verdict) },
+                   { "status", static_cast<long long>(end.httpStatus) },
+                   { "attempts", static_cast<long long>(end.attempts) },
+                   { "tokens", static_cast<long long>(end.tokens) },
+                   { "duration_us", static_cast<long long>(end.duration.count()) } });
+    }
+
+    Tracer &tracer_;
+    Metrics &metrics_;
+    const std::string requestId_;
+    const std::string organisation_;
+    const MetricLabels labels_;
+    Span caller_;
+    std::optional<Span> queue_;
+    std::optional<Span> claim_;
+    std::optional<Span> attempt_;
+    std::optional<Span> runner_;
+    HistogramSeries &gaps_;
+    Counter &tokens_;
+};
+
+} // namespace
+
+RequestTelemetry::RequestTelemetry(Tracer &tracer, Metrics &metrics)
+    : tracer_(tracer)
+    , metrics_(metrics)
+{}
+
+std::unique_ptr<RequestTrace> RequestTelemetry::received(const RelayRequest &request)
+{
+    return std::make_unique<RequestTelemetryTrace>(tracer_, metrics_, request);
+}
+
+void RequestTelemetry::rejected(const Refusal &refusal)
+{
+    const std::string code(refusalCodeName(refusal.code));
+    metrics_.counter("auburn_rejected_total", "Requests refused before routing, by code.",
+                     { { "code", code } })
+            .add();
+    logEvent(LogLevel::Info, "request_rejected",
+             { { "code", code }, { "reason", refusal.message } });
+}
+
+} // namespace auburn
--- /dev/null
+++ b/tests/support/cluster.h
@@ -0,0 +1,162 @@
+// Cluster: the whole system as separate processes on loopback addresses: platform stand-ins,
+// runners and daemons.
+//
+// Each daemon gets an address of its own in 127.0.0.0/8, so that links between places can be cut by
+// address.
+#pragma once
+
+#include "auburn/config/configstate.h"
+#include "childprocess.h"
+#include "httpcaller.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburn::testing {
+
+struct PlaceSpec
+{
+    std::string name;
+    std::string region;
+    unsigned daemons = 2;
+    // Runners of "assistant-pool" and of "trials-desk", and plain runners of "stock".
+    unsigned poolRunners = 4;
+    unsigned deskRunners = 1;
+    unsigned plainRunners = 1;
+};
+
+struct CallerSpec
+{
+    std::string token;
+    std::string organisation;
+    std::string className;
+};
+
+struct ClusterOptions
+{
+    std::vector<PlaceSpec> places;
+    // Request slots of each engine.
+    unsigned engineSlots = 8;
+    // Further arguments of every engine process.
+    std::vector<std::string> engineArguments;
+    // Further environment of every daemon.
+    std::map<std::string, std::string> daemonEnvironment;
+    // Arguments of the log stand-in.
+    std::vector<std::string> logArguments;
+    // Organisations beside those of the standard callers, each with one caller.
+    unsigned extraOrganisations = 0;
+    // One process for each engine instead of one per place; needed to kill a single engine.
+    bool separateEngines = false;
+    // Folder for logs and traces; empty: a new folder below the system's temporary folder.
+    std::string folder;
+    bool trace = false;
+};
+
+// One daemon; it may be running or not.
+struct DaemonSlot
+{
+    std::string id;
+    std::string place;
+    std::string region;
+    std::string address;
+    unsigned generation = 0;
+    std::unique_ptr<ChildProcess> process;
+
+    std::string callerAddress() const { return address + ":8080"; }
+    std::string statusAddress() const { return address + ":8081"; }
+    std::string peerEndpoint() const { return "tcp://" + address + ":8082"; }
+    std::string operatorEndpoint() const { return "tcp://" + address + ":8083"; }
+};
+
+struct RunnerSlot
+{
+    std::string name;
+    std::string service;
+    std::string place;
+    // host:port
+    std::string address;
+    // Shared by all runners of one process.
+    std::shared_ptr<ChildProcess> process;
+};
+
+class Cluster
+{
+public:
+    // Starts everything and waits until all daemons are ready; null with lastError() set on
+    // failure.
+    static std::unique_ptr<Cluster> start(ClusterOptions options);
+    ~Cluster();
+
+    std::vector<DaemonSlot> &daemons() { return daemons_; }
+    std::vector<RunnerSlot> &runners() { return runners_; }
+    const std::string &folder() const { return options_.folder; }
+    const std::string &logAddress() const { return logAddress_; }
+    const std::string &listAddress() const { return listAddress_; }
+
+    // Starts a daemon in its slot, as a new VM with a new id and no state.
+    bool startDaemon(DaemonSlot &slot);
+    // Waits until /readyz of the daemon answers 200.
+    bool waitReady(const DaemonSlot &slot,
+                   std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+    // A chat completion through a daemon, with the token of one of the standard callers.
+    HttpRequest chat(const DaemonSlot &daemon, const std::string &token, const std::string &prompt,
+                     unsigned maxTokens, bool stream = false,
+                     const std::string &model = "assistant-pool") const;
+    // Runs auburnctl as operator "alice" (or another known one) against a daemon.
+    ProgramResult ctl(const DaemonSlot &daemon, const std::string &command,
+                      const std::vector<std::string> &options = {},
+                      const std::string &operatorName = "alice") const;
+
+    // Posts JSON to the control interface of a stand-in.
+    static HttpAnswer control(const std::string &address, const std::string &json);
+    static HttpAnswer get(const std::string &address, const std::string &target);
+
+    // Standard callers: one per class, tokens "token-kiln", "token-quote", "token-batch".
+    static std::vector<CallerSpec> standardCallers();
+
+private:
+    explicit Cluster(ClusterOptions options);
+    bool startPlatform();
+    bool startRunners();
+    bool startRunnerProcess(const std::string &program, const std::string &service,
+                            const PlaceSpec &place, unsigned first, unsigned count);
+    void planDaemons();
+    std::vector<Item> configuration() const;
+    bool seedConfiguration();
+    std::map<std::string, std::string> environmentOf(const DaemonSlot &slot) const;
+    std::unique_ptr<ChildProcess> startStandin(const std::string &program, const std::string &name,
+                                               std::vector<std::string> arguments);
+
+    struct Keys
+    {
+        std::string publicKey;
+        std::string secretKey;
+    };
+    static Keys makeKeys();
+
+    ClusterOptions options_;
+    std::string network_;
+    Keys fleet_;
+    std::map<std::string, Keys> operators_;
+    std::string logAddress_;
+    std::string listAddress_;
+    std::unique_ptr<ChildProcess> log_;
+    std::unique_ptr<ChildProcess> list_;
+    std::vector<RunnerSlot> runners_;
+    std::vector<DaemonSlot> daemons_;
+    bool ownsFolder_ = false;
+};
+
+// Polls until the condition holds; false after the timeout.
+bool waitFor(const std::function<bool()> &condition,
+             std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+// A UUID version 7 with the current time, for Idempotency-Key.
+std::string makeUuid7(
+        std::chrono::system_clock::time_point time = std::chrono::system_clock::now());
+
+} // namespace auburn::testing
