--- a/packages/mesh/include/auburn/mesh/zmqbus.h
+++ b/packages/mesh/include/auburn/mesh/zmqbus.h
@@ -8,6 +8,7 @@
 
 #include "auburn/mesh/bus.h"
 #include "auburn/mesh/curvekeys.h"
+#include "auburn/mesh/peerdirectory.h"
 
 #include <chrono>
 #include <cstdint>
@@ -65,7 +66,9 @@
     std::uint64_t openConnections = 0;
 };
 
-class ZmqBus : public MessageBus
+class ZmqBus
+    : public MessageBus
+    , public PeerDirectory
 {
 public:
     // Null with lastError() set if a key, the id or the endpoint is malformed.
@@ -79,11 +82,10 @@
     // The bound endpoint with its actual port; valid after start().
     std::string endpoint() const;
 
-    // Sets or changes the endpoint of a daemon; callable from any thread.
-    void setPeer(const std::string &daemonId, const std::string &endpoint);
-    // Forgets a daemon's endpoint and closes its connection; callable from any thread.
-    void removePeer(const std::string &daemonId);
+    void setPeer(const std::string &daemonId, const std::string &endpoint) override;
+    void removePeer(const std::string &daemonId) override;
 
+    // Besides daemons with an endpoint, those that have sent something recently can be answered.
     bool send(const std::string &daemonId, proto::Envelope envelope) override;
     void setHandler(proto::Envelope::BodyCase kind, Handler handler) override;
 
--- /dev/null
+++ b/packages/mesh/src/gossipcore.cpp
@@ -0,0 +1,923 @@
+#include "auburn/mesh/gossipcore.h"
+
+#include "auburn/core/hash.h"
+#include "marktables.h"
+#include "membertable.h"
+#include "placetable.h"
+
+#include <algorithm>
+#include <array>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Marks of this age are sent alone at first; the whole table follows if that was not enough.
+constexpr milliseconds kRecentMarks{ 10000 };
+constexpr int kMarkBatch = 256;
+// A revision is announced again to the caller if it was not reached by then.
+constexpr milliseconds kRevisionRepeat{ 1000 };
+constexpr auto kRelayKey = "relay";
+constexpr std::size_t kContactCount = 3;
+constexpr std::string_view kSeedPrefix = "seed:";
+// Far enough in the past that every rate limit has passed.
+constexpr milliseconds kLongAgo{ -3600000 };
+
+std::uint64_t toCount(milliseconds value)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(value.count(), 0));
+}
+
+proto::CellDigest digestOf(const CellLoad &load)
+{
+    proto::CellDigest digest;
+    digest.set_service(load.service);
+    digest.set_cell(load.cell);
+    digest.set_free_slots(load.freeSlots);
+    digest.set_total_slots(load.totalSlots);
+    // Trailing tiers without requests are left out.
+    std::size_t tiers = load.waitingByTier.size();
+    while (tiers > 0 && load.waitingByTier[tiers - 1] == 0)
+        --tiers;
+    for (std::size_t tier = 0; tier < tiers; ++tier)
+        digest.add_waiting_by_tier(load.waitingByTier[tier]);
+    return digest;
+}
+
+CellLoad loadOf(const proto::CellDigest &digest, const std::string &owner)
+{
+    CellLoad load{ .service = digest.service(),
+                   .cell = digest.cell(),
+                   .owner = owner,
+                   .freeSlots = digest.free_slots(),
+                   .totalSlots = digest.total_slots() };
+    load.waitingByTier.assign(digest.waiting_by_tier().begin(), digest.waiting_by_tier().end());
+    return load;
+}
+
+bool sameCells(const std::vector<proto::CellDigest> &left,
+               const std::vector<proto::CellDigest> &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](const proto::CellDigest &a, const proto::CellDigest &b) {
+                          return a.SerializeAsString() == b.SerializeAsString();
+                      });
+}
+
+void addWaiting(std::vector<unsigned> &sum, const std::vector<unsigned> &waiting)
+{
+    if (sum.size() < waiting.size())
+        sum.resize(waiting.size());
+    for (std::size_t tier = 0; tier < waiting.size(); ++tier)
+        sum[tier] += waiting[tier];
+}
+
+// True if the peer's version of the place is missing or so old that its direct link must be cut.
+// Versions advance at least once per second.
+bool isOutdated(const proto::PlaceDigest &digest, const proto::PlaceVersions &peer)
+{
+    constexpr std::uint64_t kDirectLinkLag = 20;
+    const std::uint32_t key = PlaceTable::keyOf(digest.place());
+    const int count = std::min(peer.keys_size(), peer.versions_size());
+    for (int i = 0; i < count; ++i) {
+        if (peer.keys(i) == key)
+            return peer.versions(i) + kDirectLinkLag < digest.version();
+    }
+    return true;
+}
+
+} // namespace
+
+GossipCore::GossipCore(GossipOptions options, GossipTime now)
+    : options_(std::move(options))
+    , random_(options_.randomSeed)
+    , members_(std::make_unique<MemberTable>(
+              MemberTable::Limits{ .failureTimeout = options_.failureTimeout,
+                                   .suspicionTimeout = options_.suspicionTimeout,
+                                   .forgetAfter = options_.forgetAfter,
+                                   .maxMembers = options_.maxMembers },
+              options_.selfId, options_.incarnation, options_.endpoint))
+    , leaving_(std::make_unique<LeavingMarks>(options_.leavingMarkLifetime,
+                                              options_.maxLeavingMarks))
+    , crashes_(std::make_unique<CrashMarks>(options_.crashMarkLifetime, options_.maxCrashMarks))
+    , places_(std::make_unique<PlaceTable>(
+              options_.place, options_.region, options_.failureTimeout + 2 * options_.regionPeriod,
+              options_.failureTimeout + 2 * options_.interRegionPeriod, options_.placeForgetAfter))
+    , now_(now)
+    , nextSeedContact_(now.monotonic)
+    , nextRotation_(now.monotonic + options_.peerRotation)
+    , lastUrgent_(kLongAgo)
+    , lastIncarnation_(kLongAgo)
+    , notifiedAt_(kLongAgo)
+{
+    // Daemons that start together spread their rounds over the period.
+    const auto period = static_cast<std::size_t>(options_.roundPeriod.count());
+    nextRound_ = now.monotonic + milliseconds(randomBelow(period / 4 + 1));
+}
+
+GossipCore::~GossipCore() = default;
+
+std::size_t GossipCore::randomBelow(std::size_t bound) const
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
+}
+
+// ---- Time -------------------------------------------------------------------------------------
+
+// A gap of the failure timeout means that this process did not run: it judges nobody by that time,
+// and since the others consider it dead, it returns with a new incarnation.
+void GossipCore::advance(GossipTime now)
+{
+    const milliseconds gap = now.monotonic - now_.monotonic;
+    now_ = now;
+    if (gap > options_.failureTimeout) {
+        members_->skipTime(gap);
+        places_->skipTime(gap);
+        takeNewIncarnation();
+    }
+    members_->expire(now.monotonic);
+    places_->expire(now.monotonic);
+}
+
+void GossipCore::tick(GossipTime now)
+{
+    advance(now);
+    if (now.monotonic >= nextRound_) {
+        nextRound_ = std::max(nextRound_ + options_.roundPeriod,
+                              now.monotonic + options_.roundPeriod / 2);
+        runRound();
+    }
+    sendUrgent();
+}
+
+milliseconds GossipCore::nextTick() const
+{
+    if (urgentPending_)
+        return std::min(nextRound_, lastUrgent_ + options_.urgentInterval);
+    return nextRound_;
+}
+
+void GossipCore::runRound()
+{
+    leaving_->expire(now_.wall);
+    crashes_->expire(now_.wall);
+    members_->beat();
+    publishLoads();
+    refreshActivePeers();
+    std::vector<std::string> targets = activePeers_;
+    std::shuffle(targets.begin(), targets.end(), random_);
+    targets.resize(std::min<std::size_t>(targets.size(), options_.fanout));
+    for (const std::string &target : targets)
+        push(*members_->findId(target));
+    if (targets.empty() || now_.monotonic >= nextSeedContact_)
+        contactUnknownEndpoint();
+    if (isRelay())
+        exchangeWithPlaces();
+}
+
+void GossipCore::publishLoads()
+{
+    if (!pendingLoads_)
+        return;
+    MemberRecord &self = members_->self();
+    if (!sameCells(self.cells, *pendingLoads_)) {
+        self.cells = std::move(*pendingLoads_);
+        self.loadHeartbeat = self.heartbeat;
+        members_->touch();
+    }
+    pendingLoads_.reset();
+}
+
+std::vector<std::string> GossipCore::livePeers() const
+{
+    std::vector<std::string> ids;
+    for (const auto &entry : members_->records()) {
+        if (members_->isPeer(entry.second))
+            ids.push_back(entry.second.id);
+    }
+    return ids;
+}
+
+void GossipCore::refreshActivePeers()
+{
+    std::erase_if(activePeers_, [this](const std::string &id) {
+        const MemberRecord *record = members_->findId(id);
+        return record == nullptr || !members_->isPeer(*record);
+    });
+    if (now_.monotonic >= nextRotation_) {
+        nextRotation_ = now_.monotonic + options_.peerRotation;
+        if (activePeers_.size() >= options_.activePeers)
+            activePeers_.erase(activePeers_.begin());
+    }
+    std::vector<std::string> candidates = livePeers();
+    std::erase_if(candidates, [this](const std::string &id) {
+        return std::find(activePeers_.begin(), activePeers_.end(), id) != activePeers_.end();
+    });
+    while (activePeers_.size() < options_.activePeers && !candidates.empty()) {
+        const std::size_t picked = randomBelow(candidates.size());
+        activePeers_.push_back(candidates[picked]);
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(picked));
+    }
+}
+
+// Endpoints from settings, from the platform list and of dead members that do not belong to a live
+// member: a way to join, and to reunite after a partition.
+std::vector<std::string> GossipCore::unknownEndpoints() const
+{
+    std::unordered_set<std::string> known{ options_.endpoint };
+    std::vector<std::string> candidates = options_.seeds;
+    for (const Seed &seed : listSeeds_) {
+        if (seed.place == options_.place)
+            candidates.push_back(seed.endpoint);
+    }
+    for (const auto &entry : members_->records()) {
+        const MemberRecord &record = entry.second;
+        if (members_->isPeer(record))
+            known.insert(record.endpoint);
+        else if (record.status != MemberStatus::Left)
+            candidates.push_back(record.endpoint);
+    }
+    for (const auto &entry : places_->entries()) {
+        for (const proto::MemberEntry &contact : entry.second.digest.contacts())
+            known.insert(contact.endpoint());
+    }
+    std::erase_if(candidates,
+                  [&known](const std::string &endpoint) { return known.contains(endpoint); });
+    return candidates;
+}
+
+void GossipCore::contactUnknownEndpoint()
+{
+    nextSeedContact_ = now_.monotonic + options_.seedPeriod;
+    const std::vector<std::string> candidates = unknownEndpoints();
+    if (!candidates.empty())
+        greet(candidates[randomBelow(candidates.size())]);
+}
+
+void GossipCore::takeNewIncarnation()
+{
+    // Members that disagree about this daemon for longer must not make it change at every message.
+    if (now_.monotonic - lastIncarnation_ < 2 * options_.failureTimeout)
+        return;
+    lastIncarnation_ = now_.monotonic;
+    const auto wall = static_cast<std::uint64_t>(
+            std::chrono::microseconds(std::max(now_.wall, milliseconds(0))).count());
+    members_->renewSelf(wall);
+    members_->self().lastProgress = now_.monotonic;
+}
+
+// ---- Inside the place -------------------------------------------------------------------------
+
+void GossipCore::receive(const std::string &sender, const proto::Envelope &envelope, GossipTime now)
+{
+    advance(now);
+    if (sender == options_.selfId)
+        return;
+    if (envelope.has_gossip())
+        receiveGossip(sender, envelope.gossip());
+    else if (envelope.has_place_digests())
+        receivePlaceDigests(sender, envelope.place_digests());
+    sendUrgent();
+}
+
+void GossipCore::receiveGossip(const std::string &sender, const proto::Gossip &gossip)
+{
+    if (gossip.place() != options_.place) {
+        if (gossip.step() == proto::GOSSIP_STEP_PUSH)
+            answerForeignPush(sender);
+        return;
+    }
+    const MemberRecord *senderRecord = members_->findId(sender);
+    const std::uint32_t deadKey = senderRecord != nullptr && senderRecord->dead ? senderRecord->key
+                                                                                : 0;
+    for (const proto::MemberEntry &entry : gossip.members())
+        members_->define(entry, now_.monotonic);
+    const std::vector<MemberRow> rows = decodeRows(gossip.rows());
+    std::vector<std::uint32_t> unknown;
+    const bool senderWasDead = mergeRows(sender, rows, unknown) && deadKey != 0
+                               && members_->find(deadKey) != nullptr;
+    for (const proto::MemberLoad &load : gossip.loads())
+        members_->mergeLoad(load, now_.monotonic);
+    for (const proto::PlaceDigest &digest : gossip.places())
+        places_->merge(digest, now_.monotonic);
+    mergeMarks(gossip);
+    if (members_->takeUrgent())
+        raiseUrgent();
+    findHigherRevision(sender);
+    if (gossip.step() == proto::GOSSIP_STEP_PUSH)
+        answerPush(sender, gossip, rows, unknown, senderWasDead);
+    else if (gossip.step() == proto::GOSSIP_STEP_REPLY)
+        answerReply(sender, gossip);
+}
+
+// Merges all rows and collects the unknown keys; true if the sender's own row is among them.
+bool GossipCore::mergeRows(const std::string &sender, const std::vector<MemberRow> &rows,
+                           std::vector<std::uint32_t> &unknown)
+{
+    bool senderSeen = false;
+    for (const MemberRow &row : rows) {
+        const bool isSelf = row.key == members_->self().key;
+        if (isSelf && row.status == MemberStatus::Dead) {
+            takeNewIncarnation();
+            continue;
+        }
+        if (isSelf) {
+            if (MemberRecord *record = members_->findId(sender))
+                record->knowsSelf = true;
+            members_->self().heartbeat = std::max(members_->self().heartbeat, row.heartbeat);
+            continue;
+        }
+        if (!members_->merge(row, now_.monotonic) && row.status != MemberStatus::Dead)
+            unknown.push_back(row.key);
+        const MemberRecord *record = members_->find(row.key);
+        senderSeen = senderSeen || (record != nullptr && record->id == sender);
+    }
+    return senderSeen;
+}
+
+void GossipCore::push(const MemberRecord &peer)
+{
+    proto::Gossip gossip;
+    gossip.mutable_rows()->set_base_revision(members_->highestRevision());
+    for (const auto &entry : members_->records()) {
+        if (MemberTable::isShared(entry.second))
+            members_->addRow(*gossip.mutable_rows(), entry.second, false);
+    }
+    if (!peer.knowsSelf)
+        members_->addDefinition(gossip, members_->self());
+    gossip.set_marks_digest(marksDigest());
+    *gossip.mutable_place_versions() = places_->versions();
+    emit(peer.id, peer.endpoint, std::move(gossip));
+}
+
+// Push to an endpoint whose daemon is unknown: only our own row, so that the answer holds the whole
+// table.
+void GossipCore::greet(const std::string &endpoint)
+{
+    proto::Gossip gossip;
+    gossip.mutable_rows()->set_base_revision(members_->highestRevision());
+    members_->addRow(*gossip.mutable_rows(), members_->self(), false);
+    members_->addDefinition(gossip, members_->self());
+    gossip.set_marks_digest(marksDigest());
+    emit(std::string(kSeedPrefix) + endpoint, endpoint, std::move(gossip));
+}
+
+void GossipCore::answerPush(const std::string &sender, const proto::Gossip &push,
+                            const std::vector<MemberRow> &rows,
+                            const std::vector<std::uint32_t> &unknown, bool senderWasDead)
+{
+    proto::Gossip answer;
+    answer.set_step(proto::GOSSIP_STEP_REPLY);
+    answer.mutable_rows()->set_base_revision(members_->highestRevision());
+    if (senderWasDead)
+        members_->addRow(*answer.mutable_rows(), *members_->findId(sender), true);
+    addNewerRows(rows, answer);
+    compareLoads(rows, answer);
+    for (const std::uint32_t key : unknown)
+        answer.add_wanted_members(key);
+    std::vector<std::uint32_t> wantedPlaces;
+    for (const proto::PlaceDigest *digest :
+         places_->newerThan(push.place_versions(), &wantedPlaces))
+        *answer.add_places() = *digest;
+    for (const std::uint32_t key : wantedPlaces)
+        answer.add_wanted_places(key);
+    answer.set_marks_digest(marksDigest());
+    addMarks(answer, push.marks_digest());
+    emit(sender, endpointOf(sender), std::move(answer));
+}
+
+void GossipCore::addNewerRows(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const
+{
+    std::unordered_map<std::uint32_t, const MemberRow *> known;
+    for (const MemberRow &row : peerRows)
+        known.emplace(row.key, &row);
+    std::size_t definitionBytes = 0;
+    for (const auto &[key, record] : members_->records()) {
+        if (!MemberTable::isShared(record))
+            continue;
+        const auto found = known.find(key);
+        if (found == known.end()) {
+            // Half of the message is left for loads, marks and places.
+            definitionBytes += record.id.size() + record.endpoint.size() + 24;
+            if (definitionBytes > options_.maxMessageBytes / 2)
+                return;
+            members_->addDefinition(answer, record);
+            if (record.loadHeartbeat > 0)
+                members_->addLoad(answer, record);
+        }
+        const bool newer = found == known.end() || found->second->heartbeat < record.heartbeat
+                           || (record.suspected && !found->second->suspected
+                               && found->second->heartbeat == record.heartbeat);
+        if (newer)
+            members_->addRow(*answer.mutable_rows(), record, false);
+    }
+}
+
+void GossipCore::compareLoads(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const
+{
+    for (const MemberRow &row : peerRows) {
+        const MemberRecord *record = members_->find(row.key);
+        if (record == nullptr) {
+            if (row.loadHeartbeat > 0)
+                answer.add_wanted_loads(row.key);
+        } else if (record->loadHeartbeat > row.loadHeartbeat) {
+            members_->addLoad(answer, *record);
+        } else if (record->loadHeartbeat < row.loadHeartbeat) {
+            answer.add_wanted_loads(row.key);
+        }
+    }
+}
+
+void GossipCore::answerReply(const std::string &sender, const proto::Gossip &reply)
+{
+    proto::Gossip answer;
+    answer.set_step(proto::GOSSIP_STEP_FINAL);
+    addWanted(reply, answer);
+    addMarks(answer, reply.marks_digest());
+    const bool isEmpty = answer.members_size() + answer.loads_size() + answer.places_size()
+                                 + answer.leaving_size() + answer.crashes_size()
+                         == 0;
+    if (!isEmpty)
+        emit(sender, endpointOf(sender), std::move(answer));
+}
+
+void GossipCore::addWanted(const proto::Gossip &request, proto::Gossip &answer) const
+{
+    answer.mutable_rows()->set_base_revision(members_->highestRevision());
+    std::size_t definitionBytes = 0;
+    for (const std::uint32_t key : request.wanted_members()) {
+        const MemberRecord *record = members_->find(key);
+        if (record == nullptr || !MemberTable::isShared(*record))
+            continue;
+        definitionBytes += record->id.size() + record->endpoint.size() + 24;
+        if (definitionBytes > options_.maxMessageBytes / 2)
+            break;
+        members_->addDefinition(answer, *record);
+        members_->addRow(*answer.mutable_rows(), *record, false);
+    }
+    for (const std::uint32_t key : request.wanted_loads()) {
+        const MemberRecord *record = members_->find(key);
+        if (record != nullptr && record->loadHeartbeat > 0)
+            members_->addLoad(answer, *record);
+    }
+    for (const std::uint32_t key : request.wanted_places()) {
+        if (const proto::PlaceDigest *digest = places_->findKey(key))
+            *answer.add_places() = *digest;
+    }
+}
+
+// ---- Marks and other urgent news --------------------------------------------------------------
+
+std::uint64_t GossipCore::marksDigest() const
+{
+    return leaving_->digest() ^ crashes_->digest();
+}
+
+void GossipCore::addMarks(proto::Gossip &message, std::uint64_t peerDigest) const
+{
+    if (peerDigest == marksDigest())
+        return;
+    leaving_->addTo(message, toCount(now_.wall - kRecentMarks), kMarkBatch);
+    crashes_->addTo(message, toCount(now_.wall + options_.crashMarkLifetime - kRecentMarks),
+                    kMarkBatch);
+    // Tables that differ in older marks are repaired by whole copies, in random exchanges.
+    const bool hasRecent = message.leaving_size() + message.crashes_size() > 0;
+    if (hasRecent && randomBelow(4) != 0)
+        return;
+    message.clear_leaving();
+    message.clear_crashes();
+    leaving_->addTo(message, 0, kMarkBatch);
+    crashes_->addTo(message, 0, kMarkBatch);
+}
+
+void GossipCore::mergeMarks(const proto::Gossip &gossip)
+{
+    for (const proto::LeavingMark &mark : gossip.leaving()) {
+        if (!leaving_->merge(mark, now_.wall))
+            continue;
+        *urgentMarks_.add_leaving() = mark;
+        members_->touch();
+        raiseUrgent();
+    }
+    for (const proto::CrashMark &mark : gossip.crashes()) {
+        if (!crashes_->merge(mark, now_.wall))
+            continue;
+        *urgentMarks_.add_crashes() = mark;
+        raiseUrgent();
+    }
+}
+
+void GossipCore::raiseUrgent()
+{
+    urgentPending_ = true;
+}
+
+void GossipCore::sendUrgent()
+{
+    if (!urgentPending_ || now_.monotonic < lastUrgent_ + options_.urgentInterval)
+        return;
+    urgentPending_ = false;
+    lastUrgent_ = now_.monotonic;
+    proto::Gossip gossip = std::exchange(urgentMarks_, proto::Gossip());
+    gossip.set_step(proto::GOSSIP_STEP_FINAL);
+    gossip.mutable_rows()->set_base_revision(members_->highestRevision());
+    for (const auto &entry : members_->records()) {
+        if (entry.second.urgent && MemberTable::isShared(entry.second))
+            members_->addRow(*gossip.mutable_rows(), entry.second, false);
+    }
+    members_->clearUrgent();
+    refreshActivePeers();
+    for (const std::string &peer : activePeers_)
+        emit(peer, endpointOf(peer), gossip);
+}
+
+// ---- Between places ---------------------------------------------------------------------------
+
+void GossipCore::exchangeWithPlaces()
+{
+    std::map<std::string, std::string> regions;
+    for (const Seed &seed : listSeeds_)
+        regions.emplace(seed.place, seed.region);
+    for (const auto &[place, entry] : places_->entries())
+        regions[place] = entry.digest.region();
+    regions.erase(options_.place);
+    // The relays share the exchanges of the place.
+    const auto share = static_cast<int>(std::max<std::size_t>(relays().size(), 1));
+    for (const auto &[place, region] : regions) {
+        milliseconds &due = placeDue_[place];
+        if (now_.monotonic < due)
+            continue;
+        const milliseconds period = region == options_.region ? options_.regionPeriod
+                                                              : options_.interRegionPeriod;
+        // Half a round earlier, since this runs once per round only.
+        due = now_.monotonic + period * share - options_.roundPeriod / 2;
+        pushToPlace(place);
+    }
+}
+
+void GossipCore::pushToPlace(const std::string &place)
+{
+    std::vector<std::pair<std::string, std::string>> targets;
+    if (const PlaceTable::Entry *entry = places_->find(place)) {
+        for (const proto::MemberEntry &contact : entry->digest.contacts())
+            targets.emplace_back(contact.id(), contact.endpoint());
+        // The first contacts are the relays.
+        if (entry->reachable && targets.size() > options_.relayCount)
+            targets.resize(options_.relayCount);
+    }
+    const bool isReachable = !targets.empty() && places_->find(place)->reachable;
+    for (const Seed &seed : listSeeds_) {
+        if (seed.place == place && !isReachable)
+            targets.emplace_back(std::string(kSeedPrefix) + seed.endpoint, seed.endpoint);
+    }
+    if (targets.empty())
+        return;
+    const auto &[peerId, endpoint] = targets[randomBelow(targets.size())];
+    emit(peerId, endpoint, proto::PlaceDigests());
+}
+
+void GossipCore::receivePlaceDigests(const std::string &sender, const proto::PlaceDigests &digests)
+{
+    for (const proto::PlaceDigest &digest : digests.places())
+        places_->merge(digest, now_.monotonic);
+    const std::uint32_t ownKey = PlaceTable::keyOf(options_.place);
+    const int count = std::min(digests.known().keys_size(), digests.known().versions_size());
+    for (int i = 0; i < count; ++i) {
+        if (digests.known().keys(i) == ownKey)
+            places_->noteOwnVersion(digests.known().versions(i));
+    }
+    findHigherRevision(sender);
+    if (digests.reply())
+        return;
+    proto::PlaceDigests answer;
+    answer.set_reply(true);
+    for (const proto::PlaceDigest *digest : places_->newerThan(digests.known(), nullptr)) {
+        // What the sender gets from the place itself is not sent twice.
+        if (isOutdated(*digest, digests.known()))
+            *answer.add_places() = *digest;
+    }
+    emit(sender, endpointOf(sender), std::move(answer));
+}
+
+void GossipCore::answerForeignPush(const std::string &sender)
+{
+    proto::PlaceDigests answer;
+    answer.set_reply(true);
+    emit(sender, endpointOf(sender), std::move(answer));
+}
+
+proto::PlaceDigest GossipCore::makeOwnDigest()
+{
+    const std::shared_ptr<const MemberView> current = view();
+    proto::PlaceDigest digest;
+    digest.set_place(options_.place);
+    digest.set_region(options_.region);
+    digest.set_version(places_->nextOwnVersion(now_.wall));
+    std::map<std::string, PlaceServiceLoad> services;
+    for (const CellLoad &cell : current->cells) {
+        PlaceServiceLoad &sum = services[cell.service];
+        sum.freeSlots += cell.freeSlots;
+        sum.totalSlots += cell.totalSlots;
+        addWaiting(sum.waitingByTier, cell.waitingByTier);
+    }
+    for (const auto &[name, sum] : services) {
+        proto::ServiceDigest &service = *digest.add_services();
+        service.set_service(name);
+        service.set_free_slots(sum.freeSlots);
+        service.set_total_slots(sum.totalSlots);
+        service.mutable_waiting_by_tier()->Add(sum.waitingByTier.begin(), sum.waitingByTier.end());
+    }
+    std::optional<std::uint64_t> lowest;
+    for (const Member &member : current->members) {
+        if (member.status != MemberStatus::Ready)
+            continue;
+        lowest = std::min(lowest.value_or(member.configRevision), member.configRevision);
+        digest.set_max_config_revision(
+                std::max<std::uint64_t>(digest.max_config_revision(), member.configRevision));
+        digest.set_live_daemons(digest.live_daemons() + 1);
+    }
+    digest.set_min_config_revision(lowest.value_or(0));
+    std::vector<std::string> contacts = current->rankedOwners(kRelayKey);
+    contacts.resize(std::min(contacts.size(), kContactCount));
+    for (const std::string &id : contacts) {
+        proto::MemberEntry &contact = *digest.add_contacts();
+        contact.set_id(id);
+        contact.set_endpoint(endpointOf(id));
+    }
+    return digest;
+}
+
+// ---- Configuration revisions ------------------------------------------------------------------
+
+// Prefers the sender, which is known to be reachable, over a member that has the highest revision.
+void GossipCore::findHigherRevision(const std::string &sender)
+{
+    const std::uint64_t own = members_->self().configRevision;
+    HigherRevision best{ .revision = own };
+    for (const auto &entry : members_->records()) {
+        const MemberRecord &record = entry.second;
+        if (!members_->isPeer(record) || record.configRevision <= own)
+            continue;
+        if (record.id == sender) {
+            best = { .peer = record.id, .revision = record.configRevision };
+            break;
+        }
+        if (record.configRevision > best.revision
+            || (record.configRevision == best.revision && randomBelow(2) == 0))
+            best = { .peer = record.id, .revision = record.configRevision };
+    }
+    if (best.peer.empty() && isRelay()) {
+        for (const auto &entry : places_->entries()) {
+            const proto::PlaceDigest &digest = entry.second.digest;
+            if (digest.max_config_revision() > best.revision && digest.contacts_size() > 0)
+                best = { .peer = digest.contacts(0).id(),
+                         .revision = digest.max_config_revision() };
+        }
+    }
+    const bool isNews = best.revision > notifiedRevision_
+                        || now_.monotonic - notifiedAt_ >= kRevisionRepeat;
+    if (best.peer.empty() || !isNews)
+        return;
+    notifiedRevision_ = best.revision;
+    notifiedAt_ = now_.monotonic;
+    higherRevision_ = best;
+}
+
+// ---- Inputs and outputs -----------------------------------------------------------------------
+
+void GossipCore::setStatus(MemberStatus status, GossipTime now)
+{
+    advance(now);
+    MemberRecord &self = members_->self();
+    if (status == MemberStatus::Dead || self.status == status)
+        return;
+    self.status = status;
+    self.urgent = true;
+    members_->beat();
+    members_->touch();
+    raiseUrgent();
+    sendUrgent();
+}
+
+void GossipCore::setConfigRevision(std::uint64_t revision, GossipTime now)
+{
+    advance(now);
+    MemberRecord &self = members_->self();
+    // A daemon never moves to a lower revision.
+    if (revision <= self.configRevision)
+        return;
+    self.configRevision = revision;
+    self.urgent = true;
+    members_->beat();
+    members_->touch();
+    raiseUrgent();
+    sendUrgent();
+}
+
+void GossipCore::setCellLoads(std::vector<CellLoad> loads)
+{
+    std::vector<proto::CellDigest> digests;
+    for (const CellLoad &load : loads)
+        digests.push_back(digestOf(load));
+    pendingLoads_ = std::move(digests);
+}
+
+void GossipCore::setPlatformList(const std::vector<ListedMember> &list, GossipTime now)
+{
+    advance(now);
+    listSeeds_.clear();
+    for (const ListedMember &listed : list) {
+        if (listed.kind == ListedKind::Daemon) {
+            if (!listed.leaving && listed.endpoint != options_.endpoint)
+                listSeeds_.push_back(Seed{ .endpoint = listed.endpoint,
+                                           .place = listed.place,
+                                           .region = listed.region });
+            continue;
+        }
+        const std::uint64_t since = leaving_->leavingSince(listed.name);
+        const bool lift = since != 0 && !listed.leaving
+                          && since + toCount(options_.listLag) < toCount(now.wall);
+        if (listed.leaving || lift)
+            markLeaving(listed.name, listed.leaving, now);
+    }
+}
+
+void GossipCore::markLeaving(const std::string &runner, bool leaving, GossipTime now)
+{
+    advance(now);
+    if (!leaving_->set(runner, leaving, now.wall))
+        return;
+    members_->touch();
+    raiseUrgent();
+    proto::LeavingMark &mark = *urgentMarks_.add_leaving();
+    mark.set_runner(runner);
+    mark.set_leaving(leaving);
+    mark.set_version(leaving_->versionOf(runner));
+    sendUrgent();
+}
+
+void GossipCore::suspect(const std::string &peer, GossipTime now)
+{
+    advance(now);
+    MemberRecord *record = members_->findId(peer);
+    if (record == nullptr || record->dead || !members_->isPeer(*record))
+        return;
+    record->suspected = true;
+    record->urgent = true;
+    // A live peer answers and thereby refutes the suspicion.
+    push(*record);
+    raiseUrgent();
+    sendUrgent();
+}
+
+void GossipCore::addCrash(std::uint64_t fingerprint, GossipTime now)
+{
+    advance(now);
+    const std::uint32_t reporter = MemberTable::keyOf(options_.selfId, 0);
+    *urgentMarks_.add_crashes() = crashes_->add(fingerprint, reporter, now.wall);
+    raiseUrgent();
+    sendUrgent();
+}
+
+unsigned GossipCore::crashes(std::uint64_t fingerprint, GossipTime now) const
+{
+    return crashes_->crashes(fingerprint, now.wall);
+}
+
+std::vector<std::string> GossipCore::relays()
+{
+    const std::uint64_t version = members_->version();
+    if (relaysVersion_ == version)
+        return relays_;
+    relaysVersion_ = version;
+    MemberView candidates;
+    for (const auto &entry : members_->records()) {
+        const MemberRecord &record = entry.second;
+        if (!record.dead)
+            candidates.members.push_back(Member{ .id = record.id, .status = record.status });
+    }
+    relays_ = candidates.rankedOwners(kRelayKey);
+    if (relays_.empty()) {
+        // Before anybody is ready, somebody has to read the configuration.
+        for (Member &member : candidates.members) {
+            if (member.status == MemberStatus::Starting)
+                member.status = MemberStatus::Ready;
+        }
+        relays_ = candidates.rankedOwners(kRelayKey);
+    }
+    relays_.resize(std::min<std::size_t>(relays_.size(), options_.relayCount));
+    return relays_;
+}
+
+bool GossipCore::isRelay()
+{
+    const std::vector<std::string> current = relays();
+    return std::find(current.begin(), current.end(), options_.selfId) != current.end();
+}
+
+std::shared_ptr<const MemberView> GossipCore::view()
+{
+    const std::uint64_t version = members_->version() + places_->version();
+    if (!view_ || viewVersion_ != version) {
+        view_ = makeView();
+        viewVersion_ = version;
+    }
+    return view_;
+}
+
+std::shared_ptr<const MemberView> GossipCore::makeView() const
+{
+    auto result = std::make_shared<MemberView>();
+    result->selfId = options_.selfId;
+    result->place = options_.place;
+    result->region = options_.region;
+    // If two members publish the same cell, ownership is moving and the newer report counts.
+    std::map<std::pair<std::string, unsigned>, std::pair<milliseconds, CellLoad>> cells;
+    for (const auto &entry : members_->records()) {
+        const MemberRecord &record = entry.second;
+        result->members.push_back(
+                Member{ .id = record.id,
+                        .endpoint = record.endpoint,
+                        .status = record.dead ? MemberStatus::Dead : record.status,
+                        .incarnation = record.incarnation,
+                        .configRevision = record.configRevision });
+        if (record.dead || record.status == MemberStatus::Left)
+            continue;
+        const bool isSelf = record.id == options_.selfId;
+        const milliseconds received = isSelf ? now_.monotonic : record.loadReceived;
+        for (const proto::CellDigest &cell : record.cells) {
+            auto &slot = cells[{ cell.service(), cell.cell() }];
+            if (slot.second.owner.empty() || slot.first < received)
+                slot = { received, loadOf(cell, record.id) };
+        }
+    }
+    std::sort(result->members.begin(), result->members.end(),
+              [](const Member &left, const Member &right) { return left.id < right.id; });
+    for (auto &entry : cells)
+        result->cells.push_back(std::move(entry.second.second));
+    result->places = places_->views();
+    result->leavingRunners = leaving_->leavingRunners();
+    return result;
+}
+
+std::vector<GossipMessage> GossipCore::takeMessages()
+{
+    return std::exchange(outbox_, {});
+}
+
+std::optional<HigherRevision> GossipCore::takeHigherRevision()
+{
+    return std::exchange(higherRevision_, std::nullopt);
+}
+
+std::size_t GossipCore::memberCount() const
+{
+    return members_->size();
+}
+
+std::size_t GossipCore::leavingMarkCount() const
+{
+    return leaving_->size();
+}
+
+std::size_t GossipCore::crashMarkCount() const
+{
+    return crashes_->size();
+}
+
+std::uint64_t GossipCore::incarnation() const
+{
+    return members_->self().incarnation;
+}
+
+std::string GossipCore::endpointOf(const std::string &peerId) const
+{
+    const MemberRecord *record = members_->findId(peerId);
+    return record == nullptr ? std::string() : record->endpoint;
+}
+
+void GossipCore::emit(const std::string &peerId, const std::string &endpoint, proto::Gossip gossip)
+{
+    GossipMessage message{ .peer = peerId, .endpoint = endpoint };
+    gossip.set_place(options_.place);
+    *message.envelope.mutable_gossip() = std::move(gossip);
+    outbox_.push_back(std::move(message));
+}
+
+// Completes the message with our own digest and the versions that we know.
+void GossipCore::emit(const std::string &peerId, const std::string &endpoint,
+                      proto::PlaceDigests digests)
+{
+    *digests.add_places() = makeOwnDigest();
+    *digests.mutable_known() = places_->versions();
+    GossipMessage message{ .peer = peerId, .endpoint = endpoint };
+    *message.envelope.mutable_place_digests() = std::move(digests);
+    outbox_.push_back(std::move(message));
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/mesh/src/marktables.cpp
@@ -0,0 +1,242 @@
+#include "marktables.h"
+
+#include "auburn/core/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace auburn {
+
+namespace {
+
+constexpr std::size_t kMaxRunnerName = 256;
+constexpr unsigned kMaxCrashCount = 1000;
+
+std::uint64_t toCount(std::chrono::milliseconds value)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(value.count(), 0));
+}
+
+std::uint64_t hashWords(const std::array<std::uint64_t, 4> &words)
+{
+    return stableHash(
+            std::string_view(reinterpret_cast<const char *>(words.data()), sizeof(words)));
+}
+
+} // namespace
+
+LeavingMarks::LeavingMarks(std::chrono::milliseconds lifetime, std::size_t limit)
+    : lifetime_(lifetime)
+    , limit_(limit)
+{}
+
+std::uint64_t LeavingMarks::digestOf(const std::string &runner, const Mark &mark)
+{
+    return stableHash(runner, 2 * mark.version + (mark.leaving ? 1 : 0));
+}
+
+void LeavingMarks::store(const std::string &runner, Mark mark)
+{
+    const auto found = marks_.find(runner);
+    if (found != marks_.end())
+        erase(found);
+    if (marks_.size() >= limit_) {
+        // Lifted marks go first, then the oldest.
+        const auto oldest = std::min_element(
+                marks_.begin(), marks_.end(), [](const auto &left, const auto &right) {
+                    return std::pair(left.second.leaving, left.second.version)
+                           < std::pair(right.second.leaving, right.second.version);
+                });
+        erase(oldest);
+    }
+    digest_ ^= digestOf(runner, mark);
+    marks_.emplace(runner, mark);
+}
+
+void LeavingMarks::erase(std::map<std::string, Mark>::iterator position)
+{
+    digest_ ^= digestOf(position->first, position->second);
+    marks_.erase(position);
+}
+
+bool LeavingMarks::set(const std::string &runner, bool leaving, std::chrono::milliseconds wall)
+{
+    const auto found = marks_.find(runner);
+    const bool known = found != marks_.end();
+    const bool changed = known ? found->second.leaving != leaving : leaving;
+    const bool renew = known && found->second.leaving
+                       && found->second.version + toCount(lifetime_ / 2) < toCount(wall);
+    if (!changed && !renew)
+        return false;
+    const std::uint64_t next = known ? found->second.version + 1 : 0;
+    store(runner, Mark{ .version = std::max(toCount(wall), next), .leaving = leaving });
+    return changed;
+}
+
+bool LeavingMarks::merge(const proto::LeavingMark &mark, std::chrono::milliseconds wall)
+{
+    const std::uint64_t lifetime = toCount(lifetime_);
+    if (mark.runner().empty() || mark.runner().size() > kMaxRunnerName
+        || mark.version() + lifetime < toCount(wall) || mark.version() > toCount(wall) + lifetime)
+        return false;
+    const auto found = marks_.find(mark.runner());
+    const Mark incoming{ .version = mark.version(), .leaving = mark.leaving() };
+    if (found != marks_.end()) {
+        const Mark &known = found->second;
+        if (std::pair(incoming.version, incoming.leaving)
+            <= std::pair(known.version, known.leaving))
+            return false;
+    }
+    store(mark.runner(), incoming);
+    return true;
+}
+
+void LeavingMarks::expire(std::chrono::milliseconds wall)
+{
+    for (auto entry = marks_.begin(); entry != marks_.end();) {
+        const auto current = entry++;
+        if (current->second.version + toCount(lifetime_) < toCount(wall))
+            erase(current);
+    }
+}
+
+std::uint64_t LeavingMarks::leavingSince(const std::string &runner) const
+{
+    const auto found = marks_.find(runner);
+    return found != marks_.end() && found->second.leaving ? found->second.version : 0;
+}
+
+std::uint64_t LeavingMarks::versionOf(const std::string &runner) const
+{
+    const auto found = marks_.find(runner);
+    return found == marks_.end() ? 0 : found->second.version;
+}
+
+std::set<std::string> LeavingMarks::leavingRunners() const
+{
+    std::set<std::string> runners;
+    for (const auto &[runner, mark] : marks_) {
+        if (mark.leaving)
+            runners.insert(runner);
+    }
+    return runners;
+}
+
+void LeavingMarks::addTo(proto::Gossip &gossip, std::uint64_t fromVersion, int limit) const
+{
+    for (const auto &[runner, mark] : marks_) {
+        if (mark.version < fromVersion)
+            continue;
+        if (limit-- <= 0)
+            return;
+        proto::LeavingMark &added = *gossip.add_leaving();
+        added.set_runner(runner);
+        added.set_version(mark.version);
+        added.set_leaving(mark.leaving);
+    }
+}
+
+CrashMarks::CrashMarks(std::chrono::milliseconds lifetime, std::size_t limit)
+    : lifetime_(lifetime)
+    , limit_(limit)
+{}
+
+std::uint64_t CrashMarks::digestOf(const Key &key, const Mark &mark)
+{
+    return hashWords({ key.first, key.second, mark.crashes, mark.expiresAt });
+}
+
+void CrashMarks::store(const Key &key, Mark mark)
+{
+    const auto found = marks_.find(key);
+    if (found != marks_.end())
+        erase(found);
+    if (marks_.size() >= limit_) {
+        const auto oldest = std::min_element(
+                marks_.begin(), marks_.end(), [](const auto &left, const auto &right) {
+                    return left.second.expiresAt < right.second.expiresAt;
+                });
+        erase(oldest);
+    }
+    digest_ ^= digestOf(key, mark);
+    marks_.emplace(key, mark);
+}
+
+void CrashMarks::erase(std::map<Key, Mark>::iterator position)
+{
+    digest_ ^= digestOf(position->first, position->second);
+    marks_.erase(position);
+}
+
+proto::CrashMark CrashMarks::messageOf(const Key &key, const Mark &mark)
+{
+    proto::CrashMark message;
+    message.set_fingerprint(key.first);
+    message.set_reporter(key.second);
+    message.set_crashes(mark.crashes);
+    message.set_expires_at_ms(mark.expiresAt);
+    return message;
+}
+
+proto::CrashMark CrashMarks::add(std::uint64_t fingerprint, std::uint32_t reporter,
+                                 std::chrono::milliseconds wall)
+{
+    const Key key(fingerprint, reporter);
+    const auto found = marks_.find(key);
+    Mark mark = found == marks_.end() ? Mark{} : found->second;
+    ++mark.crashes;
+    mark.expiresAt = std::max(mark.expiresAt, toCount(wall + lifetime_));
+    store(key, mark);
+    return messageOf(key, mark);
+}
+
+bool CrashMarks::merge(const proto::CrashMark &mark, std::chrono::milliseconds wall)
+{
+    if (mark.expires_at_ms() < toCount(wall)
+        || mark.expires_at_ms() > toCount(wall + 2 * lifetime_))
+        return false;
+    const Key key(mark.fingerprint(), mark.reporter());
+    const auto found = marks_.find(key);
+    const Mark known = found == marks_.end() ? Mark{} : found->second;
+    const Mark merged{ .crashes = std::max(known.crashes, std::min(mark.crashes(), kMaxCrashCount)),
+                       .expiresAt = std::max<std::uint64_t>(known.expiresAt,
+                                                            mark.expires_at_ms()) };
+    if (merged.crashes == known.crashes && merged.expiresAt == known.expiresAt)
+        return false;
+    store(key, merged);
+    return true;
+}
+
+void CrashMarks::expire(std::chrono::milliseconds wall)
+{
+    for (auto entry = marks_.begin(); entry != marks_.end();) {
+        const auto current = entry++;
+        if (current->second.expiresAt < toCount(wall))
+            erase(current);
+    }
+}
+
+unsigned CrashMarks::crashes(std::uint64_t fingerprint, std::chrono::milliseconds wall) const
+{
+    unsigned total = 0;
+    for (auto entry = marks_.lower_bound(Key(fingerprint, 0));
+         entry != marks_.end() && entry->first.first == fingerprint; ++entry) {
+        if (entry->second.expiresAt >= toCount(wall))
+            total += entry->second.crashes;
+    }
+    return total;
+}
+
+void CrashMarks::addTo(proto::Gossip &gossip, std::uint64_t fromExpiry, int limit) const
+{
+    for (const auto &[key, mark] : marks_) {
+        if (mark.expiresAt < fromExpiry)
+            continue;
+        if (limit-- <= 0)
+            return;
+        *gossip.add_crashes() = messageOf(key, mark);
+    }
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/mesh/src/membertable.cpp
@@ -0,0 +1,318 @@
+#include "membertable.h"
+
+#include "auburn/core/hash.h"
+
+#include <algorithm>
+
+namespace auburn {
+
+namespace {
+
+constexpr unsigned kStateBits = 7;
+constexpr unsigned kSuspectedBit = 8;
+constexpr unsigned kLoadBit = 16;
+constexpr unsigned kRevisionShift = 5;
+constexpr unsigned kDeadState = 7;
+// Bounds what a faulty peer can make this daemon store.
+constexpr std::size_t kMaxNameBytes = 256;
+constexpr int kMaxCellsPerMember = 256;
+// A left member's row is passed on for this long, so that the others learn of it.
+constexpr std::chrono::milliseconds kLeftSharing{ 10000 };
+
+unsigned stateOf(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Starting:
+        return proto::MEMBER_STATE_STARTING;
+    case MemberStatus::Ready:
+        return proto::MEMBER_STATE_READY;
+    case MemberStatus::Draining:
+        return proto::MEMBER_STATE_DRAINING;
+    case MemberStatus::Left:
+        return proto::MEMBER_STATE_LEFT;
+    case MemberStatus::Dead:
+        break;
+    }
+    return kDeadState;
+}
+
+MemberStatus statusOf(unsigned state)
+{
+    switch (state) {
+    case proto::MEMBER_STATE_READY:
+        return MemberStatus::Ready;
+    case proto::MEMBER_STATE_DRAINING:
+        return MemberStatus::Draining;
+    case proto::MEMBER_STATE_LEFT:
+        return MemberStatus::Left;
+    case kDeadState:
+        return MemberStatus::Dead;
+    default:
+        return MemberStatus::Starting;
+    }
+}
+
+} // namespace
+
+std::vector<MemberRow> decodeRows(const proto::MemberRows &rows)
+{
+    std::vector<MemberRow> result;
+    const int count = rows.keys_size();
+    if (rows.heartbeats_size() != count || rows.status_size() != count)
+        return result;
+    result.reserve(static_cast<std::size_t>(count));
+    int loads = 0;
+    for (int i = 0; i < count; ++i) {
+        const std::uint64_t status = rows.status(i);
+        MemberRow row{ .key = rows.keys(i), .heartbeat = rows.heartbeats(i) };
+        row.status = statusOf(status & kStateBits);
+        row.suspected = (status & kSuspectedBit) != 0;
+        row.configRevision = rows.base_revision()
+                             - std::min<std::uint64_t>(status >> kRevisionShift,
+                                                       rows.base_revision());
+        if ((status & kLoadBit) != 0) {
+            if (loads == rows.load_ages_size())
+                return {};
+            row.loadHeartbeat = row.heartbeat - std::min(rows.load_ages(loads++), row.heartbeat);
+        }
+        result.push_back(row);
+    }
+    return result;
+}
+
+MemberTable::MemberTable(Limits limits, const std::string &selfId, std::uint64_t incarnation,
+                         const std::string &endpoint)
+    : limits_(limits)
+    , selfKey_(keyOf(selfId, incarnation))
+{
+    records_.emplace(selfKey_, MemberRecord{ .key = selfKey_,
+                                             .id = selfId,
+                                             .incarnation = incarnation,
+                                             .endpoint = endpoint,
+                                             .heartbeat = 1 });
+    keysById_.emplace(selfId, selfKey_);
+}
+
+std::uint32_t MemberTable::keyOf(const std::string &id, std::uint64_t incarnation)
+{
+    return static_cast<std::uint32_t>(stableHash(id, incarnation));
+}
+
+MemberRecord *MemberTable::find(std::uint32_t key)
+{
+    const auto found = records_.find(key);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+const MemberRecord *MemberTable::find(std::uint32_t key) const
+{
+    const auto found = records_.find(key);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+MemberRecord *MemberTable::findId(const std::string &id)
+{
+    const auto found = keysById_.find(id);
+    return found == keysById_.end() ? nullptr : &records_.at(found->second);
+}
+
+const MemberRecord *MemberTable::findId(const std::string &id) const
+{
+    const auto found = keysById_.find(id);
+    return found == keysById_.end() ? nullptr : &records_.at(found->second);
+}
+
+void MemberTable::renewSelf(std::uint64_t incarnation)
+{
+    MemberRecord record = self();
+    record.incarnation = std::max(incarnation, record.incarnation + 1);
+    while (records_.contains(keyOf(record.id, record.incarnation)))
+        ++record.incarnation;
+    record.key = keyOf(record.id, record.incarnation);
+    record.loadHeartbeat = record.cells.empty() ? 0 : 1;
+    record.heartbeat = 1;
+    records_.erase(selfKey_);
+    selfKey_ = record.key;
+    keysById_[record.id] = selfKey_;
+    records_.emplace(selfKey_, std::move(record));
+    for (auto &entry : records_)
+        entry.second.knowsSelf = false;
+    touch();
+}
+
+bool MemberTable::define(const proto::MemberEntry &entry, std::chrono::milliseconds now)
+{
+    if (entry.id().empty() || entry.id().size() > kMaxNameBytes || entry.endpoint().empty()
+        || entry.endpoint().size() > kMaxNameBytes || entry.id() == self().id)
+        return false;
+    const std::uint32_t key = keyOf(entry.id(), entry.incarnation());
+    if (records_.contains(key))
+        return false;
+    if (const MemberRecord *known = findId(entry.id())) {
+        if (known->incarnation >= entry.incarnation())
+            return false;
+        remove(known->key);
+    }
+    if (records_.size() >= limits_.maxMembers)
+        return false;
+    MemberRecord record{ .key = key,
+                         .id = entry.id(),
+                         .incarnation = entry.incarnation(),
+                         .endpoint = entry.endpoint() };
+    record.lastProgress = now;
+    records_.emplace(key, std::move(record));
+    keysById_[entry.id()] = key;
+    touch();
+    return true;
+}
+
+bool MemberTable::merge(const MemberRow &row, std::chrono::milliseconds now)
+{
+    MemberRecord *record = find(row.key);
+    if (record == nullptr)
+        return false;
+    if (row.status == MemberStatus::Dead || record->key == selfKey_)
+        return true;
+    if (row.heartbeat <= record->heartbeat) {
+        if (row.heartbeat == record->heartbeat && row.suspected && !record->dead)
+            record->suspected = true;
+        return true;
+    }
+    if (record->status != row.status || record->dead
+        || record->configRevision != row.configRevision)
+        touch();
+    if (record->status != row.status) {
+        record->urgent = true;
+        urgentRaised_ = true;
+        if (row.status == MemberStatus::Left)
+            record->leftSince = now;
+    }
+    record->heartbeat = row.heartbeat;
+    record->status = row.status;
+    record->configRevision = row.configRevision;
+    record->suspected = row.suspected;
+    record->dead = false;
+    record->confirmed = true;
+    record->lastProgress = now;
+    return true;
+}
+
+void MemberTable::mergeLoad(const proto::MemberLoad &load, std::chrono::milliseconds now)
+{
+    MemberRecord *record = find(load.key());
+    if (record == nullptr || record->key == selfKey_ || load.heartbeat() <= record->loadHeartbeat
+        || load.cells_size() > kMaxCellsPerMember)
+        return;
+    record->loadHeartbeat = load.heartbeat();
+    record->loadReceived = now;
+    record->cells.assign(load.cells().begin(), load.cells().end());
+    touch();
+}
+
+void MemberTable::expire(std::chrono::milliseconds now)
+{
+    std::vector<std::uint32_t> forgotten;
+    for (auto &[key, record] : records_) {
+        if (key == selfKey_)
+            continue;
+        const std::chrono::milliseconds silent = now - record.lastProgress;
+        const auto timeout = record.suspected ? limits_.suspicionTimeout : limits_.failureTimeout;
+        if (!record.dead && record.status != MemberStatus::Left && silent > timeout) {
+            record.dead = true;
+            record.suspected = false;
+            touch();
+        }
+        if (record.status == MemberStatus::Left && now - record.leftSince > kLeftSharing)
+            record.confirmed = false;
+        if (silent > limits_.forgetAfter)
+            forgotten.push_back(key);
+    }
+    for (const std::uint32_t key : forgotten)
+        remove(key);
+}
+
+void MemberTable::skipTime(std::chrono::milliseconds gap)
+{
+    for (auto &entry : records_) {
+        MemberRecord &record = entry.second;
+        record.lastProgress += gap;
+        record.leftSince += gap;
+        if (record.key != selfKey_)
+            record.confirmed = false;
+    }
+}
+
+bool MemberTable::isShared(const MemberRecord &record)
+{
+    return record.confirmed && !record.dead && record.heartbeat > 0;
+}
+
+bool MemberTable::isPeer(const MemberRecord &record) const
+{
+    return record.key != selfKey_ && !record.dead && record.status != MemberStatus::Left;
+}
+
+void MemberTable::addRow(proto::MemberRows &rows, const MemberRecord &record,
+                         bool deadForPeer) const
+{
+    const std::uint64_t distance = rows.base_revision()
+                                   - std::min(record.configRevision, rows.base_revision());
+    std::uint64_t status = deadForPeer ? kDeadState : stateOf(record.status);
+    status |= distance << kRevisionShift;
+    if (record.suspected)
+        status |= kSuspectedBit;
+    if (record.loadHeartbeat > 0 && record.loadHeartbeat <= record.heartbeat) {
+        status |= kLoadBit;
+        rows.add_load_ages(record.heartbeat - record.loadHeartbeat);
+    }
+    rows.add_keys(record.key);
+    rows.add_heartbeats(record.heartbeat);
+    rows.add_status(status);
+}
+
+void MemberTable::addDefinition(proto::Gossip &gossip, const MemberRecord &record) const
+{
+    proto::MemberEntry &entry = *gossip.add_members();
+    entry.set_id(record.id);
+    entry.set_incarnation(record.incarnation);
+    entry.set_endpoint(record.endpoint);
+}
+
+void MemberTable::addLoad(proto::Gossip &gossip, const MemberRecord &record) const
+{
+    proto::MemberLoad &load = *gossip.add_loads();
+    load.set_key(record.key);
+    load.set_heartbeat(record.loadHeartbeat);
+    load.mutable_cells()->Assign(record.cells.begin(), record.cells.end());
+}
+
+std::uint64_t MemberTable::highestRevision() const
+{
+    std::uint64_t highest = 0;
+    for (const auto &entry : records_)
+        highest = std::max(highest, entry.second.configRevision);
+    return highest;
+}
+
+bool MemberTable::takeUrgent()
+{
+    return std::exchange(urgentRaised_, false);
+}
+
+void MemberTable::clearUrgent()
+{
+    for (auto &entry : records_)
+        entry.second.urgent = false;
+}
+
+void MemberTable::remove(std::uint32_t key)
+{
+    const auto found = records_.find(key);
+    const auto byId = keysById_.find(found->second.id);
+    if (byId != keysById_.end() && byId->second == key)
+        keysById_.erase(byId);
+    records_.erase(found);
+    touch();
+}
+
+} // namespace auburn
--- a/packages/mesh/src/zmqbus.cpp
+++ b/packages/mesh/src/zmqbus.cpp
@@ -13,6 +13,7 @@
 #include <thread>
 #include <unistd.h>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <zmq.hpp>
 
@@ -132,6 +133,8 @@
     void receiveFromRouter();
     void receiveFromDealer(const std::string &daemonId, Connection &connection);
     void handlePayload(const zmq::message_t &payload, const std::string *routingId);
+    void noteRoute(const std::string &sender, const std::string &routingId);
+    void dropRoute(const std::string &daemonId);
     void handleZap();
     void handleMonitor(Peer &peer);
     void maintain();
@@ -151,6 +154,8 @@
     std::unordered_map<std::string, std::string> endpoints_;
     std::unordered_map<std::string, std::string> endpointChanges_;
     std::deque<Outgoing> queue_;
+    // Daemons with an entry in routes_.
+    std::unordered_set<std::string> answerable_;
     std::string boundEndpoint_;
 
     // Used by the bus thread only.
@@ -271,7 +276,7 @@
     bool wasEmpty = false;
     {
         const std::lock_guard lock(mutex_);
-        if (!endpoints_.contains(daemonId)) {
+        if (!endpoints_.contains(daemonId) && !answerable_.contains(daemonId)) {
             setLastError("no endpoint is known for daemon " + daemonId);
             return false;
         }
@@ -348,7 +353,7 @@
         changes.swap(endpointChanges_);
     }
     for (const auto &[daemonId, endpoint] : changes) {
-        routes_.erase(daemonId);
+        dropRoute(daemonId);
         Peer &peer = peers_[daemonId];
         closeConnection(peer);
         if (endpoint.empty())
@@ -403,7 +408,7 @@
         return true;
     } catch (const zmq::error_t &) {
         // The connection has gone since.
-        routes_.erase(route);
+        dropRoute(message.daemonId);
         return false;
     }
 }
@@ -512,7 +517,7 @@
     }
     const std::string sender = envelope.sender();
     if (routingId != nullptr)
-        routes_[sender] = Route{ .routingId = *routingId, .lastHeard = Clock::now() };
+        noteRoute(sender, *routingId);
     const auto kind = static_cast<std::size_t>(envelope.body_case());
     AtomicTraffic &traffic = traffic_[kind % kKindLimit];
     ++traffic.messagesIn;
@@ -524,6 +529,22 @@
         ++droppedUnhandled_;
 }
 
+void ZmqBus::Impl::noteRoute(const std::string &sender, const std::string &routingId)
+{
+    const bool isNew = routes_.insert_or_assign(sender, Route{ routingId, Clock::now() }).second;
+    if (!isNew)
+        return;
+    const std::lock_guard lock(mutex_);
+    answerable_.insert(sender);
+}
+
+void ZmqBus::Impl::dropRoute(const std::string &daemonId)
+{
+    routes_.erase(daemonId);
+    const std::lock_guard lock(mutex_);
+    answerable_.erase(daemonId);
+}
+
 // Answers one authentication request of libzmq (ZeroMQ RFC 27): version, request id, domain,
 // address, identity, mechanism and, for CURVE, the client's public key as 32 bytes.
 void ZmqBus::Impl::handleZap()
@@ -589,9 +610,13 @@
             closeConnection(peer);
         }
     }
-    std::erase_if(routes_, [now](const auto &entry) {
-        return now - entry.second.lastHeard > kRouteLifetime;
-    });
+    std::vector<std::string> expired;
+    for (const auto &[daemonId, route] : routes_) {
+        if (now - route.lastHeard > kRouteLifetime)
+            expired.push_back(daemonId);
+    }
+    for (const std::string &daemonId : expired)
+        dropRoute(daemonId);
 }
 
 BusCounters ZmqBus::Impl::counters() const
