--- /dev/null
+++ b/packages/schedule/include/auburn/schedule/runnertable.h
@@ -0,0 +1,165 @@
+// RunnerTable: what the owner of a cell knows about its runners, and the choice of the runner that
+// gets the next request.
+//
+// Slots in use are counted here, from grants and releases; load reports lag and only add a weight
+// for work that this owner did not grant. A runner whose first-token time or token gap is far over
+// the pool's median is a straggler and gets fewer slots. An unreachable or crashed runner is set
+// aside for a growing time and then tried with a single request. The class is pure: it reads no
+// clock and takes no lock.
+#pragma once
+
+#include "auburn/schedule/slotsource.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace auburn {
+
+struct RunnerSpec
+{
+    std::string name;
+    // host:port
+    std::string address;
+    unsigned slots = 1;
+    // False for a draining or leaving runner: it keeps its requests and gets no new ones.
+    bool accepting = true;
+    bool operator==(const RunnerSpec &) const = default;
+};
+
+// A runner's own load report, as of some moment in the past.
+struct RunnerLoad
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+};
+
+class RunnerTable
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+    // Number of a runner in this table; valid while the runner is configured or has slots in use.
+    using RunnerId = std::uint32_t;
+
+    struct Options
+    {
+        // Entries of the map from prefix hash to runner.
+        std::size_t affinityCapacity = 4096;
+        // Advantage of the runner that has the prefix, as a share of its slots. Half of the slots
+        // lets a hot prefix spread to other runners before its runner is full.
+        double affinityBonus = 0.5;
+        // Times over the median from which a runner is a straggler.
+        double stragglerRatio = 2.0;
+        // Releases with timings that are needed to judge a runner.
+        unsigned minSamples = 5;
+        // Consecutive failed attempts after which a reachable runner is set aside.
+        unsigned maxFailures = 3;
+        std::chrono::milliseconds firstBackOff{ 500 };
+        std::chrono::milliseconds maxBackOff{ 15000 };
+        // A probing request that is still in progress after this time counts as answered. The
+        // first-token target is 1.8 s; a stream may last far longer.
+        std::chrono::milliseconds probePasses{ 3000 };
+        // Load reports older than this are ignored.
+        std::chrono::milliseconds loadLifetime{ 5000 };
+    };
+
+    explicit RunnerTable(Options options);
+
+    // Replaces the set of runners. A removed runner stays known while it has slots in use.
+    void configure(const std::vector<RunnerSpec> &runners);
+
+    std::optional<RunnerId> find(const std::string &name) const;
+    const std::string &name(RunnerId id) const { return entries_[id].spec.name; }
+    const std::string &address(RunnerId id) const { return entries_[id].spec.address; }
+    unsigned inUse(RunnerId id) const { return entries_[id].inUse; }
+
+    // The runner for a request; empty if no runner outside excluded has a free slot.
+    std::optional<RunnerId> choose(std::uint64_t prefixHash,
+                                   const std::vector<std::string> &excluded, TimePoint now) const;
+    // Takes a slot of a chosen runner; true if the request is the probe of a runner that was set
+    // aside.
+    bool acquire(RunnerId id, std::uint64_t prefixHash, TimePoint now);
+    // Counts a slot that another owner has granted.
+    void adopt(RunnerId id);
+    // Returns a slot and learns from the attempt. probe is what acquire returned.
+    void release(RunnerId id, bool probe, const SlotReport &report, TimePoint now);
+
+    void reportLoad(const std::string &name, RunnerLoad load, TimePoint now);
+    // Updates medians and probes; to be called a few times a second.
+    void update(TimePoint now);
+
+    bool hasFreeSlot(TimePoint now) const;
+    // Earliest time at which some runner outside excluded may take a request, not before now; empty
+    // if no such runner accepts requests.
+    std::optional<TimePoint> usableFrom(const std::vector<std::string> &excluded,
+                                        TimePoint now) const;
+    // Slots over all runners that accept requests and are not set aside.
+    unsigned freeSlots(TimePoint now) const;
+    unsigned totalSlots() const;
+    // Times over the pool's median; 1 for a runner that is not a straggler.
+    double slowness(RunnerId id) const { return entries_[id].slowness; }
+
+private:
+    // Exponential moving average in microseconds.
+    struct Average
+    {
+        double value = 0;
+        unsigned samples = 0;
+        void add(std::chrono::microseconds sample);
+    };
+
+    struct Entry
+    {
+        RunnerSpec spec;
+        // False for an entry that can be reused.
+        bool present = false;
+        bool configured = false;
+        unsigned inUse = 0;
+        // Highest number of slots in use since the last and since the previous load report.
+        unsigned peak = 0;
+        unsigned previousPeak = 0;
+        // Requests on the runner that this owner did not grant.
+        unsigned foreignLoad = 0;
+        TimePoint loadExpires;
+        Average firstToken;
+        Average tokenGap;
+        double slowness = 1;
+        unsigned failures = 0;
+        bool setAside = false;
+        bool probing = false;
+        TimePoint setAsideUntil;
+        TimePoint probeStarted;
+        std::chrono::milliseconds backOff{ 0 };
+    };
+
+    using AffinityList = std::list<std::pair<std::uint64_t, RunnerId>>;
+
+    static bool accepts(const Entry &entry);
+    unsigned limit(const Entry &entry) const;
+    bool isFree(const Entry &entry, TimePoint now) const;
+    double score(const Entry &entry, TimePoint now) const;
+    std::optional<RunnerId> affine(std::uint64_t prefixHash) const;
+    void remember(std::uint64_t prefixHash, RunnerId id);
+    void setAside(Entry &entry, TimePoint now);
+    static void markHealthy(Entry &entry);
+    void judgeProbe(Entry &entry, const SlotReport &report, TimePoint now);
+    void judge(Entry &entry, const SlotReport &report, TimePoint now);
+    double medianOf(Average Entry::*average) const;
+    RunnerId addEntry();
+    void dropIfUnused(RunnerId id);
+
+    Options options_;
+    std::vector<Entry> entries_;
+    std::unordered_map<std::string, RunnerId> byName_;
+    AffinityList affinity_;
+    std::unordered_map<std::uint64_t, AffinityList::iterator> affinityByHash_;
+    // First runner to look at, so that equally loaded runners take turns.
+    std::size_t nextStart_ = 0;
+};
+
+} // namespace auburn
--- /dev/null
+++ b/packages/schedule/src/cellowner.cpp
@@ -0,0 +1,290 @@
+#include "auburn/schedule/cellowner.h"
+
+#include "auburn/core/lasterror.h"
+#include "auburn/schedule/cells.h"
+#include "localcalls.h"
+#include "slotmessages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+struct EventToMessage
+{
+    proto::Envelope operator()(const SlotGranted &grant) const { return grantMessage(grant); }
+    proto::Envelope operator()(const SlotRefused &refused) const
+    {
+        return refusalMessage(refused.requestId, refused.refusal);
+    }
+};
+
+} // namespace
+
+std::unique_ptr<CellOwner> CellOwner::make(Options options)
+{
+    if (!options.bus || !options.views || !options.config || options.selfId.empty()) {
+        setLastError("cell owner needs a daemon id, a bus, a view source and a configuration");
+        return nullptr;
+    }
+    std::unique_ptr<CellOwner> owner(new CellOwner(std::move(options)));
+    const MessageBus::Handler handler = [self = owner.get()](const std::string &sender,
+                                                             const proto::Envelope &envelope) {
+        self->handle(sender, envelope);
+    };
+    MessageBus &bus = *owner->options_.bus;
+    bus.setHandler(proto::Envelope::kSlotRequest, handler);
+    bus.setHandler(proto::Envelope::kSlotCancel, handler);
+    bus.setHandler(proto::Envelope::kSlotRelease, handler);
+    bus.setHandler(proto::Envelope::kHeldSlots, handler);
+    return owner;
+}
+
+CellOwner::CellOwner(Options options)
+    : options_(std::move(options))
+{}
+
+void CellOwner::handle(const std::string &sender, const proto::Envelope &envelope)
+{
+    const LocalCalls::Scope scope;
+    switch (envelope.body_case()) {
+    case proto::Envelope::kSlotRequest:
+        onRequest(sender, envelope);
+        break;
+    case proto::Envelope::kSlotCancel:
+        onCancel(sender, envelope);
+        break;
+    case proto::Envelope::kSlotRelease:
+        onRelease(sender, envelope);
+        break;
+    case proto::Envelope::kHeldSlots:
+        onHeld(sender, envelope);
+        break;
+    default:
+        break;
+    }
+}
+
+void CellOwner::reportLoad(const std::string &runner, RunnerLoad load)
+{
+    const TimePoint now = options_.clock();
+    for (const auto &entry : cells())
+        entry.second->reportLoad(runner, load, now);
+}
+
+void CellOwner::tick(TimePoint now)
+{
+    const LocalCalls::Scope scope;
+    const auto config = options_.config();
+    const auto view = options_.views->view();
+    if (!config || !view)
+        return;
+    if (config != lastConfig_ || view != lastView_)
+        reconfigure(*config, *view, now);
+    lastConfig_ = config;
+    lastView_ = view;
+
+    const CellScheduler::FrontGone frontGone = [&view](const std::string &front) {
+        return std::any_of(view->members.begin(), view->members.end(), [&](const Member &member) {
+            const bool gone = member.status == MemberStatus::Dead
+                              || member.status == MemberStatus::Left;
+            return gone && member.id == front;
+        });
+    };
+    for (const auto &entry : cells())
+        sendAll(entry.second->tick(now, frontGone));
+    publish(*view, now);
+}
+
+std::vector<CellLoad> CellOwner::loads() const
+{
+    const TimePoint now = options_.clock();
+    std::vector<CellLoad> result;
+    for (const auto &entry : cells())
+        result.push_back(entry.second->load(now));
+    return result;
+}
+
+void CellOwner::onRequest(const std::string &front, const proto::Envelope &envelope)
+{
+    const proto::SlotRequest &request = envelope.slot_request();
+    if (request.cell() == kAnyCell) {
+        if (foreignHandler_)
+            foreignHandler_(front, envelope);
+        return;
+    }
+    send(front, ackMessage(request.request_id()));
+    const Cell cell = cellFor(CellId{ .service = request.service(), .cell = request.cell() });
+    if (!cell) {
+        send(front, refusalMessage(request.request_id(),
+                                   Refusal{ .code = RefusalCode::NoRunnerAvailable,
+                                            .verdict = Verdict::DidNotRun,
+                                            .message = "the cell has no runner of the service",
+                                            .retryAfter = std::nullopt }));
+        return;
+    }
+    const TimePoint now = options_.clock();
+    sendAll(cell->request(askFromProto(front, request, now), now));
+}
+
+void CellOwner::onCancel(const std::string &front, const proto::Envelope &envelope)
+{
+    const TimePoint now = options_.clock();
+    for (const auto &entry : cells())
+        sendAll(entry.second->cancel(front, envelope.slot_cancel().request_id(), now));
+    if (foreignHandler_)
+        foreignHandler_(front, envelope);
+}
+
+void CellOwner::onRelease(const std::string &front, const proto::Envelope &envelope)
+{
+    const proto::SlotRelease &release = envelope.slot_release();
+    const SlotReport report = reportFromProto(release);
+    const TimePoint now = options_.clock();
+    // A late grant is released without its cell, which the front no longer knows.
+    const bool anywhere = release.service().empty();
+    if (anywhere) {
+        for (const auto &entry : cells())
+            sendAll(entry.second->release(front, release.slot_id(), report, now));
+    } else if (const Cell cell = findCell({ release.service(), release.cell() })) {
+        sendAll(cell->release(front, release.slot_id(), report, now));
+    }
+    if (foreignHandler_ && (anywhere || release.cell() == kAnyCell))
+        foreignHandler_(front, envelope);
+}
+
+void CellOwner::onHeld(const std::string &front, const proto::Envelope &envelope)
+{
+    const proto::HeldSlots &held = envelope.held_slots();
+    if (held.cell() == kAnyCell) {
+        if (foreignHandler_)
+            foreignHandler_(front, envelope);
+        return;
+    }
+    const Cell cell = cellFor(CellId{ .service = held.service(), .cell = held.cell() });
+    if (cell)
+        sendAll(cell->reportHeld(front, reportedFromProto(held), options_.clock()));
+}
+
+void CellOwner::send(const std::string &front, proto::Envelope envelope)
+{
+    envelope.set_sender(options_.selfId);
+    if (front != options_.selfId) {
+        options_.bus->send(front, std::move(envelope));
+        return;
+    }
+    if (localHandler_) {
+        LocalCalls::post(
+                [this, message = std::move(envelope)] { localHandler_(options_.selfId, message); });
+    }
+}
+
+void CellOwner::sendAll(const SlotEvents &events)
+{
+    for (const SlotEvent &event : events) {
+        const std::string &front = std::visit(
+                [](const auto &answer) -> const std::string & { return answer.front; }, event);
+        send(front, std::visit(EventToMessage{}, event));
+    }
+}
+
+CellOwner::Cell CellOwner::findCell(const CellId &id) const
+{
+    const std::shared_lock lock(mutex_);
+    const auto found = cells_.find(id);
+    return found == cells_.end() ? nullptr : found->second;
+}
+
+CellOwner::Cell CellOwner::cellFor(const CellId &id)
+{
+    if (Cell cell = findCell(id))
+        return cell;
+    const auto config = options_.config();
+    const auto view = options_.views->view();
+    if (!config || !view)
+        return nullptr;
+    const std::vector<RunnerSpec> runners = runnersOf(id, *config, *view);
+    if (runners.empty())
+        return nullptr;
+    const Cell made = std::make_shared<CellScheduler>(
+            CellScheduler::Options{ .service = id.service,
+                                    .cell = id.cell,
+                                    .owner = options_.selfId,
+                                    .queue = options_.queue,
+                                    .runners = options_.runners });
+    made->configure(runners, options_.clock());
+    const std::unique_lock lock(mutex_);
+    return cells_.try_emplace(id, made).first->second;
+}
+
+std::map<CellOwner::CellId, CellOwner::Cell> CellOwner::cells() const
+{
+    const std::shared_lock lock(mutex_);
+    return cells_;
+}
+
+std::vector<RunnerSpec> CellOwner::runnersOf(const CellId &id, const ConfigState &config,
+                                             const MemberView &view) const
+{
+    std::vector<RunnerSpec> specs;
+    const std::vector<const Runner *> runners = config.runners(id.service, view.place);
+    const unsigned count = cellCount(runners.size());
+    for (const Runner *runner : runners) {
+        if (cellOfRunner(runner->name, count) != id.cell)
+            continue;
+        const bool leaving = view.leavingRunners.contains(runner->name);
+        specs.push_back(RunnerSpec{ .name = runner->name,
+                                    .address = runner->address,
+                                    .slots = runner->slots,
+                                    .accepting = !runner->draining && !leaving });
+    }
+    return specs;
+}
+
+void CellOwner::addOwnedCells(const ConfigState &config, const MemberView &view)
+{
+    for (const Service *service : config.services()) {
+        const std::size_t runners = config.runners(service->name, view.place).size();
+        const unsigned count = runners == 0 ? 0 : cellCount(runners);
+        for (unsigned cell = 0; cell < count; ++cell) {
+            if (view.ownerOf(cellKey(service->name, view.place, cell)) == options_.selfId)
+                cellFor(CellId{ .service = service->name, .cell = cell });
+        }
+    }
+}
+
+void CellOwner::dropUnusedCells(const ConfigState &config, const MemberView &view)
+{
+    const std::unique_lock lock(mutex_);
+    std::erase_if(cells_, [&](const auto &entry) {
+        const CellId &id = entry.first;
+        const bool owned = view.ownerOf(cellKey(id.service, view.place, id.cell))
+                           == options_.selfId;
+        const bool used = owned && !runnersOf(id, config, view).empty();
+        return !used && entry.second.use_count() == 1 && entry.second->idle();
+    });
+}
+
+void CellOwner::reconfigure(const ConfigState &config, const MemberView &view, TimePoint now)
+{
+    addOwnedCells(config, view);
+    dropUnusedCells(config, view);
+    for (const auto &[id, cell] : cells())
+        sendAll(cell->configure(runnersOf(id, config, view), now));
+}
+
+void CellOwner::publish(const MemberView &view, TimePoint now)
+{
+    if (!options_.publishLoads)
+        return;
+    std::vector<CellLoad> owned;
+    for (const auto &[id, cell] : cells()) {
+        if (view.ownerOf(cellKey(id.service, view.place, id.cell)) == options_.selfId)
+            owned.push_back(cell->load(now));
+    }
+    options_.publishLoads(std::move(owned));
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/schedule/src/slotclient.cpp
@@ -0,0 +1,581 @@
+#include "auburn/schedule/slotclient.h"
+
+#include "auburn/core/lasterror.h"
+#include "auburn/core/log.h"
+#include "auburn/schedule/cells.h"
+#include "localcalls.h"
+#include "pendingslot.h"
+#include "slotmessages.h"
+
+#include <QRandomGenerator>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+// Daemons that are asked for one cell. Each costs two acknowledgement timeouts, so three bound the
+// time that a request spends on silent daemons to 1.8 s.
+constexpr std::size_t kMaxDaemonsPerCell = 3;
+
+Refusal makeRefusal(RefusalCode code, std::string message)
+{
+    return Refusal{ .code = code,
+                    .verdict = Verdict::DidNotRun,
+                    .message = std::move(message),
+                    .retryAfter = std::nullopt };
+}
+
+std::uint64_t millisecondsBetween(std::chrono::steady_clock::time_point from,
+                                  std::chrono::steady_clock::time_point to)
+{
+    const auto time = std::chrono::ceil<std::chrono::milliseconds>(to - from);
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
+}
+
+// True for a refusal that another cell or place may not give.
+bool isLocalRefusal(RefusalCode code)
+{
+    return code == RefusalCode::Overloaded || code == RefusalCode::NoRunnerAvailable
+           || code == RefusalCode::DeadlineExceeded || code == RefusalCode::NotReady;
+}
+
+// Lower is better: free slots first, then the fewest requests waiting at or above the tier.
+std::tuple<int, unsigned> loadRank(unsigned freeSlots, const std::vector<unsigned> &waitingByTier,
+                                   unsigned tier)
+{
+    unsigned ahead = 0;
+    for (std::size_t i = 0; i < waitingByTier.size() && i <= tier; ++i)
+        ahead += waitingByTier[i];
+    return { -static_cast<int>(freeSlots), ahead };
+}
+
+std::tuple<int, unsigned> cellRank(const MemberView &view, const SlotDemand &demand, unsigned cell)
+{
+    for (const CellLoad &load : view.cells) {
+        if (load.cell == cell && load.service == demand.service)
+            return loadRank(load.freeSlots, load.waitingByTier, demand.tier);
+    }
+    return { 0, 0 };
+}
+
+const PlaceServiceLoad *findService(const PlaceView &place, const std::string &service)
+{
+    const auto found = std::find_if(
+            place.services.begin(), place.services.end(),
+            [&](const PlaceServiceLoad &load) { return load.service == service; });
+    return found == place.services.end() ? nullptr : &*found;
+}
+
+const Member *findMember(const MemberView &view, const std::string &id)
+{
+    const auto found = std::find_if(view.members.begin(), view.members.end(),
+                                    [&](const Member &member) { return member.id == id; });
+    return found == view.members.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+std::unique_ptr<SlotClient> SlotClient::make(Options options)
+{
+    if (!options.bus || !options.views || !options.config || !options.localOwner) {
+        setLastError("slot client needs a bus, a view source, a configuration and a cell owner");
+        return nullptr;
+    }
+    std::unique_ptr<SlotClient> client(new SlotClient(std::move(options)));
+    const MessageBus::Handler handler = [self = client.get()](const std::string &sender,
+                                                              const proto::Envelope &envelope) {
+        self->onEnvelope(sender, envelope);
+    };
+    MessageBus &bus = *client->options_.bus;
+    bus.setHandler(proto::Envelope::kSlotAck, handler);
+    bus.setHandler(proto::Envelope::kSlotGrant, handler);
+    bus.setHandler(proto::Envelope::kSlotRefusal, handler);
+    client->options_.localOwner->setLocalHandler(handler);
+    return client;
+}
+
+SlotClient::SlotClient(Options options)
+    : options_(std::move(options))
+    , byRequest_(std::make_unique<PendingMap>())
+{}
+
+SlotClient::~SlotClient() = default;
+
+std::size_t SlotClient::pendingCount() const
+{
+    return byRequest_->all().size();
+}
+
+void SlotClient::request(SlotDemand demand, Callback callback)
+{
+    const auto pending = std::make_shared<Pending>();
+    pending->demand = std::move(demand);
+    pending->callback = std::move(callback);
+    pending->started = options_.clock();
+    start(pending);
+}
+
+void SlotClient::requestHere(SlotDemand demand, Callback callback, std::chrono::milliseconds waited)
+{
+    const auto pending = std::make_shared<Pending>();
+    pending->demand = std::move(demand);
+    pending->callback = std::move(callback);
+    pending->started = options_.clock() - waited;
+    pending->staysHere = true;
+    start(pending);
+}
+
+void SlotClient::start(const PendingPtr &pending)
+{
+    const LocalCalls::Scope scope;
+    const std::lock_guard lock(pending->mutex);
+    const std::uint64_t fingerprint = pending->demand.fingerprint;
+    const auto view = options_.views->view();
+    if (!byRequest_->insert(pending)) {
+        pending->callback(makeRefusal(RefusalCode::InvalidRequest, "the request id is in use"));
+    } else if (fingerprint != 0 && options_.crashesRunners
+               && options_.crashesRunners(fingerprint)) {
+        finish(*pending,
+               makeRefusal(RefusalCode::CrashesRunners, "the request has crashed its runners"));
+    } else if (!view) {
+        finish(*pending, makeRefusal(RefusalCode::NotReady, "the daemon has no member view yet"));
+    } else {
+        tryNextTarget(*pending, *view, options_.clock());
+    }
+}
+
+void SlotClient::cancel(const std::string &requestId)
+{
+    const LocalCalls::Scope scope;
+    const PendingPtr pending = byRequest_->find(requestId);
+    if (!pending)
+        return;
+    const std::lock_guard lock(pending->mutex);
+    if (pending->done)
+        return;
+    pending->done = true;
+    abandon(*pending);
+    byRequest_->erase(*pending);
+}
+
+void SlotClient::release(const GrantedSlot &slot, SlotReport report)
+{
+    const LocalCalls::Scope scope;
+    const std::optional<Held> held = held_.take(slot.slotId);
+    if (!held)
+        return;
+    send(held->slot.owner, releaseMessage(held->slot, report));
+    if (const auto view = options_.views->view()) {
+        const GrantedSlot now = atOwnerNow(held->slot, *view);
+        if (now.owner != held->slot.owner)
+            send(now.owner, releaseMessage(now, report));
+    }
+    const bool lost = report.outcome == SlotOutcome::RunnerUnreachable
+                      || report.outcome == SlotOutcome::Failed;
+    if (lost && report.fingerprint != 0 && options_.runnerLost)
+        options_.runnerLost(report.fingerprint);
+}
+
+void SlotClient::tick(TimePoint now)
+{
+    const LocalCalls::Scope scope;
+    const auto view = options_.views->view();
+    if (!view)
+        return;
+    for (const PendingPtr &pending : byRequest_->all()) {
+        const std::lock_guard lock(pending->mutex);
+        if (!pending->done)
+            tickPending(*pending, *view, now);
+    }
+    const std::lock_guard lock(tickMutex_);
+    const auto config = options_.config();
+    const bool changed = view != lastView_ || config != lastConfig_;
+    lastView_ = view;
+    lastConfig_ = config;
+    const bool due = now - lastReport_ >= kHeldReportPeriod;
+    if (due || changed)
+        reportHeld(*view, now);
+}
+
+void SlotClient::onEnvelope(const std::string &sender, const proto::Envelope &envelope)
+{
+    const LocalCalls::Scope scope;
+    if (envelope.has_slot_ack())
+        onAck(envelope.slot_ack());
+    else if (envelope.has_slot_grant())
+        onGrant(sender, envelope.slot_grant());
+    else if (envelope.has_slot_refusal())
+        onRefusal(envelope.slot_refusal());
+}
+
+void SlotClient::onAck(const proto::SlotAck &ack)
+{
+    const PendingPtr pending = pendingOf(ack.request_id());
+    if (!pending)
+        return;
+    const std::lock_guard lock(pending->mutex);
+    if (pending->wireId == ack.request_id())
+        pending->acknowledged = true;
+}
+
+void SlotClient::onGrant(const std::string &sender, const proto::SlotGrant &grant)
+{
+    const PendingPtr pending = pendingOf(grant.request_id());
+    if (!pending) {
+        giveBack(sender, grant);
+        return;
+    }
+    const std::lock_guard lock(pending->mutex);
+    if (pending->done || pending->wireId != grant.request_id()) {
+        giveBack(sender, grant);
+        return;
+    }
+    const TimePoint now = options_.clock();
+    if (now >= pending->demand.deadline) {
+        giveBack(sender, grant);
+        finish(*pending, makeRefusal(RefusalCode::DeadlineExceeded, "the deadline has passed"));
+        return;
+    }
+    const TimePoint dispatchBefore = now + std::chrono::milliseconds(grant.dispatch_within_ms());
+    GrantedSlot slot{ .slotId = grant.slot_id(),
+                      .runner = grant.runner(),
+                      .address = grant.address(),
+                      .service = pending->demand.service,
+                      .cell = pending->target.cell,
+                      .owner = sender,
+                      .dispatchBefore = std::min(dispatchBefore, pending->demand.deadline) };
+    held_.put(slot.slotId, Held{ .slot = slot,
+                                 .tier = pending->demand.tier,
+                                 .organisation = pending->demand.organisation });
+    finish(*pending, std::move(slot));
+}
+
+void SlotClient::onRefusal(const proto::SlotRefusal &refusal)
+{
+    const PendingPtr pending = pendingOf(refusal.request_id());
+    if (!pending)
+        return;
+    const std::lock_guard lock(pending->mutex);
+    if (pending->done || pending->wireId != refusal.request_id())
+        return;
+    Refusal reason = refusalFromProto(refusal);
+    if (!isLocalRefusal(reason.code)) {
+        finish(*pending, std::move(reason));
+        return;
+    }
+    // Lack of room says more to the caller than a place without runners.
+    if (!pending->refusal || pending->refusal->code == RefusalCode::NoRunnerAvailable)
+        pending->refusal = std::move(reason);
+    byWire_.take(pending->wireId);
+    pending->wireId.clear();
+    pending->owner.clear();
+    if (const auto view = options_.views->view())
+        tryNextTarget(*pending, *view, options_.clock());
+}
+
+void SlotClient::giveBack(const std::string &owner, const proto::SlotGrant &grant)
+{
+    // A repeated grant of a slot that is in use must not free it.
+    if (held_.visit(grant.slot_id(), [](const Held &) {}))
+        return;
+    send(owner, releaseMessage(GrantedSlot{ .slotId = grant.slot_id(), .runner = grant.runner() },
+                               SlotReport{}));
+}
+
+SlotClient::PendingPtr SlotClient::pendingOf(const std::string &wireId)
+{
+    PendingPtr pending;
+    byWire_.visit(wireId, [&](const PendingPtr &found) { pending = found; });
+    return pending;
+}
+
+unsigned SlotClient::cellsHere(const std::string &service, const MemberView &view) const
+{
+    const auto config = options_.config();
+    if (!config)
+        return 0;
+    const std::vector<const Runner *> runners = config->runners(service, view.place);
+    const bool anyAccepts = std::any_of(runners.begin(), runners.end(), [&](const Runner *runner) {
+        return !runner->draining && !view.leavingRunners.contains(runner->name);
+    });
+    return anyAccepts ? cellCount(runners.size()) : 0;
+}
+
+std::optional<SlotClient::Target> SlotClient::nextTarget(const Pending &pending,
+                                                         const MemberView &view) const
+{
+    std::optional<Target> cell = nextCell(pending, view);
+    if (cell || pending.staysHere)
+        return cell;
+    return nextPlace(pending, view);
+}
+
+std::optional<SlotClient::Target> SlotClient::nextCell(const Pending &pending,
+                                                       const MemberView &view) const
+{
+    std::vector<unsigned> untried;
+    const unsigned count = cellsHere(pending.demand.service, view);
+    for (unsigned cell = 0; cell < count; ++cell) {
+        if (!pending.tried.contains(Target{ .place = view.place, .cell = cell }))
+            untried.push_back(cell);
+    }
+    if (untried.empty())
+        return std::nullopt;
+    QRandomGenerator &random = *QRandomGenerator::global();
+    const auto size = static_cast<quint32>(untried.size());
+    const std::uint64_t prefix = pending.demand.prefixHash;
+    // Requests with one prefix start at one cell, where its runner is known.
+    const quint32 first = prefix != 0 ? static_cast<quint32>(prefix % size) : random.bounded(size);
+    const quint32 second = size == 1 ? first : (first + 1 + random.bounded(size - 1)) % size;
+    const auto firstRank = cellRank(view, pending.demand, untried[first]);
+    const auto secondRank = cellRank(view, pending.demand, untried[second]);
+    const bool firstHasRoom = prefix != 0 && std::get<0>(firstRank) < 0;
+    const quint32 chosen = firstHasRoom || firstRank <= secondRank ? first : second;
+    return Target{ .place = view.place, .cell = untried[chosen] };
+}
+
+std::optional<SlotClient::Target> SlotClient::nextPlace(const Pending &pending,
+                                                        const MemberView &view) const
+{
+    const PlaceView *best = nullptr;
+    std::tuple<bool, std::tuple<int, unsigned>> bestRank;
+    for (const PlaceView &place : view.places) {
+        const PlaceServiceLoad *load = findService(place, pending.demand.service);
+        const bool usable = place.reachable && load && load->totalSlots > 0
+                            && !place.contacts.empty();
+        if (!usable || pending.tried.contains(Target{ .place = place.place, .cell = kAnyCell }))
+            continue;
+        const std::tuple rank(place.region != view.region,
+                              loadRank(load->freeSlots, load->waitingByTier, pending.demand.tier));
+        if (!best || rank < bestRank) {
+            best = &place;
+            bestRank = rank;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    return Target{ .place = best->place, .cell = kAnyCell };
+}
+
+std::vector<std::string> SlotClient::daemonsFor(const Pending &pending,
+                                                const MemberView &view) const
+{
+    std::vector<std::string> daemons;
+    if (pending.target.cell == kAnyCell) {
+        for (const PlaceView &place : view.places) {
+            if (place.place != pending.target.place)
+                continue;
+            for (const Member &contact : place.contacts)
+                daemons.push_back(contact.id);
+        }
+        return daemons;
+    }
+    daemons = view.rankedOwners(cellKey(pending.demand.service, view.place, pending.target.cell));
+    if (daemons.empty())
+        daemons.push_back(options_.selfId);
+    if (daemons.size() > kMaxDaemonsPerCell)
+        daemons.resize(kMaxDaemonsPerCell);
+    return daemons;
+}
+
+void SlotClient::tryNextTarget(Pending &pending, const MemberView &view, TimePoint now)
+{
+    while (const std::optional<Target> target = nextTarget(pending, view)) {
+        pending.target = *target;
+        pending.tried.insert(*target);
+        pending.asked.clear();
+        if (tryNextDaemon(pending, view, now))
+            return;
+    }
+    finish(pending, pending.refusal.value_or(makeRefusal(RefusalCode::NoRunnerAvailable,
+                                                         "no runner of the service is available")));
+}
+
+bool SlotClient::tryNextDaemon(Pending &pending, const MemberView &view, TimePoint now)
+{
+    const std::vector<std::string> daemons = daemonsFor(pending, view);
+    for (const std::string &daemon : daemons) {
+        if (!pending.asked.insert(daemon).second)
+            continue;
+        abandon(pending);
+        pending.wireId = pending.demand.requestId + '.' + std::to_string(nextWire_++);
+        byWire_.put(pending.wireId, pending.shared_from_this());
+        pending.owner = daemon;
+        pending.viewOwner = daemons.front();
+        const Member *member = findMember(view, daemon);
+        pending.ownerIncarnation = member ? member->incarnation : 0;
+        pending.resent = false;
+        if (sendRequest(pending, now))
+            return true;
+    }
+    return false;
+}
+
+bool SlotClient::sendRequest(Pending &pending, TimePoint now)
+{
+    const SlotDemand &demand = pending.demand;
+    proto::Envelope envelope;
+    envelope.set_traceparent(demand.traceparent);
+    proto::SlotRequest *message = envelope.mutable_slot_request();
+    message->set_request_id(pending.wireId);
+    message->set_service(demand.service);
+    message->set_place(pending.target.place);
+    message->set_cell(pending.target.cell);
+    message->set_tier(demand.tier);
+    message->set_organisation(demand.organisation);
+    message->set_prefix_hash(demand.prefixHash);
+    message->set_prompt_tokens(demand.promptTokens);
+    message->set_fingerprint(demand.fingerprint);
+    message->set_deadline_ms(millisecondsBetween(now, demand.deadline));
+    message->set_waited_ms(millisecondsBetween(pending.started, now));
+    for (const std::string &runner : demand.excludedRunners)
+        message->add_excluded_runners(runner);
+    pending.sent = now;
+    pending.acknowledged = false;
+    return send(pending.owner, std::move(envelope));
+}
+
+// Leaves the current owner; its late answers find no request.
+void SlotClient::abandon(Pending &pending)
+{
+    if (pending.wireId.empty())
+        return;
+    byWire_.take(pending.wireId);
+    send(pending.owner, cancelMessage(pending.wireId));
+    pending.wireId.clear();
+}
+
+void SlotClient::finish(Pending &pending, SlotAnswer answer)
+{
+    const PendingPtr keep = pending.shared_from_this();
+    pending.done = true;
+    if (!pending.wireId.empty())
+        byWire_.take(pending.wireId);
+    const Callback callback = std::move(pending.callback);
+    callback(std::move(answer));
+    byRequest_->erase(pending);
+}
+
+void SlotClient::tickPending(Pending &pending, const MemberView &view, TimePoint now)
+{
+    if (now >= pending.demand.deadline) {
+        abandon(pending);
+        finish(pending, makeRefusal(RefusalCode::DeadlineExceeded,
+                                    "the deadline passed while the request waited"));
+        return;
+    }
+    if (ownerChanged(pending, view)) {
+        pending.asked.clear();
+        if (!tryNextDaemon(pending, view, now))
+            tryNextTarget(pending, view, now);
+        return;
+    }
+    if (!pending.acknowledged) {
+        tickUnacknowledged(pending, view, now);
+    } else if (now - pending.sent >= kHeldReportPeriod) {
+        // Renews the lease at the owner and fetches an answer that was lost.
+        pending.resent = false;
+        sendRequest(pending, now);
+    }
+}
+
+void SlotClient::tickUnacknowledged(Pending &pending, const MemberView &view, TimePoint now)
+{
+    if (now - pending.sent < kAckTimeout)
+        return;
+    if (!pending.resent) {
+        pending.resent = true;
+        sendRequest(pending, now);
+        return;
+    }
+    logEvent(LogLevel::Warning, "slot-owner-silent",
+             { { "daemon", pending.owner }, { "request", pending.demand.requestId } });
+    if (options_.suspect)
+        options_.suspect(pending.owner);
+    if (!tryNextDaemon(pending, view, now))
+        tryNextTarget(pending, view, now);
+}
+
+bool SlotClient::ownerChanged(const Pending &pending, const MemberView &view) const
+{
+    if (pending.target.cell == kAnyCell)
+        return false;
+    const std::string owner = view.ownerOf(
+            cellKey(pending.demand.service, view.place, pending.target.cell));
+    if (!owner.empty() && owner != pending.viewOwner)
+        return true;
+    const Member *member = findMember(view, pending.owner);
+    return member && member->incarnation != pending.ownerIncarnation;
+}
+
+bool SlotClient::send(const std::string &daemon, proto::Envelope envelope)
+{
+    envelope.set_sender(options_.selfId);
+    if (daemon != options_.selfId)
+        return options_.bus->send(daemon, std::move(envelope));
+    LocalCalls::post([this, message = std::move(envelope)] {
+        options_.localOwner->handle(options_.selfId, message);
+    });
+    return true;
+}
+
+// The slot with the cell and owner that its runner has by the present configuration and view.
+GrantedSlot SlotClient::atOwnerNow(const GrantedSlot &slot, const MemberView &view) const
+{
+    GrantedSlot result = slot;
+    const unsigned cells = cellsHere(slot.service, view);
+    if (slot.cell == kAnyCell || cells == 0)
+        return result;
+    result.cell = cellOfRunner(slot.runner, cells);
+    const std::string owner = view.ownerOf(cellKey(slot.service, view.place, result.cell));
+    if (!owner.empty())
+        result.owner = owner;
+    return result;
+}
+
+std::map<SlotClient::ReportKey, proto::Envelope> SlotClient::heldReports(const MemberView &view)
+{
+    std::map<ReportKey, proto::Envelope> reports;
+    const auto add = [&](const GrantedSlot &at, const Held &held) {
+        proto::Envelope &envelope = reports[{ at.owner, at.service, at.cell }];
+        proto::HeldSlot *entry = envelope.mutable_held_slots()->add_slots();
+        entry->set_slot_id(at.slotId);
+        entry->set_runner(at.runner);
+        entry->set_tier(held.tier);
+        entry->set_organisation(held.organisation);
+    };
+    std::vector<Held> all;
+    held_.visitAll([&](const std::string &, const Held &held) { all.push_back(held); });
+    for (const Held &held : all) {
+        const GrantedSlot now = atOwnerNow(held.slot, view);
+        add(now, held);
+        // The granting owner keeps its count right while views differ.
+        if (now.owner != held.slot.owner || now.cell != held.slot.cell)
+            add(held.slot, held);
+    }
+    return reports;
+}
+
+void SlotClient::reportHeld(const MemberView &view, TimePoint now)
+{
+    lastReport_ = now;
+    std::map<ReportKey, proto::Envelope> reports = heldReports(view);
+    std::set<ReportKey> keys;
+    for (const auto &entry : reports)
+        keys.insert(entry.first);
+    // An empty report tells an owner that lost a release.
+    for (const ReportKey &key : lastReported_)
+        reports[key];
+    lastReported_ = std::move(keys);
+    for (auto &[key, envelope] : reports) {
+        envelope.mutable_held_slots()->set_service(key.service);
+        envelope.mutable_held_slots()->set_cell(key.cell);
+        send(key.daemon, std::move(envelope));
+    }
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/schedule/src/tierqueue.cpp
@@ -0,0 +1,265 @@
+#include "auburn/schedule/tierqueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+// Organisations that grantsAhead looks at; bounds its cost.
+constexpr std::size_t kMaxCountedOrganisations = 64;
+
+} // namespace
+
+TierQueue::TierQueue(Options options)
+    : options_(options)
+    , tiers_(options.tiers)
+{
+    assert(options.tiers > 0 && options.guardInterval > 0);
+}
+
+TierQueue::Admission TierQueue::push(WaitingRequest request)
+{
+    assert(request.tier < tiers_.size());
+    if (nodes_.contains(request.id))
+        return { .accepted = true, .evicted = std::nullopt };
+    Admission admission{ .accepted = true, .evicted = std::nullopt };
+    const bool usesReserve = tiers_[request.tier].byTime.size() < options_.reservedPerTier;
+    if (!usesReserve && sharedUsed() >= options_.sharedCapacity) {
+        unsigned lowest = options_.tiers - 1;
+        while (lowest > request.tier && tiers_[lowest].byTime.size() <= options_.reservedPerTier)
+            --lowest;
+        if (lowest == request.tier)
+            return { .accepted = false, .evicted = std::nullopt };
+        admission.evicted = remove(*tiers_[lowest].byTime.rbegin()->second);
+    }
+
+    const unsigned tierIndex = request.tier;
+    Tier &tier = tiers_[tierIndex];
+    if (tier.byTime.empty())
+        tier.mark = grants_;
+    Organisation &organisation = organisationOf(request.organisation);
+    const Order order{ .since = request.since, .sequence = nextSequence_++ };
+    const std::string id = request.id;
+    Node &node = nodes_[id];
+    node = Node{ .request = std::move(request), .order = order, .organisation = &organisation };
+    removeRank(organisation, tierIndex);
+    organisation.lines[tierIndex].emplace(order, &node);
+    ++organisation.waiting;
+    addRank(organisation, tierIndex);
+    tier.byTime.emplace(order, &node);
+    byDeadline_.emplace(node.request.deadline, &node);
+    return admission;
+}
+
+std::optional<WaitingRequest> TierQueue::grantNext(const Eligible &eligible)
+{
+    const bool severalTiers = waitingTiers() > 1;
+    const bool guardDue = severalTiers && guardCount_ + 1 >= options_.guardInterval;
+    unsigned skipped = 0;
+    if (guardDue) {
+        Node *node = firstEligible(*guardTier(), eligible, skipped);
+        if (node)
+            return grant(*node, severalTiers, guardDue, true);
+    }
+    for (unsigned tier = 0; tier < options_.tiers; ++tier) {
+        Node *node = firstEligible(tier, eligible, skipped);
+        if (node)
+            return grant(*node, severalTiers, guardDue, false);
+    }
+    return std::nullopt;
+}
+
+std::optional<WaitingRequest> TierQueue::cancel(const std::string &id)
+{
+    const auto found = nodes_.find(id);
+    if (found == nodes_.end())
+        return std::nullopt;
+    return remove(found->second);
+}
+
+std::vector<WaitingRequest> TierQueue::expire(TimePoint now)
+{
+    std::vector<WaitingRequest> expired;
+    while (!byDeadline_.empty() && byDeadline_.begin()->first <= now)
+        expired.push_back(remove(*byDeadline_.begin()->second));
+    return expired;
+}
+
+void TierQueue::slotTaken(const std::string &organisation)
+{
+    changeHeld(organisationOf(organisation), 1);
+}
+
+void TierQueue::slotReturned(const std::string &organisation)
+{
+    const auto found = organisations_.find(organisation);
+    if (found == organisations_.end() || found->second.held == 0)
+        return;
+    changeHeld(found->second, -1);
+    dropIfUnused(found->second);
+}
+
+std::vector<unsigned> TierQueue::waitingByTier() const
+{
+    std::vector<unsigned> result;
+    result.reserve(tiers_.size());
+    for (const Tier &tier : tiers_)
+        result.push_back(static_cast<unsigned>(tier.byTime.size()));
+    return result;
+}
+
+std::vector<std::string> TierQueue::ids() const
+{
+    std::vector<std::string> result;
+    result.reserve(nodes_.size());
+    for (const auto &entry : nodes_)
+        result.push_back(entry.first);
+    return result;
+}
+
+std::size_t TierQueue::grantsAhead(const WaitingRequest &request) const
+{
+    std::size_t higher = 0;
+    for (unsigned tier = 0; tier < request.tier; ++tier)
+        higher += tiers_[tier].byTime.size();
+
+    std::size_t sameTier = 0;
+    const auto own = organisations_.find(request.organisation);
+    if (own != organisations_.end()) {
+        const Line &line = own->second.lines[request.tier];
+        const bool isLast = line.empty() || line.rbegin()->first.since <= request.since;
+        sameTier += isLast ? line.size() : 0;
+    }
+    std::size_t counted = 0;
+    for (const Rank &rank : tiers_[request.tier].ranks) {
+        if (rank.held > 0 || rank.head.since > request.since)
+            break;
+        if (++counted > kMaxCountedOrganisations)
+            break;
+        if (rank.organisation->name != request.organisation)
+            ++sameTier;
+    }
+    return std::min(higher + sameTier, sameTier * options_.guardInterval);
+}
+
+TierQueue::Organisation &TierQueue::organisationOf(const std::string &name)
+{
+    const auto [found, inserted] = organisations_.try_emplace(name);
+    if (inserted) {
+        found->second.name = name;
+        found->second.lines.resize(tiers_.size());
+    }
+    return found->second;
+}
+
+void TierQueue::dropIfUnused(Organisation &organisation)
+{
+    if (organisation.held > 0 || organisation.waiting > 0)
+        return;
+    const std::string name = organisation.name;
+    organisations_.erase(name);
+}
+
+void TierQueue::addRank(Organisation &organisation, unsigned tier)
+{
+    const Line &line = organisation.lines[tier];
+    if (!line.empty()) {
+        tiers_[tier].ranks.insert(Rank{ .held = organisation.held,
+                                        .head = line.begin()->first,
+                                        .organisation = &organisation });
+    }
+}
+
+void TierQueue::removeRank(Organisation &organisation, unsigned tier)
+{
+    const Line &line = organisation.lines[tier];
+    if (!line.empty()) {
+        tiers_[tier].ranks.erase(Rank{ .held = organisation.held,
+                                       .head = line.begin()->first,
+                                       .organisation = &organisation });
+    }
+}
+
+void TierQueue::changeHeld(Organisation &organisation, int change)
+{
+    for (unsigned tier = 0; tier < options_.tiers; ++tier)
+        removeRank(organisation, tier);
+    organisation.held = static_cast<unsigned>(static_cast<int>(organisation.held) + change);
+    for (unsigned tier = 0; tier < options_.tiers; ++tier)
+        addRank(organisation, tier);
+}
+
+WaitingRequest TierQueue::remove(Node &node)
+{
+    Organisation &organisation = *node.organisation;
+    const unsigned tier = node.request.tier;
+    removeRank(organisation, tier);
+    organisation.lines[tier].erase(node.order);
+    --organisation.waiting;
+    addRank(organisation, tier);
+    tiers_[tier].byTime.erase(node.order);
+    byDeadline_.erase({ node.request.deadline, &node });
+    WaitingRequest request = std::move(node.request);
+    nodes_.erase(request.id);
+    dropIfUnused(organisation);
+    return request;
+}
+
+std::size_t TierQueue::sharedUsed() const
+{
+    std::size_t used = 0;
+    for (const Tier &tier : tiers_) {
+        const std::size_t waiting = tier.byTime.size();
+        used += waiting - std::min(waiting, options_.reservedPerTier);
+    }
+    return used;
+}
+
+unsigned TierQueue::waitingTiers() const
+{
+    return static_cast<unsigned>(std::count_if(
+            tiers_.begin(), tiers_.end(), [](const Tier &tier) { return !tier.byTime.empty(); }));
+}
+
+TierQueue::Node *TierQueue::firstEligible(unsigned tier, const Eligible &eligible,
+                                          unsigned &skipped) const
+{
+    for (const Rank &rank : tiers_[tier].ranks) {
+        for (const auto &entry : rank.organisation->lines[tier]) {
+            if (!eligible || eligible(entry.second->request))
+                return entry.second;
+            if (++skipped >= kMaxSkipped)
+                return nullptr;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<unsigned> TierQueue::guardTier() const
+{
+    std::optional<unsigned> best;
+    bool isTop = true;
+    for (unsigned tier = 0; tier < options_.tiers; ++tier) {
+        if (tiers_[tier].byTime.empty())
+            continue;
+        if (!isTop && (!best || tiers_[tier].mark < tiers_[*best].mark))
+            best = tier;
+        isTop = false;
+    }
+    return best;
+}
+
+WaitingRequest TierQueue::grant(Node &node, bool severalTiers, bool guardDue, bool byGuard)
+{
+    ++grants_;
+    tiers_[node.request.tier].mark = grants_;
+    // A guard grant that found no eligible request stays due.
+    if (severalTiers && guardDue == byGuard)
+        guardCount_ = (guardCount_ + 1) % options_.guardInterval;
+    return remove(node);
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/schedule/tests/runnertable_test.cpp
@@ -0,0 +1,185 @@
+#include "auburn/schedule/runnertable.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace auburn {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+struct RunnerTableFixture
+{
+    RunnerTableFixture()
+    {
+        for (const char *name : { "a", "b", "c", "d" })
+            specs.push_back(RunnerSpec{ .name = name, .address = name, .slots = 8 });
+        table.configure(specs);
+    }
+
+    // Name of the runner that gets the next request; empty if none is free.
+    std::string take(std::uint64_t prefix = 0, const std::vector<std::string> &excluded = {})
+    {
+        const auto id = table.choose(prefix, excluded, now);
+        if (!id)
+            return {};
+        wasProbe = table.acquire(*id, prefix, now);
+        return table.name(*id);
+    }
+
+    void giveBack(const std::string &name, SlotOutcome outcome, bool probe = false,
+                  milliseconds firstToken = milliseconds(100))
+    {
+        const SlotReport report{ .outcome = outcome,
+                                 .firstToken = firstToken,
+                                 .tokenGap = milliseconds(20) };
+        table.release(*table.find(name), probe, report, now);
+    }
+
+    // Takes all free slots and counts them by runner.
+    std::map<std::string, unsigned> takeAll()
+    {
+        std::map<std::string, unsigned> taken;
+        for (std::string name = take(); !name.empty(); name = take())
+            ++taken[name];
+        return taken;
+    }
+
+    RunnerTable::TimePoint now{ std::chrono::hours(1) };
+    RunnerTable table{ RunnerTable::Options{} };
+    std::vector<RunnerSpec> specs;
+    bool wasProbe = false;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(runnertable, RunnerTableFixture)
+
+// Guards against uneven load and against more requests than slots.
+BOOST_AUTO_TEST_CASE(choose_allHealthy_slotsAreSpreadAndNeverExceeded)
+{
+    for (int i = 0; i < 8; ++i)
+        take();
+    for (RunnerTable::RunnerId id = 0; id < 4; ++id)
+        BOOST_TEST(table.inUse(id) == 2U);
+    for (const auto &entry : takeAll())
+        BOOST_TEST(entry.second == 6U);
+    BOOST_TEST(!table.hasFreeSlot(now));
+}
+
+// Guards against new work on a runner that is leaving.
+BOOST_AUTO_TEST_CASE(choose_runnerDraining_getsNothingAndKeepsItsSlots)
+{
+    take();
+    specs[0].accepting = false;
+    table.configure(specs);
+    BOOST_TEST(takeAll().count("a") == 0U);
+    BOOST_TEST(table.inUse(*table.find("a")) == 1U);
+    specs.erase(specs.begin());
+    table.configure(specs);
+    BOOST_TEST(table.find("a").has_value());
+    giveBack("a", SlotOutcome::Completed);
+    BOOST_TEST(!table.find("a").has_value());
+}
+
+// Guards against a slow runner that keeps its full share.
+BOOST_AUTO_TEST_CASE(update_runnerTenTimesSlower_getsOneSlotUntilItRecovers)
+{
+    const auto sample = [&](milliseconds slowest) {
+        for (int i = 0; i < 30; ++i) {
+            for (const RunnerSpec &spec : specs) {
+                table.adopt(*table.find(spec.name));
+                giveBack(spec.name, SlotOutcome::Completed, false,
+                         spec.name == "d" ? slowest : milliseconds(100));
+            }
+        }
+        table.update(now);
+    };
+    sample(milliseconds(1000));
+    const auto taken = takeAll();
+    BOOST_TEST(taken.at("d") == 1U);
+    BOOST_TEST(taken.at("a") == 8U);
+    for (const auto &[name, count] : taken) {
+        for (unsigned i = 0; i < count; ++i)
+            giveBack(name, SlotOutcome::Completed);
+    }
+    sample(milliseconds(100));
+    BOOST_TEST(takeAll().at("d") == 8U);
+}
+
+// Guards against requests that go on failing on a dead runner, and against one that is never used
+// again.
+BOOST_AUTO_TEST_CASE(release_runnerUnreachable_setAsideThenProbedByOneRequest)
+{
+    table.adopt(*table.find("a"));
+    giveBack("a", SlotOutcome::RunnerUnreachable);
+    for (int i = 0; i < 9; ++i)
+        BOOST_TEST(take() != "a");
+    now += milliseconds(500);
+    BOOST_TEST(take() == "a");
+    BOOST_TEST(wasProbe);
+    BOOST_TEST(take() != "a");
+    // A failed probe doubles the time.
+    giveBack("a", SlotOutcome::RunnerUnreachable, true);
+    now += milliseconds(999);
+    BOOST_TEST(take() != "a");
+    now += milliseconds(1);
+    BOOST_TEST(take() == "a");
+    giveBack("a", SlotOutcome::Completed, true);
+    BOOST_TEST(takeAll().at("a") == 8U);
+}
+
+// Guards against retries that are used as probes while healthy runners are free.
+BOOST_AUTO_TEST_CASE(choose_probeDueAndRequestIsARetry_healthyRunnerIsTaken)
+{
+    table.adopt(*table.find("a"));
+    giveBack("a", SlotOutcome::RunnerUnreachable);
+    now += milliseconds(500);
+    BOOST_TEST(take(0, { "b" }) != "a");
+    BOOST_TEST(take() == "a");
+}
+
+// Guards against a runner that stays out while its probe is a long stream.
+BOOST_AUTO_TEST_CASE(update_probeLastsLong_runnerIsUsedAgain)
+{
+    table.adopt(*table.find("a"));
+    giveBack("a", SlotOutcome::RunnerUnreachable);
+    now += milliseconds(500);
+    BOOST_TEST(take() == "a");
+    now += milliseconds(3000);
+    table.update(now);
+    BOOST_TEST(takeAll().at("a") == 7U);
+}
+
+// Guards against lost prefix caches, and against a hot prefix that overloads its runner.
+BOOST_AUTO_TEST_CASE(choose_samePrefix_staysUntilRunnerIsMoreLoaded)
+{
+    const std::string first = take(42);
+    unsigned same = 0;
+    while (take(42) == first)
+        ++same;
+    BOOST_TEST(same >= 3U);
+    BOOST_TEST(same < 7U);
+}
+
+// Guards against a report that counts this owner's own requests twice because it lags.
+BOOST_AUTO_TEST_CASE(reportLoad_reportLags_onlyForeignWorkWeighs)
+{
+    BOOST_TEST(take() == "a");
+    giveBack("a", SlotOutcome::Completed);
+    table.reportLoad("a", RunnerLoad{ .running = 1 }, now);
+    BOOST_TEST(take(0, { "b", "c", "d" }) == "a");
+    giveBack("a", SlotOutcome::Completed);
+    table.reportLoad("a", RunnerLoad{ .running = 6 }, now);
+    for (int i = 0; i < 12; ++i)
+        BOOST_TEST(take() != "a");
+    now += milliseconds(5000);
+    BOOST_TEST(take() == "a");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn
--- /dev/null
+++ b/packages/schedule/tests/tierqueue_test.cpp
@@ -0,0 +1,328 @@
+#include "auburn/schedule/tierqueue.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace auburn {
+
+namespace {
+
+using TimePoint = TierQueue::TimePoint;
+using std::chrono::milliseconds;
+
+// The same rules with linear scans over one list.
+class NaiveQueue
+{
+public:
+    struct Entry
+    {
+        WaitingRequest request;
+        std::uint64_t sequence = 0;
+        auto order() const { return std::pair(request.since, sequence); }
+    };
+
+    explicit NaiveQueue(TierQueue::Options options)
+        : options_(options)
+        , marks_(options.tiers)
+    {}
+
+    TierQueue::Admission push(const WaitingRequest &request)
+    {
+        std::size_t shared = 0;
+        for (unsigned tier = 0; tier < options_.tiers; ++tier)
+            shared += inShared(tier);
+        TierQueue::Admission admission{ .accepted = true };
+        if (count(request.tier) >= options_.reservedPerTier && shared >= options_.sharedCapacity) {
+            unsigned lowest = request.tier;
+            for (unsigned tier = request.tier + 1; tier < options_.tiers; ++tier)
+                lowest = inShared(tier) > 0 ? tier : lowest;
+            if (lowest == request.tier)
+                return { .accepted = false };
+            admission.evicted = take(newestOf(lowest));
+        }
+        if (count(request.tier) == 0)
+            marks_[request.tier] = grants_;
+        entries.push_back(Entry{ .request = request, .sequence = next_++ });
+        return admission;
+    }
+
+    std::optional<WaitingRequest> grantNext()
+    {
+        std::vector<unsigned> tiers;
+        for (unsigned tier = 0; tier < options_.tiers; ++tier) {
+            if (count(tier) > 0)
+                tiers.push_back(tier);
+        }
+        if (tiers.empty())
+            return std::nullopt;
+        unsigned tier = tiers.front();
+        if (tiers.size() > 1 && ++shareCount_ == options_.guardInterval) {
+            shareCount_ = 0;
+            tier = *std::min_element(tiers.begin() + 1, tiers.end(),
+                                     [&](unsigned a, unsigned b) { return marks_[a] < marks_[b]; });
+        }
+        marks_[tier] = ++grants_;
+        return take(nextOf(tier));
+    }
+
+    bool hasSharedBelow(unsigned tier) const
+    {
+        for (unsigned lower = tier + 1; lower < options_.tiers; ++lower) {
+            if (inShared(lower) > 0)
+                return true;
+        }
+        return false;
+    }
+
+    std::size_t count(unsigned tier) const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(entries.begin(), entries.end(),
+                              [&](const Entry &entry) { return entry.request.tier == tier; }));
+    }
+
+    std::optional<WaitingRequest> takeId(const std::string &id)
+    {
+        const auto found = std::find_if(entries.begin(), entries.end(),
+                                        [&](const Entry &entry) { return entry.request.id == id; });
+        return found == entries.end() ? std::nullopt : std::optional(take(found));
+    }
+
+    std::vector<Entry> entries;
+    std::map<std::string, unsigned> held;
+
+private:
+    using Iterator = std::vector<Entry>::iterator;
+
+    std::size_t inShared(unsigned tier) const
+    {
+        const std::size_t waiting = count(tier);
+        return waiting > options_.reservedPerTier ? waiting - options_.reservedPerTier : 0;
+    }
+
+    Iterator newestOf(unsigned tier)
+    {
+        return std::max_element(entries.begin(), entries.end(),
+                                [&](const Entry &a, const Entry &b) {
+                                    return std::pair(a.request.tier == tier, a.order())
+                                           < std::pair(b.request.tier == tier, b.order());
+                                });
+    }
+
+    // The organisation with the fewest slots, then the one whose first request is the oldest.
+    Iterator nextOf(unsigned tier)
+    {
+        return std::min_element(entries.begin(), entries.end(),
+                                [&](const Entry &a, const Entry &b) {
+                                    return std::tuple(a.request.tier != tier,
+                                                      held[a.request.organisation], a.order())
+                                           < std::tuple(b.request.tier != tier,
+                                                        held[b.request.organisation], b.order());
+                                });
+    }
+
+    WaitingRequest take(Iterator entry)
+    {
+        WaitingRequest request = entry->request;
+        entries.erase(entry);
+        return request;
+    }
+
+    TierQueue::Options options_;
+    std::vector<std::uint64_t> marks_;
+    std::uint64_t grants_ = 0;
+    std::uint64_t next_ = 1;
+    unsigned shareCount_ = 0;
+};
+
+// Runs the same random operations on both queues.
+struct TierQueuePair
+{
+    explicit TierQueuePair(unsigned seed)
+        : random(seed)
+    {}
+
+    unsigned below(unsigned bound) { return static_cast<unsigned>(random() % bound); }
+
+    void push()
+    {
+        const WaitingRequest request{ .id = std::to_string(nextId++),
+                                      .tier = below(options.tiers),
+                                      .organisation = "o" + std::to_string(below(5)),
+                                      .since = now - milliseconds(below(50)),
+                                      .deadline = now + milliseconds(1 + below(4000)) };
+        const bool lowerInShared = naive.hasSharedBelow(request.tier);
+        const TierQueue::Admission admission = queue.push(request);
+        const TierQueue::Admission expected = naive.push(request);
+        BOOST_REQUIRE_EQUAL(admission.accepted, expected.accepted);
+        BOOST_REQUIRE_EQUAL(admission.evicted.has_value(), expected.evicted.has_value());
+        BOOST_REQUIRE(admission.accepted || !lowerInShared);
+        if (admission.evicted) {
+            BOOST_REQUIRE_EQUAL(admission.evicted->id, expected.evicted->id);
+            BOOST_REQUIRE_GT(admission.evicted->tier, request.tier);
+        }
+    }
+
+    void grant()
+    {
+        const auto granted = queue.grantNext();
+        const auto expected = naive.grantNext();
+        BOOST_REQUIRE_EQUAL(granted.has_value(), expected.has_value());
+        if (!granted)
+            return;
+        BOOST_REQUIRE_EQUAL(granted->id, expected->id);
+        for (unsigned tier = 0; tier < options.tiers; ++tier) {
+            const bool waits = tier != granted->tier && naive.count(tier) > 0;
+            grantsWithout[tier] = waits ? grantsWithout[tier] + 1 : 0;
+            BOOST_REQUIRE_LT(grantsWithout[tier], 16 * (options.tiers - 1));
+        }
+        queue.slotTaken(granted->organisation);
+        ++naive.held[granted->organisation];
+        slots.push_back(granted->organisation);
+    }
+
+    void giveBack()
+    {
+        if (slots.empty())
+            return;
+        std::swap(slots[below(static_cast<unsigned>(slots.size()))], slots.back());
+        queue.slotReturned(slots.back());
+        --naive.held[slots.back()];
+        slots.pop_back();
+    }
+
+    void cancel()
+    {
+        const std::string id = std::to_string(below(nextId));
+        BOOST_REQUIRE_EQUAL(queue.cancel(id).has_value(), naive.takeId(id).has_value());
+    }
+
+    void expire()
+    {
+        for (const WaitingRequest &request : queue.expire(now)) {
+            BOOST_REQUIRE(request.deadline <= now);
+            BOOST_REQUIRE(naive.takeId(request.id).has_value());
+        }
+        BOOST_REQUIRE_EQUAL(queue.size(), naive.entries.size());
+        for (const auto &entry : naive.entries)
+            BOOST_REQUIRE(entry.request.deadline > now);
+    }
+
+    // A tier that has become empty starts a new wait.
+    void forgetEmptyTiers()
+    {
+        for (auto &[tier, grants] : grantsWithout)
+            grants = naive.count(tier) > 0 ? grants : 0;
+    }
+
+    void step()
+    {
+        now += milliseconds(below(8));
+        const unsigned kind = below(100);
+        if (kind < pushShare)
+            push();
+        else if (kind < 80)
+            grant();
+        else if (kind < 90)
+            giveBack();
+        else if (kind < 95)
+            cancel();
+        else
+            expire();
+        forgetEmptyTiers();
+        if (below(50) == 0)
+            pushShare = 20 + below(50);
+    }
+
+    std::mt19937 random;
+    TierQueue::Options options{ .tiers = 4, .sharedCapacity = 20, .reservedPerTier = 2 };
+    TierQueue queue{ options };
+    NaiveQueue naive{ options };
+    TimePoint now{ std::chrono::hours(1) };
+    unsigned nextId = 1;
+    unsigned pushShare = 50;
+    std::vector<std::string> slots;
+    std::map<unsigned, unsigned> grantsWithout;
+};
+
+WaitingRequest requestOf(const std::string &id, unsigned tier, int age = 0)
+{
+    return WaitingRequest{ .id = id,
+                           .tier = tier,
+                           .organisation = "org-" + id,
+                           .since = TimePoint(std::chrono::hours(1)) - milliseconds(age),
+                           .deadline = TimePoint(std::chrono::hours(2)) };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tierqueue)
+
+// Guards against any difference from the rules: order, guard share, eviction, room, expiry; and
+// against a tier that starves.
+BOOST_AUTO_TEST_CASE(allOperations_randomSequences_equalNaiveQueue)
+{
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            TierQueuePair pair(seed);
+            for (int i = 0; i < 1500; ++i)
+                pair.step();
+        }
+    }
+}
+
+// Guards against a burst of one tier that takes the room of every other tier.
+BOOST_AUTO_TEST_CASE(push_sharedRoomFullOfHighestTier_reservedRoomStaysForOthers)
+{
+    TierQueue queue({ .tiers = 2, .sharedCapacity = 3, .reservedPerTier = 2 });
+    for (int i = 0; i < 5; ++i)
+        BOOST_TEST(queue.push(requestOf("high" + std::to_string(i), 0)).accepted);
+    BOOST_TEST(!queue.push(requestOf("high5", 0)).accepted);
+    BOOST_TEST(queue.push(requestOf("low0", 1)).accepted);
+    BOOST_TEST(queue.push(requestOf("low1", 1)).accepted);
+    BOOST_TEST(!queue.push(requestOf("low2", 1)).accepted);
+}
+
+// Guards against a request that is counted or granted twice after a resend.
+BOOST_AUTO_TEST_CASE(push_sameIdTwice_waitsOnce)
+{
+    TierQueue queue({});
+    queue.push(requestOf("a", 0));
+    BOOST_TEST(queue.push(requestOf("a", 0)).accepted);
+    BOOST_TEST(queue.size() == 1U);
+    BOOST_TEST(queue.grantNext()->id == "a");
+    BOOST_TEST(!queue.grantNext().has_value());
+}
+
+// Guards against a request that cannot use the free runner and blocks all others.
+BOOST_AUTO_TEST_CASE(grantNext_firstNotEligible_nextIsGrantedAndFirstKeepsItsPlace)
+{
+    TierQueue queue({});
+    queue.push(requestOf("first", 0, 10));
+    queue.push(requestOf("second", 3));
+    const auto eligible = [](const WaitingRequest &request) { return request.id != "first"; };
+    BOOST_TEST(queue.grantNext(eligible)->id == "second");
+    BOOST_TEST(!queue.grantNext(eligible).has_value());
+    BOOST_TEST(queue.grantNext()->id == "first");
+}
+
+// Guards against an early refusal of a request that could still be served in time.
+BOOST_AUTO_TEST_CASE(grantsAhead_requestThatMayOvertake_isZero)
+{
+    TierQueue queue({ .tiers = 3, .sharedCapacity = 500 });
+    for (int i = 0; i < 100; ++i)
+        queue.push(requestOf("high" + std::to_string(i), 0, 10));
+    BOOST_TEST(queue.grantsAhead(requestOf("new", 2)) == 0U);
+    for (int i = 0; i < 20; ++i)
+        queue.push(requestOf("low" + std::to_string(i), 2, 10));
+    BOOST_TEST(queue.grantsAhead(requestOf("new", 2)) == 120U);
+    BOOST_TEST(queue.grantsAhead(requestOf("older", 2, 20)) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn
