daemon: add settings, command executor and operators' endpoint

The endpoint has its own ZeroMQ context, because a context has one ZAP handler. Keys never appear in messages about wrong settings: a secret key may have been given in place of a public one.

--- /dev/null
+++ b/packages/daemon/src/itemedit.cpp
@@ -0,0 +1,319 @@
+#include "itemedit.h"
+
+#include "auburn/ctl/duration.h"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <set>
+
+namespace auburn {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Internal to this file: carries the first mistake up to editItem().
+struct EditFailure
+{
+    CommandError error;
+};
+
+constexpr unsigned kMaxSlots = 4096;
+constexpr unsigned kMaxConcurrent = 1'000'000;
+constexpr std::size_t kHashLength = 64;
+constexpr milliseconds kLongestTimeout = std::chrono::hours(1);
+
+[[noreturn]] void fail(const Term &term, const std::string &message)
+{
+    throw EditFailure{ { term.column, message } };
+}
+
+bool isItemName(const std::string &text)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+               || std::string_view("._-/:@").find(c) != std::string_view::npos;
+    };
+    return !text.empty() && std::all_of(text.begin(), text.end(), allowed);
+}
+
+bool boolean(const Term &value)
+{
+    if (value.text != "true" && value.text != "false")
+        fail(value, "expected true or false");
+    return value.text == "true";
+}
+
+unsigned number(const Term &value, unsigned lowest, unsigned highest)
+{
+    unsigned result = 0;
+    const char *const end = value.text.data() + value.text.size();
+    const auto parsed = std::from_chars(value.text.data(), end, result);
+    if (parsed.ec != std::errc() || parsed.ptr != end || result < lowest || result > highest)
+        fail(value,
+             "expected a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+    return result;
+}
+
+milliseconds duration(const Term &value)
+{
+    const auto parsed = parseDuration(value.text);
+    if (!parsed || *parsed < milliseconds(1) || *parsed > kLongestTimeout)
+        fail(value, "expected a duration from 1ms to 1h, such as 26ms or 1.8s");
+    const auto rounded = std::chrono::duration_cast<milliseconds>(*parsed);
+    if (rounded != *parsed)
+        fail(value, "expected whole milliseconds");
+    return rounded;
+}
+
+ServiceKind serviceKind(const Term &value)
+{
+    if (value.text != "engine" && value.text != "plain")
+        fail(value, "expected engine or plain");
+    return value.text == "engine" ? ServiceKind::Engine : ServiceKind::Plain;
+}
+
+std::string address(const Term &value)
+{
+    const std::size_t colon = value.text.rfind(':');
+    unsigned port = 0;
+    if (colon != std::string::npos && colon > 0) {
+        const char *const end = value.text.data() + value.text.size();
+        const auto parsed = std::from_chars(value.text.data() + colon + 1, end, port);
+        if (parsed.ptr != end || parsed.ec != std::errc())
+            port = 0;
+    }
+    if (port < 1 || port > 65535)
+        fail(value, "expected HOST:PORT");
+    return value.text;
+}
+
+std::string tokenHash(const Term &value)
+{
+    const auto isHex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    if (value.text.size() != kHashLength
+        || !std::all_of(value.text.begin(), value.text.end(), isHex))
+        fail(value, "expected 64 lower-case hexadecimal digits; see auburnctl hash-token");
+    return value.text;
+}
+
+std::string existing(const Term &value, ItemKind kind, const ConfigState &state)
+{
+    if (!state.find(ItemKey{ kind, value.text }))
+        fail(value, "there is no " + std::string(itemKindName(kind)) + " '" + value.text + "'");
+    return value.text;
+}
+
+// Sets one field of an item.
+class FieldSetter
+{
+public:
+    FieldSetter(const Assignment &assignment, const ConfigState &state)
+        : field_(assignment.field)
+        , value_(assignment.value)
+        , state_(state)
+    {}
+
+    void operator()(Service &item) const
+    {
+        if (is("kind"))
+            item.kind = serviceKind(value_);
+        else if (is("non_idempotent"))
+            item.nonIdempotent = boolean(value_);
+        else if (is("checks_fencing"))
+            item.checksFencing = boolean(value_);
+        else if (is("idle_timeout"))
+            item.idleTimeout = duration(value_);
+        else if (is("request_timeout"))
+            item.requestTimeout = duration(value_);
+        else
+            unknown("kind, non_idempotent, checks_fencing, idle_timeout, request_timeout");
+    }
+
+    void operator()(RequestClass &item) const
+    {
+        if (is("tier"))
+            item.tier = number(value_, 0, kTierCount - 1);
+        else if (is("first_token"))
+            item.targetFirstToken = duration(value_);
+        else if (is("token_gap"))
+            item.targetTokenGap = duration(value_);
+        else
+            unknown("tier, first_token, token_gap");
+    }
+
+    void operator()(Organisation &item) const
+    {
+        if (is("max_concurrent"))
+            item.maxConcurrent = number(value_, 0, kMaxConcurrent);
+        else if (is("suspended"))
+            item.suspended = boolean(value_);
+        else
+            unknown("max_concurrent, suspended");
+    }
+
+    void operator()(Caller &item) const
+    {
+        if (is("organisation"))
+            item.organisation = existing(value_, ItemKind::Organisation, state_);
+        else if (is("class"))
+            item.className = existing(value_, ItemKind::RequestClass, state_);
+        else if (is("token_sha256"))
+            item.tokenSha256 = freeHash(item.name);
+        else if (is("revoked"))
+            item.revoked = boolean(value_);
+        else
+            unknown("organisation, class, token_sha256, revoked");
+    }
+
+    void operator()(Runner &item) const
+    {
+        if (is("service"))
+            item.service = existing(value_, ItemKind::Service, state_);
+        else if (is("place"))
+            item.place = place();
+        else if (is("address"))
+            item.address = address(value_);
+        else if (is("slots"))
+            item.slots = number(value_, 1, kMaxSlots);
+        else if (is("draining"))
+            item.draining = boolean(value_);
+        else
+            unknown("service, place, address, slots, draining");
+    }
+
+private:
+    bool is(std::string_view name) const { return field_.text == name; }
+
+    [[noreturn]] void unknown(const std::string &names) const
+    {
+        fail(field_, "there is no field '" + field_.text + "'; expected one of " + names);
+    }
+
+    std::string place() const
+    {
+        if (!isItemName(value_.text))
+            fail(value_, "expected a place's name");
+        return value_.text;
+    }
+
+    // A token that two callers share could not be told apart.
+    std::string freeHash(const std::string &callerName) const
+    {
+        std::string hash = tokenHash(value_);
+        const Caller *other = state_.callerByToken(hash);
+        if (other && other->name != callerName)
+            fail(value_, "caller '" + other->name + "' has this token");
+        return hash;
+    }
+
+    const Term &field_;
+    const Term &value_;
+    const ConfigState &state_;
+};
+
+ItemValue newItem(ItemKind kind, const std::string &name)
+{
+    switch (kind) {
+    case ItemKind::Service:
+        return Service{ .name = name };
+    case ItemKind::RequestClass:
+        return RequestClass{ .name = name };
+    case ItemKind::Organisation:
+        return Organisation{ .name = name };
+    case ItemKind::Caller:
+        return Caller{ .name = name };
+    case ItemKind::Runner:
+        return Runner{ .name = name };
+    }
+    return Service{ .name = name };
+}
+
+// Fields that a new item of the kind must be given, because they have no sensible default.
+std::vector<std::string_view> requiredFields(ItemKind kind)
+{
+    switch (kind) {
+    case ItemKind::RequestClass:
+        return { "tier" };
+    case ItemKind::Caller:
+        return { "organisation", "class", "token_sha256" };
+    case ItemKind::Runner:
+        return { "service", "place", "address" };
+    default:
+        return {};
+    }
+}
+
+void checkNewItem(const SetCommand &command)
+{
+    if (!isItemName(command.name.text))
+        fail(command.name, "a name consists of letters, digits and . _ - / : @");
+    for (const std::string_view field : requiredFields(command.kind)) {
+        const bool given = std::any_of(
+                command.assignments.begin(), command.assignments.end(),
+                [field](const Assignment &assignment) { return assignment.field.text == field; });
+        if (!given)
+            fail(command.name, "a new " + std::string(itemKindName(command.kind)) + " needs "
+                                       + std::string(field));
+    }
+}
+
+ItemValue edit(const SetCommand &command, const ConfigState &state)
+{
+    const Item *current = state.find(ItemKey{ command.kind, command.name.text });
+    if (!current)
+        checkNewItem(command);
+    ItemValue value = current ? current->value : newItem(command.kind, command.name.text);
+    std::set<std::string_view> seen;
+    for (const Assignment &assignment : command.assignments) {
+        if (!seen.insert(assignment.field.text).second)
+            fail(assignment.field, "the field is given twice");
+        std::visit(FieldSetter(assignment, state), value);
+    }
+    return value;
+}
+
+// Whether an item refers to another one.
+struct RefersTo
+{
+    const ItemKey &key;
+
+    bool operator()(const Caller &item) const
+    {
+        return (key.kind == ItemKind::Organisation && item.organisation == key.name)
+               || (key.kind == ItemKind::RequestClass && item.className == key.name);
+    }
+    bool operator()(const Runner &item) const
+    {
+        return key.kind == ItemKind::Service && item.service == key.name;
+    }
+    template<typename Other>
+    bool operator()(const Other &) const
+    {
+        return false;
+    }
+};
+
+} // namespace
+
+std::variant<ItemValue, CommandError> editItem(const SetCommand &command, const ConfigState &state)
+{
+    try {
+        return edit(command, state);
+    } catch (const EditFailure &failure) {
+        return failure.error;
+    }
+}
+
+std::optional<std::string> removalProblem(const ItemKey &key, const ConfigState &state)
+{
+    for (const auto &[otherKey, item] : state.items()) {
+        if (std::visit(RefersTo{ key }, item->value))
+            return std::string(itemKindName(otherKey.kind)) + " '" + otherKey.name
+                   + "' refers to it";
+    }
+    return std::nullopt;
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/src/operatorserver.cpp
@@ -0,0 +1,237 @@
+#include "auburn/daemon/operatorserver.h"
+
+#include "auburn/core/lasterror.h"
+#include "auburn/core/log.h"
+#include "zaphandler.h"
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <zmq_addon.hpp>
+
+namespace auburn {
+
+namespace {
+
+constexpr const char *kWakeAddress = "inproc://wake";
+
+// Interval at which changes in progress are checked.
+constexpr std::chrono::milliseconds kTickInterval{ 50 };
+
+// Requests that one connection may have queued; further ones wait in the TCP buffers.
+constexpr int kReceiveLimit = 64;
+
+struct OutgoingReply
+{
+    std::string route;
+    proto::OperatorReply reply;
+};
+
+// Replies from any thread to the server's thread. Replies may come after the server has closed, so
+// the callbacks share the outbox.
+class Outbox
+{
+public:
+    explicit Outbox(zmq::context_t &context)
+        : wake_(std::in_place, context, zmq::socket_type::push)
+    {
+        wake_->set(zmq::sockopt::linger, 0);
+        wake_->connect(kWakeAddress);
+    }
+
+    void put(OutgoingReply reply)
+    {
+        const std::lock_guard lock(mutex_);
+        if (!wake_)
+            return;
+        replies_.push_back(std::move(reply));
+        wake_->send(zmq::str_buffer("r"), zmq::send_flags::dontwait);
+    }
+
+    std::deque<OutgoingReply> takeAll()
+    {
+        const std::lock_guard lock(mutex_);
+        return std::exchange(replies_, {});
+    }
+
+    // Later replies are discarded. Called before the context ends.
+    void close()
+    {
+        const std::lock_guard lock(mutex_);
+        wake_.reset();
+        replies_.clear();
+    }
+
+    // Wakes the server's thread without a reply.
+    void wake()
+    {
+        const std::lock_guard lock(mutex_);
+        if (wake_)
+            wake_->send(zmq::str_buffer("w"), zmq::send_flags::dontwait);
+    }
+
+private:
+    std::mutex mutex_;
+    std::optional<zmq::socket_t> wake_;
+    std::deque<OutgoingReply> replies_;
+};
+
+} // namespace
+
+class OperatorServer::Worker
+{
+public:
+    Worker(const Options &options, OperatorBackend &backend)
+        : zap_(context_, options.operators)
+        , router_(context_, zmq::socket_type::router)
+        , wakeReceiver_(context_, zmq::socket_type::pull)
+        , executor_(backend)
+    {
+        wakeReceiver_.bind(kWakeAddress);
+        outbox_ = std::make_shared<Outbox>(context_);
+        router_.set(zmq::sockopt::linger, 0);
+        router_.set(zmq::sockopt::curve_server, true);
+        router_.set(zmq::sockopt::curve_secretkey, options.secretKey);
+        router_.set(zmq::sockopt::curve_publickey, options.publicKey);
+        router_.set(zmq::sockopt::zap_domain, "operators");
+        router_.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(kMaxOperatorRequest));
+        router_.set(zmq::sockopt::rcvhwm, kReceiveLimit);
+        router_.bind(options.bind);
+        endpoint_ = router_.get(zmq::sockopt::last_endpoint);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~Worker()
+    {
+        stopping_ = true;
+        outbox_->wake();
+        if (thread_.joinable())
+            thread_.join();
+        outbox_->close();
+    }
+
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    const std::string &endpoint() const { return endpoint_; }
+
+private:
+    void run()
+    {
+        while (!stopping_) {
+            try {
+                runOnce();
+            } catch (const zmq::error_t &error) {
+                logEvent(LogLevel::Error, "operator_endpoint_error",
+                         { { "reason", error.what() } });
+            }
+        }
+    }
+
+    void runOnce()
+    {
+        std::array<zmq::pollitem_t, 3> items{ {
+                { zap_.socket().handle(), 0, ZMQ_POLLIN, 0 },
+                { router_.handle(), 0, ZMQ_POLLIN, 0 },
+                { wakeReceiver_.handle(), 0, ZMQ_POLLIN, 0 },
+        } };
+        zmq::poll(items.data(), items.size(), kTickInterval);
+        if ((items[0].revents & ZMQ_POLLIN) != 0)
+            zap_.handleRequest();
+        if ((items[1].revents & ZMQ_POLLIN) != 0)
+            receiveRequest();
+        if ((items[2].revents & ZMQ_POLLIN) != 0)
+            drainWakes();
+        executor_.tick();
+        sendReplies();
+    }
+
+    void receiveRequest()
+    {
+        std::vector<zmq::message_t> frames;
+        if (!zmq::recv_multipart(router_, std::back_inserter(frames), zmq::recv_flags::dontwait))
+            return;
+        if (frames.size() != 2)
+            return;
+        const std::string operatorName = userId(frames[1]);
+        proto::Envelope envelope;
+        const bool parsed = envelope.ParseFromArray(frames[1].data(),
+                                                    static_cast<int>(frames[1].size()));
+        if (operatorName.empty() || !parsed || !envelope.has_operator_request()) {
+            logEvent(LogLevel::Warning, "operator_request_ignored",
+                     { { "operator", operatorName } });
+            return;
+        }
+        executor_.execute(
+                envelope.operator_request(), operatorName,
+                [outbox = outbox_, route = frames[0].to_string()](proto::OperatorReply reply) {
+                    outbox->put(OutgoingReply{ route, std::move(reply) });
+                });
+    }
+
+    // Name that the ZAP handler gave to the connection; empty if it gave none.
+    static std::string userId(zmq::message_t &message)
+    {
+        const char *name = zmq_msg_gets(message.handle(), "User-Id");
+        return name ? name : "";
+    }
+
+    void drainWakes()
+    {
+        zmq::message_t message;
+        while (wakeReceiver_.recv(message, zmq::recv_flags::dontwait))
+            message.rebuild();
+    }
+
+    void sendReplies()
+    {
+        for (OutgoingReply &outgoing : outbox_->takeAll()) {
+            proto::Envelope envelope;
+            *envelope.mutable_operator_reply() = std::move(outgoing.reply);
+            const std::string bytes = envelope.SerializeAsString();
+            const std::array<zmq::const_buffer, 2> frames{ zmq::buffer(outgoing.route),
+                                                           zmq::buffer(bytes) };
+            // A ROUTER drops messages to a client that has gone.
+            zmq::send_multipart(router_, frames, zmq::send_flags::dontwait);
+        }
+    }
+
+    zmq::context_t context_;
+    ZapHandler zap_;
+    zmq::socket_t router_;
+    zmq::socket_t wakeReceiver_;
+    std::shared_ptr<Outbox> outbox_;
+    CommandExecutor executor_;
+    std::string endpoint_;
+    std::atomic<bool> stopping_{ false };
+    std::thread thread_;
+};
+
+std::unique_ptr<OperatorServer> OperatorServer::make(const Options &options,
+                                                     OperatorBackend &backend)
+{
+    try {
+        return std::unique_ptr<OperatorServer>(
+                new OperatorServer(std::make_unique<Worker>(options, backend)));
+    } catch (const zmq::error_t &error) {
+        setLastError("cannot serve operators on " + options.bind + ": " + error.what());
+        return nullptr;
+    }
+}
+
+OperatorServer::OperatorServer(std::unique_ptr<Worker> worker)
+    : worker_(std::move(worker))
+{}
+
+OperatorServer::~OperatorServer() = default;
+
+const std::string &OperatorServer::endpoint() const
+{
+    return worker_->endpoint();
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/src/query.cpp
@@ -0,0 +1,97 @@
+#include "query.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace auburn {
+
+namespace {
+
+// Internal to this file: carries the first mistake up to evaluateQuery().
+struct QueryFailure
+{
+    CommandError error;
+};
+
+struct ResolvedCondition
+{
+    std::size_t column = 0;
+    Comparison comparison = Comparison::Equal;
+    CellValue value;
+
+    bool holds(const CellRow &row) const { return compareCells(row[column], comparison, value); }
+};
+
+std::size_t columnIndex(TableId table, const Term &field)
+{
+    const std::vector<Column> &columns = tableColumns(table);
+    for (std::size_t i = 0; i < columns.size(); ++i) {
+        if (columns[i].name == field.text)
+            return i;
+    }
+    std::string names;
+    for (const Column &column : columns)
+        names += (names.empty() ? "" : ", ") + std::string(column.name);
+    throw QueryFailure{ { field.column,
+                          "there is no field '" + field.text + "'; expected one of " + names } };
+}
+
+bool isOrdering(Comparison comparison)
+{
+    return comparison != Comparison::Equal && comparison != Comparison::NotEqual
+           && comparison != Comparison::Contains;
+}
+
+ResolvedCondition resolve(TableId table, const Condition &condition)
+{
+    const std::size_t index = columnIndex(table, condition.field);
+    const ColumnType type = tableColumns(table)[index].type;
+    if (type == ColumnType::Boolean && isOrdering(condition.comparison))
+        throw QueryFailure{ { condition.field.column, "true and false have no order" } };
+    if (type != ColumnType::Text && condition.comparison == Comparison::Contains)
+        throw QueryFailure{ { condition.field.column, "'~' needs a text field" } };
+    auto value = parseCell(type, condition.value.text);
+    if (!value)
+        throw QueryFailure{ { condition.value.column,
+                              "expected " + std::string(columnTypeName(type)) } };
+    return ResolvedCondition{ index, condition.comparison, std::move(*value) };
+}
+
+void sortRows(const ShowCommand &command, std::vector<CellRow> &rows)
+{
+    const std::size_t index = columnIndex(command.table, command.sort->field);
+    const bool descending = command.sort->descending;
+    std::stable_sort(rows.begin(), rows.end(), [=](const CellRow &left, const CellRow &right) {
+        return descending ? right[index] < left[index] : left[index] < right[index];
+    });
+}
+
+std::vector<CellRow> evaluate(const ShowCommand &command, std::vector<CellRow> rows)
+{
+    std::vector<ResolvedCondition> conditions;
+    for (const Condition &condition : command.conditions)
+        conditions.push_back(resolve(command.table, condition));
+    std::erase_if(rows, [&](const CellRow &row) {
+        return !std::all_of(conditions.begin(), conditions.end(),
+                            [&](const ResolvedCondition &item) { return item.holds(row); });
+    });
+    if (command.sort)
+        sortRows(command, rows);
+    if (command.limit && rows.size() > *command.limit)
+        rows.resize(static_cast<std::size_t>(*command.limit));
+    return rows;
+}
+
+} // namespace
+
+std::variant<std::vector<CellRow>, CommandError> evaluateQuery(const ShowCommand &command,
+                                                               std::vector<CellRow> rows)
+{
+    try {
+        return evaluate(command, std::move(rows));
+    } catch (const QueryFailure &failure) {
+        return failure.error;
+    }
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/src/settingtable.cpp
@@ -0,0 +1,101 @@
+#include "auburn/daemon/settings.h"
+
+#include <algorithm>
+
+namespace auburn {
+
+namespace {
+
+struct Row
+{
+    const char *name;
+    const char *type;
+    const char *defaultValue;
+    const char *help;
+    bool required = false;
+    bool secret = false;
+    bool list = false;
+};
+
+constexpr bool kRequired = true;
+constexpr bool kSecret = true;
+constexpr bool kList = true;
+
+// The defaults of body-limit, balancer-delay and key-lifetime come from docs/design.md, sections 4,
+// 2.7 and 2.3.
+constexpr Row kRows[] = {
+    { "id", "NAME", "", "Name of this daemon, unique in the fleet.", kRequired },
+    { "place", "NAME", "", "Place (zone) of this VM.", kRequired },
+    { "region", "NAME", "", "Region of the place.", kRequired },
+    { "caller-listen", "IP:PORT", "0.0.0.0:8080", "Address for callers' HTTP requests." },
+    { "status-listen", "IP:PORT", "127.0.0.1:8081", "Address of /healthz, /readyz and /metrics." },
+    { "peer-bind", "tcp://IP:PORT", "tcp://0.0.0.0:8082", "Endpoint for other daemons." },
+    { "peer-advertised", "tcp://IP:PORT", "",
+      "Endpoint that other daemons connect to; the value of peer-bind if that is a specific "
+      "address." },
+    { "operator-bind", "tcp://IP:PORT", "tcp://127.0.0.1:8083", "Endpoint for auburnctl." },
+    { "fleet-public-key", "Z85", "", "Public CURVE key that all daemons share.", kRequired },
+    { "fleet-secret-key", "Z85", "",
+      "Secret CURVE key that all daemons share; prefer the environment variable, which other users "
+      "cannot see.",
+      kRequired, kSecret },
+    { "accepted-fleet-keys", "Z85,...", "",
+      "Further public keys that peers may use, for key rotation.", false, false, kList },
+    { "operators", "NAME=Z85,...", "",
+      "Operators and their public keys; nobody can connect if empty.", false, false, kList },
+    { "log-url", "http://HOST:PORT", "", "Platform log.", kRequired },
+    { "list-url", "http://HOST:PORT", "", "Platform membership list.", kRequired },
+    { "seeds", "tcp://IP:PORT,...", "",
+      "Peer endpoints to contact first; the membership list adds more.", false, false, kList },
+    { "threads", "COUNT", "2", "Worker threads for callers and runners, 1 to 64." },
+    { "log-level", "debug|info|warning|error", "info", "Least severe level that is logged." },
+    { "trace-target", "file:PATH|http://HOST:PORT/PATH", "",
+      "Where spans go as OTLP JSON; off if empty." },
+    { "trace-sampling", "SHARE", "0.01",
+      "Share of new traces that are recorded, 0 to 1; a caller's traceparent takes precedence." },
+    { "body-limit", "BYTES", "4194304", "Largest request body, 1 KiB to 64 MiB." },
+    { "balancer-delay", "DURATION", "3s",
+      "Time for which a stopping daemon still accepts connections, up to 5m." },
+    { "key-lifetime", "DURATION", "15m",
+      "Age at which an Idempotency-Key expires, 1s to 24h; must be well under the log's "
+      "retention." },
+    { "claim-partitions", "COUNT", "2", "Claim streams on the log, 1 to 64; the same everywhere." },
+};
+
+std::string environmentNameOf(std::string name)
+{
+    std::replace(name.begin(), name.end(), '-', '_');
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](char c) { return c >= 'a' && c <= 'z' ? static_cast<char>(c - 32) : c; });
+    return "AUBURN_" + name;
+}
+
+SettingInfo infoOf(const Row &row)
+{
+    return SettingInfo{ .name = row.name,
+                        .environmentName = environmentNameOf(row.name),
+                        .type = row.type,
+                        .defaultValue = row.defaultValue,
+                        .help = row.help,
+                        .required = row.required,
+                        .secret = row.secret,
+                        .list = row.list };
+}
+
+std::vector<SettingInfo> makeTable()
+{
+    std::vector<SettingInfo> table;
+    for (const Row &row : kRows)
+        table.push_back(infoOf(row));
+    return table;
+}
+
+} // namespace
+
+const std::vector<SettingInfo> &settingTable()
+{
+    static const std::vector<SettingInfo> table = makeTable();
+    return table;
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/src/settingvalues.cpp
@@ -0,0 +1,126 @@
+#include "settingvalues.h"
+
+#include <memory>
+#include <tclap/CmdLine.h>
+
+namespace auburn {
+
+namespace {
+
+using ValueFlag = TCLAP::MultiArg<std::string>;
+
+// One TCLAP command line. Every flag is a MultiArg, and an unlabelled argument at the end takes
+// whatever no flag matches: TCLAP would otherwise stop at the first mistake.
+class FlagSet
+{
+public:
+    FlagSet()
+        : commandLine_("auburnd", ' ', "none", false)
+        , help_("", "help", "", commandLine_)
+        , version_("", "version", "", commandLine_)
+    {
+        commandLine_.setExceptionHandling(false);
+        for (const SettingInfo &info : settingTable())
+            flags_[info.name] = std::make_unique<ValueFlag>("", info.name, "", false, "",
+                                                            commandLine_);
+        rest_ = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>("rest", "", false, "",
+                                                                        commandLine_);
+    }
+
+    void parse(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.begin(), "auburnd");
+        commandLine_.parse(arguments);
+    }
+
+    void readInto(SettingValues &values)
+    {
+        values.help = help_.isSet();
+        values.version = version_.isSet();
+        for (const SettingInfo &info : settingTable())
+            readFlag(values, info);
+        for (const std::string &argument : rest_->getValue())
+            values.mistakes.push_back("unknown argument '" + withoutValue(argument) + "'");
+    }
+
+private:
+    void readFlag(SettingValues &values, const SettingInfo &info)
+    {
+        const std::vector<std::string> &given = flags_[info.name]->getValue();
+        if (given.size() > 1 && !info.list)
+            values.mistakes.push_back("--" + info.name + " is given " + std::to_string(given.size())
+                                      + " times");
+        if (given.empty())
+            return;
+        std::string joined;
+        for (const std::string &text : given)
+            joined += (joined.empty() ? "" : ",") + text;
+        values.texts[info.name] = joined;
+    }
+
+    // A mistyped flag may carry a secret after '='.
+    static std::string withoutValue(const std::string &argument)
+    {
+        return argument.starts_with("-") ? argument.substr(0, argument.find('=')) : "(value)";
+    }
+
+    TCLAP::CmdLine commandLine_;
+    TCLAP::SwitchArg help_;
+    TCLAP::SwitchArg version_;
+    std::map<std::string, std::unique_ptr<ValueFlag>> flags_;
+    std::unique_ptr<TCLAP::UnlabeledMultiArg<std::string>> rest_;
+};
+
+// Splits "--name=value" into two arguments, because TCLAP supports one delimiter only.
+std::vector<std::string> splitAssignments(const std::vector<std::string> &arguments)
+{
+    std::vector<std::string> result;
+    for (const std::string &argument : arguments) {
+        const std::size_t equals = argument.find('=');
+        const bool isSetting = argument.starts_with("--") && equals != std::string::npos
+                               && std::any_of(settingTable().begin(), settingTable().end(),
+                                              [&](const SettingInfo &info) {
+                                                  return argument.compare(2, equals - 2, info.name)
+                                                         == 0;
+                                              });
+        if (!isSetting) {
+            result.push_back(argument);
+            continue;
+        }
+        result.push_back(argument.substr(0, equals));
+        result.push_back(argument.substr(equals + 1));
+    }
+    return result;
+}
+
+void readFlags(SettingValues &values, std::vector<std::string> arguments)
+{
+    while (true) {
+        try {
+            FlagSet flags;
+            flags.parse(arguments);
+            flags.readInto(values);
+            return;
+        } catch (const TCLAP::ArgException &) {
+            // Only the last argument can lack its value: any other takes the next argument.
+            if (arguments.empty())
+                return;
+            values.mistakes.push_back(arguments.back() + " has no value");
+            arguments.pop_back();
+        }
+    }
+}
+
+} // namespace
+
+SettingValues readSettingValues(const std::vector<std::string> &arguments,
+                                const EnvironmentLookup &environment)
+{
+    SettingValues values;
+    for (const SettingInfo &info : settingTable())
+        values.texts[info.name] = environment(info.environmentName).value_or(info.defaultValue);
+    readFlags(values, splitAssignments(arguments));
+    return values;
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/src/tablerows.cpp
@@ -0,0 +1,292 @@
+#include "tablerows.h"
+
+#include "auburn/core/lasterror.h"
+#include "auburn/ctl/duration.h"
+
+#include <QDateTime>
+#include <QTimeZone>
+
+#include <numeric>
+
+namespace auburn {
+
+namespace {
+
+using std::chrono::microseconds;
+using Rows = std::vector<CellRow>;
+
+std::int64_t integer(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::string flag(bool value)
+{
+    return value ? "true" : "false";
+}
+
+std::string kindText(ServiceKind kind)
+{
+    return kind == ServiceKind::Engine ? "engine" : "plain";
+}
+
+// The leading digits identify a token's hash; the rest is not shown.
+constexpr std::size_t kShownHashDigits = 12;
+
+std::string statusText(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Starting:
+        return "starting";
+    case MemberStatus::Ready:
+        return "ready";
+    case MemberStatus::Draining:
+        return "draining";
+    case MemberStatus::Left:
+        return "left";
+    case MemberStatus::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+struct ItemText
+{
+    std::string operator()(const Service &value) const
+    {
+        return "kind=" + kindText(value.kind) + " non_idempotent=" + flag(value.nonIdempotent)
+               + " checks_fencing=" + flag(value.checksFencing)
+               + " idle_timeout=" + formatDuration(value.idleTimeout)
+               + " request_timeout=" + formatDuration(value.requestTimeout);
+    }
+    std::string operator()(const RequestClass &value) const
+    {
+        return "tier=" + std::to_string(value.tier)
+               + " first_token=" + formatDuration(value.targetFirstToken)
+               + " token_gap=" + formatDuration(value.targetTokenGap);
+    }
+    std::string operator()(const Organisation &value) const
+    {
+        return "max_concurrent=" + std::to_string(value.maxConcurrent)
+               + " suspended=" + flag(value.suspended);
+    }
+    std::string operator()(const Caller &value) const
+    {
+        return "organisation=" + value.organisation + " class=" + value.className
+               + " token_sha256=" + value.tokenSha256.substr(0, kShownHashDigits)
+               + "... revoked=" + flag(value.revoked);
+    }
+    std::string operator()(const Runner &value) const
+    {
+        return "service=" + value.service + " place=" + value.place + " address=" + value.address
+               + " slots=" + std::to_string(value.slots) + " draining=" + flag(value.draining);
+    }
+};
+
+// The row of an item in the table of its kind.
+class ItemRow
+{
+public:
+    ItemRow(std::uint64_t revision, const MemberView *view)
+        : revision_(integer(revision))
+        , view_(view)
+    {}
+
+    CellRow operator()(const Service &value) const
+    {
+        return { value.name,
+                 kindText(value.kind),
+                 value.nonIdempotent,
+                 value.checksFencing,
+                 microseconds(value.idleTimeout),
+                 microseconds(value.requestTimeout),
+                 revision_ };
+    }
+    CellRow operator()(const RequestClass &value) const
+    {
+        return { value.name, integer(value.tier), microseconds(value.targetFirstToken),
+                 microseconds(value.targetTokenGap), revision_ };
+    }
+    CellRow operator()(const Organisation &value) const
+    {
+        return { value.name, integer(value.maxConcurrent), value.suspended, revision_ };
+    }
+    CellRow operator()(const Caller &value) const
+    {
+        return { value.name,      value.organisation,
+                 value.className, value.tokenSha256.substr(0, kShownHashDigits),
+                 value.revoked,   revision_ };
+    }
+    CellRow operator()(const Runner &value) const
+    {
+        const bool leaving = view_ && view_->leavingRunners.contains(value.name);
+        return { value.name,           value.service,  value.place, value.address,
+                 integer(value.slots), value.draining, leaving,     revision_ };
+    }
+
+private:
+    std::int64_t revision_;
+    const MemberView *view_;
+};
+
+Rows itemRows(ItemKind kind, const ConfigState &state, const MemberView *view)
+{
+    Rows rows;
+    for (const auto &[key, item] : state.items()) {
+        if (key.kind == kind)
+            rows.push_back(std::visit(ItemRow(item->revision, view), item->value));
+    }
+    return rows;
+}
+
+Rows configRows(const ConfigState &state)
+{
+    Rows rows;
+    for (const auto &[key, item] : state.items())
+        rows.push_back({ std::string(itemKindName(key.kind)), key.name, itemText(item->value),
+                         integer(item->revision) });
+    return rows;
+}
+
+std::int64_t total(const std::vector<unsigned> &waiting)
+{
+    return std::accumulate(waiting.begin(), waiting.end(), std::int64_t{ 0 });
+}
+
+std::string tiersText(const std::vector<unsigned> &waiting)
+{
+    std::string text;
+    for (const unsigned count : waiting)
+        text += (text.empty() ? "" : "/") + std::to_string(count);
+    return text;
+}
+
+Rows loadRows(const MemberView &view)
+{
+    Rows rows;
+    for (const CellLoad &cell : view.cells)
+        rows.push_back({ view.place, cell.service, std::to_string(cell.cell), cell.owner,
+                         integer(cell.freeSlots), integer(cell.totalSlots),
+                         total(cell.waitingByTier), tiersText(cell.waitingByTier) });
+    for (const PlaceView &place : view.places) {
+        for (const PlaceServiceLoad &load : place.services)
+            rows.push_back({ place.place, load.service, std::string(), std::string(),
+                             integer(load.freeSlots), integer(load.totalSlots),
+                             total(load.waitingByTier), tiersText(load.waitingByTier) });
+    }
+    return rows;
+}
+
+CellRow daemonRow(const Member &member, const std::string &place)
+{
+    return { member.id,
+             place,
+             statusText(member.status),
+             member.endpoint,
+             integer(member.incarnation),
+             integer(member.configRevision) };
+}
+
+Rows daemonRows(const MemberView &view)
+{
+    Rows rows;
+    for (const Member &member : view.members)
+        rows.push_back(daemonRow(member, view.place));
+    for (const PlaceView &place : view.places) {
+        for (const Member &contact : place.contacts)
+            rows.push_back(daemonRow(contact, place.place));
+    }
+    return rows;
+}
+
+Rows placeRows(const OperatorBackend &backend)
+{
+    Rows rows;
+    for (const PlaceProgress &place : backend.progress())
+        rows.push_back({ place.place, place.region, place.reachable, integer(place.daemons),
+                         integer(place.minRevision), integer(place.maxRevision) });
+    return rows;
+}
+
+std::string timeText(std::uint64_t milliseconds)
+{
+    return QDateTime::fromMSecsSinceEpoch(static_cast<qint64>(milliseconds), QTimeZone::utc())
+            .toString(Qt::ISODateWithMs)
+            .toStdString();
+}
+
+CellRow historyRow(const ChangeHistoryEntry &entry)
+{
+    const proto::ConfigChange &change = entry.change;
+    const auto item = itemFromProto(change.item());
+    const std::string kind = item ? std::string(itemKindName(keyOf(item->value).kind)) : "unknown";
+    const std::string value = item && !change.remove() ? itemText(item->value) : std::string();
+    return { integer(entry.offset),
+             timeText(change.time_ms()),
+             change.operator_name(),
+             std::string(change.remove() ? "unset" : "set"),
+             kind,
+             change.item().name(),
+             value,
+             integer(change.base_revision()),
+             std::string(entry.accepted ? "accepted" : "rejected") };
+}
+
+Rows historyRows(const OperatorBackend &backend)
+{
+    Rows rows;
+    for (const ChangeHistoryEntry &entry : backend.history())
+        rows.push_back(historyRow(entry));
+    return rows;
+}
+
+std::optional<ItemKind> itemKindOf(TableId table)
+{
+    switch (table) {
+    case TableId::Classes:
+        return ItemKind::RequestClass;
+    case TableId::Services:
+        return ItemKind::Service;
+    case TableId::Runners:
+        return ItemKind::Runner;
+    case TableId::Organisations:
+        return ItemKind::Organisation;
+    case TableId::Callers:
+        return ItemKind::Caller;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string itemText(const ItemValue &value)
+{
+    return std::visit(ItemText{}, value);
+}
+
+std::optional<std::vector<CellRow>> tableRows(TableId table, const OperatorBackend &backend)
+{
+    const auto state = backend.configState();
+    const auto view = backend.memberView();
+    const auto kind = itemKindOf(table);
+    if ((kind || table == TableId::Config) && !state) {
+        setLastError("this daemon has no configuration yet");
+        return std::nullopt;
+    }
+    if (kind)
+        return itemRows(*kind, *state, view.get());
+    if (table == TableId::Config)
+        return configRows(*state);
+    if (table == TableId::Places)
+        return placeRows(backend);
+    if (table == TableId::History)
+        return historyRows(backend);
+    if (!view) {
+        setLastError("this daemon has no member table yet");
+        return std::nullopt;
+    }
+    return table == TableId::Load ? loadRows(*view) : daemonRows(*view);
+}
+
+} // namespace auburn
