--- /dev/null
+++ b/packages/config/src/platformhttp.h
@@ -0,0 +1,73 @@
+// PlatformHttp: HTTP requests to one platform service, each bounded in time and size.
+#pragma once
+
+#include <QByteArray>
+#include <QNetworkAccessManager>
+#include <QNetworkRequest>
+#include <QObject>
+#include <QUrl>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+class QNetworkReply;
+
+namespace auburn {
+
+struct HttpAnswer
+{
+    int status = 0;
+    QByteArray body;
+    // Qt sends a request again on its own when a connection closes before the answer.
+    unsigned timesSent = 0;
+};
+
+struct HttpFailure
+{
+    std::string reason;
+    // True if no connection was made, so that the server has seen nothing of the request.
+    bool neverSent = false;
+};
+
+using HttpResult = std::variant<HttpAnswer, HttpFailure>;
+
+// Requests of one channel share connections; a failure gives the channel new ones. Qt queues
+// requests beyond six to one host without any sign, so long polls need channels of their own.
+class PlatformHttp
+{
+public:
+    using Callback = std::function<void(HttpResult)>;
+
+    PlatformHttp(QUrl baseUrl, std::size_t maxAnswerBytes);
+
+    // The base URL; empty, with lastError() set, unless it is an http URL with a host.
+    static std::optional<QUrl> parseBaseUrl(const std::string &text);
+
+    // pathAndQuery is percent-encoded and starts with a slash.
+    void get(const std::string &channel, const QString &pathAndQuery,
+             std::chrono::milliseconds timeout, Callback callback);
+    void post(const std::string &channel, const QString &path, const std::string &body,
+              std::chrono::milliseconds timeout, Callback callback);
+
+private:
+    using Manager = std::shared_ptr<QNetworkAccessManager>;
+
+    Manager manager(const std::string &channel);
+    QNetworkRequest request(const QString &pathAndQuery) const;
+    void watch(const std::string &channel, const Manager &manager, QNetworkReply *reply,
+               std::chrono::milliseconds timeout, Callback callback);
+    void abandon(const std::string &channel, const Manager &manager);
+
+    QUrl baseUrl_;
+    std::size_t maxAnswerBytes_;
+    std::map<std::string, Manager> managers_;
+    QObject context_;
+};
+
+} // namespace auburn
