--- /dev/null
+++ b/packages/relay/src/kinds/openaikind.cpp
@@ -0,0 +1,61 @@
+// Engines with the OpenAI-compatible API of section 4 of the design page.
+#include "auburn/relay/runnerkind.h"
+#include "prompt.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace auburn {
+
+namespace {
+
+class OpenaiKind final : public RunnerKind
+{
+public:
+    RunnerMessage message(const RelayRequest &request, const std::string &attemptId,
+                          const std::string &traceparent) const override
+    {
+        RunnerMessage message{ .method = request.method,
+                               .target = request.target,
+                               .fields = { { "Content-Type", "application/json" },
+                                           { "X-Request-Id", attemptId } } };
+        if (request.stream)
+            message.fields.push_back({ "Accept", "text/event-stream" });
+        if (!traceparent.empty())
+            message.fields.push_back({ "traceparent", traceparent });
+        if (!request.idempotencyKey.empty())
+            message.fields.push_back({ "Idempotency-Key", request.idempotencyKey });
+        message.body = std::make_shared<const std::string>(
+                withPriority(request.body, request.tier));
+        return message;
+    }
+
+    std::optional<RunnerMessage> resume(const std::string &attemptId,
+                                        const std::string &lastEventId) const override
+    {
+        return RunnerMessage{ .method = "GET",
+                              .target = "/v1/requests/" + attemptId + "/stream",
+                              .fields = { { "Accept", "text/event-stream" },
+                                          { "Last-Event-ID", lastEventId } } };
+    }
+
+    std::optional<RunnerMessage> cancel(const std::string &attemptId) const override
+    {
+        return RunnerMessage{ .method = "DELETE", .target = "/v1/requests/" + attemptId };
+    }
+
+    unsigned tokensIn(const std::string &answerBody) const override
+    {
+        const auto size = static_cast<qsizetype>(answerBody.size());
+        const QByteArray bytes = QByteArray::fromRawData(answerBody.data(), size);
+        const QJsonObject usage = QJsonDocument::fromJson(bytes).object().value("usage").toObject();
+        return static_cast<unsigned>(usage.value("completion_tokens").toInt());
+    }
+};
+
+const RunnerKindRegistry::Registration kRegistration("openai",
+                                                     [] { return std::make_unique<OpenaiKind>(); });
+
+} // namespace
+
+} // namespace auburn
--- /dev/null
+++ b/packages/relay/src/runnercall.cpp
@@ -0,0 +1,287 @@
+#include "runnercall.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace auburn {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadSize = std::size_t{ 16 } * 1024;
+// Larger than any head that a runner sends in practice.
+constexpr std::uint32_t kAnswerHeadLimit = 64 * 1024;
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char *last = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, last, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != last)
+        return std::nullopt;
+    return tcp::endpoint(ip, port);
+}
+
+std::string requestHead(const RunnerDial &dial)
+{
+    const RunnerMessage &message = dial.message;
+    std::string head;
+    head.reserve(512);
+    head.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
+    head.append("Host: ").append(dial.address).append("\r\n");
+    for (const HeaderField &field : message.fields)
+        head.append(field.name).append(": ").append(field.value).append("\r\n");
+    const bool hasBody = message.body && !message.body->empty();
+    if (hasBody || message.method == "POST" || message.method == "PUT") {
+        const std::size_t size = hasBody ? message.body->size() : 0;
+        head.append("Content-Length: ").append(std::to_string(size)).append("\r\n");
+    }
+    if (dial.freshConnection)
+        head.append("Connection: close\r\n");
+    head.append("\r\n");
+    return head;
+}
+
+} // namespace
+
+RunnerCall::RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents &events)
+    : client_(client)
+    , dial_(std::move(dial))
+    , events_(&events)
+    , deadline_(client.context_, [this] { timedOut(); })
+{
+    parser_.eager(true);
+    parser_.header_limit(kAnswerHeadLimit);
+    parser_.body_limit(boost::none);
+    parser_.skip(dial_.message.method == "HEAD");
+}
+
+void RunnerCall::start()
+{
+    if (!dial_.freshConnection)
+        socket_ = client_.takeIdle(dial_.address);
+    reused_ = socket_ != nullptr;
+    if (!reused_) {
+        connect();
+        return;
+    }
+    connecting_ = false;
+    asio::post(client_.context_, [self = shared_from_this()] {
+        if (!self->ended_)
+            self->sendRequest();
+    });
+}
+
+void RunnerCall::connect()
+{
+    socket_ = std::make_unique<tcp::socket>(client_.context_);
+    const std::optional<tcp::endpoint> endpoint = parseEndpoint(dial_.address);
+    if (!endpoint) {
+        asio::post(client_.context_, [self = shared_from_this()] {
+            self->end(CallEnd::ConnectFailed, "address of the runner is not IP:PORT");
+        });
+        return;
+    }
+    deadline_.setAfter(client_.limits_.connectTimeout);
+    socket_->async_connect(
+            *endpoint, [self = shared_from_this()](ErrorCode error) { self->connected(error); });
+}
+
+void RunnerCall::connected(ErrorCode error)
+{
+    if (ended_)
+        return;
+    if (error) {
+        end(CallEnd::ConnectFailed, "connect: " + error.message());
+        return;
+    }
+    connecting_ = false;
+    socket_->set_option(tcp::no_delay(true), error);
+    sendRequest();
+}
+
+void RunnerCall::sendRequest()
+{
+    head_ = requestHead(dial_);
+    deadline_.setAfter(dial_.idleTimeout);
+    std::array<asio::const_buffer, 2> parts{ asio::buffer(head_), asio::const_buffer() };
+    if (dial_.message.body)
+        parts[1] = asio::buffer(*dial_.message.body);
+    // From here on the kernel may take bytes before the handler runs.
+    verdict_ = Verdict::MayHaveRun;
+    asio::async_write(*socket_, parts,
+                      [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                          self->requestSent(error, bytes);
+                      });
+}
+
+void RunnerCall::requestSent(ErrorCode error, std::size_t bytes)
+{
+    if (ended_)
+        return;
+    if (error && bytes == 0) {
+        verdict_ = Verdict::DidNotRun;
+        end(CallEnd::Broken, "send: " + error.message());
+        return;
+    }
+    sent_ = !error;
+    deadline_.setAfter(dial_.idleTimeout);
+    // After a partial write the runner may have answered and closed, so the answer is still read.
+    read();
+}
+
+void RunnerCall::read()
+{
+    if (reading_ || paused_ || ended_)
+        return;
+    reading_ = true;
+    socket_->async_read_some(buffer_.prepare(kReadSize),
+                             [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                 self->reading_ = false;
+                                 self->received(error, bytes);
+                             });
+}
+
+void RunnerCall::received(ErrorCode error, std::size_t bytes)
+{
+    if (ended_)
+        return;
+    if (error) {
+        end(CallEnd::Broken,
+            error == asio::error::eof ? "the runner closed the connection" : error.message());
+        return;
+    }
+    receivedBytes_ = true;
+    buffer_.commit(bytes);
+    if (!paused_)
+        deadline_.setAfter(dial_.idleTimeout);
+    if (parse())
+        read();
+}
+
+bool RunnerCall::parse()
+{
+    ErrorCode error;
+    while (buffer_.size() > 0 && !parser_.is_done()) {
+        const std::size_t used = parser_.put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error == http::error::need_more) {
+            error = {};
+            break;
+        }
+        if (error)
+            break;
+    }
+    deliver();
+    if (ended_)
+        return false;
+    if (error) {
+        end(CallEnd::Broken, "invalid HTTP answer: " + error.message());
+        return false;
+    }
+    if (parser_.is_done()) {
+        answerComplete();
+        return false;
+    }
+    return true;
+}
+
+void RunnerCall::deliver()
+{
+    if (!headDelivered_ && parser_.is_header_done()) {
+        headDelivered_ = true;
+        verdict_ = Verdict::Ran;
+        if (events_)
+            events_->callHead(parser_.get());
+    }
+    std::vector<std::string_view> &data = parser_.get().body();
+    if (events_ && !ended_ && !data.empty())
+        events_->callData(data);
+    data.clear();
+}
+
+void RunnerCall::answerComplete()
+{
+    const bool reusable = sent_ && !dial_.freshConnection && parser_.keep_alive()
+                          && buffer_.size() == 0;
+    if (reusable)
+        client_.putIdle(dial_.address, std::move(*socket_));
+    end(CallEnd::Complete, {});
+}
+
+void RunnerCall::timedOut()
+{
+    if (ended_)
+        return;
+    // The call must outlive the callbacks.
+    const auto self = shared_from_this();
+    if (connecting_)
+        end(CallEnd::ConnectFailed, "connect: timed out");
+    else
+        end(CallEnd::Silent, "the runner sent nothing within the idle timeout");
+}
+
+void RunnerCall::end(CallEnd how, const std::string &error)
+{
+    if (ended_)
+        return;
+    const auto self = shared_from_this();
+    ended_ = true;
+    deadline_.clear();
+    ErrorCode ignored;
+    socket_->close(ignored);
+    CallEvents *events = std::exchange(events_, nullptr);
+    if (!events)
+        return;
+    events->callEnded(
+            CallResult{ .end = how,
+                        .verdict = verdict_,
+                        .stalePooled = reused_ && !receivedBytes_ && how == CallEnd::Broken,
+                        .error = error });
+}
+
+void RunnerCall::close()
+{
+    if (ended_)
+        return;
+    events_ = nullptr;
+    ended_ = true;
+    deadline_.clear();
+    ErrorCode ignored;
+    socket_->close(ignored);
+}
+
+void RunnerCall::detach()
+{
+    events_ = nullptr;
+    resume();
+}
+
+void RunnerCall::pause()
+{
+    paused_ = true;
+    deadline_.clear();
+}
+
+void RunnerCall::resume()
+{
+    if (!paused_ || ended_)
+        return;
+    paused_ = false;
+    deadline_.setAfter(dial_.idleTimeout);
+    read();
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/relay/src/runnerclient.cpp
@@ -0,0 +1,117 @@
+#include "runnerclient.h"
+
+#include "runnercall.h"
+
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+// Keeps a notification alive until it ends.
+class Notification final : public CallEvents
+{
+public:
+    void callHead(const Header & /*header*/) override {}
+    void callData(const std::vector<std::string_view> & /*data*/) override {}
+    void callEnded(const CallResult & /*result*/) override { self_.reset(); }
+    void keep(std::shared_ptr<Notification> self) { self_ = std::move(self); }
+
+private:
+    std::shared_ptr<Notification> self_;
+};
+
+// True if the peer has neither closed the connection nor sent anything on it.
+bool isQuiet(boost::asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+} // namespace
+
+RunnerClient::RunnerClient(boost::asio::io_context &context, RunnerLimits limits)
+    : context_(context)
+    , limits_(limits)
+    , sweepTimer_(context)
+{}
+
+RunnerClient::~RunnerClient() = default;
+
+std::shared_ptr<RunnerCall> RunnerClient::call(RunnerDial dial, CallEvents &events)
+{
+    auto call = std::make_shared<RunnerCall>(*this, std::move(dial), events);
+    call->start();
+    return call;
+}
+
+void RunnerClient::notify(const std::string &address, RunnerMessage message)
+{
+    auto events = std::make_shared<Notification>();
+    events->keep(events);
+    call(RunnerDial{ .address = address, .message = std::move(message), .freshConnection = true },
+         *events);
+}
+
+void RunnerClient::shutDown()
+{
+    closed_ = true;
+    idle_.clear();
+    sweepTimer_.cancel();
+}
+
+std::unique_ptr<RunnerClient::Socket> RunnerClient::takeIdle(const std::string &address)
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end())
+        return nullptr;
+    std::vector<IdleConnection> &connections = found->second;
+    const auto oldest = std::chrono::steady_clock::now() - limits_.poolTime;
+    while (!connections.empty()) {
+        IdleConnection connection = std::move(connections.back());
+        connections.pop_back();
+        if (connection.since > oldest && isQuiet(connection.socket))
+            return std::make_unique<Socket>(std::move(connection.socket));
+    }
+    return nullptr;
+}
+
+void RunnerClient::putIdle(const std::string &address, Socket socket)
+{
+    std::vector<IdleConnection> &connections = idle_[address];
+    if (closed_ || connections.size() >= limits_.poolSize)
+        return;
+    connections.push_back({ std::move(socket), std::chrono::steady_clock::now() });
+    scheduleSweep();
+}
+
+void RunnerClient::scheduleSweep()
+{
+    if (sweepScheduled_ || closed_)
+        return;
+    sweepScheduled_ = true;
+    sweepTimer_.expires_after(limits_.poolTime);
+    sweepTimer_.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            sweep();
+    });
+}
+
+void RunnerClient::sweep()
+{
+    sweepScheduled_ = false;
+    const auto oldest = std::chrono::steady_clock::now() - limits_.poolTime;
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        std::erase_if(entry->second, [oldest](const IdleConnection &connection) {
+            return connection.since <= oldest;
+        });
+        entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+    if (!idle_.empty())
+        scheduleSweep();
+}
+
+} // namespace auburn
