Wire auburnd: mesh, configuration, scheduling, callers, operators

Cause: the packages were separate; nothing served a request yet. Ruled out: a list poll by every daemon; only relays, and daemons that know no member, read it. Change: Daemon, DaemonBackend, main with graceful stop by SIGTERM; one ListedMember and one set of change results.

--- a/packages/config/include/auburn/config/changehistory.h
+++ b/packages/config/include/auburn/config/changehistory.h
@@ -26,6 +26,9 @@
     std::chrono::milliseconds time{ 0 };
     ItemKey key;
     bool removal = false;
+    // The item as the change wrote it.
+    proto::ConfigItem item;
+    std::uint64_t baseRevision = 0;
     ChangeStatus status = ChangeStatus::Accepted;
     // Why the change was rejected; empty if it was accepted.
     std::string reason;
--- a/packages/config/src/configfold.cpp
+++ b/packages/config/src/configfold.cpp
@@ -27,7 +27,9 @@
                          .operatorName = shortened(change.operator_name()),
                          .time = std::chrono::milliseconds(change.time_ms()),
                          .key = std::move(key),
-                         .removal = change.remove() };
+                         .removal = change.remove(),
+                         .item = change.item(),
+                         .baseRevision = change.base_revision() };
 }
 
 FoldedChange rejected(FoldedChange outcome, ChangeStatus status, std::string reason)
--- a/packages/daemon/include/auburn/daemon/operatorbackend.h
+++ b/packages/daemon/include/auburn/daemon/operatorbackend.h
@@ -3,6 +3,7 @@
 // The interface is abstract so that commands can be tested without a log or other daemons.
 #pragma once
 
+#include "auburn/config/configpublisher.h"
 #include "auburn/config/configstate.h"
 #include "auburn/mesh/memberview.h"
 
@@ -18,39 +19,7 @@
 
 namespace auburn {
 
-// The change was read back from the log and folded; the revision is the item's new one.
-struct ChangeAccepted
-{
-    std::uint64_t revision = 0;
-};
-
-// Another change of the item came first; the revision is the item's current one, 0 if there is
-// none.
-struct ChangeConflict
-{
-    std::uint64_t currentRevision = 0;
-};
-
-// The change was rejected for its content and was not written.
-struct ChangeInvalid
-{
-    std::string reason;
-};
-
-// The change is certainly not on the log and never will be.
-struct ChangeUnavailable
-{
-    std::string reason;
-};
-
-// The change may be on the log.
-struct ChangeUnknown
-{
-    std::string reason;
-};
-
-using ChangeResult = std::variant<ChangeAccepted, ChangeConflict, ChangeInvalid, ChangeUnavailable,
-                                  ChangeUnknown>;
+using ChangeResult = PublishResult;
 
 // One folded record of the configuration stream.
 struct ChangeHistoryEntry
--- a/packages/daemon/src/commandexecutor.cpp
+++ b/packages/daemon/src/commandexecutor.cpp
@@ -46,11 +46,8 @@
     }
     Reply operator()(const ChangeConflict &result) const
     {
-        Reply reply = replyWith(proto::OPERATOR_STATUS_CONFLICT,
-                                "another change came first; the item's revision is now "
-                                        + std::to_string(result.currentRevision));
-        reply.set_revision(result.currentRevision);
-        return reply;
+        return replyWith(proto::OPERATOR_STATUS_CONFLICT,
+                         "another change came first: " + result.reason);
     }
     Reply operator()(const ChangeInvalid &result) const
     {
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,66 @@
+// auburnd: the daemon between callers and runners.
+
+#include "auburn/core/lasterror.h"
+#include "auburn/core/log.h"
+#include "auburn/daemon/daemon.h"
+#include "auburn/daemon/settings.h"
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+
+#include <csignal>
+#include <iostream>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace {
+
+// Exit code for a daemon that cannot start, for example because an address is in use.
+constexpr int kStartFailed = 1;
+
+// Blocks the stop signals in all threads and returns a descriptor that delivers them.
+int openStopSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
+int runDaemon(int argc, char **argv, const auburn::Settings &settings)
+{
+    const int signals = openStopSignals();
+    QCoreApplication application(argc, argv);
+    const std::unique_ptr<auburn::Daemon> daemon = auburn::Daemon::make(settings);
+    if (!daemon) {
+        auburn::logEvent(auburn::LogLevel::Error, "start_failed",
+                         { { "reason", auburn::lastError() } });
+        return kStartFailed;
+    }
+    QSocketNotifier notifier(signals, QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [&] {
+        signalfd_siginfo info;
+        while (read(signals, &info, sizeof(info)) > 0) {
+        }
+        daemon->stop([] { QCoreApplication::quit(); });
+    });
+    return QCoreApplication::exec();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto result = auburn::readSettings(arguments, auburn::processEnvironment);
+    if (const auto *exit = std::get_if<auburn::SettingsExit>(&result)) {
+        (exit->code == 0 ? std::cout : std::cerr) << exit->text;
+        return exit->code;
+    }
+    const auto &settings = std::get<auburn::Settings>(result);
+    auburn::initialiseLog(settings.logLevel, settings.id);
+    return runDaemon(argc, argv, settings);
+}
