--- /dev/null
+++ b/tests/standins/servicemain.cpp
@@ -0,0 +1,73 @@
+// standin_service: one or many stand-in plain services in one process.
+#include "listenflag.h"
+#include "standinservice.h"
+
+#include "auburn/core/lasterror.h"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+#include <memory>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+namespace {
+
+using namespace auburn::standin;
+
+struct Settings
+{
+    ServiceOptions service;
+    unsigned count = 1;
+};
+
+Settings parseSettings(int argc, char **argv)
+{
+    TCLAP::CmdLine line("Stand-in for plain services");
+    TCLAP::ValueArg<std::string> listen("", "listen", "IP:PORT; port 0 selects one", false,
+                                        "127.0.0.1:0", "IP:PORT", line);
+    TCLAP::ValueArg<unsigned> count("", "count", "services, on consecutive or selected ports",
+                                    false, 1, "N", line);
+    TCLAP::ValueArg<unsigned> work("", "work-ms", "time of one call", false, 5, "MS", line);
+    line.parse(argc, argv);
+    const auto address = parseListenAddress(listen.getValue());
+    if (!address)
+        throw TCLAP::ArgException("not IP:PORT", "listen");
+    return Settings{ .service = { .address = address->address,
+                                  .port = address->port,
+                                  .workTime = std::chrono::milliseconds(work.getValue()),
+                                  .crash = [] { ::_exit(70); } },
+                     .count = count.getValue() };
+}
+
+int run(const Settings &settings)
+{
+    boost::asio::io_context context(1);
+    std::vector<std::unique_ptr<StandinService>> services;
+    for (unsigned i = 0; i < settings.count; ++i) {
+        ServiceOptions options = settings.service;
+        if (options.port != 0)
+            options.port = static_cast<std::uint16_t>(options.port + i);
+        services.push_back(StandinService::make(context, options));
+        if (!services.back()) {
+            std::cerr << auburn::lastError() << '\n';
+            return 1;
+        }
+        printListening(options.address, services.back()->port());
+    }
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(parseSettings(argc, argv));
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << error.argId() << ": " << error.error() << '\n';
+        return 2;
+    }
+}
