Reduce gossip traffic: balanced peers, distances, contacts by hash

Seeds of other places are now remembered and left to relays. Random peers gave some members twice the mean load; peers at fixed ring distances are balanced.

--- a/packages/mesh/include/auburn/mesh/gossipcore.h
+++ b/packages/mesh/include/auburn/mesh/gossipcore.h
@@ -60,17 +60,15 @@
     std::chrono::milliseconds roundPeriod{ 1000 };
     // Pushes per round.
     unsigned fanout = 2;
-    // Pushes go to a slowly changing subset of the peers, because each additional open connection
-    // costs more in heartbeats than a push.
+    // Pushes go to a fixed subset of the peers, because each additional open connection costs more
+    // in heartbeats than a push.
     unsigned activePeers = 4;
-    // One of the active peers is replaced after each such period.
-    std::chrono::milliseconds peerRotation{ 10000 };
     std::chrono::milliseconds failureTimeout = kFailureTimeout;
     // Replaces failureTimeout for a member that somebody suspects.
     std::chrono::milliseconds suspicionTimeout{ 3000 };
     // Dead and left members are removed after this time.
     std::chrono::milliseconds forgetAfter{ 60000 };
-    // Interval at which an endpoint that is not known to be alive is contacted.
+    // Interval at which a random member and an endpoint that is not known to be alive are contacted.
     std::chrono::milliseconds seedPeriod{ 5000 };
 
     // Digest exchange with each place of the region, and of other regions.
@@ -166,9 +164,9 @@
     void runRound();
     void publishLoads();
     void refreshActivePeers();
-    std::vector<std::string> livePeers() const;
+    void pushToRandomPeer();
     void contactUnknownEndpoint();
-    std::vector<std::string> unknownEndpoints() const;
+    std::vector<std::string> unknownEndpoints(bool relay) const;
     void takeNewIncarnation();
 
     // Messages inside the place.
@@ -196,6 +194,7 @@
     void answerForeignPush(const std::string &sender);
     void exchangeWithPlaces();
     void pushToPlace(const std::string &place);
+    const proto::PlaceDigest &ownDigest();
     proto::PlaceDigest makeOwnDigest();
 
     void emit(const std::string &peerId, const std::string &endpoint, proto::Gossip gossip);
@@ -215,14 +214,19 @@
     GossipTime now_;
     std::chrono::milliseconds nextRound_{ 0 };
     std::chrono::milliseconds nextSeedContact_{ 0 };
-    std::chrono::milliseconds nextRotation_{ 0 };
     std::chrono::milliseconds lastUrgent_{ 0 };
     std::chrono::milliseconds lastIncarnation_{ 0 };
     // Next exchange with each other place.
     std::map<std::string, std::chrono::milliseconds> placeDue_;
+    // Hash of our contacts that each place has last shown to know.
+    std::map<std::string, std::uint32_t> contactsKnownBy_;
+    proto::PlaceDigest ownDigest_;
+    std::chrono::milliseconds ownDigestMade_{ 0 };
 
     std::vector<std::string> activePeers_;
     std::vector<Seed> listSeeds_;
+    // Seeds from settings that turned out to belong to other places, with their place.
+    std::map<std::string, std::string> foreignSeeds_;
     std::optional<std::vector<proto::CellDigest>> pendingLoads_;
     std::vector<GossipMessage> outbox_;
     // Marks to pass on at once.
--- a/packages/mesh/src/gossipcore.cpp
+++ b/packages/mesh/src/gossipcore.cpp
@@ -6,7 +6,7 @@
 #include "placetable.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -77,18 +77,19 @@
         sum[tier] += waiting[tier];
 }
 
+// Heartbeats start at a value derived from the wall clock, so that those of all members are close
+// together and their distances take one byte. Nothing else depends on it.
+std::uint32_t firstHeartbeat(GossipTime now)
+{
+    return static_cast<std::uint32_t>(std::chrono::floor<std::chrono::seconds>(now.wall).count());
+}
+
 // True if the peer's version of the place is missing or so old that its direct link must be cut.
 // Versions advance at least once per second.
 bool isOutdated(const proto::PlaceDigest &digest, const proto::PlaceVersions &peer)
 {
     constexpr std::uint64_t kDirectLinkLag = 20;
-    const std::uint32_t key = PlaceTable::keyOf(digest.place());
-    const int count = std::min(peer.keys_size(), peer.versions_size());
-    for (int i = 0; i < count; ++i) {
-        if (peer.keys(i) == key)
-            return peer.versions(i) + kDirectLinkLag < digest.version();
-    }
-    return true;
+    return PlaceTable::versionIn(peer, digest.place()) + kDirectLinkLag < digest.version();
 }
 
 } // namespace
@@ -101,7 +102,7 @@
                                    .suspicionTimeout = options_.suspicionTimeout,
                                    .forgetAfter = options_.forgetAfter,
                                    .maxMembers = options_.maxMembers },
-              options_.selfId, options_.incarnation, options_.endpoint))
+              options_.selfId, options_.incarnation, options_.endpoint, firstHeartbeat(now)))
     , leaving_(std::make_unique<LeavingMarks>(options_.leavingMarkLifetime,
                                               options_.maxLeavingMarks))
     , crashes_(std::make_unique<CrashMarks>(options_.crashMarkLifetime, options_.maxCrashMarks))
@@ -110,9 +111,9 @@
               options_.failureTimeout + 2 * options_.interRegionPeriod, options_.placeForgetAfter))
     , now_(now)
     , nextSeedContact_(now.monotonic)
-    , nextRotation_(now.monotonic + options_.peerRotation)
     , lastUrgent_(kLongAgo)
     , lastIncarnation_(kLongAgo)
+    , ownDigestMade_(kLongAgo)
     , notifiedAt_(kLongAgo)
 {
     // Daemons that start together spread their rounds over the period.
@@ -174,8 +175,10 @@
     targets.resize(std::min<std::size_t>(targets.size(), options_.fanout));
     for (const std::string &target : targets)
         push(*members_->findId(target));
-    if (targets.empty() || now_.monotonic >= nextSeedContact_)
+    if (targets.empty() || now_.monotonic >= nextSeedContact_) {
         contactUnknownEndpoint();
+        pushToRandomPeer();
+    }
     if (isRelay())
         exchangeWithPlaces();
 }
@@ -193,41 +196,48 @@
     pendingLoads_.reset();
 }
 
-std::vector<std::string> GossipCore::livePeers() const
+// The active peers are those at fixed distances around the ring of all live members in key order.
+// Every member then has the same number of incoming and outgoing neighbours, where a random choice
+// gives some members twice the average load; distances that grow by a constant factor keep the
+// number of hops low.
+void GossipCore::refreshActivePeers()
 {
-    std::vector<std::string> ids;
+    std::vector<const MemberRecord *> ring;
+    std::size_t own = 0;
     for (const auto &entry : members_->records()) {
-        if (members_->isPeer(entry.second))
-            ids.push_back(entry.second.id);
+        const bool isSelf = &entry.second == &members_->self();
+        if (isSelf)
+            own = ring.size();
+        if (isSelf || members_->isPeer(entry.second))
+            ring.push_back(&entry.second);
+    }
+    activePeers_.clear();
+    const double factor = std::pow(static_cast<double>(ring.size()),
+                                   1.0 / std::max(options_.activePeers, 1U));
+    double reach = 1;
+    std::size_t distance = 0;
+    while (activePeers_.size() < options_.activePeers && distance + 1 < ring.size()) {
+        distance = std::max(distance + 1, static_cast<std::size_t>(reach));
+        reach *= factor;
+        activePeers_.push_back(ring[(own + distance) % ring.size()]->id);
     }
-    return ids;
 }
 
-void GossipCore::refreshActivePeers()
+// Exchanges with random members bypass the ring where its links are cut.
+void GossipCore::pushToRandomPeer()
 {
-    std::erase_if(activePeers_, [this](const std::string &id) {
-        const MemberRecord *record = members_->findId(id);
-        return record == nullptr || !members_->isPeer(*record);
-    });
-    if (now_.monotonic >= nextRotation_) {
-        nextRotation_ = now_.monotonic + options_.peerRotation;
-        if (activePeers_.size() >= options_.activePeers)
-            activePeers_.erase(activePeers_.begin());
-    }
-    std::vector<std::string> candidates = livePeers();
-    std::erase_if(candidates, [this](const std::string &id) {
-        return std::find(activePeers_.begin(), activePeers_.end(), id) != activePeers_.end();
-    });
-    while (activePeers_.size() < options_.activePeers && !candidates.empty()) {
-        const std::size_t picked = randomBelow(candidates.size());
-        activePeers_.push_back(candidates[picked]);
-        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(picked));
+    std::vector<const MemberRecord *> candidates;
+    for (const auto &entry : members_->records()) {
+        if (members_->isPeer(entry.second))
+            candidates.push_back(&entry.second);
     }
+    if (!candidates.empty())
+        push(*candidates[randomBelow(candidates.size())]);
 }
 
 // Endpoints from settings, from the platform list and of dead members that do not belong to a live
 // member: a way to join, and to reunite after a partition.
-std::vector<std::string> GossipCore::unknownEndpoints() const
+std::vector<std::string> GossipCore::unknownEndpoints(bool relay) const
 {
     std::unordered_set<std::string> known{ options_.endpoint };
     std::vector<std::string> candidates = options_.seeds;
@@ -246,6 +256,12 @@
         for (const proto::MemberEntry &contact : entry.second.digest.contacts())
             known.insert(contact.endpoint());
     }
+    // One seed named in all settings would otherwise be contacted by the daemons of all places.
+    for (const auto &[endpoint, place] : foreignSeeds_) {
+        const PlaceTable::Entry *entry = places_->find(place);
+        if (!relay || (entry != nullptr && entry->reachable))
+            known.insert(endpoint);
+    }
     std::erase_if(candidates,
                   [&known](const std::string &endpoint) { return known.contains(endpoint); });
     return candidates;
@@ -254,7 +270,7 @@
 void GossipCore::contactUnknownEndpoint()
 {
     nextSeedContact_ = now_.monotonic + options_.seedPeriod;
-    const std::vector<std::string> candidates = unknownEndpoints();
+    const std::vector<std::string> candidates = unknownEndpoints(isRelay());
     if (!candidates.empty())
         greet(candidates[randomBelow(candidates.size())]);
 }
@@ -327,8 +343,6 @@
             continue;
         }
         if (isSelf) {
-            if (MemberRecord *record = members_->findId(sender))
-                record->knowsSelf = true;
             members_->self().heartbeat = std::max(members_->self().heartbeat, row.heartbeat);
             continue;
         }
@@ -343,7 +357,7 @@
 void GossipCore::push(const MemberRecord &peer)
 {
     proto::Gossip gossip;
-    gossip.mutable_rows()->set_base_revision(members_->highestRevision());
+    *gossip.mutable_rows() = members_->makeRows();
     for (const auto &entry : members_->records()) {
         if (MemberTable::isShared(entry.second))
             members_->addRow(*gossip.mutable_rows(), entry.second, false);
@@ -360,7 +374,7 @@
 void GossipCore::greet(const std::string &endpoint)
 {
     proto::Gossip gossip;
-    gossip.mutable_rows()->set_base_revision(members_->highestRevision());
+    *gossip.mutable_rows() = members_->makeRows();
     members_->addRow(*gossip.mutable_rows(), members_->self(), false);
     members_->addDefinition(gossip, members_->self());
     gossip.set_marks_digest(marksDigest());
@@ -373,7 +387,7 @@
 {
     proto::Gossip answer;
     answer.set_step(proto::GOSSIP_STEP_REPLY);
-    answer.mutable_rows()->set_base_revision(members_->highestRevision());
+    *answer.mutable_rows() = members_->makeRows();
     if (senderWasDead)
         members_->addRow(*answer.mutable_rows(), *members_->findId(sender), true);
     addNewerRows(rows, answer);
@@ -383,9 +397,11 @@
     std::vector<std::uint32_t> wantedPlaces;
     for (const proto::PlaceDigest *digest :
          places_->newerThan(push.place_versions(), &wantedPlaces))
-        *answer.add_places() = *digest;
+        PlaceTable::addFor(push.place_versions(), *digest, *answer.mutable_places());
     for (const std::uint32_t key : wantedPlaces)
         answer.add_wanted_places(key);
+    if (!wantedPlaces.empty())
+        *answer.mutable_place_versions() = places_->versions();
     answer.set_marks_digest(marksDigest());
     addMarks(answer, push.marks_digest());
     emit(sender, endpointOf(sender), std::move(answer));
@@ -435,6 +451,10 @@
 
 void GossipCore::answerReply(const std::string &sender, const proto::Gossip &reply)
 {
+    const auto &wanted = reply.wanted_members();
+    if (MemberRecord *record = members_->findId(sender))
+        record->knowsSelf = std::find(wanted.begin(), wanted.end(), members_->self().key)
+                            == wanted.end();
     proto::Gossip answer;
     answer.set_step(proto::GOSSIP_STEP_FINAL);
     addWanted(reply, answer);
@@ -448,7 +468,7 @@
 
 void GossipCore::addWanted(const proto::Gossip &request, proto::Gossip &answer) const
 {
-    answer.mutable_rows()->set_base_revision(members_->highestRevision());
+    *answer.mutable_rows() = members_->makeRows();
     std::size_t definitionBytes = 0;
     for (const std::uint32_t key : request.wanted_members()) {
         const MemberRecord *record = members_->find(key);
@@ -467,7 +487,7 @@
     }
     for (const std::uint32_t key : request.wanted_places()) {
         if (const proto::PlaceDigest *digest = places_->findKey(key))
-            *answer.add_places() = *digest;
+            PlaceTable::addFor(request.place_versions(), *digest, *answer.mutable_places());
     }
 }
 
@@ -525,7 +545,7 @@
     lastUrgent_ = now_.monotonic;
     proto::Gossip gossip = std::exchange(urgentMarks_, proto::Gossip());
     gossip.set_step(proto::GOSSIP_STEP_FINAL);
-    gossip.mutable_rows()->set_base_revision(members_->highestRevision());
+    *gossip.mutable_rows() = members_->makeRows();
     for (const auto &entry : members_->records()) {
         if (entry.second.urgent && MemberTable::isShared(entry.second))
             members_->addRow(*gossip.mutable_rows(), entry.second, false);
@@ -554,6 +574,12 @@
             continue;
         const milliseconds period = region == options_.region ? options_.regionPeriod
                                                               : options_.interRegionPeriod;
+        // An exchange carries both digests, so one of the two places starts it; the other one does
+        // when it hears nothing.
+        const PlaceTable::Entry *entry = places_->find(place);
+        const bool isSilent = entry == nullptr || now_.monotonic - entry->lastProgress > 2 * period;
+        if (options_.place > place && !isSilent)
+            continue;
         // Half a round earlier, since this runs once per round only.
         due = now_.monotonic + period * share - options_.roundPeriod / 2;
         pushToPlace(place);
@@ -578,19 +604,31 @@
     if (targets.empty())
         return;
     const auto &[peerId, endpoint] = targets[randomBelow(targets.size())];
-    emit(peerId, endpoint, proto::PlaceDigests());
+    proto::PlaceDigests digests;
+    proto::PlaceDigest own = ownDigest();
+    // The contacts travel in the answer to a place that lacks them, and here until it has answered.
+    const bool contactsKnown = contactsKnownBy_[place] == own.contacts_hash();
+    if (contactsKnown && isReachable)
+        own.clear_contacts();
+    *digests.add_places() = std::move(own);
+    emit(peerId, endpoint, std::move(digests));
 }
 
 void GossipCore::receivePlaceDigests(const std::string &sender, const proto::PlaceDigests &digests)
 {
     for (const proto::PlaceDigest &digest : digests.places())
         places_->merge(digest, now_.monotonic);
-    const std::uint32_t ownKey = PlaceTable::keyOf(options_.place);
-    const int count = std::min(digests.known().keys_size(), digests.known().versions_size());
-    for (int i = 0; i < count; ++i) {
-        if (digests.known().keys(i) == ownKey)
-            places_->noteOwnVersion(digests.known().versions(i));
-    }
+    places_->noteOwnVersion(PlaceTable::versionIn(digests.known(), options_.place));
+    if (digests.places_size() > 0) {
+        const std::string &senderPlace = digests.places(digests.places_size() - 1).place();
+        if (places_->find(senderPlace) != nullptr)
+            contactsKnownBy_[senderPlace] = PlaceTable::contactsHashIn(digests.known(),
+                                                                       options_.place);
+    }
+    if (!digests.endpoint().empty() && digests.places_size() > 0
+        && std::find(options_.seeds.begin(), options_.seeds.end(), digests.endpoint())
+                   != options_.seeds.end())
+        foreignSeeds_[digests.endpoint()] = digests.places(digests.places_size() - 1).place();
     findHigherRevision(sender);
     if (digests.reply())
         return;
@@ -599,8 +637,9 @@
     for (const proto::PlaceDigest *digest : places_->newerThan(digests.known(), nullptr)) {
         // What the sender gets from the place itself is not sent twice.
         if (isOutdated(*digest, digests.known()))
-            *answer.add_places() = *digest;
+            PlaceTable::addFor(digests.known(), *digest, *answer.mutable_places());
     }
+    PlaceTable::addFor(digests.known(), ownDigest(), *answer.mutable_places());
     emit(sender, endpointOf(sender), std::move(answer));
 }
 
@@ -608,9 +647,22 @@
 {
     proto::PlaceDigests answer;
     answer.set_reply(true);
+    answer.set_endpoint(options_.endpoint);
+    *answer.add_places() = ownDigest();
     emit(sender, endpointOf(sender), std::move(answer));
 }
 
+// The digest is made once per period, since every new version travels to all daemons of the other
+// places.
+const proto::PlaceDigest &GossipCore::ownDigest()
+{
+    if (now_.monotonic - ownDigestMade_ >= options_.regionPeriod * 9 / 10) {
+        ownDigest_ = makeOwnDigest();
+        ownDigestMade_ = now_.monotonic;
+    }
+    return ownDigest_;
+}
+
 proto::PlaceDigest GossipCore::makeOwnDigest()
 {
     const std::shared_ptr<const MemberView> current = view();
@@ -649,6 +701,7 @@
         contact.set_id(id);
         contact.set_endpoint(endpointOf(id));
     }
+    digest.set_contacts_hash(PlaceTable::hashOf(digest.contacts()));
     return digest;
 }
 
@@ -909,11 +962,9 @@
     outbox_.push_back(std::move(message));
 }
 
-// Completes the message with our own digest and the versions that we know.
 void GossipCore::emit(const std::string &peerId, const std::string &endpoint,
                       proto::PlaceDigests digests)
 {
-    *digests.add_places() = makeOwnDigest();
     *digests.mutable_known() = places_->versions();
     GossipMessage message{ .peer = peerId, .endpoint = endpoint };
     *message.envelope.mutable_place_digests() = std::move(digests);
--- a/packages/mesh/src/membertable.cpp
+++ b/packages/mesh/src/membertable.cpp
@@ -58,13 +58,15 @@
 {
     std::vector<MemberRow> result;
     const int count = rows.keys_size();
-    if (rows.heartbeats_size() != count || rows.status_size() != count)
+    if (rows.heartbeat_distances_size() != count || rows.status_size() != count)
         return result;
     result.reserve(static_cast<std::size_t>(count));
     int loads = 0;
     for (int i = 0; i < count; ++i) {
         const std::uint64_t status = rows.status(i);
-        MemberRow row{ .key = rows.keys(i), .heartbeat = rows.heartbeats(i) };
+        const std::uint32_t base = rows.base_heartbeat();
+        MemberRow row{ .key = rows.keys(i),
+                       .heartbeat = base - std::min(rows.heartbeat_distances(i), base) };
         row.status = statusOf(status & kStateBits);
         row.suspected = (status & kSuspectedBit) != 0;
         row.configRevision = rows.base_revision()
@@ -81,7 +83,7 @@
 }
 
 MemberTable::MemberTable(Limits limits, const std::string &selfId, std::uint64_t incarnation,
-                         const std::string &endpoint)
+                         const std::string &endpoint, std::uint32_t heartbeat)
     : limits_(limits)
     , selfKey_(keyOf(selfId, incarnation))
 {
@@ -89,7 +91,7 @@
                                              .id = selfId,
                                              .incarnation = incarnation,
                                              .endpoint = endpoint,
-                                             .heartbeat = 1 });
+                                             .heartbeat = std::max(heartbeat, 1U) });
     keysById_.emplace(selfId, selfKey_);
 }
 
@@ -129,8 +131,8 @@
     while (records_.contains(keyOf(record.id, record.incarnation)))
         ++record.incarnation;
     record.key = keyOf(record.id, record.incarnation);
-    record.loadHeartbeat = record.cells.empty() ? 0 : 1;
-    record.heartbeat = 1;
+    ++record.heartbeat;
+    record.loadHeartbeat = record.cells.empty() ? 0 : record.heartbeat;
     records_.erase(selfKey_);
     selfKey_ = record.key;
     keysById_[record.id] = selfKey_;
@@ -266,7 +268,8 @@
         rows.add_load_ages(record.heartbeat - record.loadHeartbeat);
     }
     rows.add_keys(record.key);
-    rows.add_heartbeats(record.heartbeat);
+    rows.add_heartbeat_distances(rows.base_heartbeat()
+                                 - std::min(record.heartbeat, rows.base_heartbeat()));
     rows.add_status(status);
 }
 
@@ -286,12 +289,18 @@
     load.mutable_cells()->Assign(record.cells.begin(), record.cells.end());
 }
 
-std::uint64_t MemberTable::highestRevision() const
+proto::MemberRows MemberTable::makeRows() const
 {
-    std::uint64_t highest = 0;
-    for (const auto &entry : records_)
-        highest = std::max(highest, entry.second.configRevision);
-    return highest;
+    std::uint64_t revision = 0;
+    std::uint32_t heartbeat = 0;
+    for (const auto &entry : records_) {
+        revision = std::max(revision, entry.second.configRevision);
+        heartbeat = std::max(heartbeat, entry.second.heartbeat);
+    }
+    proto::MemberRows rows;
+    rows.set_base_revision(revision);
+    rows.set_base_heartbeat(heartbeat);
+    return rows;
 }
 
 bool MemberTable::takeUrgent()
--- a/packages/mesh/src/membertable.h
+++ b/packages/mesh/src/membertable.h
@@ -76,7 +76,7 @@
     };
 
     MemberTable(Limits limits, const std::string &selfId, std::uint64_t incarnation,
-                const std::string &endpoint);
+                const std::string &endpoint, std::uint32_t heartbeat);
 
     static std::uint32_t keyOf(const std::string &id, std::uint64_t incarnation);
 
@@ -113,8 +113,8 @@
     void addRow(proto::MemberRows &rows, const MemberRecord &record, bool deadForPeer) const;
     void addDefinition(proto::Gossip &gossip, const MemberRecord &record) const;
     void addLoad(proto::Gossip &gossip, const MemberRecord &record) const;
-    // Highest revision among the shared members; base of the rows' distances.
-    std::uint64_t highestRevision() const;
+    // A message part without rows, with the highest revision and heartbeat as its bases.
+    proto::MemberRows makeRows() const;
 
     // Raised by every change that a view shows.
     std::uint64_t version() const { return version_; }
--- a/packages/mesh/src/placetable.cpp
+++ b/packages/mesh/src/placetable.cpp
@@ -74,7 +74,14 @@
         return false;
     if (found != entries_.end() && found->second.digest.version() >= digest.version())
         return false;
-    entries_[digest.place()] = Entry{ .digest = digest, .lastProgress = now };
+    Entry entry{ .digest = digest, .lastProgress = now };
+    if (digest.contacts().empty() && found != entries_.end()) {
+        *entry.digest.mutable_contacts() = found->second.digest.contacts();
+        entry.digest.set_contacts_hash(found->second.digest.contacts_hash());
+    } else {
+        entry.digest.set_contacts_hash(hashOf(digest.contacts()));
+    }
+    entries_[digest.place()] = std::move(entry);
     ++version_;
     return true;
 }
@@ -118,14 +125,15 @@
 
 proto::PlaceVersions PlaceTable::versions() const
 {
+    std::uint64_t base = ownVersion_;
+    for (const auto &entry : entries_)
+        base = std::max<std::uint64_t>(base, entry.second.digest.version());
     proto::PlaceVersions result;
+    result.set_base_version(base);
     for (const auto &[place, entry] : entries_) {
         result.add_keys(keyOf(place));
-        result.add_versions(entry.digest.version());
-    }
-    if (ownVersion_ > 0) {
-        result.add_keys(keyOf(ownPlace_));
-        result.add_versions(ownVersion_);
+        result.add_distances(base - entry.digest.version());
+        result.add_contact_hashes(entry.digest.contacts_hash());
     }
     return result;
 }
@@ -134,9 +142,10 @@
         const proto::PlaceVersions &peer, std::vector<std::uint32_t> *wanted) const
 {
     std::unordered_map<std::uint32_t, std::uint64_t> known;
-    const int count = std::min(peer.keys_size(), peer.versions_size());
+    const int count = std::min(peer.keys_size(), peer.distances_size());
     for (int i = 0; i < count; ++i)
-        known[peer.keys(i)] = peer.versions(i);
+        known[peer.keys(i)] = peer.base_version()
+                              - std::min<std::uint64_t>(peer.distances(i), peer.base_version());
     std::vector<const proto::PlaceDigest *> newer;
     for (const auto &[place, entry] : entries_) {
         const auto found = known.find(keyOf(place));
@@ -154,6 +163,47 @@
     return newer;
 }
 
+std::uint32_t PlaceTable::hashOf(
+        const google::protobuf::RepeatedPtrField<proto::MemberEntry> &contacts)
+{
+    std::uint64_t hash = 0;
+    for (const proto::MemberEntry &contact : contacts)
+        hash = stableHash(contact.endpoint(), stableHash(contact.id(), hash));
+    return static_cast<std::uint32_t>(hash);
+}
+
+std::uint64_t PlaceTable::versionIn(const proto::PlaceVersions &peer, const std::string &place)
+{
+    const std::uint32_t key = keyOf(place);
+    const int count = std::min(peer.keys_size(), peer.distances_size());
+    for (int i = 0; i < count; ++i) {
+        if (peer.keys(i) == key)
+            return peer.base_version()
+                   - std::min<std::uint64_t>(peer.distances(i), peer.base_version());
+    }
+    return 0;
+}
+
+std::uint32_t PlaceTable::contactsHashIn(const proto::PlaceVersions &peer, const std::string &place)
+{
+    const std::uint32_t key = keyOf(place);
+    const int count = std::min(peer.keys_size(), peer.contact_hashes_size());
+    for (int i = 0; i < count; ++i) {
+        if (peer.keys(i) == key)
+            return peer.contact_hashes(i);
+    }
+    return 0;
+}
+
+void PlaceTable::addFor(const proto::PlaceVersions &peer, const proto::PlaceDigest &digest,
+                        google::protobuf::RepeatedPtrField<proto::PlaceDigest> &places)
+{
+    proto::PlaceDigest &added = *places.Add();
+    added = digest;
+    if (contactsHashIn(peer, digest.place()) == digest.contacts_hash())
+        added.clear_contacts();
+}
+
 const proto::PlaceDigest *PlaceTable::findKey(std::uint32_t key) const
 {
     for (const auto &[place, entry] : entries_) {
--- a/packages/mesh/src/placetable.h
+++ b/packages/mesh/src/placetable.h
@@ -27,6 +27,14 @@
                std::chrono::milliseconds interRegionTimeout, std::chrono::milliseconds forgetAfter);
 
     static std::uint32_t keyOf(const std::string &place);
+    static std::uint32_t hashOf(
+            const google::protobuf::RepeatedPtrField<proto::MemberEntry> &contacts);
+    // The version of the place, or the hash of its contacts, that the peer knows; 0 if none.
+    static std::uint64_t versionIn(const proto::PlaceVersions &peer, const std::string &place);
+    static std::uint32_t contactsHashIn(const proto::PlaceVersions &peer, const std::string &place);
+    // Adds the digest, without the contacts if the peer knows them.
+    static void addFor(const proto::PlaceVersions &peer, const proto::PlaceDigest &digest,
+                       google::protobuf::RepeatedPtrField<proto::PlaceDigest> &places);
 
     // Takes over a newer digest of another place; true if it is newer.
     bool merge(const proto::PlaceDigest &digest, std::chrono::milliseconds now);
