--- a/packages/core/src/metrics.cpp
+++ b/packages/core/src/metrics.cpp
@@ -100,19 +100,28 @@
     return "untyped";
 }
 
+void writeLine(std::string &out, const std::string &name, const std::string &labels,
+               const std::string &value)
+{
+    out += name;
+    out += inBraces(labels);
+    out += ' ';
+    out += value;
+    out += '\n';
+}
+
 void writeHistogram(std::string &out, const std::string &name, const std::string &labels,
                     const HistogramSeries::Snapshot &snapshot)
 {
-    const std::string prefix = labels.empty() ? labels : labels + ',';
     for (std::size_t i = 0; i < snapshot.cumulative.size(); ++i) {
-        const std::string bound = i < snapshot.bounds.size() ? numberText(snapshot.bounds[i])
-                                                             : "+Inf";
-        out += name + "_bucket{" + prefix + "le=\"" + bound + "\"} "
-               + std::to_string(snapshot.cumulative[i]) + '\n';
+        std::string withBound = labels.empty() ? labels : labels + ',';
+        withBound += "le=\"";
+        withBound += i < snapshot.bounds.size() ? numberText(snapshot.bounds[i]) : "+Inf";
+        withBound += '"';
+        writeLine(out, name + "_bucket", withBound, std::to_string(snapshot.cumulative[i]));
     }
-    out += name + "_sum" + inBraces(labels) + ' ' + numberText(snapshot.sum) + '\n';
-    out += name + "_count" + inBraces(labels) + ' ' + std::to_string(snapshot.cumulative.back())
-           + '\n';
+    writeLine(out, name + "_sum", labels, numberText(snapshot.sum));
+    writeLine(out, name + "_count", labels, std::to_string(snapshot.cumulative.back()));
 }
 
 } // namespace
@@ -183,8 +192,9 @@
     for (const auto &shard : shards_) {
         const std::lock_guard lock(shard->mutex);
         // Index -1 is the underflow bin and size() the overflow bin of the axis.
-        for (int i = -1; i <= axis.size(); ++i)
-            result.cumulative[static_cast<std::size_t>(i + 1)] += shard->counts.at(i);
+        int bin = -1;
+        for (std::uint64_t &count : result.cumulative)
+            count += shard->counts.at(bin++);
         result.sum += shard->sum;
     }
     for (std::size_t i = 1; i < result.cumulative.size(); ++i)
@@ -284,10 +294,9 @@
             if (family->type == Type::Histogram)
                 writeHistogram(out, name, labels, series->histogram->snapshot());
             else if (family->type == Type::Counter)
-                out += name + inBraces(labels) + ' ' + std::to_string(series->counter.value())
-                       + '\n';
+                writeLine(out, name, labels, std::to_string(series->counter.value()));
             else
-                out += name + inBraces(labels) + ' ' + numberText(series->gauge.value()) + '\n';
+                writeLine(out, name, labels, numberText(series->gauge.value()));
         }
     }
     return out;
--- a/packages/daemon/include/auburn/daemon/operatorserver.h
+++ b/packages/daemon/include/auburn/daemon/operatorserver.h
@@ -15,7 +15,7 @@
 namespace auburn {
 
 // Largest request, in bytes; the connection of a peer that sends more is closed.
-constexpr std::size_t kMaxOperatorRequest = 64 * 1024;
+constexpr std::size_t kMaxOperatorRequest = 65536;
 
 class OperatorServer
 {
--- a/packages/daemon/src/settingvalues.cpp
+++ b/packages/daemon/src/settingvalues.cpp
@@ -1,5 +1,6 @@
 #include "settingvalues.h"
 
+#include <algorithm>
 #include <memory>
 #include <tclap/CmdLine.h>
 
@@ -23,8 +24,8 @@
         for (const SettingInfo &info : settingTable())
             flags_[info.name] = std::make_unique<ValueFlag>("", info.name, "", false, "",
                                                             commandLine_);
-        rest_ = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>("rest", "", false, "",
-                                                                        commandLine_);
+        rest_ = std::make_unique<TCLAP::UnlabeledMultiArg<std::string>>(
+                "rest", "Unknown arguments.", false, "", commandLine_);
     }
 
     void parse(std::vector<std::string> arguments)
@@ -101,10 +102,11 @@
             flags.parse(arguments);
             flags.readInto(values);
             return;
-        } catch (const TCLAP::ArgException &) {
+        } catch (const TCLAP::CmdLineParseException &error) {
+            values.mistakes.push_back(error.error() + ' ' + error.argId());
+            return;
+        } catch (const TCLAP::ArgParseException &) {
             // Only the last argument can lack its value: any other takes the next argument.
-            if (arguments.empty())
-                return;
             values.mistakes.push_back(arguments.back() + " has no value");
             arguments.pop_back();
         }
--- /dev/null
+++ b/packages/daemon/tests/fakebackend.h
@@ -0,0 +1,174 @@
+// Backend for tests: a small fleet, and changes that are folded at once or answered by the test.
+#pragma once
+
+#include "auburn/daemon/operatorbackend.h"
+
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace auburn {
+
+class FakeBackend : public OperatorBackend
+{
+public:
+    FakeBackend()
+    {
+        put(Service{ .name = "chat" }, 1);
+        put(RequestClass{ .name = "gold", .tier = 0 }, 2);
+        put(RequestClass{ .name = "bulk", .tier = 7, .targetFirstToken = std::chrono::seconds(30) },
+            3);
+        put(Organisation{ .name = "acme", .maxConcurrent = 100 }, 4);
+        put(Caller{ .name = "web",
+                    .organisation = "acme",
+                    .className = "gold",
+                    .tokenSha256 = std::string(64, 'a') },
+            5);
+        put(Runner{ .name = "r1",
+                    .service = "chat",
+                    .place = "a",
+                    .address = "127.0.0.1:1",
+                    .slots = 4 },
+            6);
+        put(Runner{ .name = "r2",
+                    .service = "chat",
+                    .place = "a",
+                    .address = "127.0.0.1:2",
+                    .slots = 16 },
+            7);
+        put(Runner{ .name = "r3",
+                    .service = "chat",
+                    .place = "b",
+                    .address = "127.0.0.1:3",
+                    .slots = 8 },
+            8);
+        view_.selfId = "d1";
+        view_.place = "a";
+        view_.region = "north";
+        view_.members = { Member{ .id = "d1", .status = MemberStatus::Ready, .configRevision = 8 },
+                          Member{ .id = "d2", .status = MemberStatus::Dead, .configRevision = 1 } };
+        view_.places = { PlaceView{ .place = "b",
+                                    .region = "south",
+                                    .minConfigRevision = 8,
+                                    .maxConfigRevision = 8,
+                                    .liveDaemons = 2 } };
+        view_.cells = { CellLoad{ .service = "chat",
+                                  .owner = "d1",
+                                  .freeSlots = 3,
+                                  .totalSlots = 20,
+                                  .waitingByTier = { 1, 0, 2 } } };
+        view_.leavingRunners = { "r2" };
+    }
+
+    std::shared_ptr<const ConfigState> configState() const override
+    {
+        const std::lock_guard lock(mutex_);
+        return hasState_ ? ConfigState::make(items_, revision_) : nullptr;
+    }
+
+    std::shared_ptr<const MemberView> memberView() const override
+    {
+        const std::lock_guard lock(mutex_);
+        return std::make_shared<const MemberView>(view_);
+    }
+
+    void submit(proto::ConfigChange change, ChangeCallback callback) override
+    {
+        ChangeResult result;
+        {
+            const std::lock_guard lock(mutex_);
+            changes_.push_back(change);
+            if (hold_) {
+                held_ = std::move(callback);
+                return;
+            }
+            result = nextResult_ ? *nextResult_ : fold(change);
+        }
+        callback(result);
+    }
+
+    std::vector<ChangeHistoryEntry> history() const override
+    {
+        const std::lock_guard lock(mutex_);
+        std::vector<ChangeHistoryEntry> entries;
+        for (const proto::ConfigChange &change : changes_)
+            entries.push_back({ .change = change, .offset = change.item().revision() });
+        return entries;
+    }
+
+    // Makes every place report the given revision.
+    void setProgress(std::uint64_t revision)
+    {
+        const std::lock_guard lock(mutex_);
+        view_.members[0].configRevision = revision;
+        view_.places[0].minConfigRevision = revision;
+    }
+
+    void setResult(ChangeResult result)
+    {
+        const std::lock_guard lock(mutex_);
+        nextResult_ = std::move(result);
+    }
+
+    // Keeps the callback of the next change instead of calling it.
+    void holdNext()
+    {
+        const std::lock_guard lock(mutex_);
+        hold_ = true;
+    }
+
+    ChangeCallback takeHeld()
+    {
+        const std::lock_guard lock(mutex_);
+        return std::exchange(held_, nullptr);
+    }
+
+    void loseState()
+    {
+        const std::lock_guard lock(mutex_);
+        hasState_ = false;
+    }
+
+    std::vector<proto::ConfigChange> changes() const
+    {
+        const std::lock_guard lock(mutex_);
+        return changes_;
+    }
+
+private:
+    void put(const ItemValue &value, std::uint64_t revision)
+    {
+        items_[keyOf(value)] = std::make_shared<const Item>(
+                Item{ .value = value, .revision = revision });
+        revision_ = std::max(revision_, revision);
+    }
+
+    ChangeResult fold(const proto::ConfigChange &change)
+    {
+        const auto item = itemFromProto(change.item());
+        const ItemKey key = keyOf(item->value);
+        const auto found = items_.find(key);
+        const std::uint64_t current = found == items_.end() ? 0 : found->second->revision;
+        if (current != change.base_revision())
+            return ChangeConflict{ current };
+        ++revision_;
+        if (change.remove())
+            items_.erase(key);
+        else
+            put(item->value, revision_);
+        return ChangeAccepted{ revision_ };
+    }
+
+    mutable std::mutex mutex_;
+    ConfigState::ItemMap items_;
+    std::uint64_t revision_ = 0;
+    MemberView view_;
+    std::vector<proto::ConfigChange> changes_;
+    std::optional<ChangeResult> nextResult_;
+    ChangeCallback held_;
+    bool hold_ = false;
+    bool hasState_ = true;
+};
+
+} // namespace auburn
--- /dev/null
+++ b/packages/daemon/tests/settings_test.cpp
@@ -0,0 +1,152 @@
+#include "auburn/daemon/settings.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <zmq.h>
+
+namespace auburn {
+
+namespace {
+
+struct Keys
+{
+    Keys() { zmq_curve_keypair(publicKey.data(), secretKey.data()); }
+    std::array<char, 41> publicKey{};
+    std::array<char, 41> secretKey{};
+};
+
+struct Fixture
+{
+    Keys fleet;
+    Keys alice;
+    std::map<std::string, std::string> environment{
+        { "AUBURN_ID", "d1" },
+        { "AUBURN_PLACE", "a" },
+        { "AUBURN_REGION", "north" },
+        { "AUBURN_PEER_ADVERTISED", "tcp://127.0.0.1:8082" },
+        { "AUBURN_FLEET_PUBLIC_KEY", fleet.publicKey.data() },
+        { "AUBURN_FLEET_SECRET_KEY", fleet.secretKey.data() },
+        { "AUBURN_LOG_URL", "http://127.0.0.1:9000" },
+        { "AUBURN_LIST_URL", "http://127.0.0.1:9001" },
+    };
+
+    std::variant<Settings, SettingsExit> read(const std::vector<std::string> &arguments)
+    {
+        return readSettings(arguments,
+                            [this](const std::string &name) -> std::optional<std::string> {
+                                const auto found = environment.find(name);
+                                if (found == environment.end())
+                                    return std::nullopt;
+                                return found->second;
+                            });
+    }
+
+    SettingsExit readExit(const std::vector<std::string> &arguments)
+    {
+        const auto result = read(arguments);
+        BOOST_REQUIRE(std::holds_alternative<SettingsExit>(result));
+        return std::get<SettingsExit>(result);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(settings, Fixture)
+
+// Guards against an environment variable that wins over a flag, and against lost lists.
+BOOST_AUTO_TEST_CASE(read_flagsAndEnvironment_flagWins)
+{
+    environment["AUBURN_THREADS"] = "3";
+    environment["AUBURN_LOG_LEVEL"] = "error";
+    const std::string aliceKey = std::string("alice=") + alice.publicKey.data();
+    const auto result = read({ "--threads", "4", "--operators", aliceKey, "--seeds",
+                               "tcp://127.0.0.1:1", "--seeds=tcp://127.0.0.1:2,tcp://[::1]:3",
+                               "--balancer-delay", "1.5s" });
+    BOOST_REQUIRE(std::holds_alternative<Settings>(result));
+    const auto &settings = std::get<Settings>(result);
+    BOOST_TEST(settings.threads == 4U);
+    BOOST_CHECK(settings.logLevel == LogLevel::Error);
+    BOOST_REQUIRE(settings.operators.size() == 1U);
+    BOOST_TEST(settings.operators[0].publicKey == alice.publicKey.data());
+    BOOST_TEST(settings.seeds.size() == 3U);
+    BOOST_TEST(settings.balancerDelay.count() == 1500);
+    BOOST_TEST(settings.keyLifetime.count() == 900000);
+    BOOST_TEST(settings.bodyLimit == 4U * 1024 * 1024);
+    BOOST_TEST(settings.acceptedFleetKeys.size() == 1U);
+    BOOST_TEST(settings.callerListen.port == 8080);
+}
+
+// Guards against starts that show one mistake at a time.
+BOOST_AUTO_TEST_CASE(read_manyMistakes_areReportedAtOnce)
+{
+    environment.erase("AUBURN_PLACE");
+    environment["AUBURN_REGION"] = "north west";
+    environment["AUBURN_LIST_URL"] = "127.0.0.1:9001";
+    const SettingsExit exit = readExit({ "--caller-listen",
+                                         "localhost:80",
+                                         "--threads",
+                                         "0",
+                                         "--trace-sampling",
+                                         "nan",
+                                         "--log-level",
+                                         "loud",
+                                         "--seeds",
+                                         "tcp://host:1",
+                                         "--operators",
+                                         "alice",
+                                         "--colour",
+                                         "--trace-target",
+                                         "here",
+                                         "--key-lifetime",
+                                         "2d",
+                                         "--body-limit",
+                                         "1",
+                                         "--threads",
+                                         "2",
+                                         "--status-listen",
+                                         "127.0.0.1:8082",
+                                         "--id" });
+    BOOST_TEST(exit.code == 2);
+    for (const std::string part :
+         { "--place (AUBURN_PLACE) is required", "--region:", "--list-url:", "--caller-listen:",
+           "--threads is given 2 times", "--threads:", "--trace-sampling:", "--log-level:",
+           "--seeds:", "--operators:", "unknown argument '--colour'",
+           "--trace-target:", "--key-lifetime:", "--body-limit:", "--id has no value",
+           "--peer-bind: uses the same address as --status-listen" })
+        BOOST_TEST(exit.text.find(part) != std::string::npos, part);
+}
+
+// Guards against secrets in the output, including one given where a public key belongs.
+BOOST_AUTO_TEST_CASE(read_keyMistakes_neverShowKeys)
+{
+    const std::string secret = alice.secretKey.data();
+    environment["AUBURN_FLEET_PUBLIC_KEY"] = secret;
+    const std::vector<std::vector<std::string>> attempts{
+        { "--operators", "alice=" + secret + "x", "--accepted-fleet-keys", secret + "x" },
+        { "--fleet-secret-key", secret + "x" },
+        { "--fleet-secret-keys", secret },
+        { "--fleet-secret-keys=" + secret },
+        { "--help" },
+    };
+    for (const auto &arguments : attempts)
+        BOOST_TEST(readExit(arguments).text.find(secret) == std::string::npos);
+    BOOST_TEST(readExit({}).text.find("does not belong to --fleet-secret-key")
+               != std::string::npos);
+}
+
+// Guards against a setting that the help text leaves out.
+BOOST_AUTO_TEST_CASE(read_helpAndVersion_exitZero)
+{
+    const SettingsExit help = readExit({ "--help" });
+    BOOST_TEST(help.code == 0);
+    for (const SettingInfo &info : settingTable()) {
+        BOOST_TEST(help.text.find("--" + info.name) != std::string::npos);
+        BOOST_TEST(help.text.find(info.environmentName) != std::string::npos);
+    }
+    BOOST_TEST(readExit({ "--version" }).code == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn
