--- a/packages/core/tests/metrics_test.cpp
+++ b/packages/core/tests/metrics_test.cpp
@@ -76,6 +76,7 @@
     Gauge &gauge = metrics.gauge("g", "G.");
     HistogramSeries &histogram = metrics.histogram("h", "H.");
     std::vector<std::thread> threads;
+    threads.reserve(12);
     for (int t = 0; t < 12; ++t) {
         threads.emplace_back([&] {
             for (int i = 0; i < 5000; ++i) {
--- a/packages/ctl/tests/ctlprogram_test.cpp
+++ b/packages/ctl/tests/ctlprogram_test.cpp
@@ -108,7 +108,7 @@
 {
     const Run keys({ "keygen" });
     BOOST_CHECK(keys.exit == CtlExit::Done);
-    BOOST_TEST(keys.out.str().size() == 2 * std::string("public-key ").size() + 2 * 40 + 2);
+    BOOST_TEST(keys.out.str().size() == std::string("public-key secret-key ").size() + 40 + 40 + 2);
     const Run hash({ "hash-token" }, "secret\r\n");
     BOOST_TEST(hash.out.str() == sha256Hex("secret") + '\n');
     BOOST_CHECK(Run({ "hash-token" }).exit == CtlExit::Usage);
