--- a/packages/daemon/tests/commandexecutor_test.cpp
+++ b/packages/daemon/tests/commandexecutor_test.cpp
@@ -142,7 +142,7 @@
 BOOST_AUTO_TEST_CASE(execute_backendResults_mapToStatus)
 {
     const std::vector<std::pair<ChangeResult, proto::OperatorStatus>> results{
-        { ChangeConflict{ 12 }, proto::OPERATOR_STATUS_CONFLICT },
+        { ChangeConflict{ "race" }, proto::OPERATOR_STATUS_CONFLICT },
         { ChangeInvalid{ "no" }, proto::OPERATOR_STATUS_INVALID },
         { ChangeUnavailable{ "log" }, proto::OPERATOR_STATUS_UNAVAILABLE },
         { ChangeUnknown{ "log" }, proto::OPERATOR_STATUS_UNKNOWN },
--- a/packages/daemon/tests/fakebackend.h
+++ b/packages/daemon/tests/fakebackend.h
@@ -151,7 +151,7 @@
         const auto found = items_.find(key);
         const std::uint64_t current = found == items_.end() ? 0 : found->second->revision;
         if (current != change.base_revision())
-            return ChangeConflict{ current };
+            return ChangeConflict{ "the item is at revision " + std::to_string(current) };
         ++revision_;
         if (change.remove())
             items_.erase(key);
