--- a/bench/naiverouter/naiverouter.cpp
+++ b/bench/naiverouter/naiverouter.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <iostream>
+#include <limits>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -145,7 +146,7 @@
             return false;
         beast::flat_buffer buffer;
         http::response_parser<http::buffer_body> parser;
-        parser.body_limit(boost::none);
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
         http::read_header(runner, buffer, parser, error);
         if (error)
             return false;
--- a/packages/relay/src/runnercall.cpp
+++ b/packages/relay/src/runnercall.cpp
@@ -64,7 +64,7 @@
 {
     parser_.eager(true);
     parser_.header_limit(kAnswerHeadLimit);
-    parser_.body_limit(boost::none);
+    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_.skip(dial_.message.method == "HEAD");
 }
 
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -125,14 +125,14 @@
     for (const PlaceSpec &place : options_.places) {
         const unsigned perProcess = options_.separateEngines ? 1 : place.poolRunners;
         for (unsigned first = 0; first < place.poolRunners; first += perProcess) {
-            if (!startRunnerProcess("standin_engine", "assistant-pool", place, first, perProcess))
+            if (!startRunnerProcess("standin_engine", "chat-pool", place, first, perProcess))
                 return false;
         }
         if (place.deskRunners > 0
-            && !startRunnerProcess("standin_engine", "trials-desk", place, 0, place.deskRunners))
+            && !startRunnerProcess("standin_engine", "chat-desk", place, 0, place.deskRunners))
             return false;
         if (place.plainRunners > 0
-            && !startRunnerProcess("standin_service", "stock", place, 0, place.plainRunners))
+            && !startRunnerProcess("standin_service", "inventory", place, 0, place.plainRunners))
             return false;
     }
     return true;
@@ -184,21 +184,21 @@
 
 std::vector<CallerSpec> Cluster::standardCallers()
 {
-    return { { "token-kiln", "sinar", "kiln" },
-             { "token-quote", "carpet", "quote" },
-             { "token-batch", "agro", "batch" } };
+    return { { "token-interactive", "acme", "interactive" },
+             { "token-standard", "globex", "standard" },
+             { "token-batch", "initech", "batch" } };
 }
 
 std::vector<Item> Cluster::configuration() const
 {
     using std::chrono::milliseconds;
     std::vector<Item> items;
-    items.push_back({ Service{ .name = "assistant-pool" } });
-    items.push_back({ Service{ .name = "trials-desk" } });
-    items.push_back({ Service{ .name = "stock", .kind = ServiceKind::Plain } });
-    items.push_back({ RequestClass{ .name = "kiln", .tier = 0 } });
-    items.push_back(
-            { RequestClass{ .name = "quote", .tier = 2, .targetFirstToken = milliseconds(2500) } });
+    items.push_back({ Service{ .name = "chat-pool" } });
+    items.push_back({ Service{ .name = "chat-desk" } });
+    items.push_back({ Service{ .name = "inventory", .kind = ServiceKind::Plain } });
+    items.push_back({ RequestClass{ .name = "interactive", .tier = 0 } });
+    items.push_back({ RequestClass{
+            .name = "standard", .tier = 2, .targetFirstToken = milliseconds(2500) } });
     items.push_back({ RequestClass{ .name = "batch",
                                     .tier = 7,
                                     .targetFirstToken = milliseconds(30000),
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -22,7 +22,7 @@
     std::string name;
     std::string region;
     unsigned daemons = 2;
-    // Runners of "assistant-pool" and of "trials-desk", and plain runners of "stock".
+    // Runners of "chat-pool" and of "chat-desk", and plain runners of "inventory".
     unsigned poolRunners = 4;
     unsigned deskRunners = 1;
     unsigned plainRunners = 1;
@@ -105,7 +105,7 @@
     // A chat completion through a daemon, with the token of one of the standard callers.
     HttpRequest chat(const DaemonSlot &daemon, const std::string &token, const std::string &prompt,
                      unsigned maxTokens, bool stream = false,
-                     const std::string &model = "assistant-pool") const;
+                     const std::string &model = "chat-pool") const;
     // Runs auburnctl as operator "alice" (or another known one) against a daemon.
     ProgramResult ctl(const DaemonSlot &daemon, const std::string &command,
                       const std::vector<std::string> &options = {},
@@ -115,7 +115,7 @@
     static HttpAnswer control(const std::string &address, const std::string &json);
     static HttpAnswer get(const std::string &address, const std::string &target);
 
-    // Standard callers: one per class, tokens "token-kiln", "token-quote", "token-batch".
+    // Standard callers: one per class, tokens "token-interactive", "token-standard", "token-batch".
     static std::vector<CallerSpec> standardCallers();
 
 private:
--- a/tests/support/httpcaller.cpp
+++ b/tests/support/httpcaller.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace auburn::testing {
 
@@ -31,7 +32,7 @@
         , observer_(observer)
         , stream_(context_)
     {
-        parser_.body_limit(boost::none);
+        parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
     }
 
     HttpAnswer run()
--- a/tests/support/loadgenerator.cpp
+++ b/tests/support/loadgenerator.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <thread>
@@ -44,7 +45,7 @@
         , result_(result)
         , idleStreams_(idleStreams)
     {
-        parser_.body_limit(boost::none);
+        parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
     }
 
     void start()
