--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -76,6 +76,9 @@
 void showOperatorCommands(Cluster &cluster)
 {
     const DaemonSlot &daemon = cluster.daemons().front();
+    waitFor([&] {
+        return cluster.ctl(daemon, "show places").output.find("b1") != std::string::npos;
+    });
     for (const char *command :
          { "show classes", "show runners limit 4", "show daemons", "show places",
            "drain runner chat-pool-a1-0", "show history sort revision desc limit 2" }) {
--- a/packages/daemon/src/commandexecutor.cpp
+++ b/packages/daemon/src/commandexecutor.cpp
@@ -1,5 +1,6 @@
 #include "auburn/daemon/commandexecutor.h"
 
+#include "auburn/core/hash.h"
 #include "auburn/core/ids.h"
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
@@ -83,10 +84,11 @@
 }
 
 // The same request of the same operator is the same change, so that a repeated request counts once.
+// A hash, because the length and the characters of change ids are limited.
 std::string changeId(const proto::OperatorRequest &request, const std::string &operatorName)
 {
     const std::string suffix = request.request_id().empty() ? makeRandomId() : request.request_id();
-    return operatorName + '/' + suffix;
+    return sha256Hex(operatorName + '/' + suffix);
 }
 
 std::uint64_t nowMilliseconds()
