--- a/packages/schedule/include/auburn/schedule/cellowner.h
+++ b/packages/schedule/include/auburn/schedule/cellowner.h
@@ -89,7 +89,7 @@
     void addOwnedCells(const ConfigState &config, const MemberView &view);
     void dropUnusedCells(const ConfigState &config, const MemberView &view);
     void reconfigure(const ConfigState &config, const MemberView &view, TimePoint now);
-    void publish(const MemberView &view, TimePoint now);
+    void publish(const MemberView &view);
 
     const Options options_;
     MessageBus::Handler localHandler_;
--- a/packages/schedule/include/auburn/schedule/cellscheduler.h
+++ b/packages/schedule/include/auburn/schedule/cellscheduler.h
@@ -106,7 +106,7 @@
     // Expires requests, leases and undispatched grants; to be called every 50 ms or so.
     SlotEvents tick(TimePoint now, const FrontGone &frontGone);
 
-    CellLoad load(TimePoint now) const;
+    CellLoad load() const;
     // True if the cell holds neither slots nor waiting requests.
     bool idle() const;
 
@@ -175,6 +175,9 @@
     // Slot by request id, for requests that arrive again after the grant.
     std::unordered_map<std::string, std::string> slotByRequest_;
     ReleaseRate releaseRate_;
+    // Slot ids are a random prefix and a number; the prefix tells owners and restarts apart.
+    const std::string slotPrefix_;
+    std::uint64_t slotCount_ = 0;
 };
 
 } // namespace auburn
--- a/packages/schedule/include/auburn/schedule/runnertable.h
+++ b/packages/schedule/include/auburn/schedule/runnertable.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <list>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -99,7 +100,7 @@
     std::optional<TimePoint> usableFrom(const std::vector<std::string> &excluded,
                                         TimePoint now) const;
     // Slots over all runners that accept requests and are not set aside.
-    unsigned freeSlots(TimePoint now) const;
+    unsigned freeSlots() const;
     unsigned totalSlots() const;
     // Times over the pool's median; 1 for a runner that is not a straggler.
     double slowness(RunnerId id) const { return entries_[id].slowness; }
@@ -113,6 +114,8 @@
         void add(std::chrono::microseconds sample);
     };
 
+    static constexpr std::size_t kNotFree = static_cast<std::size_t>(-1);
+
     struct Entry
     {
         RunnerSpec spec;
@@ -134,15 +137,30 @@
         bool probing = false;
         TimePoint setAsideUntil;
         TimePoint probeStarted;
+        // Counted in healthy_.
+        bool countedHealthy = false;
         std::chrono::milliseconds backOff{ 0 };
+        // Position in free_, or kNotFree.
+        std::size_t freeIndex = kNotFree;
+    };
+
+    // A healthy runner with a free slot; the lowest score is taken.
+    struct FreeRunner
+    {
+        RunnerId id = 0;
+        double score = 0;
     };
 
     using AffinityList = std::list<std::pair<std::uint64_t, RunnerId>>;
 
     static bool accepts(const Entry &entry);
     unsigned limit(const Entry &entry) const;
-    bool isFree(const Entry &entry, TimePoint now) const;
-    double score(const Entry &entry, TimePoint now) const;
+    bool isHealthyAndFree(const Entry &entry) const;
+    bool isProbeDue(const Entry &entry, TimePoint now) const;
+    std::optional<RunnerId> dueProbe(const std::vector<std::string> &excluded, TimePoint now) const;
+    static double score(const Entry &entry);
+    void refresh(RunnerId id);
+    void removeFree(Entry &entry);
     std::optional<RunnerId> affine(std::uint64_t prefixHash) const;
     void remember(std::uint64_t prefixHash, RunnerId id);
     void setAside(Entry &entry, TimePoint now);
@@ -158,7 +176,12 @@
     std::unordered_map<std::string, RunnerId> byName_;
     AffinityList affinity_;
     std::unordered_map<std::uint64_t, AffinityList::iterator> affinityByHash_;
-    // First runner to look at, so that equally loaded runners take turns.
+    std::vector<FreeRunner> free_;
+    // Runners that accept requests and are set aside.
+    std::set<RunnerId> aside_;
+    // Runners that accept requests and are not set aside.
+    unsigned healthy_ = 0;
+    // First free runner to look at, so that equally loaded runners take turns.
     std::size_t nextStart_ = 0;
 };
 
--- a/packages/schedule/include/auburn/schedule/slotclient.h
+++ b/packages/schedule/include/auburn/schedule/slotclient.h
@@ -43,6 +43,8 @@
         // This daemon's own owner side, for direct calls.
         CellOwner *localOwner = nullptr;
         std::function<TimePoint()> clock = [] { return std::chrono::steady_clock::now(); };
+        // A random number below the bound; by default Qt's generator.
+        std::function<unsigned(unsigned bound)> random;
         // Called with the id of a daemon that does not acknowledge; may be empty.
         std::function<void(const std::string &daemonId)> suspect;
         // True if requests with this fingerprint are refused because they crash runners; may be
@@ -127,22 +129,24 @@
     void finish(Pending &pending, SlotAnswer answer);
     void tickPending(Pending &pending, const MemberView &view, TimePoint now);
     void tickUnacknowledged(Pending &pending, const MemberView &view, TimePoint now);
+    void suspect(const std::string &daemon, TimePoint now);
     bool ownerChanged(const Pending &pending, const MemberView &view) const;
 
     bool send(const std::string &daemon, proto::Envelope envelope);
     GrantedSlot atOwnerNow(const GrantedSlot &slot, const MemberView &view) const;
     std::map<ReportKey, proto::Envelope> heldReports(const MemberView &view);
-    void reportHeld(const MemberView &view, TimePoint now);
+    void reportHeld(const MemberView &view, TimePoint now, bool due);
 
     const Options options_;
     std::atomic<std::uint64_t> nextWire_{ 1 };
     std::unique_ptr<PendingMap> byRequest_;
     ShardedMap<PendingPtr> byWire_;
     ShardedMap<Held> held_;
-    // State of tick.
+    // Held during tick, for the members below.
     std::mutex tickMutex_;
     TimePoint lastReport_;
     std::set<ReportKey> lastReported_;
+    std::map<std::string, TimePoint> lastSuspected_;
     std::shared_ptr<const MemberView> lastView_;
     std::shared_ptr<const ConfigState> lastConfig_;
 };
--- a/packages/schedule/include/auburn/schedule/tierqueue.h
+++ b/packages/schedule/include/auburn/schedule/tierqueue.h
@@ -105,6 +105,9 @@
         auto operator<=>(const Order &) const = default;
     };
 
+    // Before every request; a wait can begin before the clock's epoch.
+    static constexpr Order kFirstOrder{ TimePoint::min(), 0 };
+
     struct Organisation;
 
     struct Node
@@ -114,15 +117,12 @@
         Organisation *organisation = nullptr;
     };
 
-    using Line = std::map<Order, Node *>;
-
     struct Organisation
     {
         std::string name;
         unsigned held = 0;
-        std::size_t waiting = 0;
-        // Waiting requests by tier.
-        std::vector<Line> lines;
+        // Waiting requests, by tier and time.
+        std::map<std::pair<unsigned, Order>, Node *> waiting;
     };
 
     struct Rank
@@ -144,7 +144,7 @@
 
     struct Tier
     {
-        Line byTime;
+        std::map<Order, Node *> byTime;
         std::set<Rank> ranks;
         // Number of grants when the tier last got one or began to wait.
         std::uint64_t mark = 0;
@@ -152,6 +152,8 @@
 
     Organisation &organisationOf(const std::string &name);
     void dropIfUnused(Organisation &organisation);
+    // The oldest waiting request of an organisation in a tier; null if there is none.
+    static Node *headOf(const Organisation &organisation, unsigned tier);
     void addRank(Organisation &organisation, unsigned tier);
     void removeRank(Organisation &organisation, unsigned tier);
     void changeHeld(Organisation &organisation, int change);
--- a/packages/schedule/src/cellowner.cpp
+++ b/packages/schedule/src/cellowner.cpp
@@ -95,15 +95,14 @@
     };
     for (const auto &entry : cells())
         sendAll(entry.second->tick(now, frontGone));
-    publish(*view, now);
+    publish(*view);
 }
 
 std::vector<CellLoad> CellOwner::loads() const
 {
-    const TimePoint now = options_.clock();
     std::vector<CellLoad> result;
     for (const auto &entry : cells())
-        result.push_back(entry.second->load(now));
+        result.push_back(entry.second->load());
     return result;
 }
 
@@ -275,14 +274,14 @@
         sendAll(cell->configure(runnersOf(id, config, view), now));
 }
 
-void CellOwner::publish(const MemberView &view, TimePoint now)
+void CellOwner::publish(const MemberView &view)
 {
     if (!options_.publishLoads)
         return;
     std::vector<CellLoad> owned;
     for (const auto &[id, cell] : cells()) {
         if (view.ownerOf(cellKey(id.service, view.place, id.cell)) == options_.selfId)
-            owned.push_back(cell->load(now));
+            owned.push_back(cell->load());
     }
     options_.publishLoads(std::move(owned));
 }
--- a/packages/schedule/src/cellscheduler.cpp
+++ b/packages/schedule/src/cellscheduler.cpp
@@ -56,6 +56,7 @@
     : options_(std::move(options))
     , queue_(options_.queue)
     , runners_(options_.runners)
+    , slotPrefix_(makeShortId() + '-')
 {}
 
 SlotEvents CellScheduler::configure(const std::vector<RunnerSpec> &runners, TimePoint now)
@@ -164,13 +165,13 @@
     return events;
 }
 
-CellLoad CellScheduler::load(TimePoint now) const
+CellLoad CellScheduler::load() const
 {
     const std::lock_guard lock(mutex_);
     return CellLoad{ .service = options_.service,
                      .cell = options_.cell,
                      .owner = options_.owner,
-                     .freeSlots = runners_.freeSlots(now),
+                     .freeSlots = runners_.freeSlots(),
                      .totalSlots = runners_.totalSlots(),
                      .waitingByTier = queue_.waitingByTier() };
 }
@@ -268,7 +269,7 @@
 
 SlotGranted CellScheduler::grant(const Ask &ask, RunnerTable::RunnerId runner, TimePoint now)
 {
-    const std::string slotId = makeShortId();
+    const std::string slotId = slotPrefix_ + std::to_string(++slotCount_);
     const bool probe = runners_.acquire(runner, ask.ask.prefixHash, now);
     queue_.slotTaken(ask.ask.organisation);
     slotByRequest_[ask.ask.requestId] = slotId;
--- a/packages/schedule/src/runnertable.cpp
+++ b/packages/schedule/src/runnertable.cpp
@@ -48,8 +48,10 @@
         entry.configured = true;
         byName_[spec.name] = id;
     }
-    for (RunnerId id = 0; id < entries_.size(); ++id)
+    for (RunnerId id = 0; id < entries_.size(); ++id) {
         dropIfUnused(id);
+        refresh(id);
+    }
 }
 
 std::optional<RunnerTable::RunnerId> RunnerTable::find(const std::string &name) const
@@ -62,38 +64,33 @@
                                                          const std::vector<std::string> &excluded,
                                                          TimePoint now) const
 {
+    // A due probe goes first, or a busy pool would never get its runner back; a request that has
+    // failed before is not used for it while healthy runners are free.
+    const std::optional<RunnerId> probe = dueProbe(excluded, now);
+    if (probe && excluded.empty())
+        return probe;
     const std::optional<RunnerId> withPrefix = affine(prefixHash);
     std::optional<RunnerId> best;
     double bestScore = std::numeric_limits<double>::max();
-    const std::size_t count = entries_.size();
+    const std::size_t count = free_.size();
     for (std::size_t step = 0; step < count; ++step) {
-        const std::size_t index = (nextStart_ + step) % count;
-        const Entry &entry = entries_[index];
-        if (!isFree(entry, now) || contains(excluded, entry.spec.name))
+        const FreeRunner &candidate = free_[(nextStart_ + step) % count];
+        const double bonus = withPrefix == candidate.id ? options_.affinityBonus : 0;
+        if (candidate.score - bonus >= bestScore)
             continue;
-        const auto id = static_cast<RunnerId>(index);
-        // A due probe goes first, or a busy pool would never get its runner back; a request that
-        // has failed before is not used for it.
-        if (entry.setAside && excluded.empty())
-            return id;
-        double value = score(entry, now);
-        if (entry.setAside)
-            value += kMaxSlowness;
-        if (withPrefix == id)
-            value -= options_.affinityBonus;
-        if (value < bestScore) {
-            best = id;
-            bestScore = value;
-        }
+        if (!excluded.empty() && contains(excluded, entries_[candidate.id].spec.name))
+            continue;
+        best = candidate.id;
+        bestScore = candidate.score - bonus;
     }
-    return best;
+    return best ? best : probe;
 }
 
 bool RunnerTable::acquire(RunnerId id, std::uint64_t prefixHash, TimePoint now)
 {
     Entry &entry = entries_[id];
+    ++nextStart_;
     adopt(id);
-    nextStart_ = (id + 1) % entries_.size();
     remember(prefixHash, id);
     if (!entry.setAside)
         return false;
@@ -107,6 +104,7 @@
     Entry &entry = entries_[id];
     ++entry.inUse;
     entry.peak = std::max(entry.peak, entry.inUse);
+    refresh(id);
 }
 
 void RunnerTable::release(RunnerId id, bool probe, const SlotReport &report, TimePoint now)
@@ -125,6 +123,7 @@
         judge(entry, report, now);
     }
     dropIfUnused(id);
+    refresh(id);
 }
 
 void RunnerTable::reportLoad(const std::string &name, RunnerLoad load, TimePoint now)
@@ -141,13 +140,15 @@
     entry.loadExpires = now + options_.loadLifetime;
     entry.previousPeak = entry.peak;
     entry.peak = entry.inUse;
+    refresh(*id);
 }
 
 void RunnerTable::update(TimePoint now)
 {
     const double firstToken = medianOf(&Entry::firstToken);
     const double tokenGap = medianOf(&Entry::tokenGap);
-    for (Entry &entry : entries_) {
+    for (RunnerId id = 0; id < entries_.size(); ++id) {
+        Entry &entry = entries_[id];
         if (entry.probing && now - entry.probeStarted >= options_.probePasses)
             markHealthy(entry);
         double ratio = 1;
@@ -156,18 +157,22 @@
         if (tokenGap > 0 && entry.tokenGap.samples >= options_.minSamples)
             ratio = std::max(ratio, entry.tokenGap.value / tokenGap);
         entry.slowness = ratio < options_.stragglerRatio ? 1 : std::min(ratio, kMaxSlowness);
+        if (now >= entry.loadExpires)
+            entry.foreignLoad = 0;
+        refresh(id);
     }
 }
 
 bool RunnerTable::hasFreeSlot(TimePoint now) const
 {
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [&](const Entry &entry) { return isFree(entry, now); });
+    return !free_.empty() || dueProbe({}, now).has_value();
 }
 
 std::optional<RunnerTable::TimePoint> RunnerTable::usableFrom(
         const std::vector<std::string> &excluded, TimePoint now) const
 {
+    if (excluded.empty() && healthy_ > 0)
+        return now;
     std::optional<TimePoint> earliest;
     for (const Entry &entry : entries_) {
         if (!accepts(entry) || contains(excluded, entry.spec.name))
@@ -179,13 +184,11 @@
     return earliest;
 }
 
-unsigned RunnerTable::freeSlots(TimePoint now) const
+unsigned RunnerTable::freeSlots() const
 {
     unsigned total = 0;
-    for (const Entry &entry : entries_) {
-        if (!entry.setAside && isFree(entry, now))
-            total += limit(entry) - entry.inUse;
-    }
+    for (const FreeRunner &runner : free_)
+        total += limit(entries_[runner.id]) - entries_[runner.id].inUse;
     return total;
 }
 
@@ -213,20 +216,67 @@
     return std::min(entry.spec.slots, std::max(1U, reduced));
 }
 
-bool RunnerTable::isFree(const Entry &entry, TimePoint now) const
+bool RunnerTable::isHealthyAndFree(const Entry &entry) const
 {
-    if (!accepts(entry) || entry.inUse >= limit(entry))
-        return false;
-    return !entry.setAside || (!entry.probing && now >= entry.setAsideUntil);
+    return accepts(entry) && !entry.setAside && entry.inUse < limit(entry);
+}
+
+bool RunnerTable::isProbeDue(const Entry &entry, TimePoint now) const
+{
+    return !entry.probing && now >= entry.setAsideUntil && entry.inUse < limit(entry);
+}
+
+std::optional<RunnerTable::RunnerId> RunnerTable::dueProbe(const std::vector<std::string> &excluded,
+                                                           TimePoint now) const
+{
+    for (const RunnerId id : aside_) {
+        if (isProbeDue(entries_[id], now) && !contains(excluded, entries_[id].spec.name))
+            return id;
+    }
+    return std::nullopt;
 }
 
-double RunnerTable::score(const Entry &entry, TimePoint now) const
+double RunnerTable::score(const Entry &entry)
 {
-    const unsigned foreign = now < entry.loadExpires ? entry.foreignLoad : 0;
-    const double load = entry.inUse + foreign + 1;
+    const double load = entry.inUse + entry.foreignLoad + 1;
     return load / entry.spec.slots * entry.slowness;
 }
 
+// Brings free_, aside_ and healthy_ in line with an entry that has changed.
+void RunnerTable::refresh(RunnerId id)
+{
+    Entry &entry = entries_[id];
+    const bool healthy = accepts(entry) && !entry.setAside;
+    if (healthy != entry.countedHealthy) {
+        healthy_ = healthy ? healthy_ + 1 : healthy_ - 1;
+        entry.countedHealthy = healthy;
+    }
+    if (accepts(entry) && entry.setAside)
+        aside_.insert(id);
+    else if (!aside_.empty())
+        aside_.erase(id);
+
+    if (!isHealthyAndFree(entry)) {
+        removeFree(entry);
+        return;
+    }
+    if (entry.freeIndex == kNotFree) {
+        entry.freeIndex = free_.size();
+        free_.push_back(FreeRunner{ .id = id });
+    }
+    free_[entry.freeIndex].score = score(entry);
+}
+
+void RunnerTable::removeFree(Entry &entry)
+{
+    if (entry.freeIndex == kNotFree)
+        return;
+    free_[entry.freeIndex] = free_.back();
+    entries_[free_.back().id].freeIndex = entry.freeIndex;
+    free_.pop_back();
+    entry.freeIndex = kNotFree;
+}
+
 std::optional<RunnerTable::RunnerId> RunnerTable::affine(std::uint64_t prefixHash) const
 {
     const auto found = affinityByHash_.find(prefixHash);
@@ -323,6 +373,7 @@
     const auto id = static_cast<RunnerId>(vacant - entries_.begin());
     if (vacant == entries_.end())
         entries_.emplace_back();
+    assert(entries_[id].freeIndex == kNotFree && !entries_[id].countedHealthy);
     entries_[id] = Entry{};
     entries_[id].present = true;
     return id;
--- a/packages/schedule/src/slotclient.cpp
+++ b/packages/schedule/src/slotclient.cpp
@@ -21,6 +21,9 @@
 // time that a request spends on silent daemons to 1.8 s.
 constexpr std::size_t kMaxDaemonsPerCell = 3;
 
+// A daemon is reported as silent at most once in this time, however many requests wait for it.
+constexpr std::chrono::seconds kSuspectInterval{ 1 };
+
 Refusal makeRefusal(RefusalCode code, std::string message)
 {
     return Refusal{ .code = code,
@@ -85,6 +88,8 @@
         setLastError("slot client needs a bus, a view source, a configuration and a cell owner");
         return nullptr;
     }
+    if (!options.random)
+        options.random = [](unsigned bound) { return QRandomGenerator::global()->bounded(bound); };
     std::unique_ptr<SlotClient> client(new SlotClient(std::move(options)));
     const MessageBus::Handler handler = [self = client.get()](const std::string &sender,
                                                               const proto::Envelope &envelope) {
@@ -183,22 +188,24 @@
 void SlotClient::tick(TimePoint now)
 {
     const LocalCalls::Scope scope;
+    const std::lock_guard tickLock(tickMutex_);
     const auto view = options_.views->view();
     if (!view)
         return;
-    for (const PendingPtr &pending : byRequest_->all()) {
-        const std::lock_guard lock(pending->mutex);
-        if (!pending->done)
-            tickPending(*pending, *view, now);
-    }
-    const std::lock_guard lock(tickMutex_);
+    // Held slots go first, so that a new owner knows them before it sees waiting requests.
     const auto config = options_.config();
     const bool changed = view != lastView_ || config != lastConfig_;
     lastView_ = view;
     lastConfig_ = config;
     const bool due = now - lastReport_ >= kHeldReportPeriod;
     if (due || changed)
-        reportHeld(*view, now);
+        reportHeld(*view, now, due);
+
+    for (const PendingPtr &pending : byRequest_->all()) {
+        const std::lock_guard lock(pending->mutex);
+        if (!pending->done)
+            tickPending(*pending, *view, now);
+    }
 }
 
 void SlotClient::onEnvelope(const std::string &sender, const proto::Envelope &envelope)
@@ -325,16 +332,16 @@
     }
     if (untried.empty())
         return std::nullopt;
-    QRandomGenerator &random = *QRandomGenerator::global();
-    const auto size = static_cast<quint32>(untried.size());
+    const auto size = static_cast<unsigned>(untried.size());
     const std::uint64_t prefix = pending.demand.prefixHash;
     // Requests with one prefix start at one cell, where its runner is known.
-    const quint32 first = prefix != 0 ? static_cast<quint32>(prefix % size) : random.bounded(size);
-    const quint32 second = size == 1 ? first : (first + 1 + random.bounded(size - 1)) % size;
+    const unsigned first = prefix != 0 ? static_cast<unsigned>(prefix % size)
+                                       : options_.random(size);
+    const unsigned second = size == 1 ? first : (first + 1 + options_.random(size - 1)) % size;
     const auto firstRank = cellRank(view, pending.demand, untried[first]);
     const auto secondRank = cellRank(view, pending.demand, untried[second]);
     const bool firstHasRoom = prefix != 0 && std::get<0>(firstRank) < 0;
-    const quint32 chosen = firstHasRoom || firstRank <= secondRank ? first : second;
+    const unsigned chosen = firstHasRoom || firstRank <= secondRank ? first : second;
     return Target{ .place = view.place, .cell = untried[chosen] };
 }
 
@@ -492,14 +499,22 @@
         sendRequest(pending, now);
         return;
     }
-    logEvent(LogLevel::Warning, "slot-owner-silent",
-             { { "daemon", pending.owner }, { "request", pending.demand.requestId } });
-    if (options_.suspect)
-        options_.suspect(pending.owner);
+    suspect(pending.owner, now);
     if (!tryNextDaemon(pending, view, now))
         tryNextTarget(pending, view, now);
 }
 
+void SlotClient::suspect(const std::string &daemon, TimePoint now)
+{
+    std::erase_if(lastSuspected_,
+                  [&](const auto &entry) { return now - entry.second >= kSuspectInterval; });
+    if (!lastSuspected_.emplace(daemon, now).second)
+        return;
+    logEvent(LogLevel::Warning, "slot-owner-silent", { { "daemon", daemon } });
+    if (options_.suspect)
+        options_.suspect(daemon);
+}
+
 bool SlotClient::ownerChanged(const Pending &pending, const MemberView &view) const
 {
     if (pending.target.cell == kAnyCell)
@@ -560,13 +575,16 @@
     return reports;
 }
 
-void SlotClient::reportHeld(const MemberView &view, TimePoint now)
+void SlotClient::reportHeld(const MemberView &view, TimePoint now, bool due)
 {
-    lastReport_ = now;
     std::map<ReportKey, proto::Envelope> reports = heldReports(view);
     std::set<ReportKey> keys;
     for (const auto &entry : reports)
         keys.insert(entry.first);
+    // Between the periods, only an owner that is new for some slot needs a report.
+    if (!due && std::includes(lastReported_.begin(), lastReported_.end(), keys.begin(), keys.end()))
+        return;
+    lastReport_ = now;
     // An empty report tells an owner that lost a release.
     for (const ReportKey &key : lastReported_)
         reports[key];
--- a/packages/schedule/src/tierqueue.cpp
+++ b/packages/schedule/src/tierqueue.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Organisations that grantsAhead looks at; bounds its cost.
-constexpr std::size_t kMaxCountedOrganisations = 64;
+// Organisations, and requests of one, that grantsAhead counts at most; bounds its cost.
+constexpr std::size_t kMaxCounted = 64;
 
 } // namespace
 
@@ -46,8 +46,7 @@
     Node &node = nodes_[id];
     node = Node{ .request = std::move(request), .order = order, .organisation = &organisation };
     removeRank(organisation, tierIndex);
-    organisation.lines[tierIndex].emplace(order, &node);
-    ++organisation.waiting;
+    organisation.waiting.emplace(std::pair(tierIndex, order), &node);
     addRank(organisation, tierIndex);
     tier.byTime.emplace(order, &node);
     byDeadline_.emplace(node.request.deadline, &node);
@@ -129,15 +128,18 @@
     std::size_t sameTier = 0;
     const auto own = organisations_.find(request.organisation);
     if (own != organisations_.end()) {
-        const Line &line = own->second.lines[request.tier];
-        const bool isLast = line.empty() || line.rbegin()->first.since <= request.since;
-        sameTier += isLast ? line.size() : 0;
+        const auto &waiting = own->second.waiting;
+        const auto first = waiting.lower_bound({ request.tier, kFirstOrder });
+        const auto last = waiting.upper_bound(
+                { request.tier, Order{ .since = request.since, .sequence = nextSequence_ } });
+        for (auto one = first; one != last && sameTier < kMaxCounted; ++one)
+            ++sameTier;
     }
     std::size_t counted = 0;
     for (const Rank &rank : tiers_[request.tier].ranks) {
         if (rank.held > 0 || rank.head.since > request.since)
             break;
-        if (++counted > kMaxCountedOrganisations)
+        if (++counted > kMaxCounted)
             break;
         if (rank.organisation->name != request.organisation)
             ++sameTier;
@@ -148,48 +150,56 @@
 TierQueue::Organisation &TierQueue::organisationOf(const std::string &name)
 {
     const auto [found, inserted] = organisations_.try_emplace(name);
-    if (inserted) {
+    if (inserted)
         found->second.name = name;
-        found->second.lines.resize(tiers_.size());
-    }
     return found->second;
 }
 
 void TierQueue::dropIfUnused(Organisation &organisation)
 {
-    if (organisation.held > 0 || organisation.waiting > 0)
+    if (organisation.held > 0 || !organisation.waiting.empty())
         return;
     const std::string name = organisation.name;
     organisations_.erase(name);
 }
 
+TierQueue::Node *TierQueue::headOf(const Organisation &organisation, unsigned tier)
+{
+    const auto first = organisation.waiting.lower_bound({ tier, kFirstOrder });
+    const bool found = first != organisation.waiting.end() && first->first.first == tier;
+    return found ? first->second : nullptr;
+}
+
 void TierQueue::addRank(Organisation &organisation, unsigned tier)
 {
-    const Line &line = organisation.lines[tier];
-    if (!line.empty()) {
-        tiers_[tier].ranks.insert(Rank{ .held = organisation.held,
-                                        .head = line.begin()->first,
-                                        .organisation = &organisation });
+    if (const Node *head = headOf(organisation, tier)) {
+        tiers_[tier].ranks.insert(Rank{
+                .held = organisation.held, .head = head->order, .organisation = &organisation });
     }
 }
 
 void TierQueue::removeRank(Organisation &organisation, unsigned tier)
 {
-    const Line &line = organisation.lines[tier];
-    if (!line.empty()) {
-        tiers_[tier].ranks.erase(Rank{ .held = organisation.held,
-                                       .head = line.begin()->first,
-                                       .organisation = &organisation });
+    if (const Node *head = headOf(organisation, tier)) {
+        tiers_[tier].ranks.erase(Rank{
+                .held = organisation.held, .head = head->order, .organisation = &organisation });
     }
 }
 
 void TierQueue::changeHeld(Organisation &organisation, int change)
 {
-    for (unsigned tier = 0; tier < options_.tiers; ++tier)
-        removeRank(organisation, tier);
-    organisation.held = static_cast<unsigned>(static_cast<int>(organisation.held) + change);
-    for (unsigned tier = 0; tier < options_.tiers; ++tier)
-        addRank(organisation, tier);
+    const unsigned held = static_cast<unsigned>(static_cast<int>(organisation.held) + change);
+    for (auto one = organisation.waiting.begin(); one != organisation.waiting.end();) {
+        const unsigned tier = one->first.first;
+        Rank rank{ .held = organisation.held,
+                   .head = one->first.second,
+                   .organisation = &organisation };
+        tiers_[tier].ranks.erase(rank);
+        rank.held = held;
+        tiers_[tier].ranks.insert(rank);
+        one = organisation.waiting.lower_bound({ tier + 1, kFirstOrder });
+    }
+    organisation.held = held;
 }
 
 WaitingRequest TierQueue::remove(Node &node)
@@ -197,8 +207,7 @@
     Organisation &organisation = *node.organisation;
     const unsigned tier = node.request.tier;
     removeRank(organisation, tier);
-    organisation.lines[tier].erase(node.order);
-    --organisation.waiting;
+    organisation.waiting.erase({ tier, node.order });
     addRank(organisation, tier);
     tiers_[tier].byTime.erase(node.order);
     byDeadline_.erase({ node.request.deadline, &node });
@@ -228,9 +237,11 @@
                                           unsigned &skipped) const
 {
     for (const Rank &rank : tiers_[tier].ranks) {
-        for (const auto &entry : rank.organisation->lines[tier]) {
-            if (!eligible || eligible(entry.second->request))
-                return entry.second;
+        const auto &waiting = rank.organisation->waiting;
+        auto one = waiting.lower_bound({ tier, kFirstOrder });
+        for (; one != waiting.end() && one->first.first == tier; ++one) {
+            if (!eligible || eligible(one->second->request))
+                return one->second;
             if (++skipped >= kMaxSkipped)
                 return nullptr;
         }
--- a/packages/schedule/tests/cellscheduler_test.cpp
+++ b/packages/schedule/tests/cellscheduler_test.cpp
@@ -96,7 +96,7 @@
     const std::string slot = grants.at("a").slotId;
     request("a");
     BOOST_TEST(grants.at("a").slotId == slot);
-    BOOST_TEST(scheduler.load(now).freeSlots == 1U);
+    BOOST_TEST(scheduler.load().freeSlots == 1U);
 }
 
 // Guards against slots that are lost with a grant that never arrived.
@@ -117,12 +117,12 @@
         request("a");
         note(scheduler.reportHeld("front", { reported("a") }, now));
         tick(kSlotLease);
-        BOOST_TEST(scheduler.load(now).freeSlots == 1U);
+        BOOST_TEST(scheduler.load().freeSlots == 1U);
         if (dead)
             tick(milliseconds(0), [](const std::string &front) { return front == "front"; });
         else
             tick(milliseconds(1));
-        BOOST_TEST(scheduler.load(now).freeSlots == 2U);
+        BOOST_TEST(scheduler.load().freeSlots == 2U);
         grants.clear();
     }
 }
@@ -132,10 +132,10 @@
 {
     const ReportedSlot foreign{ .slotId = "x", .runner = "r0", .organisation = "o" };
     note(scheduler.reportHeld("front", { foreign }, now));
-    BOOST_TEST(scheduler.load(now).freeSlots == 1U);
+    BOOST_TEST(scheduler.load().freeSlots == 1U);
     now += milliseconds(1);
     note(scheduler.reportHeld("front", {}, now));
-    BOOST_TEST(scheduler.load(now).freeSlots == 2U);
+    BOOST_TEST(scheduler.load().freeSlots == 2U);
 }
 
 // Guards against a report that was sent before the grant arrived and frees its slot.
@@ -144,7 +144,7 @@
     request("a");
     now += milliseconds(20);
     note(scheduler.reportHeld("front", {}, now));
-    BOOST_TEST(scheduler.load(now).freeSlots == 1U);
+    BOOST_TEST(scheduler.load().freeSlots == 1U);
 }
 
 // Guards against callers that wait for their deadline while no runner is up.
@@ -223,7 +223,7 @@
                     open.erase(refused.requestId);
                     if (refused.refusal.code != RefusalCode::Overloaded)
                         continue;
-                    const auto waiting = cell.load(now).waitingByTier;
+                    const auto waiting = cell.load().waitingByTier;
                     for (unsigned lower = tier + 1; lower < waiting.size(); ++lower)
                         BOOST_REQUIRE_LE(waiting[lower], 1U);
                 }
--- a/packages/schedule/tests/runnertable_test.cpp
+++ b/packages/schedule/tests/runnertable_test.cpp
@@ -177,6 +177,7 @@
     for (int i = 0; i < 12; ++i)
         BOOST_TEST(take() != "a");
     now += milliseconds(5000);
+    table.update(now);
     BOOST_TEST(take() == "a");
 }
 
