Add the claims package: keys, fold, owner and client

A non-idempotent request needs one winner among daemons that may be paused, with appends whose answers are lost. The first claim in log order wins; a claim id counts once at its first record, and a release may precede its claim, so late copies neither win nor block a key. The log is an abstract interface (ClaimLog).

--- /dev/null
+++ b/packages/claims/src/claimkey.cpp
@@ -0,0 +1,88 @@
+#include "auburn/claims/claimkey.h"
+
+#include "auburn/core/lasterror.h"
+
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+constexpr std::size_t kUuidLength = 36;
+// Hexadecimal digits of the timestamp, without the dash.
+constexpr std::size_t kTimeDigits = 12;
+
+bool hasUuidLayout(std::string_view text)
+{
+    if (text.size() != kUuidLength)
+        return false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+        const bool matches = dash ? text[i] == '-'
+                                  : std::isxdigit(static_cast<unsigned char>(text[i])) != 0;
+        if (!matches)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<ClaimKey> ClaimKey::parse(std::string_view text)
+{
+    std::string key(text);
+    for (char &c : key)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    const bool isVersion7 = hasUuidLayout(key) && key[14] == '7'
+                            && std::string_view("89ab").find(key[19]) != std::string_view::npos;
+    if (!isVersion7) {
+        setLastError("the key is not a UUID version 7");
+        return std::nullopt;
+    }
+    const std::string digits = key.substr(0, 8) + key.substr(9, 4);
+    std::uint64_t milliseconds = 0;
+    std::from_chars(digits.data(), digits.data() + kTimeDigits, milliseconds, 16);
+    return ClaimKey(std::move(key), WallTime(milliseconds));
+}
+
+ClaimKey::ClaimKey(std::string text, WallTime time)
+    : text_(std::move(text))
+    , time_(time)
+{}
+
+ClaimKeyAge ClaimKey::ageAt(WallTime now) const
+{
+    return claimKeyAge(time_, now);
+}
+
+Hash128 ClaimKey::hashFor(std::string_view organisation) const
+{
+    // The key has a fixed length, so the concatenation is unambiguous.
+    return stableHash128(text_ + std::string(organisation));
+}
+
+ClaimKeyAge claimKeyAge(ClaimKey::WallTime keyTime, ClaimKey::WallTime now)
+{
+    if (now - keyTime > kClaimKeyLifetime)
+        return ClaimKeyAge::Expired;
+    return keyTime - now > kClaimKeyMaxAhead ? ClaimKeyAge::TooFarAhead : ClaimKeyAge::Valid;
+}
+
+unsigned claimPartition(const Hash128 &key)
+{
+    return static_cast<unsigned>(key.high % kClaimPartitions);
+}
+
+std::string claimStream(unsigned partition)
+{
+    return "claims-" + std::to_string(partition);
+}
+
+std::string claimOwnerKey(std::string_view place, unsigned partition)
+{
+    return "claims/" + std::string(place) + '/' + std::to_string(partition);
+}
+
+} // namespace auburn
