Test the relay over real sockets and fix what the tests found

Found by the tests: many short header fields passed the parser's header limit, which applies to each part that arrives; a connection that was accepted while a drain closed the acceptor was dropped (1 of 40 requests); the engine stand-in used a sequence after cancelling it (address sanitizer).

--- a/packages/relay/src/callerconnection.cpp
+++ b/packages/relay/src/callerconnection.cpp
@@ -115,6 +115,7 @@
     answerDone_ = false;
     callerBehind_ = false;
     answerBytes_ = 0;
+    headerBytes_ = 0;
     phase_ = Phase::Idle;
     readDeadline_.setAfter(worker_.shared.draining ? limits.drainIdleTime : limits.keepAliveTime);
     parseInput();
@@ -166,11 +167,16 @@
             phase_ = Phase::Header;
             readDeadline_.setAfter(worker_.shared.options.limits.headerTime);
         }
-        ErrorCode error;
-        if (input_.size() > 0)
-            input_.consume(parser_->put(input_.data(), error));
-        else
-            error = http::error::need_more;
+        ErrorCode error = http::error::need_more;
+        if (input_.size() > 0) {
+            const std::size_t used = parser_->put(input_.data(), error);
+            input_.consume(used);
+            // The parser's own limit applies to each part that arrives; many short fields pass it.
+            if (phase_ == Phase::Header)
+                headerBytes_ += used;
+            if (headerBytes_ > worker_.shared.options.limits.headerBytes)
+                error = http::error::header_limit;
+        }
         if (error && error != http::error::need_more) {
             parseFailed(error);
             return;
--- a/packages/relay/src/callerconnection.h
+++ b/packages/relay/src/callerconnection.h
@@ -109,6 +109,7 @@
     bool broken_ = false;
     bool answerDone_ = false;
     bool callerBehind_ = false;
+    std::size_t headerBytes_ = 0;
     std::size_t lingerBytes_ = 0;
     std::uint64_t answerBytes_ = 0;
     std::string output_;
--- a/packages/relay/src/callerserver.cpp
+++ b/packages/relay/src/callerserver.cpp
@@ -180,6 +180,9 @@
 
     void accepted(std::size_t index, ErrorCode error, tcp::socket socket)
     {
+        // A connection that was accepted just before the acceptor was closed is still served.
+        if (!error)
+            give(index, std::move(socket));
         if (!acceptor_->is_open())
             return;
         if (error) {
@@ -191,7 +194,6 @@
             });
             return;
         }
-        give(index, std::move(socket));
         accept();
     }
 
--- a/tests/standins/standinengine.cpp
+++ b/tests/standins/standinengine.cpp
@@ -278,7 +278,9 @@
         exchange->respond(404, R"({"error":{"message":"unknown request"}})");
         return;
     }
-    cancel(found->second);
+    // A copy, because cancelling removes the entry that the iterator refers to.
+    const SequencePtr sequence = found->second;
+    cancel(sequence);
     exchange->respond(200, R"({"cancelled":true})");
 }
 
