--- a/packages/core/include/auburn/core/metrics.h
+++ b/packages/core/include/auburn/core/metrics.h
@@ -111,6 +111,9 @@
     // with another type gets a series that is not written.
     Counter &counter(std::string_view name, std::string_view help, const MetricLabels &labels = {});
     Gauge &gauge(std::string_view name, std::string_view help, const MetricLabels &labels = {});
+    // A total that is measured elsewhere, such as CPU time; written as a counter.
+    Gauge &measuredTotal(std::string_view name, std::string_view help,
+                         const MetricLabels &labels = {});
     HistogramSeries &histogram(std::string_view name, std::string_view help,
                                const MetricLabels &labels = {}, HistogramOptions options = {});
 
--- a/packages/core/include/auburn/core/tracer.h
+++ b/packages/core/include/auburn/core/tracer.h
@@ -112,7 +112,7 @@
     };
 
     explicit Tracer(Options options);
-    // Exports what is queued, then stops the thread. All spans must have ended.
+    // Calls beginStop() and waits for the thread. All spans must have ended.
     ~Tracer();
     Tracer(const Tracer &) = delete;
     Tracer &operator=(const Tracer &) = delete;
@@ -123,6 +123,10 @@
     // Queues a span that was measured elsewhere; not sampled spans are ignored.
     void record(SpanRecord span);
 
+    // Exports what is queued without waiting for full batches; from now on the first failed export
+    // drops the rest. The destructor does this as well.
+    void beginStop();
+
     // Waits until all spans queued so far are exported or dropped.
     void flush();
 
@@ -133,7 +137,7 @@
 private:
     bool sample(const std::string &traceId) const;
     void run();
-    void exportBatch(const std::vector<SpanRecord> &batch);
+    bool exportBatch(const std::vector<SpanRecord> &batch);
 
     Options options_;
     mutable std::mutex mutex_;
--- a/packages/core/src/metrics.cpp
+++ b/packages/core/src/metrics.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-enum class Type { Counter, Gauge, Histogram };
+enum class Type { Counter, MeasuredTotal, Gauge, Histogram };
 
 // Each thread keeps the shard that it got at its first update.
 std::size_t shardIndex()
@@ -91,6 +91,7 @@
 {
     switch (type) {
     case Type::Counter:
+    case Type::MeasuredTotal:
         return "counter";
     case Type::Gauge:
         return "gauge";
@@ -262,6 +263,12 @@
     return series(name, help, static_cast<int>(Type::Gauge), labels, {}).gauge;
 }
 
+Gauge &Metrics::measuredTotal(std::string_view name, std::string_view help,
+                              const MetricLabels &labels)
+{
+    return series(name, help, static_cast<int>(Type::MeasuredTotal), labels, {}).gauge;
+}
+
 HistogramSeries &Metrics::histogram(std::string_view name, std::string_view help,
                                     const MetricLabels &labels, HistogramOptions options)
 {
--- a/packages/core/src/tracer.cpp
+++ b/packages/core/src/tracer.cpp
@@ -147,14 +147,19 @@
 }
 
 Tracer::~Tracer()
+{
+    beginStop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void Tracer::beginStop()
 {
     {
         const std::lock_guard lock(mutex_);
         stopping_ = true;
     }
     wake_.notify_all();
-    if (thread_.joinable())
-        thread_.join();
 }
 
 Span Tracer::start(std::string name, SpanKind kind, const std::optional<TraceContext> &parent)
@@ -239,21 +244,27 @@
         queue_.erase(queue_.begin(), last);
         exporting_ = true;
         lock.unlock();
-        exportBatch(batch);
+        const bool written = exportBatch(batch);
         lock.lock();
         exporting_ = false;
+        // A target that is down must not hold up the end of the process, batch after batch.
+        if (stopping_ && !written) {
+            dropped_ += queue_.size();
+            queue_.clear();
+        }
         if (queue_.empty())
             idle_.notify_all();
     }
 }
 
-void Tracer::exportBatch(const std::vector<SpanRecord> &batch)
+bool Tracer::exportBatch(const std::vector<SpanRecord> &batch)
 {
     const bool written = options_.sink->write(otlpJson(options_.resource, batch));
     if (!written)
         logEvent(LogLevel::Debug, "trace_export_failed", { { "reason", lastError() } });
     const std::lock_guard lock(mutex_);
     (written ? exported_ : dropped_) += batch.size();
+    return written;
 }
 
 } // namespace auburn
--- a/packages/core/tests/metrics_test.cpp
+++ b/packages/core/tests/metrics_test.cpp
@@ -1,4 +1,5 @@
 #include "auburn/core/metrics.h"
+#include "auburn/core/processmetrics.h"
 
 #include <boost/test/unit_test.hpp>
 #include <limits>
@@ -107,6 +108,17 @@
     BOOST_TEST(countOf(text, "\nclash ") == 1U);
 }
 
+// Guards against process metrics that stay at their first value or have the wrong type.
+BOOST_AUTO_TEST_CASE(processMetrics_text_isMeasured)
+{
+    Metrics metrics;
+    addProcessMetrics(metrics);
+    const std::string text = metrics.text();
+    BOOST_TEST(hasLine(text, "# TYPE process_cpu_seconds_total counter"));
+    BOOST_TEST(metrics.gauge("process_resident_memory_bytes", "").value() > 100000.0);
+    BOOST_TEST(metrics.measuredTotal("process_cpu_seconds_total", "").value() > 0.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
--- a/packages/core/tests/tracer_test.cpp
+++ b/packages/core/tests/tracer_test.cpp
@@ -31,6 +31,7 @@
     std::promise<void> release;
     std::shared_future<void> released{ release.get_future() };
     std::atomic<bool> writing{ false };
+    bool result = true;
 };
 
 // Collects requests; write() returns only when the test allows it.
@@ -47,7 +48,7 @@
         collected_.released.wait();
         const std::lock_guard lock(collected_.mutex);
         collected_.requests.push_back(request);
-        return true;
+        return collected_.result;
     }
 
 private:
@@ -232,6 +233,25 @@
     BOOST_TEST(tracer.exported() == 0U);
 }
 
+// Guards against an end of the process that waits for one timeout per queued batch.
+BOOST_AUTO_TEST_CASE(beginStop_targetDown_givesUpAfterOneBatch)
+{
+    Collected collected;
+    collected.result = false;
+    {
+        Tracer tracer({ .sink = std::make_unique<HeldSink>(collected), .batchLimit = 1 });
+        for (int i = 0; i < 50; ++i)
+            tracer.start("x", SpanKind::Internal).end();
+        while (!collected.writing)
+            std::this_thread::yield();
+        tracer.beginStop();
+        collected.release.set_value();
+        tracer.flush();
+        BOOST_TEST(tracer.dropped() == 50U);
+    }
+    BOOST_TEST(collected.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
--- a/packages/ctl/src/ctlprogram.cpp
+++ b/packages/ctl/src/ctlprogram.cpp
@@ -4,6 +4,7 @@
 #include "auburn/ctl/commandparser.h"
 #include "auburn/ctl/duration.h"
 #include "auburn/ctl/operatorclient.h"
+#include "auburn/ctl/options.h"
 #include "auburn/ctl/replyformat.h"
 
 #include <array>
@@ -61,6 +62,8 @@
 
     Options parse(std::vector<std::string> arguments)
     {
+        arguments = splitAssignments(arguments, { "endpoint", "server-key", "public-key",
+                                                  "secret-key", "output", "timeout" });
         arguments.insert(arguments.begin(), "auburnctl");
         commandLine_.parse(arguments);
         Options options;
@@ -252,10 +255,13 @@
     CtlExit printReply(const proto::OperatorReply &reply, std::optional<TableId> table)
     {
         const bool done = reply.status() == proto::OPERATOR_STATUS_OK;
-        if (reply.columns_size() > 0)
+        const bool accepted = done || reply.status() == proto::OPERATOR_STATUS_NOT_IN_FORCE;
+        if (table && done)
             environment_.out << (options_.json ? formatJson(reply, table) : formatTable(reply));
-        if (done && reply.columns_size() == 0)
-            environment_.out << reply.message() << '\n';
+        else if (accepted && options_.json)
+            environment_.out << formatChangeJson(reply);
+        else if (done)
+            environment_.out << printableText(reply.message()) << '\n';
         if (!done)
             printError(reply.message(), reply.error_column());
         return exitFor(reply.status());
@@ -263,7 +269,7 @@
 
     void printError(const std::string &message, unsigned column)
     {
-        environment_.err << "auburnctl: " << message << '\n';
+        environment_.err << "auburnctl: " << printableText(message) << '\n';
         if (column > 0)
             environment_.err << formatCaret(text_, column);
     }
--- a/packages/ctl/src/replyformat.cpp
+++ b/packages/ctl/src/replyformat.cpp
@@ -13,16 +13,6 @@
 
 using Lines = std::vector<std::vector<std::string>>;
 
-std::string printable(const std::string &text)
-{
-    std::string result = text;
-    for (char &c : result) {
-        if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f)
-            c = '?';
-    }
-    return result;
-}
-
 bool isContinuationByte(char c)
 {
     return (static_cast<unsigned char>(c) & 0xC0U) == 0x80U;
@@ -42,7 +32,7 @@
     for (const proto::OperatorRow &row : reply.rows()) {
         std::vector<std::string> line;
         for (const proto::OperatorCell &cell : row.cells())
-            line.push_back(cell.text().empty() ? "-" : printable(cell.text()));
+            line.push_back(cell.text().empty() ? "-" : printableText(cell.text()));
         line.resize(lines.front().size());
         lines.push_back(std::move(line));
     }
@@ -71,6 +61,27 @@
 
 } // namespace
 
+std::string formatChangeJson(const proto::OperatorReply &reply)
+{
+    const bool inForce = reply.status() == proto::OPERATOR_STATUS_OK;
+    const QJsonObject object{
+        { "revision", static_cast<qint64>(reply.revision()) },
+        { "status", inForce ? "ok" : "not_in_force" },
+        { "message", QString::fromStdString(reply.message()) },
+    };
+    return QJsonDocument(QJsonArray{ object }).toJson(QJsonDocument::Indented).toStdString();
+}
+
+std::string printableText(const std::string &text)
+{
+    std::string result = text;
+    for (char &c : result) {
+        if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f)
+            c = '?';
+    }
+    return result;
+}
+
 std::string formatTable(const proto::OperatorReply &reply)
 {
     const Lines lines = linesOf(reply);
@@ -112,7 +123,7 @@
 {
     const std::size_t bytes = std::min<std::size_t>(column > 0 ? column - 1 : 0, command.size());
     const std::string indent(width(command.substr(0, bytes)), ' ');
-    return printable(command) + '\n' + indent + "^\n";
+    return printableText(command) + '\n' + indent + "^\n";
 }
 
 } // namespace auburn
--- a/packages/daemon/src/commandexecutor.cpp
+++ b/packages/daemon/src/commandexecutor.cpp
@@ -68,6 +68,8 @@
 
 std::string lagging(const std::vector<PlaceProgress> &places, std::uint64_t revision)
 {
+    if (places.empty())
+        return "unknown places, because this daemon has no member table yet";
     std::string names;
     for (const PlaceProgress &place : places) {
         if (place.reachable && place.daemons > 0 && place.minRevision >= revision)
@@ -134,7 +136,7 @@
         const auto places = backend.progress();
         const std::string missing = lagging(places, *revision_);
         const std::string revision = std::to_string(*revision_);
-        if (missing.empty() && !places.empty())
+        if (missing.empty())
             ready_ = acceptedReply(proto::OPERATOR_STATUS_OK,
                                    "in force everywhere as revision " + revision, *revision_);
         else if (late)
--- a/packages/daemon/src/settingvalues.cpp
+++ b/packages/daemon/src/settingvalues.cpp
@@ -1,6 +1,7 @@
 #include "settingvalues.h"
 
-#include <algorithm>
+#include "auburn/ctl/options.h"
+
 #include <memory>
 #include <tclap/CmdLine.h>
 
@@ -72,26 +73,12 @@
     std::unique_ptr<TCLAP::UnlabeledMultiArg<std::string>> rest_;
 };
 
-// Splits "--name=value" into two arguments, because TCLAP supports one delimiter only.
-std::vector<std::string> splitAssignments(const std::vector<std::string> &arguments)
+std::vector<std::string> settingNames()
 {
-    std::vector<std::string> result;
-    for (const std::string &argument : arguments) {
-        const std::size_t equals = argument.find('=');
-        const bool isSetting = argument.starts_with("--") && equals != std::string::npos
-                               && std::any_of(settingTable().begin(), settingTable().end(),
-                                              [&](const SettingInfo &info) {
-                                                  return argument.compare(2, equals - 2, info.name)
-                                                         == 0;
-                                              });
-        if (!isSetting) {
-            result.push_back(argument);
-            continue;
-        }
-        result.push_back(argument.substr(0, equals));
-        result.push_back(argument.substr(equals + 1));
-    }
-    return result;
+    std::vector<std::string> names;
+    for (const SettingInfo &info : settingTable())
+        names.push_back(info.name);
+    return names;
 }
 
 void readFlags(SettingValues &values, std::vector<std::string> arguments)
@@ -121,7 +108,7 @@
     SettingValues values;
     for (const SettingInfo &info : settingTable())
         values.texts[info.name] = environment(info.environmentName).value_or(info.defaultValue);
-    readFlags(values, splitAssignments(arguments));
+    readFlags(values, splitAssignments(arguments, settingNames()));
     return values;
 }
 
--- a/packages/daemon/tests/operatorserver_test.cpp
+++ b/packages/daemon/tests/operatorserver_test.cpp
@@ -40,7 +40,7 @@
               .operators = { { .name = "alice", .publicKey = alice.publicKey.data() } } },
             backend);
 
-    CtlResult run(std::vector<std::string> arguments, const Keys &keys)
+    CtlResult run(const std::vector<std::string> &arguments, const Keys &keys)
     {
         const std::map<std::string, std::string> environment{
             { "AUBURN_CTL_ENDPOINT", server->endpoint() },
@@ -62,7 +62,7 @@
         return { exit, out.str(), err.str() };
     }
 
-    CtlResult run(std::vector<std::string> arguments) { return run(std::move(arguments), alice); }
+    CtlResult run(const std::vector<std::string> &arguments) { return run(arguments, alice); }
 };
 
 } // namespace
@@ -100,7 +100,9 @@
     BOOST_CHECK(late.exit == CtlExit::NotInForce);
     BOOST_TEST(late.err.find("revision 99") != std::string::npos);
     backend.setProgress(99);
-    BOOST_CHECK(run({ "--wait", "drain", "runner", "r1" }).exit == CtlExit::Done);
+    const CtlResult done = run({ "--wait", "--output=json", "drain", "runner", "r1" });
+    BOOST_CHECK(done.exit == CtlExit::Done);
+    BOOST_TEST(done.out.find("\"revision\": 99") != std::string::npos);
     BOOST_TEST(backend.changes().back().operator_name() == "alice");
 }
 
