--- a/packages/core/src/processmetrics.cpp
+++ b/packages/core/src/processmetrics.cpp
@@ -51,4 +51,16 @@
     });
 }
 
+void addTracerMetrics(Metrics &metrics, const Tracer &tracer)
+{
+    Gauge &exported = metrics.measuredTotal("auburn_trace_spans_exported_total",
+                                            "Spans taken by the trace target.");
+    Gauge &dropped = metrics.measuredTotal("auburn_trace_spans_dropped_total",
+                                           "Spans lost to a full queue or a failed export.");
+    metrics.addCollector([&exported, &dropped, &tracer] {
+        exported.set(static_cast<double>(tracer.exported()));
+        dropped.set(static_cast<double>(tracer.dropped()));
+    });
+}
+
 } // namespace auburn
--- a/packages/core/tests/metrics_test.cpp
+++ b/packages/core/tests/metrics_test.cpp
@@ -113,8 +113,11 @@
 {
     Metrics metrics;
     addProcessMetrics(metrics);
+    const Tracer tracer({});
+    addTracerMetrics(metrics, tracer);
     const std::string text = metrics.text();
     BOOST_TEST(hasLine(text, "# TYPE process_cpu_seconds_total counter"));
+    BOOST_TEST(hasLine(text, "auburn_trace_spans_dropped_total 0"));
     BOOST_TEST(metrics.gauge("process_resident_memory_bytes", "").value() > 100000.0);
     BOOST_TEST(metrics.measuredTotal("process_cpu_seconds_total", "").value() > 0.0);
 }
--- a/packages/daemon/src/commandexecutor.cpp
+++ b/packages/daemon/src/commandexecutor.cpp
@@ -94,6 +94,12 @@
     return operatorName + '/' + suffix;
 }
 
+std::string_view kindOf(const proto::ConfigChange &change)
+{
+    const auto item = itemFromProto(change.item());
+    return item ? itemKindName(keyOf(item->value).kind) : std::string_view("unknown");
+}
+
 std::uint64_t nowMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -313,6 +319,7 @@
     logEvent(LogLevel::Info, "operator_change",
              { { "operator", operatorName },
                { "change", change.change_id() },
+               { "kind", kindOf(change) },
                { "item", change.item().name() },
                { "base", static_cast<long long>(change.base_revision()) } });
     backend_.submit(std::move(change), [table = pending_, pending](const ChangeResult &result) {
--- a/packages/daemon/src/tablerows.cpp
+++ b/packages/daemon/src/tablerows.cpp
@@ -4,7 +4,6 @@
 #include "auburn/ctl/duration.h"
 
 #include <QDateTime>
-#include <QTimeZone>
 
 #include <numeric>
 
@@ -210,7 +209,7 @@
 
 std::string timeText(std::uint64_t milliseconds)
 {
-    return QDateTime::fromMSecsSinceEpoch(static_cast<qint64>(milliseconds), QTimeZone::utc())
+    return QDateTime::fromMSecsSinceEpoch(static_cast<qint64>(milliseconds), Qt::UTC)
             .toString(Qt::ISODateWithMs)
             .toStdString();
 }
--- a/packages/daemon/tests/fakebackend.h
+++ b/packages/daemon/tests/fakebackend.h
@@ -93,7 +93,7 @@
         const std::lock_guard lock(mutex_);
         std::vector<ChangeHistoryEntry> entries;
         for (const proto::ConfigChange &change : changes_)
-            entries.push_back({ .change = change, .offset = change.item().revision() });
+            entries.push_back({ .change = change, .offset = 9 + entries.size() });
         return entries;
     }
 
@@ -124,6 +124,12 @@
         return std::exchange(held_, nullptr);
     }
 
+    void loseCells()
+    {
+        const std::lock_guard lock(mutex_);
+        view_.cells.clear();
+    }
+
     void loseState()
     {
         const std::lock_guard lock(mutex_);
