Serve non-idempotent requests by claims on the log; prove at-most-once with real processes

Cause: claims were not wired; requests marked non-idempotent were refused. Ruled out: settings for key lifetime and partitions: all daemons must agree on them, so they are constants. Change: ClaimLogAdapter posts to the log client's thread; ClaimOwner and ClaimClient in the daemon; the daemon's own status server replaces the relay's; the list stand-in is filled through its own interface.

--- a/packages/daemon/include/auburn/daemon/settings.h
+++ b/packages/daemon/include/auburn/daemon/settings.h
@@ -63,8 +63,6 @@
     double traceSampling = 0.01;
     std::size_t bodyLimit = 0;
     std::chrono::milliseconds balancerDelay{ 0 };
-    std::chrono::milliseconds keyLifetime{ 0 };
-    unsigned claimPartitions = 0;
 };
 
 // One row of the table of settings.
--- a/packages/daemon/src/commandexecutor.cpp
+++ b/packages/daemon/src/commandexecutor.cpp
@@ -66,6 +66,8 @@
 
 std::string lagging(const std::vector<PlaceProgress> &places, std::uint64_t revision)
 {
+    if (places.empty())
+        return "unknown places, because this daemon has no member table yet";
     std::string names;
     for (const PlaceProgress &place : places) {
         if (place.reachable && place.daemons > 0 && place.minRevision >= revision)
@@ -91,6 +93,12 @@
     return sha256Hex(operatorName + '/' + suffix);
 }
 
+std::string_view kindOf(const proto::ConfigChange &change)
+{
+    const auto item = itemFromProto(change.item());
+    return item ? itemKindName(keyOf(item->value).kind) : std::string_view("unknown");
+}
+
 std::uint64_t nowMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -133,7 +141,7 @@
         const auto places = backend.progress();
         const std::string missing = lagging(places, *revision_);
         const std::string revision = std::to_string(*revision_);
-        if (missing.empty() && !places.empty())
+        if (missing.empty())
             ready_ = acceptedReply(proto::OPERATOR_STATUS_OK,
                                    "in force everywhere as revision " + revision, *revision_);
         else if (late)
@@ -310,6 +318,7 @@
     logEvent(LogLevel::Info, "operator_change",
              { { "operator", operatorName },
                { "change", change.change_id() },
+               { "kind", kindOf(change) },
                { "item", change.item().name() },
                { "base", static_cast<long long>(change.base_revision()) } });
     backend_.submit(std::move(change), [table = pending_, pending](const ChangeResult &result) {
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,5 +1,7 @@
 #include "auburn/daemon/daemon.h"
 
+#include "auburn/claims/claimclient.h"
+#include "auburn/claims/claimowner.h"
 #include "auburn/config/configfollower.h"
 #include "auburn/config/configpublisher.h"
 #include "auburn/config/configstore.h"
@@ -9,15 +11,18 @@
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
 #include "auburn/core/metrics.h"
+#include "auburn/core/processmetrics.h"
 #include "auburn/core/tracer.h"
 #include "auburn/daemon/operatorserver.h"
+#include "auburn/daemon/statemetrics.h"
+#include "auburn/daemon/statusserver.h"
 #include "auburn/mesh/membership.h"
 #include "auburn/mesh/zmqbus.h"
 #include "auburn/relay/callerserver.h"
-#include "auburn/relay/statusserver.h"
 #include "auburn/schedule/cellowner.h"
 #include "auburn/schedule/slotclient.h"
 #include "auburn/schedule/slotgateway.h"
+#include "claimlogadapter.h"
 #include "daemonbackend.h"
 #include "loadpoller.h"
 #include "requesttelemetry.h"
@@ -62,8 +67,8 @@
 
     bool start()
     {
-        return startTelemetry() && makeMesh() && makeConfig() && makeSchedule() && startMesh()
-               && startServers();
+        return startTelemetry() && makeMesh() && makeConfig() && makeSchedule() && makeClaims()
+               && startMesh() && startServers();
     }
 
     void stop(std::function<void()> stopped)
@@ -171,6 +176,22 @@
         return gateway_ != nullptr;
     }
 
+    bool makeClaims()
+    {
+        claimLog_ = std::make_unique<ClaimLogAdapter>(*log_);
+        claimOwner_ = ClaimOwner::make({ .selfId = settings_.id,
+                                         .bus = bus_.get(),
+                                         .views = membership_.get(),
+                                         .log = claimLog_.get() });
+        if (!claimOwner_)
+            return false;
+        claims_ = ClaimClient::make({ .selfId = settings_.id,
+                                      .bus = bus_.get(),
+                                      .views = membership_.get(),
+                                      .localOwner = claimOwner_.get() });
+        return claims_ != nullptr;
+    }
+
     bool startMesh()
     {
         if (!bus_->start())
@@ -192,18 +213,20 @@
                                         .limits = { .bodyBytes = settings_.bodyLimit },
                                         .config = [this] { return store_.current(); },
                                         .slots = slots_.get(),
-                                        .claims = nullptr,
+                                        .claims = claims_.get(),
                                         .observer = telemetry_.get() });
         if (!callers_)
             return false;
+        backend_ = std::make_unique<DaemonBackend>(store_, *follower_, *publisher_, *membership_);
+        stateMetrics_ = std::make_unique<StateMetrics>(metrics_, *backend_);
         metrics_.addCollector([this] { collect(); });
-        status_ = StatusServer::make({ .address = settings_.statusListen.host,
-                                       .port = settings_.statusListen.port,
-                                       .ready = [this] { return ready(); },
-                                       .metrics = [this] { return metrics_.text(); } });
+        addProcessMetrics(metrics_);
+        addTracerMetrics(metrics_, *tracer_);
+        status_ = StatusServer::make({ .listen = settings_.statusListen,
+                                       .metrics = metrics_,
+                                       .notReadyReason = [this] { return notReadyReason(); } });
         if (!status_)
             return false;
-        backend_ = std::make_unique<DaemonBackend>(store_, *follower_, *publisher_, *membership_);
         operators_ = OperatorServer::make({ .bind = settings_.operatorBind,
                                             .publicKey = settings_.fleetPublicKey,
                                             .secretKey = settings_.fleetSecretKey,
@@ -227,7 +250,14 @@
         timer->start(interval);
     }
 
-    bool ready() const { return store_.current() && !stopping_; }
+    std::optional<std::string> notReadyReason() const
+    {
+        if (stopping_)
+            return "shutting down";
+        if (!store_.current())
+            return "no configuration yet";
+        return std::nullopt;
+    }
 
     void tick()
     {
@@ -235,6 +265,8 @@
         owner_->tick(now);
         slots_->tick(now);
         gateway_->tick(now);
+        claimOwner_->tick(now);
+        claims_->tick(now);
         updateRole();
     }
 
@@ -273,16 +305,12 @@
 
     void collect()
     {
-        metrics_.gauge("auburn_config_revision", "Configuration revision in force.")
-                .set(static_cast<double>(store_.revision()));
         metrics_.gauge("auburn_requests_in_flight", "Requests whose answer is not complete.")
                 .set(static_cast<double>(callers_->inFlight()));
         metrics_.gauge("auburn_slots_pending", "Slot requests without an answer.")
                 .set(static_cast<double>(slots_->pendingCount()));
         metrics_.gauge("auburn_slots_held", "Slots held for requests of this daemon.")
                 .set(static_cast<double>(slots_->heldCount()));
-        metrics_.gauge("auburn_spans_dropped", "Spans that could not be exported.")
-                .set(static_cast<double>(tracer_->dropped()));
         for (const KindTraffic &kind : bus_->counters().kinds)
             collectTraffic(kind);
     }
@@ -337,9 +365,13 @@
     std::unique_ptr<SlotClient> slots_;
     std::unique_ptr<SlotGateway> gateway_;
     std::unique_ptr<LoadPoller> poller_;
+    std::unique_ptr<ClaimLogAdapter> claimLog_;
+    std::unique_ptr<ClaimOwner> claimOwner_;
+    std::unique_ptr<ClaimClient> claims_;
     std::unique_ptr<CallerServer> callers_;
     std::unique_ptr<StatusServer> status_;
     std::unique_ptr<DaemonBackend> backend_;
+    std::unique_ptr<StateMetrics> stateMetrics_;
     std::unique_ptr<OperatorServer> operators_;
     std::function<void()> stopped_;
     std::atomic<bool> stopping_{ false };
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -133,9 +133,6 @@
         settings.bodyLimit = number<std::size_t>("body-limit", 1024, std::size_t{ 64 } << 20U);
         settings.balancerDelay = duration("balancer-delay", milliseconds(0),
                                           std::chrono::minutes(5));
-        settings.keyLifetime = duration("key-lifetime", std::chrono::seconds(1),
-                                        std::chrono::hours(24));
-        settings.claimPartitions = number<unsigned>("claim-partitions", 1, 64);
         checkPorts(settings);
         return settings;
     }
--- a/packages/daemon/src/settingtable.cpp
+++ b/packages/daemon/src/settingtable.cpp
@@ -21,8 +21,7 @@
 constexpr bool kSecret = true;
 constexpr bool kList = true;
 
-// The defaults of body-limit, balancer-delay and key-lifetime come from docs/design.md, sections 4,
-// 2.7 and 2.3.
+// The defaults of body-limit and balancer-delay come from docs/design.md, sections 4 and 2.7.
 constexpr Row kRows[] = {
     { "id", "NAME", "", "Name of this daemon, unique in the fleet.", kRequired },
     { "place", "NAME", "", "Place (zone) of this VM.", kRequired },
@@ -56,10 +55,6 @@
     { "body-limit", "BYTES", "4194304", "Largest request body, 1 KiB to 64 MiB." },
     { "balancer-delay", "DURATION", "3s",
       "Time for which a stopping daemon still accepts connections, up to 5m." },
-    { "key-lifetime", "DURATION", "15m",
-      "Age at which an Idempotency-Key expires, 1s to 24h; must be well under the log's "
-      "retention." },
-    { "claim-partitions", "COUNT", "2", "Claim streams on the log, 1 to 64; the same everywhere." },
 };
 
 std::string environmentNameOf(std::string name)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -102,6 +102,12 @@
     bool waitReady(const DaemonSlot &slot,
                    std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
+    // Changes an entry of the membership list: method PUT or DELETE.
+    bool changeList(const std::string &method, const std::string &name,
+                    const std::string &json) const;
+    // Shows a runner as leaving in the membership list.
+    bool markRunnerLeaving(const RunnerSlot &runner);
+
     // A chat completion through a daemon, with the token of one of the standard callers.
     HttpRequest chat(const DaemonSlot &daemon, const std::string &token, const std::string &prompt,
                      unsigned maxTokens, bool stream = false,
