--- a/packages/config/tests/membershiplist_test.cpp
+++ b/packages/config/tests/membershiplist_test.cpp
@@ -59,8 +59,8 @@
     BOOST_REQUIRE(members.has_value());
     BOOST_REQUIRE_EQUAL(members->size(), 2U);
     BOOST_CHECK(members->at(0).kind == ListedKind::Runner);
-    BOOST_CHECK(members->at(0).state == ListedState::Leaving);
-    BOOST_TEST(members->at(0).address == "10.0.0.1:80");
+    BOOST_CHECK(members->at(0).leaving);
+    BOOST_TEST(members->at(0).endpoint == "10.0.0.1:80");
     BOOST_CHECK(members->at(1).kind == ListedKind::Daemon);
 }
 
