--- a/packages/mesh/tests/gossipsim.cpp
+++ b/packages/mesh/bench/gossipsim.cpp
@@ -27,7 +27,7 @@
     auto node = std::make_unique<Node>();
     if (options.endpoint.empty())
         options.endpoint = "tcp://10.20." + std::to_string(index / 250) + "."
-                + std::to_string(index % 250 + 1) + ":7700";
+                           + std::to_string(index % 250 + 1) + ":7700";
     options.randomSeed = random_();
     node->id = options.selfId;
     node->endpoint = options.endpoint;
@@ -57,8 +57,8 @@
     ++epochs_[index];
     node.running = true;
     GossipOptions options = node.options;
-    options.incarnation =
-            static_cast<std::uint64_t>(std::chrono::microseconds(timeOf(node).wall).count());
+    options.incarnation = static_cast<std::uint64_t>(
+            std::chrono::microseconds(timeOf(node).wall).count());
     options.randomSeed = random_();
     node.core = std::make_unique<GossipCore>(std::move(options), timeOf(node));
     scheduleTick(index);
--- a/packages/mesh/tests/gossipsim.h
+++ b/packages/mesh/bench/gossipsim.h
@@ -13,6 +13,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
--- a/packages/mesh/include/auburn/mesh/gossipcore.h
+++ b/packages/mesh/include/auburn/mesh/gossipcore.h
@@ -68,7 +68,8 @@
     std::chrono::milliseconds suspicionTimeout{ 3000 };
     // Dead and left members are removed after this time.
     std::chrono::milliseconds forgetAfter{ 60000 };
-    // Interval at which a random member and an endpoint that is not known to be alive are contacted.
+    // Interval at which a random member and an endpoint that is not known to be alive are
+    // contacted.
     std::chrono::milliseconds seedPeriod{ 5000 };
 
     // Digest exchange with each place of the region, and of other regions.
@@ -172,6 +173,7 @@
     // Messages inside the place.
     void receiveGossip(const std::string &sender, const proto::Gossip &gossip);
     void push(const MemberRecord &peer);
+    void requestKeys(const std::string &sender);
     void greet(const std::string &endpoint);
     bool mergeRows(const std::string &sender, const std::vector<MemberRow> &rows,
                    std::vector<std::uint32_t> &unknown);
@@ -180,6 +182,7 @@
                     bool senderWasDead);
     void answerReply(const std::string &sender, const proto::Gossip &reply);
     void addNewerRows(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const;
+    void addLoad(proto::Gossip &answer, const MemberRecord &record) const;
     void compareLoads(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const;
     void addWanted(const proto::Gossip &request, proto::Gossip &answer) const;
     void addMarks(proto::Gossip &message, std::uint64_t peerDigest) const;
--- a/packages/mesh/src/gossipcore.cpp
+++ b/packages/mesh/src/gossipcore.cpp
@@ -19,7 +19,7 @@
 
 // Marks of this age are sent alone at first; the whole table follows if that was not enough.
 constexpr milliseconds kRecentMarks{ 10000 };
-constexpr int kMarkBatch = 256;
+constexpr int kMarkBatch = 128;
 // A revision is announced again to the caller if it was not reached by then.
 constexpr milliseconds kRevisionRepeat{ 1000 };
 constexpr auto kRelayKey = "relay";
@@ -311,9 +311,15 @@
     const MemberRecord *senderRecord = members_->findId(sender);
     const std::uint32_t deadKey = senderRecord != nullptr && senderRecord->dead ? senderRecord->key
                                                                                 : 0;
+    const std::vector<std::uint32_t> ownKeys = members_->sharedKeys();
+    const bool keysMissing = gossip.rows().keys().empty() && !gossip.rows().status().empty();
+    if (keysMissing && gossip.rows().key_set() != hashOfKeys(ownKeys)) {
+        requestKeys(sender);
+        return;
+    }
     for (const proto::MemberEntry &entry : gossip.members())
         members_->define(entry, now_.monotonic);
-    const std::vector<MemberRow> rows = decodeRows(gossip.rows());
+    const std::vector<MemberRow> rows = decodeRows(gossip.rows(), ownKeys);
     std::vector<std::uint32_t> unknown;
     const bool senderWasDead = mergeRows(sender, rows, unknown) && deadKey != 0
                                && members_->find(deadKey) != nullptr;
@@ -322,6 +328,9 @@
     for (const proto::PlaceDigest &digest : gossip.places())
         places_->merge(digest, now_.monotonic);
     mergeMarks(gossip);
+    MemberRecord *record = members_->findId(sender);
+    if (record != nullptr && gossip.rows().key_set() != 0)
+        record->keySet = gossip.rows().key_set();
     if (members_->takeUrgent())
         raiseUrgent();
     findHigherRevision(sender);
@@ -357,11 +366,15 @@
 void GossipCore::push(const MemberRecord &peer)
 {
     proto::Gossip gossip;
-    *gossip.mutable_rows() = members_->makeRows();
+    proto::MemberRows &rows = *gossip.mutable_rows();
+    rows = members_->makeRows();
     for (const auto &entry : members_->records()) {
         if (MemberTable::isShared(entry.second))
-            members_->addRow(*gossip.mutable_rows(), entry.second, false);
+            members_->addRow(rows, entry.second, false);
     }
+    rows.set_key_set(hashOfKeys(members_->sharedKeys()));
+    if (rows.key_set() == peer.keySet)
+        rows.clear_keys();
     if (!peer.knowsSelf)
         members_->addDefinition(gossip, members_->self());
     gossip.set_marks_digest(marksDigest());
@@ -369,6 +382,14 @@
     emit(peer.id, peer.endpoint, std::move(gossip));
 }
 
+void GossipCore::requestKeys(const std::string &sender)
+{
+    proto::Gossip answer;
+    answer.set_step(proto::GOSSIP_STEP_REPLY);
+    answer.set_keys_wanted(true);
+    emit(sender, endpointOf(sender), std::move(answer));
+}
+
 // Push to an endpoint whose daemon is unknown: only our own row, so that the answer holds the whole
 // table.
 void GossipCore::greet(const std::string &endpoint)
@@ -388,6 +409,7 @@
     proto::Gossip answer;
     answer.set_step(proto::GOSSIP_STEP_REPLY);
     *answer.mutable_rows() = members_->makeRows();
+    answer.mutable_rows()->set_key_set(hashOfKeys(members_->sharedKeys()));
     if (senderWasDead)
         members_->addRow(*answer.mutable_rows(), *members_->findId(sender), true);
     addNewerRows(rows, answer);
@@ -424,7 +446,7 @@
                 return;
             members_->addDefinition(answer, record);
             if (record.loadHeartbeat > 0)
-                members_->addLoad(answer, record);
+                addLoad(answer, record);
         }
         const bool newer = found == known.end() || found->second->heartbeat < record.heartbeat
                            || (record.suspected && !found->second->suspected
@@ -434,6 +456,17 @@
     }
 }
 
+// Loads of a huge number of cells are spread over several exchanges.
+void GossipCore::addLoad(proto::Gossip &answer, const MemberRecord &record) const
+{
+    constexpr std::size_t kBytesPerCell = 64;
+    std::size_t cells = record.cells.size();
+    for (const proto::MemberLoad &load : answer.loads())
+        cells += static_cast<std::size_t>(load.cells_size());
+    if (answer.loads().empty() || cells * kBytesPerCell < options_.maxMessageBytes / 4)
+        members_->addLoad(answer, record);
+}
+
 void GossipCore::compareLoads(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const
 {
     for (const MemberRow &row : peerRows) {
@@ -442,7 +475,7 @@
             if (row.loadHeartbeat > 0)
                 answer.add_wanted_loads(row.key);
         } else if (record->loadHeartbeat > row.loadHeartbeat) {
-            members_->addLoad(answer, *record);
+            addLoad(answer, *record);
         } else if (record->loadHeartbeat < row.loadHeartbeat) {
             answer.add_wanted_loads(row.key);
         }
@@ -452,7 +485,16 @@
 void GossipCore::answerReply(const std::string &sender, const proto::Gossip &reply)
 {
     const auto &wanted = reply.wanted_members();
-    if (MemberRecord *record = members_->findId(sender))
+    MemberRecord *record = members_->findId(sender);
+    if (reply.keys_wanted()) {
+        // Without a known key set, the keys are included, and a second request is not answered.
+        if (record != nullptr && record->keySet != 0) {
+            record->keySet = 0;
+            push(*record);
+        }
+        return;
+    }
+    if (record != nullptr)
         record->knowsSelf = std::find(wanted.begin(), wanted.end(), members_->self().key)
                             == wanted.end();
     proto::Gossip answer;
@@ -483,7 +525,7 @@
     for (const std::uint32_t key : request.wanted_loads()) {
         const MemberRecord *record = members_->find(key);
         if (record != nullptr && record->loadHeartbeat > 0)
-            members_->addLoad(answer, *record);
+            addLoad(answer, *record);
     }
     for (const std::uint32_t key : request.wanted_places()) {
         if (const proto::PlaceDigest *digest = places_->findKey(key))
@@ -502,17 +544,18 @@
 {
     if (peerDigest == marksDigest())
         return;
-    leaving_->addTo(message, toCount(now_.wall - kRecentMarks), kMarkBatch);
-    crashes_->addTo(message, toCount(now_.wall + options_.crashMarkLifetime - kRecentMarks),
-                    kMarkBatch);
-    // Tables that differ in older marks are repaired by whole copies, in random exchanges.
+    const std::size_t start = randomBelow(options_.maxLeavingMarks);
+    const auto crashesFrom = toCount(now_.wall + options_.crashMarkLifetime - kRecentMarks);
+    leaving_->addTo(message, toCount(now_.wall - kRecentMarks), kMarkBatch, start);
+    crashes_->addTo(message, crashesFrom, kMarkBatch, start);
+    // Tables that differ in older marks are repaired by larger parts, in random exchanges.
     const bool hasRecent = message.leaving_size() + message.crashes_size() > 0;
     if (hasRecent && randomBelow(4) != 0)
         return;
     message.clear_leaving();
     message.clear_crashes();
-    leaving_->addTo(message, 0, kMarkBatch);
-    crashes_->addTo(message, 0, kMarkBatch);
+    leaving_->addTo(message, 0, kMarkBatch, start);
+    crashes_->addTo(message, 0, kMarkBatch, start);
 }
 
 void GossipCore::mergeMarks(const proto::Gossip &gossip)
@@ -754,6 +797,8 @@
     members_->beat();
     members_->touch();
     raiseUrgent();
+    // Not delayed by earlier news: after Left the process may exit at any time.
+    lastUrgent_ = kLongAgo;
     sendUrgent();
 }
 
--- a/packages/mesh/src/marktables.cpp
+++ b/packages/mesh/src/marktables.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <string_view>
+#include <tuple>
 
 namespace auburn {
 
@@ -24,6 +26,19 @@
             std::string_view(reinterpret_cast<const char *>(words.data()), sizeof(words)));
 }
 
+// Visits all entries, beginning at the given rank and continuing at the front.
+template<typename Map, typename Visitor>
+void forEachFrom(const Map &map, std::size_t start, Visitor visit)
+{
+    if (map.empty())
+        return;
+    const auto first = std::next(map.begin(), static_cast<std::ptrdiff_t>(start % map.size()));
+    for (auto entry = first; entry != map.end(); ++entry)
+        visit(entry->first, entry->second);
+    for (auto entry = map.begin(); entry != first; ++entry)
+        visit(entry->first, entry->second);
+}
+
 } // namespace
 
 LeavingMarks::LeavingMarks(std::chrono::milliseconds lifetime, std::size_t limit)
@@ -36,22 +51,29 @@
     return stableHash(runner, 2 * mark.version + (mark.leaving ? 1 : 0));
 }
 
-void LeavingMarks::store(const std::string &runner, Mark mark)
+bool LeavingMarks::store(const std::string &runner, Mark mark)
 {
     const auto found = marks_.find(runner);
     if (found != marks_.end())
         erase(found);
+    // A full table keeps the marks that rank highest, lifted marks and then the oldest going first.
+    // The order is the same for all members, so full tables do not evict each other's marks for
+    // ever.
     if (marks_.size() >= limit_) {
-        // Lifted marks go first, then the oldest.
-        const auto oldest = std::min_element(
-                marks_.begin(), marks_.end(), [](const auto &left, const auto &right) {
-                    return std::pair(left.second.leaving, left.second.version)
-                           < std::pair(right.second.leaving, right.second.version);
+        const auto rank = [](const std::string &name, const Mark &ranked) {
+            return std::tuple(ranked.leaving, ranked.version, name);
+        };
+        const auto lowest = std::min_element(
+                marks_.begin(), marks_.end(), [&rank](const auto &left, const auto &right) {
+                    return rank(left.first, left.second) < rank(right.first, right.second);
                 });
-        erase(oldest);
+        if (rank(runner, mark) < rank(lowest->first, lowest->second))
+            return false;
+        erase(lowest);
     }
     digest_ ^= digestOf(runner, mark);
     marks_.emplace(runner, mark);
+    return true;
 }
 
 void LeavingMarks::erase(std::map<std::string, Mark>::iterator position)
@@ -88,8 +110,7 @@
             <= std::pair(known.version, known.leaving))
             return false;
     }
-    store(mark.runner(), incoming);
-    return true;
+    return store(mark.runner(), incoming);
 }
 
 void LeavingMarks::expire(std::chrono::milliseconds wall)
@@ -123,18 +144,17 @@
     return runners;
 }
 
-void LeavingMarks::addTo(proto::Gossip &gossip, std::uint64_t fromVersion, int limit) const
+void LeavingMarks::addTo(proto::Gossip &gossip, std::uint64_t fromVersion, int limit,
+                         std::size_t start) const
 {
-    for (const auto &[runner, mark] : marks_) {
-        if (mark.version < fromVersion)
-            continue;
-        if (limit-- <= 0)
+    forEachFrom(marks_, start, [&](const std::string &runner, const Mark &mark) {
+        if (mark.version < fromVersion || limit-- <= 0)
             return;
         proto::LeavingMark &added = *gossip.add_leaving();
         added.set_runner(runner);
         added.set_version(mark.version);
         added.set_leaving(mark.leaving);
-    }
+    });
 }
 
 CrashMarks::CrashMarks(std::chrono::milliseconds lifetime, std::size_t limit)
@@ -147,20 +167,27 @@
     return hashWords({ key.first, key.second, mark.crashes, mark.expiresAt });
 }
 
-void CrashMarks::store(const Key &key, Mark mark)
+bool CrashMarks::store(const Key &key, Mark mark)
 {
     const auto found = marks_.find(key);
     if (found != marks_.end())
         erase(found);
+    // As for leaving marks: a full table keeps the marks that expire last.
     if (marks_.size() >= limit_) {
-        const auto oldest = std::min_element(
-                marks_.begin(), marks_.end(), [](const auto &left, const auto &right) {
-                    return left.second.expiresAt < right.second.expiresAt;
+        const auto rank = [](const Key &ranked, const Mark &of) {
+            return std::pair(of.expiresAt, ranked);
+        };
+        const auto lowest = std::min_element(
+                marks_.begin(), marks_.end(), [&rank](const auto &left, const auto &right) {
+                    return rank(left.first, left.second) < rank(right.first, right.second);
                 });
-        erase(oldest);
+        if (rank(key, mark) < rank(lowest->first, lowest->second))
+            return false;
+        erase(lowest);
     }
     digest_ ^= digestOf(key, mark);
     marks_.emplace(key, mark);
+    return true;
 }
 
 void CrashMarks::erase(std::map<Key, Mark>::iterator position)
@@ -204,8 +231,7 @@
                                                             mark.expires_at_ms()) };
     if (merged.crashes == known.crashes && merged.expiresAt == known.expiresAt)
         return false;
-    store(key, merged);
-    return true;
+    return store(key, merged);
 }
 
 void CrashMarks::expire(std::chrono::milliseconds wall)
@@ -228,15 +254,13 @@
     return total;
 }
 
-void CrashMarks::addTo(proto::Gossip &gossip, std::uint64_t fromExpiry, int limit) const
+void CrashMarks::addTo(proto::Gossip &gossip, std::uint64_t fromExpiry, int limit,
+                       std::size_t start) const
 {
-    for (const auto &[key, mark] : marks_) {
-        if (mark.expiresAt < fromExpiry)
-            continue;
-        if (limit-- <= 0)
-            return;
-        *gossip.add_crashes() = messageOf(key, mark);
-    }
+    forEachFrom(marks_, start, [&](const Key &key, const Mark &mark) {
+        if (mark.expiresAt >= fromExpiry && limit-- > 0)
+            *gossip.add_crashes() = messageOf(key, mark);
+    });
 }
 
 } // namespace auburn
--- a/packages/mesh/src/marktables.h
+++ b/packages/mesh/src/marktables.h
@@ -34,8 +34,10 @@
     std::set<std::string> leavingRunners() const;
     std::size_t size() const { return marks_.size(); }
     std::uint64_t digest() const { return digest_; }
-    // Adds the marks from the given version on, at most limit.
-    void addTo(proto::Gossip &gossip, std::uint64_t fromVersion, int limit) const;
+    // Adds the marks from the given version on, at most limit, starting with the mark of the given
+    // rank so that repeated calls reach all marks of a large table.
+    void addTo(proto::Gossip &gossip, std::uint64_t fromVersion, int limit,
+               std::size_t start) const;
 
 private:
     struct Mark
@@ -45,7 +47,8 @@
     };
 
     static std::uint64_t digestOf(const std::string &runner, const Mark &mark);
-    void store(const std::string &runner, Mark mark);
+    // False if a full table holds higher ranking marks only.
+    bool store(const std::string &runner, Mark mark);
     void erase(std::map<std::string, Mark>::iterator position);
 
     const std::chrono::milliseconds lifetime_;
@@ -70,8 +73,8 @@
     unsigned crashes(std::uint64_t fingerprint, std::chrono::milliseconds wall) const;
     std::size_t size() const { return marks_.size(); }
     std::uint64_t digest() const { return digest_; }
-    // Adds the marks that expire at the given time or later, at most limit.
-    void addTo(proto::Gossip &gossip, std::uint64_t fromExpiry, int limit) const;
+    // Adds the marks that expire at the given time or later, at most limit, as for leaving marks.
+    void addTo(proto::Gossip &gossip, std::uint64_t fromExpiry, int limit, std::size_t start) const;
 
 private:
     using Key = std::pair<std::uint64_t, std::uint32_t>;
@@ -83,7 +86,8 @@
 
     static std::uint64_t digestOf(const Key &key, const Mark &mark);
     static proto::CrashMark messageOf(const Key &key, const Mark &mark);
-    void store(const Key &key, Mark mark);
+    // False if a full table holds marks that expire later only.
+    bool store(const Key &key, Mark mark);
     void erase(std::map<Key, Mark>::iterator position);
 
     const std::chrono::milliseconds lifetime_;
--- a/packages/mesh/src/membertable.cpp
+++ b/packages/mesh/src/membertable.cpp
@@ -54,18 +54,21 @@
 
 } // namespace
 
-std::vector<MemberRow> decodeRows(const proto::MemberRows &rows)
+std::vector<MemberRow> decodeRows(const proto::MemberRows &rows,
+                                  const std::vector<std::uint32_t> &orderedKeys)
 {
     std::vector<MemberRow> result;
-    const int count = rows.keys_size();
-    if (rows.heartbeat_distances_size() != count || rows.status_size() != count)
+    const int count = rows.status_size();
+    const bool hasKeys = rows.keys_size() > 0;
+    const int keyCount = hasKeys ? rows.keys_size() : static_cast<int>(orderedKeys.size());
+    if (rows.heartbeat_distances_size() != count || keyCount != count)
         return result;
     result.reserve(static_cast<std::size_t>(count));
     int loads = 0;
     for (int i = 0; i < count; ++i) {
         const std::uint64_t status = rows.status(i);
         const std::uint32_t base = rows.base_heartbeat();
-        MemberRow row{ .key = rows.keys(i),
+        MemberRow row{ .key = hasKeys ? rows.keys(i) : orderedKeys[static_cast<std::size_t>(i)],
                        .heartbeat = base - std::min(rows.heartbeat_distances(i), base) };
         row.status = statusOf(status & kStateBits);
         row.suspected = (status & kSuspectedBit) != 0;
@@ -82,6 +85,13 @@
     return result;
 }
 
+std::uint32_t hashOfKeys(const std::vector<std::uint32_t> &orderedKeys)
+{
+    const std::string_view bytes(reinterpret_cast<const char *>(orderedKeys.data()),
+                                 orderedKeys.size() * sizeof(std::uint32_t));
+    return static_cast<std::uint32_t>(stableHash(bytes)) | 1U;
+}
+
 MemberTable::MemberTable(Limits limits, const std::string &selfId, std::uint64_t incarnation,
                          const std::string &endpoint, std::uint32_t heartbeat)
     : limits_(limits)
@@ -303,6 +313,17 @@
     return rows;
 }
 
+std::vector<std::uint32_t> MemberTable::sharedKeys() const
+{
+    std::vector<std::uint32_t> keys;
+    keys.reserve(records_.size());
+    for (const auto &[key, record] : records_) {
+        if (isShared(record))
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 bool MemberTable::takeUrgent()
 {
     return std::exchange(urgentRaised_, false);
--- a/packages/mesh/src/membertable.h
+++ b/packages/mesh/src/membertable.h
@@ -43,6 +43,8 @@
     bool confirmed = true;
     // The peer has shown a row of ours, so it needs no definition of us.
     bool knowsSelf = false;
+    // Hash of the keys that the peer shares, 0 if unknown.
+    std::uint32_t keySet = 0;
     // The status changed recently and is passed on at once.
     bool urgent = false;
 };
@@ -59,8 +61,13 @@
     std::uint32_t loadHeartbeat = 0;
 };
 
-// Decodes the parallel arrays; empty if their lengths do not match.
-std::vector<MemberRow> decodeRows(const proto::MemberRows &rows);
+// Decodes the parallel arrays; empty if their lengths do not match. Rows without keys are taken in
+// the order of the given keys.
+std::vector<MemberRow> decodeRows(const proto::MemberRows &rows,
+                                  const std::vector<std::uint32_t> &orderedKeys);
+
+// Hash of a key set in ascending order; never 0.
+std::uint32_t hashOfKeys(const std::vector<std::uint32_t> &orderedKeys);
 
 class MemberTable
 {
@@ -115,6 +122,8 @@
     void addLoad(proto::Gossip &gossip, const MemberRecord &record) const;
     // A message part without rows, with the highest revision and heartbeat as its bases.
     proto::MemberRows makeRows() const;
+    // Keys of all shared records, ascending.
+    std::vector<std::uint32_t> sharedKeys() const;
 
     // Raised by every change that a view shows.
     std::uint64_t version() const { return version_; }
--- a/packages/mesh/src/zmqbus.cpp
+++ b/packages/mesh/src/zmqbus.cpp
@@ -586,8 +586,11 @@
         std::uint16_t code = 0;
         if (event.size() >= sizeof(code))
             std::copy_n(event.data<char>(), sizeof(code), reinterpret_cast<char *>(&code));
-        peer.connection->established = code == ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
-        if (!peer.connection->established)
+        const bool wasEstablished = std::exchange(peer.connection->established,
+                                                  code == ZMQ_EVENT_HANDSHAKE_SUCCEEDED);
+        // libzmq reconnects by itself; the time allowed for it starts when the connection is lost,
+        // and not again with each failed attempt.
+        if (wasEstablished && !peer.connection->established)
             peer.connection->openedAt = Clock::now();
     }
 }
