--- /dev/null
+++ b/packages/mesh/bench/benchload.h
@@ -0,0 +1,19 @@
+// Cell loads for the benches: every cell reports a new load each second.
+#pragma once
+
+#include "auburn/mesh/memberview.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace auburn {
+
+// Cells of a place at the design scale: 3 services, one cell per 16 runners rounded up to a power
+// of two per service, as in section 2.1 of the design.
+unsigned cellCountFor(unsigned runners);
+
+// Loads of the cells that the view's own daemon owns, with requests waiting in all 8 tiers.
+std::vector<CellLoad> makeLoads(const MemberView &view, unsigned runners, std::mt19937_64 &random);
+
+} // namespace auburn
--- a/packages/mesh/include/auburn/mesh/gossipcore.h
+++ b/packages/mesh/include/auburn/mesh/gossipcore.h
@@ -89,7 +89,7 @@
     unsigned maxCrashMarks = 256;
     unsigned maxMembers = 1024;
     // Limit of one gossip message; what does not fit follows in later rounds.
-    std::size_t maxMessageBytes = 32 * 1024;
+    std::size_t maxMessageBytes = 32UL * 1024;
 };
 
 // A message to send. For an endpoint whose daemon is not known yet, peer is "seed:" + endpoint.
@@ -125,7 +125,7 @@
     void setStatus(MemberStatus status, GossipTime now);
     void setConfigRevision(std::uint64_t revision, GossipTime now);
     // Loads of the cells that this daemon owns; published with the next round if changed.
-    void setCellLoads(std::vector<CellLoad> loads);
+    void setCellLoads(const std::vector<CellLoad> &loads);
     // The platform list. Daemons become seeds; runners' leaving marks are set and lifted.
     void setPlatformList(const std::vector<ListedMember> &list, GossipTime now);
     // Sets or lifts one runner's leaving mark.
--- a/packages/mesh/include/auburn/mesh/membership.h
+++ b/packages/mesh/include/auburn/mesh/membership.h
@@ -47,7 +47,7 @@
     void setStatus(MemberStatus status);
     void setConfigRevision(std::uint64_t revision);
     // Loads of all cells that this daemon owns, at any rate; published once per round if changed.
-    void setCellLoads(std::vector<CellLoad> loads);
+    void setCellLoads(const std::vector<CellLoad> &loads);
     void setPlatformList(const std::vector<ListedMember> &list);
     void markLeaving(const std::string &runner, bool leaving);
     // Reports that a peer did not answer.
--- a/packages/mesh/include/auburn/mesh/zmqbus.h
+++ b/packages/mesh/include/auburn/mesh/zmqbus.h
@@ -37,7 +37,7 @@
     // Messages queued for the bus thread, and per connection.
     unsigned sendQueueLimit = 10000;
     unsigned connectionQueueLimit = 1000;
-    std::size_t maxMessageBytes = 4 * 1024 * 1024;
+    std::size_t maxMessageBytes = 4UL * 1024 * 1024;
 };
 
 struct KindTraffic
--- a/packages/mesh/src/gossipcore.cpp
+++ b/packages/mesh/src/gossipcore.cpp
@@ -817,9 +817,10 @@
     sendUrgent();
 }
 
-void GossipCore::setCellLoads(std::vector<CellLoad> loads)
+void GossipCore::setCellLoads(const std::vector<CellLoad> &loads)
 {
     std::vector<proto::CellDigest> digests;
+    digests.reserve(loads.size());
     for (const CellLoad &load : loads)
         digests.push_back(digestOf(load));
     pendingLoads_ = std::move(digests);
--- a/packages/mesh/src/membership.cpp
+++ b/packages/mesh/src/membership.cpp
@@ -80,9 +80,9 @@
         return core_.crashes(fingerprint, currentTime());
     }
 
-    std::atomic<bool> isRelay_{ false };
-    ViewCallback viewCallback_;
-    RevisionCallback revisionCallback_;
+    bool isRelay() const { return isRelay_; }
+    void setViewCallback(ViewCallback callback) { viewCallback_ = std::move(callback); }
+    void setRevisionCallback(RevisionCallback callback) { revisionCallback_ = std::move(callback); }
 
 private:
     struct Results
@@ -101,6 +101,9 @@
 
     MessageBus &bus_;
     PeerDirectory &peers_;
+    ViewCallback viewCallback_;
+    RevisionCallback revisionCallback_;
+    std::atomic<bool> isRelay_{ false };
 
     mutable std::mutex mutex_;
     // Guarded by mutex_.
@@ -268,12 +271,12 @@
 
 void Membership::onViewChange(ViewCallback callback)
 {
-    impl_->viewCallback_ = std::move(callback);
+    impl_->setViewCallback(std::move(callback));
 }
 
 void Membership::onHigherRevision(RevisionCallback callback)
 {
-    impl_->revisionCallback_ = std::move(callback);
+    impl_->setRevisionCallback(std::move(callback));
 }
 
 void Membership::start()
@@ -293,7 +296,7 @@
 
 bool Membership::isRelay() const
 {
-    return impl_->isRelay_;
+    return impl_->isRelay();
 }
 
 void Membership::setStatus(MemberStatus status)
@@ -306,9 +309,9 @@
     impl_->apply([&](GossipCore &core, GossipTime now) { core.setConfigRevision(revision, now); });
 }
 
-void Membership::setCellLoads(std::vector<CellLoad> loads)
+void Membership::setCellLoads(const std::vector<CellLoad> &loads)
 {
-    impl_->apply([&](GossipCore &core, GossipTime) { core.setCellLoads(std::move(loads)); });
+    impl_->apply([&](GossipCore &core, GossipTime) { core.setCellLoads(loads); });
 }
 
 void Membership::setPlatformList(const std::vector<ListedMember> &list)
--- a/packages/mesh/src/placetable.cpp
+++ b/packages/mesh/src/placetable.cpp
@@ -12,7 +12,7 @@
 
 // Bounds what a faulty peer can make this daemon store.
 constexpr std::size_t kMaxPlaces = 64;
-constexpr std::size_t kMaxDigestBytes = 16 * 1024;
+constexpr std::size_t kMaxDigestBytes = 16UL * 1024;
 
 PlaceView viewOf(const PlaceTable::Entry &entry)
 {
--- a/packages/mesh/src/zmqbus.cpp
+++ b/packages/mesh/src/zmqbus.cpp
@@ -115,7 +115,10 @@
     bool send(const std::string &daemonId, proto::Envelope envelope);
     BusCounters counters() const;
 
-    std::array<Handler, kKindLimit> handlers_;
+    void setHandler(std::size_t kind, Handler handler)
+    {
+        handlers_[kind % kKindLimit] = std::move(handler);
+    }
 
 private:
     void run();
@@ -140,6 +143,7 @@
     void maintain();
 
     const ZmqBusOptions options_;
+    std::array<Handler, kKindLimit> handlers_;
     std::vector<std::string> acceptedKeys_;
     zmq::context_t context_;
     int wakeFd_;
@@ -699,7 +703,7 @@
 
 void ZmqBus::setHandler(proto::Envelope::BodyCase kind, Handler handler)
 {
-    impl_->handlers_[static_cast<std::size_t>(kind) % kKindLimit] = std::move(handler);
+    impl_->setHandler(static_cast<std::size_t>(kind), std::move(handler));
 }
 
 BusCounters ZmqBus::counters() const
--- a/packages/mesh/tests/differential_test.cpp
+++ b/packages/mesh/tests/differential_test.cpp
@@ -90,7 +90,7 @@
     void changeSomething()
     {
         const std::vector<std::string> running(naive_.running.begin(), naive_.running.end());
-        const std::string id = running[random_() % running.size()];
+        const std::string &id = running[random_() % running.size()];
         const std::size_t index = indexes_[id];
         NaivePlace::Row &own = naive_.states[id].rows[id];
         switch (random_() % 7) {
