--- a/packages/mesh/include/auburn/mesh/gossipcore.h
+++ b/packages/mesh/include/auburn/mesh/gossipcore.h
@@ -68,7 +68,8 @@
     std::chrono::milliseconds suspicionTimeout{ 3000 };
     // Dead and left members are removed after this time.
     std::chrono::milliseconds forgetAfter{ 60000 };
-    // Interval at which a random member and an endpoint that is not known to be alive are contacted.
+    // Interval at which a random member and an endpoint that is not known to be alive are
+    // contacted.
     std::chrono::milliseconds seedPeriod{ 5000 };
 
     // Digest exchange with each place of the region, and of other regions.
@@ -88,7 +89,7 @@
     unsigned maxCrashMarks = 256;
     unsigned maxMembers = 1024;
     // Limit of one gossip message; what does not fit follows in later rounds.
-    std::size_t maxMessageBytes = 32 * 1024;
+    std::size_t maxMessageBytes = 32UL * 1024;
 };
 
 // A message to send. For an endpoint whose daemon is not known yet, peer is "seed:" + endpoint.
@@ -124,7 +125,7 @@
     void setStatus(MemberStatus status, GossipTime now);
     void setConfigRevision(std::uint64_t revision, GossipTime now);
     // Loads of the cells that this daemon owns; published with the next round if changed.
-    void setCellLoads(std::vector<CellLoad> loads);
+    void setCellLoads(const std::vector<CellLoad> &loads);
     // The platform list. Daemons become seeds; runners' leaving marks are set and lifted.
     void setPlatformList(const std::vector<ListedMember> &list, GossipTime now);
     // Sets or lifts one runner's leaving mark.
@@ -172,6 +173,7 @@
     // Messages inside the place.
     void receiveGossip(const std::string &sender, const proto::Gossip &gossip);
     void push(const MemberRecord &peer);
+    void requestKeys(const std::string &sender);
     void greet(const std::string &endpoint);
     bool mergeRows(const std::string &sender, const std::vector<MemberRow> &rows,
                    std::vector<std::uint32_t> &unknown);
@@ -180,6 +182,7 @@
                     bool senderWasDead);
     void answerReply(const std::string &sender, const proto::Gossip &reply);
     void addNewerRows(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const;
+    void addLoad(proto::Gossip &answer, const MemberRecord &record) const;
     void compareLoads(const std::vector<MemberRow> &peerRows, proto::Gossip &answer) const;
     void addWanted(const proto::Gossip &request, proto::Gossip &answer) const;
     void addMarks(proto::Gossip &message, std::uint64_t peerDigest) const;
--- a/packages/mesh/src/zmqbus.cpp
+++ b/packages/mesh/src/zmqbus.cpp
@@ -115,7 +115,10 @@
     bool send(const std::string &daemonId, proto::Envelope envelope);
     BusCounters counters() const;
 
-    std::array<Handler, kKindLimit> handlers_;
+    void setHandler(std::size_t kind, Handler handler)
+    {
+        handlers_[kind % kKindLimit] = std::move(handler);
+    }
 
 private:
     void run();
@@ -140,6 +143,7 @@
     void maintain();
 
     const ZmqBusOptions options_;
+    std::array<Handler, kKindLimit> handlers_;
     std::vector<std::string> acceptedKeys_;
     zmq::context_t context_;
     int wakeFd_;
@@ -586,8 +590,11 @@
         std::uint16_t code = 0;
         if (event.size() >= sizeof(code))
             std::copy_n(event.data<char>(), sizeof(code), reinterpret_cast<char *>(&code));
-        peer.connection->established = code == ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
-        if (!peer.connection->established)
+        const bool wasEstablished = std::exchange(peer.connection->established,
+                                                  code == ZMQ_EVENT_HANDSHAKE_SUCCEEDED);
+        // libzmq reconnects by itself; the time allowed for it starts when the connection is lost,
+        // and not again with each failed attempt.
+        if (wasEstablished && !peer.connection->established)
             peer.connection->openedAt = Clock::now();
     }
 }
@@ -696,7 +703,7 @@
 
 void ZmqBus::setHandler(proto::Envelope::BodyCase kind, Handler handler)
 {
-    impl_->handlers_[static_cast<std::size_t>(kind) % kKindLimit] = std::move(handler);
+    impl_->setHandler(static_cast<std::size_t>(kind), std::move(handler));
 }
 
 BusCounters ZmqBus::counters() const
