Share unchanged items between configuration states

The whole state was copied for each change. ItemIndex is a two-level hash table with copy on write; the fold and all states share what did not change. The differential test checks that held states stay as they were. items() is built on demand; visitItems() and itemCount() avoid it.

--- a/packages/config/bench/config_bench.cpp
+++ b/packages/config/bench/config_bench.cpp
@@ -1,5 +1,6 @@
 // Measures fold time, memory, snapshot size and the transfer of the state to a booting peer, for
-// deployments of different size. Prints one line of key=value pairs for each size.
+// deployments of different size. Prints one line of key=value pairs for each size; times are
+// processor time.
 //
 // The transfer runs between two followers over a bus in memory that serialises and parses every
 // envelope, so it leaves out encryption and the network.
@@ -16,6 +17,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <functional>
 #include <malloc.h>
 #include <map>
@@ -28,12 +30,18 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
-double microsecondsSince(Clock::time_point start)
+// Processor time of this process, which neighbours on a shared machine disturb less than wall time.
+class Stopwatch
 {
-    return std::chrono::duration<double, std::micro>(Clock::now() - start).count();
-}
+public:
+    double microseconds() const
+    {
+        return static_cast<double>(std::clock() - start_) * 1e6 / CLOCKS_PER_SEC;
+    }
+
+private:
+    std::clock_t start_ = std::clock();
+};
 
 // Bytes in use on the heap.
 std::size_t heapInUse()
@@ -93,13 +101,13 @@
         changes.push_back(changeTo(Organisation{ .name = name }, 0, 1000000 + i));
     }
     auto held = fold.state();
-    const auto start = Clock::now();
+    const Stopwatch watch;
     for (const proto::ConfigChange &change : changes) {
         fold.fold(fold.revision() + 1, change);
         // The old state goes away when the new one is in place, as in the store.
         held = fold.state();
     }
-    return microsecondsSince(start) / count;
+    return watch.microseconds() / count;
 }
 
 // Delivers the envelopes of all daemons in turn, on the main thread.
@@ -199,10 +207,10 @@
     runUntil([&]() { return peerStore.revision() == changes.size(); });
     const auto daemon = ConfigFollower::make({}, log, daemonBus, daemonStore);
     daemon->start();
-    const auto start = Clock::now();
+    const Stopwatch watch;
     daemon->onPeerRevision("peer", peerStore.revision());
     runUntil([&]() { return daemonStore.revision() == changes.size(); });
-    return { microsecondsSince(start), network.bytes, network.messages };
+    return { watch.microseconds(), network.bytes, network.messages };
 }
 
 void measure(unsigned organisations)
@@ -210,25 +218,25 @@
     const auto changes = deployment(organisations);
     const std::size_t heapBefore = heapInUse();
     ConfigFold fold;
-    auto start = Clock::now();
+    Stopwatch watch;
     for (const proto::ConfigChange &change : changes)
         fold.fold(fold.revision() + 1, change);
-    const double foldTime = microsecondsSince(start);
+    const double foldTime = watch.microseconds();
     const std::size_t foldHeap = heapInUse() - heapBefore;
-    start = Clock::now();
+    watch = Stopwatch();
     auto state = fold.state();
-    const double stateTime = microsecondsSince(start);
+    const double stateTime = watch.microseconds();
     const std::size_t bothHeap = heapInUse() - heapBefore;
     state.reset();
-    start = Clock::now();
+    watch = Stopwatch();
     const auto chunks = fold.chunks("bench", 64UL * 1024);
-    const double chunkTime = microsecondsSince(start);
+    const double chunkTime = watch.microseconds();
     std::size_t snapshotBytes = 0;
     for (const proto::ConfigChunk &chunk : chunks)
         snapshotBytes += chunk.ByteSizeLong();
-    start = Clock::now();
+    watch = Stopwatch();
     auto loaded = ConfigFold::fromChunks(chunks);
-    const double loadTime = microsecondsSince(start);
+    const double loadTime = watch.microseconds();
     loaded.reset();
     const double changeTime = microsecondsPerChange(fold, 200);
     const Transfer transfer = measureTransfer(changes);
--- a/packages/config/src/configfold.cpp
+++ b/packages/config/src/configfold.cpp
@@ -233,8 +233,8 @@
     header.set_snapshot_id(snapshotId);
     header.set_upto_offset(revision_);
     ChunkSplitter splitter(maxBytes, header);
-    items_->visitAll([&splitter](const Item &item) {
-        proto::ConfigItem message = itemToProto(item);
+    items_->visitAll([&splitter](const ItemPtr &item) {
+        proto::ConfigItem message = itemToProto(*item);
         *splitter.chunkFor(message.ByteSizeLong()).add_items() = std::move(message);
     });
     for (const std::string &id : recentIds_)
--- a/packages/config/src/configstate.cpp
+++ b/packages/config/src/configstate.cpp
@@ -1,198 +1,44 @@
 #include "auburn/config/configstate.h"
 
-#include "auburn/core/lasterror.h"
-
-#include <array>
 #include <utility>
 
 namespace auburn {
 
-namespace {
-
-constexpr std::array<std::string_view, 5> kKindNames{ "service", "class", "organisation", "caller",
-                                                      "runner" };
-
-struct ToProto
+std::shared_ptr<const ConfigState> ConfigState::make(const ItemMap &items, std::uint64_t revision)
 {
-    proto::ConfigItem &message;
-
-    void operator()(const Service &value) const
-    {
-        message.set_name(value.name);
-        proto::ServiceItem *item = message.mutable_service();
-        item->set_kind(value.kind == ServiceKind::Engine ? proto::SERVICE_KIND_ENGINE
-                                                         : proto::SERVICE_KIND_PLAIN);
-        item->set_non_idempotent(value.nonIdempotent);
-        item->set_checks_fencing(value.checksFencing);
-        item->set_idle_timeout_ms(static_cast<std::uint64_t>(value.idleTimeout.count()));
-        item->set_request_timeout_ms(static_cast<std::uint64_t>(value.requestTimeout.count()));
-    }
-
-    void operator()(const RequestClass &value) const
-    {
-        message.set_name(value.name);
-        proto::ClassItem *item = message.mutable_class_item();
-        item->set_tier(value.tier);
-        item->set_target_first_token_ms(static_cast<std::uint64_t>(value.targetFirstToken.count()));
-        item->set_target_token_gap_ms(static_cast<std::uint64_t>(value.targetTokenGap.count()));
-    }
-
-    void operator()(const Organisation &value) const
-    {
-        message.set_name(value.name);
-        proto::OrganisationItem *item = message.mutable_organisation();
-        item->set_max_concurrent(value.maxConcurrent);
-        item->set_suspended(value.suspended);
-    }
-
-    void operator()(const Caller &value) const
-    {
-        message.set_name(value.name);
-        proto::CallerItem *item = message.mutable_caller();
-        item->set_organisation(value.organisation);
-        item->set_class_name(value.className);
-        item->set_token_sha256(value.tokenSha256);
-        item->set_revoked(value.revoked);
-    }
-
-    void operator()(const Runner &value) const
-    {
-        message.set_name(value.name);
-        proto::RunnerItem *item = message.mutable_runner();
-        item->set_service(value.service);
-        item->set_place(value.place);
-        item->set_address(value.address);
-        item->set_slots(value.slots);
-        item->set_draining(value.draining);
-    }
-};
-
-ItemValue valueFrom(const std::string &name, const proto::ServiceItem &item)
-{
-    return Service{
-        .name = name,
-        .kind = item.kind() == proto::SERVICE_KIND_PLAIN ? ServiceKind::Plain : ServiceKind::Engine,
-        .nonIdempotent = item.non_idempotent(),
-        .checksFencing = item.checks_fencing(),
-        .idleTimeout = std::chrono::milliseconds(item.idle_timeout_ms()),
-        .requestTimeout = std::chrono::milliseconds(item.request_timeout_ms()),
-    };
+    ItemIndex index;
+    for (const auto &entry : items)
+        index.put(entry.second);
+    return fromIndex(std::move(index), revision);
 }
 
-ItemValue valueFrom(const std::string &name, const proto::ClassItem &item)
-{
-    return RequestClass{
-        .name = name,
-        .tier = item.tier(),
-        .targetFirstToken = std::chrono::milliseconds(item.target_first_token_ms()),
-        .targetTokenGap = std::chrono::milliseconds(item.target_token_gap_ms()),
-    };
-}
-
-ItemValue valueFrom(const std::string &name, const proto::OrganisationItem &item)
-{
-    return Organisation{ .name = name,
-                         .maxConcurrent = item.max_concurrent(),
-                         .suspended = item.suspended() };
-}
-
-ItemValue valueFrom(const std::string &name, const proto::CallerItem &item)
-{
-    return Caller{ .name = name,
-                   .organisation = item.organisation(),
-                   .className = item.class_name(),
-                   .tokenSha256 = item.token_sha256(),
-                   .revoked = item.revoked() };
-}
-
-ItemValue valueFrom(const std::string &name, const proto::RunnerItem &item)
-{
-    return Runner{ .name = name,
-                   .service = item.service(),
-                   .place = item.place(),
-                   .address = item.address(),
-                   .slots = item.slots(),
-                   .draining = item.draining() };
-}
-
-} // namespace
-
-std::string_view itemKindName(ItemKind kind)
+std::shared_ptr<const ConfigState> ConfigState::fromIndex(ItemIndex index, std::uint64_t revision)
 {
-    return kKindNames[static_cast<std::size_t>(kind)];
+    return std::shared_ptr<const ConfigState>(new ConfigState(std::move(index), revision));
 }
 
-std::optional<ItemKind> itemKindFromName(std::string_view name)
-{
-    for (std::size_t i = 0; i < kKindNames.size(); ++i) {
-        if (kKindNames[i] == name)
-            return static_cast<ItemKind>(i);
-    }
-    return std::nullopt;
-}
-
-ItemKey keyOf(const ItemValue &value)
-{
-    return ItemKey{ .kind = static_cast<ItemKind>(value.index()),
-                    .name = std::visit([](const auto &item) { return item.name; }, value) };
-}
-
-std::optional<Item> itemFromProto(const proto::ConfigItem &message)
-{
-    const std::string &name = message.name();
-    switch (message.value_case()) {
-    case proto::ConfigItem::kService:
-        return Item{ valueFrom(name, message.service()), message.revision() };
-    case proto::ConfigItem::kClassItem:
-        return Item{ valueFrom(name, message.class_item()), message.revision() };
-    case proto::ConfigItem::kOrganisation:
-        return Item{ valueFrom(name, message.organisation()), message.revision() };
-    case proto::ConfigItem::kCaller:
-        return Item{ valueFrom(name, message.caller()), message.revision() };
-    case proto::ConfigItem::kRunner:
-        return Item{ valueFrom(name, message.runner()), message.revision() };
-    case proto::ConfigItem::VALUE_NOT_SET:
-        break;
-    }
-    setLastError("configuration item '" + name + "' has no value");
-    return std::nullopt;
-}
-
-proto::ConfigItem itemToProto(const Item &item)
-{
-    proto::ConfigItem message;
-    message.set_revision(item.revision);
-    std::visit(ToProto{ message }, item.value);
-    return message;
-}
-
-std::shared_ptr<const ConfigState> ConfigState::make(ItemMap items, std::uint64_t revision)
-{
-    return std::shared_ptr<const ConfigState>(new ConfigState(std::move(items), revision));
-}
-
-ConfigState::ConfigState(ItemMap items, std::uint64_t revision)
-    : items_(std::move(items))
+ConfigState::ConfigState(ItemIndex index, std::uint64_t revision)
+    : index_(std::move(index))
     , revision_(revision)
+{}
+
+const ConfigState::ItemMap &ConfigState::items() const
 {
-    for (const auto &[key, item] : items_) {
-        if (const auto *caller = std::get_if<Caller>(&item->value))
-            callersByToken_.emplace(caller->tokenSha256, caller);
-        if (const auto *runner = std::get_if<Runner>(&item->value))
-            runnersByPool_[{ runner->service, runner->place }].push_back(runner);
-    }
+    std::call_once(itemsBuilt_, [this]() {
+        index_.visitAll([this](const ItemPtr &item) { items_.emplace(keyOf(item->value), item); });
+    });
+    return items_;
 }
 
 const Item *ConfigState::find(const ItemKey &key) const
 {
-    const auto found = items_.find(key);
-    return found == items_.end() ? nullptr : found->second.get();
+    return index_.find({ .kind = key.kind, .name = key.name });
 }
 
 template<typename Value>
 const Value *ConfigState::findValue(ItemKind kind, const std::string &name) const
 {
-    const Item *item = find(ItemKey{ .kind = kind, .name = name });
+    const Item *item = index_.find({ .kind = kind, .name = name });
     return item ? std::get_if<Value>(&item->value) : nullptr;
 }
 
@@ -218,25 +64,18 @@
 
 const Caller *ConfigState::callerByToken(const std::string &tokenSha256) const
 {
-    const auto found = callersByToken_.find(tokenSha256);
-    return found == callersByToken_.end() ? nullptr : found->second;
+    return index_.callerByToken(tokenSha256);
 }
 
 std::vector<const Runner *> ConfigState::runners(const std::string &service,
                                                  const std::string &place) const
 {
-    const auto found = runnersByPool_.find({ service, place });
-    return found == runnersByPool_.end() ? std::vector<const Runner *>() : found->second;
+    return index_.runners(service, place);
 }
 
 std::vector<const Service *> ConfigState::services() const
 {
-    std::vector<const Service *> result;
-    for (const auto &[key, item] : items_) {
-        if (const auto *service = std::get_if<Service>(&item->value))
-            result.push_back(service);
-    }
-    return result;
+    return index_.services();
 }
 
 } // namespace auburn
--- a/packages/config/src/itemtable.cpp
+++ b/packages/config/src/itemtable.cpp
@@ -27,46 +27,39 @@
 
 const Item *ItemTable::find(const ItemKey &key) const
 {
-    const auto found = items_.find(key);
-    return found == items_.end() ? nullptr : found->second.get();
+    return index_.find({ .kind = key.kind, .name = key.name });
 }
 
 void ItemTable::put(Item item)
 {
-    ItemKey key = keyOf(item.value);
-    auto &slot = items_[std::move(key)];
-    if (slot)
-        unlink(slot->value);
-    link(item.value);
-    slot = std::make_shared<const Item>(std::move(item));
+    if (const Item *previous = index_.find(ByKey::keyOf(item)))
+        discountUsers(previous->value);
+    countUsers(item.value);
+    index_.put(std::make_shared<const Item>(std::move(item)));
 }
 
 void ItemTable::erase(const ItemKey &key)
 {
-    const auto found = items_.find(key);
-    if (found == items_.end())
+    const Item *item = find(key);
+    if (!item)
         return;
-    unlink(found->second->value);
-    items_.erase(found);
+    discountUsers(item->value);
+    index_.erase({ .kind = key.kind, .name = key.name });
 }
 
-void ItemTable::link(const ItemValue &value)
+void ItemTable::countUsers(const ItemValue &value)
 {
     for (const ItemKey &key : referencesOf(value))
         ++users_[key];
-    if (const auto *caller = std::get_if<Caller>(&value))
-        callerByToken_[caller->tokenSha256] = caller->name;
 }
 
-void ItemTable::unlink(const ItemValue &value)
+void ItemTable::discountUsers(const ItemValue &value)
 {
     for (const ItemKey &key : referencesOf(value)) {
         const auto found = users_.find(key);
         if (--found->second == 0)
             users_.erase(found);
     }
-    if (const auto *caller = std::get_if<Caller>(&value))
-        callerByToken_.erase(caller->tokenSha256);
 }
 
 std::optional<std::string> ItemTable::putFault(const ItemValue &value) const
@@ -76,9 +69,9 @@
             return describe(key) + " does not exist";
     }
     if (const auto *caller = std::get_if<Caller>(&value)) {
-        const auto found = callerByToken_.find(caller->tokenSha256);
-        if (found != callerByToken_.end() && found->second != caller->name)
-            return "token is already in use by caller '" + found->second + "'";
+        const Caller *holder = index_.callerByToken(caller->tokenSha256);
+        if (holder && holder->name != caller->name)
+            return "token is already in use by caller '" + holder->name + "'";
     }
     return std::nullopt;
 }
@@ -93,7 +86,7 @@
 
 std::shared_ptr<const ConfigState> ItemTable::snapshot(std::uint64_t revision) const
 {
-    return ConfigState::make(items_, revision);
+    return ConfigState::fromIndex(index_, revision);
 }
 
 } // namespace auburn
--- a/packages/config/src/itemtable.h
+++ b/packages/config/src/itemtable.h
@@ -5,10 +5,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace auburn {
@@ -28,22 +28,20 @@
 
     std::shared_ptr<const ConfigState> snapshot(std::uint64_t revision) const;
 
-    // Calls visit(item) for all items, sorted by key.
+    // Calls visit(ItemPtr) for all items; the order depends only on their keys.
     template<typename Visitor>
     void visitAll(Visitor visit) const
     {
-        for (const auto &entry : items_)
-            visit(*entry.second);
+        index_.visitAll(visit);
     }
 
 private:
-    void link(const ItemValue &value);
-    void unlink(const ItemValue &value);
+    void countUsers(const ItemValue &value);
+    void discountUsers(const ItemValue &value);
 
-    ConfigState::ItemMap items_;
+    ItemIndex index_;
     // Number of items that refer to a service, class or organisation; without zeros.
     std::map<ItemKey, std::size_t> users_;
-    std::unordered_map<std::string, std::string> callerByToken_;
 };
 
 } // namespace auburn
--- a/packages/config/tests/foldmodel_test.cpp
+++ b/packages/config/tests/foldmodel_test.cpp
@@ -10,8 +10,12 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace auburn {
 
@@ -19,6 +23,29 @@
 
 namespace {
 
+std::string tokenOf(std::size_t number)
+{
+    return sha256Hex("t" + std::to_string(number));
+}
+
+// Everything that a state answers, in a form that can be compared.
+std::string imageOf(const ConfigState &state)
+{
+    std::string image = std::to_string(state.itemCount());
+    state.visitItems([&image](const ItemPtr &item) { image += itemToProto(*item).DebugString(); });
+    for (const Service *service : state.services())
+        image += service->name + " ";
+    for (const char *service : { "n0", "n1", "n2", "n3" }) {
+        for (const Runner *found : state.runners(service, "p1"))
+            image += service + found->name + " ";
+    }
+    for (std::size_t i = 0; i < 5; ++i) {
+        const Caller *found = state.callerByToken(tokenOf(i));
+        image += found ? found->name + "/" + found->className + " " : "-";
+    }
+    return image;
+}
+
 // Random records on a log. Snapshots are written by readers that may lag far behind.
 class RandomLog
 {
@@ -49,6 +76,8 @@
     std::vector<FoldedChange> folded;
     FoldModel model;
     ConfigFold fold;
+    // States that readers took on the way, with what they looked like then.
+    std::vector<std::pair<std::shared_ptr<const ConfigState>, std::string>> heldStates;
 
 private:
     ItemValue randomValue()
@@ -64,7 +93,7 @@
         case 3: {
             Caller value = caller(name, "n" + std::to_string(below(4)),
                                   "n" + std::to_string(below(4)));
-            value.tokenSha256 = sha256Hex("t" + std::to_string(below(5)));
+            value.tokenSha256 = tokenOf(below(5));
             return value;
         }
         default: {
@@ -95,6 +124,8 @@
         if (below(40) == 0)
             records.push_back(LogRecord{ .offset = records.size(), .data = "\xff not a record" });
         fold.advance(records.size() - 1);
+        if (below(20) == 0)
+            heldStates.emplace_back(fold.state(), imageOf(*fold.state()));
     }
 
     void addRecord(const proto::ConfigChange &message)
@@ -227,19 +258,27 @@
             names += found->name + " ";
         BOOST_REQUIRE(names == runnersInPlace[service]);
     }
-    for (int i = 0; i < 5; ++i) {
-        const Caller *found = state->callerByToken(sha256Hex("t" + std::to_string(i)));
+    for (std::size_t i = 0; i < 5; ++i) {
+        const Caller *found = state->callerByToken(tokenOf(i));
         if (found)
             BOOST_REQUIRE(state->find({ ItemKind::Caller, found->name }));
     }
 }
 
+// Later changes must not show in a state that a reader still holds.
+void checkHeldStates(const RandomLog &log)
+{
+    for (const auto &[state, image] : log.heldStates)
+        BOOST_REQUIRE(imageOf(*state) == image);
+}
+
 void check(unsigned seed, std::size_t changes)
 {
     BOOST_TEST_CONTEXT("seed " << seed)
     {
         RandomLog log(seed, changes);
         checkAgainstModel(log);
+        checkHeldStates(log);
         for (int i = 0; i < 8; ++i)
             checkBootstrap(log);
         checkPulls(log);
