Observe requests in tests; count only lost connections as crashes

A 5xx answer or a silent runner reported the request's fingerprint as one that crashes runners; now only a connection that broke after the request was sent does. The cancel call's event object kept itself alive and leaked at shutdown (address sanitizer). The deadline test raced with the withdrawal, which follows the answer; it now waits for it.

--- a/packages/relay/bench/relaybench.cpp
+++ b/packages/relay/bench/relaybench.cpp
@@ -16,10 +16,12 @@
 #include <tclap/CmdLine.h>
 
 #include <atomic>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <memory>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace {
@@ -139,15 +141,41 @@
     return total;
 }
 
-void printLine(const std::string &path, const Settings &settings, LoadResult &result, double cpu)
+// Time that all threads but the calling one, which is the load client, were ready to run and waited
+// for a processor. It shows how much other load on the machine adds to the latencies.
+double waitSeconds()
+{
+    double total = 0;
+    const std::string self = std::to_string(::gettid());
+    for (const auto &entry : std::filesystem::directory_iterator("/proc/self/task")) {
+        if (entry.path().filename() == self)
+            continue;
+        std::ifstream file(entry.path() / "schedstat");
+        double running = 0;
+        double waiting = 0;
+        if (file >> running >> waiting)
+            total += waiting * 1e-9;
+    }
+    return total;
+}
+
+struct RelayTimes
+{
+    double cpu = 0;
+    double waited = 0;
+};
+
+void printLine(const std::string &path, const Settings &settings, LoadResult &result,
+               const RelayTimes &times)
 {
     std::cout << path << ',' << settings.load.streams << ',' << result.tokens << ','
               << static_cast<std::uint64_t>(static_cast<double>(result.tokens) / result.seconds)
               << ',' << result.failures << ',' << percentile(result.firstTokenUs, 0.5) << ','
               << percentile(result.firstTokenUs, 0.95) << ',' << percentile(result.gapUs, 0.5)
-              << ',' << percentile(result.gapUs, 0.95) << ',' << cpu << ',';
-    if (cpu > 0)
-        std::cout << static_cast<std::uint64_t>(static_cast<double>(result.tokens) / cpu);
+              << ',' << percentile(result.gapUs, 0.95) << ',' << times.cpu << ',' << times.waited
+              << ',';
+    if (times.cpu > 0)
+        std::cout << static_cast<std::uint64_t>(static_cast<double>(result.tokens) / times.cpu);
     std::cout << ',' << residentKilobytes("VmHWM:") << std::endl;
 }
 
@@ -170,20 +198,22 @@
     }
     LoadResult direct;
     LoadResult relayed;
-    double cpu = 0;
+    RelayTimes times;
     for (unsigned round = 0; round < settings.rounds; ++round) {
         LoadOptions load = settings.load;
         load.addresses = engines;
         direct.add(runLoad(load));
         load.addresses = { "127.0.0.1:" + std::to_string(server->port()) };
-        const double before = cpuSeconds(*server);
+        const double cpuBefore = cpuSeconds(*server);
+        const double waitBefore = waitSeconds();
         relayed.add(runLoad(load));
-        cpu += cpuSeconds(*server) - before;
+        times.cpu += cpuSeconds(*server) - cpuBefore;
+        times.waited += waitSeconds() - waitBefore;
     }
     std::cout << "path,streams,tokens,tokens_per_s,failures,first_token_p50_us,first_token_p95_us,"
-                 "gap_p50_us,gap_p95_us,relay_cpu_s,tokens_per_cpu_s,peak_rss_kb\n";
-    printLine("direct", settings, direct, 0);
-    printLine("relay", settings, relayed, cpu);
+                 "gap_p50_us,gap_p95_us,relay_cpu_s,relay_wait_s,tokens_per_cpu_s,peak_rss_kb\n";
+    printLine("direct", settings, direct, {});
+    printLine("relay", settings, relayed, times);
     const auto added = [&](std::vector<std::uint32_t> &with, std::vector<std::uint32_t> &without,
                            double share) {
         return static_cast<std::int64_t>(percentile(with, share)) - percentile(without, share);
@@ -191,7 +221,7 @@
     std::cout << "added,,,,," << added(relayed.firstTokenUs, direct.firstTokenUs, 0.5) << ','
               << added(relayed.firstTokenUs, direct.firstTokenUs, 0.95) << ','
               << added(relayed.gapUs, direct.gapUs, 0.5) << ','
-              << added(relayed.gapUs, direct.gapUs, 0.95) << ",,," << std::endl;
+              << added(relayed.gapUs, direct.gapUs, 0.95) << ",,,," << std::endl;
     process.kill();
     process.waitForFinished();
     return relayed.failures + direct.failures == 0 ? 0 : 3;
--- a/packages/relay/src/relaysession.cpp
+++ b/packages/relay/src/relaysession.cpp
@@ -244,7 +244,9 @@
         report.tokenGap = std::chrono::duration_cast<std::chrono::microseconds>(lastTokenAt_
                                                                                 - firstTokenAt_)
                           / (attemptTokens_ - 1);
-    if (outcome == SlotOutcome::Failed)
+    // The fingerprint accuses the request of a crash, so a runner that is silent or answers with an
+    // error does not count.
+    if (outcome == SlotOutcome::Failed && attemptCrashed_)
         report.fingerprint = request_.fingerprint;
     worker_.shared.options.slots->release(*slot_, report);
     slot_.reset();
@@ -257,6 +259,7 @@
     ++attempt_;
     attemptId_ = request_.id + "-" + std::to_string(attempt_);
     attemptSent_ = false;
+    attemptCrashed_ = false;
     attemptTokens_ = 0;
     attemptOpen_ = true;
     dispatched_ = Clock::now();
@@ -474,6 +477,9 @@
 {
     attemptSent_ = attemptSent_ || result.verdict != Verdict::DidNotRun;
     verdict_ = mergeVerdicts(verdict_, result.verdict);
+    const bool ownDecision = runnerSentError_ || sequenceBroken_ || bodyTooLarge_;
+    const bool lost = result.end == CallEnd::Broken || result.end == CallEnd::ConnectFailed;
+    attemptCrashed_ = attemptSent_ && lost && !ownDecision;
     call_->close();
     call_.reset();
     logEvent(LogLevel::Info, "attempt_failed",
--- a/packages/relay/src/relaysession.h
+++ b/packages/relay/src/relaysession.h
@@ -107,6 +107,8 @@
     unsigned lapsedGrants_ = 0;
     // Bytes of this attempt reached the runner, possibly over an earlier connection.
     bool attemptSent_ = false;
+    // The runner's connection broke after that.
+    bool attemptCrashed_ = false;
     bool attemptOpen_ = false;
     Clock::time_point dispatched_;
     Clock::time_point firstTokenAt_;
--- a/packages/relay/src/runnercall.cpp
+++ b/packages/relay/src/runnercall.cpp
@@ -56,10 +56,10 @@
 
 } // namespace
 
-RunnerCall::RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents &events)
+RunnerCall::RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents *events)
     : client_(client)
     , dial_(std::move(dial))
-    , events_(&events)
+    , events_(events)
     , deadline_(client.context_, [this] { timedOut(); })
 {
     parser_.eager(true);
--- a/packages/relay/src/runnercall.h
+++ b/packages/relay/src/runnercall.h
@@ -16,7 +16,8 @@
 class RunnerCall : public std::enable_shared_from_this<RunnerCall>
 {
 public:
-    RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents &events);
+    // Without events the answer is read and ignored.
+    RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents *events);
 
     void start();
     // Ends the call without further events and closes its connection, which interrupts a runner
--- a/packages/relay/src/runnerclient.cpp
+++ b/packages/relay/src/runnerclient.cpp
@@ -8,19 +8,6 @@
 
 namespace {
 
-// Keeps a notification alive until it ends.
-class Notification final : public CallEvents
-{
-public:
-    void callHead(const Header & /*header*/) override {}
-    void callData(const std::vector<std::string_view> & /*data*/) override {}
-    void callEnded(const CallResult & /*result*/) override { self_.reset(); }
-    void keep(std::shared_ptr<Notification> self) { self_ = std::move(self); }
-
-private:
-    std::shared_ptr<Notification> self_;
-};
-
 // True if the peer has neither closed the connection nor sent anything on it.
 bool isQuiet(boost::asio::ip::tcp::socket &socket)
 {
@@ -43,17 +30,15 @@
 
 std::shared_ptr<RunnerCall> RunnerClient::call(RunnerDial dial, CallEvents &events)
 {
-    auto call = std::make_shared<RunnerCall>(*this, std::move(dial), events);
+    auto call = std::make_shared<RunnerCall>(*this, std::move(dial), &events);
     call->start();
     return call;
 }
 
 void RunnerClient::notify(const std::string &address, RunnerMessage message)
 {
-    auto events = std::make_shared<Notification>();
-    events->keep(events);
-    call(RunnerDial{ .address = address, .message = std::move(message), .freshConnection = true },
-         *events);
+    RunnerDial dial{ .address = address, .message = std::move(message), .freshConnection = true };
+    std::make_shared<RunnerCall>(*this, std::move(dial), nullptr)->start();
 }
 
 void RunnerClient::shutDown()
--- a/packages/relay/tests/attempts_test.cpp
+++ b/packages/relay/tests/attempts_test.cpp
@@ -113,6 +113,8 @@
     serve();
     checkWholeAnswer(exchange(chatRequest("hello", false, 5)), "hello", 5);
     checkSlotsReleased();
+    // A frozen runner is not evidence that the request crashes runners.
+    BOOST_TEST(slots.released()[0].report.fingerprint == 0U);
 }
 
 // Guards against a pooled connection that went silent or was closed being used for the next
@@ -159,6 +161,29 @@
     checkWholeAnswer(exchange(chatRequest("hello", false, 5)), "hello", 5);
 }
 
+// Guards against spans and counters that miss or repeat a step.
+BOOST_AUTO_TEST_CASE(observer_retriedClaimedRequest_seesEveryStep)
+{
+    addService("s1");
+    addService("s2");
+    controlService(0, { { "action", "crash" } });
+    serve();
+    BOOST_TEST(exchange(pay()).status == 200);
+    BOOST_TEST(waitFor([this] { return observer.ends().size() == 1; }));
+    const std::vector<std::string> expected{
+        "received",      "claimBegin", "won",     "queueBegin", "granted",         "attempt:s1",
+        "attemptFailed", "queueBegin", "granted", "attempt:s2", "attemptComplete",
+    };
+    const auto events = observer.events();
+    BOOST_TEST(events == expected, boost::test_tools::per_element());
+    const RequestEnd end = observer.ends()[0];
+    BOOST_TEST(end.complete);
+    BOOST_TEST(end.httpStatus == 200);
+    BOOST_TEST(end.attempts == 2U);
+    BOOST_TEST(end.bytesToCaller > 0U);
+    BOOST_CHECK(end.verdict == Verdict::Ran);
+}
+
 // Guards against plain services losing path, query, method or body on the way.
 BOOST_AUTO_TEST_CASE(service_plainCall_passedThrough)
 {
@@ -250,8 +275,7 @@
     client.send(pay());
     BOOST_TEST(waitFor([this] { return claims.held() == 1; }));
     client.close();
-    // The session ends only with the claim's answer; the observer would see its end before.
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    BOOST_TEST(waitFor([this] { return observer.ends().size() == 1; }));
     claims.answerHeld();
     checkClaims({ ClaimEnd::Released });
     BOOST_TEST(waitFor([this] { return server->inFlight() == 0; }));
@@ -283,7 +307,8 @@
     BOOST_TEST(response.status == 504);
     BOOST_TEST(response.errorCode() == "deadline_exceeded");
     BOOST_TEST(response.fields.at("Auburn-Verdict") == "did-not-run");
-    BOOST_TEST(slots.cancelled() == 1U);
+    // The answer is sent before the request is withdrawn.
+    BOOST_TEST(waitFor([this] { return slots.cancelled() == 1; }));
 }
 
 // Guards against one organisation taking more than its share, and against a count that is not given
--- a/packages/relay/tests/relayfixture.cpp
+++ b/packages/relay/tests/relayfixture.cpp
@@ -171,6 +171,77 @@
     return held_.size();
 }
 
+namespace {
+
+class FakeTrace final : public RequestTrace
+{
+public:
+    explicit FakeTrace(FakeObserver &observer)
+        : observer_(observer)
+    {}
+
+    std::string traceparent() const override { return "parent"; }
+    void queueBegin() override { observer_.add("queueBegin"); }
+    void queueEnd(bool granted) override { observer_.add(granted ? "granted" : "notGranted"); }
+    void claimBegin() override { observer_.add("claimBegin"); }
+    void claimEnd(bool won) override { observer_.add(won ? "won" : "lost"); }
+    std::string attemptBegin(const std::string &runner, unsigned /*number*/) override
+    {
+        observer_.add("attempt:" + runner);
+        return "attempt-parent";
+    }
+    void firstToken(std::chrono::microseconds /*sinceReceived*/) override
+    {
+        observer_.add("firstToken");
+    }
+    void tokenGap(std::chrono::microseconds /*gap*/) override {}
+    void attemptEnd(const AttemptEnd &end) override
+    {
+        observer_.add(end.complete ? "attemptComplete" : "attemptFailed");
+    }
+    void end(const RequestEnd &end) override { observer_.addEnd(end); }
+
+private:
+    FakeObserver &observer_;
+};
+
+} // namespace
+
+std::unique_ptr<RequestTrace> FakeObserver::received(const RelayRequest & /*request*/)
+{
+    add("received");
+    return std::make_unique<FakeTrace>(*this);
+}
+
+void FakeObserver::rejected(const Refusal &refusal)
+{
+    add("rejected:" + std::string(refusalCodeName(refusal.code)));
+}
+
+void FakeObserver::add(const std::string &event)
+{
+    const std::lock_guard lock(mutex_);
+    events_.push_back(event);
+}
+
+void FakeObserver::addEnd(const RequestEnd &end)
+{
+    const std::lock_guard lock(mutex_);
+    ends_.push_back(end);
+}
+
+std::vector<std::string> FakeObserver::events() const
+{
+    const std::lock_guard lock(mutex_);
+    return events_;
+}
+
+std::vector<RequestEnd> FakeObserver::ends() const
+{
+    const std::lock_guard lock(mutex_);
+    return ends_;
+}
+
 StandinThread::StandinThread()
     : work_(asio::make_work_guard(context_))
     , thread_([this] { context_.run(); })
@@ -358,6 +429,7 @@
 {
     options.slots = &slots;
     options.claims = &claims;
+    options.observer = &observer;
 }
 
 RelayFixture::~RelayFixture()
--- a/packages/relay/tests/relayfixture.h
+++ b/packages/relay/tests/relayfixture.h
@@ -7,6 +7,7 @@
 
 #include "auburn/claims/claimsource.h"
 #include "auburn/relay/callerserver.h"
+#include "auburn/relay/requestobserver.h"
 #include "auburn/schedule/slotsource.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -90,6 +91,24 @@
     std::vector<ClaimEnd> finished_;
 };
 
+// Records the events of all requests as words.
+class FakeObserver final : public RequestObserver
+{
+public:
+    std::unique_ptr<RequestTrace> received(const RelayRequest &request) override;
+    void rejected(const Refusal &refusal) override;
+
+    void add(const std::string &event);
+    std::vector<std::string> events() const;
+    std::vector<RequestEnd> ends() const;
+    void addEnd(const RequestEnd &end);
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<std::string> events_;
+    std::vector<RequestEnd> ends_;
+};
+
 // An io_context with its own thread for stand-ins.
 class StandinThread
 {
@@ -200,6 +219,7 @@
 
     FakeSlots slots;
     FakeClaims claims;
+    FakeObserver observer;
     ConfigState::ItemMap items = testItems();
     CallerServer::Options options;
     StandinThread standins;
--- a/packages/relay/tests/streaming_test.cpp
+++ b/packages/relay/tests/streaming_test.cpp
@@ -61,6 +61,9 @@
     BOOST_TEST(released[0].report.tokens == 50U);
     BOOST_TEST(released[0].report.firstToken.count() > 0);
     BOOST_TEST(released[0].report.tokenGap.count() > 0);
+    BOOST_REQUIRE(observer.ends().size() == 1U);
+    BOOST_TEST(observer.ends()[0].tokens == 50U);
+    BOOST_TEST(observer.ends()[0].wastedTokens == 0U);
 }
 
 // Guards against a crash before the first token that the caller notices.
