--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -158,8 +158,8 @@
     // given in place of a public one.
     void wrong(const std::string &setting, const std::string &reason, const std::string &value)
     {
-        mistakes_.push_back("--" + setting + ": " + reason
-                            + (value.empty() ? std::string() : ", got '" + value + "'"));
+        const std::string shown = value.empty() ? std::string() : " '" + value + '\'';
+        mistakes_.push_back("--" + setting + shown + ": " + reason);
     }
 
     void checkRequired()
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <fstream>
 #include <map>
 #include <zmq.h>
 
@@ -109,11 +110,13 @@
                                          "--id" });
     BOOST_TEST(exit.code == 2);
     for (const std::string part :
-         { "--place (AUBURN_PLACE) is required", "--region:", "--list-url:", "--caller-listen:",
-           "--threads is given 2 times", "--threads:", "--trace-sampling:", "--log-level:",
-           "--seeds:", "--operators:", "unknown argument '--colour'",
-           "--trace-target:", "--key-lifetime:", "--body-limit:", "--id has no value",
-           "--peer-bind: uses the same address as --status-listen" })
+         { "--place (AUBURN_PLACE) is required",
+           "--region 'north west':", "--list-url '127.0.0.1:9001':",
+           "--caller-listen 'localhost:80':", "--threads is given 2 times", "--threads '0,2':",
+           "--trace-sampling 'nan':", "--log-level 'loud':", "--seeds 'tcp://host:1':",
+           "--operators:", "unknown argument '--colour'", "--trace-target 'here':",
+           "--key-lifetime '2d':", "--body-limit '1':", "--id has no value",
+           "--peer-bind 'tcp://0.0.0.0:8082': uses the same address as --status-listen" })
         BOOST_TEST(exit.text.find(part) != std::string::npos, part);
 }
 
@@ -147,6 +150,21 @@
     BOOST_TEST(readExit({ "--version" }).code == 0);
 }
 
+// Guards against a settings table in the operators' page that is out of date.
+BOOST_AUTO_TEST_CASE(table_operatorsPage_isCurrent)
+{
+    std::ifstream file(AUBURN_DOCS "/operators.md");
+    const std::string page(std::istreambuf_iterator<char>(file), {});
+    for (const SettingInfo &info : settingTable()) {
+        const std::string value = info.required               ? "required"
+                                  : info.defaultValue.empty() ? ""
+                                                              : '`' + info.defaultValue + '`';
+        const std::string row = "| `--" + info.name + "` | `" + info.environmentName + "` | "
+                                + value + " | ";
+        BOOST_TEST(page.find(row) != std::string::npos, row);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
