Refuse changes for certain while the log is away, and pull past a silent long poll

A change submitted during an outage (503) ended with an unknown outcome after 10 s. The publisher now reads the log before its first append; a failed read has no effect, so the result is 'unavailable'. A relay that is told of a higher revision for 2 s pulls it from the peer, because its long poll may be on a silent connection; the poll wait is 5 s (was 10 s) to stay within the 20 s.

--- a/packages/config/include/auburn/config/configfollower.h
+++ b/packages/config/include/auburn/config/configfollower.h
@@ -23,8 +23,13 @@
 struct ConfigFollowerOptions
 {
     std::string stream = "config";
-    // Longest wait of one read of the log.
-    std::chrono::milliseconds pollWait{ 10000 };
+    // Longest wait of one read of the log. A read on a connection that has gone silent ends after
+    // this and the client's margin, which must leave time within the 20 s in which a change takes
+    // effect.
+    std::chrono::milliseconds pollWait{ 5000 };
+    // A reader of the log that is told of a higher revision pulls it from the peer after this time:
+    // its read of the log may be on a silent connection.
+    std::chrono::milliseconds overdueAfter{ 2000 };
     // Records asked for in one read of the log.
     std::size_t readRecords = 100;
     // Bounds of the delay after a failed read; the delay doubles from the first to the second.
--- a/packages/config/include/auburn/config/configpublisher.h
+++ b/packages/config/include/auburn/config/configpublisher.h
@@ -2,7 +2,8 @@
 //
 // Readers decide on a change when they fold it, so a change is reported as accepted only after this
 // daemon has folded its own record. A lost append is repeated under the same change id, which
-// readers count once.
+// readers count once. The log is read before the first append, so that a change
+// is refused for certain, not with an unknown outcome, while the log is away.
 #pragma once
 
 #include "auburn/config/configfollower.h"
@@ -56,7 +57,7 @@
     std::chrono::milliseconds deadline{ 10000 };
     // Delay before an append is repeated.
     std::chrono::milliseconds retryDelay{ 200 };
-    // Appends that are certain to have failed before the result is ChangeUnavailable.
+    // Attempts that are certain to have failed before the result is ChangeUnavailable.
     unsigned attempts = 3;
 };
 
--- a/packages/config/include/auburn/config/logclient.h
+++ b/packages/config/include/auburn/config/logclient.h
@@ -65,7 +65,8 @@
     std::size_t maxAnswerBytes = 64UL * 1024 * 1024;
 };
 
-// Lives on the thread of Qt's event loop; all calls and callbacks happen there.
+// Lives on the thread of Qt's event loop; all calls and callbacks happen there. It must not be
+// destroyed from a callback.
 class LogClient
 {
 public:
--- a/packages/config/src/configfollower.cpp
+++ b/packages/config/src/configfollower.cpp
@@ -82,6 +82,8 @@
         mailbox_->post([this, peerId, revision]() {
             if (fold_ && revision <= fold_->revision())
                 return;
+            if (!behindSince_)
+                behindSince_ = std::chrono::steady_clock::now();
             peerPull_.notePeer(peerId, revision);
             pullOn();
         });
@@ -326,6 +328,7 @@
     void publish(const std::vector<FoldedChange> &folded)
     {
         peerPull_.forgetUpTo(fold_->revision());
+        behindSince_.reset();
         if (!store_.update(fold_->state()))
             return;
         // A copy, because a listener may remove itself.
@@ -338,7 +341,7 @@
 
     void pullOn()
     {
-        const bool served = fold_ && !bootstrap_ && logHealthy_ && isReader();
+        const bool served = fold_ && !bootstrap_ && logHealthy_ && isReader() && !isOverdue();
         if (!started_ || served || peerPull_.isWaiting())
             return;
         peerPull_.begin(fold_ ? fold_->revision() : 0);
@@ -346,6 +349,14 @@
             watchPull(peerPull_.progress());
     }
 
+    // True if a peer's higher revision should have come from the log by now. Gossip repeats the
+    // revision, so this is looked at again.
+    bool isOverdue() const
+    {
+        return behindSince_
+               && std::chrono::steady_clock::now() - *behindSince_ > options_.overdueAfter;
+    }
+
     void watchPull(std::uint64_t progress)
     {
         mailbox_->postAfter(options_.pullTimeout, [this, progress]() {
@@ -432,6 +443,9 @@
     std::optional<ConfigFold> fold_;
     std::optional<LogBootstrap> bootstrap_;
 
+    // When a peer's higher revision was first heard of since the last record was folded.
+    std::optional<std::chrono::steady_clock::time_point> behindSince_;
+
     bool reading_ = false;
     bool retryPending_ = false;
     bool logHealthy_ = false;
--- a/packages/config/src/configpublisher.cpp
+++ b/packages/config/src/configpublisher.cpp
@@ -1,6 +1,7 @@
 #include "auburn/config/configpublisher.h"
 
 #include "auburn/core/ids.h"
+#include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
 #include "itemrules.h"
 #include "mailbox.h"
@@ -24,7 +25,8 @@
     std::vector<ConfigPublisher::Callback> callbacks;
     Clock::time_point deadline;
     ConfigFollower::Handle reading;
-    unsigned failedAppends = 0;
+    // Probes and appends that certainly had no effect.
+    unsigned failures = 0;
     bool appending = false;
     bool mayBeOnLog = false;
     // Offset of the first append that was answered.
@@ -104,7 +106,35 @@
         submission->change = std::move(change);
         submission->reading = follower_.keepReading();
         mailbox_->postAfter(options_.deadline, [this, submission]() { expire(submission); });
-        append(submission);
+        probe(submission);
+    }
+
+    // Appends only once the log answers a read: an append during an outage ends without a certain
+    // outcome.
+    void probe(const SubmissionPtr &submission)
+    {
+        if (isDone(submission))
+            return;
+        log_.read(options_.stream, store_.revision() + 1, 1, std::chrono::milliseconds(0),
+                  [this, mailbox = mailbox_, submission](const std::optional<LogBatch> &batch) {
+                      if (!mailbox->isOpen())
+                          return;
+                      if (batch)
+                          append(submission);
+                      else
+                          takeFailedProbe(submission, lastError());
+                  });
+    }
+
+    void takeFailedProbe(const SubmissionPtr &submission, const std::string &reason)
+    {
+        if (isDone(submission))
+            return;
+        if (++submission->failures >= options_.attempts) {
+            finish(submission, ChangeUnavailable{ reason });
+            return;
+        }
+        mailbox_->postAfter(options_.retryDelay, [this, submission]() { probe(submission); });
     }
 
     static void complete(proto::ConfigChange &change)
@@ -166,7 +196,7 @@
         if (const auto *unknown = std::get_if<AppendUnknown>(&result)) {
             logEvent(LogLevel::Warning, "config_append_unknown", { { "reason", unknown->reason } });
             submission->mayBeOnLog = true;
-        } else if (!submission->mayBeOnLog && ++submission->failedAppends >= options_.attempts) {
+        } else if (!submission->mayBeOnLog && ++submission->failures >= options_.attempts) {
             finish(submission, ChangeUnavailable{ std::get<NotAppended>(result).reason });
             return;
         }
--- a/packages/config/tests/follower_test.cpp
+++ b/packages/config/tests/follower_test.cpp
@@ -141,7 +141,27 @@
     BOOST_TEST(late->store.current()->items().size() == 10U);
 }
 
-// Guards against a reader that stops for good when its connection goes silent.
+// Guards against a relay that misses changes while its long poll is on a silent connection. The
+// poll of an hour leaves the peer as the only way.
+BOOST_AUTO_TEST_CASE(follow_connectionSilent_pullsFromPeer)
+{
+    addOrganisations(1);
+    const auto other = makeDaemon("other", std::chrono::hours(1));
+    other->follower->setFollowing(true);
+    other->follower->start();
+    waitUntil([&]() { return other->store.revision() == relay->store.revision(); });
+    logProcess.control({ { QStringLiteral("silence_connections"), true } });
+    waitUntil([&]() {
+        return std::holds_alternative<ChangeAccepted>(
+                relay->submit(change("", 0, organisation("late"))));
+    });
+    waitUntil([&]() {
+        other->follower->onPeerRevision("relay", relay->store.revision());
+        return other->store.current()->organisation("late") != nullptr;
+    });
+}
+
+// Guards against a reader that does not resume after the log refused connections.
 BOOST_AUTO_TEST_CASE(follow_logAwayForAWhile_catchesUp)
 {
     addOrganisations(2);
