Bound the cost of ticks, start claim readers near the live records, test with threads

A tick of a cell compared each slot's front with every member, and each waiting request hashed all members; gone fronts are now a set made once per tick, and an owner is checked once per view. A retry that has failed on every runner left is refused instead of waiting for its deadline. A claim owner finds its first record by binary search instead of reading the whole retention.

--- a/packages/claims/src/claimpartition.cpp
+++ b/packages/claims/src/claimpartition.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kRetryPause{ 200 };
 // Claims and outcomes in one batch; at 200 bytes each, a record stays under 100 KB.
 constexpr std::size_t kMaxBatchItems = 500;
+// Steps of this machine's clock that the choice of the first record to read allows for.
+constexpr std::chrono::minutes kClockStep{ 5 };
 // A partition that is not owned and not asked stops reading after this time.
 constexpr std::chrono::seconds kIdleTime{ 60 };
 
@@ -107,11 +109,19 @@
 void ClaimPartition::read()
 {
     std::uint64_t from = 0;
+    bool searching = false;
     {
         const std::lock_guard lock(mutex_);
-        from = nextOffset_;
+        if (!fold_ && !search_) {
+            const ClaimKey::WallTime oldestValid = options_.wallClock() - kClaimKeyLifetime
+                                                   - kClaimKeyMaxAhead;
+            search_.emplace(oldestValid - kClockStep, kReadMax);
+        }
+        searching = search_.has_value();
+        from = searching ? search_->offset() : nextOffset_;
     }
-    options_.log->read(options_.stream, from, kReadMax, kReadWait,
+    options_.log->read(options_.stream, from, searching ? 1 : kReadMax,
+                       searching ? std::chrono::milliseconds(0) : kReadWait,
                        [weak = weak_from_this()](const ClaimReadResult &result) {
                            if (const auto self = weak.lock())
                                self->onRead(result);
@@ -159,22 +169,39 @@
             readAgainAt_ = options_.clock() + kRetryPause;
             return;
         }
-        if (!fold_)
-            fold_.emplace(ClaimFold::Options{});
-        noteGap(result);
-        for (const ClaimLogRecord &record : result.records) {
-            if (record.offset < nextOffset_)
-                continue;
-            foldRecord(record, work);
-            nextOffset_ = record.offset + 1;
-        }
-        // Catch up at once; otherwise the next tick reads, which bounds the number of reads.
-        work.read = nextOffset_ < result.next && !result.records.empty();
+        if (search_)
+            onSearchRead(result, work);
+        else
+            onRecords(result, work);
         reading_ = work.read;
     }
     perform(work);
 }
 
+void ClaimPartition::onSearchRead(const ClaimReadResult &result, Work &work)
+{
+    search_->take(result);
+    work.read = true;
+    if (!search_->isDone())
+        return;
+    nextOffset_ = search_->start();
+    fold_.emplace(ClaimFold::Options{});
+    search_.reset();
+}
+
+void ClaimPartition::onRecords(const ClaimReadResult &result, Work &work)
+{
+    noteGap(result);
+    for (const ClaimLogRecord &record : result.records) {
+        if (record.offset < nextOffset_)
+            continue;
+        foldRecord(record, work);
+        nextOffset_ = record.offset + 1;
+    }
+    // Catch up at once; otherwise the next tick reads, which bounds the number of reads.
+    work.read = nextOffset_ < result.next && !result.records.empty();
+}
+
 void ClaimPartition::foldRecord(const ClaimLogRecord &record, Work &work)
 {
     for (const ClaimDecision &decision : fold_->apply(record))
@@ -305,6 +332,7 @@
 
 void ClaimPartition::forgetFold()
 {
+    search_.reset();
     fold_.reset();
     nextOffset_ = 0;
 }
--- a/packages/claims/src/claimpartition.h
+++ b/packages/claims/src/claimpartition.h
@@ -5,6 +5,7 @@
 #include "auburn/claims/claimfold.h"
 #include "auburn/claims/claimlog.h"
 #include "auburn/claims/claimowner.h"
+#include "claimstartsearch.h"
 
 #include <deque>
 #include <functional>
@@ -91,6 +92,8 @@
     void read();
     void onAppended(std::uint64_t number, const ClaimAppendResult &result);
     void onRead(const ClaimReadResult &result);
+    void onSearchRead(const ClaimReadResult &result, Work &work);
+    void onRecords(const ClaimReadResult &result, Work &work);
     void foldRecord(const ClaimLogRecord &record, Work &work);
     void answer(const ClaimDecision &decision, Work &work);
     void answerOutcomes(const proto::ClaimBatch &batch, Work &work);
@@ -113,6 +116,8 @@
     std::map<std::uint64_t, Batch> batches_;
     std::uint64_t nextBatch_ = 1;
     TimePoint lastBatch_;
+    // Set while the place to begin is searched; then fold_ is set.
+    std::optional<ClaimStartSearch> search_;
     std::optional<ClaimFold> fold_;
     std::uint64_t nextOffset_ = 0;
     bool reading_ = false;
--- /dev/null
+++ b/packages/claims/src/claimstartsearch.cpp
@@ -0,0 +1,30 @@
+#include "claimstartsearch.h"
+
+#include <algorithm>
+
+namespace auburn {
+
+void ClaimStartSearch::take(const ClaimReadResult &result)
+{
+    if (!known_) {
+        known_ = true;
+        low_ = result.earliest;
+        high_ = std::max(result.earliest, result.next);
+        return;
+    }
+    // The retention may pass the offset while the search runs.
+    low_ = std::min(high_, std::max(low_, result.earliest));
+    if (result.records.empty()) {
+        high_ = low_;
+        return;
+    }
+    const ClaimLogRecord &record = result.records.front();
+    if (record.time >= cutoff_) {
+        high_ = std::max(low_, std::min(high_, record.offset));
+        return;
+    }
+    low_ = std::min(high_, record.offset + 1);
+    start_ = low_;
+}
+
+} // namespace auburn
--- /dev/null
+++ b/packages/claims/tests/claimstartsearch_test.cpp
@@ -0,0 +1,49 @@
+#include "claimstartsearch.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace auburn {
+
+namespace {
+
+// Record number N was appended at N seconds; the log has offsets earliest to next - 1.
+ClaimReadResult readOne(std::uint64_t from, std::uint64_t earliest, std::uint64_t next)
+{
+    ClaimReadResult result{ .succeeded = true, .earliest = earliest, .next = next };
+    const std::uint64_t offset = std::max(from, earliest);
+    if (offset < next)
+        result.records.push_back({ .offset = offset, .time = std::chrono::seconds(offset) });
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(claimstartsearch)
+
+// Guards against a start after a record that still matters, which would allow a second winner, and
+// against reading the whole stream. The retention moves on during the search.
+BOOST_AUTO_TEST_CASE(take_variousStreams_startIsShortlyBeforeCutoff)
+{
+    for (const std::uint64_t next : { 0, 1, 11, 500, 100000 }) {
+        for (const std::uint64_t cutoff : { 0, 7, 499, 60000, 200000 }) {
+            for (const std::uint64_t removed : { 0, 1, 300 }) {
+                ClaimStartSearch search(std::chrono::seconds(cutoff), 10);
+                std::uint64_t earliest = 0;
+                unsigned reads = 0;
+                while (!search.isDone()) {
+                    search.take(readOne(search.offset(), earliest, next));
+                    earliest = std::min(next, earliest + removed);
+                    BOOST_REQUIRE_LT(++reads, 25U);
+                }
+                const std::uint64_t wanted = std::min(cutoff, next);
+                BOOST_TEST(search.start() <= wanted);
+                if (removed == 0)
+                    BOOST_TEST(search.start() + 10 >= wanted);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn
--- a/packages/schedule/include/auburn/schedule/cellscheduler.h
+++ b/packages/schedule/include/auburn/schedule/cellscheduler.h
@@ -165,6 +165,7 @@
     void dropStaleSlots(TimePoint now, const FrontGone &frontGone);
     void dropStaleAsks(TimePoint now, const FrontGone &frontGone);
     void refuseInOutage(TimePoint now, SlotEvents &events);
+    void refuseExcluded(TimePoint now, SlotEvents &events);
 
     const Options options_;
     mutable std::mutex mutex_;
--- a/packages/schedule/include/auburn/schedule/slotclient.h
+++ b/packages/schedule/include/auburn/schedule/slotclient.h
@@ -127,7 +127,8 @@
     bool sendRequest(Pending &pending, TimePoint now);
     void abandon(Pending &pending);
     void finish(Pending &pending, SlotAnswer answer);
-    void tickPending(Pending &pending, const MemberView &view, TimePoint now);
+    void tickPending(Pending &pending, const std::shared_ptr<const MemberView> &view,
+                     TimePoint now);
     void tickUnacknowledged(Pending &pending, const MemberView &view, TimePoint now);
     void suspect(const std::string &daemon, TimePoint now);
     bool ownerChanged(const Pending &pending, const MemberView &view) const;
--- a/packages/schedule/src/cellowner.cpp
+++ b/packages/schedule/src/cellowner.cpp
@@ -5,7 +5,8 @@
 #include "localcalls.h"
 #include "slotmessages.h"
 
-#include <algorithm>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace auburn {
@@ -86,12 +87,13 @@
     lastConfig_ = config;
     lastView_ = view;
 
-    const CellScheduler::FrontGone frontGone = [&view](const std::string &front) {
-        return std::any_of(view->members.begin(), view->members.end(), [&](const Member &member) {
-            const bool gone = member.status == MemberStatus::Dead
-                              || member.status == MemberStatus::Left;
-            return gone && member.id == front;
-        });
+    std::unordered_set<std::string_view> gone;
+    for (const Member &member : view->members) {
+        if (member.status == MemberStatus::Dead || member.status == MemberStatus::Left)
+            gone.insert(member.id);
+    }
+    const CellScheduler::FrontGone frontGone = [&gone](const std::string &front) {
+        return gone.contains(front);
     };
     for (const auto &entry : cells())
         sendAll(entry.second->tick(now, frontGone));
--- a/packages/schedule/src/cellscheduler.cpp
+++ b/packages/schedule/src/cellscheduler.cpp
@@ -161,6 +161,7 @@
     dropStaleAsks(now, frontGone);
     runners_.update(now);
     refuseInOutage(now, events);
+    refuseExcluded(now, events);
     dispatch(now, events);
     return events;
 }
@@ -377,4 +378,20 @@
     }
 }
 
+// Requests that have already failed on every runner that is left.
+void CellScheduler::refuseExcluded(TimePoint now, SlotEvents &events)
+{
+    std::vector<std::string> hopeless;
+    for (const auto &[id, ask] : asks_) {
+        const std::vector<std::string> &excluded = ask.ask.excludedRunners;
+        if (!excluded.empty() && !runners_.usableFrom(excluded, now))
+            hopeless.push_back(id);
+    }
+    for (const std::string &id : hopeless) {
+        events.emplace_back(
+                refuse(*queue_.cancel(id), makeRefusal(RefusalCode::NoRunnerAvailable,
+                                                       "the request has failed on every runner")));
+    }
+}
+
 } // namespace auburn
--- a/packages/schedule/src/pendingslot.h
+++ b/packages/schedule/src/pendingslot.h
@@ -28,6 +28,8 @@
     // silent.
     std::string viewOwner;
     std::uint64_t ownerIncarnation = 0;
+    // View in which tick has found the owner unchanged.
+    std::shared_ptr<const MemberView> checkedView;
     // Time of the last send; the acknowledgement is due kAckTimeout later.
     TimePoint sent;
     bool acknowledged = false;
--- a/packages/schedule/src/slotclient.cpp
+++ b/packages/schedule/src/slotclient.cpp
@@ -204,7 +204,7 @@
     for (const PendingPtr &pending : byRequest_->all()) {
         const std::lock_guard lock(pending->mutex);
         if (!pending->done)
-            tickPending(*pending, *view, now);
+            tickPending(*pending, view, now);
     }
 }
 
@@ -467,7 +467,8 @@
     byRequest_->erase(pending);
 }
 
-void SlotClient::tickPending(Pending &pending, const MemberView &view, TimePoint now)
+void SlotClient::tickPending(Pending &pending, const std::shared_ptr<const MemberView> &view,
+                             TimePoint now)
 {
     if (now >= pending.demand.deadline) {
         abandon(pending);
@@ -475,14 +476,16 @@
                                     "the deadline passed while the request waited"));
         return;
     }
-    if (ownerChanged(pending, view)) {
+    const bool changed = view != pending.checkedView && ownerChanged(pending, *view);
+    pending.checkedView = view;
+    if (changed) {
         pending.asked.clear();
-        if (!tryNextDaemon(pending, view, now))
-            tryNextTarget(pending, view, now);
+        if (!tryNextDaemon(pending, *view, now))
+            tryNextTarget(pending, *view, now);
         return;
     }
     if (!pending.acknowledged) {
-        tickUnacknowledged(pending, view, now);
+        tickUnacknowledged(pending, *view, now);
     } else if (now - pending.sent >= kHeldReportPeriod) {
         // Renews the lease at the owner and fetches an answer that was lost.
         pending.resent = false;
--- a/packages/schedule/tests/cellscheduler_test.cpp
+++ b/packages/schedule/tests/cellscheduler_test.cpp
@@ -165,6 +165,23 @@
     BOOST_TEST((refusals.at("b") == RefusalCode::NoRunnerAvailable));
 }
 
+// Guards against a retry that waits for its deadline when no other runner is left.
+BOOST_AUTO_TEST_CASE(tick_onlyExcludedRunnersLeft_waitingRetryIsRefused)
+{
+    configure(2, 1);
+    request("a");
+    request("b");
+    SlotAsk retry = ask("retry");
+    retry.excludedRunners = { "r0" };
+    note(scheduler.request(retry, now));
+    tick(milliseconds(50));
+    BOOST_TEST(refusals.empty());
+    specs.pop_back();
+    note(scheduler.configure(specs, now));
+    tick(milliseconds(50));
+    BOOST_TEST((refusals.at("retry") == RefusalCode::NoRunnerAvailable));
+}
+
 // Guards against a queue that fills with requests which cannot be served in time.
 BOOST_AUTO_TEST_CASE(request_waitSurelyBeyondDeadline_refusedBeforeQueueing)
 {
--- a/packages/schedule/tests/slotexchange_test.cpp
+++ b/packages/schedule/tests/slotexchange_test.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <numeric>
+
 namespace auburn {
 
 namespace {
@@ -314,6 +316,23 @@
     BOOST_TEST(world.jobs.at(id).slot->owner != owner.id);
 }
 
+// Guards against a late grant that keeps its slot when the cancel was lost.
+BOOST_AUTO_TEST_CASE(request_lateGrantOfOldOwner_isReleased)
+{
+    OnePlace world;
+    Node &owner = world.ownerNode();
+    world.network.freeze(owner.id);
+    world.request(world.otherThan(owner), seconds(10));
+    world.run(2 * kAckTimeout - milliseconds(20));
+    world.network.faults.loss = 1;
+    world.run(milliseconds(100));
+    world.network.faults.loss = 0;
+    world.network.wake(owner.id);
+    world.run(milliseconds(100));
+    const CellLoad load = owner.owner->loads().at(0);
+    BOOST_TEST(load.freeSlots == load.totalSlots);
+}
+
 // Guards against unbounded overload of runners while two daemons both act as the owner.
 BOOST_AUTO_TEST_CASE(request_twoOwnersAtOnce_atMostTwiceTheSlotsAndAllAnswered)
 {
@@ -354,7 +373,9 @@
         world.nodes.at(id).views.set(readyView(id, "p", rest));
     world.run(milliseconds(200));
     Node &next = world.nodes.at(readyView("a", "p", rest).ownerOf(cellKey("s", "p", 0)));
-    BOOST_TEST(next.owner->loads().at(0).freeSlots == 0U);
+    const CellLoad load = next.owner->loads().at(0);
+    BOOST_TEST(load.freeSlots == 0U);
+    BOOST_TEST(std::accumulate(load.waitingByTier.begin(), load.waitingByTier.end(), 0U) == 2U);
     world.run(seconds(10));
     BOOST_TEST(world.maxOnRunner == 2U);
     for (const std::string &id : ids)
--- /dev/null
+++ b/packages/schedule/tests/slotthreads_test.cpp
@@ -0,0 +1,191 @@
+// Fronts and owners under several threads, over a bus that delivers on a thread of its own.
+#include "auburn/schedule/cells.h"
+#include "auburn/schedule/slotclient.h"
+
+#include "fakenetwork.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <thread>
+
+namespace auburn {
+
+namespace {
+
+class ThreadedBus : public MessageBus
+{
+public:
+    bool send(const std::string &daemonId, proto::Envelope envelope) override
+    {
+        const std::lock_guard lock(mutex_);
+        messages_.emplace_back(daemonId, std::move(envelope));
+        wake_.notify_one();
+        return true;
+    }
+
+    void setHandler(proto::Envelope::BodyCase kind, Handler handler) override
+    {
+        handlers_[kind] = std::move(handler);
+    }
+
+    // Delivers to the other bus until it is stopped.
+    void run(const ThreadedBus &peer, const std::string &self)
+    {
+        std::unique_lock lock(mutex_);
+        while (!stopped_) {
+            if (messages_.empty()) {
+                wake_.wait(lock);
+                continue;
+            }
+            const auto message = std::move(messages_.front());
+            messages_.pop_front();
+            lock.unlock();
+            const auto handler = peer.handlers_.find(message.second.body_case());
+            if (handler != peer.handlers_.end())
+                handler->second(self, message.second);
+            lock.lock();
+        }
+    }
+
+    void stop()
+    {
+        const std::lock_guard lock(mutex_);
+        stopped_ = true;
+        wake_.notify_one();
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::deque<std::pair<std::string, proto::Envelope>> messages_;
+    std::map<proto::Envelope::BodyCase, Handler> handlers_;
+    bool stopped_ = false;
+};
+
+struct ThreadNode
+{
+    ThreadNode(const std::string &id, const std::shared_ptr<const ConfigState> &config)
+    {
+        views.set(readyView(id, "p", { "a", "b" }));
+        const auto configNow = [config] { return config; };
+        owner = CellOwner::make(
+                { .selfId = id, .bus = &bus, .views = &views, .config = configNow });
+        client = SlotClient::make({ .selfId = id,
+                                    .bus = &bus,
+                                    .views = &views,
+                                    .config = configNow,
+                                    .localOwner = owner.get() });
+    }
+
+    ThreadedBus bus;
+    FakeViews views;
+    std::unique_ptr<CellOwner> owner;
+    std::unique_ptr<SlotClient> client;
+};
+
+std::shared_ptr<const ConfigState> smallConfig()
+{
+    ConfigState::ItemMap items;
+    const auto add = [&](const ItemValue &value) {
+        items[keyOf(value)] = std::make_shared<const Item>(Item{ .value = value });
+    };
+    add(Service{ .name = "s" });
+    for (const char *name : { "r1", "r2", "r3" })
+        add(Runner{ .name = name, .service = "s", .place = "p", .address = name, .slots = 2 });
+    return ConfigState::make(items, 1);
+}
+
+// Answers of one request.
+struct Ticket
+{
+    std::atomic<unsigned> answers = 0;
+    std::atomic<bool> cancelled = false;
+    std::atomic<bool> answeredAfterCancel = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(slotthreads)
+
+// Guards against races: a lost or double answer, an answer after a cancel, a lost slot, a deadlock
+// between callbacks, cancels and ticks.
+BOOST_AUTO_TEST_CASE(request_manyThreads_eachAnsweredOnceAndAllSlotsComeBack)
+{
+    constexpr unsigned kThreads = 3;
+    constexpr unsigned kRequests = 200;
+    const auto config = smallConfig();
+    ThreadNode a("a", config);
+    ThreadNode b("b", config);
+    std::vector<std::thread> buses;
+    buses.emplace_back([&] { a.bus.run(b.bus, "a"); });
+    buses.emplace_back([&] { b.bus.run(a.bus, "b"); });
+    std::atomic<bool> stop = false;
+    std::thread ticker([&] {
+        while (!stop) {
+            for (ThreadNode *node : { &a, &b }) {
+                node->owner->tick(std::chrono::steady_clock::now());
+                node->client->tick(std::chrono::steady_clock::now());
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+    });
+
+    std::deque<Ticket> tickets(2ULL * kThreads * kRequests);
+    const auto work = [&](SlotClient &client, unsigned first) {
+        for (unsigned i = first; i < first + kRequests; ++i) {
+            Ticket &ticket = tickets[i];
+            const std::string id = "q" + std::to_string(i);
+            client.request(
+                    { .requestId = id,
+                      .service = "s",
+                      .tier = i % 3,
+                      .organisation = "o" + std::to_string(i % 5),
+                      .deadline = std::chrono::steady_clock::now() + std::chrono::seconds(60) },
+                    [&ticket, &client](const SlotAnswer &answer) {
+                        ++ticket.answers;
+                        if (ticket.cancelled)
+                            ticket.answeredAfterCancel = true;
+                        if (const auto *slot = std::get_if<GrantedSlot>(&answer))
+                            client.release(*slot, { .outcome = SlotOutcome::Completed });
+                    });
+            if (i % 3 == 0) {
+                client.cancel(id);
+                ticket.cancelled = true;
+            }
+        }
+    };
+    std::vector<std::thread> workers;
+    for (unsigned thread = 0; thread < 2 * kThreads; ++thread) {
+        SlotClient &client = thread % 2 == 0 ? *a.client : *b.client;
+        workers.emplace_back(work, std::ref(client), thread * kRequests);
+    }
+    for (std::thread &worker : workers)
+        worker.join();
+    const auto settled = [&] {
+        unsigned open = 0;
+        for (ThreadNode *node : { &a, &b }) {
+            open += static_cast<unsigned>(node->client->pendingCount() + node->client->heldCount());
+            for (const CellLoad &load : node->owner->loads())
+                open += load.totalSlots - load.freeSlots;
+        }
+        return open == 0;
+    };
+    while (!settled())
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    stop = true;
+    ticker.join();
+    a.bus.stop();
+    b.bus.stop();
+    for (std::thread &bus : buses)
+        bus.join();
+    for (const Ticket &ticket : tickets) {
+        BOOST_REQUIRE(!ticket.answeredAfterCancel);
+        BOOST_REQUIRE(ticket.answers == 1U || (ticket.answers == 0U && ticket.cancelled));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn
