--- a/packages/schedule/tests/cellscheduler_test.cpp
+++ b/packages/schedule/tests/cellscheduler_test.cpp
@@ -1,8 +1,9 @@
 #include "auburn/schedule/cellscheduler.h"
 
+#include "naivequeue.h"
+
 #include <boost/test/unit_test.hpp>
 
-#include <map>
 #include <random>
 
 namespace auburn {
@@ -85,6 +86,132 @@
     std::map<std::string, RefusalCode> refusals;
 };
 
+// Runs random operations on a cell and follows its answers with the naive queue.
+struct CellPair
+{
+    explicit CellPair(unsigned seed)
+        : random(seed)
+    {
+        for (const char *name : { "r0", "r1", "r2" })
+            specs.push_back(RunnerSpec{ .name = name, .address = name, .slots = 3 });
+        cell.configure(specs, now);
+    }
+
+    unsigned below(unsigned bound) { return static_cast<unsigned>(random() % bound); }
+
+    void request()
+    {
+        const SlotAsk ask{ .front = "front",
+                           .requestId = std::to_string(nextId++),
+                           .tier = below(3),
+                           .organisation = "o" + std::to_string(below(4)),
+                           .since = now,
+                           .deadline = now + milliseconds(1000 + below(3000)) };
+        open[ask.requestId] = ask.tier;
+        const SlotEvents events = cell.request(ask, now);
+        const auto *refused = events.empty() ? nullptr : std::get_if<SlotRefused>(&events.front());
+        const bool queued = !refused || refused->refusal.code == RefusalCode::Overloaded;
+        if (queued) {
+            const auto admission = naive.push({ .id = ask.requestId,
+                                                .tier = ask.tier,
+                                                .organisation = ask.organisation,
+                                                .since = ask.since,
+                                                .deadline = ask.deadline });
+            BOOST_REQUIRE_EQUAL(refused != nullptr, !admission.accepted || admission.evicted);
+            if (refused)
+                BOOST_REQUIRE_EQUAL(refused->requestId,
+                                    admission.evicted ? admission.evicted->id : ask.requestId);
+        }
+        take(events);
+    }
+
+    void release(SlotOutcome outcome)
+    {
+        const auto one = std::next(running.begin(), below(static_cast<unsigned>(running.size())));
+        const SlotGranted grant = one->second.first;
+        --naive.held[one->second.second];
+        --onRunner[grant.runner];
+        running.erase(one);
+        take(cell.release("front", grant.slotId, SlotReport{ .outcome = outcome }, now));
+        // A repeated release has no effect.
+        take(cell.release("front", grant.slotId, SlotReport{ .outcome = outcome }, now));
+    }
+
+    void report()
+    {
+        std::vector<ReportedSlot> held;
+        held.reserve(running.size());
+        for (const auto &[id, slot] : running)
+            held.push_back({ .slotId = slot.first.slotId, .runner = slot.first.runner });
+        take(cell.reportHeld("front", held, now));
+        take(cell.tick(now, kNoneGone));
+    }
+
+    void take(const SlotEvents &events)
+    {
+        for (const SlotEvent &event : events) {
+            if (const auto *grant = std::get_if<SlotGranted>(&event))
+                takeGrant(*grant);
+            else
+                takeRefusal(std::get<SlotRefused>(event));
+        }
+        const CellLoad load = cell.load();
+        BOOST_REQUIRE(load.freeSlots == 0 || naive.entries.empty());
+    }
+
+    void takeGrant(const SlotGranted &grant)
+    {
+        BOOST_REQUIRE_EQUAL(open.erase(grant.requestId), 1U);
+        const auto expected = naive.grantNext();
+        BOOST_REQUIRE(expected.has_value());
+        BOOST_REQUIRE_EQUAL(grant.requestId, expected->id);
+        ++naive.held[expected->organisation];
+        running[grant.requestId] = { grant, expected->organisation };
+        BOOST_REQUIRE_LE(++onRunner[grant.runner], 3U);
+    }
+
+    void takeRefusal(const SlotRefused &refused)
+    {
+        const unsigned tier = open.at(refused.requestId);
+        open.erase(refused.requestId);
+        naive.takeId(refused.requestId);
+        if (refused.refusal.code == RefusalCode::Overloaded)
+            BOOST_REQUIRE(!naive.hasSharedBelow(tier));
+    }
+
+    void step()
+    {
+        now += milliseconds(below(10));
+        const unsigned kind = below(10);
+        if (kind < 5)
+            request();
+        else if (kind < 9 && !running.empty())
+            release(below(20) == 0 ? SlotOutcome::RunnerUnreachable : SlotOutcome::Completed);
+        else
+            report();
+    }
+
+    void finish()
+    {
+        while (!running.empty())
+            release(SlotOutcome::Unused);
+        take(cell.tick(now + seconds(10), kNoneGone));
+        BOOST_REQUIRE(open.empty());
+    }
+
+    std::mt19937 random;
+    TierQueue::Options options{ .tiers = 3, .sharedCapacity = 6, .reservedPerTier = 1 };
+    CellScheduler cell{ CellScheduler::Options{ .service = "s", .queue = options } };
+    NaiveQueue naive{ options };
+    std::vector<RunnerSpec> specs;
+    CellScheduler::TimePoint now{ std::chrono::hours(1) };
+    unsigned nextId = 0;
+    std::map<std::string, unsigned> open;
+    // Grant and organisation by request.
+    std::map<std::string, std::pair<SlotGranted, std::string>> running;
+    std::map<std::string, unsigned> onRunner;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(cellscheduler, SchedulerFixture)
@@ -211,80 +338,18 @@
     BOOST_TEST(refusals.count("later") == 0U);
 }
 
-// Guards against requests without an answer or with two, refusals of a higher tier while a lower
-// one keeps its shared place, and more requests on a runner than it has slots.
-BOOST_AUTO_TEST_CASE(allOperations_randomSequences_invariantsHold)
+// Guards against any difference from the naive queue, requests without an answer or with two,
+// refusals of a higher tier while a lower one keeps its shared place, more requests on a runner
+// than it has slots, and free slots beside waiting requests.
+BOOST_AUTO_TEST_CASE(allOperations_randomSequences_equalNaiveQueue)
 {
     for (unsigned seed = 1; seed <= 150; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            std::mt19937 random(seed);
-            CellScheduler cell(CellScheduler::Options{
-                    .service = "s",
-                    .queue = { .tiers = 3, .sharedCapacity = 6, .reservedPerTier = 1 } });
-            configure(3, 3);
-            cell.configure(specs, now);
-            std::map<std::string, unsigned> open;
-            std::map<std::string, SlotGranted> running;
-            std::map<std::string, unsigned> onRunner;
-            const auto take = [&](const SlotEvents &events) {
-                for (const SlotEvent &event : events) {
-                    if (const auto *grant = std::get_if<SlotGranted>(&event)) {
-                        BOOST_REQUIRE_EQUAL(open.erase(grant->requestId), 1U);
-                        running[grant->requestId] = *grant;
-                        BOOST_REQUIRE_LE(++onRunner[grant->runner], 3U);
-                        continue;
-                    }
-                    const auto &refused = std::get<SlotRefused>(event);
-                    const unsigned tier = open.at(refused.requestId);
-                    open.erase(refused.requestId);
-                    if (refused.refusal.code != RefusalCode::Overloaded)
-                        continue;
-                    const auto waiting = cell.load().waitingByTier;
-                    for (unsigned lower = tier + 1; lower < waiting.size(); ++lower)
-                        BOOST_REQUIRE_LE(waiting[lower], 1U);
-                }
-            };
-            for (unsigned i = 0; i < 800; ++i) {
-                now += milliseconds(random() % 10);
-                const unsigned kind = random() % 10;
-                if (kind < 5) {
-                    const SlotAsk next = ask(std::to_string(i), random() % 3,
-                                             seconds(1 + random() % 3));
-                    open[next.requestId] = next.tier;
-                    take(cell.request(next, now));
-                } else if (kind < 9 && !running.empty()) {
-                    const auto one = std::next(running.begin(),
-                                               static_cast<long>(random() % running.size()));
-                    const SlotGranted grant = one->second;
-                    running.erase(one);
-                    --onRunner[grant.runner];
-                    const SlotReport report{ .outcome = random() % 20 == 0
-                                                                ? SlotOutcome::RunnerUnreachable
-                                                                : SlotOutcome::Completed };
-                    take(cell.release("front", grant.slotId, report, now));
-                    // A repeated release has no effect.
-                    take(cell.release("front", grant.slotId, report, now));
-                } else {
-                    std::vector<ReportedSlot> held;
-                    held.reserve(running.size());
-                    for (const auto &entry : running) {
-                        held.push_back(ReportedSlot{ .slotId = entry.second.slotId,
-                                                     .runner = entry.second.runner,
-                                                     .organisation = "o" });
-                    }
-                    take(cell.reportHeld("front", held, now));
-                    take(cell.tick(now, kNoneGone));
-                }
-            }
-            while (!running.empty()) {
-                const SlotGranted grant = running.begin()->second;
-                running.erase(running.begin());
-                --onRunner[grant.runner];
-                take(cell.release("front", grant.slotId, SlotReport{}, now));
-            }
-            take(cell.tick(now + seconds(10), kNoneGone));
-            BOOST_REQUIRE(open.empty());
+            CellPair pair(seed);
+            for (unsigned i = 0; i < 800; ++i)
+                pair.step();
+            pair.finish();
         }
     }
 }
