--- a/packages/relay/src/relaysession.cpp
+++ b/packages/relay/src/relaysession.cpp
@@ -88,21 +88,19 @@
 
 RelaySession::RelaySession(WorkerContext &worker, RelayRequest request,
                            OrganisationLimiter::Ticket ticket, AnswerWriter &writer)
-    : worker_(worker)
+    : inFlight_(worker.shared.inFlight)
+    , worker_(worker)
     , request_(std::move(request))
     , ticket_(std::move(ticket))
     , writer_(&writer)
     , kind_(RunnerKindRegistry::make(kindName(request_.service.kind)))
     , deadline_(worker.io, [this] { deadlinePassed(); })
-{
-    ++worker_.shared.inFlight;
-}
+{}
 
 RelaySession::~RelaySession()
 {
     if (call_)
         call_->close();
-    --worker_.shared.inFlight;
 }
 
 void RelaySession::start()
--- a/packages/relay/src/relaysession.h
+++ b/packages/relay/src/relaysession.h
@@ -82,6 +82,8 @@
     // Common end of every request; later events are ignored.
     void finish(std::optional<RefusalCode> refusal, bool complete);
 
+    // First, so that it is destroyed last: nothing of a request is left when it is not counted.
+    InFlightCount inFlight_;
     WorkerContext &worker_;
     const RelayRequest request_;
     OrganisationLimiter::Ticket ticket_;
--- a/packages/relay/src/workercontext.h
+++ b/packages/relay/src/workercontext.h
@@ -30,6 +30,23 @@
     std::atomic<bool> draining{ false };
 };
 
+// Counts one request as in flight for its lifetime.
+class InFlightCount
+{
+public:
+    explicit InFlightCount(std::atomic<std::size_t> &counter)
+        : counter_(counter)
+    {
+        ++counter_;
+    }
+    InFlightCount(const InFlightCount &) = delete;
+    InFlightCount &operator=(const InFlightCount &) = delete;
+    ~InFlightCount() { --counter_; }
+
+private:
+    std::atomic<std::size_t> &counter_;
+};
+
 struct WorkerContext
 {
     explicit WorkerContext(RelayShared &relayShared)
--- a/tests/standins/standinengine.cpp
+++ b/tests/standins/standinengine.cpp
@@ -3,6 +3,7 @@
 #include "engineanswer.h"
 
 #include "auburn/core/hash.h"
+#include "auburn/core/ids.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -221,6 +222,8 @@
     const QJsonObject body = parseObject(exchange->request().body());
     const auto sequence = std::make_shared<Sequence>(context_);
     sequence->id = exchange->field("X-Request-Id");
+    if (sequence->id.empty())
+        sequence->id = makeShortId();
     sequence->prompt = promptOf(body);
     sequence->promptTokens = static_cast<unsigned>(sequence->prompt.size() / 4 + 1);
     sequence->priority = static_cast<unsigned>(body.value("priority").toInt());
