--- a/packages/relay/src/relaysession.cpp
+++ b/packages/relay/src/relaysession.cpp
@@ -488,7 +488,8 @@
     if (result.stalePooled && !streamBegun_ && mayRetry(result.verdict)) {
         // The runner closed an idle connection, as servers do at any time. The request is
         // idempotent, so it is sent again over a new connection; that is not held against the
-        // runner or the budget.
+        // runner or the budget. Its id differs, so that a cancellation cannot hit the wrong one.
+        attemptId_ += "r";
         startCall(kind_->message(request_, attemptId_, attemptTraceparent_), true);
         return;
     }
@@ -504,11 +505,11 @@
     endAttemptTrace(false, result.error);
     excludedRunners_.push_back(slot_->runner);
     releaseSlot(attemptSent_ ? SlotOutcome::Failed : failedOutcome(result));
+    wastedTokens_ += attemptTokens_;
     if (streamBegun_) {
         breakStream(refusal);
         return;
     }
-    wastedTokens_ += attemptTokens_;
     tokens_ -= attemptTokens_;
     runnerSentError_ = false;
     sequenceBroken_ = false;
