ctl: report commands that are not valid UTF-8 as syntax errors

A protobuf string must be UTF-8: the daemon could not parse such a request and gave no answer, so that auburnctl ended with "unknown" for a change that was never read.

--- a/packages/ctl/include/auburn/ctl/lexer.h
+++ b/packages/ctl/include/auburn/ctl/lexer.h
@@ -22,7 +22,8 @@
 
 // The tokens of a command, with an End token after the last one. A word consists of ASCII letters,
 // digits and the characters _-./:@+*%, and of non-ASCII bytes; anything else must stand in double
-// quotes, where \" and \\ are the only escapes.
+// quotes, where \" and \\ are the only escapes. A command that is not valid UTF-8 is
+// a mistake.
 std::variant<std::vector<Token>, CommandError> tokenize(std::string_view text);
 
 } // namespace auburn
--- a/packages/ctl/src/lexer.cpp
+++ b/packages/ctl/src/lexer.cpp
@@ -1,5 +1,8 @@
 #include "auburn/ctl/lexer.h"
 
+#include <QUtf8StringView>
+
+#include <algorithm>
 #include <optional>
 
 namespace auburn {
@@ -105,10 +108,27 @@
     std::vector<Token> tokens_;
 };
 
+bool isValidUtf8(std::string_view text)
+{
+    return QUtf8StringView(text.data(), static_cast<qsizetype>(text.size())).isValidUtf8();
+}
+
+CommandError invalidUtf8(std::string_view text)
+{
+    const auto *first = std::find_if(text.begin(), text.end(), [](char c) {
+        return (static_cast<unsigned char>(c) & 0x80U) != 0;
+    });
+    return CommandError{ static_cast<unsigned>(first - text.begin()) + 1,
+                         "the command is not valid UTF-8" };
+}
+
 } // namespace
 
 std::variant<std::vector<Token>, CommandError> tokenize(std::string_view text)
 {
+    // The daemon could not parse a message that contains such a command.
+    if (!isValidUtf8(text))
+        return invalidUtf8(text);
     return Scanner(text).run();
 }
 
