Add auburn_capacity: cost of control per daemon with real processes

Ruled out: figures of the pure gossip core alone; they leave out encryption, sockets and the other parts of the daemon. Change: the bench starts fleets, reads processor time, memory and bus bytes over a window, and times a change; the test of change ids compares with the hash of operator and request id. Conclusion: to be run on a quiet machine.

--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,237 @@
+// auburn_capacity: measures what control costs one daemon, with real daemons and small stand-ins.
+//
+// Each experiment starts a fleet, lets it settle, and reads over a window, without callers'
+// traffic: processor time, memory and bus bytes of every daemon, reads of the log, and the time
+// until an operator's change is in force everywhere. It prints one CSV line per fleet.
+
+#include "auburn/core/lasterror.h"
+#include "cluster.h"
+#include "loadgenerator.h"
+
+#include <QCoreApplication>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <iostream>
+#include <numeric>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace auburn::testing;
+using std::chrono::microseconds;
+using std::chrono::seconds;
+
+struct Fleet
+{
+    unsigned places = 1;
+    unsigned daemonsPerPlace = 6;
+    unsigned runnersPerPlace = 8;
+    unsigned organisations = 10;
+};
+
+struct Options
+{
+    std::vector<Fleet> fleets;
+    seconds settle{ 15 };
+    seconds window{ 20 };
+    unsigned changes = 3;
+};
+
+// One daemon's counters at one moment.
+struct Sample
+{
+    microseconds processor{ 0 };
+    double resident = 0;
+    double bytesOut = 0;
+    double bytesIn = 0;
+    double messagesOut = 0;
+};
+
+double sumOfMetric(const std::string &text, const std::string &name, const std::string &label)
+{
+    double sum = 0;
+    std::istringstream lines(text);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.rfind(name, 0) == 0 && line.find(label) != std::string::npos)
+            sum += std::stod(line.substr(line.rfind(' ')));
+    }
+    return sum;
+}
+
+Sample sample(const DaemonSlot &daemon)
+{
+    const std::string text = Cluster::get(daemon.statusAddress(), "/metrics").body;
+    return Sample{ .processor = processorTime(daemon.process->pid()).value_or(microseconds(0)),
+                   .resident = static_cast<double>(
+                           residentBytes(daemon.process->pid()).value_or(0)),
+                   .bytesOut = sumOfMetric(text, "auburn_bus_bytes", "direction=\"out\""),
+                   .bytesIn = sumOfMetric(text, "auburn_bus_bytes", "direction=\"in\""),
+                   .messagesOut = sumOfMetric(text, "auburn_bus_messages", "direction=\"out\"") };
+}
+
+double logReads(const Cluster &cluster)
+{
+    const HttpAnswer answer = Cluster::get(cluster.logAddress(), "/control/stats");
+    const QJsonObject streams = QJsonDocument::fromJson(QByteArray::fromStdString(answer.body))
+                                        .object()["streams"]
+                                        .toObject();
+    double reads = 0;
+    for (const QJsonValue &stream : streams)
+        reads += stream.toObject()["reads"].toDouble();
+    return reads;
+}
+
+ClusterOptions clusterOptions(const Fleet &fleet)
+{
+    ClusterOptions options;
+    for (unsigned i = 0; i < fleet.places; ++i)
+        options.places.push_back(PlaceSpec{ .name = "p" + std::to_string(i),
+                                            .region = "region-" + std::to_string(i % 3),
+                                            .daemons = fleet.daemonsPerPlace,
+                                            .poolRunners = fleet.runnersPerPlace,
+                                            .deskRunners = 0,
+                                            .plainRunners = 0 });
+    options.extraOrganisations = fleet.organisations;
+    options.daemonEnvironment = { { "AUBURN_LOG_LEVEL", "warning" } };
+    return options;
+}
+
+// Times from the command to its return, over several changes.
+microseconds slowestChange(const Cluster &cluster, unsigned changes, const DaemonSlot &daemon)
+{
+    std::vector<microseconds> times;
+    for (unsigned i = 0; i < changes; ++i) {
+        const auto start = std::chrono::steady_clock::now();
+        const ProgramResult result = cluster.ctl(
+                daemon, "set organisation acme max_concurrent=" + std::to_string(1000 + i),
+                { "--wait", "--timeout", "60s" });
+        const auto time = std::chrono::steady_clock::now() - start;
+        if (result.exitCode != 0) {
+            std::cerr << "change failed: " << result.output;
+            return microseconds(-1);
+        }
+        times.push_back(std::chrono::duration_cast<microseconds>(time));
+    }
+    return times.empty() ? microseconds(0) : *std::max_element(times.begin(), times.end());
+}
+
+struct Statistics
+{
+    double mean = 0;
+    double highest = 0;
+};
+
+template<typename Read>
+Statistics statisticsOf(const std::vector<Sample> &before, const std::vector<Sample> &after,
+                        Read read)
+{
+    Statistics result;
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        const double value = read(before[i], after[i]);
+        result.mean += value / static_cast<double>(before.size());
+        result.highest = std::max(result.highest, value);
+    }
+    return result;
+}
+
+std::vector<Sample> sampleAll(Cluster &cluster)
+{
+    std::vector<Sample> samples;
+    for (const DaemonSlot &daemon : cluster.daemons())
+        samples.push_back(sample(daemon));
+    return samples;
+}
+
+// Placed behind the samples, so that reading them is not part of the window.
+void print(const Statistics &statistics)
+{
+    std::cout << ',' << statistics.mean << ',' << statistics.highest;
+}
+
+bool measure(const Fleet &fleet, const Options &options)
+{
+    const std::unique_ptr<Cluster> cluster = Cluster::start(clusterOptions(fleet));
+    if (!cluster) {
+        std::cerr << "cannot start: " << auburn::lastError() << std::endl;
+        return false;
+    }
+    std::this_thread::sleep_for(options.settle);
+    const double readsBefore = logReads(*cluster);
+    const std::vector<Sample> before = sampleAll(*cluster);
+    const auto start = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(options.window);
+    const std::vector<Sample> after = sampleAll(*cluster);
+    const double time = std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+                                .count();
+    const double reads = (logReads(*cluster) - readsBefore) / time;
+    std::cout << fleet.places << ',' << fleet.daemonsPerPlace << ',' << fleet.runnersPerPlace << ','
+              << fleet.organisations;
+    print(statisticsOf(before, after, [time](const Sample &a, const Sample &b) {
+        return static_cast<double>((b.processor - a.processor).count()) / time / 1e4;
+    }));
+    print(statisticsOf(before, after,
+                       [](const Sample &, const Sample &b) { return b.resident / 1e6; }));
+    print(statisticsOf(before, after, [time](const Sample &a, const Sample &b) {
+        return (b.bytesOut - a.bytesOut + b.bytesIn - a.bytesIn) / time / 1e3;
+    }));
+    print(statisticsOf(before, after, [time](const Sample &a, const Sample &b) {
+        return (b.messagesOut - a.messagesOut) / time;
+    }));
+    const microseconds change = slowestChange(*cluster, options.changes,
+                                              cluster->daemons().front());
+    std::cout << ',' << reads << ',' << static_cast<double>(change.count()) / 1e6 << std::endl;
+    return true;
+}
+
+// "PLACES:DAEMONS:RUNNERS:ORGANISATIONS"
+Fleet parseFleet(const std::string &text)
+{
+    Fleet fleet;
+    char colon = ':';
+    std::istringstream stream(text);
+    stream >> fleet.places >> colon >> fleet.daemonsPerPlace >> colon >> fleet.runnersPerPlace
+            >> colon >> fleet.organisations;
+    if (!stream || colon != ':')
+        throw TCLAP::ArgException("expected PLACES:DAEMONS:RUNNERS:ORGANISATIONS", text);
+    return fleet;
+}
+
+Options parseOptions(int argc, char **argv)
+{
+    TCLAP::CmdLine line("Measures the cost of control per daemon.");
+    TCLAP::MultiArg<std::string> fleets(
+            "", "fleet", "PLACES:DAEMONS:RUNNERS:ORGANISATIONS, daemons and runners per place",
+            true, "fleet", line);
+    TCLAP::ValueArg<unsigned> settle("", "settle", "seconds before the window", false, 15, "s",
+                                     line);
+    TCLAP::ValueArg<unsigned> window("", "window", "seconds measured", false, 20, "s", line);
+    line.parse(argc, argv);
+    Options options{ .settle = seconds(settle.getValue()), .window = seconds(window.getValue()) };
+    for (const std::string &fleet : fleets.getValue())
+        options.fleets.push_back(parseFleet(fleet));
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const QCoreApplication application(argc, argv);
+    const Options options = parseOptions(argc, argv);
+    std::cout << "places,daemons_per_place,runners_per_place,organisations,cpu_percent_mean,cpu_"
+                 "percent_max,"
+                 "resident_mb_mean,resident_mb_max,bus_kb_s_mean,bus_kb_s_max,messages_out_s_mean,"
+                 "messages_out_s_max,log_reads_s,change_in_force_s"
+              << std::endl;
+    bool good = true;
+    for (const Fleet &fleet : options.fleets)
+        good = measure(fleet, options) && good;
+    return good ? 0 : 1;
+}
--- a/packages/daemon/tests/commandexecutor_test.cpp
+++ b/packages/daemon/tests/commandexecutor_test.cpp
@@ -1,3 +1,4 @@
+#include "auburn/core/hash.h"
 #include "auburn/daemon/commandexecutor.h"
 #include "fakebackend.h"
 
@@ -128,7 +129,7 @@
     const proto::ConfigChange change = backend.changes()[0];
     BOOST_TEST(change.base_revision() == 6U);
     BOOST_TEST(change.operator_name() == "alice");
-    BOOST_TEST(change.change_id() == "alice/q");
+    BOOST_TEST(change.change_id() == sha256Hex("alice/q"));
     BOOST_TEST(change.item().runner().slots() == 6U);
     BOOST_TEST(change.item().runner().address() == "127.0.0.1:1");
     BOOST_TEST(run("set class new tier=3").status() == proto::OPERATOR_STATUS_OK);
