--- a/packages/config/tests/testplatform.cpp
+++ b/packages/config/tests/testplatform.cpp
@@ -37,7 +37,8 @@
 StandIn::StandIn(const QString &program, const QStringList &arguments)
 {
     process_.setProcessChannelMode(QProcess::ForwardedErrorChannel);
-    process_.start(QStringLiteral(STANDIN_FOLDER "/") + program, arguments);
+    process_.start(QStringLiteral(STANDIN_FOLDER "/") + program,
+                   QStringList(arguments) << QStringLiteral("--exit-with-parent"));
     BOOST_REQUIRE(process_.waitForReadyRead(kWaitMs));
     const QByteArray line = process_.readLine().trimmed();
     BOOST_REQUIRE(line.startsWith("listening 127.0.0.1:"));
--- a/tests/standins/httpserver.cpp
+++ b/tests/standins/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <iostream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <utility>
 
 namespace auburn::standins {
@@ -119,4 +120,9 @@
     context.run();
 }
 
+void exitWithParent()
+{
+    prctl(PR_SET_PDEATHSIG, SIGTERM);
+}
+
 } // namespace auburn::standins
--- a/tests/standins/httpserver.h
+++ b/tests/standins/httpserver.h
@@ -88,4 +88,7 @@
 // Serves until SIGTERM or SIGINT, after printing "listening IP:PORT" as the first line of output.
 void serve(boost::asio::io_context &context, const HttpServer &server, const std::string &host);
 
+// Ends this process when the process that started it ends, however that happens.
+void exitWithParent();
+
 } // namespace auburn::standins
--- a/tests/standins/standin_list.cpp
+++ b/tests/standins/standin_list.cpp
@@ -124,7 +124,10 @@
                                         "IP:PORT", line);
     TCLAP::ValueArg<long long> lag("", "lag-ms", "time until a change shows in the list", false, 0,
                                    "milliseconds", line);
+    TCLAP::SwitchArg withParent("", "exit-with-parent", "end when the parent process ends", line);
     line.parse(argc, argv);
+    if (withParent.getValue())
+        exitWithParent();
     const auto endpoint = parseEndpoint(listen.getValue());
     boost::asio::io_context context;
     const ListStandIn list(context, endpoint, std::chrono::milliseconds(lag.getValue()));
--- a/tests/standins/standin_log.cpp
+++ b/tests/standins/standin_log.cpp
@@ -112,7 +112,10 @@
                                          "records", line);
     TCLAP::ValueArg<unsigned long> first("", "first-offset", "offset of a stream's first record",
                                          false, 0, "offset", line);
+    TCLAP::SwitchArg withParent("", "exit-with-parent", "end when the parent process ends", line);
     line.parse(argc, argv);
+    if (withParent.getValue())
+        exitWithParent();
     const auto endpoint = parseEndpoint(listen.getValue());
     boost::asio::io_context context;
     const Retention retention{ .age = std::chrono::milliseconds(age.getValue()),
