Bound the appends of a claim owner while the log does not answer

Batches without a certain result were appended again every 200 ms and new ones were added every 100 ms; a simulated outage of 60 s exceeded the design's limit of places x partitions / 0.1 s appends. At most 4 uncertain and 16 open batches are kept now, with a doubling pause; the test asserts the design's limit.

--- a/packages/claims/src/claimpartition.cpp
+++ b/packages/claims/src/claimpartition.cpp
@@ -12,9 +12,14 @@
 constexpr unsigned kReadMax = 1000;
 // A long poll; the log answers earlier when a record arrives.
 constexpr std::chrono::milliseconds kReadWait{ 1000 };
-// Pause after a failed read or an append without a certain result. Ten appends in a second of
-// outage stay far under the log's limit.
+// Pause after a failed read or an append without a certain result; for appends it doubles up to the
+// maximum.
 constexpr std::chrono::milliseconds kRetryPause{ 200 };
+constexpr std::chrono::milliseconds kMaxRetryPause{ 5000 };
+// Batches that are not read yet, and those among them whose append has no certain result. Further
+// claims and outcomes wait, so an outage of the log does not pile up appends.
+constexpr std::ptrdiff_t kMaxOpenBatches = 16;
+constexpr std::ptrdiff_t kMaxUncertainBatches = 4;
 // Claims and outcomes in one batch; at 200 bytes each, a record stays under 100 KB.
 constexpr std::size_t kMaxBatchItems = 500;
 // Steps of this machine's clock that the choice of the first record to read allows for.
@@ -49,6 +54,7 @@
     if (!inserted)
         return;
     found->second.record = std::move(record);
+    found->second.since = lastNeeded_;
     queuedOutcomes_.push_back(attempt);
 }
 
@@ -61,7 +67,7 @@
             return;
         if (owned || hasWork())
             lastNeeded_ = now;
-        giveUpClaims(now, work);
+        giveUp(now, work);
         retryBatches(now, work);
         makeBatch(now, work);
         const bool needed = now - lastNeeded_ < kIdleTime && lastNeeded_ != TimePoint();
@@ -142,7 +148,8 @@
             return;
         }
         batch.inFlight = false;
-        batch.retryAt = options_.clock() + kRetryPause;
+        batch.retryAt = options_.clock() + batch.retryPause;
+        batch.retryPause = std::min(2 * batch.retryPause, kMaxRetryPause);
         if (std::holds_alternative<ClaimAppendUnknown>(result))
             batch.uncertain = true;
         if (batch.uncertain)
@@ -256,7 +263,10 @@
 void ClaimPartition::makeBatch(TimePoint now, Work &work)
 {
     const bool due = now - lastBatch_ >= kClaimBatchInterval;
-    if (!due || (queuedClaims_.empty() && queuedOutcomes_.empty()))
+    const auto uncertain = std::count_if(batches_.begin(), batches_.end(),
+                                         [](const auto &entry) { return entry.second.uncertain; });
+    const bool full = uncertain >= kMaxUncertainBatches || std::ssize(batches_) >= kMaxOpenBatches;
+    if (!due || full || (queuedClaims_.empty() && queuedOutcomes_.empty()))
         return;
     lastBatch_ = now;
     const std::uint64_t number = nextBatch_++;
@@ -264,6 +274,7 @@
     message.set_writer(options_.writer);
     message.set_batch(number);
     Batch batch;
+    batch.retryPause = kRetryPause;
     batch.inFlight = true;
     while (!queuedClaims_.empty() && batch.claims.size() < kMaxBatchItems) {
         const std::string attempt = std::move(queuedClaims_.front());
@@ -314,7 +325,7 @@
     }
 }
 
-void ClaimPartition::giveUpClaims(TimePoint now, Work &work)
+void ClaimPartition::giveUp(TimePoint now, Work &work)
 {
     std::vector<std::string> late;
     for (const auto &[attempt, claim] : claims_) {
@@ -323,6 +334,10 @@
     }
     for (const std::string &attempt : late)
         answer({ .attemptId = attempt, .status = proto::CLAIM_STATUS_LOG_UNAVAILABLE }, work);
+    // The key of an older outcome has expired.
+    std::erase_if(outcomes_, [&](const auto &entry) {
+        return now - entry.second.since > kClaimKeyLifetime + kClaimKeyMaxAhead;
+    });
 }
 
 bool ClaimPartition::hasWork() const
--- a/packages/claims/src/claimpartition.h
+++ b/packages/claims/src/claimpartition.h
@@ -58,6 +58,7 @@
     {
         proto::ClaimOutcomeRecord record;
         std::set<std::string> clients;
+        TimePoint since;
     };
 
     struct Batch
@@ -70,6 +71,7 @@
         // True once an append had no certain result; a copy may then be in the log.
         bool uncertain = false;
         TimePoint retryAt;
+        std::chrono::milliseconds retryPause{ 0 };
     };
 
     struct Answer
@@ -100,7 +102,7 @@
     void noteGap(const ClaimReadResult &result);
     void makeBatch(TimePoint now, Work &work);
     void retryBatches(TimePoint now, Work &work);
-    void giveUpClaims(TimePoint now, Work &work);
+    void giveUp(TimePoint now, Work &work);
     bool hasWork() const;
     void forgetFold();
 
--- a/packages/claims/tests/claimexchange_test.cpp
+++ b/packages/claims/tests/claimexchange_test.cpp
@@ -55,6 +55,7 @@
     std::map<std::string, std::vector<ClaimLogRecord>> streams;
     double lostAnswers = 0;
     double lostRequests = 0;
+    unsigned appends = 0;
     bool outage = false;
 
 private:
@@ -92,6 +93,7 @@
     void append(const std::string &daemon, const std::string &stream, const std::string &bytes,
                 const ClaimLog::AppendCallback &callback)
     {
+        ++appends;
         const auto answer = [&](milliseconds delay, const ClaimAppendResult &result) {
             later(daemon, delay, [callback, result] { callback(result); });
         };
@@ -432,6 +434,22 @@
     BOOST_TEST(!world.claimAndWait("x", key).has_value());
 }
 
+// Guards against appends that pile up in an outage in which the log does not answer, and against
+// outcomes that are lost in it.
+BOOST_AUTO_TEST_CASE(claim_longOutageWithoutAnswers_appendsAreBoundedAndOutcomesSurvive)
+{
+    ClaimWorld world;
+    world.log.lostRequests = 1;
+    const unsigned before = world.log.appends;
+    world.run(seconds(60), [&] { world.load(); });
+    // The design's limit: places x partitions / 0.1 s.
+    BOOST_TEST(world.log.appends - before <= 2U * kClaimPartitions * 10 * 60);
+    world.log.lostRequests = 0;
+    world.run(seconds(60));
+    world.requireSettled();
+    BOOST_TEST(!world.claimAndWait("a", world.makeKey()).has_value());
+}
+
 // Guards against callers that wait for their own time-out while the log is known to be down.
 BOOST_AUTO_TEST_CASE(claim_logRefusesAppends_refusedBeforeTimeout)
 {
