--- a/packages/relay/bench/relaybench.cpp
+++ b/packages/relay/bench/relaybench.cpp
@@ -188,7 +188,7 @@
         return 1;
     }
     InstantSlots slots(engines);
-    const auto config = benchConfig();
+    auto config = benchConfig();
     const auto server = CallerServer::make({ .threads = settings.threads,
                                              .config = [config] { return config; },
                                              .slots = &slots });
--- a/packages/relay/tests/badinput_test.cpp
+++ b/packages/relay/tests/badinput_test.cpp
@@ -144,7 +144,7 @@
     for (int i = 0; i < 6400 && client.send(chunk); ++i)
         ;
     // The answer may be lost to the reset when the client ignores it, so only the memory counts.
-    BOOST_TEST(residentKilobytes() < before + 40 * 1024);
+    BOOST_TEST(residentKilobytes() < before + std::size_t{ 40 } * 1024);
     BOOST_TEST(client.waitClosed());
 }
 
--- a/packages/relay/tests/relayfixture.cpp
+++ b/packages/relay/tests/relayfixture.cpp
@@ -286,7 +286,7 @@
 
 std::string Client::receiveSome()
 {
-    std::string chunk(64 * 1024, '\0');
+    std::string chunk(std::size_t{ 64 } * 1024, '\0');
     const ssize_t size = ::recv(socket_.native_handle(), chunk.data(), chunk.size(), 0);
     chunk.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
     return chunk;
@@ -444,7 +444,7 @@
 
 void RelayFixture::serve()
 {
-    const auto state = ConfigState::make(items, 1);
+    auto state = ConfigState::make(items, 1);
     options.config = [state] { return state; };
     server = CallerServer::make(options);
 }
--- a/tests/standins/enginemain.cpp
+++ b/tests/standins/enginemain.cpp
@@ -83,6 +83,7 @@
         printListening(options.address, engines.back()->port());
     }
     std::vector<std::thread> threads;
+    threads.reserve(contexts.size());
     for (const auto &context : contexts)
         threads.emplace_back([&io = *context] { io.run(); });
     for (std::thread &thread : threads)
