--- a/packages/mesh/bench/gossipbench.cpp
+++ b/packages/mesh/bench/gossipbench.cpp
@@ -350,7 +350,7 @@
     addMembers(sim, shape);
     sim.run(60s);
     for (unsigned run = 1; run <= runs; ++run) {
-        const std::uint64_t revision = 1000 * run;
+        const std::uint64_t revision = 1000UL * run;
         const std::chrono::milliseconds start = sim.now();
         for (std::size_t i = 0; i < sim.size(); ++i) {
             const bool reads = relaysReadLog ? sim.node(i).core->isRelay() : i == run % 79;
