Limit crashes by one request at the cell's owner; join before becoming ready

Cause: a request that crashes engines took down 4 of 4 engines in each place. Each front counted crashes alone, and daemons that had just started each took themselves for the owner of the cell. Ruled out: gossip of the counts alone; a caller is back through another daemon sooner than gossip. Change: releases carry the fingerprint and whether the attempt crashed; the owner counts, refuses after 2 and admits one attempt of a suspect request at a time. A daemon becomes ready when it knows a neighbour, or after 3 s.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -41,11 +41,12 @@
 // Resolution of the schedulers' timers.
 constexpr std::chrono::milliseconds kScheduleTick{ 50 };
 constexpr std::chrono::milliseconds kListInterval{ 1000 };
-// Crashes after which a request is refused in this place (design, section 2.6).
-constexpr unsigned kCrashLimit = 2;
 // A departing daemon announces "left" and stays for this time, so that a gossip round carries it.
 constexpr std::chrono::milliseconds kFarewell{ 1200 };
 constexpr std::chrono::milliseconds kDrainPoll{ 50 };
+// A daemon that is ready before it knows its neighbours takes itself for the owner of every cell.
+// It waits this long for the first of them; a place may have one daemon only.
+constexpr std::chrono::seconds kJoinWait{ 3 };
 
 } // namespace
 
@@ -143,9 +144,19 @@
                                    .bus = bus_.get(),
                                    .views = membership_.get(),
                                    .config = config,
-                                   .publishLoads = [this](std::vector<CellLoad> loads) {
-                                       membership_->setCellLoads(std::move(loads));
-                                   } });
+                                   .publishLoads =
+                                           [this](std::vector<CellLoad> loads) {
+                                               membership_->setCellLoads(std::move(loads));
+                                           },
+                                   .suspects = { .crashes =
+                                                         [this](std::uint64_t fingerprint) {
+                                                             return membership_->crashes(
+                                                                     fingerprint);
+                                                         },
+                                                 .addCrash =
+                                                         [this](std::uint64_t fingerprint) {
+                                                             membership_->addCrash(fingerprint);
+                                                         } } });
         if (!owner_)
             return false;
         slots_ = SlotClient::make(
@@ -158,10 +169,6 @@
                   .crashesRunners =
                           [this](std::uint64_t fingerprint) {
                               return membership_->crashes(fingerprint) >= kCrashLimit;
-                          },
-                  .runnerLost =
-                          [this](std::uint64_t fingerprint) {
-                              membership_->addCrash(fingerprint);
                           } });
         if (!slots_)
             return false;
@@ -256,6 +263,8 @@
             return "shutting down";
         if (!store_.current())
             return "no configuration yet";
+        if (!announcedReady_)
+            return "joining the other daemons of the place";
         return std::nullopt;
     }
 
@@ -270,9 +279,15 @@
         updateRole();
     }
 
+    bool hasJoined() const
+    {
+        return membership_->view()->members.size() > 1
+               || std::chrono::steady_clock::now() - started_ >= kJoinWait;
+    }
+
     void updateRole()
     {
-        if (!announcedReady_ && store_.current() && !stopping_) {
+        if (!announcedReady_ && store_.current() && hasJoined() && !stopping_) {
             announcedReady_ = true;
             membership_->setStatus(MemberStatus::Ready);
             logEvent(LogLevel::Info, "ready",
@@ -375,7 +390,8 @@
     std::unique_ptr<OperatorServer> operators_;
     std::function<void()> stopped_;
     std::atomic<bool> stopping_{ false };
-    bool announcedReady_ = false;
+    std::atomic<bool> announcedReady_{ false };
+    const std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
     bool relay_ = false;
     bool listPending_ = false;
     // Owner of the timers; calls that are posted to it are dropped when it is destroyed.
--- a/packages/relay/src/relaysession.cpp
+++ b/packages/relay/src/relaysession.cpp
@@ -234,7 +234,12 @@
 {
     if (!slot_)
         return;
-    SlotReport report{ .outcome = outcome, .tokens = attemptTokens_ };
+    // The fingerprint accuses the request of a crash, so a runner that is silent or answers with an
+    // error does not count.
+    SlotReport report{ .outcome = outcome,
+                       .tokens = attemptTokens_,
+                       .fingerprint = request_.fingerprint,
+                       .crashed = outcome == SlotOutcome::Failed && attemptCrashed_ };
     if (attemptTokens_ > 0)
         report.firstToken = std::chrono::duration_cast<std::chrono::microseconds>(firstTokenAt_
                                                                                   - dispatched_);
@@ -242,10 +247,6 @@
         report.tokenGap = std::chrono::duration_cast<std::chrono::microseconds>(lastTokenAt_
                                                                                 - firstTokenAt_)
                           / (attemptTokens_ - 1);
-    // The fingerprint accuses the request of a crash, so a runner that is silent or answers with an
-    // error does not count.
-    if (outcome == SlotOutcome::Failed && attemptCrashed_)
-        report.fingerprint = request_.fingerprint;
     worker_.shared.options.slots->release(*slot_, report);
     slot_.reset();
 }
--- a/packages/schedule/include/auburn/schedule/cellowner.h
+++ b/packages/schedule/include/auburn/schedule/cellowner.h
@@ -9,6 +9,7 @@
 #include "auburn/mesh/bus.h"
 #include "auburn/mesh/memberview.h"
 #include "auburn/schedule/cellscheduler.h"
+#include "auburn/schedule/suspectrequests.h"
 
 #include <functional>
 #include <map>
@@ -40,6 +41,7 @@
         std::function<void(std::vector<CellLoad>)> publishLoads;
         TierQueue::Options queue;
         RunnerTable::Options runners;
+        SuspectRequests::Options suspects;
     };
 
     // Null with lastError() set if bus, views or config is missing. Sets the bus handlers of
@@ -92,6 +94,7 @@
     void publish(const MemberView &view);
 
     const Options options_;
+    SuspectRequests suspects_;
     MessageBus::Handler localHandler_;
     MessageBus::Handler foreignHandler_;
     mutable std::shared_mutex mutex_;
--- a/packages/schedule/include/auburn/schedule/cellscheduler.h
+++ b/packages/schedule/include/auburn/schedule/cellscheduler.h
@@ -107,6 +107,8 @@
     SlotEvents tick(TimePoint now, const FrontGone &frontGone);
 
     CellLoad load() const;
+    // True if a request with this id waits or holds a slot.
+    bool knows(const std::string &requestId) const;
     // True if the cell holds neither slots nor waiting requests.
     bool idle() const;
 
--- a/packages/schedule/include/auburn/schedule/slotclient.h
+++ b/packages/schedule/include/auburn/schedule/slotclient.h
@@ -50,8 +50,6 @@
         // True if requests with this fingerprint are refused because they crash runners; may be
         // empty.
         std::function<bool(std::uint64_t fingerprint)> crashesRunners;
-        // Called when the attempt of a request with this fingerprint lost its runner; may be empty.
-        std::function<void(std::uint64_t fingerprint)> runnerLost;
     };
 
     // Null with lastError() set if a required option is missing. Sets the bus handlers of SlotAck,
--- a/packages/schedule/include/auburn/schedule/slotsource.h
+++ b/packages/schedule/include/auburn/schedule/slotsource.h
@@ -59,7 +59,10 @@
     // Mean time between tokens; 0 if fewer than two came.
     std::chrono::microseconds tokenGap{ 0 };
     unsigned tokens = 0;
+    // That of the demand.
     std::uint64_t fingerprint = 0;
+    // The connection broke as it does when a runner crashes.
+    bool crashed = false;
 };
 
 using SlotAnswer = std::variant<GrantedSlot, Refusal>;
--- a/packages/schedule/src/cellowner.cpp
+++ b/packages/schedule/src/cellowner.cpp
@@ -45,6 +45,7 @@
 
 CellOwner::CellOwner(Options options)
     : options_(std::move(options))
+    , suspects_(options_.suspects)
 {}
 
 void CellOwner::handle(const std::string &sender, const proto::Envelope &envelope)
@@ -127,7 +128,15 @@
         return;
     }
     const TimePoint now = options_.clock();
-    sendAll(cell->request(askFromProto(front, request, now), now));
+    const SlotAsk ask = askFromProto(front, request, now);
+    // A request that is sent again under its id was admitted before.
+    if (!cell->knows(ask.requestId)) {
+        if (const auto refusal = suspects_.admit(request.fingerprint(), now)) {
+            send(front, refusalMessage(request.request_id(), *refusal));
+            return;
+        }
+    }
+    sendAll(cell->request(ask, now));
 }
 
 void CellOwner::onCancel(const std::string &front, const proto::Envelope &envelope)
@@ -144,6 +153,9 @@
     const proto::SlotRelease &release = envelope.slot_release();
     const SlotReport report = reportFromProto(release);
     const TimePoint now = options_.clock();
+    // A slot of another place's pool was granted by an owner there, which counts the crash.
+    if (release.cell() != kAnyCell)
+        suspects_.attemptEnded(report.fingerprint, report.crashed);
     // A late grant is released without its cell, which the front no longer knows.
     const bool anywhere = release.service().empty();
     if (anywhere) {
--- a/packages/schedule/src/cellscheduler.cpp
+++ b/packages/schedule/src/cellscheduler.cpp
@@ -69,6 +69,12 @@
     return events;
 }
 
+bool CellScheduler::knows(const std::string &requestId) const
+{
+    const std::lock_guard lock(mutex_);
+    return asks_.contains(requestId) || slotByRequest_.contains(requestId);
+}
+
 SlotEvents CellScheduler::request(const SlotAsk &ask, TimePoint now)
 {
     const std::lock_guard lock(mutex_);
--- a/packages/schedule/src/slotclient.cpp
+++ b/packages/schedule/src/slotclient.cpp
@@ -179,10 +179,6 @@
         if (now.owner != held->slot.owner)
             send(now.owner, releaseMessage(now, report));
     }
-    const bool lost = report.outcome == SlotOutcome::RunnerUnreachable
-                      || report.outcome == SlotOutcome::Failed;
-    if (lost && report.fingerprint != 0 && options_.runnerLost)
-        options_.runnerLost(report.fingerprint);
 }
 
 void SlotClient::tick(TimePoint now)
--- a/packages/schedule/src/slotmessages.cpp
+++ b/packages/schedule/src/slotmessages.cpp
@@ -70,6 +70,8 @@
         .firstToken = std::chrono::microseconds(message.first_token_us()),
         .tokenGap = std::chrono::microseconds(message.token_gap_us()),
         .tokens = message.tokens(),
+        .fingerprint = message.fingerprint(),
+        .crashed = message.crashed(),
     };
 }
 
@@ -147,6 +149,8 @@
     message->set_tokens(report.tokens);
     message->set_service(slot.service);
     message->set_cell(slot.cell);
+    message->set_fingerprint(report.fingerprint);
+    message->set_crashed(report.crashed);
     return envelope;
 }
 
--- /dev/null
+++ b/packages/schedule/src/suspectrequests.cpp
@@ -0,0 +1,49 @@
+#include "auburn/schedule/suspectrequests.h"
+
+#include <utility>
+
+namespace auburn {
+
+namespace {
+
+Refusal crashesRunners(const char *message)
+{
+    return Refusal{ .code = RefusalCode::CrashesRunners,
+                    .verdict = Verdict::DidNotRun,
+                    .message = message,
+                    .retryAfter = std::nullopt };
+}
+
+} // namespace
+
+SuspectRequests::SuspectRequests(Options options)
+    : options_(std::move(options))
+{}
+
+std::optional<Refusal> SuspectRequests::admit(std::uint64_t fingerprint, TimePoint now)
+{
+    const unsigned crashes = fingerprint != 0 && options_.crashes ? options_.crashes(fingerprint)
+                                                                  : 0;
+    if (crashes == 0)
+        return std::nullopt;
+    if (crashes >= kCrashLimit)
+        return crashesRunners("the request has crashed its runners");
+    const std::lock_guard lock(mutex_);
+    std::erase_if(trials_, [now](const auto &trial) { return trial.second <= now; });
+    if (!trials_.emplace(fingerprint, now + kSuspectTrial).second)
+        return crashesRunners("the request has crashed a runner and is being tried once more");
+    return std::nullopt;
+}
+
+void SuspectRequests::attemptEnded(std::uint64_t fingerprint, bool crashed)
+{
+    if (fingerprint == 0)
+        return;
+    // Counted before the trial ends, so that no request is admitted in between.
+    if (crashed && options_.addCrash)
+        options_.addCrash(fingerprint);
+    const std::lock_guard lock(mutex_);
+    trials_.erase(fingerprint);
+}
+
+} // namespace auburn
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -143,15 +143,6 @@
     return readFile(logPath_);
 }
 
-ProgramResult runProgram(ChildProcess::Options options, std::chrono::milliseconds timeout)
-{
-    const std::unique_ptr<ChildProcess> process = ChildProcess::start(std::move(options));
-    if (!process)
-        return ProgramResult{ .output = lastError() };
-    const std::optional<int> exitCode = process->waitForExit(timeout);
-    return ProgramResult{ .exitCode = exitCode.value_or(-1), .output = process->output() };
-}
-
 std::optional<std::chrono::microseconds> processorTime(int pid)
 {
     const std::string stat = readFile("/proc/" + std::to_string(pid) + "/stat");
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -56,13 +56,12 @@
     std::unique_ptr<Impl> impl_;
 };
 
-// Runs a program to its end; the exit code and the output.
+// Exit code and output of a program that has ended; the code is -1 if it did not end.
 struct ProgramResult
 {
     int exitCode = -1;
     std::string output;
 };
-ProgramResult runProgram(ChildProcess::Options options, std::chrono::milliseconds timeout);
 
 // Processor time used by a process so far, user and system; empty if it is gone.
 std::optional<std::chrono::microseconds> processorTime(int pid);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::chrono::seconds kStartTimeout{ 20 };
+constexpr std::chrono::seconds kCtlTimeout{ 60 };
 constexpr std::chrono::milliseconds kPollInterval{ 20 };
 
 std::string toJson(const QJsonObject &object)
@@ -359,22 +360,34 @@
                         .body = toJson(body) };
 }
 
-ProgramResult Cluster::ctl(const DaemonSlot &daemon, const std::string &command,
-                           const std::vector<std::string> &options,
-                           const std::string &operatorName) const
+std::unique_ptr<ChildProcess> Cluster::startCtl(const DaemonSlot &daemon,
+                                                const std::string &command,
+                                                const std::vector<std::string> &options,
+                                                const std::string &operatorName) const
 {
     std::vector<std::string> arguments = options;
     arguments.push_back(command);
     const Keys &keys = operators_.at(operatorName);
-    return runProgram({ .name = "ctl-" + makeShortId(),
-                        .program = "auburnctl",
-                        .arguments = arguments,
-                        .environment = { { "AUBURN_CTL_ENDPOINT", daemon.operatorEndpoint() },
-                                         { "AUBURN_CTL_SERVER_KEY", fleet_.publicKey },
-                                         { "AUBURN_CTL_PUBLIC_KEY", keys.publicKey },
-                                         { "AUBURN_CTL_SECRET_KEY", keys.secretKey } },
-                        .logFolder = options_.folder },
-                      std::chrono::seconds(60));
+    return ChildProcess::start(
+            { .name = "ctl-" + makeShortId(),
+              .program = "auburnctl",
+              .arguments = arguments,
+              .environment = { { "AUBURN_CTL_ENDPOINT", daemon.operatorEndpoint() },
+                               { "AUBURN_CTL_SERVER_KEY", fleet_.publicKey },
+                               { "AUBURN_CTL_PUBLIC_KEY", keys.publicKey },
+                               { "AUBURN_CTL_SECRET_KEY", keys.secretKey } },
+              .logFolder = options_.folder });
+}
+
+ProgramResult Cluster::ctl(const DaemonSlot &daemon, const std::string &command,
+                           const std::vector<std::string> &options,
+                           const std::string &operatorName) const
+{
+    const auto process = startCtl(daemon, command, options, operatorName);
+    if (!process)
+        return ProgramResult{ .output = lastError() };
+    const std::optional<int> exitCode = process->waitForExit(kCtlTimeout);
+    return ProgramResult{ .exitCode = exitCode.value_or(-1), .output = process->output() };
 }
 
 HttpAnswer Cluster::control(const std::string &address, const std::string &json)
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -117,6 +117,11 @@
                       const std::vector<std::string> &options = {},
                       const std::string &operatorName = "alice") const;
 
+    // Starts auburnctl without waiting for its end.
+    std::unique_ptr<ChildProcess> startCtl(const DaemonSlot &daemon, const std::string &command,
+                                           const std::vector<std::string> &options = {},
+                                           const std::string &operatorName = "alice") const;
+
     // Posts JSON to the control interface of a stand-in.
     static HttpAnswer control(const std::string &address, const std::string &json);
     static HttpAnswer get(const std::string &address, const std::string &target);
