--- a/packages/config/tests/publisher_test.cpp
+++ b/packages/config/tests/publisher_test.cpp
@@ -5,6 +5,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
 namespace auburn {
 
 using namespace tests;
@@ -50,6 +55,42 @@
     LogClient &log_;
 };
 
+// A log whose answers to reads can be held back.
+class HeldReads : public LogClient
+{
+public:
+    explicit HeldReads(LogClient &log)
+        : log_(log)
+    {}
+
+    void append(const std::string &, std::string, AppendCallback) override {}
+
+    void read(const std::string &stream, std::uint64_t from, std::size_t max,
+              std::chrono::milliseconds wait, ReadCallback callback) override
+    {
+        log_.read(stream, from, max, wait,
+                  [this, callback = std::move(callback)](const std::optional<LogBatch> &batch) {
+                      heldAnswers.emplace_back([callback, batch]() { callback(batch); });
+                      if (!holding)
+                          release();
+                  });
+    }
+
+    void release()
+    {
+        holding = false;
+        const auto answers = std::exchange(heldAnswers, {});
+        for (const auto &answer : answers)
+            answer();
+    }
+
+    bool holding = false;
+    std::vector<std::function<void()>> heldAnswers;
+
+private:
+    LogClient &log_;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(publisher, PublisherFixture)
@@ -80,6 +121,29 @@
     BOOST_TEST(daemon->follower->history().size() == 2U);
 }
 
+// Guards against a result that comes from the append alone, before the record is read back.
+BOOST_AUTO_TEST_CASE(submit_appendAnsweredBeforeReadBack_waitsForTheFold)
+{
+    HeldReads reads(*daemon->log);
+    ConfigStore store;
+    const auto bus = network.makeBus("late");
+    const auto follower = ConfigFollower::make({}, reads, *bus, store);
+    follower->setFollowing(true);
+    follower->start();
+    waitUntil([&store]() { return store.current() != nullptr; });
+    const auto publisher = ConfigPublisher::make({}, *daemon->log, *follower, store);
+    reads.holding = true;
+    std::optional<PublishResult> result;
+    publisher->submit(removal("a", 0, organisation("absent")),
+                      [&result](const PublishResult &given) { result = given; });
+    waitUntil([this]() { return appends() >= 2; });
+    runFor(std::chrono::milliseconds(200));
+    BOOST_TEST(!result.has_value());
+    reads.release();
+    waitUntil([&result]() { return result.has_value(); });
+    BOOST_CHECK(std::holds_alternative<ChangeInvalid>(*result));
+}
+
 // Guards against two daemons that both report success, or both failure, for racing changes.
 BOOST_AUTO_TEST_CASE(submit_racingChangesAtTwoDaemons_exactlyOneAccepted)
 {
