--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -145,8 +145,8 @@
                                    .views = membership_.get(),
                                    .config = config,
                                    .publishLoads =
-                                           [this](std::vector<CellLoad> loads) {
-                                               membership_->setCellLoads(std::move(loads));
+                                           [this](const std::vector<CellLoad> &loads) {
+                                               membership_->setCellLoads(loads);
                                            },
                                    .suspects = { .crashes =
                                                          [this](std::uint64_t fingerprint) {
