--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,8 +1,9 @@
 // auburn_capacity: measures what control costs one daemon, with real daemons and small stand-ins.
 //
-// Each experiment starts a fleet, lets it settle, and reads over a window, without callers'
-// traffic: processor time, memory and bus bytes of every daemon, reads of the log, and the time
-// until an operator's change is in force everywhere. It prints one CSV line per fleet.
+// Each experiment starts a fleet, lets it settle, and reads over a window: processor time, memory
+// and bus bytes of every daemon, reads of the log, and the time until an operator's change is in
+// force everywhere. With --rate, callers send short requests meanwhile, so that the difference to a
+// run without them is the cost of slot messages. It prints one CSV line per fleet.
 
 #include "auburn/core/lasterror.h"
 #include "cluster.h"
@@ -41,6 +42,8 @@
     seconds settle{ 15 };
     seconds window{ 20 };
     unsigned changes = 3;
+    // Requests per second through each daemon during the window.
+    unsigned rate = 0;
 };
 
 // One daemon's counters at one moment.
@@ -149,12 +152,31 @@
     return samples;
 }
 
-// Placed behind the samples, so that reading them is not part of the window.
 void print(const Statistics &statistics)
 {
     std::cout << ',' << statistics.mean << ',' << statistics.highest;
 }
 
+// Lets the window pass, with requests at the given rate through each daemon.
+void passWindow(Cluster &cluster, const Options &options)
+{
+    const auto end = std::chrono::steady_clock::now() + options.window;
+    std::vector<LoadItem> items;
+    const unsigned count = options.rate * static_cast<unsigned>(options.window.count());
+    for (unsigned i = 0; i < count; ++i) {
+        for (const DaemonSlot &daemon : cluster.daemons())
+            items.push_back({ .at = microseconds(1000000) * i / options.rate,
+                              .request = cluster.chat(daemon, "token-standard", "short", 2),
+                              .tag = {} });
+    }
+    const std::vector<LoadResult> results = runLoad(items, { .keepAlive = true });
+    const auto failed = std::count_if(results.begin(), results.end(),
+                                      [](const LoadResult &result) { return !result.whole; });
+    if (failed > 0)
+        std::cerr << failed << " of " << results.size() << " requests failed" << std::endl;
+    std::this_thread::sleep_until(end);
+}
+
 bool measure(const Fleet &fleet, const Options &options)
 {
     const std::unique_ptr<Cluster> cluster = Cluster::start(clusterOptions(fleet));
@@ -166,7 +188,7 @@
     const double readsBefore = logReads(*cluster);
     const std::vector<Sample> before = sampleAll(*cluster);
     const auto start = std::chrono::steady_clock::now();
-    std::this_thread::sleep_for(options.window);
+    passWindow(*cluster, options);
     const std::vector<Sample> after = sampleAll(*cluster);
     const double time = std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
                                 .count();
@@ -212,8 +234,12 @@
     TCLAP::ValueArg<unsigned> settle("", "settle", "seconds before the window", false, 15, "s",
                                      line);
     TCLAP::ValueArg<unsigned> window("", "window", "seconds measured", false, 20, "s", line);
+    TCLAP::ValueArg<unsigned> rate("", "rate", "requests per second through each daemon", false, 0,
+                                   "1/s", line);
     line.parse(argc, argv);
-    Options options{ .settle = seconds(settle.getValue()), .window = seconds(window.getValue()) };
+    Options options{ .settle = seconds(settle.getValue()),
+                     .window = seconds(window.getValue()),
+                     .rate = rate.getValue() };
     for (const std::string &fleet : fleets.getValue())
         options.fleets.push_back(parseFleet(fleet));
     return options;
