Share the parts of an HTTP call between the test client and the load generator

Cause: address parsing, request building and header copying stood in both httpcaller.cpp and loadgenerator.cpp. Ruled out: one class for both; the blocking client needs a deadline per step, the generator runs many calls on one thread.

--- a/tests/support/httpcaller.cpp
+++ b/tests/support/httpcaller.cpp
@@ -1,5 +1,7 @@
 #include "httpcaller.h"
 
+#include "httpmessage.h"
+
 #include <QByteArray>
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -64,25 +66,13 @@
 
     bool connect()
     {
-        const std::size_t colon = request_.address.rfind(':');
-        const auto port = static_cast<unsigned short>(
-                std::stoi(request_.address.substr(colon + 1)));
-        const tcp::endpoint endpoint(asio::ip::make_address(request_.address.substr(0, colon)),
-                                     port);
+        const tcp::endpoint endpoint = endpointOf(request_.address);
         return await([&](auto handler) { stream_.async_connect(endpoint, handler); });
     }
 
     bool write()
     {
-        http::request<http::string_body> message;
-        message.method_string(request_.method);
-        message.target(request_.target);
-        message.version(11);
-        message.set(http::field::host, request_.address);
-        for (const auto &[name, value] : request_.headers)
-            message.set(name, value);
-        message.body() = request_.body;
-        message.prepare_payload();
+        const auto message = messageOf(request_);
         return await([&](auto handler) { http::async_write(stream_, message, handler); });
     }
 
@@ -92,13 +82,7 @@
                 http::async_read_header(stream_, buffer_, parser_, handler);
             }))
             return false;
-        const auto &message = parser_.get();
-        answer_.status = message.result_int();
-        for (const auto &field : message) {
-            std::string name(field.name_string());
-            std::transform(name.begin(), name.end(), name.begin(), ::tolower);
-            answer_.headers[name] = std::string(field.value());
-        }
+        takeHeader(parser_.get().base(), answer_);
         return true;
     }
 
--- a/tests/support/loadgenerator.cpp
+++ b/tests/support/loadgenerator.cpp
@@ -1,5 +1,7 @@
 #include "loadgenerator.h"
 
+#include "httpmessage.h"
+
 #include <QByteArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -57,11 +59,7 @@
         }
         stream_ = std::make_unique<beast::tcp_stream>(context_);
         stream_->expires_after(item_.request.timeout);
-        const std::string &address = item_.request.address;
-        const std::size_t colon = address.rfind(':');
-        const tcp::endpoint endpoint(
-                asio::ip::make_address(address.substr(0, colon)),
-                static_cast<unsigned short>(std::stoi(address.substr(colon + 1))));
+        const tcp::endpoint endpoint = endpointOf(item_.request.address);
         stream_->async_connect(endpoint, [self = shared_from_this()](beast::error_code error) {
             if (error)
                 self->fail(error);
@@ -86,14 +84,7 @@
 
     void write()
     {
-        message_.method_string(item_.request.method);
-        message_.target(item_.request.target);
-        message_.version(11);
-        message_.set(http::field::host, item_.request.address);
-        for (const auto &[name, value] : item_.request.headers)
-            message_.set(name, value);
-        message_.body() = item_.request.body;
-        message_.prepare_payload();
+        message_ = messageOf(item_.request);
         http::async_write(*stream_, message_,
                           [self = shared_from_this()](beast::error_code error, std::size_t) {
                               if (error)
@@ -116,13 +107,7 @@
 
     void takeHeader()
     {
-        const auto &message = parser_.get();
-        result_.answer.status = static_cast<int>(message.result_int());
-        for (const auto &field : message) {
-            std::string name(field.name_string());
-            std::transform(name.begin(), name.end(), name.begin(), ::tolower);
-            result_.answer.headers[name] = std::string(field.value());
-        }
+        auburn::testing::takeHeader(parser_.get().base(), result_.answer);
         isStream_ = result_.answer.header("content-type").rfind("text/event-stream", 0) == 0;
         readBody();
     }
