--- a/packages/relay/src/lazydeadline.cpp
+++ b/packages/core/src/lazydeadline.cpp
@@ -1,4 +1,4 @@
-#include "lazydeadline.h"
+#include "auburn/core/lazydeadline.h"
 
 #include <utility>
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -4,6 +4,7 @@
 #include "auburn/core/log.h"
 #include "auburn/daemon/daemon.h"
 #include "auburn/daemon/settings.h"
+#include "platform/platformdaemon.h"
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
@@ -55,6 +56,8 @@
 int main(int argc, char **argv)
 {
     const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (const auto path = auburn::platform::settingsPath())
+        return auburn::platform::runPlatformDaemon(*path, arguments);
     const auto result = auburn::readSettings(arguments, auburn::processEnvironment);
     if (const auto *exit = std::get_if<auburn::SettingsExit>(&result)) {
         (exit->code == 0 ? std::cout : std::cerr) << exit->text;
--- /dev/null
+++ b/packages/gateway/src/callerrequest.cpp
@@ -0,0 +1,161 @@
+#include "callerrequest.h"
+
+#include "auburn/core/hash.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace auburn::gateway {
+
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+
+namespace {
+
+std::string_view view(boost::beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+bool isConnectionField(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool isReserved(std::string_view name, const HeaderDialect &dialect)
+{
+    const auto matches = [name](const std::string &reserved) {
+        return iequals(boost::beast::string_view(name.data(), name.size()),
+                       boost::beast::string_view(reserved.data(), reserved.size()));
+    };
+    return std::any_of(dialect.reserved.begin(), dialect.reserved.end(), matches);
+}
+
+template<typename Number>
+std::optional<Number> parseNumber(std::string_view text, int base = 10)
+{
+    Number number{};
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number, base);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ')
+        text.remove_prefix(1);
+    while (!text.empty() && text.back() == ' ')
+        text.remove_suffix(1);
+    return text;
+}
+
+std::optional<routing::PromptPart> parsePromptPart(std::string_view text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const auto tokens = parseNumber<std::uint64_t>(text.substr(colon + 1));
+    if (!tokens)
+        return std::nullopt;
+    const std::string_view name = text.substr(0, colon);
+    const auto id = parseNumber<std::uint64_t>(name, 16);
+    return routing::PromptPart{ .id = id ? *id : stableHash(name), .tokens = *tokens };
+}
+
+// Milliseconds may have a fraction.
+std::optional<std::chrono::milliseconds> parseMilliseconds(std::string_view text)
+{
+    double ms = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (text.empty() || parsed.ec != std::errc() || !(ms >= 0) || ms > 1e9)
+        return std::nullopt;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(ms));
+}
+
+} // namespace
+
+std::vector<HeaderField> endToEndFields(const http::fields &fields)
+{
+    std::vector<HeaderField> result;
+    const auto connection = fields[http::field::connection];
+    for (const auto &field : fields) {
+        if (isConnectionField(field.name()))
+            continue;
+        const bool listed = !connection.empty()
+                            && http::token_list(connection).exists(field.name_string());
+        if (!listed)
+            result.push_back({ .name = std::string(view(field.name_string())),
+                               .value = std::string(view(field.value())) });
+    }
+    return result;
+}
+
+routing::PromptParts parsePromptParts(std::string_view text)
+{
+    routing::PromptParts parts;
+    while (!text.empty()) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        const auto part = parsePromptPart(trimmed(text.substr(0, comma)));
+        if (part)
+            parts.push_back(*part);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return parts;
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+CallerRequest readCallerRequest(const RequestHeader &header, std::string body,
+                                const HeaderDialect &dialect)
+{
+    CallerRequest request;
+    request.id = std::string(view(header[dialect.requestId]));
+    request.method = std::string(view(header.method_string()));
+    request.target = std::string(view(header.target()));
+    request.host = std::string(view(header[http::field::host]));
+    request.apiKey = std::string(view(header[dialect.apiKey]));
+    request.lastEventId = std::string(view(header[dialect.lastEventId]));
+    request.prompt = parsePromptParts(view(header[dialect.promptParts]));
+    request.deadline = parseMilliseconds(view(header[dialect.deadline]));
+    for (HeaderField &field : endToEndFields(header)) {
+        const bool ownField = iequals(field.name, "Host") || iequals(field.name, "Expect");
+        if (!ownField && !isReserved(field.name, dialect))
+            request.fields.push_back(std::move(field));
+    }
+    if (!body.empty())
+        request.body = std::make_shared<const std::string>(std::move(body));
+    return request;
+}
+
+std::uint64_t requestFingerprint(const CallerRequest &request)
+{
+    std::uint64_t hash = stableHash(request.body ? *request.body : std::string());
+    hash = stableHash(request.target, hash);
+    hash = stableHash(request.method, hash);
+    return stableHash(request.organisation ? request.organisation->name : std::string(), hash);
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/clientconnection.cpp
@@ -0,0 +1,449 @@
+#include "clientconnection.h"
+
+#include "socketoptions.h"
+
+#include "auburn/core/log.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace auburn::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kReadSize = std::size_t{ 8 } * 1024;
+constexpr milliseconds kBodyTime{ 20000 };
+constexpr milliseconds kWriteTimeout{ 10000 };
+constexpr milliseconds kLingerTime{ 1500 };
+constexpr std::size_t kLingerBytes = std::size_t{ 8 } * 1024 * 1024;
+// Bytes that wait for a slow caller before reading from its server pauses.
+constexpr std::size_t kOutputHigh = std::size_t{ 128 } * 1024;
+// Callers reuse connections up to most of the idle limit; ours lasts a little longer.
+constexpr milliseconds kIdleMargin{ 1000 };
+
+std::string_view view(boost::beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+// A request whose length can be read in two ways would let one request hide in another.
+bool hasSoundFraming(const RequestHeader &header)
+{
+    const auto lengths = header.count(http::field::content_length);
+    const auto encodings = header.count(http::field::transfer_encoding);
+    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0))
+        return false;
+    if (encodings > 0 && !boost::beast::iequals(header[http::field::transfer_encoding], "chunked"))
+        return false;
+    return header.count(http::field::host) <= 1;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(GatewayCore &core, tcp::socket socket)
+    : core_(core)
+    , socket_(std::move(socket))
+    , readDeadline_(core.io, [this] { readDeadlinePassed(); })
+    , writeDeadline_(core.io, [this] { closeSoon(); })
+{
+    ++core_.connections;
+}
+
+ClientConnection::~ClientConnection()
+{
+    --core_.connections;
+}
+
+void ClientConnection::start()
+{
+    ErrorCode ignored;
+    socket_.non_blocking(true, ignored);
+    setTransportOptions(socket_);
+    beginRequest();
+}
+
+void ClientConnection::drain()
+{
+    if (phase_ == Phase::Idle)
+        readDeadline_.setAfter(core_.drainIdleTime);
+}
+
+// ---- Input -----------------------------------------------------------------
+
+void ClientConnection::beginRequest()
+{
+    const milliseconds idle = core_.state.config
+                                      ? core_.state.config->limits().idleTime + kIdleMargin
+                                      : routing::TrafficLimits().idleTime;
+    parser_.emplace();
+    const routing::TrafficLimits limits = core_.state.config ? core_.state.config->limits()
+                                                             : routing::TrafficLimits();
+    parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser_->body_limit(limits.bodyBytes);
+    keepAlive_ = true;
+    http10_ = false;
+    headRequest_ = false;
+    answerDone_ = false;
+    abortAnswer_ = false;
+    headerBytes_ = 0;
+    phase_ = Phase::Idle;
+    readDeadline_.setAfter(core_.draining ? core_.drainIdleTime : idle);
+    parseInput();
+}
+
+void ClientConnection::read()
+{
+    constexpr std::size_t kPipelineLimit = std::size_t{ 64 } * 1024;
+    if (reading_ || phase_ == Phase::Closed)
+        return;
+    if (phase_ == Phase::Answering && input_.size() > kPipelineLimit)
+        return;
+    reading_ = true;
+    socket_.async_read_some(input_.prepare(kReadSize),
+                            [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                self->reading_ = false;
+                                self->received(error, bytes);
+                            });
+}
+
+void ClientConnection::received(ErrorCode error, std::size_t bytes)
+{
+    if (phase_ == Phase::Closed)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    if (phase_ == Phase::Lingering) {
+        lingerBytes_ += bytes;
+        if (lingerBytes_ > kLingerBytes)
+            close();
+        else
+            read();
+        return;
+    }
+    input_.commit(bytes);
+    if (phase_ == Phase::Answering)
+        read();
+    else
+        parseInput();
+}
+
+void ClientConnection::parseInput()
+{
+    while (phase_ == Phase::Idle || phase_ == Phase::Header || phase_ == Phase::Body) {
+        if (phase_ == Phase::Idle && input_.size() > 0) {
+            phase_ = Phase::Header;
+            received_ = Clock::now();
+            readDeadline_.setAfter(core_.state.config ? core_.state.config->limits().headerTime
+                                                      : routing::TrafficLimits().headerTime);
+        }
+        ErrorCode error = http::error::need_more;
+        if (input_.size() > 0) {
+            const std::size_t used = parser_->put(input_.data(), error);
+            input_.consume(used);
+            // The parser's limit holds for each part that arrives; many short fields pass it.
+            if (phase_ == Phase::Header)
+                headerBytes_ += used;
+            const bool tooLong = core_.state.config
+                                 && headerBytes_ > core_.state.config->limits().headerBytes;
+            if (tooLong)
+                error = http::error::header_limit;
+        }
+        if (error && error != http::error::need_more) {
+            parseFailed(error);
+            return;
+        }
+        if (phase_ == Phase::Header && parser_->is_header_done()) {
+            if (!headerComplete())
+                return;
+        } else if (error == http::error::need_more) {
+            break;
+        }
+        if (phase_ == Phase::Body && parser_->is_done()) {
+            requestComplete();
+            return;
+        }
+    }
+    read();
+}
+
+bool ClientConnection::headerComplete()
+{
+    const RequestHeader &header = parser_->get();
+    phase_ = Phase::Body;
+    keepAlive_ = parser_->keep_alive();
+    http10_ = header.version() < 11;
+    headRequest_ = header.method() == http::verb::head;
+    readDeadline_.setAfter(kBodyTime);
+    if (!hasSoundFraming(header)) {
+        reject(400, "ambiguous_framing");
+        return false;
+    }
+    const bool expects = boost::beast::iequals(header[http::field::expect], "100-continue");
+    if (expects && !parser_->is_done() && !http10_)
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
+void ClientConnection::requestComplete()
+{
+    readDeadline_.clear();
+    phase_ = Phase::Answering;
+    const std::shared_ptr<const routing::TrafficConfig> config = core_.state.config;
+    CallerRequest request = readCallerRequest(parser_->get(), std::move(parser_->get().body()),
+                                              core_.options.dialect);
+    request.received = received_;
+    request.config = config;
+    if (!config || core_.refusing) {
+        reject(503, config ? "stopping" : "no_configuration");
+        return;
+    }
+    request.route = config->findRoute(request.host, pathOf(request.target));
+    if (!request.route) {
+        reject(404, "no_route");
+        return;
+    }
+    if (request.id.empty()) {
+        reject(400, "no_request_id");
+        return;
+    }
+    if (config->needsKeys()) {
+        request.organisation = config->findOrganisation(request.apiKey);
+        if (!request.organisation && !request.route->isPublic) {
+            reject(401, "unknown_key");
+            return;
+        }
+    }
+    exchange_ = std::make_shared<Exchange>(core_, std::move(request),
+                                           static_cast<AnswerSink *>(this));
+    const auto exchange = exchange_;
+    exchange->start();
+    read();
+}
+
+void ClientConnection::parseFailed(ErrorCode error)
+{
+    if (error == http::error::header_limit)
+        reject(431, "header_too_large");
+    else if (error == http::error::body_limit)
+        reject(413, "body_too_large");
+    else
+        reject(400, "malformed_request");
+}
+
+void ClientConnection::readDeadlinePassed()
+{
+    const auto self = shared_from_this();
+    if (phase_ == Phase::Header || phase_ == Phase::Body)
+        reject(408, phase_ == Phase::Header ? "header_timeout" : "body_timeout");
+    else if (phase_ != Phase::Answering)
+        close();
+}
+
+void ClientConnection::reject(int status, const char *reason)
+{
+    readDeadline_.clear();
+    phase_ = Phase::Answering;
+    if (!parser_->is_done())
+        keepAlive_ = false;
+    const bool headerRead = parser_->is_header_done();
+    const RequestHeader &header = parser_->get();
+    const auto field = [&](const std::string &name) {
+        return headerRead ? view(header[name]) : std::string_view();
+    };
+    logEvent(
+            LogLevel::Warning, "request_rejected",
+            { { "id", field(core_.options.dialect.requestId) },
+              { "status", static_cast<long long>(status) },
+              { "reason", reason },
+              { "target", headerRead ? view(header.target()) : std::string_view() },
+              { "config", core_.state.config ? static_cast<long long>(core_.state.config->version())
+                                             : -1LL } });
+    if (core_.options.metrics)
+        core_.options.metrics
+                ->counter("auburn_rejected_total", "Requests rejected before routing",
+                          { { "reason", reason } })
+                .add();
+    AnswerHead head{ .status = status };
+    if (status == 503)
+        head.fields.push_back({ .name = "Retry-After", .value = "0.5" });
+    sendWhole(std::move(head), {});
+    read();
+}
+
+// ---- Answers ---------------------------------------------------------------
+
+std::string ClientConnection::headText(const AnswerHead &head) const
+{
+    const auto reason = http::obsolete_reason(static_cast<http::status>(head.status));
+    std::string text;
+    text.reserve(512);
+    text.append(http10_ ? "HTTP/1.0 " : "HTTP/1.1 ").append(std::to_string(head.status));
+    text.append(" ").append(reason.data(), reason.size()).append("\r\n");
+    for (const HeaderField &field : head.fields)
+        text.append(field.name).append(": ").append(field.value).append("\r\n");
+    if (!keepAlive_)
+        text.append("Connection: close\r\n");
+    else if (http10_)
+        text.append("Connection: keep-alive\r\n");
+    return text;
+}
+
+void ClientConnection::sendWhole(AnswerHead head, std::string body)
+{
+    if (core_.draining)
+        keepAlive_ = false;
+    std::string text = headText(head);
+    text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    if (!headRequest_)
+        text.append(body);
+    write(text);
+    answerComplete();
+}
+
+void ClientConnection::beginStream(AnswerHead head)
+{
+    if (core_.draining)
+        keepAlive_ = false;
+    chunked_ = !http10_;
+    if (!chunked_)
+        keepAlive_ = false;
+    std::string text = headText(head);
+    if (chunked_)
+        text.append("Transfer-Encoding: chunked\r\n");
+    text.append("\r\n");
+    output_.append(text);
+}
+
+void ClientConnection::sendStreamData(std::string_view data)
+{
+    if (data.empty())
+        return;
+    if (!chunked_) {
+        write(data);
+        return;
+    }
+    char size[24];
+    std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    output_.append(size).append(data);
+    write("\r\n");
+}
+
+void ClientConnection::endStream(bool complete)
+{
+    if (complete && chunked_)
+        output_.append("0\r\n\r\n");
+    abortAnswer_ = !complete;
+    if (!complete)
+        keepAlive_ = false;
+    write({});
+    answerComplete();
+}
+
+bool ClientConnection::isBackedUp() const
+{
+    return output_.size() > kOutputHigh;
+}
+
+void ClientConnection::write(std::string_view data)
+{
+    output_.append(data);
+    writeMore();
+}
+
+void ClientConnection::writeMore()
+{
+    if (writeInProgress_ || output_.empty() || phase_ == Phase::Closed)
+        return;
+    writing_.clear();
+    writing_.swap(output_);
+    writeInProgress_ = true;
+    writeDeadline_.setAfter(kWriteTimeout);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                          self->written(error, bytes);
+                      });
+}
+
+void ClientConnection::written(ErrorCode error, std::size_t /*bytes*/)
+{
+    writeInProgress_ = false;
+    writeDeadline_.clear();
+    if (phase_ == Phase::Closed)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    if (!output_.empty()) {
+        writeMore();
+        return;
+    }
+    if (answerDone_)
+        answerWritten();
+    else if (exchange_)
+        exchange_->callerReady();
+}
+
+void ClientConnection::answerComplete()
+{
+    answerDone_ = true;
+    exchange_.reset();
+    if (!writeInProgress_ && output_.empty())
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            if (self->phase_ == Phase::Answering)
+                self->answerWritten();
+        });
+}
+
+void ClientConnection::answerWritten()
+{
+    if (abortAnswer_) {
+        close();
+        return;
+    }
+    if (keepAlive_) {
+        beginRequest();
+        return;
+    }
+    // Closing with unread input would reset the connection before the caller has read the answer.
+    ErrorCode ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    phase_ = Phase::Lingering;
+    readDeadline_.setAfter(kLingerTime);
+    read();
+}
+
+void ClientConnection::closeSoon()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
+}
+
+void ClientConnection::close()
+{
+    if (phase_ == Phase::Closed)
+        return;
+    const auto self = shared_from_this();
+    phase_ = Phase::Closed;
+    readDeadline_.clear();
+    writeDeadline_.clear();
+    ErrorCode ignored;
+    socket_.close(ignored);
+    if (const auto exchange = std::exchange(exchange_, nullptr))
+        exchange->callerGone();
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/eventsplitter.cpp
@@ -0,0 +1,90 @@
+#include "eventsplitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace auburn::gateway {
+
+namespace {
+
+struct Boundary
+{
+    std::size_t position = std::string_view::npos;
+    std::size_t size = 0;
+};
+
+Boundary findBoundary(std::string_view text, std::size_t from)
+{
+    const std::size_t plain = text.find("\n\n", from);
+    const std::size_t withReturns = text.find("\r\n\r\n", from);
+    if (withReturns != std::string_view::npos && withReturns < plain)
+        return { .position = withReturns, .size = 4 };
+    return { .position = plain, .size = 2 };
+}
+
+} // namespace
+
+std::optional<std::string_view> EventSplitter::next()
+{
+    compact();
+    const Boundary boundary = findBoundary(buffer_, std::max(begin_, scanned_));
+    if (boundary.position == std::string_view::npos) {
+        // An end may straddle the next bytes.
+        scanned_ = std::max(begin_, buffer_.size() > 3 ? buffer_.size() - 3 : 0);
+        return std::nullopt;
+    }
+    const std::size_t end = boundary.position + boundary.size;
+    const std::string_view event = std::string_view(buffer_).substr(begin_, end - begin_);
+    begin_ = end;
+    scanned_ = end;
+    return event;
+}
+
+void EventSplitter::compact()
+{
+    if (begin_ == 0)
+        return;
+    if (begin_ == buffer_.size() || begin_ > buffer_.size() / 2) {
+        buffer_.erase(0, begin_);
+        scanned_ -= std::min(scanned_, begin_);
+        begin_ = 0;
+    }
+}
+
+void EventSplitter::reset()
+{
+    buffer_.clear();
+    begin_ = 0;
+    scanned_ = 0;
+}
+
+std::string_view eventId(std::string_view event)
+{
+    constexpr std::string_view kField = "id:";
+    std::size_t line = 0;
+    while (line < event.size()) {
+        const std::size_t end = std::min(event.find('\n', line), event.size());
+        std::string_view text = event.substr(line, end - line);
+        if (text.substr(0, kField.size()) == kField) {
+            text.remove_prefix(kField.size());
+            while (!text.empty() && text.front() == ' ')
+                text.remove_prefix(1);
+            while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
+                text.remove_suffix(1);
+            return text;
+        }
+        line = end + 1;
+    }
+    return {};
+}
+
+std::optional<std::uint64_t> eventNumber(std::string_view id)
+{
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(id.data(), id.data() + id.size(), number);
+    if (id.empty() || parsed.ec != std::errc() || parsed.ptr != id.data() + id.size())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/exchange.cpp
@@ -0,0 +1,603 @@
+#include "exchange.h"
+
+#include "auburn/core/hash.h"
+#include "auburn/core/log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace auburn::gateway {
+
+using routing::AttemptOutcome;
+using routing::RequestKind;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kConnectTimeout{ 300 };
+// Unsafe requests avoid connections that the server may just be closing.
+constexpr milliseconds kUnsafeMaxIdle{ 700 };
+constexpr milliseconds kMaxIdle{ 60000 };
+// A server gets no request that has less time left than this.
+constexpr milliseconds kLeastUsefulTime{ 15 };
+constexpr unsigned kMaxRejections = 2;
+constexpr unsigned kMaxConnectFailures = 3;
+constexpr std::size_t kMaxWholeAnswer = std::size_t{ 16 } * 1024 * 1024;
+constexpr milliseconds kShortestRetryAfter{ 100 };
+constexpr milliseconds kLongestRetryAfter{ 1000 };
+constexpr milliseconds kLeastStall{ 150 };
+constexpr milliseconds kLeastStreamStall{ 600 };
+constexpr int kHighestUrgency = 0;
+constexpr int kLowestUrgency = 9;
+
+std::string_view view(boost::beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+std::string secondsText(milliseconds time)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.2f", std::chrono::duration<double>(time).count());
+    return text;
+}
+
+milliseconds timeLimit(const CallerRequest &request)
+{
+    const milliseconds timeout = request.route->timeout;
+    return request.deadline ? std::min(*request.deadline, timeout) : timeout;
+}
+
+} // namespace
+
+Exchange::Exchange(GatewayCore &core, CallerRequest request, AnswerSink *sink)
+    : core_(core)
+    , request_(std::move(request))
+    , fingerprint_(requestFingerprint(request_))
+    , sink_(sink)
+    , deadlineAt_(request_.received + timeLimit(request_))
+    , deadline_(core.io, [this] { deadlinePassed(); })
+    , stall_(core.io, [this] { stalled(); })
+    , lastEventId_(request_.lastEventId)
+    , lastEventNumber_(eventNumber(request_.lastEventId))
+{
+    ++core_.requests;
+}
+
+Exchange::~Exchange()
+{
+    --core_.requests;
+}
+
+void Exchange::start()
+{
+    self_ = shared_from_this();
+    const auto now = Clock::now();
+    core_.state.retries.countRequest(now);
+    const std::string &name = routing::pickService(*request_.route, stableHash(request_.id));
+    service_ = request_.config->findService(name);
+    if (!service_) {
+        refuse("unknown_service");
+        return;
+    }
+    if (core_.state.crashes.isBlocked(fingerprint_, now)) {
+        refuse("crashes_servers");
+        return;
+    }
+    deadline_.set(deadlineAt_);
+    nextAttempt();
+}
+
+// ---- Attempts --------------------------------------------------------------
+
+bool Exchange::isRepeatable() const
+{
+    const routing::Route &route = *request_.route;
+    return route.kind == RequestKind::Safe
+           || (route.kind == RequestKind::Stream && route.resumable);
+}
+
+routing::PlacementQuery Exchange::placementQuery() const
+{
+    return { .service = service_,
+             .prompt = request_.prompt,
+             .excluded = excluded_,
+             .repeatable = isRepeatable() && runs_ + 1 < request_.route->maxAttempts };
+}
+
+milliseconds Exchange::timeLeft() const
+{
+    return duration_cast<milliseconds>(deadlineAt_ - Clock::now());
+}
+
+void Exchange::nextAttempt()
+{
+    if (timeLeft() < kLeastUsefulTime) {
+        deadlinePassed();
+        return;
+    }
+    const auto choice = core_.state.placement.choose(core_.state.directory, placementQuery(),
+                                                     Clock::now());
+    if (!choice) {
+        refuse("no_server");
+        return;
+    }
+    startAttempt(*choice);
+}
+
+void Exchange::startAttempt(const routing::PlacementChoice &choice)
+{
+    ++attempts_;
+    attempt_ = choice;
+    attemptStart_ = Clock::now();
+    progressed_ = false;
+    status_ = 0;
+    sealed_ = false;
+    notExecuted_ = false;
+    isStream_ = false;
+    fields_.clear();
+    body_.clear();
+    splitter_.reset();
+    core_.state.placement.attemptStarted(choice, request_.prompt, attemptStart_);
+    const bool repeatable = isRepeatable();
+    connection_ = core_.pool->take(choice.address, repeatable ? kMaxIdle : kUnsafeMaxIdle);
+    logEvent(LogLevel::Info, "request_placed",
+             { { "id", request_.id },
+               { "attempt", static_cast<long long>(attempts_) },
+               { "service", service_->name },
+               { "server", choice.serverId },
+               { "address", choice.address },
+               { "predicted_ms", static_cast<long long>(choice.predicted.count() / 1000) },
+               { "uncached_tokens", static_cast<long long>(choice.uncachedTokens) },
+               { "in_flight", static_cast<long long>(choice.inFlight) },
+               { "report_age_ms",
+                 choice.reportAge ? static_cast<long long>(choice.reportAge->count()) : -1LL },
+               { "config", static_cast<long long>(request_.config->version()) },
+               { "connection", connection_->isConnected() ? "reused" : "new" },
+               { "left_ms", static_cast<long long>(timeLeft().count()) } });
+    if (repeatable)
+        stall_.setAfter(stallLimit());
+    connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
+}
+
+OutboundRequest Exchange::buildRequest(const routing::PlacementChoice &choice) const
+{
+    const HeaderDialect &dialect = core_.options.dialect;
+    std::string head;
+    head.reserve(1024);
+    const auto add = [&head](std::string_view name, std::string_view value) {
+        head.append(name).append(": ").append(value).append("\r\n");
+    };
+    head.append(request_.method).append(" ").append(request_.target).append(" HTTP/1.1\r\n");
+    add("Host", request_.host);
+    for (const HeaderField &field : request_.fields)
+        add(field.name, field.value);
+    add(dialect.deadline, std::to_string(timeLeft().count()));
+    add(dialect.expectedServer, choice.serverId);
+    if (request_.organisation)
+        add(dialect.organisation, request_.organisation->name);
+    if (service_->engine) {
+        const int priority = request_.organisation && request_.organisation->priority
+                                     ? *request_.organisation->priority
+                                     : request_.route->priority;
+        add(dialect.urgency, std::to_string(std::clamp(priority, kHighestUrgency, kLowestUrgency)));
+    }
+    if (!lastEventId_.empty())
+        add(dialect.lastEventId, lastEventId_);
+    if (request_.body)
+        add("Content-Length", std::to_string(request_.body->size()));
+    else if (request_.method != "GET" && request_.method != "HEAD")
+        add("Content-Length", "0");
+    head.append("\r\n");
+    return { .head = std::move(head), .body = request_.body };
+}
+
+// A request that may be repeated is sent to another server after this time without progress.
+milliseconds Exchange::stallLimit() const
+{
+    const routing::Route &route = *request_.route;
+    const auto predicted = duration_cast<milliseconds>(attempt_->predicted);
+    if (route.kind == RequestKind::Safe)
+        return std::max({ kLeastStall, route.latencyTarget * 3 / 5, predicted * 3 });
+    if (progressed_)
+        return std::max(kLeastStreamStall, route.gapTarget * 4);
+    return std::max({ kLeastStreamStall, route.latencyTarget * 3 / 2, predicted * 3 });
+}
+
+void Exchange::stalled()
+{
+    if (finished_ || !attempt_ || !sink_)
+        return;
+    const auto guard = shared_from_this();
+    const bool mayRun = runs_ + 1 < request_.route->maxAttempts;
+    excluded_.push_back(attempt_->serverId);
+    const auto now = Clock::now();
+    const auto choice = core_.state.placement.choose(core_.state.directory, placementQuery(), now);
+    const bool useful = choice && !core_.state.placement.isAvoided(choice->serverId, now)
+                        && timeLeft() > milliseconds(choice->predicted.count() / 1000);
+    if (!mayRun || !useful || !takeRetry()) {
+        excluded_.pop_back();
+        return;
+    }
+    if (connection_->isConnected()) {
+        ++runs_;
+        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    }
+    endAttempt(AttemptOutcome::Failed, "stalled");
+    startAttempt(*choice);
+}
+
+bool Exchange::takeRetry()
+{
+    return core_.state.retries.takeRetry(Clock::now());
+}
+
+void Exchange::endAttempt(AttemptOutcome outcome, std::string_view reason)
+{
+    if (!attempt_)
+        return;
+    stall_.clear();
+    const auto now = Clock::now();
+    core_.state.placement.attemptEnded(*attempt_, progressed_, outcome, now);
+    if (outcome != AttemptOutcome::Succeeded) {
+        logEvent(LogLevel::Info, "attempt_failed",
+                 { { "id", request_.id },
+                   { "attempt", static_cast<long long>(attempts_) },
+                   { "server", attempt_->serverId },
+                   { "reason", reason },
+                   { "status", static_cast<long long>(status_) },
+                   { "verdict", verdictName(verdict_) },
+                   { "ms", static_cast<long long>(
+                                   duration_cast<milliseconds>(now - attemptStart_).count()) } });
+    }
+    attempt_.reset();
+    if (connection_) {
+        if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
+            || connection_->isReusable())
+            core_.pool->put(connection_);
+        else
+            connection_->close();
+        connection_.reset();
+    }
+}
+
+// ---- Answers of servers ----------------------------------------------------
+
+bool Exchange::ownsAnswer(const AnswerHeader &header)
+{
+    const auto id = view(header[core_.options.dialect.requestId]);
+    if (id.empty() || id == request_.id)
+        return true;
+    logEvent(LogLevel::Warning, "foreign_answer_dropped",
+             { { "id", request_.id }, { "server", attempt_->serverId }, { "answer_id", id } });
+    return false;
+}
+
+void Exchange::noteLoad(const AnswerHeader &header)
+{
+    const std::string_view text = view(header[core_.options.dialect.serverLoad]);
+    routing::LoadReport report;
+    const char *last = text.data() + text.size();
+    auto parsed = std::from_chars(text.data(), last, report.running);
+    if (parsed.ec != std::errc() || parsed.ptr == last)
+        return;
+    parsed = std::from_chars(parsed.ptr + 1, last, report.waiting);
+    if (parsed.ec != std::errc() || parsed.ptr == last)
+        return;
+    parsed = std::from_chars(parsed.ptr + 1, last, report.slots);
+    if (parsed.ec == std::errc())
+        core_.state.placement.reported(attempt_->serverId, report, Clock::now());
+}
+
+void Exchange::answerBegun(const AnswerHeader &header)
+{
+    const HeaderDialect &dialect = core_.options.dialect;
+    status_ = static_cast<int>(header.result_int());
+    sealed_ = !header[dialect.answerSeal].empty();
+    notExecuted_ = !header[dialect.notExecuted].empty() || status_ == 421;
+    fields_ = endToEndFields(header);
+    noteLoad(header);
+    if (!notExecuted_)
+        verdict_ = Verdict::Ran;
+    isStream_ = request_.route->kind == RequestKind::Stream && status_ == 200 && sealed_;
+    if (!isStream_ && !notExecuted_)
+        noteProgress();
+}
+
+void Exchange::noteProgress()
+{
+    if (progressed_)
+        return;
+    progressed_ = true;
+    const auto now = Clock::now();
+    core_.state.placement.attemptProgressed(
+            *attempt_, duration_cast<std::chrono::microseconds>(now - attemptStart_), now);
+}
+
+void Exchange::answerData(const std::vector<std::string_view> &data)
+{
+    for (const std::string_view bytes : data) {
+        if (isStream_)
+            splitter_.feed(bytes);
+        else
+            body_.append(bytes);
+    }
+    if (isStream_)
+        forwardEvents();
+    else if (body_.size() > kMaxWholeAnswer)
+        attemptBroken({ .end = CallEnd::Invalid, .error = "the answer is too large" });
+}
+
+void Exchange::forwardEvents()
+{
+    outgoing_.clear();
+    while (const auto event = splitter_.next())
+        appendEvent(*event, outgoing_);
+    if (outgoing_.empty() || !sink_)
+        return;
+    const auto now = Clock::now();
+    noteProgress();
+    stall_.setAfter(stallLimit());
+    if (!streamBegun_) {
+        streamBegun_ = true;
+        firstEventAt_ = now;
+        sink_->beginStream({ .status = status_, .fields = fields_ });
+    } else {
+        longestGap_ = std::max(longestGap_, duration_cast<milliseconds>(now - lastEventAt_));
+    }
+    lastEventAt_ = now;
+    if (sink_)
+        sink_->sendStreamData(outgoing_);
+    if (sink_ && sink_->isBackedUp() && connection_)
+        connection_->pause();
+}
+
+void Exchange::appendEvent(std::string_view event, std::string &out)
+{
+    const std::string_view id = eventId(event);
+    const auto number = eventNumber(id);
+    if (number && lastEventNumber_ && *number <= *lastEventNumber_)
+        return;
+    if (!id.empty()) {
+        lastEventId_ = id;
+        lastEventNumber_ = number;
+    }
+    ++events_;
+    out.append(event);
+}
+
+void Exchange::callEnded(const CallResult &result)
+{
+    if (finished_ || !attempt_)
+        return;
+    const auto guard = shared_from_this();
+    if (result.end != CallEnd::Complete)
+        attemptBroken(result);
+    else if (isStream_)
+        streamComplete();
+    else
+        wholeAnswerComplete();
+}
+
+void Exchange::streamComplete()
+{
+    if (!streamBegun_ && sink_) {
+        streamBegun_ = true;
+        sink_->beginStream({ .status = status_, .fields = fields_ });
+    }
+    if (sink_ && !splitter_.rest().empty())
+        sink_->sendStreamData(splitter_.rest());
+    endAttempt(AttemptOutcome::Succeeded, {});
+    if (sink_)
+        sink_->endStream(true);
+    finish({ .status = status_, .reason = "served" });
+}
+
+void Exchange::wholeAnswerComplete()
+{
+    if (notExecuted_) {
+        serverRejected();
+        return;
+    }
+    ++runs_;
+    if (status_ < 300 && !sealed_) {
+        --runs_;
+        attemptBroken({ .end = CallEnd::Invalid, .error = "a success without the server's seal" });
+        return;
+    }
+    if (status_ >= 500 && isRepeatable() && runs_ < request_.route->maxAttempts && sink_
+        && timeLeft() > kLeastStall && takeRetry()) {
+        excluded_.push_back(attempt_->serverId);
+        endAttempt(AttemptOutcome::ServerError, "server_error");
+        nextAttempt();
+        return;
+    }
+    passAnswer();
+}
+
+void Exchange::passAnswer()
+{
+    const bool serverError = status_ >= 500;
+    const bool promisesNotRun = status_ == 503 || status_ == 429 || status_ == 408;
+    const int status = status_;
+    AnswerHead head{ .status = status_, .fields = std::move(fields_) };
+    std::string body = std::move(body_);
+    endAttempt(serverError ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded,
+               "server_error");
+    if (streamBegun_) {
+        failUnknown("resume_failed");
+        return;
+    }
+    // The server does not say that it did not run the request, but this status would.
+    if (promisesNotRun && request_.route->kind != RequestKind::Safe) {
+        failUnknown("server_error");
+        return;
+    }
+    if (sink_)
+        sink_->sendWhole(std::move(head), std::move(body));
+    finish({ .status = status, .reason = serverError ? "server_error" : "served" });
+}
+
+void Exchange::serverRejected()
+{
+    excluded_.push_back(attempt_->serverId);
+    ++rejections_;
+    endAttempt(AttemptOutcome::Rejected, "rejected");
+    if (rejections_ <= kMaxRejections && sink_ && takeRetry())
+        nextAttempt();
+    else if (verdict_ == Verdict::DidNotRun)
+        refuse("servers_full");
+    else
+        failUnknown("servers_full");
+}
+
+void Exchange::attemptBroken(const CallResult &result)
+{
+    const bool neverSent = result.end == CallEnd::ConnectFailed || result.end == CallEnd::NotSent;
+    excluded_.push_back(attempt_->serverId);
+    if (neverSent) {
+        ++connectFailures_;
+        endAttempt(AttemptOutcome::Failed, result.error);
+        if (connectFailures_ <= kMaxConnectFailures && sink_)
+            nextAttempt();
+        else
+            refuse("no_connection");
+        return;
+    }
+    ++runs_;
+    verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    if (result.end == CallEnd::Broken && !result.staleConnection) {
+        core_.state.crashes.addCrash(fingerprint_, Clock::now());
+        if (core_.options.crashCounted)
+            core_.options.crashCounted();
+    }
+    endAttempt(AttemptOutcome::Failed, result.error);
+    const bool blocked = core_.state.crashes.isBlocked(fingerprint_, Clock::now());
+    if (isRepeatable() && !blocked && sink_ && runs_ < request_.route->maxAttempts && takeRetry())
+        nextAttempt();
+    else
+        failUnknown("server_broke_off");
+}
+
+// ---- Final answers ---------------------------------------------------------
+
+milliseconds Exchange::retryAfter() const
+{
+    return std::clamp(timeLeft() / 4, kShortestRetryAfter, kLongestRetryAfter);
+}
+
+void Exchange::refuse(const char *reason)
+{
+    if (verdict_ != Verdict::DidNotRun || streamBegun_) {
+        failUnknown(reason);
+        return;
+    }
+    if (sink_)
+        sink_->sendWhole(
+                { .status = 503, .fields = { { "Retry-After", secondsText(retryAfter()) } } }, {});
+    finish({ .status = 503, .reason = reason });
+}
+
+void Exchange::failUnknown(const char *reason)
+{
+    constexpr int kBadGateway = 502;
+    if (streamBegun_) {
+        if (sink_)
+            sink_->endStream(false);
+    } else if (sink_) {
+        sink_->sendWhole({ .status = kBadGateway }, {});
+    }
+    finish({ .status = streamBegun_ ? status_ : kBadGateway, .reason = reason });
+}
+
+void Exchange::deadlinePassed()
+{
+    if (finished_)
+        return;
+    const auto guard = shared_from_this();
+    constexpr int kGatewayTimeout = 504;
+    // Bytes of an attempt without an answer may be at work.
+    if (attempt_ && connection_ && connection_->isConnected())
+        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    endAttempt(isRepeatable() || progressed_ ? AttemptOutcome::Abandoned : AttemptOutcome::Failed,
+               "deadline");
+    if (verdict_ == Verdict::DidNotRun && !streamBegun_) {
+        refuse("deadline");
+        return;
+    }
+    if (streamBegun_) {
+        failUnknown("deadline");
+        return;
+    }
+    if (sink_)
+        sink_->sendWhole({ .status = kGatewayTimeout }, {});
+    finish({ .status = kGatewayTimeout, .reason = "deadline" });
+}
+
+void Exchange::finish(Ending ending)
+{
+    if (finished_)
+        return;
+    finished_ = true;
+    sink_ = nullptr;
+    deadline_.clear();
+    stall_.clear();
+    const auto now = Clock::now();
+    const auto age = [this](Clock::time_point at) {
+        return static_cast<long long>(duration_cast<milliseconds>(at - request_.received).count());
+    };
+    const bool failed = ending.status >= 400 || std::string_view(ending.reason) != "served";
+    logEvent(failed ? LogLevel::Warning : LogLevel::Info, "request_ended",
+             { { "id", request_.id },
+               { "route", request_.route->name },
+               { "kind", routing::requestKindName(request_.route->kind) },
+               { "status", static_cast<long long>(ending.status) },
+               { "reason", ending.reason },
+               { "verdict", verdictName(verdict_) },
+               { "attempts", static_cast<long long>(attempts_) },
+               { "first_ms", firstEventAt_ ? age(*firstEventAt_) : -1LL },
+               { "gap_ms", static_cast<long long>(longestGap_.count()) },
+               { "events", static_cast<long long>(events_) },
+               { "ms", age(now) } });
+    Metrics *metrics = core_.options.metrics;
+    if (metrics) {
+        const MetricLabels labels{ { "kind",
+                                     std::string(routing::requestKindName(request_.route->kind)) },
+                                   { "reason", ending.reason } };
+        metrics->counter("auburn_requests_total", "Requests by kind and end", labels).add();
+        metrics->histogram("auburn_request_seconds", "Time from the first byte to the last",
+                           { labels[0] })
+                .observe(std::chrono::duration<double>(now - request_.received).count());
+        if (firstEventAt_)
+            metrics->histogram("auburn_first_event_seconds",
+                               "Time from the first byte to the first event", { labels[0] })
+                    .observe(std::chrono::duration<double>(*firstEventAt_ - request_.received)
+                                     .count());
+    }
+    const auto self = std::move(self_);
+}
+
+// ---- The caller ------------------------------------------------------------
+
+void Exchange::callerGone()
+{
+    sink_ = nullptr;
+    if (finished_)
+        return;
+    const auto guard = shared_from_this();
+    // An order that is under way is not broken off; its answer is dropped.
+    if (request_.route->kind == RequestKind::Unsafe && attempt_)
+        return;
+    endAttempt(AttemptOutcome::Abandoned, "caller_gone");
+    finish({ .status = 0, .reason = "caller_gone" });
+}
+
+void Exchange::callerReady()
+{
+    if (connection_)
+        connection_->resume();
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway.cpp
@@ -0,0 +1,132 @@
+#include "auburn/gateway/gateway.h"
+
+#include "clientconnection.h"
+#include "gatewaycore.h"
+#include "socketoptions.h"
+
+#include "auburn/core/endpoint.h"
+#include "auburn/core/lasterror.h"
+#include "auburn/core/log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace auburn::gateway {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+// Pause after accept() failed, for example for lack of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+
+class GatewayImpl : public Gateway
+{
+public:
+    GatewayImpl(asio::io_context &io, Options options)
+        : core_{ .io = io,
+                 .options = std::move(options),
+                 .state = *core_.options.state,
+                 .pool = std::make_shared<ConnectionPool>(io) }
+        , acceptor_(io)
+        , acceptTimer_(io)
+    {}
+
+    bool listen()
+    {
+        const auto endpoint = parseEndpoint(core_.options.listenAddress);
+        if (!endpoint)
+            return false;
+        ErrorCode error;
+        acceptor_.open(endpoint->protocol(), error);
+        if (!error)
+            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            acceptor_.bind(*endpoint, error);
+        if (!error)
+            acceptor_.listen(1024, error);
+        if (error) {
+            setLastError("cannot listen on " + core_.options.listenAddress + ": "
+                         + error.message());
+            return false;
+        }
+        accept();
+        return true;
+    }
+
+    void drain(std::chrono::milliseconds idleTime) override
+    {
+        core_.draining = true;
+        core_.drainIdleTime = idleTime;
+        for (const auto &entry : clients_) {
+            if (const auto client = entry.lock())
+                client->drain();
+        }
+    }
+
+    void refuseNewRequests() override { core_.refusing = true; }
+    std::size_t connections() const override { return core_.connections; }
+    std::size_t requestsInProgress() const override { return core_.requests; }
+
+    void sweep() override
+    {
+        core_.pool->sweep();
+        std::erase_if(clients_, [](const auto &entry) { return entry.expired(); });
+    }
+
+    void forgetAddress(const std::string &address) override { core_.pool->drop(address); }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (error) {
+                logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
+                acceptTimer_.expires_after(kAcceptPause);
+                acceptTimer_.async_wait([this](ErrorCode waitError) {
+                    if (!waitError)
+                        accept();
+                });
+                return;
+            }
+            if (core_.connections < core_.options.maxConnections) {
+                const auto client = std::make_shared<ClientConnection>(core_, std::move(socket));
+                clients_.push_back(client);
+                client->start();
+            } else {
+                logEvent(LogLevel::Warning, "connection_refused",
+                         { { "connections", static_cast<long long>(core_.connections) } });
+            }
+            accept();
+        });
+    }
+
+    GatewayCore core_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer acceptTimer_;
+    std::vector<std::weak_ptr<ClientConnection>> clients_;
+};
+
+} // namespace
+
+std::unique_ptr<Gateway> Gateway::make(asio::io_context &io, Options options)
+{
+    if (!options.state) {
+        setLastError("the gateway needs its routing state");
+        return nullptr;
+    }
+    auto gateway = std::make_unique<GatewayImpl>(io, std::move(options));
+    if (!gateway->listen())
+        return nullptr;
+    return gateway;
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/gatewaycore.h
@@ -0,0 +1,29 @@
+// GatewayCore: what the connections and requests of one gateway share.
+#pragma once
+
+#include "connectionpool.h"
+
+#include "auburn/gateway/gateway.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <memory>
+
+namespace auburn::gateway {
+
+struct GatewayCore
+{
+    boost::asio::io_context &io;
+    Gateway::Options options;
+    RoutingState &state;
+    std::shared_ptr<ConnectionPool> pool;
+    bool draining = false;
+    bool refusing = false;
+    // How long an idle connection of a caller stays open during a drain.
+    std::chrono::milliseconds drainIdleTime{ 0 };
+    std::size_t connections = 0;
+    std::size_t requests = 0;
+};
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -0,0 +1,160 @@
+#include "auburn/gateway/statusendpoint.h"
+
+#include "callerrequest.h"
+#include "socketoptions.h"
+
+#include "auburn/core/endpoint.h"
+#include "auburn/core/lasterror.h"
+#include "auburn/core/lazydeadline.h"
+#include "auburn/core/log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace auburn::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::seconds kIdleTime{ 20 };
+constexpr std::uint32_t kHeaderLimit = 8 * 1024;
+
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(asio::io_context &io, tcp::socket socket,
+            std::shared_ptr<StatusEndpoint::Handler> handler)
+        : socket_(std::move(socket))
+        , idle_(io, [this] { closeIdle(); })
+        , handler_(std::move(handler))
+    {}
+
+    void start()
+    {
+        setTransportOptions(socket_);
+        read();
+    }
+
+private:
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(kHeaderLimit);
+        parser_->body_limit(0);
+        idle_.setAfter(kIdleTime);
+        http::async_read(socket_, buffer_, *parser_,
+                         [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+                             if (!error)
+                                 self->answer();
+                         });
+    }
+
+    void answer()
+    {
+        const auto &request = parser_->get();
+        const auto target = request.target();
+        const std::string path(pathOf({ target.data(), target.size() }));
+        StatusAnswer answer{ .status = 405 };
+        if (request.method() == http::verb::get)
+            answer = (*handler_)(path);
+        response_ = {};
+        response_.result(static_cast<unsigned>(answer.status));
+        response_.version(11);
+        response_.keep_alive(parser_->keep_alive());
+        response_.set(http::field::content_type, answer.contentType);
+        response_.body() = std::move(answer.body);
+        response_.prepare_payload();
+        http::async_write(socket_, response_,
+                          [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+                              if (!error && self->response_.keep_alive())
+                                  self->read();
+                          });
+    }
+
+    void closeIdle()
+    {
+        ErrorCode ignored;
+        socket_.close(ignored);
+    }
+
+    tcp::socket socket_;
+    LazyDeadline idle_;
+    std::shared_ptr<StatusEndpoint::Handler> handler_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::empty_body>> parser_;
+    http::response<http::string_body> response_;
+};
+
+class StatusEndpointImpl : public StatusEndpoint
+{
+public:
+    StatusEndpointImpl(asio::io_context &io, Handler handler)
+        : io_(io)
+        , acceptor_(io)
+        , handler_(std::make_shared<Handler>(std::move(handler)))
+    {}
+
+    bool listen(const std::string &address)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint)
+            return false;
+        ErrorCode error;
+        acceptor_.open(endpoint->protocol(), error);
+        if (!error)
+            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            acceptor_.bind(*endpoint, error);
+        if (!error)
+            acceptor_.listen(64, error);
+        if (error) {
+            setLastError("cannot listen on " + address + ": " + error.message());
+            return false;
+        }
+        accept();
+        return true;
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error)
+                std::make_shared<Session>(io_, std::move(socket), handler_)->start();
+            accept();
+        });
+    }
+
+    asio::io_context &io_;
+    tcp::acceptor acceptor_;
+    std::shared_ptr<Handler> handler_;
+};
+
+} // namespace
+
+std::unique_ptr<StatusEndpoint> StatusEndpoint::make(asio::io_context &io,
+                                                     const std::string &listenAddress,
+                                                     Handler handler)
+{
+    auto endpoint = std::make_unique<StatusEndpointImpl>(io, std::move(handler));
+    if (!endpoint->listen(listenAddress))
+        return nullptr;
+    return endpoint;
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -0,0 +1,55 @@
+// PeerExchange: short UDP messages between the daemons of one deployment.
+//
+// A beat carries how far its sender has read the store, which requests crashed servers and where
+// the sender's requests are. A daemon that the store does not serve sees in a beat that another one
+// is ahead and reads the documents from it over HTTP. Beats may be lost; each one is complete by
+// itself. UDP fits better than a message queue here: a lost beat is replaced by the next one, and
+// no connection can go silent.
+#pragma once
+
+#include "auburn.pb.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburn::peers {
+
+using proto::PeerBeat;
+
+class PeerExchange
+{
+public:
+    using Clock = std::chrono::steady_clock;
+
+    struct Options
+    {
+        std::string vm;
+        // IP:PORT that beats are sent from and to.
+        std::string beatAddress;
+        std::string readAddress;
+        // Beat addresses to begin with; they may be stale.
+        std::vector<std::string> seeds;
+        std::chrono::milliseconds interval{ 500 };
+        // Fills in positions, crashes and loads.
+        std::function<void(PeerBeat &beat, bool withLoads)> fill;
+        std::function<void(const PeerBeat &beat)> received;
+    };
+
+    // Null with lastError() set if the address cannot be used.
+    static std::unique_ptr<PeerExchange> make(boost::asio::io_context &io, Options options);
+    virtual ~PeerExchange() = default;
+
+    // Adds a daemon's beat address; known ones are ignored.
+    virtual void addPeer(const std::string &beatAddress) = 0;
+    // Sends a beat now, in addition to the regular ones.
+    virtual void sendSoon() = 0;
+    // Other daemons heard from in the last seconds.
+    virtual unsigned livePeers() const = 0;
+};
+
+} // namespace auburn::peers
--- a/packages/relay/src/callerconnection.h
+++ b/packages/relay/src/callerconnection.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "answerwriter.h"
-#include "lazydeadline.h"
+#include "auburn/core/lazydeadline.h"
 #include "relaysession.h"
 #include "requestreader.h"
 #include "workercontext.h"
--- a/packages/relay/src/runnercall.cpp
+++ b/packages/relay/src/runnercall.cpp
@@ -1,5 +1,7 @@
 #include "runnercall.h"
 
+#include "auburn/core/endpoint.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -19,21 +21,6 @@
 // Larger than any head that a runner sends in practice.
 constexpr std::uint32_t kAnswerHeadLimit = 64 * 1024;
 
-std::optional<tcp::endpoint> parseEndpoint(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const char *last = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, last, port);
-    if (error || parsed.ec != std::errc() || parsed.ptr != last)
-        return std::nullopt;
-    return tcp::endpoint(ip, port);
-}
-
 std::string requestHead(const RunnerDial &dial)
 {
     const RunnerMessage &message = dial.message;
--- a/packages/relay/src/runnercall.h
+++ b/packages/relay/src/runnercall.h
@@ -1,8 +1,8 @@
 // RunnerCall: one HTTP request to a runner and the reading of its answer.
 #pragma once
 
-#include "datasinkbody.h"
-#include "lazydeadline.h"
+#include "auburn/core/datasinkbody.h"
+#include "auburn/core/lazydeadline.h"
 #include "runnerclient.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
--- /dev/null
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -0,0 +1,172 @@
+// Placement: picks the backend server of a request from this daemon's view of all of them.
+//
+// Every candidate gets a predicted time to the first token (engines) or to the answer (plain
+// services) plus the price of its distance; the lowest wins. For engines the prediction is made of
+// the prompt tokens that wait there and those of the request that are not cached. All daemons find
+// the same home engines for a shared prompt part, so that a part is read by one engine and not by
+// several as long as that engine is not overloaded.
+#pragma once
+
+#include "auburn/routing/enginecache.h"
+#include "auburn/routing/serverdirectory.h"
+#include "auburn/routing/trafficconfig.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace auburn::routing {
+
+struct PlacementQuery
+{
+    const Service *service = nullptr;
+    PromptParts prompt;
+    // Servers that already failed this request.
+    std::vector<std::string> excluded;
+    // A failure can be repaired by another attempt.
+    bool repeatable = false;
+};
+
+struct PlacementChoice
+{
+    std::string serverId;
+    std::string address;
+    // Time to the first token or to the answer.
+    std::chrono::microseconds predicted{ 0 };
+    std::uint64_t uncachedTokens = 0;
+    // Requests of this daemon at the server before this one.
+    unsigned inFlight = 0;
+    // The server's last own report is so old; empty if there was none.
+    std::optional<std::chrono::milliseconds> reportAge;
+};
+
+// How an attempt ended, as far as it tells about the server.
+enum class AttemptOutcome {
+    // A complete answer that is not a server error.
+    Succeeded,
+    // An answer that reports an error of the server itself.
+    ServerError,
+    // No connection, a broken or spoiled answer, or silence.
+    Failed,
+    // The server did not take the request.
+    Rejected,
+    // The caller left or the request timed out elsewhere.
+    Abandoned,
+};
+
+// What a server says of itself with an answer.
+struct LoadReport
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+// What another daemon has at a server.
+struct PeerLoad
+{
+    unsigned running = 0;
+    std::uint64_t waitingTokens = 0;
+};
+
+class Placement
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    struct Options
+    {
+        std::string failureDomain;
+        // Region of each failure domain.
+        std::map<std::string, std::string> regions;
+    };
+
+    explicit Placement(Options options);
+
+    // The best ready server; empty if the directory has none for the service that is not excluded.
+    std::optional<PlacementChoice> choose(const ServerDirectory &directory,
+                                          const PlacementQuery &query, TimePoint now);
+
+    // Bookkeeping of one attempt, in this order; first progress may not come.
+    void attemptStarted(const PlacementChoice &choice, const PromptParts &prompt, TimePoint now);
+    void attemptProgressed(const PlacementChoice &choice, std::chrono::microseconds sinceStart,
+                           TimePoint now);
+    void attemptEnded(const PlacementChoice &choice, bool progressed, AttemptOutcome outcome,
+                      TimePoint now);
+
+    void reported(const std::string &serverId, LoadReport report, TimePoint now);
+    // Everything that the other daemon has under way, by server.
+    void peerReported(const std::string &peer, const std::map<std::string, PeerLoad> &loads,
+                      TimePoint now);
+    // Forgets everything about a server that was started again or has left.
+    void forget(const std::string &serverId);
+
+    // This daemon's load at each server with requests, for other daemons.
+    std::map<std::string, PeerLoad> ownLoads() const;
+    // True if the server failed recently and is avoided.
+    bool isAvoided(const std::string &serverId, TimePoint now) const;
+
+private:
+    struct PeerEntry
+    {
+        PeerLoad load;
+        TimePoint at;
+    };
+    struct ServerView
+    {
+        explicit ServerView(std::uint64_t cacheTokens)
+            : cache(cacheTokens)
+        {}
+
+        EngineCache cache;
+        unsigned running = 0;
+        // Uncached tokens of requests without a first token.
+        std::uint64_t waitingTokens = 0;
+        std::map<std::string, PeerEntry> peers;
+        LoadReport report;
+        std::optional<TimePoint> reportedAt;
+        // Measured over predicted time, 1 for a server that behaves as the others.
+        double slowness = 1;
+        TimePoint slownessAt;
+        // Share of recent attempts that failed, falling with time.
+        double failureShare = 0;
+        TimePoint failureAt;
+        unsigned failuresInRow = 0;
+        std::optional<TimePoint> avoidUntil;
+    };
+
+    // Where a shared part is expected; either may be null.
+    struct Homes
+    {
+        const BackendServer *first = nullptr;
+        const BackendServer *second = nullptr;
+    };
+
+    ServerView &view(const std::string &serverId, const Service *service);
+    std::chrono::microseconds distanceCost(const BackendServer &server,
+                                           const PlacementQuery &query) const;
+    bool isLocalRegion(const BackendServer &server) const;
+    static Homes homeServers(const std::vector<const BackendServer *> &servers,
+                             const PromptParts &prompt);
+    static std::uint64_t expectedUncached(const ServerView &view, const BackendServer &server,
+                                          const Homes &homes, const PromptParts &prompt);
+    static double decayedSlowness(const ServerView &view, TimePoint now);
+    static double decayedFailureShare(const ServerView &view, TimePoint now);
+    static PeerLoad peerTotal(const ServerView &view, TimePoint now);
+    static std::chrono::microseconds predictEngine(const ServerView &view, std::uint64_t uncached,
+                                                   unsigned slots, TimePoint now);
+    static std::chrono::microseconds predictPlain(const ServerView &view, unsigned slots,
+                                                  TimePoint now);
+    static std::chrono::microseconds failureCost(const ServerView &view, bool repeatable,
+                                                 TimePoint now);
+
+    const Options options_;
+    std::string region_;
+    std::map<std::string, ServerView> views_;
+};
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/include/auburn/routing/promptpart.h
@@ -0,0 +1,21 @@
+// PromptPart: a piece of a prompt that engines keep in their prefix cache.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace auburn::routing {
+
+struct PromptPart
+{
+    // Equal parts of different requests have the same id.
+    std::uint64_t id = 0;
+    std::uint64_t tokens = 0;
+};
+
+// The parts of one prompt in order. The last one belongs to the request or its session alone.
+using PromptParts = std::vector<PromptPart>;
+
+std::uint64_t totalTokens(const PromptParts &parts);
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/include/auburn/routing/retryledger.h
@@ -0,0 +1,55 @@
+// RetryLedger: this daemon's share of the retries that all daemons may send in a sliding window.
+//
+// Each daemon may repeat a share of its own requests and an equal part of a fixed allowance. The
+// sum over all daemons then stays within the limit without any message between them.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace auburn::routing {
+
+class RetryLedger
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    struct Options
+    {
+        // Retries as a share of the requests in the window.
+        double ratio = 0.2;
+        std::chrono::milliseconds window{ 10000 };
+        // Retries in the window of all daemons together beyond the share.
+        double allowance = 10;
+    };
+
+    explicit RetryLedger(Options options);
+
+    // The number of daemons that divide the allowance, this one included.
+    void setDaemons(unsigned daemons);
+    void countRequest(TimePoint now);
+    // Takes one retry; false if the share is used up.
+    bool takeRetry(TimePoint now);
+
+    std::uint64_t requestsInWindow(TimePoint now);
+    std::uint64_t retriesInWindow(TimePoint now);
+
+private:
+    static constexpr std::size_t kBuckets = 20;
+    struct Bucket
+    {
+        std::int64_t number = -1;
+        std::uint64_t requests = 0;
+        std::uint64_t retries = 0;
+    };
+
+    std::int64_t bucketNumber(TimePoint now) const;
+    Bucket &bucket(TimePoint now);
+
+    const Options options_;
+    unsigned daemons_ = 1;
+    std::array<Bucket, kBuckets> buckets_;
+};
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/src/placement.cpp
@@ -0,0 +1,347 @@
+#include "auburn/routing/placement.h"
+
+#include "auburn/core/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace auburn::routing {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond.
+constexpr double kPrefillTokensPerMs = 70.0;
+// From the admission of a request with nothing to read to its first token.
+constexpr double kFirstTokenMs = 75.0;
+// Growth of the time of one batch step for each running request.
+constexpr double kStepMsPerRequest = 0.15;
+// Work of one request at a plain service.
+constexpr double kPlainWorkMs = 40.0;
+// Round trip to another region.
+constexpr milliseconds kOtherRegionCost{ 45 };
+constexpr milliseconds kOtherDomainCost{ 3 };
+// Bytes of a prompt that cross regions are paid for; cost for each 1,000 tokens.
+constexpr microseconds kRegionCostPerKiloToken{ 2000 };
+// Reading a shared part again takes an engine's time from all requests that wait there, and not
+// only from the one that is placed; cost for each 1,000 tokens beyond the time that is predicted.
+constexpr microseconds kRereadCostPerKiloToken{ 45000 };
+// Share of the shared tokens that is expected to be cached at the first and the second engine of
+// the rendezvous order, where this daemon has not sent them itself.
+constexpr double kFirstHomeCachedShare = 0.8;
+constexpr double kSecondHomeCachedShare = 0.2;
+// Running requests take a part of the memory that the cache could use.
+constexpr double kCacheShare = 0.8;
+constexpr milliseconds kSlownessHalfLife{ 4000 };
+constexpr double kSlownessGain = 0.3;
+constexpr double kSlownessMin = 0.5;
+constexpr double kSlownessMax = 10.0;
+constexpr milliseconds kFailureHalfLife{ 3000 };
+constexpr double kFailureGain = 0.25;
+// Cost of an expected failure; one that cannot be repaired by a retry is dearer.
+constexpr double kRepeatableFailureMs = 300.0;
+constexpr double kFinalFailureMs = 1500.0;
+constexpr milliseconds kAvoidFirst{ 400 };
+constexpr milliseconds kAvoidMax{ 3200 };
+// Avoided servers are taken only when no other is left.
+constexpr milliseconds kAvoidCost{ 20000 };
+constexpr milliseconds kPeerLoadLifetime{ 1500 };
+constexpr milliseconds kReportLifetime{ 400 };
+
+microseconds fromMs(double ms)
+{
+    return microseconds(static_cast<std::int64_t>(ms * 1000));
+}
+
+double toMs(std::chrono::steady_clock::duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double halvings(std::chrono::steady_clock::duration age, milliseconds halfLife)
+{
+    return std::exp2(-toMs(age) / static_cast<double>(halfLife.count()));
+}
+
+microseconds rereadCost(std::uint64_t tokens)
+{
+    return kRereadCostPerKiloToken * static_cast<std::int64_t>(tokens) / 1000;
+}
+
+std::uint64_t sharedTokens(const PromptParts &prompt)
+{
+    return prompt.size() < 2 ? 0 : totalTokens(prompt) - prompt.back().tokens;
+}
+
+} // namespace
+
+Placement::Placement(Options options)
+    : options_(std::move(options))
+{
+    const auto found = options_.regions.find(options_.failureDomain);
+    if (found != options_.regions.end())
+        region_ = found->second;
+}
+
+Placement::ServerView &Placement::view(const std::string &serverId, const Service *service)
+{
+    const auto found = views_.find(serverId);
+    if (found != views_.end())
+        return found->second;
+    const double capacity = service && service->engine
+                                    ? static_cast<double>(service->engine->cacheTokens)
+                                              * kCacheShare
+                                    : 0;
+    return views_.emplace(serverId, ServerView(static_cast<std::uint64_t>(capacity))).first->second;
+}
+
+bool Placement::isLocalRegion(const BackendServer &server) const
+{
+    const auto found = options_.regions.find(server.failureDomain);
+    return found != options_.regions.end() && found->second == region_;
+}
+
+microseconds Placement::distanceCost(const BackendServer &server, const PlacementQuery &query) const
+{
+    if (server.failureDomain == options_.failureDomain)
+        return microseconds(0);
+    if (isLocalRegion(server))
+        return kOtherDomainCost;
+    const auto kiloTokens = static_cast<std::int64_t>(totalTokens(query.prompt) / 1000);
+    return kOtherRegionCost + kRegionCostPerKiloToken * kiloTokens;
+}
+
+// The first two servers by rendezvous hashing, which every daemon finds alike.
+Placement::Homes Placement::homeServers(const std::vector<const BackendServer *> &servers,
+                                        const PromptParts &prompt)
+{
+    Homes homes;
+    if (prompt.empty())
+        return homes;
+    const std::uint64_t key = prompt.size() >= 2 ? prompt[prompt.size() - 2].id : prompt[0].id;
+    std::uint64_t firstWeight = 0;
+    std::uint64_t secondWeight = 0;
+    for (const BackendServer *server : servers) {
+        const std::uint64_t weight = stableHash(server->id, key);
+        if (!homes.first || weight > firstWeight) {
+            homes.second = homes.first;
+            secondWeight = firstWeight;
+            homes.first = server;
+            firstWeight = weight;
+        } else if (!homes.second || weight > secondWeight) {
+            homes.second = server;
+            secondWeight = weight;
+        }
+    }
+    return homes;
+}
+
+std::uint64_t Placement::expectedUncached(const ServerView &view, const BackendServer &server,
+                                          const Homes &homes, const PromptParts &prompt)
+{
+    const std::uint64_t uncached = view.cache.uncachedTokens(prompt);
+    const std::uint64_t shared = sharedTokens(prompt);
+    const std::uint64_t own = totalTokens(prompt) - shared;
+    double share = 0;
+    if (&server == homes.first)
+        share = kFirstHomeCachedShare;
+    else if (&server == homes.second)
+        share = kSecondHomeCachedShare;
+    const auto expected = own
+                          + static_cast<std::uint64_t>((1 - share) * static_cast<double>(shared));
+    return std::min(uncached, expected);
+}
+
+double Placement::decayedSlowness(const ServerView &view, TimePoint now)
+{
+    return 1 + (view.slowness - 1) * halvings(now - view.slownessAt, kSlownessHalfLife);
+}
+
+double Placement::decayedFailureShare(const ServerView &view, TimePoint now)
+{
+    return view.failureShare * halvings(now - view.failureAt, kFailureHalfLife);
+}
+
+PeerLoad Placement::peerTotal(const ServerView &view, TimePoint now)
+{
+    PeerLoad total;
+    for (const auto &[peer, entry] : view.peers) {
+        if (now - entry.at > kPeerLoadLifetime)
+            continue;
+        total.running += entry.load.running;
+        total.waitingTokens += entry.load.waitingTokens;
+    }
+    return total;
+}
+
+microseconds Placement::predictEngine(const ServerView &view, std::uint64_t uncached,
+                                      unsigned slots, TimePoint now)
+{
+    const PeerLoad peers = peerTotal(view, now);
+    const auto waiting = static_cast<double>(view.waitingTokens + peers.waitingTokens);
+    unsigned running = view.running + peers.running;
+    if (view.reportedAt && now - *view.reportedAt < kReportLifetime)
+        running = std::max(running, view.report.running);
+    const double readMs = (waiting + static_cast<double>(uncached)) / kPrefillTokensPerMs;
+    double ms = kFirstTokenMs + readMs + running * kStepMsPerRequest;
+    // A full batch admits the next request only when another one ends.
+    if (slots > 0 && running >= slots)
+        ms += 1000.0 * (running - slots + 1) / slots;
+    return fromMs(ms * decayedSlowness(view, now));
+}
+
+microseconds Placement::predictPlain(const ServerView &view, unsigned slots, TimePoint now)
+{
+    const PeerLoad peers = peerTotal(view, now);
+    unsigned busy = view.running + peers.running;
+    if (view.reportedAt && now - *view.reportedAt < kReportLifetime)
+        busy = std::max(busy, view.report.running + view.report.waiting);
+    const double queued = busy >= slots ? busy - slots + 1.0 : 0.0;
+    const double ms = kPlainWorkMs * (1 + queued / std::max(1U, slots)) + busy * 0.5;
+    return fromMs(ms * decayedSlowness(view, now));
+}
+
+microseconds Placement::failureCost(const ServerView &view, bool repeatable, TimePoint now)
+{
+    if (view.avoidUntil && now < *view.avoidUntil)
+        return kAvoidCost;
+    const double costMs = repeatable ? kRepeatableFailureMs : kFinalFailureMs;
+    return fromMs(decayedFailureShare(view, now) * costMs);
+}
+
+std::optional<PlacementChoice> Placement::choose(const ServerDirectory &directory,
+                                                 const PlacementQuery &query, TimePoint now)
+{
+    const std::vector<const BackendServer *> servers = directory.readyServers(query.service->name);
+    const Homes homes = homeServers(servers, query.prompt);
+    const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
+    std::optional<PlacementChoice> best;
+    microseconds bestCost{ 0 };
+    for (const BackendServer *server : servers) {
+        const bool excluded = std::find(query.excluded.begin(), query.excluded.end(), server->id)
+                              != query.excluded.end();
+        if (excluded)
+            continue;
+        ServerView &candidate = view(server->id, query.service);
+        std::uint64_t uncached = 0;
+        microseconds predicted{ 0 };
+        if (query.service->engine) {
+            uncached = expectedUncached(candidate, *server, homes, query.prompt);
+            predicted = predictEngine(candidate, uncached, server->slots, now);
+        } else {
+            predicted = predictPlain(candidate, server->slots, now);
+        }
+        const std::uint64_t reread = uncached - std::min(uncached, ownTokens);
+        const microseconds cost = predicted + distanceCost(*server, query) + rereadCost(reread)
+                                  + failureCost(candidate, query.repeatable, now);
+        if (best && cost >= bestCost)
+            continue;
+        bestCost = cost;
+        best = PlacementChoice{ .serverId = server->id,
+                                .address = server->address,
+                                .predicted = predicted,
+                                .uncachedTokens = uncached,
+                                .inFlight = candidate.running };
+        if (candidate.reportedAt)
+            best->reportAge = std::chrono::duration_cast<milliseconds>(now - *candidate.reportedAt);
+    }
+    return best;
+}
+
+void Placement::attemptStarted(const PlacementChoice &choice, const PromptParts &prompt,
+                               TimePoint /*now*/)
+{
+    ServerView &server = view(choice.serverId, nullptr);
+    ++server.running;
+    server.waitingTokens += choice.uncachedTokens;
+    server.cache.touch(prompt);
+}
+
+void Placement::attemptProgressed(const PlacementChoice &choice, microseconds sinceStart,
+                                  TimePoint now)
+{
+    ServerView &server = view(choice.serverId, nullptr);
+    server.waitingTokens -= std::min(server.waitingTokens, choice.uncachedTokens);
+    const double predictedMs = std::max(10.0, toMs(choice.predicted));
+    // The prediction contains the slowness that was known when it was made.
+    const double known = decayedSlowness(server, now);
+    const double measured = std::clamp(toMs(sinceStart) / predictedMs * known, kSlownessMin,
+                                       kSlownessMax);
+    server.slowness = known + (measured - known) * kSlownessGain;
+    server.slownessAt = now;
+}
+
+void Placement::attemptEnded(const PlacementChoice &choice, bool progressed, AttemptOutcome outcome,
+                             TimePoint now)
+{
+    const auto found = views_.find(choice.serverId);
+    if (found == views_.end())
+        return;
+    ServerView &server = found->second;
+    server.running -= std::min(server.running, 1U);
+    if (!progressed)
+        server.waitingTokens -= std::min(server.waitingTokens, choice.uncachedTokens);
+    if (outcome == AttemptOutcome::Abandoned)
+        return;
+    const bool failed = outcome != AttemptOutcome::Succeeded;
+    const double known = decayedFailureShare(server, now);
+    server.failureShare = known + ((failed ? 1.0 : 0.0) - known) * kFailureGain;
+    server.failureAt = now;
+    const bool avoids = outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Rejected;
+    if (!avoids) {
+        server.failuresInRow = 0;
+        server.avoidUntil.reset();
+        return;
+    }
+    const unsigned doublings = std::min(server.failuresInRow, 3U);
+    ++server.failuresInRow;
+    server.avoidUntil = now + std::min(kAvoidFirst * (1U << doublings), kAvoidMax);
+    if (outcome == AttemptOutcome::Failed && server.failuresInRow >= 2)
+        server.cache.clear();
+}
+
+void Placement::reported(const std::string &serverId, LoadReport report, TimePoint now)
+{
+    ServerView &server = view(serverId, nullptr);
+    server.report = report;
+    server.reportedAt = now;
+}
+
+void Placement::peerReported(const std::string &peer, const std::map<std::string, PeerLoad> &loads,
+                             TimePoint now)
+{
+    for (auto &[id, server] : views_) {
+        const auto load = loads.find(id);
+        if (load == loads.end())
+            server.peers.erase(peer);
+        else
+            server.peers.insert_or_assign(peer, PeerEntry{ .load = load->second, .at = now });
+    }
+}
+
+void Placement::forget(const std::string &serverId)
+{
+    views_.erase(serverId);
+}
+
+std::map<std::string, PeerLoad> Placement::ownLoads() const
+{
+    std::map<std::string, PeerLoad> loads;
+    for (const auto &[id, server] : views_) {
+        if (server.running > 0)
+            loads.emplace(id, PeerLoad{ .running = server.running,
+                                        .waitingTokens = server.waitingTokens });
+    }
+    return loads;
+}
+
+bool Placement::isAvoided(const std::string &serverId, TimePoint now) const
+{
+    const auto found = views_.find(serverId);
+    return found != views_.end() && found->second.avoidUntil && now < *found->second.avoidUntil;
+}
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/src/retryledger.cpp
@@ -0,0 +1,77 @@
+#include "auburn/routing/retryledger.h"
+
+#include <algorithm>
+
+namespace auburn::routing {
+
+namespace {
+
+// Part of the limit that is used; the rest covers windows that are counted elsewhere with other
+// bounds.
+constexpr double kUsedShare = 0.8;
+
+} // namespace
+
+RetryLedger::RetryLedger(Options options)
+    : options_(options)
+{}
+
+void RetryLedger::setDaemons(unsigned daemons)
+{
+    daemons_ = std::max(1U, daemons);
+}
+
+std::int64_t RetryLedger::bucketNumber(TimePoint now) const
+{
+    const auto width = std::max(options_.window / static_cast<int>(kBuckets),
+                                std::chrono::milliseconds(1));
+    return now.time_since_epoch() / width;
+}
+
+RetryLedger::Bucket &RetryLedger::bucket(TimePoint now)
+{
+    const std::int64_t number = bucketNumber(now);
+    Bucket &found = buckets_[static_cast<std::size_t>(number) % kBuckets];
+    if (found.number != number)
+        found = Bucket{ .number = number };
+    return found;
+}
+
+void RetryLedger::countRequest(TimePoint now)
+{
+    ++bucket(now).requests;
+}
+
+std::uint64_t RetryLedger::requestsInWindow(TimePoint now)
+{
+    const std::int64_t current = bucketNumber(now);
+    std::uint64_t total = 0;
+    for (const Bucket &entry : buckets_) {
+        if (entry.number > current - static_cast<std::int64_t>(kBuckets))
+            total += entry.requests;
+    }
+    return total;
+}
+
+std::uint64_t RetryLedger::retriesInWindow(TimePoint now)
+{
+    const std::int64_t current = bucketNumber(now);
+    std::uint64_t total = 0;
+    for (const Bucket &entry : buckets_) {
+        if (entry.number > current - static_cast<std::int64_t>(kBuckets))
+            total += entry.retries;
+    }
+    return total;
+}
+
+bool RetryLedger::takeRetry(TimePoint now)
+{
+    const double share = options_.ratio * static_cast<double>(requestsInWindow(now));
+    const double limit = kUsedShare * (share + options_.allowance / daemons_);
+    if (static_cast<double>(retriesInWindow(now)) + 1 > limit)
+        return false;
+    ++bucket(now).retries;
+    return true;
+}
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/src/serverdirectory.cpp
@@ -0,0 +1,174 @@
+#include "auburn/routing/serverdirectory.h"
+
+#include <utility>
+
+namespace auburn::routing {
+
+namespace {
+
+// Removed ids that are remembered; a deployment replaces far fewer servers in a day.
+constexpr std::size_t kRememberedRemovals = 10000;
+
+bool isOlder(const BackendServer &update, const BackendServer &known)
+{
+    if (update.startedAtUnixMs != known.startedAtUnixMs)
+        return update.startedAtUnixMs < known.startedAtUnixMs;
+    return update.sequence < known.sequence;
+}
+
+bool routesAlike(const BackendServer &left, const BackendServer &right)
+{
+    return left.service == right.service && left.address == right.address
+           && left.failureDomain == right.failureDomain && left.slots == right.slots
+           && left.state == right.state;
+}
+
+} // namespace
+
+std::string_view directoryChangeName(DirectoryChange change)
+{
+    switch (change) {
+    case DirectoryChange::Added:
+        return "added";
+    case DirectoryChange::Changed:
+        return "changed";
+    case DirectoryChange::Refreshed:
+        return "refreshed";
+    case DirectoryChange::Stale:
+        return "stale";
+    case DirectoryChange::Removed:
+        return "removed";
+    case DirectoryChange::RemovalPending:
+        return "removal_pending";
+    case DirectoryChange::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+DirectoryChange ServerDirectory::update(BackendServer server, std::uint64_t position)
+{
+    const auto removed = removed_.find(server.id);
+    if (removed != removed_.end()) {
+        if (position <= removed->second)
+            return DirectoryChange::Stale;
+        removed_.erase(removed);
+    }
+    const auto found = entries_.find(server.id);
+    if (found == entries_.end()) {
+        const std::string id = server.id;
+        entries_.emplace(id, Entry{ .server = std::move(server), .position = position });
+        return DirectoryChange::Added;
+    }
+    Entry &entry = found->second;
+    if (position <= entry.position || isOlder(server, entry.server))
+        return DirectoryChange::Stale;
+    const bool restarted = server.startedAtUnixMs > entry.server.startedAtUnixMs;
+    const bool alike = routesAlike(server, entry.server) && !entry.removeAt;
+    entry.server = std::move(server);
+    entry.position = position;
+    entry.removeAt.reset();
+    if (restarted)
+        return DirectoryChange::Added;
+    return alike ? DirectoryChange::Refreshed : DirectoryChange::Changed;
+}
+
+DirectoryChange ServerDirectory::remove(std::string_view id, std::uint64_t position, TimePoint now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return DirectoryChange::Unknown;
+    Entry &entry = found->second;
+    if (position <= entry.position)
+        return DirectoryChange::Stale;
+    if (!isRelisting(now))
+        return removeNow(id, position);
+    entry.position = position;
+    if (!entry.removeAt)
+        entry.removeAt = (available_ && returnedAt_ ? *returnedAt_ : now) + kRelistTime;
+    return DirectoryChange::RemovalPending;
+}
+
+DirectoryChange ServerDirectory::removeNow(std::string_view id, std::uint64_t position)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return DirectoryChange::Unknown;
+    if (position <= found->second.position)
+        return DirectoryChange::Stale;
+    found->second.position = position;
+    erase(found->first);
+    return DirectoryChange::Removed;
+}
+
+void ServerDirectory::erase(const std::string &id)
+{
+    const auto found = entries_.find(id);
+    if (removed_.size() >= kRememberedRemovals)
+        removed_.clear();
+    removed_.insert_or_assign(id, found->second.position);
+    entries_.erase(found);
+}
+
+std::vector<std::string> ServerDirectory::ids() const
+{
+    std::vector<std::string> result;
+    for (const auto &entry : entries_)
+        result.push_back(entry.first);
+    return result;
+}
+
+void ServerDirectory::registryLost(TimePoint /*now*/)
+{
+    available_ = false;
+}
+
+void ServerDirectory::registryAnswered(TimePoint now)
+{
+    if (available_)
+        return;
+    available_ = true;
+    returnedAt_ = now;
+    for (auto &[id, entry] : entries_) {
+        if (entry.removeAt)
+            entry.removeAt = now + kRelistTime;
+    }
+}
+
+bool ServerDirectory::isRelisting(TimePoint now) const
+{
+    return !available_ || (returnedAt_ && now < *returnedAt_ + kRelistTime);
+}
+
+std::vector<std::string> ServerDirectory::expire(TimePoint now)
+{
+    std::vector<std::string> expired;
+    if (!available_)
+        return expired;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.removeAt && *entry.removeAt <= now)
+            expired.push_back(id);
+    }
+    for (const std::string &id : expired)
+        erase(id);
+    return expired;
+}
+
+std::vector<const BackendServer *> ServerDirectory::readyServers(std::string_view service) const
+{
+    std::vector<const BackendServer *> ready;
+    for (const auto &[id, entry] : entries_) {
+        const BackendServer &server = entry.server;
+        if (server.service == service && server.state == ServerState::Ready)
+            ready.push_back(&server);
+    }
+    return ready;
+}
+
+const BackendServer *ServerDirectory::find(std::string_view id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second.server;
+}
+
+} // namespace auburn::routing
