Send beats every 100 ms

Cause: daemons placed long prompts by a view of the others that was up to 500 ms old, ten times the time of a prompt. Change: the interval of beats.

--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -34,7 +34,7 @@
         std::string readAddress;
         // Beat addresses to begin with; they may be stale.
         std::vector<std::string> seeds;
-        std::chrono::milliseconds interval{ 500 };
+        std::chrono::milliseconds interval{ 100 };
         // Fills in positions, crashes and loads.
         std::function<void(PeerBeat &beat, bool withLoads)> fill;
         std::function<void(const PeerBeat &beat)> received;
