Keep prompts at the engine that has their shared part

Change: a re-read costs 200 ms per 1,000 tokens on top of its time; a beat goes out at each placement of 1,000 uncached tokens or more.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -46,8 +46,9 @@
         Metrics *metrics = nullptr;
         // Connections of callers beyond this number are closed at once.
         std::size_t maxConnections = 2000;
-        // Called after a server broke off a request, so that other daemons learn of it soon.
-        std::function<void()> crashCounted;
+        // Called when other daemons should soon learn of this daemon's state: a server broke off a
+        // request, or much work was placed at one.
+        std::function<void()> noteworthy;
     };
 
     // Null with lastError() set if the address cannot be used.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -23,6 +23,8 @@
 // A server gets no request that has less time left than this.
 constexpr milliseconds kLeastUsefulTime{ 15 };
 constexpr unsigned kMaxRejections = 2;
+// Prompt tokens at one engine that other daemons take into account at once; about 15 ms of its time.
+constexpr std::uint64_t kNoteworthyTokens = 1000;
 constexpr unsigned kMaxConnectFailures = 3;
 constexpr std::size_t kMaxWholeAnswer = std::size_t{ 16 } * 1024 * 1024;
 constexpr milliseconds kShortestRetryAfter{ 100 };
@@ -141,6 +143,8 @@
     body_.clear();
     splitter_.reset();
     core_.state.placement.attemptStarted(choice, request_.prompt, attemptStart_);
+    if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.noteworthy)
+        core_.options.noteworthy();
     const bool repeatable = isRepeatable();
     connection_ = core_.pool->take(choice.address, repeatable ? kMaxIdle : kUnsafeMaxIdle);
     logEvent(LogLevel::Info, "request_placed",
@@ -470,8 +474,8 @@
     verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
     if (result.end == CallEnd::Broken && !result.staleConnection) {
         core_.state.crashes.addCrash(fingerprint_, Clock::now());
-        if (core_.options.crashCounted)
-            core_.options.crashCounted();
+        if (core_.options.noteworthy)
+            core_.options.noteworthy();
     }
     endAttempt(AttemptOutcome::Failed, result.error);
     const bool blocked = core_.state.crashes.isBlocked(fingerprint_, Clock::now());
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -28,7 +28,7 @@
 constexpr microseconds kRegionCostPerKiloToken{ 2000 };
 // Reading a shared part again takes an engine's time from all requests that wait there, and not
 // only from the one that is placed; cost for each 1,000 tokens beyond the time that is predicted.
-constexpr microseconds kRereadCostPerKiloToken{ 45000 };
+constexpr microseconds kRereadCostPerKiloToken{ 200000 };
 // Share of the shared tokens that is expected to be cached at the first and the second engine of
 // the rendezvous order, where this daemon has not sent them itself.
 constexpr double kFirstHomeCachedShare = 0.8;
