Keep engines for pause-sensitive streams; rank urgency by organisation, then route

Ruled out: route priority alone; the organisation's takes precedence. Change: isPauseSensitive(), a pool of engines sized by the streams that run, ranks of (organisation, route).

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -31,8 +31,6 @@
 constexpr milliseconds kLongestRetryAfter{ 1000 };
 constexpr milliseconds kLeastStall{ 150 };
 constexpr milliseconds kLeastStreamStall{ 600 };
-constexpr int kHighestUrgency = 0;
-constexpr int kLowestUrgency = 9;
 
 std::string_view view(boost::beast::string_view text)
 {
@@ -106,6 +104,8 @@
     return { .service = service_,
              .prompt = request_.prompt,
              .excluded = excluded_,
+             .steadyStream =
+                     service_->engine && routing::isPauseSensitive(*request_.route, *service_->engine),
              .repeatable = isRepeatable() && runs_ + 1 < request_.route->maxAttempts };
 }
 
@@ -142,7 +142,7 @@
     fields_.clear();
     body_.clear();
     splitter_.reset();
-    core_.state.placement.attemptStarted(choice, request_.prompt, attemptStart_);
+    core_.state.placement.attemptStarted(choice, placementQuery(), attemptStart_);
     if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.noteworthy)
         core_.options.noteworthy();
     const bool repeatable = isRepeatable();
@@ -182,12 +182,9 @@
     add(dialect.expectedServer, choice.serverId);
     if (request_.organisation)
         add(dialect.organisation, request_.organisation->name);
-    if (service_->engine) {
-        const int priority = request_.organisation && request_.organisation->priority
-                                     ? *request_.organisation->priority
-                                     : request_.route->priority;
-        add(dialect.urgency, std::to_string(std::clamp(priority, kHighestUrgency, kLowestUrgency)));
-    }
+    if (service_->engine)
+        add(dialect.urgency,
+            std::to_string(request_.config->urgency(*request_.route, request_.organisation)));
     if (!lastEventId_.empty())
         add(dialect.lastEventId, lastEventId_);
     if (request_.body)
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -5,6 +5,9 @@
 // the prompt tokens that wait there and those of the request that are not cached. All daemons find
 // the same home engines for a shared prompt part, so that a part is read by one engine and not by
 // several as long as that engine is not overloaded.
+//
+// Where a chunk of a prompt between two events would make the pauses of a stream too long, a few
+// engines are kept for such streams; their number follows the streams that run.
 #pragma once
 
 #include "auburn/routing/enginecache.h"
@@ -27,6 +30,8 @@
     PromptParts prompt;
     // Servers that already failed this request.
     std::vector<std::string> excluded;
+    // A stream whose pauses suffer where prompts are read; see isPauseSensitive().
+    bool steadyStream = false;
     // A failure can be repaired by another attempt.
     bool repeatable = false;
 };
@@ -40,6 +45,7 @@
     std::uint64_t uncachedTokens = 0;
     // Requests of this daemon at the server before this one.
     unsigned inFlight = 0;
+    bool steadyStream = false;
     // The server's last own report is so old; empty if there was none.
     std::optional<std::chrono::milliseconds> reportAge;
 };
@@ -70,6 +76,8 @@
 struct PeerLoad
 {
     unsigned running = 0;
+    // Part of the running ones.
+    unsigned steadyStreams = 0;
     std::uint64_t waitingTokens = 0;
 };
 
@@ -92,7 +100,7 @@
                                           const PlacementQuery &query, TimePoint now);
 
     // Bookkeeping of one attempt, in this order; first progress may not come.
-    void attemptStarted(const PlacementChoice &choice, const PromptParts &prompt, TimePoint now);
+    void attemptStarted(const PlacementChoice &choice, const PlacementQuery &query, TimePoint now);
     void attemptProgressed(const PlacementChoice &choice, std::chrono::microseconds sinceStart,
                            TimePoint now);
     void attemptEnded(const PlacementChoice &choice, bool progressed, AttemptOutcome outcome,
@@ -124,6 +132,7 @@
 
         EngineCache cache;
         unsigned running = 0;
+        unsigned steadyStreams = 0;
         // Uncached tokens of requests without a first token.
         std::uint64_t waitingTokens = 0;
         std::map<std::string, PeerEntry> peers;
@@ -146,11 +155,25 @@
         const BackendServer *second = nullptr;
     };
 
+    // Engines of one service that steady streams share with no long prompts.
+    struct StreamPool
+    {
+        std::size_t size = 0;
+        TimePoint changedAt;
+        std::optional<TimePoint> lastStream;
+    };
+
     ServerView &view(const std::string &serverId, const Service *service);
+    // Moves the engines of the stream pool to the front, in an order that all daemons share, and
+    // returns their number.
+    std::size_t arrangeStreamPool(std::vector<const BackendServer *> &servers,
+                                  const PlacementQuery &query, TimePoint now);
+    static std::chrono::microseconds poolCost(const ServerView &view, bool inPool,
+                                              const PlacementQuery &query, TimePoint now);
     std::chrono::microseconds distanceCost(const BackendServer &server,
                                            const PlacementQuery &query) const;
     bool isLocalRegion(const BackendServer &server) const;
-    static Homes homeServers(const std::vector<const BackendServer *> &servers,
+    static Homes homeServers(const std::vector<const BackendServer *> &servers, std::size_t first,
                              const PromptParts &prompt);
     static std::uint64_t expectedUncached(const ServerView &view, const BackendServer &server,
                                           const Homes &homes, const PromptParts &prompt);
@@ -167,6 +190,7 @@
     const Options options_;
     std::string region_;
     std::map<std::string, ServerView> views_;
+    std::map<std::string, StreamPool> pools_;
 };
 
 } // namespace auburn::routing
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -11,10 +11,14 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace auburn::routing {
 
+// Engines distinguish urgencies from 0 to this one.
+constexpr int kLowestUrgency = 9;
+
 // What may be repeated: a Safe request any number of times; an Unsafe request runs at most once;
 // a Stream answers with events and counts as unsafe unless its route allows resumption.
 enum class RequestKind { Safe, Unsafe, Stream };
@@ -58,6 +62,8 @@
     unsigned slots = 1;
     // Tokens of running requests and cached prompt parts together.
     std::uint64_t cacheTokens = 0;
+    // Tokens in one event of a stream.
+    unsigned tokensPerEvent = 1;
 };
 
 struct Service
@@ -115,15 +121,26 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const Organisation *findOrganisation(std::string_view key) const;
     const Service *findService(std::string_view name) const;
+    // Rank of a request among all of the configuration, 0 first: by the priority of its
+    // organisation, then by that of its route. At most kLowestUrgency.
+    int urgency(const Route &route, const Organisation *organisation) const;
 
 private:
+    static std::pair<int, int> rank(const Route &route, const Organisation *organisation);
+
     const TrafficConfigData data_;
     // By host, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_;
     std::unordered_map<std::string_view, const Organisation *> organisationsByKey_;
     std::unordered_map<std::string_view, const Service *> servicesByName_;
+    // All ranks that occur, most urgent first.
+    std::vector<std::pair<int, int>> ranks_;
 };
 
+// True if the pauses of the route's streams get too long on an engine that reads prompts without a
+// break, because each chunk of a prompt delays the next token of every stream.
+bool isPauseSensitive(const Route &route, const EngineModel &engine);
+
 // The service of a request on a route with several: the share of requests follows the weights and
 // the choice depends on the hash only.
 const std::string &pickService(const Route &route, std::uint64_t requestHash);
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -48,6 +48,16 @@
 constexpr milliseconds kAvoidMax{ 3200 };
 // Avoided servers are taken only when no other is left.
 constexpr milliseconds kAvoidCost{ 20000 };
+// Part of an engine's slots that steady streams use before the pool grows, and the largest part of the
+// engines in the pool.
+constexpr double kPoolSlotShare = 0.5;
+constexpr double kPoolMaxShare = 0.5;
+constexpr milliseconds kPoolShrinkPause{ 1500 };
+// The pool is given up after this time without a steady stream.
+constexpr milliseconds kPoolLifetime{ 8000 };
+constexpr milliseconds kStreamOutsidePoolCost{ 400 };
+constexpr milliseconds kPromptInsidePoolCost{ 300 };
+constexpr milliseconds kPromptBesideStreamCost{ 40 };
 constexpr milliseconds kPeerLoadLifetime{ 1500 };
 constexpr milliseconds kReportLifetime{ 400 };
 
@@ -116,7 +126,7 @@
 
 // The first two servers by rendezvous hashing, which every daemon finds alike.
 Placement::Homes Placement::homeServers(const std::vector<const BackendServer *> &servers,
-                                        const PromptParts &prompt)
+                                        std::size_t first, const PromptParts &prompt)
 {
     Homes homes;
     if (prompt.empty())
@@ -124,7 +134,8 @@
     const std::uint64_t key = prompt.size() >= 2 ? prompt[prompt.size() - 2].id : prompt[0].id;
     std::uint64_t firstWeight = 0;
     std::uint64_t secondWeight = 0;
-    for (const BackendServer *server : servers) {
+    for (std::size_t i = first; i < servers.size(); ++i) {
+        const BackendServer *server = servers[i];
         const std::uint64_t weight = stableHash(server->id, key);
         if (!homes.first || weight > firstWeight) {
             homes.second = homes.first;
@@ -172,6 +183,7 @@
         if (now - entry.at > kPeerLoadLifetime)
             continue;
         total.running += entry.load.running;
+        total.steadyStreams += entry.load.steadyStreams;
         total.waitingTokens += entry.load.waitingTokens;
     }
     return total;
@@ -212,15 +224,64 @@
     return fromMs(decayedFailureShare(view, now) * costMs);
 }
 
+std::size_t Placement::arrangeStreamPool(std::vector<const BackendServer *> &servers,
+                                         const PlacementQuery &query, TimePoint now)
+{
+    const auto found = pools_.find(query.service->name);
+    if (servers.empty() || (!query.steadyStream && found == pools_.end()))
+        return 0;
+    StreamPool &pool = pools_[query.service->name];
+    if (query.steadyStream)
+        pool.lastStream = now;
+    if (!pool.lastStream || now - *pool.lastStream > kPoolLifetime) {
+        pool.size = 0;
+        return 0;
+    }
+    double streams = query.steadyStream ? 1 : 0;
+    for (const BackendServer *server : servers) {
+        const ServerView &candidate = view(server->id, query.service);
+        streams += candidate.steadyStreams + peerTotal(candidate, now).steadyStreams;
+    }
+    const double perEngine = std::max(1.0, kPoolSlotShare * servers.front()->slots);
+    const auto needed = static_cast<std::size_t>(std::ceil(streams / perEngine));
+    const auto largest = static_cast<std::size_t>(
+            std::max(1.0, kPoolMaxShare * static_cast<double>(servers.size())));
+    const std::size_t wanted = std::clamp<std::size_t>(needed, 1, largest);
+    const bool shrinks = wanted < pool.size && now - pool.changedAt > kPoolShrinkPause;
+    if (wanted > pool.size || shrinks) {
+        pool.size = shrinks ? pool.size - 1 : wanted;
+        pool.changedAt = now;
+    }
+    std::sort(servers.begin(), servers.end(),
+              [](const BackendServer *left, const BackendServer *right) {
+                  return stableHash(left->id) < stableHash(right->id);
+              });
+    return std::min(pool.size, servers.size());
+}
+
+microseconds Placement::poolCost(const ServerView &view, bool inPool, const PlacementQuery &query,
+                                 TimePoint now)
+{
+    if (query.steadyStream)
+        return inPool ? microseconds(0) : microseconds(kStreamOutsidePoolCost);
+    if (!inPool)
+        return microseconds(0);
+    const auto streams = view.steadyStreams + peerTotal(view, now).steadyStreams;
+    return kPromptInsidePoolCost + kPromptBesideStreamCost * static_cast<std::int64_t>(streams);
+}
+
 std::optional<PlacementChoice> Placement::choose(const ServerDirectory &directory,
                                                  const PlacementQuery &query, TimePoint now)
 {
-    const std::vector<const BackendServer *> servers = directory.readyServers(query.service->name);
-    const Homes homes = homeServers(servers, query.prompt);
+    std::vector<const BackendServer *> servers = directory.readyServers(query.service->name);
+    const std::size_t poolSize = arrangeStreamPool(servers, query, now);
+    const Homes homes = query.steadyStream ? homeServers(servers, 0, {})
+                                           : homeServers(servers, poolSize, query.prompt);
     const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
     std::optional<PlacementChoice> best;
     microseconds bestCost{ 0 };
-    for (const BackendServer *server : servers) {
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const BackendServer *server = servers[i];
         const bool excluded = std::find(query.excluded.begin(), query.excluded.end(), server->id)
                               != query.excluded.end();
         if (excluded)
@@ -236,6 +297,7 @@
         }
         const std::uint64_t reread = uncached - std::min(uncached, ownTokens);
         const microseconds cost = predicted + distanceCost(*server, query) + rereadCost(reread)
+                                  + poolCost(candidate, i < poolSize, query, now)
                                   + failureCost(candidate, query.repeatable, now);
         if (best && cost >= bestCost)
             continue;
@@ -244,20 +306,22 @@
                                 .address = server->address,
                                 .predicted = predicted,
                                 .uncachedTokens = uncached,
-                                .inFlight = candidate.running };
+                                .inFlight = candidate.running,
+                                .steadyStream = query.steadyStream };
         if (candidate.reportedAt)
             best->reportAge = std::chrono::duration_cast<milliseconds>(now - *candidate.reportedAt);
     }
     return best;
 }
 
-void Placement::attemptStarted(const PlacementChoice &choice, const PromptParts &prompt,
+void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query,
                                TimePoint /*now*/)
 {
-    ServerView &server = view(choice.serverId, nullptr);
+    ServerView &server = view(choice.serverId, query.service);
     ++server.running;
+    server.steadyStreams += choice.steadyStream ? 1 : 0;
     server.waitingTokens += choice.uncachedTokens;
-    server.cache.touch(prompt);
+    server.cache.touch(query.prompt);
 }
 
 void Placement::attemptProgressed(const PlacementChoice &choice, microseconds sinceStart,
@@ -282,6 +346,8 @@
         return;
     ServerView &server = found->second;
     server.running -= std::min(server.running, 1U);
+    if (choice.steadyStream)
+        server.steadyStreams -= std::min(server.steadyStreams, 1U);
     if (!progressed)
         server.waitingTokens -= std::min(server.waitingTokens, choice.uncachedTokens);
     if (outcome == AttemptOutcome::Abandoned)
@@ -333,6 +399,7 @@
     for (const auto &[id, server] : views_) {
         if (server.running > 0)
             loads.emplace(id, PeerLoad{ .running = server.running,
+                                        .steadyStreams = server.steadyStreams,
                                         .waitingTokens = server.waitingTokens });
     }
     return loads;
--- a/packages/routing/src/trafficconfig.cpp
+++ b/packages/routing/src/trafficconfig.cpp
@@ -7,6 +7,14 @@
 
 namespace {
 
+// Prompt tokens that an engine reads between two tokens of its streams, and the time of the rest of a
+// batch step.
+constexpr double kChunkTokens = 2048;
+constexpr double kChunkTokensPerMs = 70;
+constexpr double kStepMs = 9;
+// Part of the longest pause that steps with a chunk may take; other requests add to it.
+constexpr double kPauseShare = 0.8;
+
 std::string lowerCase(std::string_view text)
 {
     std::string result(text);
@@ -55,6 +63,37 @@
     }
     for (const Service &service : data_.services)
         servicesByName_.emplace(service.name, &service);
+    for (const Route &route : data_.routes) {
+        ranks_.push_back(rank(route, nullptr));
+        for (const Organisation &organisation : data_.organisations)
+            ranks_.push_back(rank(route, &organisation));
+    }
+    std::sort(ranks_.begin(), ranks_.end());
+    ranks_.erase(std::unique(ranks_.begin(), ranks_.end()), ranks_.end());
+}
+
+// A request without an organisation's priority ranks with the most urgent organisations.
+std::pair<int, int> TrafficConfig::rank(const Route &route, const Organisation *organisation)
+{
+    return { organisation ? organisation->priority.value_or(0) : 0, route.priority };
+}
+
+int TrafficConfig::urgency(const Route &route, const Organisation *organisation) const
+{
+    const auto found = std::lower_bound(ranks_.begin(), ranks_.end(), rank(route, organisation));
+    const auto index = static_cast<std::size_t>(found - ranks_.begin());
+    const std::size_t levels = kLowestUrgency + 1;
+    if (ranks_.size() <= levels)
+        return static_cast<int>(index);
+    return static_cast<int>(index * levels / ranks_.size());
+}
+
+bool isPauseSensitive(const Route &route, const EngineModel &engine)
+{
+    if (route.kind != RequestKind::Stream)
+        return false;
+    const double eventMs = engine.tokensPerEvent * (kChunkTokens / kChunkTokensPerMs + kStepMs);
+    return eventMs > kPauseShare * static_cast<double>(route.gapTarget.count());
 }
 
 const Route *TrafficConfig::findRoute(std::string_view host, std::string_view path) const
