Place requests of large fleets by the owners of cells

Ruled out: beats with all loads to all daemons (62 peers, bytes between regions); a slowness factor relative to the prediction, which made every engine look slow in a burst and moved prompts away from their cached parts (18.7 M tokens read again).

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -7,7 +7,7 @@
 #include "auburn/core/metrics.h"
 #include "auburn/gateway/headerdialect.h"
 #include "auburn/routing/crashregistry.h"
-#include "auburn/routing/placement.h"
+#include "auburn/routing/placementsource.h"
 #include "auburn/routing/retryledger.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/trafficconfig.h"
@@ -43,6 +43,7 @@
         std::string listenAddress;
         HeaderDialect dialect;
         RoutingState *state = nullptr;
+        routing::PlacementSource *placement = nullptr;
         Metrics *metrics = nullptr;
         // Connections of callers beyond this number are closed at once.
         std::size_t maxConnections = 2000;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -120,13 +120,31 @@
         deadlinePassed();
         return;
     }
-    const auto choice = core_.state.placement.choose(core_.state.directory, placementQuery(),
-                                                     Clock::now());
-    if (!choice) {
-        refuse("no_server");
+    placing_ = true;
+    core_.options.placement->place(
+            placementQuery(), timeLeft(),
+            [self = shared_from_this()](const std::optional<routing::PlacementChoice> &choice) {
+                self->placed(choice);
+            });
+}
+
+void Exchange::placed(const std::optional<routing::PlacementChoice> &choice)
+{
+    placing_ = false;
+    const bool wanted = !finished_ && sink_;
+    if (!wanted && choice)
+        returnPlacement(*choice);
+    if (!wanted)
         return;
-    }
-    startAttempt(*choice);
+    if (choice)
+        startAttempt(*choice);
+    else
+        refuse("no_server");
+}
+
+void Exchange::returnPlacement(const routing::PlacementChoice &choice)
+{
+    core_.options.placement->attemptEnded(choice, false, AttemptOutcome::Abandoned);
 }
 
 void Exchange::startAttempt(const routing::PlacementChoice &choice)
@@ -142,7 +160,6 @@
     fields_.clear();
     body_.clear();
     splitter_.reset();
-    core_.state.placement.attemptStarted(choice, placementQuery(), attemptStart_);
     if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.noteworthy)
         core_.options.noteworthy();
     const bool repeatable = isRepeatable();
@@ -213,11 +230,13 @@
         return;
     const auto guard = shared_from_this();
     const bool mayRun = runs_ + 1 < request_.route->maxAttempts;
-    excluded_.push_back(attempt_->serverId);
+    const std::string slow = attempt_->serverId;
+    excluded_.push_back(slow);
     const auto now = Clock::now();
-    const auto choice = core_.state.placement.choose(core_.state.directory, placementQuery(), now);
-    const bool useful = choice && !core_.state.placement.isAvoided(choice->serverId, now)
-                        && timeLeft() > milliseconds(choice->predicted.count() / 1000);
+    const auto other =
+            core_.state.placement.choose(core_.state.directory, placementQuery(), now);
+    const bool useful = other && !core_.state.placement.isAvoided(other->serverId, now)
+                        && timeLeft() > duration_cast<milliseconds>(other->predicted);
     if (!mayRun || !useful || !takeRetry()) {
         excluded_.pop_back();
         return;
@@ -227,7 +246,7 @@
         verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
     }
     endAttempt(AttemptOutcome::Failed, "stalled");
-    startAttempt(*choice);
+    nextAttempt();
 }
 
 bool Exchange::takeRetry()
@@ -241,7 +260,7 @@
         return;
     stall_.clear();
     const auto now = Clock::now();
-    core_.state.placement.attemptEnded(*attempt_, progressed_, outcome, now);
+    core_.options.placement->attemptEnded(*attempt_, progressed_, outcome);
     if (outcome != AttemptOutcome::Succeeded) {
         logEvent(LogLevel::Info, "attempt_failed",
                  { { "id", request_.id },
@@ -313,8 +332,8 @@
         return;
     progressed_ = true;
     const auto now = Clock::now();
-    core_.state.placement.attemptProgressed(
-            *attempt_, duration_cast<std::chrono::microseconds>(now - attemptStart_), now);
+    core_.options.placement->attemptProgressed(
+            *attempt_, duration_cast<std::chrono::microseconds>(now - attemptStart_));
 }
 
 void Exchange::answerData(const std::vector<std::string_view> &data)
@@ -591,6 +610,7 @@
     // An order that is under way is not broken off; its answer is dropped.
     if (request_.route->kind == RequestKind::Unsafe && attempt_)
         return;
+    // The answer to a question for a server finds the exchange finished.
     endAttempt(AttemptOutcome::Abandoned, "caller_gone");
     finish({ .status = 0, .reason = "caller_gone" });
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -49,6 +49,9 @@
     };
 
     void nextAttempt();
+    void placed(const std::optional<routing::PlacementChoice> &choice);
+    // Gives a placement back that is not used.
+    void returnPlacement(const routing::PlacementChoice &choice);
     void startAttempt(const routing::PlacementChoice &choice);
     OutboundRequest buildRequest(const routing::PlacementChoice &choice) const;
     std::chrono::milliseconds stallLimit() const;
@@ -96,6 +99,8 @@
     std::shared_ptr<OutboundConnection> connection_;
 
     std::optional<routing::PlacementChoice> attempt_;
+    // A source was asked and has not answered.
+    bool placing_ = false;
     Clock::time_point attemptStart_;
     bool progressed_ = false;
     std::vector<std::string> excluded_;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -119,8 +119,8 @@
 
 std::unique_ptr<Gateway> Gateway::make(asio::io_context &io, Options options)
 {
-    if (!options.state) {
-        setLastError("the gateway needs its routing state");
+    if (!options.state || !options.placement) {
+        setLastError("the gateway needs its routing state and a source of placements");
         return nullptr;
     }
     auto gateway = std::make_unique<GatewayImpl>(io, std::move(options));
--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -21,6 +21,16 @@
 
 using proto::PeerBeat;
 
+// Another daemon that was heard from in the last seconds.
+struct LivePeer
+{
+    std::string vm;
+    std::string beatAddress;
+    std::string failureDomain;
+    unsigned cpuMillis = 0;
+    bool serving = false;
+};
+
 class PeerExchange
 {
 public:
@@ -32,12 +42,18 @@
         // IP:PORT that beats are sent from and to.
         std::string beatAddress;
         std::string readAddress;
+        std::string failureDomain;
+        // Share of a core that this daemon has, in thousandths.
+        unsigned cpuMillis = 0;
         // Beat addresses to begin with; they may be stale.
         std::vector<std::string> seeds;
         std::chrono::milliseconds interval{ 100 };
         // Fills in positions, crashes and loads.
         std::function<void(PeerBeat &beat, bool withLoads)> fill;
         std::function<void(const PeerBeat &beat)> received;
+        // Everything but beats.
+        std::function<void(const proto::PeerDatagram &datagram, const std::string &sender)>
+                datagramReceived;
     };
 
     // Null with lastError() set if the address cannot be used.
@@ -50,6 +66,13 @@
     virtual void sendSoon() = 0;
     // Other daemons heard from in the last seconds.
     virtual unsigned livePeers() const = 0;
+    // The live peers of a failure domain.
+    virtual std::vector<LivePeer> livePeersIn(const std::string &failureDomain) const = 0;
+    virtual unsigned ownCpuMillis() const = 0;
+    // Too many daemons to tell each of them every load.
+    virtual bool isLargeFleet() const = 0;
+    // Sends one datagram; it may be lost.
+    virtual void send(const std::string &beatAddress, const proto::PeerDatagram &datagram) = 0;
 };
 
 } // namespace auburn::peers
--- /dev/null
+++ b/packages/peers/src/cellplacement.cpp
@@ -0,0 +1,370 @@
+#include "auburn/peers/cellplacement.h"
+
+#include "auburn/core/hash.h"
+#include "auburn/core/log.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace auburn::peers {
+
+using routing::AttemptOutcome;
+using routing::BackendServer;
+using routing::PlacementChoice;
+using routing::PlacementQuery;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time for an owner's answer; both include a pause of a daemon that is waiting for its processor.
+constexpr milliseconds kSameRegionTimeout{ 30 };
+constexpr milliseconds kOtherRegionTimeout{ 80 };
+// An owner that did not answer is passed over for this time.
+constexpr milliseconds kSilentTime{ 700 };
+// An attempt whose end was not told counts as ended this long after its time limit.
+constexpr milliseconds kExpiryMargin{ 500 };
+
+AttemptOutcome outcomeOf(proto::PlaceOutcome outcome)
+{
+    switch (outcome) {
+    case proto::PLACE_OUTCOME_SUCCEEDED:
+        return AttemptOutcome::Succeeded;
+    case proto::PLACE_OUTCOME_SERVER_ERROR:
+        return AttemptOutcome::ServerError;
+    case proto::PLACE_OUTCOME_FAILED:
+        return AttemptOutcome::Failed;
+    case proto::PLACE_OUTCOME_REJECTED:
+        return AttemptOutcome::Rejected;
+    default:
+        return AttemptOutcome::Abandoned;
+    }
+}
+
+proto::PlaceOutcome encodeOutcome(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Succeeded:
+        return proto::PLACE_OUTCOME_SUCCEEDED;
+    case AttemptOutcome::ServerError:
+        return proto::PLACE_OUTCOME_SERVER_ERROR;
+    case AttemptOutcome::Failed:
+        return proto::PLACE_OUTCOME_FAILED;
+    case AttemptOutcome::Rejected:
+        return proto::PLACE_OUTCOME_REJECTED;
+    case AttemptOutcome::Abandoned:
+        return proto::PLACE_OUTCOME_ABANDONED;
+    }
+    return proto::PLACE_OUTCOME_ABANDONED;
+}
+
+std::string ownedKey(const std::string &asker, std::uint64_t number)
+{
+    return asker + "#" + std::to_string(number);
+}
+
+// Rendezvous hashing with weights: the chance of a candidate is proportional to its weight.
+double weightedScore(std::string_view name, std::uint64_t key, double weight)
+{
+    const double unit = (static_cast<double>(stableHash(name, key) >> 11) + 0.5)
+                        / static_cast<double>(std::uint64_t{ 1 } << 53);
+    return -weight / std::log(unit);
+}
+
+} // namespace
+
+std::string cellOf(const std::vector<const BackendServer *> &servers, const PlacementQuery &query,
+                   const std::string &ownDomain)
+{
+    std::map<std::string, unsigned> cells;
+    for (const BackendServer *server : servers)
+        ++cells[server->failureDomain];
+    const bool hasParts = !query.prompt.empty();
+    if (cells.empty())
+        return {};
+    if ((query.steadyStream || !hasParts) && cells.contains(ownDomain))
+        return ownDomain;
+    const std::uint64_t key = hasParts ? query.prompt[std::max<std::size_t>(query.prompt.size(), 2) - 2].id
+                                       : 0;
+    const auto best = std::max_element(
+            cells.begin(), cells.end(), [key](const auto &left, const auto &right) {
+                return weightedScore(left.first, key, left.second)
+                       < weightedScore(right.first, key, right.second);
+            });
+    return best->first;
+}
+
+CellPlacement::CellPlacement(boost::asio::io_context &io, Options options)
+    : io_(io)
+    , options_(std::move(options))
+    , cell_({ .failureDomain = options_.failureDomain, .regions = options_.regions })
+{}
+
+// The serving daemon of the domain with the largest share of a processor; hashing decides between
+// equal ones. Empty means that this daemon is the owner.
+std::optional<std::string> CellPlacement::ownerOf(const std::string &domain) const
+{
+    const auto now = Clock::now();
+    std::vector<LivePeer> candidates = exchange_->livePeersIn(domain);
+    std::erase_if(candidates, [&](const LivePeer &peer) {
+        const auto silent = silent_.find(peer.beatAddress);
+        return !peer.serving || (silent != silent_.end() && now < silent->second);
+    });
+    if (domain == options_.failureDomain)
+        candidates.push_back({ .vm = options_.vm,
+                               .failureDomain = domain,
+                               .cpuMillis = exchange_->ownCpuMillis(),
+                               .serving = true });
+    const auto best = std::max_element(candidates.begin(), candidates.end(),
+                                       [](const LivePeer &left, const LivePeer &right) {
+                                           return std::pair(left.cpuMillis, stableHash(left.vm))
+                                                  < std::pair(right.cpuMillis,
+                                                              stableHash(right.vm));
+                                       });
+    if (best == candidates.end())
+        return std::nullopt;
+    return best->beatAddress;
+}
+
+void CellPlacement::place(const PlacementQuery &query, milliseconds timeLeft, ChoiceHandler handler)
+{
+    if (!exchange_ || !exchange_->isLargeFleet() || !query.service->engine) {
+        placeHere(query, handler);
+        return;
+    }
+    const std::string domain = cellOf(options_.directory->readyServers(query.service->name), query,
+                                      options_.failureDomain);
+    const std::optional<std::string> owner = ownerOf(domain);
+    if (!owner) {
+        placeHere(query, handler);
+        return;
+    }
+    if (!owner->empty()) {
+        const auto region = options_.regions.find(domain);
+        const auto ownRegion = options_.regions.find(options_.failureDomain);
+        const bool sameRegion = region != options_.regions.end()
+                                && ownRegion != options_.regions.end()
+                                && region->second == ownRegion->second;
+        ask(*owner, query, timeLeft, std::move(handler), sameRegion);
+        return;
+    }
+    const std::uint64_t number = nextNumber_++;
+    auto choice = placeAsOwner(query, domain, timeLeft, {}, number);
+    if (!choice) {
+        placeHere(query, handler);
+        return;
+    }
+    choice->ownerNumber = number;
+    options_.own->attemptStarted(*choice, query, Clock::now());
+    handler(choice);
+}
+
+void CellPlacement::placeHere(const PlacementQuery &query, const ChoiceHandler &handler)
+{
+    const auto now = Clock::now();
+    const auto choice = options_.own->choose(*options_.directory, query, now);
+    if (choice)
+        options_.own->attemptStarted(*choice, query, now);
+    handler(choice);
+}
+
+void CellPlacement::ask(const std::string &owner, const PlacementQuery &query,
+                        milliseconds timeLeft, ChoiceHandler handler, bool sameRegion)
+{
+    const std::uint64_t number = nextNumber_++;
+    proto::PeerDatagram datagram;
+    proto::PlaceRequest &request = *datagram.mutable_place_request();
+    request.set_number(number);
+    request.set_service(query.service->name);
+    request.set_steady_stream(query.steadyStream);
+    request.set_repeatable(query.repeatable);
+    request.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, timeLeft.count())));
+    for (const routing::PromptPart &part : query.prompt) {
+        proto::PlacePromptPart &entry = *request.add_prompt();
+        entry.set_id(part.id);
+        entry.set_tokens(part.tokens);
+    }
+    for (const std::string &server : query.excluded)
+        request.add_excluded(server);
+    for (const std::string &server : options_.own->avoidedServers(Clock::now()))
+        request.add_excluded(server);
+    Pending pending{ .query = query,
+                     .config = *options_.config,
+                     .handler = std::move(handler),
+                     .owner = owner,
+                     .timer = std::make_unique<boost::asio::steady_timer>(io_) };
+    pending.timer->expires_after(sameRegion ? kSameRegionTimeout : kOtherRegionTimeout);
+    pending.timer->async_wait([this, number](boost::system::error_code error) {
+        if (!error)
+            unanswered(number);
+    });
+    pending_.emplace(number, std::move(pending));
+    exchange_->send(owner, datagram);
+}
+
+void CellPlacement::unanswered(std::uint64_t number)
+{
+    auto node = pending_.extract(number);
+    if (node.empty())
+        return;
+    const Pending &pending = node.mapped();
+    silent_[pending.owner] = Clock::now() + kSilentTime;
+    logEvent(LogLevel::Info, "placement_unanswered", { { "owner", pending.owner } });
+    placeHere(pending.query, pending.handler);
+}
+
+void CellPlacement::answered(const proto::PlaceReply &reply)
+{
+    auto node = pending_.extract(reply.number());
+    if (node.empty())
+        return;
+    Pending &pending = node.mapped();
+    pending.timer->cancel();
+    const BackendServer *server = options_.directory->find(reply.server());
+    const bool usable = server && server->state == routing::ServerState::Ready
+                        && server->service == pending.query.service->name;
+    PlacementChoice choice{ .serverId = reply.server(),
+                            .predicted = std::chrono::microseconds(reply.predicted_us()),
+                            .uncachedTokens = reply.uncached_tokens(),
+                            .inFlight = reply.in_flight(),
+                            .steadyStream = pending.query.steadyStream,
+                            .owner = pending.owner,
+                            .ownerNumber = reply.number() };
+    if (!usable) {
+        // The owner knows a server that this daemon does not, or knows that one has left.
+        if (!reply.server().empty())
+            attemptEnded(choice, false, AttemptOutcome::Abandoned);
+        placeHere(pending.query, pending.handler);
+        return;
+    }
+    choice.address = server->address;
+    options_.own->attemptStarted(choice, pending.query, Clock::now());
+    pending.handler(choice);
+}
+
+// ---- The owner's side ------------------------------------------------------
+
+std::optional<PlacementChoice> CellPlacement::placeAsOwner(const PlacementQuery &query,
+                                                           const std::string &domain,
+                                                           milliseconds timeLeft,
+                                                           const std::string &asker,
+                                                           std::uint64_t number)
+{
+    const auto now = Clock::now();
+    const auto choice = cell_.chooseIn(*options_.directory, domain, query, now);
+    if (!choice)
+        return std::nullopt;
+    cell_.attemptStarted(*choice, query, now);
+    owned_.insert_or_assign(ownedKey(asker, number),
+                            Owned{ .choice = *choice, .expires = now + timeLeft + kExpiryMargin });
+    return choice;
+}
+
+void CellPlacement::answer(const proto::PlaceRequest &request, const std::string &sender)
+{
+    proto::PeerDatagram datagram;
+    proto::PlaceReply &reply = *datagram.mutable_place_reply();
+    reply.set_number(request.number());
+    const auto config = *options_.config;
+    const routing::Service *service = config ? config->findService(request.service()) : nullptr;
+    if (service) {
+        PlacementQuery query{ .service = service,
+                              .steadyStream = request.steady_stream(),
+                              .repeatable = request.repeatable() };
+        for (const proto::PlacePromptPart &part : request.prompt())
+            query.prompt.push_back({ .id = part.id(), .tokens = part.tokens() });
+        query.excluded.assign(request.excluded().begin(), request.excluded().end());
+        const auto choice = placeAsOwner(query, options_.failureDomain,
+                                         milliseconds(request.time_left_ms()), sender,
+                                         request.number());
+        if (choice) {
+            reply.set_server(choice->serverId);
+            reply.set_predicted_us(static_cast<std::uint64_t>(choice->predicted.count()));
+            reply.set_uncached_tokens(choice->uncachedTokens);
+            reply.set_in_flight(choice->inFlight);
+        }
+    }
+    exchange_->send(sender, datagram);
+}
+
+void CellPlacement::update(const std::string &key, const proto::PlaceUpdate &update)
+{
+    const auto found = owned_.find(key);
+    if (found == owned_.end())
+        return;
+    const auto now = Clock::now();
+    if (update.outcome() == proto::PLACE_OUTCOME_PROGRESSED) {
+        cell_.attemptProgressed(found->second.choice,
+                                std::chrono::microseconds(update.since_start_us()), now);
+        return;
+    }
+    cell_.attemptEnded(found->second.choice, update.progressed(), outcomeOf(update.outcome()), now);
+    owned_.erase(found);
+}
+
+void CellPlacement::updated(const proto::PlaceUpdate &message, const std::string &sender)
+{
+    update(ownedKey(sender, message.number()), message);
+}
+
+void CellPlacement::datagramReceived(const proto::PeerDatagram &datagram, const std::string &sender)
+{
+    if (datagram.has_place_request())
+        answer(datagram.place_request(), sender);
+    else if (datagram.has_place_reply())
+        answered(datagram.place_reply());
+    else if (datagram.has_place_update())
+        updated(datagram.place_update(), sender);
+}
+
+void CellPlacement::sweep()
+{
+    const auto now = Clock::now();
+    for (auto it = owned_.begin(); it != owned_.end();) {
+        if (it->second.expires > now) {
+            ++it;
+            continue;
+        }
+        cell_.attemptEnded(it->second.choice, true, AttemptOutcome::Abandoned, now);
+        it = owned_.erase(it);
+    }
+    std::erase_if(silent_, [now](const auto &entry) { return entry.second <= now; });
+}
+
+// ---- The asker's side ------------------------------------------------------
+
+void CellPlacement::sendUpdate(const PlacementChoice &choice, proto::PlaceUpdate message)
+{
+    if (choice.ownerNumber == 0)
+        return;
+    message.set_number(choice.ownerNumber);
+    if (choice.owner.empty()) {
+        update(ownedKey({}, choice.ownerNumber), message);
+        return;
+    }
+    proto::PeerDatagram datagram;
+    *datagram.mutable_place_update() = std::move(message);
+    exchange_->send(choice.owner, datagram);
+}
+
+void CellPlacement::attemptProgressed(const PlacementChoice &choice,
+                                      std::chrono::microseconds sinceStart)
+{
+    options_.own->attemptProgressed(choice, sinceStart, Clock::now());
+    proto::PlaceUpdate message;
+    message.set_outcome(proto::PLACE_OUTCOME_PROGRESSED);
+    message.set_since_start_us(static_cast<std::uint64_t>(sinceStart.count()));
+    sendUpdate(choice, std::move(message));
+}
+
+void CellPlacement::attemptEnded(const PlacementChoice &choice, bool progressed,
+                                 AttemptOutcome outcome)
+{
+    options_.own->attemptEnded(choice, progressed, outcome, Clock::now());
+    proto::PlaceUpdate message;
+    message.set_outcome(encodeOutcome(outcome));
+    message.set_progressed(progressed);
+    sendUpdate(choice, std::move(message));
+}
+
+} // namespace auburn::peers
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -97,6 +97,27 @@
         });
     }
 
+    unsigned ownCpuMillis() const override { return options_.cpuMillis; }
+    bool isLargeFleet() const override { return livePeers() > kFullMeshPeers; }
+
+    std::vector<LivePeer> livePeersIn(const std::string &failureDomain) const override
+    {
+        const auto now = Clock::now();
+        std::vector<LivePeer> result;
+        for (const auto &[address, peer] : peers_) {
+            if (isLive(peer, now) && peer.info.failureDomain == failureDomain)
+                result.push_back(peer.info);
+        }
+        return result;
+    }
+
+    void send(const std::string &beatAddress, const proto::PeerDatagram &datagram) override
+    {
+        const auto found = peers_.find(beatAddress);
+        if (found != peers_.end())
+            sendBytes(datagram.SerializeAsString(), found->second.endpoint);
+    }
+
     unsigned livePeers() const override
     {
         const auto now = Clock::now();
@@ -111,6 +132,7 @@
         udp::endpoint endpoint;
         // Epoch if it was never heard.
         Clock::time_point heard;
+        LivePeer info;
     };
 
     static bool isLive(const Peer &peer, Clock::time_point now)
@@ -143,21 +165,28 @@
             std::shuffle(targets.begin(), targets.end(), random_);
             targets.resize(kFanOut);
         }
-        PeerBeat beat;
+        proto::PeerDatagram datagram;
+        PeerBeat &beat = *datagram.mutable_beat();
         beat.set_vm(options_.vm);
         beat.set_incarnation(incarnation_);
         beat.set_beat_address(options_.beatAddress);
         beat.set_read_address(options_.readAddress);
+        beat.set_failure_domain(options_.failureDomain);
+        beat.set_cpu_millis(options_.cpuMillis);
         options_.fill(beat, fullMesh);
         addKnown(beat, now);
-        const std::string bytes = beat.SerializeAsString();
-        for (const Peer *target : targets) {
-            ErrorCode error;
-            socket_.send_to(asio::buffer(bytes), target->endpoint, 0, error);
-            // A beat that is not sent is like one that is lost; the next one replaces it.
-            if (error && !std::exchange(sendFailed_, true))
-                logEvent(LogLevel::Warning, "beat_not_sent", { { "error", error.message() } });
-        }
+        const std::string bytes = datagram.SerializeAsString();
+        for (const Peer *target : targets)
+            sendBytes(bytes, target->endpoint);
+    }
+
+    void sendBytes(const std::string &bytes, const udp::endpoint &target)
+    {
+        ErrorCode error;
+        socket_.send_to(asio::buffer(bytes), target, 0, error);
+        // A datagram that is not sent is like one that is lost; the next one replaces it.
+        if (error && !std::exchange(sendFailed_, true))
+            logEvent(LogLevel::Warning, "datagram_not_sent", { { "error", error.message() } });
     }
 
     void addKnown(PeerBeat &beat, Clock::time_point now)
@@ -187,13 +216,23 @@
 
     void take(std::size_t bytes)
     {
-        PeerBeat beat;
-        if (!beat.ParseFromArray(buffer_.data(), static_cast<int>(bytes))
-            || beat.beat_address().empty()) {
-            logEvent(LogLevel::Warning, "beat_unreadable",
+        proto::PeerDatagram datagram;
+        if (!datagram.ParseFromArray(buffer_.data(), static_cast<int>(bytes))) {
+            logEvent(LogLevel::Warning, "datagram_unreadable",
                      { { "bytes", static_cast<long long>(bytes) } });
             return;
         }
+        if (datagram.has_beat())
+            takeBeat(datagram.beat());
+        else if (options_.datagramReceived)
+            options_.datagramReceived(datagram, sender_.address().to_string() + ":"
+                                                        + std::to_string(sender_.port()));
+    }
+
+    void takeBeat(const PeerBeat &beat)
+    {
+        if (beat.beat_address().empty())
+            return;
         if (beat.beat_address() == options_.beatAddress)
             return;
         addPeer(beat.beat_address());
@@ -201,6 +240,11 @@
         if (found == peers_.end())
             return;
         found->second.heard = Clock::now();
+        found->second.info = LivePeer{ .vm = beat.vm(),
+                                       .beatAddress = beat.beat_address(),
+                                       .failureDomain = beat.failure_domain(),
+                                       .cpuMillis = beat.cpu_millis(),
+                                       .serving = beat.serving() };
         for (const std::string &address : beat.known())
             addPeer(address);
         options_.received(beat);
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -46,6 +46,9 @@
     // Requests of this daemon at the server before this one.
     unsigned inFlight = 0;
     bool steadyStream = false;
+    // Set if another daemon placed the attempt: its address and the number of the attempt there.
+    std::string owner;
+    std::uint64_t ownerNumber = 0;
     // The server's last own report is so old; empty if there was none.
     std::optional<std::chrono::milliseconds> reportAge;
 };
@@ -99,6 +102,11 @@
     std::optional<PlacementChoice> choose(const ServerDirectory &directory,
                                           const PlacementQuery &query, TimePoint now);
 
+    // The same among the servers of one failure domain.
+    std::optional<PlacementChoice> chooseIn(const ServerDirectory &directory,
+                                            const std::string &failureDomain,
+                                            const PlacementQuery &query, TimePoint now);
+
     // Bookkeeping of one attempt, in this order; first progress may not come.
     void attemptStarted(const PlacementChoice &choice, const PlacementQuery &query, TimePoint now);
     void attemptProgressed(const PlacementChoice &choice, std::chrono::microseconds sinceStart,
@@ -117,6 +125,7 @@
     std::map<std::string, PeerLoad> ownLoads() const;
     // True if the server failed recently and is avoided.
     bool isAvoided(const std::string &serverId, TimePoint now) const;
+    std::vector<std::string> avoidedServers(TimePoint now) const;
 
 private:
     struct PeerEntry
@@ -164,12 +173,17 @@
     };
 
     ServerView &view(const std::string &serverId, const Service *service);
+    std::optional<PlacementChoice> chooseAmong(std::vector<const BackendServer *> servers,
+                                               const PlacementQuery &query, TimePoint now);
     // Moves the engines of the stream pool to the front, in an order that all daemons share, and
     // returns their number.
     std::size_t arrangeStreamPool(std::vector<const BackendServer *> &servers,
                                   const PlacementQuery &query, TimePoint now);
     static std::chrono::microseconds poolCost(const ServerView &view, bool inPool,
-                                              const PlacementQuery &query, TimePoint now);
+                                              const PlacementQuery &query, std::uint64_t uncached,
+                                              TimePoint now);
+    double averageSlowness(const std::vector<const BackendServer *> &servers,
+                           const PlacementQuery &query, TimePoint now);
     std::chrono::microseconds distanceCost(const BackendServer &server,
                                            const PlacementQuery &query) const;
     bool isLocalRegion(const BackendServer &server) const;
@@ -181,9 +195,9 @@
     static double decayedFailureShare(const ServerView &view, TimePoint now);
     static PeerLoad peerTotal(const ServerView &view, TimePoint now);
     static std::chrono::microseconds predictEngine(const ServerView &view, std::uint64_t uncached,
-                                                   unsigned slots, TimePoint now);
+                                                   unsigned slots, double slowness, TimePoint now);
     static std::chrono::microseconds predictPlain(const ServerView &view, unsigned slots,
-                                                  TimePoint now);
+                                                  double slowness, TimePoint now);
     static std::chrono::microseconds failureCost(const ServerView &view, bool repeatable,
                                                  TimePoint now);
 
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // Prompt tokens that an engine reads in a millisecond.
-constexpr double kPrefillTokensPerMs = 70.0;
+constexpr double kPrefillTokensPerMs = 55.0;
 // From the admission of a request with nothing to read to its first token.
 constexpr double kFirstTokenMs = 75.0;
 // Growth of the time of one batch step for each running request.
@@ -50,14 +50,16 @@
 constexpr milliseconds kAvoidCost{ 20000 };
 // Part of an engine's slots that steady streams use before the pool grows, and the largest part of the
 // engines in the pool.
-constexpr double kPoolSlotShare = 0.5;
+constexpr double kPoolSlotShare = 0.7;
 constexpr double kPoolMaxShare = 0.5;
 constexpr milliseconds kPoolShrinkPause{ 1500 };
 // The pool is given up after this time without a steady stream.
 constexpr milliseconds kPoolLifetime{ 8000 };
 constexpr milliseconds kStreamOutsidePoolCost{ 400 };
-constexpr milliseconds kPromptInsidePoolCost{ 300 };
-constexpr milliseconds kPromptBesideStreamCost{ 40 };
+constexpr milliseconds kPromptInsidePoolCost{ 150 };
+// Prompt tokens that delay an event of a stream by less than its longest pause, and the cost of more.
+constexpr std::uint64_t kPoolPromptTokens = 6000;
+constexpr milliseconds kLongPromptInsidePoolCost{ 2500 };
 constexpr milliseconds kPeerLoadLifetime{ 1500 };
 constexpr milliseconds kReportLifetime{ 400 };
 
@@ -171,6 +173,16 @@
     return 1 + (view.slowness - 1) * halvings(now - view.slownessAt, kSlownessHalfLife);
 }
 
+// A queue that grows everywhere makes no server slow.
+double Placement::averageSlowness(const std::vector<const BackendServer *> &servers,
+                                  const PlacementQuery &query, TimePoint now)
+{
+    double sum = 0;
+    for (const BackendServer *server : servers)
+        sum += decayedSlowness(view(server->id, query.service), now);
+    return servers.empty() ? 1 : sum / static_cast<double>(servers.size());
+}
+
 double Placement::decayedFailureShare(const ServerView &view, TimePoint now)
 {
     return view.failureShare * halvings(now - view.failureAt, kFailureHalfLife);
@@ -190,7 +202,7 @@
 }
 
 microseconds Placement::predictEngine(const ServerView &view, std::uint64_t uncached,
-                                      unsigned slots, TimePoint now)
+                                      unsigned slots, double slowness, TimePoint now)
 {
     const PeerLoad peers = peerTotal(view, now);
     const auto waiting = static_cast<double>(view.waitingTokens + peers.waitingTokens);
@@ -202,10 +214,11 @@
     // A full batch admits the next request only when another one ends.
     if (slots > 0 && running >= slots)
         ms += 1000.0 * (running - slots + 1) / slots;
-    return fromMs(ms * decayedSlowness(view, now));
+    return fromMs(ms * slowness);
 }
 
-microseconds Placement::predictPlain(const ServerView &view, unsigned slots, TimePoint now)
+microseconds Placement::predictPlain(const ServerView &view, unsigned slots, double slowness,
+                                     TimePoint now)
 {
     const PeerLoad peers = peerTotal(view, now);
     unsigned busy = view.running + peers.running;
@@ -213,7 +226,7 @@
         busy = std::max(busy, view.report.running + view.report.waiting);
     const double queued = busy >= slots ? busy - slots + 1.0 : 0.0;
     const double ms = kPlainWorkMs * (1 + queued / std::max(1U, slots)) + busy * 0.5;
-    return fromMs(ms * decayedSlowness(view, now));
+    return fromMs(ms * slowness);
 }
 
 microseconds Placement::failureCost(const ServerView &view, bool repeatable, TimePoint now)
@@ -260,24 +273,43 @@
 }
 
 microseconds Placement::poolCost(const ServerView &view, bool inPool, const PlacementQuery &query,
-                                 TimePoint now)
+                                 std::uint64_t uncached, TimePoint now)
 {
     if (query.steadyStream)
         return inPool ? microseconds(0) : microseconds(kStreamOutsidePoolCost);
     if (!inPool)
         return microseconds(0);
-    const auto streams = view.steadyStreams + peerTotal(view, now).steadyStreams;
-    return kPromptInsidePoolCost + kPromptBesideStreamCost * static_cast<std::int64_t>(streams);
+    const std::uint64_t tokens =
+            uncached + view.waitingTokens + peerTotal(view, now).waitingTokens;
+    return tokens > kPoolPromptTokens ? kLongPromptInsidePoolCost : kPromptInsidePoolCost;
 }
 
 std::optional<PlacementChoice> Placement::choose(const ServerDirectory &directory,
                                                  const PlacementQuery &query, TimePoint now)
+{
+    return chooseAmong(directory.readyServers(query.service->name), query, now);
+}
+
+std::optional<PlacementChoice> Placement::chooseIn(const ServerDirectory &directory,
+                                                   const std::string &failureDomain,
+                                                   const PlacementQuery &query, TimePoint now)
 {
     std::vector<const BackendServer *> servers = directory.readyServers(query.service->name);
+    std::erase_if(servers, [&](const BackendServer *server) {
+        return server->failureDomain != failureDomain;
+    });
+    return chooseAmong(std::move(servers), query, now);
+}
+
+std::optional<PlacementChoice>
+Placement::chooseAmong(std::vector<const BackendServer *> servers, const PlacementQuery &query,
+                       TimePoint now)
+{
     const std::size_t poolSize = arrangeStreamPool(servers, query, now);
     const Homes homes = query.steadyStream ? homeServers(servers, 0, {})
                                            : homeServers(servers, poolSize, query.prompt);
     const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
+    const double usualSlowness = std::max(1.0, averageSlowness(servers, query, now));
     std::optional<PlacementChoice> best;
     microseconds bestCost{ 0 };
     for (std::size_t i = 0; i < servers.size(); ++i) {
@@ -287,17 +319,19 @@
         if (excluded)
             continue;
         ServerView &candidate = view(server->id, query.service);
+        const double slowness =
+                std::max(1.0, decayedSlowness(candidate, now) / usualSlowness);
         std::uint64_t uncached = 0;
         microseconds predicted{ 0 };
         if (query.service->engine) {
             uncached = expectedUncached(candidate, *server, homes, query.prompt);
-            predicted = predictEngine(candidate, uncached, server->slots, now);
+            predicted = predictEngine(candidate, uncached, server->slots, slowness, now);
         } else {
-            predicted = predictPlain(candidate, server->slots, now);
+            predicted = predictPlain(candidate, server->slots, slowness, now);
         }
         const std::uint64_t reread = uncached - std::min(uncached, ownTokens);
         const microseconds cost = predicted + distanceCost(*server, query) + rereadCost(reread)
-                                  + poolCost(candidate, i < poolSize, query, now)
+                                  + poolCost(candidate, i < poolSize, query, uncached, now)
                                   + failureCost(candidate, query.repeatable, now);
         if (best && cost >= bestCost)
             continue;
@@ -405,6 +439,16 @@
     return loads;
 }
 
+std::vector<std::string> Placement::avoidedServers(TimePoint now) const
+{
+    std::vector<std::string> avoided;
+    for (const auto &[id, server] : views_) {
+        if (server.avoidUntil && now < *server.avoidUntil)
+            avoided.push_back(id);
+    }
+    return avoided;
+}
+
 bool Placement::isAvoided(const std::string &serverId, TimePoint now) const
 {
     const auto found = views_.find(serverId);
