Let requests that would be late yield to those of their rank that can be on time

Cause: in a burst every prompt waited its turn, so all of them were late. Ruled out: yielding across ranks; an organisation's and a route's priority go first. Large prompts keep their turn, because they would wait for as long as the burst lasts. Change: two urgencies for each rank of organisation and route; waiting tokens are kept by urgency.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -103,6 +103,10 @@
 {
     return { .service = service_,
              .prompt = request_.prompt,
+             .urgency = request_.config->urgency(service_->name, *request_.route,
+                                                 request_.organisation),
+             .timeToTarget = duration_cast<milliseconds>(
+                     request_.received + request_.route->latencyTarget - Clock::now()),
              .excluded = excluded_,
              .steadyStream =
                      service_->engine && routing::isPauseSensitive(*request_.route, *service_->engine),
@@ -173,6 +177,7 @@
                { "predicted_ms", static_cast<long long>(choice.predicted.count() / 1000) },
                { "uncached_tokens", static_cast<long long>(choice.uncachedTokens) },
                { "in_flight", static_cast<long long>(choice.inFlight) },
+               { "urgency", static_cast<long long>(choice.urgency) },
                { "report_age_ms",
                  choice.reportAge ? static_cast<long long>(choice.reportAge->count()) : -1LL },
                { "config", static_cast<long long>(request_.config->version()) },
@@ -201,7 +206,7 @@
         add(dialect.organisation, request_.organisation->name);
     if (service_->engine)
         add(dialect.urgency,
-            std::to_string(request_.config->urgency(*request_.route, request_.organisation)));
+            std::to_string(choice.urgency));
     if (!lastEventId_.empty())
         add(dialect.lastEventId, lastEventId_);
     if (request_.body)
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -58,6 +58,11 @@
     return proto::PLACE_OUTCOME_ABANDONED;
 }
 
+int checkedUrgency(std::uint32_t urgency)
+{
+    return static_cast<int>(std::min<std::uint32_t>(urgency, routing::kLowestUrgency));
+}
+
 std::string ownedKey(const std::string &asker, std::uint64_t number)
 {
     return asker + "#" + std::to_string(number);
@@ -178,6 +183,10 @@
     request.set_service(query.service->name);
     request.set_steady_stream(query.steadyStream);
     request.set_repeatable(query.repeatable);
+    request.set_urgency(static_cast<std::uint32_t>(query.urgency.onTime));
+    request.set_late_urgency(static_cast<std::uint32_t>(query.urgency.late));
+    request.set_time_to_target_ms(
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, query.timeToTarget.count())));
     request.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, timeLeft.count())));
     for (const routing::PromptPart &part : query.prompt) {
         proto::PlacePromptPart &entry = *request.add_prompt();
@@ -228,6 +237,7 @@
                             .uncachedTokens = reply.uncached_tokens(),
                             .inFlight = reply.in_flight(),
                             .steadyStream = pending.query.steadyStream,
+                            .urgency = checkedUrgency(reply.urgency()),
                             .owner = pending.owner,
                             .ownerNumber = reply.number() };
     if (!usable) {
@@ -269,6 +279,9 @@
     const routing::Service *service = config ? config->findService(request.service()) : nullptr;
     if (service) {
         PlacementQuery query{ .service = service,
+                              .urgency = { .onTime = checkedUrgency(request.urgency()),
+                                           .late = checkedUrgency(request.late_urgency()) },
+                              .timeToTarget = milliseconds(request.time_to_target_ms()),
                               .steadyStream = request.steady_stream(),
                               .repeatable = request.repeatable() };
         for (const proto::PlacePromptPart &part : request.prompt())
@@ -282,6 +295,7 @@
             reply.set_predicted_us(static_cast<std::uint64_t>(choice->predicted.count()));
             reply.set_uncached_tokens(choice->uncachedTokens);
             reply.set_in_flight(choice->inFlight);
+            reply.set_urgency(static_cast<std::uint32_t>(choice->urgency));
         }
     }
     exchange_->send(sender, datagram);
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -6,6 +6,9 @@
 // the same home engines for a shared prompt part, so that a part is read by one engine and not by
 // several as long as that engine is not overloaded.
 //
+// A request that cannot be on time yields to those of its rank that can, so that a burst makes some
+// requests late and not all of them.
+//
 // Where a chunk of a prompt between two events would make the pauses of a stream too long, a few
 // engines are kept for such streams; their number follows the streams that run.
 #pragma once
@@ -14,6 +17,7 @@
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/trafficconfig.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -28,6 +32,9 @@
 {
     const Service *service = nullptr;
     PromptParts prompt;
+    Urgency urgency;
+    // Time to the first token within which the request is on time, from now.
+    std::chrono::milliseconds timeToTarget{ 1000 };
     // Servers that already failed this request.
     std::vector<std::string> excluded;
     // A stream whose pauses suffer where prompts are read; see isPauseSensitive().
@@ -46,6 +53,8 @@
     // Requests of this daemon at the server before this one.
     unsigned inFlight = 0;
     bool steadyStream = false;
+    // Urgency at the engine.
+    int urgency = 0;
     // Set if another daemon placed the attempt: its address and the number of the attempt there.
     std::string owner;
     std::uint64_t ownerNumber = 0;
@@ -75,13 +84,16 @@
     unsigned slots = 0;
 };
 
+// Uncached prompt tokens of requests without a first token, by urgency.
+using WaitingTokens = std::array<std::uint64_t, kLowestUrgency + 1>;
+
 // What another daemon has at a server.
 struct PeerLoad
 {
     unsigned running = 0;
     // Part of the running ones.
     unsigned steadyStreams = 0;
-    std::uint64_t waitingTokens = 0;
+    WaitingTokens waitingTokens{};
 };
 
 class Placement
@@ -142,8 +154,7 @@
         EngineCache cache;
         unsigned running = 0;
         unsigned steadyStreams = 0;
-        // Uncached tokens of requests without a first token.
-        std::uint64_t waitingTokens = 0;
+        WaitingTokens waitingTokens{};
         std::map<std::string, PeerEntry> peers;
         LoadReport report;
         std::optional<TimePoint> reportedAt;
@@ -175,6 +186,9 @@
     ServerView &view(const std::string &serverId, const Service *service);
     std::optional<PlacementChoice> chooseAmong(std::vector<const BackendServer *> servers,
                                                const PlacementQuery &query, TimePoint now);
+    std::optional<PlacementChoice> cheapest(const std::vector<const BackendServer *> &servers,
+                                            std::size_t poolSize, const PlacementQuery &query,
+                                            int urgency, TimePoint now);
     // Moves the engines of the stream pool to the front, in an order that all daemons share, and
     // returns their number.
     std::size_t arrangeStreamPool(std::vector<const BackendServer *> &servers,
@@ -195,7 +209,11 @@
     static double decayedFailureShare(const ServerView &view, TimePoint now);
     static PeerLoad peerTotal(const ServerView &view, TimePoint now);
     static std::chrono::microseconds predictEngine(const ServerView &view, std::uint64_t uncached,
-                                                   unsigned slots, double slowness, TimePoint now);
+                                                   unsigned slots, double slowness, int urgency,
+                                                   TimePoint now);
+    // Tokens that an engine reads before those of a new request with the urgency.
+    static std::uint64_t tokensAhead(const ServerView &view, int urgency, TimePoint now);
+    static bool mayYield(const PlacementQuery &query, const PlacementChoice &choice);
     static std::chrono::microseconds predictPlain(const ServerView &view, unsigned slots,
                                                   double slowness, TimePoint now);
     static std::chrono::microseconds failureCost(const ServerView &view, bool repeatable,
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -25,6 +25,15 @@
 
 std::string_view requestKindName(RequestKind kind);
 
+// Urgencies of one request at an engine, 0 first.
+struct Urgency
+{
+    int onTime = 0;
+    // For a request that would be late anyway: after those of the same rank that can be on time, and
+    // before all of lower ranks. The same as onTime if the ranks leave no level for it.
+    int late = 0;
+};
+
 struct WeightedService
 {
     std::string service;
@@ -121,20 +130,22 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const Organisation *findOrganisation(std::string_view key) const;
     const Service *findService(std::string_view name) const;
-    // Rank of a request among all of the configuration, 0 first: by the priority of its
-    // organisation, then by that of its route. At most kLowestUrgency.
-    int urgency(const Route &route, const Organisation *organisation) const;
+    // Urgency of a request at the engines of the service, by the priority of its organisation, then
+    // by that of its route.
+    Urgency urgency(const std::string &service, const Route &route,
+                    const Organisation *organisation) const;
 
 private:
-    static std::pair<int, int> rank(const Route &route, const Organisation *organisation);
+    using Rank = std::pair<int, int>;
+    static Rank rank(const Route &route, const Organisation *organisation);
 
     const TrafficConfigData data_;
     // By host, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> routesByHost_;
     std::unordered_map<std::string_view, const Organisation *> organisationsByKey_;
     std::unordered_map<std::string_view, const Service *> servicesByName_;
-    // All ranks that occur, most urgent first.
-    std::vector<std::pair<int, int>> ranks_;
+    // All ranks that occur at a service, most urgent first.
+    std::unordered_map<std::string, std::vector<Rank>> ranks_;
 };
 
 // True if the pauses of the route's streams get too long on an engine that reads prompts without a
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -60,6 +60,8 @@
 // Prompt tokens that delay an event of a stream by less than its longest pause, and the cost of more.
 constexpr std::uint64_t kPoolPromptTokens = 6000;
 constexpr milliseconds kLongPromptInsidePoolCost{ 2500 };
+// A prompt that takes this part of its target to read is large.
+constexpr double kLargePromptShare = 0.5;
 constexpr milliseconds kPeerLoadLifetime{ 1500 };
 constexpr milliseconds kReportLifetime{ 400 };
 
@@ -78,6 +80,11 @@
     return std::exp2(-toMs(age) / static_cast<double>(halfLife.count()));
 }
 
+void dropWaiting(std::uint64_t &waiting, std::uint64_t tokens)
+{
+    waiting -= std::min(waiting, tokens);
+}
+
 microseconds rereadCost(std::uint64_t tokens)
 {
     return kRereadCostPerKiloToken * static_cast<std::int64_t>(tokens) / 1000;
@@ -196,16 +203,27 @@
             continue;
         total.running += entry.load.running;
         total.steadyStreams += entry.load.steadyStreams;
-        total.waitingTokens += entry.load.waitingTokens;
+        for (std::size_t level = 0; level < total.waitingTokens.size(); ++level)
+            total.waitingTokens[level] += entry.load.waitingTokens[level];
     }
     return total;
 }
 
+std::uint64_t Placement::tokensAhead(const ServerView &view, int urgency, TimePoint now)
+{
+    const PeerLoad peers = peerTotal(view, now);
+    std::uint64_t tokens = 0;
+    for (int level = 0; level <= urgency; ++level)
+        tokens += view.waitingTokens[level] + peers.waitingTokens[level];
+    return tokens;
+}
+
 microseconds Placement::predictEngine(const ServerView &view, std::uint64_t uncached,
-                                      unsigned slots, double slowness, TimePoint now)
+                                      unsigned slots, double slowness, int urgency,
+                                      TimePoint now)
 {
     const PeerLoad peers = peerTotal(view, now);
-    const auto waiting = static_cast<double>(view.waitingTokens + peers.waitingTokens);
+    const auto waiting = static_cast<double>(tokensAhead(view, urgency, now));
     unsigned running = view.running + peers.running;
     if (view.reportedAt && now - *view.reportedAt < kReportLifetime)
         running = std::max(running, view.report.running);
@@ -279,8 +297,7 @@
         return inPool ? microseconds(0) : microseconds(kStreamOutsidePoolCost);
     if (!inPool)
         return microseconds(0);
-    const std::uint64_t tokens =
-            uncached + view.waitingTokens + peerTotal(view, now).waitingTokens;
+    const std::uint64_t tokens = uncached + tokensAhead(view, kLowestUrgency, now);
     return tokens > kPoolPromptTokens ? kLongPromptInsidePoolCost : kPromptInsidePoolCost;
 }
 
@@ -306,6 +323,27 @@
                        TimePoint now)
 {
     const std::size_t poolSize = arrangeStreamPool(servers, query, now);
+    const auto onTime = cheapest(servers, poolSize, query, query.urgency.onTime, now);
+    if (!onTime || !mayYield(query, *onTime))
+        return onTime;
+    return cheapest(servers, poolSize, query, query.urgency.late, now);
+}
+
+// Large prompts keep their turn: they would otherwise wait for as long as the burst lasts.
+bool Placement::mayYield(const PlacementQuery &query, const PlacementChoice &choice)
+{
+    if (!query.service->engine || query.urgency.late == query.urgency.onTime)
+        return false;
+    const microseconds target = query.timeToTarget;
+    const double readMs = static_cast<double>(choice.uncachedTokens) / kPrefillTokensPerMs;
+    const bool isLarge = fromMs(readMs) > target * kLargePromptShare;
+    return !isLarge && choice.predicted > target;
+}
+
+std::optional<PlacementChoice>
+Placement::cheapest(const std::vector<const BackendServer *> &servers, std::size_t poolSize,
+                    const PlacementQuery &query, int urgency, TimePoint now)
+{
     const Homes homes = query.steadyStream ? homeServers(servers, 0, {})
                                            : homeServers(servers, poolSize, query.prompt);
     const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
@@ -325,7 +363,7 @@
         microseconds predicted{ 0 };
         if (query.service->engine) {
             uncached = expectedUncached(candidate, *server, homes, query.prompt);
-            predicted = predictEngine(candidate, uncached, server->slots, slowness, now);
+            predicted = predictEngine(candidate, uncached, server->slots, slowness, urgency, now);
         } else {
             predicted = predictPlain(candidate, server->slots, slowness, now);
         }
@@ -341,7 +379,8 @@
                                 .predicted = predicted,
                                 .uncachedTokens = uncached,
                                 .inFlight = candidate.running,
-                                .steadyStream = query.steadyStream };
+                                .steadyStream = query.steadyStream,
+                                .urgency = urgency };
         if (candidate.reportedAt)
             best->reportAge = std::chrono::duration_cast<milliseconds>(now - *candidate.reportedAt);
     }
@@ -354,7 +393,7 @@
     ServerView &server = view(choice.serverId, query.service);
     ++server.running;
     server.steadyStreams += choice.steadyStream ? 1 : 0;
-    server.waitingTokens += choice.uncachedTokens;
+    server.waitingTokens[choice.urgency] += choice.uncachedTokens;
     server.cache.touch(query.prompt);
 }
 
@@ -362,7 +401,7 @@
                                   TimePoint now)
 {
     ServerView &server = view(choice.serverId, nullptr);
-    server.waitingTokens -= std::min(server.waitingTokens, choice.uncachedTokens);
+    dropWaiting(server.waitingTokens[choice.urgency], choice.uncachedTokens);
     const double predictedMs = std::max(10.0, toMs(choice.predicted));
     // The prediction contains the slowness that was known when it was made.
     const double known = decayedSlowness(server, now);
@@ -383,7 +422,7 @@
     if (choice.steadyStream)
         server.steadyStreams -= std::min(server.steadyStreams, 1U);
     if (!progressed)
-        server.waitingTokens -= std::min(server.waitingTokens, choice.uncachedTokens);
+        dropWaiting(server.waitingTokens[choice.urgency], choice.uncachedTokens);
     if (outcome == AttemptOutcome::Abandoned)
         return;
     const bool failed = outcome != AttemptOutcome::Succeeded;
--- a/packages/routing/src/trafficconfig.cpp
+++ b/packages/routing/src/trafficconfig.cpp
@@ -64,28 +64,40 @@
     for (const Service &service : data_.services)
         servicesByName_.emplace(service.name, &service);
     for (const Route &route : data_.routes) {
-        ranks_.push_back(rank(route, nullptr));
-        for (const Organisation &organisation : data_.organisations)
-            ranks_.push_back(rank(route, &organisation));
+        for (const WeightedService &choice : route.services) {
+            std::vector<Rank> &ranks = ranks_[choice.service];
+            ranks.push_back(rank(route, nullptr));
+            for (const Organisation &organisation : data_.organisations)
+                ranks.push_back(rank(route, &organisation));
+        }
+    }
+    for (auto &entry : ranks_) {
+        std::vector<Rank> &ranks = entry.second;
+        std::sort(ranks.begin(), ranks.end());
+        ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
     }
-    std::sort(ranks_.begin(), ranks_.end());
-    ranks_.erase(std::unique(ranks_.begin(), ranks_.end()), ranks_.end());
 }
 
 // A request without an organisation's priority ranks with the most urgent organisations.
-std::pair<int, int> TrafficConfig::rank(const Route &route, const Organisation *organisation)
+TrafficConfig::Rank TrafficConfig::rank(const Route &route, const Organisation *organisation)
 {
     return { organisation ? organisation->priority.value_or(0) : 0, route.priority };
 }
 
-int TrafficConfig::urgency(const Route &route, const Organisation *organisation) const
+Urgency TrafficConfig::urgency(const std::string &service, const Route &route,
+                               const Organisation *organisation) const
 {
-    const auto found = std::lower_bound(ranks_.begin(), ranks_.end(), rank(route, organisation));
-    const auto index = static_cast<std::size_t>(found - ranks_.begin());
-    const std::size_t levels = kLowestUrgency + 1;
-    if (ranks_.size() <= levels)
-        return static_cast<int>(index);
-    return static_cast<int>(index * levels / ranks_.size());
+    const auto ranks = ranks_.find(service);
+    if (ranks == ranks_.end())
+        return {};
+    const std::vector<Rank> &all = ranks->second;
+    const auto found = std::lower_bound(all.begin(), all.end(), rank(route, organisation));
+    const auto index = static_cast<std::size_t>(found - all.begin());
+    constexpr std::size_t kLevels = kLowestUrgency + 1;
+    if (all.size() * 2 <= kLevels)
+        return { .onTime = static_cast<int>(index * 2), .late = static_cast<int>(index * 2 + 1) };
+    const auto level = static_cast<int>(all.size() <= kLevels ? index : index * kLevels / all.size());
+    return { .onTime = level, .late = level };
 }
 
 bool isPauseSensitive(const Route &route, const EngineModel &engine)
