--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -21,6 +21,14 @@
 
 using proto::PeerBeat;
 
+struct BeatContent
+{
+    // The load of each server; for fleets in which every beat reaches all daemons.
+    bool loads = false;
+    // The recent changes of servers; for the own failure domain.
+    bool changes = false;
+};
+
 // Another daemon that was heard from in the last seconds.
 struct LivePeer
 {
@@ -48,8 +56,8 @@
         // Beat addresses to begin with; they may be stale.
         std::vector<std::string> seeds;
         std::chrono::milliseconds interval{ 100 };
-        // Fills in positions, crashes and loads.
-        std::function<void(PeerBeat &beat, bool withLoads)> fill;
+        // Fills in positions, crashes and what else the beat is to carry.
+        std::function<void(PeerBeat &beat, BeatContent content)> fill;
         std::function<void(const PeerBeat &beat)> received;
         // Everything but beats.
         std::function<void(const proto::PeerDatagram &datagram, const std::string &sender)>
@@ -64,6 +72,8 @@
     virtual void addPeer(const std::string &beatAddress) = 0;
     // Sends a beat now, in addition to the regular ones.
     virtual void sendSoon() = 0;
+    // The same, to all daemons of this failure domain at least.
+    virtual void sendToDomainSoon() = 0;
     // Other daemons heard from in the last seconds.
     virtual unsigned livePeers() const = 0;
     // The live peers of a failure domain.
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -85,6 +85,12 @@
         logEvent(LogLevel::Info, "peer_added", { { "address", beatAddress } });
     }
 
+    void sendToDomainSoon() override
+    {
+        wholeDomain_ = true;
+        sendSoon();
+    }
+
     void sendSoon() override
     {
         if (std::exchange(soon_, true))
@@ -161,10 +167,13 @@
                 targets.push_back(&peer);
         }
         const bool fullMesh = targets.size() <= kFullMeshPeers;
-        if (!fullMesh) {
-            std::shuffle(targets.begin(), targets.end(), random_);
-            targets.resize(kFanOut);
-        }
+        const bool wholeDomain = std::exchange(wholeDomain_, false);
+        if (!fullMesh && wholeDomain)
+            std::erase_if(targets, [this](const Peer *peer) {
+                return peer->info.failureDomain != options_.failureDomain;
+            });
+        else if (!fullMesh)
+            pickTargets(targets);
         proto::PeerDatagram datagram;
         PeerBeat &beat = *datagram.mutable_beat();
         beat.set_vm(options_.vm);
@@ -173,7 +182,7 @@
         beat.set_read_address(options_.readAddress);
         beat.set_failure_domain(options_.failureDomain);
         beat.set_cpu_millis(options_.cpuMillis);
-        options_.fill(beat, fullMesh);
+        options_.fill(beat, { .loads = fullMesh, .changes = wholeDomain && !fullMesh });
         addKnown(beat, now);
         const std::string bytes = datagram.SerializeAsString();
         for (const Peer *target : targets)
@@ -189,6 +198,13 @@
             logEvent(LogLevel::Warning, "datagram_not_sent", { { "error", error.message() } });
     }
 
+    // A few peers at random.
+    void pickTargets(std::vector<const Peer *> &targets)
+    {
+        std::shuffle(targets.begin(), targets.end(), random_);
+        targets.resize(std::min(kFanOut, targets.size()));
+    }
+
     void addKnown(PeerBeat &beat, Clock::time_point now)
     {
         std::vector<const std::string *> live;
@@ -261,6 +277,8 @@
     udp::endpoint sender_;
     unsigned round_ = 0;
     bool soon_ = false;
+    // The next beat goes to the whole failure domain.
+    bool wholeDomain_ = false;
     bool sendFailed_ = false;
 };
 
