Test the routing decisions with their load patterns; move sessions away from stragglers

Cause: a test showed that a session stayed at an engine that was ten times slower than the others. Ruled out: an average that contains the slow engine itself; it halves the difference. Change: slowness against the average of the other engines, a cost for stragglers, tests of packages/routing.

--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -196,8 +196,9 @@
     static std::chrono::microseconds poolCost(const ServerView &view, bool inPool,
                                               const PlacementQuery &query, std::uint64_t uncached,
                                               TimePoint now);
-    double averageSlowness(const std::vector<const BackendServer *> &servers,
-                           const PlacementQuery &query, TimePoint now);
+    static double relativeSlowness(double own, double sum, std::size_t servers);
+    double totalSlowness(const std::vector<const BackendServer *> &servers,
+                         const PlacementQuery &query, TimePoint now);
     std::chrono::microseconds distanceCost(const BackendServer &server,
                                            const PlacementQuery &query) const;
     bool isLocalRegion(const BackendServer &server) const;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -39,6 +39,10 @@
 constexpr double kSlownessGain = 0.3;
 constexpr double kSlownessMin = 0.5;
 constexpr double kSlownessMax = 10.0;
+// A server this many times slower than the others is a straggler; cached parts do not keep requests
+// there.
+constexpr double kStraggler = 2.0;
+constexpr double kStraggleMs = 600.0;
 constexpr milliseconds kFailureHalfLife{ 3000 };
 constexpr double kFailureGain = 0.25;
 // Cost of an expected failure; one that cannot be repaired by a retry is dearer.
@@ -90,6 +94,12 @@
     return kRereadCostPerKiloToken * static_cast<std::int64_t>(tokens) / 1000;
 }
 
+microseconds straggleCost(double slowness)
+{
+    const double excess = std::max(0.0, slowness - kStraggler);
+    return fromMs(excess * kStraggleMs);
+}
+
 std::uint64_t sharedTokens(const PromptParts &prompt)
 {
     return prompt.size() < 2 ? 0 : totalTokens(prompt) - prompt.back().tokens;
@@ -180,14 +190,23 @@
     return 1 + (view.slowness - 1) * halvings(now - view.slownessAt, kSlownessHalfLife);
 }
 
-// A queue that grows everywhere makes no server slow.
-double Placement::averageSlowness(const std::vector<const BackendServer *> &servers,
-                                  const PlacementQuery &query, TimePoint now)
+// Slowness against the average of the other servers, because a queue that grows everywhere makes none
+// of them slow.
+double Placement::relativeSlowness(double own, double sum, std::size_t servers)
+{
+    if (servers < 2)
+        return 1;
+    const double others = (sum - own) / static_cast<double>(servers - 1);
+    return std::max(1.0, own / std::max(1.0, others));
+}
+
+double Placement::totalSlowness(const std::vector<const BackendServer *> &servers,
+                                const PlacementQuery &query, TimePoint now)
 {
     double sum = 0;
     for (const BackendServer *server : servers)
         sum += decayedSlowness(view(server->id, query.service), now);
-    return servers.empty() ? 1 : sum / static_cast<double>(servers.size());
+    return sum;
 }
 
 double Placement::decayedFailureShare(const ServerView &view, TimePoint now)
@@ -347,7 +366,7 @@
     const Homes homes = query.steadyStream ? homeServers(servers, 0, {})
                                            : homeServers(servers, poolSize, query.prompt);
     const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
-    const double usualSlowness = std::max(1.0, averageSlowness(servers, query, now));
+    const double slownessSum = totalSlowness(servers, query, now);
     std::optional<PlacementChoice> best;
     microseconds bestCost{ 0 };
     for (std::size_t i = 0; i < servers.size(); ++i) {
@@ -358,7 +377,7 @@
             continue;
         ServerView &candidate = view(server->id, query.service);
         const double slowness =
-                std::max(1.0, decayedSlowness(candidate, now) / usualSlowness);
+                relativeSlowness(decayedSlowness(candidate, now), slownessSum, servers.size());
         std::uint64_t uncached = 0;
         microseconds predicted{ 0 };
         if (query.service->engine) {
@@ -369,6 +388,7 @@
         }
         const std::uint64_t reread = uncached - std::min(uncached, ownTokens);
         const microseconds cost = predicted + distanceCost(*server, query) + rereadCost(reread)
+                                  + straggleCost(slowness)
                                   + poolCost(candidate, i < poolSize, query, uncached, now)
                                   + failureCost(candidate, query.repeatable, now);
         if (best && cost >= bestCost)
--- /dev/null
+++ b/packages/routing/tests/enginecache_test.cpp
@@ -0,0 +1,41 @@
+#include "auburn/routing/enginecache.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace auburn::routing {
+
+BOOST_AUTO_TEST_SUITE(engineCache)
+
+BOOST_AUTO_TEST_CASE(uncached_partAfterAMissingOne_isReadToo)
+{
+    EngineCache cache(1000);
+    cache.touch({ { .id = 2, .tokens = 100 } });
+    const PromptParts prompt{ { .id = 1, .tokens = 50 }, { .id = 2, .tokens = 100 } };
+    BOOST_TEST(cache.uncachedTokens(prompt) == 150U);
+    cache.touch(prompt);
+    BOOST_TEST(cache.uncachedTokens(prompt) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(touch_beyondCapacity_leastRecentlyUsedPartYields)
+{
+    EngineCache cache(250);
+    cache.touch({ { .id = 1, .tokens = 100 } });
+    cache.touch({ { .id = 2, .tokens = 100 } });
+    cache.touch({ { .id = 1, .tokens = 100 } });
+    cache.touch({ { .id = 3, .tokens = 100 } });
+    BOOST_TEST(cache.contains(1));
+    BOOST_TEST(!cache.contains(2));
+}
+
+BOOST_AUTO_TEST_CASE(touch_onePrompt_lastPartYieldsBeforeTheSharedOne)
+{
+    EngineCache cache(250);
+    cache.touch({ { .id = 1, .tokens = 100 }, { .id = 9, .tokens = 100 } });
+    cache.touch({ { .id = 2, .tokens = 100 } });
+    BOOST_TEST(cache.contains(1));
+    BOOST_TEST(!cache.contains(9));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/tests/placement_test.cpp
@@ -0,0 +1,228 @@
+#include "auburn/routing/placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+namespace auburn::routing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+struct PlacementFixture
+{
+    using TimePoint = Placement::TimePoint;
+
+    PlacementFixture()
+    {
+        const char *domains[] = { "a", "b", "c" };
+        for (int i = 0; i < 12; ++i)
+            add("engine-" + std::to_string(i), "engines", domains[i % 3], 128);
+        for (int i = 0; i < 3; ++i)
+            add("desk-" + std::to_string(i), "desk", domains[i], 6);
+    }
+
+    void add(const std::string &id, const std::string &service, const std::string &domain,
+             unsigned slots)
+    {
+        directory.update({ .id = id,
+                           .service = service,
+                           .address = id + ":80",
+                           .failureDomain = domain,
+                           .slots = slots },
+                         ++position);
+    }
+
+    static Placement makePlacement()
+    {
+        return Placement({ .failureDomain = "a",
+                           .regions = { { "a", "r1" }, { "b", "r2" }, { "c", "r3" } } });
+    }
+
+    // A prompt with a common part, a session's part and one of its own.
+    PlacementQuery prompt(std::uint64_t session, std::uint64_t ownTokens = 2000) const
+    {
+        return { .service = &engines,
+                 .prompt = { { .id = 1, .tokens = 2500 },
+                             { .id = 100 + session, .tokens = 3800 },
+                             { .id = 100000 + ++const_cast<PlacementFixture *>(this)->requests,
+                               .tokens = ownTokens } },
+                 .urgency = { .onTime = 2, .late = 3 },
+                 .timeToTarget = milliseconds(600) };
+    }
+
+    PlacementQuery order() const { return { .service = &desk }; }
+
+    PlacementChoice start(Placement &placement, const PlacementQuery &query) const
+    {
+        const auto choice = placement.choose(directory, query, now);
+        BOOST_REQUIRE(choice);
+        placement.attemptStarted(*choice, query, now);
+        return *choice;
+    }
+
+    const Service engines{ .name = "engines",
+                           .engine = EngineModel{ .slots = 128, .cacheTokens = 500000 } };
+    const Service desk{ .name = "desk" };
+    ServerDirectory directory;
+    std::uint64_t position = 0;
+    std::uint64_t requests = 0;
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    Placement placement = makePlacement();
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(placementOfRequests, PlacementFixture)
+
+// Guards against several daemons reading one session's part at several engines.
+BOOST_AUTO_TEST_CASE(session_placedByDaemonsOfAllRegions_hasOneHome)
+{
+    for (std::uint64_t session = 0; session < 50; ++session) {
+        std::set<std::string> homes;
+        for (const char *domain : { "a", "b", "c" }) {
+            Placement daemon({ .failureDomain = domain,
+                               .regions = { { "a", "r1" }, { "b", "r2" }, { "c", "r3" } } });
+            homes.insert(daemon.choose(directory, prompt(session), now)->serverId);
+        }
+        BOOST_TEST(homes.size() == 1U);
+    }
+}
+
+// A burst that fills all queues alike must not move sessions from their cached parts.
+BOOST_AUTO_TEST_CASE(session_homeHasAModerateQueue_staysThere)
+{
+    const PlacementChoice home = start(placement, prompt(1));
+    for (int i = 0; i < 6; ++i)
+        BOOST_TEST(start(placement, prompt(1)).serverId == home.serverId);
+}
+
+// One hot session must not wait at one engine without a limit.
+BOOST_AUTO_TEST_CASE(session_homeIsFarBehind_isSpread)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 200; ++i)
+        used.insert(start(placement, prompt(1)).serverId);
+    BOOST_TEST(used.size() > 2U);
+}
+
+BOOST_AUTO_TEST_CASE(peers_reportWorkAtTheHome_moveANewSession)
+{
+    const std::string home = placement.choose(directory, prompt(5), now)->serverId;
+    WaitingTokens waiting{};
+    waiting[0] = 400000;
+    placement.attemptStarted(*placement.choose(directory, prompt(5), now), prompt(5), now);
+    placement.peerReported("peer", { { home, { .running = 50, .waitingTokens = waiting } } }, now);
+    BOOST_TEST(placement.choose(directory, prompt(5), now)->serverId != home);
+    now += std::chrono::seconds(5);
+    BOOST_TEST(placement.choose(directory, prompt(5), now)->serverId == home);
+}
+
+BOOST_AUTO_TEST_CASE(plainService_ownDomainFree_staysThere)
+{
+    BOOST_TEST(start(placement, order()).serverId == "desk-0");
+}
+
+BOOST_AUTO_TEST_CASE(plainService_ownDomainFull_goesToAnother)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 30; ++i)
+        used.insert(start(placement, order()).serverId);
+    BOOST_TEST(used.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(failedServer_isAvoidedForAWhile)
+{
+    const PlacementChoice choice = start(placement, order());
+    placement.attemptEnded(choice, false, AttemptOutcome::Failed, now);
+    BOOST_TEST(placement.isAvoided(choice.serverId, now));
+    BOOST_TEST(placement.choose(directory, order(), now)->serverId != choice.serverId);
+    now += std::chrono::seconds(30);
+    BOOST_TEST(placement.choose(directory, order(), now)->serverId == choice.serverId);
+}
+
+BOOST_AUTO_TEST_CASE(everyServerAvoided_oneIsStillChosen)
+{
+    for (int i = 0; i < 3; ++i)
+        placement.attemptEnded(start(placement, order()), false, AttemptOutcome::Failed, now);
+    BOOST_TEST(placement.choose(directory, order(), now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(excludedServers_areNeverChosen)
+{
+    PlacementQuery query = order();
+    query.excluded = { "desk-0", "desk-1", "desk-2" };
+    BOOST_TEST(!placement.choose(directory, query, now));
+}
+
+// A server that answers a part of its requests with errors gets fewer of them.
+BOOST_AUTO_TEST_CASE(server_failsHalfOfItsRequests_losesItsShare)
+{
+    for (int i = 0; i < 20; ++i) {
+        const PlacementChoice choice{ .serverId = "desk-0" };
+        placement.attemptStarted(choice, order(), now);
+        placement.attemptEnded(choice, true,
+                               i % 2 == 0 ? AttemptOutcome::ServerError
+                                          : AttemptOutcome::Succeeded,
+                               now);
+    }
+    BOOST_TEST(placement.choose(directory, order(), now)->serverId != "desk-0");
+}
+
+// A queue that grows at all engines is no reason to call one of them slow and move its sessions.
+BOOST_AUTO_TEST_CASE(allEnginesLate_sessionStaysHome)
+{
+    const std::string home = placement.choose(directory, prompt(3), now)->serverId;
+    for (int round = 0; round < 5; ++round) {
+        for (int i = 0; i < 12; ++i) {
+            PlacementChoice choice{ .serverId = "engine-" + std::to_string(i),
+                                    .predicted = milliseconds(100) };
+            placement.attemptStarted(choice, prompt(900), now);
+            placement.attemptProgressed(choice, milliseconds(800), now);
+            placement.attemptEnded(choice, true, AttemptOutcome::Succeeded, now);
+        }
+    }
+    BOOST_TEST(placement.choose(directory, prompt(3), now)->serverId == home);
+}
+
+BOOST_AUTO_TEST_CASE(oneEngineSlow_newSessionsLeaveIt)
+{
+    const std::string home = placement.choose(directory, prompt(3), now)->serverId;
+    for (int round = 0; round < 12; ++round) {
+        PlacementChoice choice{ .serverId = home, .predicted = milliseconds(100) };
+        placement.attemptStarted(choice, prompt(900), now);
+        placement.attemptProgressed(choice, milliseconds(2000), now);
+        placement.attemptEnded(choice, true, AttemptOutcome::Succeeded, now);
+    }
+    BOOST_TEST(placement.choose(directory, prompt(3), now)->serverId != home);
+}
+
+// Steady streams and long prompts alternate; the streams' engines must stay free of long prompts.
+BOOST_AUTO_TEST_CASE(steadyStreams_besideLongPrompts_haveEnginesOfTheirOwn)
+{
+    std::map<std::string, unsigned> streams;
+    std::map<std::string, unsigned> prompts;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        PlacementQuery chat = prompt(1000 + i, 600);
+        chat.prompt[0].tokens = 120;
+        chat.prompt[1].tokens = 80;
+        chat.steadyStream = true;
+        const PlacementChoice stream = start(placement, chat);
+        placement.attemptProgressed(stream, stream.predicted, now);
+        ++streams[stream.serverId];
+        const PlacementChoice other = start(placement, prompt(i, 12000));
+        placement.attemptProgressed(other, other.predicted, now);
+        placement.attemptEnded(other, true, AttemptOutcome::Succeeded, now);
+        if (i > 0)
+            ++prompts[other.serverId];
+    }
+    BOOST_TEST(streams.size() <= 2U);
+    for (const auto &[server, count] : streams)
+        BOOST_TEST(prompts[server] == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/tests/serverdirectory_test.cpp
@@ -0,0 +1,103 @@
+#include "auburn/routing/serverdirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace auburn::routing {
+
+namespace {
+
+struct ServerDirectoryFixture
+{
+    using TimePoint = ServerDirectory::TimePoint;
+
+    static BackendServer server(const std::string &id, std::int64_t sequence = 1)
+    {
+        return { .id = id,
+                 .service = "engines",
+                 .address = "10.0.0.1:80",
+                 .failureDomain = "a",
+                 .startedAtUnixMs = 1000,
+                 .sequence = sequence };
+    }
+
+    std::size_t ready() const { return directory.readyServers("engines").size(); }
+
+    ServerDirectory directory;
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(serverDirectory, ServerDirectoryFixture)
+
+BOOST_AUTO_TEST_CASE(update_onlySequenceChanged_isRefreshed)
+{
+    BOOST_TEST((directory.update(server("s", 1), 1) == DirectoryChange::Added));
+    BOOST_TEST((directory.update(server("s", 2), 2) == DirectoryChange::Refreshed));
+}
+
+// Guards against a late read that shows a draining server as ready again.
+BOOST_AUTO_TEST_CASE(update_olderRecordAfterDraining_isStale)
+{
+    directory.update(server("s", 1), 1);
+    BackendServer draining = server("s", 2);
+    draining.state = ServerState::Draining;
+    BOOST_TEST((directory.update(draining, 5) == DirectoryChange::Changed));
+    BOOST_TEST((directory.update(server("s", 1), 3) == DirectoryChange::Stale));
+    BOOST_TEST(ready() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(update_sameIdStartedLater_isAdded)
+{
+    directory.update(server("s", 9), 1);
+    BackendServer restarted = server("s", 0);
+    restarted.startedAtUnixMs = 2000;
+    BOOST_TEST((directory.update(restarted, 2) == DirectoryChange::Added));
+}
+
+// Guards against work for a server that leaves without announcing it.
+BOOST_AUTO_TEST_CASE(remove_registryAvailable_actsAtOnce)
+{
+    directory.update(server("s"), 1);
+    BOOST_TEST((directory.remove("s", 2, now) == DirectoryChange::Removed));
+    BOOST_TEST(ready() == 0U);
+    BOOST_TEST((directory.update(server("s"), 1) == DirectoryChange::Stale));
+}
+
+// Guards against refusing everything because all entries lapsed while the registry was away.
+BOOST_AUTO_TEST_CASE(remove_justAfterAnOutage_waitsForTheServerToBeListed)
+{
+    directory.update(server("s"), 1);
+    directory.update(server("t"), 2);
+    directory.registryLost(now);
+    directory.registryAnswered(now);
+    BOOST_TEST((directory.remove("s", 3, now) == DirectoryChange::RemovalPending));
+    BOOST_TEST((directory.remove("t", 4, now) == DirectoryChange::RemovalPending));
+    BOOST_TEST(ready() == 2U);
+    directory.update(server("s", 2), 5);
+    const auto expired = directory.expire(now + kRelistTime);
+    BOOST_TEST(expired == std::vector<std::string>{ "t" }, boost::test_tools::per_element());
+    BOOST_TEST(ready() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(expire_registryStillAway_keepsTheServer)
+{
+    directory.update(server("s"), 1);
+    directory.registryLost(now);
+    directory.remove("s", 2, now);
+    BOOST_TEST(directory.expire(now + std::chrono::minutes(1)).empty());
+    BOOST_TEST(ready() == 1U);
+}
+
+// A daemon that the registry turns away learns of a leaving server from another daemon.
+BOOST_AUTO_TEST_CASE(removeNow_registryAway_actsAtOnce)
+{
+    directory.update(server("s"), 1);
+    directory.registryLost(now);
+    BOOST_TEST((directory.removeNow("s", 2) == DirectoryChange::Removed));
+    BOOST_TEST(ready() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::routing
