--- /dev/null
+++ b/packages/gateway/tests/badinput_test.cpp
@@ -0,0 +1,124 @@
+// Callers that break the protocol, the limits or the configuration get a defined answer, and their
+// requests reach no server.
+
+#include "gatewayfixture.h"
+
+namespace auburn::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+struct BadInputFixture : GatewayFixture
+{
+    BadInputFixture()
+        : server(addServer("s1", "desk",
+                           [](const ScriptedRequest &) {
+                               return ScriptedReply{ .parts = { { sealed(200, "yes") } } };
+                           }))
+    {}
+
+    ScriptedServer &server;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(badInput, BadInputFixture)
+
+BOOST_AUTO_TEST_CASE(key_unknownOrMissing_is401)
+{
+    BOOST_TEST(statusOf(exchange("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: no\r\n\r\n"))
+               == 401);
+    BOOST_TEST(statusOf(exchange("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")) == 401);
+    BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(publicRoute_withoutKey_isServed)
+{
+    BOOST_TEST(statusOf(exchange("GET /open/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(route_unknown_is404)
+{
+    BOOST_TEST(statusOf(exchange(request("GET", "/nothing"))) == 404);
+}
+
+// A request must not hide in another one whose length can be read in two ways.
+BOOST_AUTO_TEST_CASE(framing_ambiguous_is400AndTheConnectionEnds)
+{
+    const std::string hidden = request("GET", "/read/hidden");
+    const std::string texts[] = {
+        request("POST", "/order/x", "Content-Length: 3\r\nContent-Length: 4\r\n") + "abcd" + hidden,
+        request("POST", "/order/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n")
+                + "0\r\n\r\n" + hidden,
+        request("POST", "/order/x", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n")
+                + "0\r\n\r\n" + hidden,
+        request("POST", "/order/x", "Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n" + hidden,
+        "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id : 1\r\n\r\n" + hidden,
+    };
+    for (const std::string &text : texts) {
+        ScriptedClient client(io, address);
+        client.send(text);
+        runUntil(io, [&] { return client.isClosed(); }, milliseconds(2500));
+        BOOST_TEST(statusOf(client.received()) == 400);
+        BOOST_TEST(client.received().rfind("HTTP/1.1") == 0U);
+    }
+    BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(body_chunked_isForwardedWithItsLength)
+{
+    const std::string text = request("POST", "/order/x", "Transfer-Encoding: chunked\r\n")
+                             + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    BOOST_TEST(statusOf(exchange(text)) == 200);
+    BOOST_TEST(server.requests()[0].body() == "abcde");
+}
+
+BOOST_AUTO_TEST_CASE(body_tooLarge_is413BeforeItIsRead)
+{
+    const std::string text = request("POST", "/order/x", "Content-Length: 999999\r\n");
+    BOOST_TEST(statusOf(exchange(text)) == 413);
+}
+
+BOOST_AUTO_TEST_CASE(header_tooLarge_is431)
+{
+    const std::string text =
+            request("GET", "/read/x", "X-Long: " + std::string(6000, 'x') + "\r\n");
+    BOOST_TEST(statusOf(exchange(text)) == 431);
+}
+
+BOOST_AUTO_TEST_CASE(header_manyShortFields_is431)
+{
+    ScriptedClient client(io, address);
+    client.send("GET /read/x HTTP/1.1\r\nHost: h\r\n");
+    for (int i = 0; i < 100 && client.received().empty(); ++i) {
+        client.send("X-F" + std::to_string(i) + ": " + std::string(60, 'x') + "\r\n");
+        runFor(io, milliseconds(1));
+    }
+    BOOST_TEST(runUntil(io, [&] { return statusOf(client.received()) == 431; }));
+}
+
+BOOST_AUTO_TEST_CASE(header_notFinished_is408)
+{
+    BOOST_TEST(statusOf(exchange("GET /read/x HTTP/1.1\r\nHost: h\r\n")) == 408);
+}
+
+BOOST_AUTO_TEST_CASE(configuration_notKnownYet_is503)
+{
+    state.config = nullptr;
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(connection_keptOpen_servesTheNextRequest)
+{
+    ScriptedClient client(io, address);
+    client.send(request("GET", "/nothing") + request("GET", "/read/x"));
+    BOOST_TEST(runUntil(io, [&] {
+        return client.received().find("HTTP/1.1 200") != std::string::npos;
+    }));
+    BOOST_TEST(!client.isClosed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -0,0 +1,165 @@
+#include "gatewayfixture.h"
+
+#include "auburn/core/lasterror.h"
+
+namespace auburn::gateway {
+
+using routing::RequestKind;
+using std::chrono::milliseconds;
+
+namespace {
+
+routing::TrafficConfigData testConfig()
+{
+    routing::TrafficConfigData data{ .version = 1 };
+    data.routes = {
+        { .name = "read", .host = "h", .pathPrefix = "/read/", .kind = RequestKind::Safe,
+          .timeout = milliseconds(1500), .latencyTarget = milliseconds(200),
+          .services = { { .service = "desk" } }, .maxAttempts = 2 },
+        { .name = "order", .host = "h", .pathPrefix = "/order/", .kind = RequestKind::Unsafe,
+          .timeout = milliseconds(1500), .services = { { .service = "desk" } } },
+        { .name = "chat", .host = "h", .pathPrefix = "/chat/", .kind = RequestKind::Stream,
+          .timeout = milliseconds(4000), .latencyTarget = milliseconds(400),
+          .gapTarget = milliseconds(100), .services = { { .service = "engines" } },
+          .maxAttempts = 2, .resumable = true },
+        { .name = "digest", .host = "h", .pathPrefix = "/digest/", .kind = RequestKind::Stream,
+          .timeout = milliseconds(1500), .services = { { .service = "engines" } } },
+        { .name = "open", .host = "h", .pathPrefix = "/open/", .kind = RequestKind::Safe,
+          .services = { { .service = "desk" } }, .isPublic = true },
+    };
+    data.services = { { .name = "desk" },
+                      { .name = "engines",
+                        .engine = routing::EngineModel{ .slots = 8, .cacheTokens = 10000 } } };
+    data.limits.headerBytes = 4096;
+    data.limits.bodyBytes = 10000;
+    data.limits.headerTime = milliseconds(300);
+    data.limits.idleTime = milliseconds(5000);
+    data.organisations = { { .name = "org", .keys = { "key" } } };
+    return data;
+}
+
+HeaderDialect testDialect()
+{
+    return { .requestId = "X-Id",
+             .deadline = "X-Deadline",
+             .apiKey = "X-Key",
+             .organisation = "X-Org",
+             .expectedServer = "X-Server",
+             .urgency = "X-Urgency",
+             .promptParts = "X-Parts",
+             .tokenCounts = "X-Tokens",
+             .lastEventId = "X-Last",
+             .answerSeal = "X-Seal",
+             .notExecuted = "X-Not-Executed",
+             .serverLoad = "X-Load",
+             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Last" } };
+}
+
+std::uint16_t freePort(boost::asio::io_context &io)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+GatewayFixture::GatewayFixture()
+    : address("127.0.0.1:" + std::to_string(freePort(io)))
+{
+    state.config = std::make_shared<const routing::TrafficConfig>(testConfig());
+    gateway = Gateway::make(io, { .listenAddress = address,
+                                  .dialect = testDialect(),
+                                  .state = &state,
+                                  .placement = &source });
+    BOOST_REQUIRE_MESSAGE(gateway, lastError());
+}
+
+ScriptedServer &GatewayFixture::addServer(const std::string &id, const std::string &service,
+                                          ScriptedServer::Handler handler)
+{
+    servers.push_back(std::make_unique<ScriptedServer>(io, std::move(handler)));
+    state.directory.update({ .id = id,
+                             .service = service,
+                             .address = servers.back()->address(),
+                             .failureDomain = "a",
+                             .slots = 8 },
+                           ++position);
+    return *servers.back();
+}
+
+std::string GatewayFixture::request(const std::string &method, const std::string &target,
+                                    const std::string &fields, const std::string &body)
+{
+    static unsigned number = 0;
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: h\r\nX-Id: id"
+                       + std::to_string(++number) + "\r\nX-Key: key\r\n" + fields;
+    if (!body.empty())
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text + "\r\n" + body;
+}
+
+std::string GatewayFixture::exchange(const std::string &text)
+{
+    ScriptedClient client(io, address);
+    client.send(text);
+    runUntil(io, [&] { return client.isClosed() || isWhole(client.received()); });
+    return client.received();
+}
+
+std::string GatewayFixture::sealed(int status, const std::string &body, const std::string &fields)
+{
+    return wholeAnswer(status, "X-Seal: s\r\n" + fields, body);
+}
+
+std::string GatewayFixture::chunk(const std::string &data)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    return size + data + "\r\n";
+}
+
+std::string GatewayFixture::streamHead()
+{
+    return "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string GatewayFixture::event(unsigned id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+
+std::string GatewayFixture::chunkedBody(const std::string &answer)
+{
+    std::string body;
+    std::size_t at = answer.find("\r\n\r\n");
+    at = at == std::string::npos ? answer.size() : at + 4;
+    while (at < answer.size()) {
+        const std::size_t size = std::stoul(answer.substr(at), nullptr, 16);
+        at = answer.find("\r\n", at) + 2;
+        if (size == 0)
+            break;
+        body += answer.substr(at, size);
+        at += size + 2;
+    }
+    return body;
+}
+
+int GatewayFixture::statusOf(const std::string &answer)
+{
+    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+}
+
+bool GatewayFixture::isWhole(const std::string &answer)
+{
+    const std::size_t head = answer.find("\r\n\r\n");
+    if (head == std::string::npos)
+        return false;
+    if (answer.find("Transfer-Encoding: chunked") < head)
+        return answer.size() >= 5 && answer.substr(answer.size() - 5) == "0\r\n\r\n";
+    const std::size_t length = answer.find("Content-Length: ");
+    return length < head && answer.size() >= head + 4 + std::stoul(answer.substr(length + 16));
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -0,0 +1,269 @@
+// Requests with one whole answer: what is repeated, what is passed on and what is promised.
+
+#include "gatewayfixture.h"
+
+namespace auburn::gateway {
+
+using std::chrono::milliseconds;
+using End = ScriptedReply::End;
+
+namespace {
+
+ScriptedServer::Handler answering(const std::string &bytes, End end = End::KeepOpen)
+{
+    return [bytes, end](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { bytes } }, .end = end };
+    };
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(plainRequests, GatewayFixture)
+
+BOOST_AUTO_TEST_CASE(request_isForwarded_unchangedWithTheDaemonsHeaders)
+{
+    ScriptedServer &server = addServer("s1", "desk", answering(sealed(200, "done")));
+    const std::string answer =
+            exchange(request("POST", "/order/x?y=1", "X-Deadline: 900\r\nX-Org: forged\r\n", "body"));
+    BOOST_TEST(statusOf(answer) == 200);
+    BOOST_TEST(answer.find("X-Seal: s") != std::string::npos);
+    BOOST_REQUIRE(server.requests().size() == 1U);
+    const ScriptedRequest &seen = server.requests()[0];
+    BOOST_TEST(seen.target() == "/order/x?y=1");
+    BOOST_TEST(seen.body() == "body");
+    BOOST_TEST(seen["X-Org"] == "org");
+    BOOST_TEST(seen["X-Server"] == "s1");
+    BOOST_TEST(seen.count("X-Key") == 0U);
+    BOOST_TEST(seen.count("X-Org") == 1U);
+    const int left = std::stoi(std::string(seen["X-Deadline"]));
+    BOOST_TEST(left <= 900);
+    BOOST_TEST(left > 700);
+}
+
+BOOST_AUTO_TEST_CASE(request_withoutDeadline_getsTheRoutesTimeout)
+{
+    ScriptedServer &server = addServer("s1", "desk", answering(sealed(200, "done")));
+    exchange(request("GET", "/read/x"));
+    const int left = std::stoi(std::string(server.requests()[0]["X-Deadline"]));
+    BOOST_TEST(left <= 1500);
+    BOOST_TEST(left > 1300);
+}
+
+// At most once: an order whose answer is lost must not be sent again.
+BOOST_AUTO_TEST_CASE(unsafe_serverBreaksOff_isNotRepeatedAndPromisesNothing)
+{
+    ScriptedServer &first = addServer("s1", "desk", answering("", End::Reset));
+    ScriptedServer &second = addServer("s2", "desk", answering("", End::Reset));
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 502);
+    BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(safe_serverBreaksOff_isRepeatedElsewhere)
+{
+    addServer("s1", "desk", answering("", End::Close));
+    addServer("s2", "desk", answering("", End::Close));
+    addServer("s3", "desk", answering(sealed(200, "yes")));
+    unsigned served = 0;
+    for (int i = 0; i < 4; ++i)
+        served += statusOf(exchange(request("GET", "/read/x"))) == 200 ? 1 : 0;
+    BOOST_TEST(served >= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(safe_serverError_isRepeatedOnceAndThenPassedOn)
+{
+    ScriptedServer &first = addServer("s1", "desk", answering(sealed(500, "bad")));
+    ScriptedServer &second = addServer("s2", "desk", answering(sealed(500, "bad")));
+    const std::string answer = exchange(request("GET", "/read/x"));
+    BOOST_TEST(statusOf(answer) == 500);
+    BOOST_TEST(answer.find("X-Seal: s") != std::string::npos);
+    BOOST_TEST(first.requests().size() == 1U);
+    BOOST_TEST(second.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(unsafe_serverDidNotRunIt_goesToAnother)
+{
+    addServer("s1", "desk", answering(wholeAnswer(503, "X-Not-Executed: 1\r\n", "")));
+    addServer("s2", "desk", answering(wholeAnswer(421, "", "")));
+    addServer("s3", "desk", answering(sealed(200, "yes")));
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 200);
+}
+
+// A refusal says that the request did not run, and when to come back.
+BOOST_AUTO_TEST_CASE(unsafe_everyServerIsFull_isRefusedWithARetryTime)
+{
+    addServer("s1", "desk", answering(wholeAnswer(503, "X-Not-Executed: 1\r\n", "")));
+    const std::string answer = exchange(request("POST", "/order/x", {}, "b"));
+    BOOST_TEST(statusOf(answer) == 503);
+    BOOST_TEST(answer.find("Retry-After: ") != std::string::npos);
+}
+
+// A 503 of a server that may have run the order must not reach the caller, who would repeat it.
+BOOST_AUTO_TEST_CASE(unsafe_serverAnswers503AfterRunning_becomesAnUnknownOutcome)
+{
+    addServer("s1", "desk", answering(sealed(503, "")));
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(safe_successWithoutSeal_isNotPassedOn)
+{
+    addServer("s1", "desk", answering(wholeAnswer(200, "", "spoiled")));
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(safe_answerIsCutOff_isNotPassedOn)
+{
+    addServer("s1", "desk",
+              answering("HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nabc", End::Close));
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(answer_withoutLengthEndsWithClose_isWhole)
+{
+    addServer("s1", "desk", answering("HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\nabc", End::Close));
+    const std::string answer = exchange(request("POST", "/order/x", {}, "b"));
+    BOOST_TEST(statusOf(answer) == 200);
+    BOOST_TEST(answer.substr(answer.size() - 3) == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(answer_withoutLengthEndsWithReset_isNotWhole)
+{
+    addServer("s1", "desk", answering("HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\nabc", End::Reset));
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 502);
+}
+
+// A faulty server sends one more answer than it was asked for; nobody may get it.
+BOOST_AUTO_TEST_CASE(server_sendsASecondAnswer_connectionIsNotUsedAgain)
+{
+    ScriptedServer &server =
+            addServer("s1", "desk", answering(sealed(200, "one") + sealed(200, "two")));
+    for (int i = 0; i < 3; ++i) {
+        const std::string answer = exchange(request("GET", "/read/x"));
+        BOOST_TEST(answer.substr(answer.size() - 3) == "one");
+    }
+    BOOST_TEST(server.connections() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(server_answersAnEarlierRequestFirst_isToldByItsId)
+{
+    addServer("s1", "desk", [](const ScriptedRequest &seen) {
+        const std::string id(seen["X-Id"]);
+        return ScriptedReply{
+            .parts = { { sealed(200, "old", "X-Id: other\r\n")
+                         + sealed(200, "own", "X-Id: " + id + "\r\n") } }
+        };
+    });
+    const std::string answer = exchange(request("GET", "/read/x"));
+    BOOST_TEST(answer.substr(answer.size() - 3) == "own");
+}
+
+// Without this a rest of the body would be read as the next request.
+BOOST_AUTO_TEST_CASE(server_closesWithItsAnswer_connectionIsNotUsedAgain)
+{
+    ScriptedServer &server =
+            addServer("s1", "desk", answering(sealed(200, "x", "Connection: close\r\n")));
+    exchange(request("GET", "/read/x"));
+    exchange(request("GET", "/read/x"));
+    BOOST_TEST(server.connections() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(safe_serverHangs_isRepeatedElsewhereBeforeTheDeadline)
+{
+    const auto hang = [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { "", milliseconds(5000) } } };
+    };
+    addServer("s1", "desk", hang);
+    addServer("s2", "desk", answering(sealed(200, "yes")));
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 200);
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(unsafe_serverHangs_endsAtTheRoutesTimeout)
+{
+    addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { "", milliseconds(5000) } } };
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 504);
+    const auto took = std::chrono::steady_clock::now() - begin;
+    BOOST_TEST((took >= milliseconds(1400) && took < milliseconds(2000)));
+}
+
+BOOST_AUTO_TEST_CASE(server_notReachable_anotherIsTaken)
+{
+    state.directory.update({ .id = "gone", .service = "desk", .address = "127.0.0.1:1",
+                             .failureDomain = "a", .slots = 8 },
+                           ++position);
+    addServer("s2", "desk", answering(sealed(200, "yes")));
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(noServer_isRefused)
+{
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(crashingRequest_afterThreeCrashes_reachesNoServer)
+{
+    ScriptedServer &server = addServer("s1", "desk", answering("", End::Reset));
+    for (int i = 0; i < 6; ++i)
+        exchange(request("POST", "/order/poison", {}, "same"));
+    BOOST_TEST(server.requests().size() == routing::kCrashLimit);
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/poison", {}, "same"))) == 503);
+}
+
+// Work for a caller that has left is stopped, but an order is not broken off.
+BOOST_AUTO_TEST_CASE(callerLeaves_safeRequest_isCancelled)
+{
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { "", milliseconds(300) }, { "x" }, { "y" } } };
+    });
+    ScriptedClient client(io, address);
+    client.send(request("GET", "/read/x"));
+    BOOST_REQUIRE(runUntil(io, [&] { return server.requests().size() == 1; }));
+    client.close();
+    BOOST_TEST(runUntil(io, [&] { return gateway->requestsInProgress() == 0; }, milliseconds(200)));
+}
+
+BOOST_AUTO_TEST_CASE(callerLeaves_order_goesOn)
+{
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { sealed(200, "x"), milliseconds(200) } } };
+    });
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/order/x", {}, "b"));
+    BOOST_REQUIRE(runUntil(io, [&] { return server.requests().size() == 1; }));
+    client.close();
+    runFor(io, milliseconds(100));
+    BOOST_TEST(gateway->requestsInProgress() == 1U);
+    BOOST_TEST(runUntil(io, [&] { return gateway->requestsInProgress() == 0; }));
+    BOOST_TEST(server.closedByPeer() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(drain_requestOnAKeptConnection_isAnsweredAndClosed)
+{
+    addServer("s1", "desk", answering(sealed(200, "yes")));
+    ScriptedClient client(io, address);
+    client.send(request("GET", "/read/x"));
+    BOOST_REQUIRE(runUntil(io, [&] { return isWhole(client.received()); }));
+    gateway->drain(milliseconds(2000));
+    const std::size_t before = client.received().size();
+    client.send(request("GET", "/read/x"));
+    BOOST_TEST(runUntil(io, [&] { return client.isClosed(); }));
+    const std::string second = client.received().substr(before);
+    BOOST_TEST(statusOf(second) == 200);
+    BOOST_TEST(second.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(drain_lateRequest_isRefused)
+{
+    ScriptedServer &server = addServer("s1", "desk", answering(sealed(200, "yes")));
+    gateway->drain(milliseconds(2000));
+    gateway->refuseNewRequests();
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 503);
+    BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::gateway
