--- /dev/null
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -0,0 +1,246 @@
+#include "auburn/peers/cellplacement.h"
+
+#include "scriptedserver.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace auburn::peers {
+
+using routing::PlacementChoice;
+using routing::PlacementQuery;
+using std::chrono::milliseconds;
+
+namespace {
+
+class FakeNetwork;
+
+// One daemon's view of a large fleet; datagrams are delivered at once unless the target is frozen.
+class FakeExchange : public PeerExchange
+{
+public:
+    FakeExchange(FakeNetwork &network, std::string address)
+        : network_(network)
+        , address_(std::move(address))
+    {}
+
+    void addPeer(const std::string &) override {}
+    void sendSoon() override {}
+    void sendToDomainSoon() override {}
+    unsigned livePeers() const override { return 20; }
+    bool isLargeFleet() const override { return true; }
+    unsigned ownCpuMillis() const override { return 100; }
+    std::vector<LivePeer> livePeersIn(const std::string &failureDomain) const override;
+    void send(const std::string &target, const proto::PeerDatagram &datagram) override;
+
+private:
+    FakeNetwork &network_;
+    const std::string address_;
+};
+
+class FakeNetwork
+{
+public:
+    std::map<std::string, CellPlacement *> daemons;
+    std::vector<LivePeer> peers;
+    std::set<std::string> frozen;
+    unsigned datagrams = 0;
+};
+
+std::vector<LivePeer> FakeExchange::livePeersIn(const std::string &failureDomain) const
+{
+    std::vector<LivePeer> result;
+    for (const LivePeer &peer : network_.peers) {
+        if (peer.failureDomain == failureDomain && peer.beatAddress != address_)
+            result.push_back(peer);
+    }
+    return result;
+}
+
+void FakeExchange::send(const std::string &target, const proto::PeerDatagram &datagram)
+{
+    ++network_.datagrams;
+    const auto found = network_.daemons.find(target);
+    if (found != network_.daemons.end() && !network_.frozen.contains(target))
+        found->second->datagramReceived(datagram, address_);
+}
+
+struct CellPlacementFixture
+{
+    CellPlacementFixture()
+    {
+        for (int i = 0; i < 12; ++i)
+            directory.update({ .id = "e" + std::to_string(i),
+                               .service = "engines",
+                               .address = "e" + std::to_string(i) + ":80",
+                               .failureDomain = i % 2 == 0 ? "a" : "b",
+                               .slots = 32 },
+                             static_cast<std::uint64_t>(i) + 1);
+        config = std::make_shared<const routing::TrafficConfig>(routing::TrafficConfigData{
+                .version = 1,
+                .services = { { .name = "engines",
+                                .engine = routing::EngineModel{ .slots = 32,
+                                                                .cacheTokens = 300000 } } } });
+        addDaemon("a1", "a");
+        addDaemon("a2", "a");
+        addDaemon("b1", "b");
+    }
+
+    void addDaemon(const std::string &name, const std::string &domain)
+    {
+        const std::map<std::string, std::string> regions{ { "a", "r" }, { "b", "r" } };
+        views.push_back(std::make_unique<routing::Placement>(routing::Placement::Options{
+                .failureDomain = domain, .regions = regions }));
+        exchanges.push_back(std::make_unique<FakeExchange>(network, name));
+        daemons[name] = std::make_unique<CellPlacement>(
+                io, CellPlacement::Options{ .vm = name,
+                                            .failureDomain = domain,
+                                            .regions = regions,
+                                            .directory = &directory,
+                                            .config = &config,
+                                            .own = views.back().get() });
+        daemons[name]->setExchange(exchanges.back().get());
+        network.daemons[name] = daemons[name].get();
+        network.peers.push_back({ .vm = name,
+                                  .beatAddress = name,
+                                  .failureDomain = domain,
+                                  .cpuMillis = name == "a1" || name == "b1" ? 500U : 100U,
+                                  .serving = true });
+    }
+
+    PlacementQuery prompt(std::uint64_t session)
+    {
+        return { .service = config->findService("engines"),
+                 .prompt = { { .id = session, .tokens = 4000 },
+                             { .id = ++requests + 1000000, .tokens = 2000 } },
+                 .urgency = { .onTime = 0, .late = 1 },
+                 .timeToTarget = milliseconds(600) };
+    }
+
+    PlacementChoice place(const std::string &daemon, const PlacementQuery &query)
+    {
+        std::optional<PlacementChoice> result;
+        bool answered = false;
+        daemons[daemon]->place(query, milliseconds(5000),
+                               [&](std::optional<PlacementChoice> choice) {
+                                   BOOST_TEST(!answered);
+                                   answered = true;
+                                   result = choice;
+                               });
+        BOOST_REQUIRE(runUntil(io, [&] { return answered; }, milliseconds(1000)));
+        BOOST_REQUIRE(result);
+        return *result;
+    }
+
+    boost::asio::io_context io;
+    routing::ServerDirectory directory;
+    std::shared_ptr<const routing::TrafficConfig> config;
+    FakeNetwork network;
+    std::vector<std::unique_ptr<routing::Placement>> views;
+    std::vector<std::unique_ptr<FakeExchange>> exchanges;
+    std::map<std::string, std::unique_ptr<CellPlacement>> daemons;
+    std::uint64_t requests = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(cellPlacement, CellPlacementFixture)
+
+BOOST_AUTO_TEST_CASE(cell_ofASession_isTheSameForAllDaemons)
+{
+    std::map<std::string, unsigned> cells;
+    for (std::uint64_t session = 0; session < 200; ++session) {
+        const auto servers = directory.readyServers("engines");
+        const std::string cell = cellOf(servers, prompt(session), "a");
+        BOOST_TEST(cell == cellOf(servers, prompt(session), "b"));
+        ++cells[cell];
+    }
+    BOOST_TEST(cells["a"] > 60U);
+    BOOST_TEST(cells["b"] > 60U);
+}
+
+BOOST_AUTO_TEST_CASE(cell_ofASteadyStream_isTheOwnDomain)
+{
+    PlacementQuery query = prompt(1);
+    query.steadyStream = true;
+    const auto servers = directory.readyServers("engines");
+    BOOST_TEST(cellOf(servers, query, "a") == "a");
+    BOOST_TEST(cellOf(servers, query, "b") == "b");
+}
+
+// The owner sees the work of all askers, so two daemons do not both take the engine that each of
+// them believes to be idle.
+BOOST_AUTO_TEST_CASE(manyDaemons_placeOneHotSession_itIsSpreadByTheOwner)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 60; ++i) {
+        used.insert(place("a1", prompt(7)).serverId);
+        used.insert(place("a2", prompt(7)).serverId);
+        used.insert(place("b1", prompt(7)).serverId);
+    }
+    BOOST_TEST(used.size() >= 4U);
+    std::set<std::string> domains;
+    for (const std::string &server : used)
+        domains.insert(directory.find(server)->failureDomain);
+    BOOST_TEST(domains.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(owner_frozen_placesByTheOwnViewAndIsNotAskedAgainAtOnce)
+{
+    network.frozen = { "a1", "b1" };
+    place("a2", prompt(1));
+    place("a2", prompt(2));
+    place("a2", prompt(3));
+    place("a2", prompt(4));
+    network.datagrams = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::uint64_t session = 5; session < 25; ++session)
+        place("a2", prompt(session));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(400)));
+    BOOST_TEST(network.datagrams <= 2U);
+}
+
+// Work that has ended must not weigh on later placements.
+BOOST_AUTO_TEST_CASE(attempts_thatEnded_freeTheOwnersView)
+{
+    std::vector<PlacementChoice> choices;
+    for (int i = 0; i < 80; ++i)
+        choices.push_back(place("a2", prompt(9)));
+    BOOST_TEST(choices.back().predicted > milliseconds(300));
+    for (const PlacementChoice &choice : choices) {
+        daemons["a2"]->attemptProgressed(choice, choice.predicted);
+        daemons["a2"]->attemptEnded(choice, true, routing::AttemptOutcome::Succeeded);
+    }
+    BOOST_TEST(place("a2", prompt(9)).predicted < milliseconds(300));
+}
+
+// The owner may know a server that has left by what the asker knows.
+BOOST_AUTO_TEST_CASE(owner_namesAServerThatDrains_anotherIsTaken)
+{
+    routing::ServerDirectory stale;
+    for (const std::string &id : directory.ids())
+        stale.update(*directory.find(id), 1);
+    CellPlacement owner(io, { .vm = "b1",
+                              .failureDomain = "b",
+                              .regions = { { "a", "r" }, { "b", "r" } },
+                              .directory = &stale,
+                              .config = &config,
+                              .own = views[2].get() });
+    owner.setExchange(exchanges[2].get());
+    network.daemons["b1"] = &owner;
+    for (int i = 1; i < 12; i += 2) {
+        routing::BackendServer draining = *directory.find("e" + std::to_string(i));
+        draining.state = routing::ServerState::Draining;
+        draining.sequence = 2;
+        directory.update(draining, 100 + static_cast<std::uint64_t>(i));
+    }
+    for (std::uint64_t session = 0; session < 20; ++session)
+        BOOST_TEST(directory.find(place("a2", prompt(session)).serverId)->failureDomain == "a");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::peers
--- /dev/null
+++ b/packages/peers/tests/peerexchange_test.cpp
@@ -0,0 +1,87 @@
+#include "auburn/peers/peerexchange.h"
+
+#include "auburn/core/lasterror.h"
+#include "scriptedserver.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace auburn::peers {
+
+using boost::asio::ip::udp;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct PeerExchangeFixture
+{
+    // A free UDP address; another process may take it, which is unlikely within a test.
+    std::string freeAddress()
+    {
+        udp::socket socket(io, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+    }
+
+    std::unique_ptr<PeerExchange> make(const std::string &vm, const std::string &address,
+                                       std::vector<std::string> seeds)
+    {
+        auto exchange = PeerExchange::make(
+                io, { .vm = vm,
+                      .beatAddress = address,
+                      .failureDomain = "a",
+                      .cpuMillis = 250,
+                      .seeds = std::move(seeds),
+                      .interval = milliseconds(20),
+                      .fill = [](PeerBeat &, BeatContent) {},
+                      .received = [this](const PeerBeat &) { ++beats; } });
+        BOOST_REQUIRE_MESSAGE(exchange, lastError());
+        return exchange;
+    }
+
+    boost::asio::io_context io;
+    unsigned beats = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peerExchange, PeerExchangeFixture)
+
+BOOST_AUTO_TEST_CASE(daemons_thatShareOneSeed_findEachOther)
+{
+    const std::string seed = freeAddress();
+    const std::string second = freeAddress();
+    const std::string third = freeAddress();
+    const auto a = make("a", seed, {});
+    const auto b = make("b", second, { seed });
+    const auto c = make("c", third, { seed });
+    BOOST_TEST(runUntil(io, [&] {
+        return a->livePeers() == 2 && b->livePeers() == 2 && c->livePeers() == 2;
+    }));
+    BOOST_TEST(b->livePeersIn("a").size() == 2U);
+    BOOST_TEST(b->livePeersIn("other").empty());
+}
+
+BOOST_AUTO_TEST_CASE(datagram_unreadable_isIgnored)
+{
+    const std::string address = freeAddress();
+    const auto exchange = make("a", address, {});
+    udp::socket socket(io, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(10)));
+    socket.send_to(boost::asio::buffer(std::string("\xff\xff\xff garbage")),
+                   udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+    runFor(io, milliseconds(100));
+    BOOST_TEST(exchange->livePeers() == 0U);
+    BOOST_TEST(beats == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(address_inUse_isAnError)
+{
+    const std::string address = freeAddress();
+    const auto first = make("a", address, {});
+    BOOST_TEST(!PeerExchange::make(io, { .vm = "b", .beatAddress = address }));
+    BOOST_TEST(!lastError().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::peers
