--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -23,7 +23,8 @@
 // A server gets no request that has less time left than this.
 constexpr milliseconds kLeastUsefulTime{ 15 };
 constexpr unsigned kMaxRejections = 2;
-// Prompt tokens at one engine that other daemons take into account at once; about 15 ms of its time.
+// Prompt tokens at one engine that other daemons take into account at once; about 15 ms of its
+// time.
 constexpr std::uint64_t kNoteworthyTokens = 1000;
 constexpr unsigned kMaxConnectFailures = 3;
 constexpr std::size_t kMaxWholeAnswer = std::size_t{ 16 } * 1024 * 1024;
@@ -108,8 +109,8 @@
              .timeToTarget = duration_cast<milliseconds>(
                      request_.received + request_.route->latencyTarget - Clock::now()),
              .excluded = excluded_,
-             .steadyStream =
-                     service_->engine && routing::isPauseSensitive(*request_.route, *service_->engine),
+             .steadyStream = service_->engine
+                             && routing::isPauseSensitive(*request_.route, *service_->engine),
              .repeatable = isRepeatable() && runs_ + 1 < request_.route->maxAttempts };
 }
 
@@ -205,8 +206,7 @@
     if (request_.organisation)
         add(dialect.organisation, request_.organisation->name);
     if (service_->engine)
-        add(dialect.urgency,
-            std::to_string(choice.urgency));
+        add(dialect.urgency, std::to_string(choice.urgency));
     if (!lastEventId_.empty())
         add(dialect.lastEventId, lastEventId_);
     if (request_.body)
@@ -238,8 +238,7 @@
     const std::string slow = attempt_->serverId;
     excluded_.push_back(slow);
     const auto now = Clock::now();
-    const auto other =
-            core_.state.placement.choose(core_.state.directory, placementQuery(), now);
+    const auto other = core_.state.placement.choose(core_.state.directory, placementQuery(), now);
     const bool useful = other && !core_.state.placement.isAvoided(other->serverId, now)
                         && timeLeft() > duration_cast<milliseconds>(other->predicted);
     if (!mayRun || !useful || !takeRetry()) {
--- a/packages/gateway/tests/badinput_test.cpp
+++ b/packages/gateway/tests/badinput_test.cpp
@@ -12,10 +12,9 @@
 struct BadInputFixture : GatewayFixture
 {
     BadInputFixture()
-        : server(addServer("s1", "desk",
-                           [](const ScriptedRequest &) {
-                               return ScriptedReply{ .parts = { { sealed(200, "yes") } } };
-                           }))
+        : server(addServer("s1", "desk", [](const ScriptedRequest &) {
+            return ScriptedReply{ .parts = { { sealed(200, "yes") } } };
+        }))
     {}
 
     ScriptedServer &server;
@@ -59,7 +58,8 @@
     for (const std::string &text : texts) {
         ScriptedClient client(io, address);
         client.send(text);
-        runUntil(io, [&] { return client.isClosed(); }, milliseconds(2500));
+        runUntil(
+                io, [&] { return client.isClosed(); }, milliseconds(2500));
         BOOST_TEST(statusOf(client.received()) == 400);
         BOOST_TEST(client.received().rfind("HTTP/1.1") == 0U);
     }
@@ -82,8 +82,8 @@
 
 BOOST_AUTO_TEST_CASE(header_tooLarge_is431)
 {
-    const std::string text =
-            request("GET", "/read/x", "X-Long: " + std::string(6000, 'x') + "\r\n");
+    const std::string text = request("GET", "/read/x",
+                                     "X-Long: " + std::string(6000, 'x') + "\r\n");
     BOOST_TEST(statusOf(exchange(text)) == 431);
 }
 
@@ -113,9 +113,8 @@
 {
     ScriptedClient client(io, address);
     client.send(request("GET", "/nothing") + request("GET", "/read/x"));
-    BOOST_TEST(runUntil(io, [&] {
-        return client.received().find("HTTP/1.1 200") != std::string::npos;
-    }));
+    BOOST_TEST(runUntil(
+            io, [&] { return client.received().find("HTTP/1.1 200") != std::string::npos; }));
     BOOST_TEST(!client.isClosed());
 }
 
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -37,8 +37,8 @@
 
     boost::asio::io_context io;
     RoutingState state{ .directory = {},
-                        .placement = routing::Placement({ .failureDomain = "a",
-                                                          .regions = { { "a", "r" } } }),
+                        .placement = routing::Placement(
+                                { .failureDomain = "a", .regions = { { "a", "r" } } }),
                         .retries = routing::RetryLedger({ .allowance = 100 }),
                         .crashes = {},
                         .config = nullptr };
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -23,8 +23,8 @@
 BOOST_AUTO_TEST_CASE(request_isForwarded_unchangedWithTheDaemonsHeaders)
 {
     ScriptedServer &server = addServer("s1", "desk", answering(sealed(200, "done")));
-    const std::string answer =
-            exchange(request("POST", "/order/x?y=1", "X-Deadline: 900\r\nX-Org: forged\r\n", "body"));
+    const std::string answer = exchange(
+            request("POST", "/order/x?y=1", "X-Deadline: 900\r\nX-Org: forged\r\n", "body"));
     BOOST_TEST(statusOf(answer) == 200);
     BOOST_TEST(answer.find("X-Seal: s") != std::string::npos);
     BOOST_REQUIRE(server.requests().size() == 1U);
@@ -112,8 +112,9 @@
 
 BOOST_AUTO_TEST_CASE(safe_answerIsCutOff_isNotPassedOn)
 {
-    addServer("s1", "desk",
-              answering("HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nabc", End::Close));
+    addServer(
+            "s1", "desk",
+            answering("HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nabc", End::Close));
     BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 502);
 }
 
@@ -134,8 +135,8 @@
 // A faulty server sends one more answer than it was asked for; nobody may get it.
 BOOST_AUTO_TEST_CASE(server_sendsASecondAnswer_connectionIsNotUsedAgain)
 {
-    ScriptedServer &server =
-            addServer("s1", "desk", answering(sealed(200, "one") + sealed(200, "two")));
+    ScriptedServer &server = addServer("s1", "desk",
+                                       answering(sealed(200, "one") + sealed(200, "two")));
     for (int i = 0; i < 3; ++i) {
         const std::string answer = exchange(request("GET", "/read/x"));
         BOOST_TEST(answer.substr(answer.size() - 3) == "one");
@@ -147,10 +148,8 @@
 {
     addServer("s1", "desk", [](const ScriptedRequest &seen) {
         const std::string id(seen["X-Id"]);
-        return ScriptedReply{
-            .parts = { { sealed(200, "old", "X-Id: other\r\n")
-                         + sealed(200, "own", "X-Id: " + id + "\r\n") } }
-        };
+        return ScriptedReply{ .parts = { { sealed(200, "old", "X-Id: other\r\n")
+                                           + sealed(200, "own", "X-Id: " + id + "\r\n") } } };
     });
     const std::string answer = exchange(request("GET", "/read/x"));
     BOOST_TEST(answer.substr(answer.size() - 3) == "own");
@@ -159,8 +158,8 @@
 // Without this a rest of the body would be read as the next request.
 BOOST_AUTO_TEST_CASE(server_closesWithItsAnswer_connectionIsNotUsedAgain)
 {
-    ScriptedServer &server =
-            addServer("s1", "desk", answering(sealed(200, "x", "Connection: close\r\n")));
+    ScriptedServer &server = addServer("s1", "desk",
+                                       answering(sealed(200, "x", "Connection: close\r\n")));
     exchange(request("GET", "/read/x"));
     exchange(request("GET", "/read/x"));
     BOOST_TEST(server.connections() == 2U);
@@ -190,8 +189,11 @@
 
 BOOST_AUTO_TEST_CASE(server_notReachable_anotherIsTaken)
 {
-    state.directory.update({ .id = "gone", .service = "desk", .address = "127.0.0.1:1",
-                             .failureDomain = "a", .slots = 8 },
+    state.directory.update({ .id = "gone",
+                             .service = "desk",
+                             .address = "127.0.0.1:1",
+                             .failureDomain = "a",
+                             .slots = 8 },
                            ++position);
     addServer("s2", "desk", answering(sealed(200, "yes")));
     for (int i = 0; i < 3; ++i)
@@ -222,7 +224,8 @@
     client.send(request("GET", "/read/x"));
     BOOST_REQUIRE(runUntil(io, [&] { return server.requests().size() == 1; }));
     client.close();
-    BOOST_TEST(runUntil(io, [&] { return gateway->requestsInProgress() == 0; }, milliseconds(200)));
+    BOOST_TEST(runUntil(
+            io, [&] { return gateway->requestsInProgress() == 0; }, milliseconds(200)));
 }
 
 BOOST_AUTO_TEST_CASE(callerLeaves_order_goesOn)
--- a/packages/gateway/tests/streams_test.cpp
+++ b/packages/gateway/tests/streams_test.cpp
@@ -146,14 +146,14 @@
 
 BOOST_AUTO_TEST_CASE(callerLeavesMidway_serverIsTold)
 {
-    ScriptedServer &server = addServer("e1", "engines", [](const ScriptedRequest &) {
-        return events(1, 2000);
-    });
+    ScriptedServer &server = addServer("e1", "engines",
+                                       [](const ScriptedRequest &) { return events(1, 2000); });
     ScriptedClient client(io, address);
     client.send(request("POST", "/chat/x", {}, "b"));
     BOOST_REQUIRE(runUntil(io, [&] { return client.received().size() > 400; }));
     client.close();
-    BOOST_TEST(runUntil(io, [&] { return server.closedByPeer() == 1; }, milliseconds(400)));
+    BOOST_TEST(runUntil(
+            io, [&] { return server.closedByPeer() == 1; }, milliseconds(400)));
     BOOST_TEST(gateway->requestsInProgress() == 0U);
 }
 
--- a/packages/peers/include/auburn/peers/cellplacement.h
+++ b/packages/peers/include/auburn/peers/cellplacement.h
@@ -5,8 +5,8 @@
 // cell: it places all requests of the cell, so it knows the work at each engine without any report.
 // The daemon with the caller asks it by one datagram and tells it how the attempt went by two more.
 // A request goes to the cell that has its shared prompt parts; steady streams stay in their own
-// failure domain. The owner holds soft state only: without its answer a daemon places by its own view, and
-// two daemons that both believe to own a cell merely see half of its work each.
+// failure domain. The owner holds soft state only: without its answer a daemon places by its own
+// view, and two daemons that both believe to own a cell merely see half of its work each.
 #pragma once
 
 #include "auburn/peers/peerexchange.h"
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -89,13 +89,13 @@
         return {};
     if ((query.steadyStream || !hasParts) && cells.contains(ownDomain))
         return ownDomain;
-    const std::uint64_t key = hasParts ? query.prompt[std::max<std::size_t>(query.prompt.size(), 2) - 2].id
-                                       : 0;
-    const auto best = std::max_element(
-            cells.begin(), cells.end(), [key](const auto &left, const auto &right) {
-                return weightedScore(left.first, key, left.second)
-                       < weightedScore(right.first, key, right.second);
-            });
+    const std::uint64_t key =
+            hasParts ? query.prompt[std::max<std::size_t>(query.prompt.size(), 2) - 2].id : 0;
+    const auto best = std::max_element(cells.begin(), cells.end(),
+                                       [key](const auto &left, const auto &right) {
+                                           return weightedScore(left.first, key, left.second)
+                                                  < weightedScore(right.first, key, right.second);
+                                       });
     return best->first;
 }
 
@@ -120,12 +120,11 @@
                                .failureDomain = domain,
                                .cpuMillis = exchange_->ownCpuMillis(),
                                .serving = true });
-    const auto best = std::max_element(candidates.begin(), candidates.end(),
-                                       [](const LivePeer &left, const LivePeer &right) {
-                                           return std::pair(left.cpuMillis, stableHash(left.vm))
-                                                  < std::pair(right.cpuMillis,
-                                                              stableHash(right.vm));
-                                       });
+    const auto best = std::max_element(
+            candidates.begin(), candidates.end(), [](const LivePeer &left, const LivePeer &right) {
+                return std::pair(left.cpuMillis, stableHash(left.vm))
+                       < std::pair(right.cpuMillis, stableHash(right.vm));
+            });
     if (best == candidates.end())
         return std::nullopt;
     return best->beatAddress;
@@ -187,7 +186,8 @@
     request.set_late_urgency(static_cast<std::uint32_t>(query.urgency.late));
     request.set_time_to_target_ms(
             static_cast<std::uint32_t>(std::max<std::int64_t>(0, query.timeToTarget.count())));
-    request.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, timeLeft.count())));
+    request.set_time_left_ms(
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, timeLeft.count())));
     for (const routing::PromptPart &part : query.prompt) {
         proto::PlacePromptPart &entry = *request.add_prompt();
         entry.set_id(part.id);
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -92,8 +92,8 @@
     void addDaemon(const std::string &name, const std::string &domain)
     {
         const std::map<std::string, std::string> regions{ { "a", "r" }, { "b", "r" } };
-        views.push_back(std::make_unique<routing::Placement>(routing::Placement::Options{
-                .failureDomain = domain, .regions = regions }));
+        views.push_back(std::make_unique<routing::Placement>(
+                routing::Placement::Options{ .failureDomain = domain, .regions = regions }));
         exchanges.push_back(std::make_unique<FakeExchange>(network, name));
         daemons[name] = std::make_unique<CellPlacement>(
                 io, CellPlacement::Options{ .vm = name,
@@ -130,7 +130,8 @@
                                    answered = true;
                                    result = choice;
                                });
-        BOOST_REQUIRE(runUntil(io, [&] { return answered; }, milliseconds(1000)));
+        BOOST_REQUIRE(runUntil(
+                io, [&] { return answered; }, milliseconds(1000)));
         BOOST_REQUIRE(result);
         return *result;
     }
--- a/packages/peers/tests/peerexchange_test.cpp
+++ b/packages/peers/tests/peerexchange_test.cpp
@@ -25,15 +25,15 @@
     std::unique_ptr<PeerExchange> make(const std::string &vm, const std::string &address,
                                        std::vector<std::string> seeds)
     {
-        auto exchange = PeerExchange::make(
-                io, { .vm = vm,
-                      .beatAddress = address,
-                      .failureDomain = "a",
-                      .cpuMillis = 250,
-                      .seeds = std::move(seeds),
-                      .interval = milliseconds(20),
-                      .fill = [](PeerBeat &, BeatContent) {},
-                      .received = [this](const PeerBeat &) { ++beats; } });
+        auto exchange = PeerExchange::make(io,
+                                           { .vm = vm,
+                                             .beatAddress = address,
+                                             .failureDomain = "a",
+                                             .cpuMillis = 250,
+                                             .seeds = std::move(seeds),
+                                             .interval = milliseconds(20),
+                                             .fill = [](PeerBeat &, BeatContent) {},
+                                             .received = [this](const PeerBeat &) { ++beats; } });
         BOOST_REQUIRE_MESSAGE(exchange, lastError());
         return exchange;
     }
@@ -54,9 +54,8 @@
     const auto a = make("a", seed, {});
     const auto b = make("b", second, { seed });
     const auto c = make("c", third, { seed });
-    BOOST_TEST(runUntil(io, [&] {
-        return a->livePeers() == 2 && b->livePeers() == 2 && c->livePeers() == 2;
-    }));
+    BOOST_TEST(runUntil(
+            io, [&] { return a->livePeers() == 2 && b->livePeers() == 2 && c->livePeers() == 2; }));
     BOOST_TEST(b->livePeersIn("a").size() == 2U);
     BOOST_TEST(b->livePeersIn("other").empty());
 }
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -29,8 +29,8 @@
 struct Urgency
 {
     int onTime = 0;
-    // For a request that would be late anyway: after those of the same rank that can be on time, and
-    // before all of lower ranks. The same as onTime if the ranks leave no level for it.
+    // For a request that would be late anyway: after those of the same rank that can be on time,
+    // and before all of lower ranks. The same as onTime if the ranks leave no level for it.
     int late = 0;
 };
 
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -52,8 +52,8 @@
 constexpr milliseconds kAvoidMax{ 3200 };
 // Avoided servers are taken only when no other is left.
 constexpr milliseconds kAvoidCost{ 20000 };
-// Part of an engine's slots that steady streams use before the pool grows, and the largest part of the
-// engines in the pool.
+// Part of an engine's slots that steady streams use before the pool grows, and the largest part of
+// the engines in the pool.
 constexpr double kPoolSlotShare = 0.7;
 constexpr double kPoolMaxShare = 0.5;
 constexpr milliseconds kPoolShrinkPause{ 1500 };
@@ -61,7 +61,8 @@
 constexpr milliseconds kPoolLifetime{ 8000 };
 constexpr milliseconds kStreamOutsidePoolCost{ 400 };
 constexpr milliseconds kPromptInsidePoolCost{ 150 };
-// Prompt tokens that delay an event of a stream by less than its longest pause, and the cost of more.
+// Prompt tokens that delay an event of a stream by less than its longest pause, and the cost of
+// more.
 constexpr std::uint64_t kPoolPromptTokens = 6000;
 constexpr milliseconds kLongPromptInsidePoolCost{ 2500 };
 // A prompt that takes this part of its target to read is large.
@@ -190,8 +191,8 @@
     return 1 + (view.slowness - 1) * halvings(now - view.slownessAt, kSlownessHalfLife);
 }
 
-// Slowness against the average of the other servers, because a queue that grows everywhere makes none
-// of them slow.
+// Slowness against the average of the other servers, because a queue that grows everywhere makes
+// none of them slow.
 double Placement::relativeSlowness(double own, double sum, std::size_t servers)
 {
     if (servers < 2)
@@ -238,8 +239,7 @@
 }
 
 microseconds Placement::predictEngine(const ServerView &view, std::uint64_t uncached,
-                                      unsigned slots, double slowness, int urgency,
-                                      TimePoint now)
+                                      unsigned slots, double slowness, int urgency, TimePoint now)
 {
     const PeerLoad peers = peerTotal(view, now);
     const auto waiting = static_cast<double>(tokensAhead(view, urgency, now));
@@ -337,9 +337,8 @@
     return chooseAmong(std::move(servers), query, now);
 }
 
-std::optional<PlacementChoice>
-Placement::chooseAmong(std::vector<const BackendServer *> servers, const PlacementQuery &query,
-                       TimePoint now)
+std::optional<PlacementChoice> Placement::chooseAmong(std::vector<const BackendServer *> servers,
+                                                      const PlacementQuery &query, TimePoint now)
 {
     const std::size_t poolSize = arrangeStreamPool(servers, query, now);
     const auto onTime = cheapest(servers, poolSize, query, query.urgency.onTime, now);
@@ -359,9 +358,9 @@
     return !isLarge && choice.predicted > target;
 }
 
-std::optional<PlacementChoice>
-Placement::cheapest(const std::vector<const BackendServer *> &servers, std::size_t poolSize,
-                    const PlacementQuery &query, int urgency, TimePoint now)
+std::optional<PlacementChoice> Placement::cheapest(
+        const std::vector<const BackendServer *> &servers, std::size_t poolSize,
+        const PlacementQuery &query, int urgency, TimePoint now)
 {
     const Homes homes = query.steadyStream ? homeServers(servers, 0, {})
                                            : homeServers(servers, poolSize, query.prompt);
@@ -376,8 +375,8 @@
         if (excluded)
             continue;
         ServerView &candidate = view(server->id, query.service);
-        const double slowness =
-                relativeSlowness(decayedSlowness(candidate, now), slownessSum, servers.size());
+        const double slowness = relativeSlowness(decayedSlowness(candidate, now), slownessSum,
+                                                 servers.size());
         std::uint64_t uncached = 0;
         microseconds predicted{ 0 };
         if (query.service->engine) {
--- a/packages/routing/src/trafficconfig.cpp
+++ b/packages/routing/src/trafficconfig.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Prompt tokens that an engine reads between two tokens of its streams, and the time of the rest of a
-// batch step.
+// Prompt tokens that an engine reads between two tokens of its streams, and the time of the rest of
+// a batch step.
 constexpr double kChunkTokens = 2048;
 constexpr double kChunkTokensPerMs = 70;
 constexpr double kStepMs = 9;
@@ -96,7 +96,8 @@
     constexpr std::size_t kLevels = kLowestUrgency + 1;
     if (all.size() * 2 <= kLevels)
         return { .onTime = static_cast<int>(index * 2), .late = static_cast<int>(index * 2 + 1) };
-    const auto level = static_cast<int>(all.size() <= kLevels ? index : index * kLevels / all.size());
+    const auto level = static_cast<int>(all.size() <= kLevels ? index
+                                                              : index * kLevels / all.size());
     return { .onTime = level, .late = level };
 }
 
--- a/packages/routing/tests/burst_test.cpp
+++ b/packages/routing/tests/burst_test.cpp
@@ -1,5 +1,6 @@
 // The load patterns of heavy days against the decision modules, without network: engines read
-// prompts one after the other, the most urgent first, and requests arrive faster than they can read.
+// prompts one after the other, the most urgent first, and requests arrive faster than they can
+// read.
 
 #include "auburn/routing/placement.h"
 
@@ -103,11 +104,11 @@
     {
         if (engine.queue.empty() || engine.freeAtMs > ms)
             return;
-        const auto next = std::min_element(
-                engine.queue.begin(), engine.queue.end(), [](const Waiting &l, const Waiting &r) {
-                    return std::pair(l.choice.urgency, l.arrivedMs)
-                           < std::pair(r.choice.urgency, r.arrivedMs);
-                });
+        const auto next = std::min_element(engine.queue.begin(), engine.queue.end(),
+                                           [](const Waiting &l, const Waiting &r) {
+                                               return std::pair(l.choice.urgency, l.arrivedMs)
+                                                      < std::pair(r.choice.urgency, r.arrivedMs);
+                                           });
         const Waiting request = *next;
         engine.queue.erase(next);
         const auto tokens = static_cast<double>(engine.cache.uncachedTokens(request.prompt));
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -164,8 +164,7 @@
         const PlacementChoice choice{ .serverId = "desk-0" };
         placement.attemptStarted(choice, order(), now);
         placement.attemptEnded(choice, true,
-                               i % 2 == 0 ? AttemptOutcome::ServerError
-                                          : AttemptOutcome::Succeeded,
+                               i % 2 == 0 ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded,
                                now);
     }
     BOOST_TEST(placement.choose(directory, order(), now)->serverId != "desk-0");
--- a/packages/routing/tests/retryledger_test.cpp
+++ b/packages/routing/tests/retryledger_test.cpp
@@ -16,9 +16,9 @@
         return taken;
     }
 
-    RetryLedger ledger{ { .ratio = 0.2,
-                          .window = std::chrono::milliseconds(10000),
-                          .allowance = 60 } };
+    RetryLedger ledger{
+        { .ratio = 0.2, .window = std::chrono::milliseconds(10000), .allowance = 60 }
+    };
     RetryLedger::TimePoint now = RetryLedger::TimePoint() + std::chrono::hours(1);
 };
 
--- a/packages/routing/tests/trafficconfig_test.cpp
+++ b/packages/routing/tests/trafficconfig_test.cpp
@@ -14,11 +14,20 @@
     {
         TrafficConfigData data{ .version = 7 };
         data.routes = {
-            { .name = "chat", .host = "a.example", .pathPrefix = "/chat/", .priority = 0,
+            { .name = "chat",
+              .host = "a.example",
+              .pathPrefix = "/chat/",
+              .priority = 0,
               .services = { { .service = "engines" } } },
-            { .name = "long", .host = "a.example", .pathPrefix = "/chat/long/", .priority = 1,
+            { .name = "long",
+              .host = "a.example",
+              .pathPrefix = "/chat/long/",
+              .priority = 1,
               .services = { { .service = "engines" } } },
-            { .name = "order", .host = "b.example", .pathPrefix = "/", .priority = 2,
+            { .name = "order",
+              .host = "b.example",
+              .pathPrefix = "/",
+              .priority = 2,
               .services = { { .service = "desk" } } },
         };
         data.services = { { .name = "engines" }, { .name = "desk" } };
@@ -63,9 +72,10 @@
 BOOST_AUTO_TEST_CASE(urgency_sameOrganisation_followsRoutePriority)
 {
     const Organisation *second = config.findOrganisation("k3");
-    const Urgency chat = config.urgency("engines", *config.findRoute("a.example", "/chat/7"), second);
-    const Urgency prompt =
-            config.urgency("engines", *config.findRoute("a.example", "/chat/long/"), second);
+    const Urgency chat = config.urgency("engines", *config.findRoute("a.example", "/chat/7"),
+                                        second);
+    const Urgency prompt = config.urgency("engines", *config.findRoute("a.example", "/chat/long/"),
+                                          second);
     BOOST_TEST(chat.onTime < chat.late);
     BOOST_TEST(chat.late < prompt.onTime);
 }
@@ -90,9 +100,8 @@
     const TrafficConfig many(std::move(data));
     int previous = 0;
     for (int priority = 2; priority < 20; ++priority) {
-        const Urgency urgency =
-                many.urgency("engines", *many.findRoute("a.example", "/chat/7"),
-                             many.findOrganisation("x" + std::to_string(priority)));
+        const Urgency urgency = many.urgency("engines", *many.findRoute("a.example", "/chat/7"),
+                                             many.findOrganisation("x" + std::to_string(priority)));
         BOOST_TEST(urgency.onTime >= previous);
         BOOST_TEST(urgency.late <= kLowestUrgency);
         previous = urgency.onTime;
