--- a/packages/core/include/auburn/core/log.h
+++ b/packages/core/include/auburn/core/log.h
@@ -1,6 +1,7 @@
 // Structured logs: one line of logfmt for each event, written through easylogging++.
 #pragma once
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -38,6 +39,10 @@
 // dropped.
 void initialiseLog(LogLevel minimum, std::string_view processName);
 
+// Takes whole lines instead of standard output from now on; an empty function ends that. Only for
+// processes that log from one thread.
+void setLogSink(std::function<void(std::string_view line)> sink);
+
 // Writes "event=NAME key=value ..." with time, level and process name.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -265,6 +265,12 @@
     stall_.clear();
     const auto now = Clock::now();
     core_.options.placement->attemptEnded(*attempt_, progressed_, outcome);
+    if (core_.options.metrics)
+        core_.options.metrics
+                ->counter("auburn_attempts_total", "Attempts at backend servers by end",
+                          { { "service", service_->name },
+                            { "outcome", std::string(routing::attemptOutcomeName(outcome)) } })
+                .add();
     if (outcome != AttemptOutcome::Succeeded) {
         logEvent(LogLevel::Info, "attempt_failed",
                  { { "id", request_.id },
--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -9,6 +9,7 @@
 #include "auburn/core/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -30,6 +31,7 @@
 namespace {
 
 constexpr std::chrono::seconds kIdleTime{ 20 };
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
 constexpr std::uint32_t kHeaderLimit = 8 * 1024;
 
 class Session : public std::enable_shared_from_this<Session>
@@ -104,6 +106,7 @@
     StatusEndpointImpl(asio::io_context &io, Handler handler)
         : io_(io)
         , acceptor_(io)
+        , acceptTimer_(io)
         , handler_(std::make_shared<Handler>(std::move(handler)))
     {}
 
@@ -134,14 +137,28 @@
         acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
             if (error == asio::error::operation_aborted)
                 return;
-            if (!error)
-                std::make_shared<Session>(io_, std::move(socket), handler_)->start();
+            if (error) {
+                acceptAfterPause();
+                return;
+            }
+            std::make_shared<Session>(io_, std::move(socket), handler_)->start();
             accept();
         });
     }
 
+    // Accepting fails as long as there is no descriptor.
+    void acceptAfterPause()
+    {
+        acceptTimer_.expires_after(kAcceptPause);
+        acceptTimer_.async_wait([this](ErrorCode error) {
+            if (!error)
+                accept();
+        });
+    }
+
     asio::io_context &io_;
     tcp::acceptor acceptor_;
+    asio::steady_timer acceptTimer_;
     std::shared_ptr<Handler> handler_;
 };
 
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -76,6 +76,8 @@
     Abandoned,
 };
 
+std::string_view attemptOutcomeName(AttemptOutcome outcome);
+
 // What a server says of itself with an answer.
 struct LoadReport
 {
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -108,6 +108,23 @@
 
 } // namespace
 
+std::string_view attemptOutcomeName(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Succeeded:
+        return "succeeded";
+    case AttemptOutcome::ServerError:
+        return "server_error";
+    case AttemptOutcome::Failed:
+        return "failed";
+    case AttemptOutcome::Rejected:
+        return "rejected";
+    case AttemptOutcome::Abandoned:
+        return "abandoned";
+    }
+    return "unknown";
+}
+
 Placement::Placement(Options options)
     : options_(std::move(options))
 {
