--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -75,6 +75,9 @@
     void registryLost(TimePoint now);
     void registryAnswered(TimePoint now);
     bool isRegistryAvailable() const { return available_; }
+    // The registry was there all the while and only this daemon could not reach it: what is missing
+    // has left.
+    void endRelisting(TimePoint now);
 
     // Ends the grace of removed servers that were not listed again; returns their ids.
     std::vector<std::string> expire(TimePoint now);
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -135,6 +135,17 @@
     }
 }
 
+void ServerDirectory::endRelisting(TimePoint now)
+{
+    if (!available_)
+        return;
+    returnedAt_.reset();
+    for (auto &[id, entry] : entries_) {
+        if (entry.removeAt)
+            entry.removeAt = now;
+    }
+}
+
 bool ServerDirectory::isRelisting(TimePoint now) const
 {
     return !available_ || (returnedAt_ && now < *returnedAt_ + kRelistTime);
