--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -261,7 +261,7 @@
                                                            std::uint64_t number)
 {
     const auto now = Clock::now();
-    const auto choice = cell_.chooseIn(*options_.directory, domain, query, now);
+    auto choice = cell_.chooseIn(*options_.directory, domain, query, now);
     if (!choice)
         return std::nullopt;
     cell_.attemptStarted(*choice, query, now);
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace auburn::peers {
 
@@ -128,7 +129,7 @@
                                [&](std::optional<PlacementChoice> choice) {
                                    BOOST_TEST(!answered);
                                    answered = true;
-                                   result = choice;
+                                   result = std::move(choice);
                                });
         BOOST_REQUIRE(runUntil(
                 io, [&] { return answered; }, milliseconds(1000)));
@@ -208,6 +209,7 @@
 BOOST_AUTO_TEST_CASE(attempts_thatEnded_freeTheOwnersView)
 {
     std::vector<PlacementChoice> choices;
+    choices.reserve(80);
     for (int i = 0; i < 80; ++i)
         choices.push_back(place("a2", prompt(9)));
     BOOST_TEST(choices.back().predicted > milliseconds(300));
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -358,7 +358,7 @@
                                                       const PlacementQuery &query, TimePoint now)
 {
     const std::size_t poolSize = arrangeStreamPool(servers, query, now);
-    const auto onTime = cheapest(servers, poolSize, query, query.urgency.onTime, now);
+    auto onTime = cheapest(servers, poolSize, query, query.urgency.onTime, now);
     if (!onTime || !mayYield(query, *onTime))
         return onTime;
     return cheapest(servers, poolSize, query, query.urgency.late, now);
