--- a/packages/gateway/include/auburn/gateway/headerdialect.h
+++ b/packages/gateway/include/auburn/gateway/headerdialect.h
@@ -21,7 +21,6 @@
     // Set by the daemon: urgency at an engine, 0 to 9.
     std::string urgency;
     std::string promptParts;
-    std::string tokenCounts;
     std::string lastEventId;
     // Present in every answer that a server's work produced.
     std::string answerSeal;
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -70,7 +70,6 @@
              .expectedServer = "X-Server",
              .urgency = "X-Urgency",
              .promptParts = "X-Parts",
-             .tokenCounts = "X-Tokens",
              .lastEventId = "X-Last",
              .answerSeal = "X-Seal",
              .notExecuted = "X-Not-Executed",
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -31,8 +31,6 @@
     std::string failureDomain;
     unsigned slots = 1;
     ServerState state = ServerState::Ready;
-    // Time for which the server stays slow after its start.
-    std::chrono::milliseconds coldLeft{ 0 };
     // Start of the server as it says; 0 if unknown. A server that starts again under its old id has
     // a later one.
     std::int64_t startedAtUnixMs = 0;
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -78,8 +78,6 @@
 struct Service
 {
     std::string name;
-    // Connections that one backend server accepts from all callers together.
-    unsigned maxConnections = 64;
     // Set for model engines.
     std::optional<EngineModel> engine;
 };
