Never repeat a stream that may not be resumed because its server pauses

Cause: found in the read of the diff: the watch for stalls was set for every stream once an event had come, also for one that must run at most once. Ruled out: a check in the handler; the one place that sets the watch decides. Change: watchForStall(); a flag that nothing read is gone.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -125,7 +125,6 @@
         deadlinePassed();
         return;
     }
-    placing_ = true;
     core_.options.placement->place(
             placementQuery(), timeLeft(),
             [self = shared_from_this()](const std::optional<routing::PlacementChoice> &choice) {
@@ -135,7 +134,6 @@
 
 void Exchange::placed(const std::optional<routing::PlacementChoice> &choice)
 {
-    placing_ = false;
     const bool wanted = !finished_ && sink_;
     if (!wanted && choice)
         returnPlacement(*choice);
@@ -167,8 +165,7 @@
     splitter_.reset();
     if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.noteworthy)
         core_.options.noteworthy();
-    const bool repeatable = isRepeatable();
-    connection_ = core_.pool->take(choice.address, repeatable ? kMaxIdle : kUnsafeMaxIdle);
+    connection_ = core_.pool->take(choice.address, isRepeatable() ? kMaxIdle : kUnsafeMaxIdle);
     logEvent(LogLevel::Info, "request_placed",
              { { "id", request_.id },
                { "attempt", static_cast<long long>(attempts_) },
@@ -184,8 +181,7 @@
                { "config", static_cast<long long>(request_.config->version()) },
                { "connection", connection_->isConnected() ? "reused" : "new" },
                { "left_ms", static_cast<long long>(timeLeft().count()) } });
-    if (repeatable)
-        stall_.setAfter(stallLimit());
+    watchForStall();
     connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
 }
 
@@ -217,6 +213,12 @@
     return { .head = std::move(head), .body = request_.body };
 }
 
+void Exchange::watchForStall()
+{
+    if (isRepeatable())
+        stall_.setAfter(stallLimit());
+}
+
 // A request that may be repeated is sent to another server after this time without progress.
 milliseconds Exchange::stallLimit() const
 {
@@ -235,8 +237,7 @@
         return;
     const auto guard = shared_from_this();
     const bool mayRun = runs_ + 1 < request_.route->maxAttempts;
-    const std::string slow = attempt_->serverId;
-    excluded_.push_back(slow);
+    excluded_.push_back(attempt_->serverId);
     const auto now = Clock::now();
     const auto other = core_.state.placement.choose(core_.state.directory, placementQuery(), now);
     const bool useful = other && !core_.state.placement.isAvoided(other->serverId, now)
@@ -369,7 +370,7 @@
         return;
     const auto now = Clock::now();
     noteProgress();
-    stall_.setAfter(stallLimit());
+    watchForStall();
     if (!streamBegun_) {
         streamBegun_ = true;
         firstEventAt_ = now;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -54,6 +54,8 @@
     void returnPlacement(const routing::PlacementChoice &choice);
     void startAttempt(const routing::PlacementChoice &choice);
     OutboundRequest buildRequest(const routing::PlacementChoice &choice) const;
+    // Only requests that may run again are given up for being slow.
+    void watchForStall();
     std::chrono::milliseconds stallLimit() const;
     void stalled();
     void deadlinePassed();
@@ -99,8 +101,6 @@
     std::shared_ptr<OutboundConnection> connection_;
 
     std::optional<routing::PlacementChoice> attempt_;
-    // A source was asked and has not answered.
-    bool placing_ = false;
     Clock::time_point attemptStart_;
     bool progressed_ = false;
     std::vector<std::string> excluded_;
--- a/packages/gateway/tests/streams_test.cpp
+++ b/packages/gateway/tests/streams_test.cpp
@@ -123,6 +123,22 @@
     BOOST_TEST(server.requests().size() == 1U);
 }
 
+// A stream that may not be resumed must not run again because its server pauses, whatever number of
+// attempts its route allows.
+BOOST_AUTO_TEST_CASE(notResumable_serverPausesMidway_isNotRepeated)
+{
+    const auto pausing = [](const ScriptedRequest &) {
+        ScriptedReply reply = events(1, 2, false);
+        reply.parts.push_back({ chunk(event(3)) + "0\r\n\r\n", milliseconds(1200) });
+        return reply;
+    };
+    ScriptedServer &first = addServer("e1", "engines", pausing);
+    ScriptedServer &second = addServer("e2", "engines", pausing);
+    const std::string answer = exchange(request("POST", "/once/x", {}, "b"));
+    BOOST_TEST(chunkedBody(answer) == allEvents(3));
+    BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(stream_longerThanTheRoutesTimeout_isEnded)
 {
     addServer("e1", "engines", [](const ScriptedRequest &) {
