Open listening sockets and sum the retry window in one place each

Cause: gateway and status endpoint opened their acceptors by the same lines; the ledger had the same loop for requests and for retries. Change: listenOn() in socketoptions, RetryLedger::total(). Behaviour is unchanged.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -4,7 +4,6 @@
 #include "gatewaycore.h"
 #include "socketoptions.h"
 
-#include "auburn/core/endpoint.h"
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
 
@@ -40,22 +39,8 @@
 
     bool listen()
     {
-        const auto endpoint = parseEndpoint(core_.options.listenAddress);
-        if (!endpoint)
+        if (!listenOn(acceptor_, core_.options.listenAddress, 1024))
             return false;
-        ErrorCode error;
-        acceptor_.open(endpoint->protocol(), error);
-        if (!error)
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            acceptor_.bind(*endpoint, error);
-        if (!error)
-            acceptor_.listen(1024, error);
-        if (error) {
-            setLastError("cannot listen on " + core_.options.listenAddress + ": "
-                         + error.message());
-            return false;
-        }
         accept();
         return true;
     }
--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -3,8 +3,6 @@
 #include "callerrequest.h"
 #include "socketoptions.h"
 
-#include "auburn/core/endpoint.h"
-#include "auburn/core/lasterror.h"
 #include "auburn/core/lazydeadline.h"
 #include "auburn/core/log.h"
 
@@ -112,21 +110,8 @@
 
     bool listen(const std::string &address)
     {
-        const auto endpoint = parseEndpoint(address);
-        if (!endpoint)
+        if (!listenOn(acceptor_, address, 64))
             return false;
-        ErrorCode error;
-        acceptor_.open(endpoint->protocol(), error);
-        if (!error)
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            acceptor_.bind(*endpoint, error);
-        if (!error)
-            acceptor_.listen(64, error);
-        if (error) {
-            setLastError("cannot listen on " + address + ": " + error.message());
-            return false;
-        }
         accept();
         return true;
     }
--- a/packages/routing/include/auburn/routing/retryledger.h
+++ b/packages/routing/include/auburn/routing/retryledger.h
@@ -46,6 +46,8 @@
 
     std::int64_t bucketNumber(TimePoint now) const;
     Bucket &bucket(TimePoint now);
+    // Sum of one count over the window.
+    std::uint64_t total(std::uint64_t Bucket::*count, TimePoint now) const;
 
     const Options options_;
     unsigned daemons_ = 1;
--- a/packages/routing/src/retryledger.cpp
+++ b/packages/routing/src/retryledger.cpp
@@ -42,26 +42,25 @@
     ++bucket(now).requests;
 }
 
-std::uint64_t RetryLedger::requestsInWindow(TimePoint now)
+std::uint64_t RetryLedger::total(std::uint64_t Bucket::*count, TimePoint now) const
 {
     const std::int64_t current = bucketNumber(now);
-    std::uint64_t total = 0;
+    std::uint64_t sum = 0;
     for (const Bucket &entry : buckets_) {
         if (entry.number > current - static_cast<std::int64_t>(kBuckets))
-            total += entry.requests;
+            sum += entry.*count;
     }
-    return total;
+    return sum;
+}
+
+std::uint64_t RetryLedger::requestsInWindow(TimePoint now)
+{
+    return total(&Bucket::requests, now);
 }
 
 std::uint64_t RetryLedger::retriesInWindow(TimePoint now)
 {
-    const std::int64_t current = bucketNumber(now);
-    std::uint64_t total = 0;
-    for (const Bucket &entry : buckets_) {
-        if (entry.number > current - static_cast<std::int64_t>(kBuckets))
-            total += entry.retries;
-    }
-    return total;
+    return total(&Bucket::retries, now);
 }
 
 bool RetryLedger::takeRetry(TimePoint now)
