--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -30,9 +30,9 @@
 
 struct Fleet
 {
-    unsigned places = 1;
-    unsigned daemonsPerPlace = 6;
-    unsigned runnersPerPlace = 8;
+    unsigned failureDomains = 1;
+    unsigned daemonsPerFailureDomain = 6;
+    unsigned backendServersPerFailureDomain = 8;
     unsigned organisations = 10;
 };
 
@@ -94,13 +94,14 @@
 ClusterOptions clusterOptions(const Fleet &fleet)
 {
     ClusterOptions options;
-    for (unsigned i = 0; i < fleet.places; ++i)
-        options.places.push_back(PlaceSpec{ .name = "p" + std::to_string(i),
-                                            .region = "region-" + std::to_string(i % 3),
-                                            .daemons = fleet.daemonsPerPlace,
-                                            .poolRunners = fleet.runnersPerPlace,
-                                            .deskRunners = 0,
-                                            .plainRunners = 0 });
+    for (unsigned i = 0; i < fleet.failureDomains; ++i)
+        options.failureDomains.push_back(
+                FailureDomainSpec{ .name = "p" + std::to_string(i),
+                                   .region = "region-" + std::to_string(i % 3),
+                                   .daemons = fleet.daemonsPerFailureDomain,
+                                   .poolBackendServers = fleet.backendServersPerFailureDomain,
+                                   .deskBackendServers = 0,
+                                   .plainBackendServers = 0 });
     options.extraOrganisations = fleet.organisations;
     options.daemonEnvironment = { { "AUBURN_LOG_LEVEL", "warning" } };
     return options;
@@ -193,8 +194,8 @@
     const double time = std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
                                 .count();
     const double reads = (logReads(*cluster) - readsBefore) / time;
-    std::cout << fleet.places << ',' << fleet.daemonsPerPlace << ',' << fleet.runnersPerPlace << ','
-              << fleet.organisations;
+    std::cout << fleet.failureDomains << ',' << fleet.daemonsPerFailureDomain << ','
+              << fleet.backendServersPerFailureDomain << ',' << fleet.organisations;
     print(statisticsOf(before, after, [time](const Sample &a, const Sample &b) {
         return static_cast<double>((b.processor - a.processor).count()) / time / 1e4;
     }));
@@ -212,25 +213,27 @@
     return true;
 }
 
-// "PLACES:DAEMONS:RUNNERS:ORGANISATIONS"
+// "FAILURE_DOMAINS:DAEMONS:BACKEND_SERVERS:ORGANISATIONS"
 Fleet parseFleet(const std::string &text)
 {
     Fleet fleet;
     char colon = ':';
     std::istringstream stream(text);
-    stream >> fleet.places >> colon >> fleet.daemonsPerPlace >> colon >> fleet.runnersPerPlace
-            >> colon >> fleet.organisations;
+    stream >> fleet.failureDomains >> colon >> fleet.daemonsPerFailureDomain >> colon
+            >> fleet.backendServersPerFailureDomain >> colon >> fleet.organisations;
     if (!stream || colon != ':')
-        throw TCLAP::ArgException("expected PLACES:DAEMONS:RUNNERS:ORGANISATIONS", text);
+        throw TCLAP::ArgException("expected FAILURE_DOMAINS:DAEMONS:BACKEND_SERVERS:ORGANISATIONS",
+                                  text);
     return fleet;
 }
 
 Options parseOptions(int argc, char **argv)
 {
     TCLAP::CmdLine line("Measures the cost of control per daemon.");
-    TCLAP::MultiArg<std::string> fleets(
-            "", "fleet", "PLACES:DAEMONS:RUNNERS:ORGANISATIONS, daemons and runners per place",
-            true, "fleet", line);
+    TCLAP::MultiArg<std::string> fleets("", "fleet",
+                                        "FAILURE_DOMAINS:DAEMONS:BACKEND_SERVERS:ORGANISATIONS, "
+                                        "daemons and backend servers per failure domain",
+                                        true, "fleet", line);
     TCLAP::ValueArg<unsigned> settle("", "settle", "seconds before the window", false, 15, "s",
                                      line);
     TCLAP::ValueArg<unsigned> window("", "window", "seconds measured", false, 20, "s", line);
@@ -251,7 +254,8 @@
 {
     const QCoreApplication application(argc, argv);
     const Options options = parseOptions(argc, argv);
-    std::cout << "places,daemons_per_place,runners_per_place,organisations,cpu_percent_mean,cpu_"
+    std::cout << "failure_domains,daemons_per_failure_domain,backend_servers_per_failure_domain,"
+                 "organisations,cpu_percent_mean,cpu_"
                  "percent_max,"
                  "resident_mb_mean,resident_mb_max,bus_kb_s_mean,bus_kb_s_max,messages_out_s_mean,"
                  "messages_out_s_max,log_reads_s,change_in_force_s"
--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -1,6 +1,6 @@
 // auburn_demo: runs the whole path once and shows it: platform stand-ins, 15 engines and 3 plain
-// runners, and six daemons in three places of two regions. It ends by itself and stops everything
-// that it started.
+// backend servers, and six daemons in three failure domains of two regions. It ends by itself and
+// stops everything that it started.
 
 #include "auburn/core/lasterror.h"
 #include "cluster.h"
@@ -20,9 +20,9 @@
 
 ClusterOptions clusterOptions()
 {
-    return ClusterOptions{ .places = { { .name = "a1", .region = "region-a" },
-                                       { .name = "a2", .region = "region-a" },
-                                       { .name = "b1", .region = "region-b" } },
+    return ClusterOptions{ .failureDomains = { { .name = "a1", .region = "region-a" },
+                                               { .name = "a2", .region = "region-a" },
+                                               { .name = "b1", .region = "region-b" } },
                            .trace = true };
 }
 
@@ -77,11 +77,11 @@
 {
     const DaemonSlot &daemon = cluster.daemons().front();
     waitFor([&] {
-        return cluster.ctl(daemon, "show places").output.find("b1") != std::string::npos;
+        return cluster.ctl(daemon, "show failure_domains").output.find("b1") != std::string::npos;
     });
     for (const char *command :
-         { "show classes", "show runners limit 4", "show daemons", "show places",
-           "drain runner chat-pool-a1-0", "show history sort revision desc limit 2" }) {
+         { "show classes", "show backend_servers limit 4", "show daemons", "show failure_domains",
+           "drain backend_server chat-pool-a1-0", "show history sort revision desc limit 2" }) {
         printHeading("auburnctl " + std::string(command));
         std::cout << cluster.ctl(daemon, command, { "--wait" }).output;
     }
@@ -107,7 +107,7 @@
 {
     printHeading("spans in the trace files");
     bool all = true;
-    for (const char *name : { "caller", "queue", "attempt", "runner" }) {
+    for (const char *name : { "caller", "queue", "attempt", "backend_server" }) {
         waitFor([&] { return countSpans(cluster, name) > 0; }, std::chrono::seconds(5));
         const std::size_t count = countSpans(cluster, name);
         std::cout << name << ' ' << count << '\n';
--- a/bench/naiverouter/naiverouter.cpp
+++ b/bench/naiverouter/naiverouter.cpp
@@ -1,4 +1,4 @@
-// naive_router: the baseline for experiments. One FIFO, round robin over the runners, blind
+// naive_router: the baseline for experiments. One FIFO, round robin over the backend servers, blind
 // retries.
 //
 // It knows no classes, no load and no idempotency. It never cancels work whose caller has gone.
@@ -70,7 +70,7 @@
 struct Options
 {
     std::string listen;
-    std::vector<std::string> runners;
+    std::vector<std::string> backendServers;
     unsigned inFlight = 1;
     unsigned retries = 3;
 };
@@ -118,15 +118,17 @@
     {
         request.erase(http::field::authorization);
         for (unsigned attempt = 0; attempt <= options_.retries; ++attempt) {
-            const std::string &runner = options_.runners[next_++ % options_.runners.size()];
+            const std::string &backendServer =
+                    options_.backendServers[next_++ % options_.backendServers.size()];
             bool started = false;
-            if (relay(caller, request, runner, started))
+            if (relay(caller, request, backendServer, started))
                 return true;
             if (started)
                 return false;
         }
         http::response<http::string_body> failure(http::status::bad_gateway, 11);
-        failure.body() = R"({"error":{"message":"all attempts failed","code":"runner_failed"}})";
+        failure.body() =
+                R"({"error":{"message":"all attempts failed","code":"backend_server_failed"}})";
         failure.prepare_payload();
         beast::error_code error;
         http::write(caller, failure, error);
@@ -137,26 +139,27 @@
                const std::string &address, bool &started)
     {
         beast::error_code error;
-        tcp::socket runner(context_);
-        runner.connect(parseEndpoint(address), error);
+        tcp::socket backendServer(context_);
+        backendServer.connect(parseEndpoint(address), error);
         if (error)
             return false;
-        http::write(runner, request, error);
+        http::write(backendServer, request, error);
         if (error)
             return false;
         beast::flat_buffer buffer;
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-        http::read_header(runner, buffer, parser, error);
+        http::read_header(backendServer, buffer, parser, error);
         if (error)
             return false;
         http::response_serializer<http::buffer_body> serializer(parser.get());
         http::write_header(caller, serializer, error);
         started = true;
-        return !error && relayBody(caller, runner, buffer, parser, serializer);
+        return !error && relayBody(caller, backendServer, buffer, parser, serializer);
     }
 
-    static bool relayBody(tcp::socket &caller, tcp::socket &runner, beast::flat_buffer &buffer,
+    static bool relayBody(tcp::socket &caller, tcp::socket &backendServer,
+                          beast::flat_buffer &buffer,
                           http::response_parser<http::buffer_body> &parser,
                           http::response_serializer<http::buffer_body> &serializer)
     {
@@ -167,7 +170,7 @@
             auto &body = parser.get().body();
             body.data = chunk;
             body.size = sizeof(chunk);
-            http::read(runner, buffer, parser, error);
+            http::read(backendServer, buffer, parser, error);
             if (error && error != http::error::need_buffer)
                 return false;
             body.size = sizeof(chunk) - body.size;
@@ -192,14 +195,14 @@
     TCLAP::CmdLine line("Baseline router: one FIFO, round robin, blind retries.");
     TCLAP::ValueArg<std::string> listen("", "listen", "IP:PORT to serve on", true, "", "address",
                                         line);
-    TCLAP::MultiArg<std::string> runners("", "runner", "IP:PORT of a runner", true, "address",
-                                         line);
+    TCLAP::MultiArg<std::string> backendServers("", "backend_server", "IP:PORT of a backend server",
+                                                true, "address", line);
     TCLAP::ValueArg<unsigned> inFlight("", "in-flight", "requests in flight at most", true, 1,
                                        "count", line);
     TCLAP::ValueArg<unsigned> retries("", "retries", "further attempts", false, 3, "count", line);
     line.parse(argc, argv);
     return Options{ .listen = listen.getValue(),
-                    .runners = runners.getValue(),
+                    .backendServers = backendServers.getValue(),
                     .inFlight = inFlight.getValue(),
                     .retries = retries.getValue() };
 }
--- a/packages/claims/include/auburn/claims/claimkey.h
+++ b/packages/claims/include/auburn/claims/claimkey.h
@@ -49,9 +49,9 @@
 ClaimKeyAge claimKeyAge(ClaimKey::WallTime keyTime, ClaimKey::WallTime now);
 
 // Partition that holds the claims of a key, its log stream, and its key for rendezvous hashing in a
-// place.
+// failure domain.
 unsigned claimPartition(const Hash128 &key);
 std::string claimStream(unsigned partition);
-std::string claimOwnerKey(std::string_view place, unsigned partition);
+std::string claimOwnerKey(std::string_view failureDomain, unsigned partition);
 
 } // namespace auburn
--- a/packages/claims/include/auburn/claims/claimowner.h
+++ b/packages/claims/include/auburn/claims/claimowner.h
@@ -1,8 +1,8 @@
-// ClaimOwner: collects the claims of a place, appends them to the log in batches, and answers them
-// in log order.
+// ClaimOwner: collects the claims of a failure domain, appends them to the log in batches, and
+// answers them in log order.
 //
-// Several owners of one partition may run at once, in one place or in several: each reads the same
-// stream, and the order there decides.
+// Several owners of one partition may run at once, in one failure domain or in several: each reads
+// the same stream, and the order there decides.
 #pragma once
 
 #include "auburn/claims/claimkey.h"
--- a/packages/claims/include/auburn/claims/claimsource.h
+++ b/packages/claims/include/auburn/claims/claimsource.h
@@ -27,8 +27,8 @@
     std::string key;
 };
 
-// Completed: a runner answered. Released: no byte reached a runner and none will. Unknown: anything
-// else.
+// Completed: a backend server answered. Released: no byte reached a backend server and none will.
+// Unknown: anything else.
 enum class ClaimEnd { Completed, Released, Unknown };
 
 using ClaimAnswer = std::variant<WonClaim, Refusal>;
--- a/packages/claims/src/claimclient.cpp
+++ b/packages/claims/src/claimclient.cpp
@@ -284,7 +284,7 @@
 {
     const auto view = options_.views->view();
     const std::vector<std::string> ranked = view ? view->rankedOwners(
-                                                    claimOwnerKey(view->place, partition))
+                                                    claimOwnerKey(view->failureDomain, partition))
                                                  : std::vector<std::string>();
     // More than two daemons in turn would each have to read the stream.
     const std::size_t choices = std::min<std::size_t>(ranked.size(), 2);
--- a/packages/claims/src/claimkey.cpp
+++ b/packages/claims/src/claimkey.cpp
@@ -80,9 +80,9 @@
     return "claims-" + std::to_string(partition);
 }
 
-std::string claimOwnerKey(std::string_view place, unsigned partition)
+std::string claimOwnerKey(std::string_view failureDomain, unsigned partition)
 {
-    return "claims/" + std::string(place) + '/' + std::to_string(partition);
+    return "claims/" + std::string(failureDomain) + '/' + std::to_string(partition);
 }
 
 } // namespace auburn
--- a/packages/claims/src/claimowner.cpp
+++ b/packages/claims/src/claimowner.cpp
@@ -80,7 +80,7 @@
     const auto view = options_.views->view();
     for (unsigned partition = 0; partition < kClaimPartitions; ++partition) {
         const bool owned = view
-                           && view->ownerOf(claimOwnerKey(view->place, partition))
+                           && view->ownerOf(claimOwnerKey(view->failureDomain, partition))
                                       == options_.selfId;
         partitions_[partition]->tick(now, owned);
     }
--- a/packages/claims/src/claimpartition.h
+++ b/packages/claims/src/claimpartition.h
@@ -118,7 +118,7 @@
     std::map<std::uint64_t, Batch> batches_;
     std::uint64_t nextBatch_ = 1;
     TimePoint lastBatch_;
-    // Set while the place to begin is searched; then fold_ is set.
+    // Set while the failure domain to begin is searched; then fold_ is set.
     std::optional<ClaimStartSearch> search_;
     std::optional<ClaimFold> fold_;
     std::uint64_t nextOffset_ = 0;
--- a/packages/claims/tests/claimexchange_test.cpp
+++ b/packages/claims/tests/claimexchange_test.cpp
@@ -165,8 +165,8 @@
     std::optional<WonClaim> won;
 };
 
-const std::vector<std::string> kPlaceOne{ "a", "b", "c" };
-const std::vector<std::string> kPlaceTwo{ "x", "y" };
+const std::vector<std::string> kFailureDomainOne{ "a", "b", "c" };
+const std::vector<std::string> kFailureDomainTwo{ "x", "y" };
 
 class ClaimWorld
 {
@@ -174,17 +174,18 @@
     explicit ClaimWorld(unsigned seed = 1)
         : network(seed)
     {
-        for (const std::string &id : kPlaceOne)
-            add(id, "p1", kPlaceOne);
-        for (const std::string &id : kPlaceTwo)
-            add(id, "p2", kPlaceTwo);
+        for (const std::string &id : kFailureDomainOne)
+            add(id, "p1", kFailureDomainOne);
+        for (const std::string &id : kFailureDomainTwo)
+            add(id, "p2", kFailureDomainTwo);
     }
 
-    void add(const std::string &id, const std::string &place, const std::vector<std::string> &ids)
+    void add(const std::string &id, const std::string &failureDomain,
+             const std::vector<std::string> &ids)
     {
         Node &node = nodes[id];
         node.id = id;
-        node.views.set(readyView(id, place, ids));
+        node.views.set(readyView(id, failureDomain, ids));
         const auto clock = [this] { return network.now; };
         const auto wallClock = [this] { return log.wall(); };
         node.owner = ClaimOwner::make({ .selfId = id,
@@ -277,13 +278,13 @@
             claim(node->first, recentKeys[recentKeys.size() - back]);
     }
 
-    // Makes two daemons of a place both believe that they own its partitions.
+    // Makes two daemons of a failure domain both believe that they own its partitions.
     void splitViews(bool split)
     {
         nodes.at("a").views.set(
-                readyView("a", "p1", split ? std::vector<std::string>{ "a" } : kPlaceOne));
+                readyView("a", "p1", split ? std::vector<std::string>{ "a" } : kFailureDomainOne));
         nodes.at("x").views.set(
-                readyView("x", "p2", split ? std::vector<std::string>{ "x" } : kPlaceTwo));
+                readyView("x", "p2", split ? std::vector<std::string>{ "x" } : kFailureDomainTwo));
     }
 
     void requireSettled()
@@ -301,10 +302,10 @@
         return claimPartition(ClaimKey::parse(key)->hashFor("o"));
     }
 
-    // The daemons of the first place in the order of the key's partition.
+    // The daemons of the first failure domain in the order of the key's partition.
     std::vector<std::string> ranked(const std::string &key)
     {
-        const MemberView view = readyView("a", "p1", kPlaceOne);
+        const MemberView view = readyView("a", "p1", kFailureDomainOne);
         return view.rankedOwners(claimOwnerKey("p1", partitionOf(key)));
     }
 
@@ -442,7 +443,7 @@
     world.log.lostRequests = 1;
     const unsigned before = world.log.appends;
     world.run(seconds(60), [&] { world.load(); });
-    // The design's limit: places x partitions / 0.1 s.
+    // The design's limit: failure domains x partitions / 0.1 s.
     BOOST_TEST(world.log.appends - before <= 2U * kClaimPartitions * 10 * 60);
     world.log.lostRequests = 0;
     world.run(seconds(60));
--- a/packages/config/bench/config_bench.cpp
+++ b/packages/config/bench/config_bench.cpp
@@ -61,7 +61,7 @@
 }
 
 // Changes that create a deployment: services, classes, organisations with one caller each, and one
-// runner for each seven organisations (3,300 runners for 21,000 organisations).
+// backend server for each seven organisations (3,300 backend servers for 21,000 organisations).
 std::vector<proto::ConfigChange> deployment(unsigned organisations)
 {
     std::vector<ItemValue> values;
@@ -78,11 +78,11 @@
                                     .tokenSha256 = sha256Hex(name) });
     }
     for (unsigned i = 0; i < (organisations + 6) / 7; ++i) {
-        values.emplace_back(Runner{ .name = "runner-" + std::to_string(i),
-                                    .service = "chat",
-                                    .place = "place-" + std::to_string(i % 10),
-                                    .address = "10.0.0.1:8000",
-                                    .slots = 16 });
+        values.emplace_back(BackendServer{ .name = "server-" + std::to_string(i),
+                                           .service = "chat",
+                                           .failureDomain = "domain-" + std::to_string(i % 10),
+                                           .address = "10.0.0.1:8000",
+                                           .slots = 16 });
     }
     std::vector<proto::ConfigChange> changes;
     changes.reserve(values.size());
--- a/packages/config/include/auburn/config/configstate.h
+++ b/packages/config/include/auburn/config/configstate.h
@@ -43,12 +43,13 @@
     const Service *service(const std::string &name) const;
     const RequestClass *requestClass(const std::string &name) const;
     const Organisation *organisation(const std::string &name) const;
-    const Runner *runner(const std::string &name) const;
+    const BackendServer *backendServer(const std::string &name) const;
     // The caller whose token has the given SHA-256 in hexadecimal; revoked callers are found as
     // well.
     const Caller *callerByToken(const std::string &tokenSha256) const;
-    // Runners of a service in a place, draining ones included, sorted by name.
-    std::vector<const Runner *> runners(const std::string &service, const std::string &place) const;
+    // Backend servers of a service in a failure domain, draining ones included, sorted by name.
+    std::vector<const BackendServer *> backendServers(const std::string &service,
+                                                      const std::string &failureDomain) const;
     std::vector<const Service *> services() const;
 
 private:
--- a/packages/config/include/auburn/config/item.h
+++ b/packages/config/include/auburn/config/item.h
@@ -23,7 +23,7 @@
     ServiceKind kind = ServiceKind::Engine;
     bool nonIdempotent = false;
     bool checksFencing = false;
-    // A runner connection that delivers nothing for this long is closed.
+    // A backend server connection that delivers nothing for this long is closed.
     std::chrono::milliseconds idleTimeout{ 10000 };
     // Longest time from the caller's request to the end of the answer.
     std::chrono::milliseconds requestTimeout{ 120000 };
@@ -55,23 +55,23 @@
     bool revoked = false;
 };
 
-struct Runner
+struct BackendServer
 {
     std::string name;
     std::string service;
-    std::string place;
+    std::string failureDomain;
     // host:port
     std::string address;
     unsigned slots = 1;
     bool draining = false;
 };
 
-using ItemValue = std::variant<Service, RequestClass, Organisation, Caller, Runner>;
+using ItemValue = std::variant<Service, RequestClass, Organisation, Caller, BackendServer>;
 
 // Index of the kind within ItemValue; the names are those of the operators' language.
-enum class ItemKind { Service, RequestClass, Organisation, Caller, Runner };
+enum class ItemKind { Service, RequestClass, Organisation, Caller, BackendServer };
 
-// "service", "class", "organisation", "caller" or "runner".
+// "service", "class", "organisation", "caller" or "backend_server".
 std::string_view itemKindName(ItemKind kind);
 std::optional<ItemKind> itemKindFromName(std::string_view name);
 
--- a/packages/config/include/auburn/config/itemindex.h
+++ b/packages/config/include/auburn/config/itemindex.h
@@ -175,8 +175,8 @@
     // Null if no caller has the token.
     const Caller *callerByToken(std::string_view tokenSha256) const;
     // Sorted by name.
-    const std::vector<const Runner *> &runners(const std::string &service,
-                                               const std::string &place) const;
+    const std::vector<const BackendServer *> &backendServers(
+            const std::string &service, const std::string &failureDomain) const;
     // Sorted by name.
     const std::vector<const Service *> &services() const { return *services_; }
 
@@ -192,7 +192,7 @@
     }
 
 private:
-    using Pools = std::map<std::pair<std::string, std::string>, std::vector<const Runner *>>;
+    using Pools = std::map<std::pair<std::string, std::string>, std::vector<const BackendServer *>>;
     using Services = std::vector<const Service *>;
 
     void link(const ItemPtr &item);
@@ -201,7 +201,7 @@
     // The pointers of the other members point into these items.
     PersistentItems<ByKey> items_;
     PersistentItems<ByToken> callers_;
-    // Replaced as a whole when a runner or a service changes.
+    // Replaced as a whole when a backend server or a service changes.
     std::shared_ptr<const Pools> pools_ = std::make_shared<const Pools>();
     std::shared_ptr<const Services> services_ = std::make_shared<const Services>();
 };
--- a/packages/config/include/auburn/config/membershiplistclient.h
+++ b/packages/config/include/auburn/config/membershiplistclient.h
@@ -1,4 +1,4 @@
-// MembershipListClient: reads the platform's list of live and leaving daemons and runners.
+// MembershipListClient: reads the platform's list of live and leaving daemons and backend servers.
 //
 // The list lags, so it only adds addresses and leaving marks; liveness comes from gossip.
 #pragma once
--- a/packages/config/src/configstate.cpp
+++ b/packages/config/src/configstate.cpp
@@ -57,9 +57,9 @@
     return findValue<Organisation>(ItemKind::Organisation, name);
 }
 
-const Runner *ConfigState::runner(const std::string &name) const
+const BackendServer *ConfigState::backendServer(const std::string &name) const
 {
-    return findValue<Runner>(ItemKind::Runner, name);
+    return findValue<BackendServer>(ItemKind::BackendServer, name);
 }
 
 const Caller *ConfigState::callerByToken(const std::string &tokenSha256) const
@@ -67,10 +67,10 @@
     return index_.callerByToken(tokenSha256);
 }
 
-std::vector<const Runner *> ConfigState::runners(const std::string &service,
-                                                 const std::string &place) const
+std::vector<const BackendServer *> ConfigState::backendServers(
+        const std::string &service, const std::string &failureDomain) const
 {
-    return index_.runners(service, place);
+    return index_.backendServers(service, failureDomain);
 }
 
 std::vector<const Service *> ConfigState::services() const
--- a/packages/config/src/item.cpp
+++ b/packages/config/src/item.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 5> kKindNames{ "service", "class", "organisation", "caller",
-                                                      "runner" };
+                                                      "backend_server" };
 
 struct ToProto
 {
@@ -55,12 +55,12 @@
         item->set_revoked(value.revoked);
     }
 
-    void operator()(const Runner &value) const
+    void operator()(const BackendServer &value) const
     {
         message.set_name(value.name);
-        proto::RunnerItem *item = message.mutable_runner();
+        proto::BackendServerItem *item = message.mutable_backend_server();
         item->set_service(value.service);
-        item->set_place(value.place);
+        item->set_failure_domain(value.failureDomain);
         item->set_address(value.address);
         item->set_slots(value.slots);
         item->set_draining(value.draining);
@@ -105,14 +105,14 @@
                    .revoked = item.revoked() };
 }
 
-ItemValue valueFrom(const std::string &name, const proto::RunnerItem &item)
+ItemValue valueFrom(const std::string &name, const proto::BackendServerItem &item)
 {
-    return Runner{ .name = name,
-                   .service = item.service(),
-                   .place = item.place(),
-                   .address = item.address(),
-                   .slots = item.slots(),
-                   .draining = item.draining() };
+    return BackendServer{ .name = name,
+                          .service = item.service(),
+                          .failureDomain = item.failure_domain(),
+                          .address = item.address(),
+                          .slots = item.slots(),
+                          .draining = item.draining() };
 }
 
 } // namespace
@@ -149,8 +149,8 @@
         return Item{ valueFrom(name, message.organisation()), message.revision() };
     case proto::ConfigItem::kCaller:
         return Item{ valueFrom(name, message.caller()), message.revision() };
-    case proto::ConfigItem::kRunner:
-        return Item{ valueFrom(name, message.runner()), message.revision() };
+    case proto::ConfigItem::kBackendServer:
+        return Item{ valueFrom(name, message.backend_server()), message.revision() };
     case proto::ConfigItem::VALUE_NOT_SET:
         break;
     }
--- a/packages/config/src/itemindex.cpp
+++ b/packages/config/src/itemindex.cpp
@@ -41,11 +41,11 @@
     return item ? std::get_if<Caller>(&item->value) : nullptr;
 }
 
-const std::vector<const Runner *> &ItemIndex::runners(const std::string &service,
-                                                      const std::string &place) const
+const std::vector<const BackendServer *> &ItemIndex::backendServers(
+        const std::string &service, const std::string &failureDomain) const
 {
-    static const std::vector<const Runner *> kNone;
-    const auto found = pools_->find({ service, place });
+    static const std::vector<const BackendServer *> kNone;
+    const auto found = pools_->find({ service, failureDomain });
     return found == pools_->end() ? kNone : found->second;
 }
 
@@ -70,9 +70,10 @@
 {
     if (std::holds_alternative<Caller>(item->value)) {
         callers_.put(item);
-    } else if (const auto *runner = std::get_if<Runner>(&item->value)) {
+    } else if (const auto *backendServer = std::get_if<BackendServer>(&item->value)) {
         auto pools = std::make_shared<Pools>(*pools_);
-        insertSorted((*pools)[{ runner->service, runner->place }], *runner);
+        insertSorted((*pools)[{ backendServer->service, backendServer->failureDomain }],
+                     *backendServer);
         pools_ = std::move(pools);
     } else if (const auto *service = std::get_if<Service>(&item->value)) {
         auto services = std::make_shared<Services>(*services_);
@@ -86,10 +87,10 @@
     if (const auto *caller = std::get_if<Caller>(&item.value)) {
         if (callers_.find(caller->tokenSha256) == &item)
             callers_.erase(caller->tokenSha256);
-    } else if (const auto *runner = std::get_if<Runner>(&item.value)) {
+    } else if (const auto *backendServer = std::get_if<BackendServer>(&item.value)) {
         auto pools = std::make_shared<Pools>(*pools_);
-        const auto pool = pools->find({ runner->service, runner->place });
-        eraseSorted(pool->second, *runner);
+        const auto pool = pools->find({ backendServer->service, backendServer->failureDomain });
+        eraseSorted(pool->second, *backendServer);
         if (pool->second.empty())
             pools->erase(pool);
         pools_ = std::move(pools);
--- a/packages/config/src/itemrules.cpp
+++ b/packages/config/src/itemrules.cpp
@@ -73,7 +73,7 @@
     const bool valid = colon != std::string_view::npos && colon + 1 < address.size()
                        && isHost(address.substr(0, colon)) && isPort(address.substr(colon + 1));
     if (!valid)
-        return "runner address must be host:port";
+        return "backend server address must be host:port";
     return std::nullopt;
 }
 
@@ -116,12 +116,13 @@
                      nameFault("caller class", item.class_name()) });
 }
 
-Fault valueFault(const proto::RunnerItem &item)
+Fault valueFault(const proto::BackendServerItem &item)
 {
     if (item.slots() == 0 || item.slots() > kMaxSlots)
-        return "runner slots must be between 1 and 100000";
-    return firstOf({ nameFault("runner service", item.service()),
-                     nameFault("runner place", item.place()), addressFault(item.address()) });
+        return "backend server slots must be between 1 and 100000";
+    return firstOf({ nameFault("backend server service", item.service()),
+                     nameFault("backend server failure domain", item.failure_domain()),
+                     addressFault(item.address()) });
 }
 
 Fault valueFault(const proto::ConfigItem &item)
@@ -133,8 +134,8 @@
         return valueFault(item.class_item());
     case proto::ConfigItem::kCaller:
         return valueFault(item.caller());
-    case proto::ConfigItem::kRunner:
-        return valueFault(item.runner());
+    case proto::ConfigItem::kBackendServer:
+        return valueFault(item.backend_server());
     case proto::ConfigItem::kOrganisation:
     case proto::ConfigItem::VALUE_NOT_SET:
         break;
@@ -156,8 +157,8 @@
         return ItemKey{ ItemKind::Organisation, name };
     case proto::ConfigItem::kCaller:
         return ItemKey{ ItemKind::Caller, name };
-    case proto::ConfigItem::kRunner:
-        return ItemKey{ ItemKind::Runner, name };
+    case proto::ConfigItem::kBackendServer:
+        return ItemKey{ ItemKind::BackendServer, name };
     case proto::ConfigItem::VALUE_NOT_SET:
         break;
     }
--- a/packages/config/src/itemtable.cpp
+++ b/packages/config/src/itemtable.cpp
@@ -18,8 +18,8 @@
         return { ItemKey{ ItemKind::Organisation, caller->organisation },
                  ItemKey{ ItemKind::RequestClass, caller->className } };
     }
-    if (const auto *runner = std::get_if<Runner>(&value))
-        return { ItemKey{ ItemKind::Service, runner->service } };
+    if (const auto *backendServer = std::get_if<BackendServer>(&value))
+        return { ItemKey{ ItemKind::Service, backendServer->service } };
     return {};
 }
 
--- a/packages/config/src/membershiplistclient.cpp
+++ b/packages/config/src/membershiplistclient.cpp
@@ -23,13 +23,14 @@
     const std::string kind = textOf(object, "kind");
     const std::string state = textOf(object, "state");
     ListedMember member{ .name = textOf(object, "name"),
-                         .kind = kind == "runner" ? ListedKind::Runner : ListedKind::Daemon,
+                         .kind = kind == "backend_server" ? ListedKind::BackendServer
+                                                          : ListedKind::Daemon,
                          .service = textOf(object, "service"),
-                         .place = textOf(object, "place"),
+                         .failureDomain = textOf(object, "failure_domain"),
                          .region = textOf(object, "region"),
                          .endpoint = textOf(object, "address"),
                          .leaving = state == "leaving" };
-    const bool known = (kind == "daemon" || kind == "runner")
+    const bool known = (kind == "daemon" || kind == "backend_server")
                        && (state == "live" || state == "leaving") && !member.name.empty();
     if (!known)
         return std::nullopt;
--- a/packages/config/src/peerpull.cpp
+++ b/packages/config/src/peerpull.cpp
@@ -22,8 +22,8 @@
     std::erase_if(peers_, [revision](const auto &entry) { return entry.second <= revision; });
 }
 
-// A random one of those with the highest revision, so that the daemons of a place spread their
-// pulls.
+// A random one of those with the highest revision, so that the daemons of a failure domain spread
+// their pulls.
 std::optional<std::string> PeerPull::best() const
 {
     std::vector<std::string> candidates;
--- a/packages/config/src/pullserver.h
+++ b/packages/config/src/pullserver.h
@@ -28,7 +28,7 @@
 
     MessageBus &bus_;
     std::size_t chunkBytes_;
-    // The last whole state that was sent, because daemons of a place often start together.
+    // The last whole state that was sent, because daemons of a failure domain often start together.
     std::vector<proto::ConfigChunk> cached_;
 };
 
--- a/packages/config/tests/changes.h
+++ b/packages/config/tests/changes.h
@@ -40,11 +40,13 @@
                    .tokenSha256 = sha256Hex("token of " + name) };
 }
 
-inline Runner runner(const std::string &name, const std::string &service)
+inline BackendServer backendServer(const std::string &name, const std::string &service)
 {
-    return Runner{
-        .name = name, .service = service, .place = "p1", .address = "10.0.0.1:8000", .slots = 4
-    };
+    return BackendServer{ .name = name,
+                          .service = service,
+                          .failureDomain = "p1",
+                          .address = "10.0.0.1:8000",
+                          .slots = 4 };
 }
 
 } // namespace auburn::tests
--- a/packages/config/tests/configfold_test.cpp
+++ b/packages/config/tests/configfold_test.cpp
@@ -32,13 +32,13 @@
     noValue.set_change_id("x");
     proto::ConfigChange largeOperator = change("x", 0, organisation("a"));
     largeOperator.set_operator_name(std::string(129, 'o'));
-    Runner noSlots = runner("a", "s");
+    BackendServer noSlots = backendServer("a", "s");
     noSlots.slots = 0;
-    Runner noPort = runner("a", "s");
+    BackendServer noPort = backendServer("a", "s");
     noPort.address = "10.0.0.1";
-    Runner highPort = runner("a", "s");
+    BackendServer highPort = backendServer("a", "s");
     highPort.address = "10.0.0.1:70000";
-    Runner spaceInHost = runner("a", "s");
+    BackendServer spaceInHost = backendServer("a", "s");
     spaceInHost.address = "10.0.0.1 x:80";
     Caller upperCaseHash = caller("a", "o", "c");
     upperCaseHash.tokenSha256 = std::string(64, 'A');
@@ -57,13 +57,14 @@
         { "idle timeout",
           change("x", 0, Service{ .name = "a", .idleTimeout = std::chrono::milliseconds(0) }),
           "service idle timeout must be between 1 ms and 24 h" },
-        { "slots", change("x", 0, noSlots), "runner slots must be between 1 and 100000" },
-        { "no port", change("x", 0, noPort), "runner address must be host:port" },
-        { "high port", change("x", 0, highPort), "runner address must be host:port" },
-        { "space in host", change("x", 0, spaceInHost), "runner address must be host:port" },
+        { "slots", change("x", 0, noSlots), "backend server slots must be between 1 and 100000" },
+        { "no port", change("x", 0, noPort), "backend server address must be host:port" },
+        { "high port", change("x", 0, highPort), "backend server address must be host:port" },
+        { "space in host", change("x", 0, spaceInHost),
+          "backend server address must be host:port" },
         { "token hash", change("x", 0, upperCaseHash),
           "caller token hash must be 64 lower-case hexadecimal digits" },
-        { "no service", change("x", 0, runner("a", "s")), "service 's' does not exist" },
+        { "no service", change("x", 0, backendServer("a", "s")), "service 's' does not exist" },
         { "no organisation", change("x", 0, caller("a", "o", "c")),
           "organisation 'o' does not exist" },
         { "remove absent", removal("x", 0, organisation("a")), "the item does not exist" },
@@ -118,7 +119,7 @@
     BOOST_TEST(fold.history().entries().size() == 2U);
 }
 
-// Guards against a caller or runner that is left with a reference to a missing item.
+// Guards against a caller or backend server that is left with a reference to a missing item.
 BOOST_AUTO_TEST_CASE(fold_removalOfItemInUse_rejectedUntilUsersAreGone)
 {
     ConfigFold fold;
--- a/packages/config/tests/foldmodel.cpp
+++ b/packages/config/tests/foldmodel.cpp
@@ -42,8 +42,9 @@
 {
     if (item.has_class_item())
         return item.class_item().tier() < 8;
-    if (item.has_runner())
-        return item.runner().slots() > 0 && exists(ConfigItem::kService, item.runner().service());
+    if (item.has_backend_server())
+        return item.backend_server().slots() > 0
+               && exists(ConfigItem::kService, item.backend_server().service());
     if (!item.has_caller())
         return true;
     const auto sharesToken = [&item](const auto &entry) {
@@ -59,7 +60,7 @@
 {
     return std::any_of(items.begin(), items.end(), [&item](const auto &entry) {
         const ConfigItem &other = entry.second;
-        return (item.has_service() && other.runner().service() == item.name())
+        return (item.has_service() && other.backend_server().service() == item.name())
                || (item.has_class_item() && other.caller().class_name() == item.name())
                || (item.has_organisation() && other.caller().organisation() == item.name());
     });
--- a/packages/config/tests/foldmodel_test.cpp
+++ b/packages/config/tests/foldmodel_test.cpp
@@ -36,7 +36,7 @@
     for (const Service *service : state.services())
         image += service->name + " ";
     for (const char *service : { "n0", "n1", "n2", "n3" }) {
-        for (const Runner *found : state.runners(service, "p1"))
+        for (const BackendServer *found : state.backendServers(service, "p1"))
             image += service + found->name + " ";
     }
     for (std::size_t i = 0; i < 5; ++i) {
@@ -97,7 +97,7 @@
             return value;
         }
         default: {
-            Runner value = runner(name, "n" + std::to_string(below(4)));
+            BackendServer value = backendServer(name, "n" + std::to_string(below(4)));
             value.slots = static_cast<unsigned>(below(4));
             return value;
         }
@@ -240,7 +240,7 @@
     BOOST_REQUIRE(accepted == log.acceptedByModel);
     const auto state = log.fold.state();
     BOOST_REQUIRE_EQUAL(state->items().size(), log.model.items.size());
-    std::map<std::string, std::string> runnersInPlace;
+    std::map<std::string, std::string> backendServersInFailureDomain;
     for (const auto &[key, expected] : log.model.items) {
         const auto item = itemFromProto(expected);
         const Item *found = state->find(keyOf(item->value));
@@ -249,14 +249,15 @@
         if (expected.has_caller())
             BOOST_REQUIRE(state->callerByToken(expected.caller().token_sha256())->name
                           == expected.name());
-        if (expected.has_runner())
-            runnersInPlace[expected.runner().service()] += expected.name() + " ";
+        if (expected.has_backend_server())
+            backendServersInFailureDomain[expected.backend_server().service()] += expected.name()
+                                                                                  + " ";
     }
     for (const char *service : { "n0", "n1", "n2", "n3" }) {
         std::string names;
-        for (const Runner *found : state->runners(service, "p1"))
+        for (const BackendServer *found : state->backendServers(service, "p1"))
             names += found->name + " ";
-        BOOST_REQUIRE(names == runnersInPlace[service]);
+        BOOST_REQUIRE(names == backendServersInFailureDomain[service]);
     }
     for (std::size_t i = 0; i < 5; ++i) {
         const Caller *found = state->callerByToken(tokenOf(i));
--- a/packages/config/tests/membershiplist_test.cpp
+++ b/packages/config/tests/membershiplist_test.cpp
@@ -39,7 +39,7 @@
 {
     return { { QStringLiteral("kind"), kind },
              { QStringLiteral("service"), QStringLiteral("chat") },
-             { QStringLiteral("place"), QStringLiteral("p1") },
+             { QStringLiteral("failure_domain"), QStringLiteral("p1") },
              { QStringLiteral("region"), QStringLiteral("r1") },
              { QStringLiteral("address"), QStringLiteral("10.0.0.1:80") },
              { QStringLiteral("state"), state } };
@@ -52,13 +52,13 @@
 // Guards against a leaving mark that is lost, and a malformed entry that hides all others.
 BOOST_AUTO_TEST_CASE(list_mixedEntries_typedWithoutUnknownKinds)
 {
-    put(QStringLiteral("a"), member(QStringLiteral("runner"), QStringLiteral("leaving")));
+    put(QStringLiteral("a"), member(QStringLiteral("backend_server"), QStringLiteral("leaving")));
     put(QStringLiteral("b"), member(QStringLiteral("printer"), QStringLiteral("live")));
     put(QStringLiteral("c"), member(QStringLiteral("daemon"), QStringLiteral("live")));
     const auto members = read();
     BOOST_REQUIRE(members.has_value());
     BOOST_REQUIRE_EQUAL(members->size(), 2U);
-    BOOST_CHECK(members->at(0).kind == ListedKind::Runner);
+    BOOST_CHECK(members->at(0).kind == ListedKind::BackendServer);
     BOOST_CHECK(members->at(0).leaving);
     BOOST_TEST(members->at(0).endpoint == "10.0.0.1:80");
     BOOST_CHECK(members->at(1).kind == ListedKind::Daemon);
--- a/packages/core/include/auburn/core/refusal.h
+++ b/packages/core/include/auburn/core/refusal.h
@@ -29,9 +29,9 @@
     Overloaded,
     // The request cannot meet its deadline.
     DeadlineExceeded,
-    NoRunnerAvailable,
-    // The request's attempts have crashed runners.
-    CrashesRunners,
+    NoBackendServerAvailable,
+    // The request's attempts have crashed backend servers.
+    CrashesBackendServers,
     IdempotencyKeyMissing,
     IdempotencyKeyInvalid,
     IdempotencyKeyExpired,
@@ -41,7 +41,7 @@
     // An earlier request with the key has completed.
     AlreadyCompleted,
     LogUnavailable,
-    RunnerFailed,
+    BackendServerFailed,
     NotReady,
 };
 
--- a/packages/core/include/auburn/core/verdict.h
+++ b/packages/core/include/auburn/core/verdict.h
@@ -1,4 +1,4 @@
-// Verdict: whether a request may have been executed by a runner.
+// Verdict: whether a request may have been executed by a backend server.
 //
 // Retries and refusals depend on this one fact, so every result of an attempt and every refusal
 // carries a verdict.
@@ -10,11 +10,11 @@
 
 // Ordered by strength: merging two verdicts takes the larger one.
 enum class Verdict {
-    // No byte of the request reached a runner, and none will.
+    // No byte of the request reached a backend server, and none will.
     DidNotRun,
     // The request was at least partly sent; the outcome is unknown.
     MayHaveRun,
-    // A runner answered.
+    // A backend server answered.
     Ran,
 };
 
--- a/packages/core/src/refusal.cpp
+++ b/packages/core/src/refusal.cpp
@@ -28,8 +28,8 @@
     CodeInfo{ RefusalCode::OrganisationLimit, "organisation_limit", 429 },
     CodeInfo{ RefusalCode::Overloaded, "overloaded", 429 },
     CodeInfo{ RefusalCode::DeadlineExceeded, "deadline_exceeded", 504 },
-    CodeInfo{ RefusalCode::NoRunnerAvailable, "no_runner_available", 503 },
-    CodeInfo{ RefusalCode::CrashesRunners, "crashes_runners", 422 },
+    CodeInfo{ RefusalCode::NoBackendServerAvailable, "no_backend_server_available", 503 },
+    CodeInfo{ RefusalCode::CrashesBackendServers, "crashes_backend_servers", 422 },
     CodeInfo{ RefusalCode::IdempotencyKeyMissing, "idempotency_key_missing", 400 },
     CodeInfo{ RefusalCode::IdempotencyKeyInvalid, "idempotency_key_invalid", 400 },
     CodeInfo{ RefusalCode::IdempotencyKeyExpired, "idempotency_key_expired", 409 },
@@ -37,7 +37,7 @@
     CodeInfo{ RefusalCode::IdempotencyKeyHeld, "idempotency_key_held", 409 },
     CodeInfo{ RefusalCode::AlreadyCompleted, "already_completed", 409 },
     CodeInfo{ RefusalCode::LogUnavailable, "log_unavailable", 503 },
-    CodeInfo{ RefusalCode::RunnerFailed, "runner_failed", 502 },
+    CodeInfo{ RefusalCode::BackendServerFailed, "backend_server_failed", 502 },
     CodeInfo{ RefusalCode::NotReady, "not_ready", 503 },
 };
 
--- a/packages/ctl/include/auburn/ctl/command.h
+++ b/packages/ctl/include/auburn/ctl/command.h
@@ -3,8 +3,8 @@
 //   show TABLE [where FIELD OP VALUE [and ...]] [sort FIELD [desc]] [limit N]
 //   set KIND NAME FIELD=VALUE ... [if revision N]
 //   unset KIND NAME [if revision N]
-//   drain runner NAME [if revision N]
-//   undrain runner NAME [if revision N]
+//   drain backend server NAME [if revision N]
+//   undrain backend server NAME [if revision N]
 //
 // OP is one of = != < <= > >= ~ (contains). Columns are positions in the command in bytes, counted
 // from 1.
@@ -78,7 +78,7 @@
 
 struct DrainCommand
 {
-    Term runner;
+    Term backendServer;
     // False for undrain.
     bool draining = true;
     std::optional<std::uint64_t> ifRevision;
--- a/packages/ctl/include/auburn/ctl/table.h
+++ b/packages/ctl/include/auburn/ctl/table.h
@@ -13,12 +13,12 @@
 enum class TableId {
     Classes,
     Services,
-    Runners,
+    BackendServers,
     Organisations,
     Callers,
     Load,
     Daemons,
-    Places,
+    FailureDomains,
     Config,
     History,
 };
--- a/packages/ctl/src/commandparser.cpp
+++ b/packages/ctl/src/commandparser.cpp
@@ -120,9 +120,10 @@
 
 DrainCommand CommandParser::parseDrain(bool draining)
 {
-    if (!takeKeyword("runner"))
-        fail(peek(), "expected runner");
-    DrainCommand command{ .runner = parseName("a runner's name"), .draining = draining };
+    if (!takeKeyword("backend_server"))
+        fail(peek(), "expected backend_server");
+    DrainCommand command{ .backendServer = parseName("a backend server's name"),
+                          .draining = draining };
     command.ifRevision = parseIfRevision();
     expectEnd("'if revision N'");
     return command;
@@ -157,7 +158,7 @@
     const Token token = next();
     const auto kind = token.kind == TokenKind::Word ? itemKindFromName(token.text) : std::nullopt;
     if (!kind)
-        fail(token, "expected service, class, organisation, caller or runner");
+        fail(token, "expected service, class, organisation, caller or backend_server");
     return *kind;
 }
 
--- a/packages/ctl/src/table.cpp
+++ b/packages/ctl/src/table.cpp
@@ -35,10 +35,10 @@
                  { "idle_timeout", kDuration },
                  { "request_timeout", kDuration },
                  { "revision", kInteger } } },
-        Table{ "runners",
+        Table{ "backend_servers",
                { { "name", kText },
                  { "service", kText },
-                 { "place", kText },
+                 { "failure_domain", kText },
                  { "address", kText },
                  { "slots", kInteger },
                  { "draining", kBoolean },
@@ -57,7 +57,7 @@
                  { "revoked", kBoolean },
                  { "revision", kInteger } } },
         Table{ "load",
-               { { "place", kText },
+               { { "failure_domain", kText },
                  { "service", kText },
                  { "cell", kText },
                  { "owner", kText },
@@ -67,13 +67,13 @@
                  { "waiting_by_tier", kText } } },
         Table{ "daemons",
                { { "id", kText },
-                 { "place", kText },
+                 { "failure_domain", kText },
                  { "status", kText },
                  { "endpoint", kText },
                  { "incarnation", kInteger },
                  { "config_revision", kInteger } } },
-        Table{ "places",
-               { { "place", kText },
+        Table{ "failure_domains",
+               { { "failure_domain", kText },
                  { "region", kText },
                  { "reachable", kBoolean },
                  { "daemons", kInteger },
@@ -116,7 +116,8 @@
 
 std::string_view tableNames()
 {
-    return "classes, services, runners, organisations, callers, load, daemons, places, config, "
+    return "classes, services, backend_servers, organisations, callers, load, daemons, "
+           "failure_domains, config, "
            "history";
 }
 
--- a/packages/ctl/tests/commandparser_test.cpp
+++ b/packages/ctl/tests/commandparser_test.cpp
@@ -15,13 +15,13 @@
 };
 
 const std::vector<std::string> kGood{
-    "show runners where place = a and slots >= 4 sort slots desc limit 10",
+    "show backend_servers where failure_domain = a and slots >= 4 sort slots desc limit 10",
     "show history",
     "set class gold tier=0 first_token=1.8s token_gap=26ms if revision 12",
-    "set runner \"r 1\" address=127.0.0.1:8000 draining=false",
+    "set backend_server \"r 1\" address=127.0.0.1:8000 draining=false",
     "unset caller web if revision 7",
-    "drain runner r1",
-    "undrain runner r1 if revision 3",
+    "drain backend_server r1",
+    "undrain backend_server r1 if revision 3",
 };
 
 const Command &commandOf(const ParsedCommand &parsed)
@@ -59,16 +59,16 @@
 
 BOOST_AUTO_TEST_SUITE(commandparser)
 
-// Guards against a query whose parts end up in the wrong place of the tree.
+// Guards against a query whose parts end up in the wrong part of the tree.
 BOOST_AUTO_TEST_CASE(parse_show_hasAllParts)
 {
     const ParsedCommand parsed = CommandParser::parse(kGood[0]);
     const auto &show = std::get<ShowCommand>(commandOf(parsed));
-    BOOST_CHECK(show.table == TableId::Runners);
+    BOOST_CHECK(show.table == TableId::BackendServers);
     BOOST_REQUIRE(show.conditions.size() == 2U);
     BOOST_TEST(show.conditions[1].field.text == "slots");
     BOOST_CHECK(show.conditions[1].comparison == Comparison::GreaterOrEqual);
-    BOOST_TEST(show.conditions[1].value.column == 43U);
+    BOOST_TEST(show.conditions[1].value.column == 60U);
     BOOST_REQUIRE(show.sort.has_value());
     BOOST_TEST(show.sort->descending);
     BOOST_TEST(*show.limit == 10U);
@@ -88,7 +88,7 @@
         BOOST_TEST(std::holds_alternative<Command>(CommandParser::parse(good)), good);
 }
 
-// Guards against messages that point to the wrong place.
+// Guards against messages that point to the wrong column.
 BOOST_AUTO_TEST_CASE(parse_mistake_reportsItsColumn)
 {
     const std::vector<Mistake> mistakes{
@@ -96,15 +96,15 @@
         { "  list", 3 },
         { "show", 5 },
         { "show runers", 6 },
-        { "show runners where", 19 },
-        { "show runners where place", 25 },
-        { "show runners where place = ", 28 },
-        { "show runners where place == a", 27 },
-        { "show runners where place = a or slots = 1", 30 },
-        { "show runners limit x", 20 },
-        { "show runners limit 99999999999999999999", 20 },
-        { "show runners sort", 18 },
-        { "show runners ;", 14 },
+        { "show backend_servers where", 27 },
+        { "show backend_servers where failure_domain", 42 },
+        { "show backend_servers where failure_domain = ", 45 },
+        { "show backend_servers where failure_domain == a", 44 },
+        { "show backend_servers where failure_domain = a or slots = 1", 47 },
+        { "show backend_servers limit x", 28 },
+        { "show backend_servers limit 99999999999999999999", 28 },
+        { "show backend_servers sort", 26 },
+        { "show backend_servers ;", 22 },
         { "set", 4 },
         { "set klass a tier=1", 5 },
         { "set class a", 12 },
--- a/packages/ctl/tests/ctlprogram_test.cpp
+++ b/packages/ctl/tests/ctlprogram_test.cpp
@@ -27,7 +27,7 @@
     CtlExit exit;
 };
 
-proto::OperatorReply runnersReply()
+proto::OperatorReply backendServersReply()
 {
     proto::OperatorReply reply;
     for (const char *column : { "name", "slots", "draining" })
@@ -62,22 +62,23 @@
 // Guards against columns that are out of line and against control characters in a terminal.
 BOOST_AUTO_TEST_CASE(formatTable_unicodeAndControl_isAligned)
 {
-    BOOST_TEST(formatTable(runnersReply())
+    BOOST_TEST(formatTable(backendServersReply())
                == "name     slots  draining\n"
                   "r1       4      true\n"
                   "größer?  16     true\n");
 }
 
 // Guards against numbers and booleans that scripts get as strings.
-BOOST_AUTO_TEST_CASE(formatJson_runners_hasTypes)
+BOOST_AUTO_TEST_CASE(formatJson_backendServers_hasTypes)
 {
-    const std::string json = formatJson(runnersReply(), TableId::Runners);
+    const std::string json = formatJson(backendServersReply(), TableId::BackendServers);
     BOOST_TEST(json.find("\"slots\": 16") != std::string::npos);
     BOOST_TEST(json.find("\"draining\": true") != std::string::npos);
     BOOST_TEST(json.find("\"name\": \"r1\"") != std::string::npos);
 }
 
-// Guards against a syntax error that needs a daemon to be found, or a caret in the wrong place.
+// Guards against a syntax error that needs a daemon to be found, or a caret in the wrong failure
+// domain.
 BOOST_AUTO_TEST_CASE(run_syntaxError_showsCaret)
 {
     const Run run({ "show", "classes", "limit", "many" });
--- a/packages/daemon/include/auburn/daemon/commandexecutor.h
+++ b/packages/daemon/include/auburn/daemon/commandexecutor.h
@@ -2,7 +2,8 @@
 //
 // Queries are answered at once. A change is built from the item's current value, submitted with
 // that item's revision as its base, and answered when the backend reports the result. With
-// OperatorRequest.wait the answer is held back until every place has the revision in force.
+// OperatorRequest.wait the answer is held back until every failure domain has the revision in
+// force.
 #pragma once
 
 #include "auburn/ctl/command.h"
--- a/packages/daemon/include/auburn/daemon/operatorbackend.h
+++ b/packages/daemon/include/auburn/daemon/operatorbackend.h
@@ -31,10 +31,10 @@
     bool accepted = true;
 };
 
-// Lowest and highest configuration revision in force in one place.
-struct PlaceProgress
+// Lowest and highest configuration revision in force in one failure domain.
+struct FailureDomainProgress
 {
-    std::string place;
+    std::string failureDomain;
     std::string region;
     bool reachable = true;
     unsigned daemons = 0;
@@ -58,11 +58,13 @@
     virtual void submit(proto::ConfigChange change, ChangeCallback callback) = 0;
     // Recent changes that this daemon has folded, oldest first; bounded by the backend.
     virtual std::vector<ChangeHistoryEntry> history() const = 0;
-    // Progress of every known place, this one included. The default derives it from memberView().
-    virtual std::vector<PlaceProgress> progress() const;
+    // Progress of every known failure domain, this one included. The default derives it from
+    // memberView().
+    virtual std::vector<FailureDomainProgress> progress() const;
 };
 
-// Progress of this place from its live members, and of the other places from their digests.
-std::vector<PlaceProgress> progressOf(const MemberView &view);
+// Progress of this failure domain from its live members, and of the other failure domains from
+// their digests.
+std::vector<FailureDomainProgress> progressOf(const MemberView &view);
 
 } // namespace auburn
--- a/packages/daemon/include/auburn/daemon/settings.h
+++ b/packages/daemon/include/auburn/daemon/settings.h
@@ -35,7 +35,7 @@
 struct Settings
 {
     std::string id;
-    std::string place;
+    std::string failureDomain;
     std::string region;
     // Port 0 lets the system choose a free port.
     ListenAddress callerListen;
@@ -55,7 +55,7 @@
     std::string listUrl;
     // Peer endpoints to contact before the membership list is known.
     std::vector<std::string> seeds;
-    // Worker threads for callers and runners.
+    // Worker threads for callers and backend servers.
     unsigned threads = 2;
     LogLevel logLevel = LogLevel::Info;
     // Empty: traces are not exported. Otherwise see SpanSink::make.
--- a/packages/daemon/include/auburn/daemon/statemetrics.h
+++ b/packages/daemon/include/auburn/daemon/statemetrics.h
@@ -22,7 +22,7 @@
 private:
     void collect();
     void collectMembers(const MemberView &view);
-    void collectPlaces();
+    void collectFailureDomains();
     void collectLoad(const MemberView &view);
     void set(const std::string &name, const std::string &help, const MetricLabels &labels,
              double value);
--- a/packages/daemon/src/changebuilder.cpp
+++ b/packages/daemon/src/changebuilder.cpp
@@ -71,14 +71,15 @@
 
 BuiltChange buildChange(const DrainCommand &command, const ConfigState &state)
 {
-    const Item *current = state.find(ItemKey{ ItemKind::Runner, command.runner.text });
+    const Item *current = state.find(
+            ItemKey{ ItemKind::BackendServer, command.backendServer.text });
     if (!current)
-        return notFound(ItemKind::Runner, command.runner);
+        return notFound(ItemKind::BackendServer, command.backendServer);
     if (const auto refusal = conflict(command.ifRevision, current->revision))
         return *refusal;
-    Runner runner = std::get<Runner>(current->value);
-    runner.draining = command.draining;
-    return change(runner, current->revision);
+    BackendServer backendServer = std::get<BackendServer>(current->value);
+    backendServer.draining = command.draining;
+    return change(backendServer, current->revision);
 }
 
 } // namespace auburn
--- a/packages/daemon/src/commandexecutor.cpp
+++ b/packages/daemon/src/commandexecutor.cpp
@@ -64,15 +64,17 @@
     }
 };
 
-std::string lagging(const std::vector<PlaceProgress> &places, std::uint64_t revision)
+std::string lagging(const std::vector<FailureDomainProgress> &failureDomains,
+                    std::uint64_t revision)
 {
-    if (places.empty())
-        return "unknown places, because this daemon has no member table yet";
+    if (failureDomains.empty())
+        return "unknown failure domains, because this daemon has no member table yet";
     std::string names;
-    for (const PlaceProgress &place : places) {
-        if (place.reachable && place.daemons > 0 && place.minRevision >= revision)
+    for (const FailureDomainProgress &failureDomain : failureDomains) {
+        if (failureDomain.reachable && failureDomain.daemons > 0
+            && failureDomain.minRevision >= revision)
             continue;
-        names += (names.empty() ? "" : ", ") + place.place;
+        names += (names.empty() ? "" : ", ") + failureDomain.failureDomain;
     }
     return names;
 }
@@ -118,7 +120,7 @@
         , deadline_(deadline)
     {}
 
-    // Takes the backend's result; the reply is ready unless it has to wait for the places.
+    // Takes the backend's result; the reply is ready unless it has to wait for the failure domains.
     void setResult(const ChangeResult &result)
     {
         if (const auto *accepted = std::get_if<ChangeAccepted>(&result); accepted && wait_)
@@ -138,8 +140,8 @@
                         ToReply{}, ChangeResult(ChangeUnknown{ "no result from the log in time" }));
             return;
         }
-        const auto places = backend.progress();
-        const std::string missing = lagging(places, *revision_);
+        const auto failureDomains = backend.progress();
+        const std::string missing = lagging(failureDomains, *revision_);
         const std::string revision = std::to_string(*revision_);
         if (missing.empty())
             ready_ = acceptedReply(proto::OPERATOR_STATUS_OK,
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -45,7 +45,7 @@
 constexpr std::chrono::milliseconds kLeaveNoticeTime{ 1200 };
 constexpr std::chrono::milliseconds kDrainPoll{ 50 };
 // A daemon that is ready before it knows its neighbours takes itself for the owner of every cell.
-// It waits this long for the first of them; a place may have one daemon only.
+// It waits this long for the first of them; a failure domain may have one daemon only.
 constexpr std::chrono::seconds kJoinWait{ 3 };
 
 } // namespace
@@ -91,12 +91,12 @@
             if (!sink)
                 return false;
         }
-        tracer_ = std::make_unique<Tracer>(
-                Tracer::Options{ .sink = std::move(sink),
-                                 .resource = { { "service.name", "auburnd" },
-                                               { "service.instance.id", settings_.id },
-                                               { "auburn.place", settings_.place } },
-                                 .sampling = settings_.traceSampling });
+        tracer_ = std::make_unique<Tracer>(Tracer::Options{
+                .sink = std::move(sink),
+                .resource = { { "service.name", "auburnd" },
+                              { "service.instance.id", settings_.id },
+                              { "auburn.failure_domain", settings_.failureDomain } },
+                .sampling = settings_.traceSampling });
         telemetry_ = std::make_unique<RequestTelemetry>(*tracer_, metrics_);
         return true;
     }
@@ -111,7 +111,7 @@
         if (!bus_)
             return false;
         membership_ = Membership::make(GossipOptions{ .selfId = settings_.id,
-                                                      .place = settings_.place,
+                                                      .failureDomain = settings_.failureDomain,
                                                       .region = settings_.region,
                                                       .endpoint = settings_.peerAdvertised,
                                                       .seeds = settings_.seeds },
@@ -166,7 +166,7 @@
                   .config = config,
                   .localOwner = owner_.get(),
                   .suspect = [this](const std::string &id) { membership_->suspect(id); },
-                  .crashesRunners =
+                  .crashesBackendServers =
                           [this](std::uint64_t fingerprint) {
                               return membership_->crashes(fingerprint) >= kCrashLimit;
                           } });
@@ -174,12 +174,12 @@
             return false;
         gateway_ = SlotGateway::make(
                 { .bus = bus_.get(), .client = slots_.get(), .owner = owner_.get() });
-        poller_ = std::make_unique<LoadPoller>(
-                LoadPoller::Options{ .config = config,
-                                     .views = membership_.get(),
-                                     .report = [this](const std::string &runner, RunnerLoad load) {
-                                         owner_->reportLoad(runner, load);
-                                     } });
+        poller_ = std::make_unique<LoadPoller>(LoadPoller::Options{
+                .config = config,
+                .views = membership_.get(),
+                .report = [this](const std::string &backendServer, BackendServerLoad load) {
+                    owner_->reportLoad(backendServer, load);
+                } });
         return gateway_ != nullptr;
     }
 
@@ -264,7 +264,7 @@
         if (!store_.current())
             return "no configuration yet";
         if (!announcedReady_)
-            return "joining the other daemons of the place";
+            return "joining the other daemons of the failure domain";
         return std::nullopt;
     }
 
@@ -349,7 +349,7 @@
                 [this] { QMetaObject::invokeMethod(&context_, [this] { awaitGateway(); }); });
     }
 
-    // Slots that this daemon obtained for fronts of other places end with their requests.
+    // Slots that this daemon obtained for fronts of other failure domains end with their requests.
     void awaitGateway()
     {
         if (gateway_->heldCount() > 0) {
--- a/packages/daemon/src/itemedit.cpp
+++ b/packages/daemon/src/itemedit.cpp
@@ -167,12 +167,12 @@
             unknown("organisation, class, token_sha256, revoked");
     }
 
-    void operator()(Runner &item) const
+    void operator()(BackendServer &item) const
     {
         if (is("service"))
             item.service = existing(value_, ItemKind::Service, state_);
-        else if (is("place"))
-            item.place = place();
+        else if (is("failure_domain"))
+            item.failureDomain = failureDomain();
         else if (is("address"))
             item.address = address(value_);
         else if (is("slots"))
@@ -180,7 +180,7 @@
         else if (is("draining"))
             item.draining = boolean(value_);
         else
-            unknown("service, place, address, slots, draining");
+            unknown("service, failure_domain, address, slots, draining");
     }
 
 private:
@@ -191,10 +191,10 @@
         fail(field_, "there is no field '" + field_.text + "'; expected one of " + names);
     }
 
-    std::string place() const
+    std::string failureDomain() const
     {
         if (!isItemName(value_.text))
-            fail(value_, "expected a place's name");
+            fail(value_, "expected a failure domain's name");
         return value_.text;
     }
 
@@ -224,8 +224,8 @@
         return Organisation{ .name = name };
     case ItemKind::Caller:
         return Caller{ .name = name };
-    case ItemKind::Runner:
-        return Runner{ .name = name };
+    case ItemKind::BackendServer:
+        return BackendServer{ .name = name };
     }
     return Service{ .name = name };
 }
@@ -238,8 +238,8 @@
         return { "tier" };
     case ItemKind::Caller:
         return { "organisation", "class", "token_sha256" };
-    case ItemKind::Runner:
-        return { "service", "place", "address" };
+    case ItemKind::BackendServer:
+        return { "service", "failure_domain", "address" };
     default:
         return {};
     }
@@ -284,7 +284,7 @@
         return (key.kind == ItemKind::Organisation && item.organisation == key.name)
                || (key.kind == ItemKind::RequestClass && item.className == key.name);
     }
-    bool operator()(const Runner &item) const
+    bool operator()(const BackendServer &item) const
     {
         return key.kind == ItemKind::Service && item.service == key.name;
     }
--- a/packages/daemon/src/loadpoller.cpp
+++ b/packages/daemon/src/loadpoller.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-// A load report is one small object; a runner that sends more is not reporting its load.
+// A load report is one small object; a backend server that sends more is not reporting its load.
 constexpr qint64 kMaxReportBytes = 4096;
 
-std::optional<RunnerLoad> parseLoad(const QByteArray &text)
+std::optional<BackendServerLoad> parseLoad(const QByteArray &text)
 {
     const QJsonDocument document = QJsonDocument::fromJson(text);
     if (!document.isObject())
@@ -25,8 +25,8 @@
     const int waiting = object["waiting"].toInt(-1);
     if (running < 0 || waiting < 0)
         return std::nullopt;
-    return RunnerLoad{ .running = static_cast<unsigned>(running),
-                       .waiting = static_cast<unsigned>(waiting) };
+    return BackendServerLoad{ .running = static_cast<unsigned>(running),
+                              .waiting = static_cast<unsigned>(waiting) };
 }
 
 } // namespace
@@ -62,30 +62,34 @@
 
 void LoadPoller::pollPool(const Service &service, const ConfigState &config, const MemberView &view)
 {
-    const std::vector<const Runner *> runners = config.runners(service.name, view.place);
-    const unsigned cells = cellCount(runners.size());
-    for (const Runner *runner : runners) {
-        const unsigned cell = cellOfRunner(runner->name, cells);
-        if (view.ownerOf(cellKey(service.name, view.place, cell)) == view.selfId)
-            poll(*runner);
+    const std::vector<const BackendServer *> backendServers = config.backendServers(
+            service.name, view.failureDomain);
+    const unsigned cells = cellCount(backendServers.size());
+    for (const BackendServer *backendServer : backendServers) {
+        const unsigned cell = cellOfBackendServer(backendServer->name, cells);
+        if (view.ownerOf(cellKey(service.name, view.failureDomain, cell)) == view.selfId)
+            poll(*backendServer);
     }
 }
 
-void LoadPoller::poll(const Runner &runner)
+void LoadPoller::poll(const BackendServer &backendServer)
 {
-    if (!pending_.insert(runner.name).second)
+    if (!pending_.insert(backendServer.name).second)
         return;
-    QNetworkRequest request(QUrl(QString::fromStdString("http://" + runner.address + "/load")));
+    QNetworkRequest request(
+            QUrl(QString::fromStdString("http://" + backendServer.address + "/load")));
     request.setTransferTimeout(static_cast<int>(options_.timeout.count()));
     QNetworkReply *reply = network_.get(request);
-    QObject::connect(reply, &QNetworkReply::finished, reply, [this, reply, name = runner.name] {
-        pending_.erase(name);
-        reply->deleteLater();
-        if (reply->error() != QNetworkReply::NoError)
-            return;
-        if (const std::optional<RunnerLoad> load = parseLoad(reply->read(kMaxReportBytes)))
-            options_.report(name, *load);
-    });
+    QObject::connect(reply, &QNetworkReply::finished, reply,
+                     [this, reply, name = backendServer.name] {
+                         pending_.erase(name);
+                         reply->deleteLater();
+                         if (reply->error() != QNetworkReply::NoError)
+                             return;
+                         if (const std::optional<BackendServerLoad> load = parseLoad(
+                                     reply->read(kMaxReportBytes)))
+                             options_.report(name, *load);
+                     });
 }
 
 } // namespace auburn
--- a/packages/daemon/src/loadpoller.h
+++ b/packages/daemon/src/loadpoller.h
@@ -1,11 +1,12 @@
 // LoadPoller: reads the load reports of the engines in the cells that this daemon owns.
 //
-// Only a cell's owner polls, so a runner is asked once per interval however many daemons there are.
+// Only a cell's owner polls, so a backend server is asked once per interval however many daemons
+// there are.
 #pragma once
 
 #include "auburn/config/configstate.h"
 #include "auburn/mesh/memberview.h"
-#include "auburn/schedule/runnertable.h"
+#include "auburn/schedule/backendservertable.h"
 
 #include <QNetworkAccessManager>
 #include <QTimer>
@@ -26,7 +27,7 @@
     {
         std::function<std::shared_ptr<const ConfigState>()> config;
         const MemberViewSource *views = nullptr;
-        std::function<void(const std::string &runner, RunnerLoad load)> report;
+        std::function<void(const std::string &backendServer, BackendServerLoad load)> report;
         std::chrono::milliseconds interval{ 1000 };
         std::chrono::milliseconds timeout{ 1000 };
     };
@@ -39,12 +40,12 @@
 private:
     void pollAll();
     void pollPool(const Service &service, const ConfigState &config, const MemberView &view);
-    void poll(const Runner &runner);
+    void poll(const BackendServer &backendServer);
 
     const Options options_;
     QNetworkAccessManager network_;
     QTimer timer_;
-    // Runners with a poll in progress; a slow runner is not asked twice.
+    // Backend servers with a poll in progress; a slow backend server is not asked twice.
     std::set<std::string> pending_;
 };
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,4 +1,4 @@
-// auburnd: the daemon between callers and runners.
+// auburnd: the daemon between callers and backend servers.
 
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
--- a/packages/daemon/src/operatorbackend.cpp
+++ b/packages/daemon/src/operatorbackend.cpp
@@ -12,9 +12,9 @@
     return member.status != MemberStatus::Dead && member.status != MemberStatus::Left;
 }
 
-PlaceProgress ownProgress(const MemberView &view)
+FailureDomainProgress ownProgress(const MemberView &view)
 {
-    PlaceProgress progress{ .place = view.place, .region = view.region };
+    FailureDomainProgress progress{ .failureDomain = view.failureDomain, .region = view.region };
     progress.minRevision = std::numeric_limits<std::uint64_t>::max();
     for (const Member &member : view.members) {
         if (!isLive(member))
@@ -30,24 +30,24 @@
 
 } // namespace
 
-std::vector<PlaceProgress> progressOf(const MemberView &view)
+std::vector<FailureDomainProgress> progressOf(const MemberView &view)
 {
-    std::vector<PlaceProgress> result{ ownProgress(view) };
-    for (const PlaceView &place : view.places) {
-        result.push_back(PlaceProgress{ .place = place.place,
-                                        .region = place.region,
-                                        .reachable = place.reachable,
-                                        .daemons = place.liveDaemons,
-                                        .minRevision = place.minConfigRevision,
-                                        .maxRevision = place.maxConfigRevision });
+    std::vector<FailureDomainProgress> result{ ownProgress(view) };
+    for (const FailureDomainView &failureDomain : view.failureDomains) {
+        result.push_back(FailureDomainProgress{ .failureDomain = failureDomain.failureDomain,
+                                                .region = failureDomain.region,
+                                                .reachable = failureDomain.reachable,
+                                                .daemons = failureDomain.liveDaemons,
+                                                .minRevision = failureDomain.minConfigRevision,
+                                                .maxRevision = failureDomain.maxConfigRevision });
     }
     return result;
 }
 
-std::vector<PlaceProgress> OperatorBackend::progress() const
+std::vector<FailureDomainProgress> OperatorBackend::progress() const
 {
     const auto view = memberView();
-    return view ? progressOf(*view) : std::vector<PlaceProgress>();
+    return view ? progressOf(*view) : std::vector<FailureDomainProgress>();
 }
 
 } // namespace auburn
--- a/packages/daemon/src/requesttelemetry.cpp
+++ b/packages/daemon/src/requesttelemetry.cpp
@@ -49,13 +49,14 @@
 
     void claimEnd(bool won) override { endSpan(claim_, won, "not won"); }
 
-    std::string attemptBegin(const std::string &runner, unsigned number) override
+    std::string attemptBegin(const std::string &backendServer, unsigned number) override
     {
         attempt_.emplace(child("attempt", SpanKind::Internal));
         attempt_->setAttribute("auburn.attempt", static_cast<std::int64_t>(number));
-        runner_.emplace(tracer_.start("runner", SpanKind::Client, attempt_->context()));
-        runner_->setAttribute("auburn.runner", runner);
-        return formatTraceparent(runner_->context());
+        backendServer_.emplace(
+                tracer_.start("backend_server", SpanKind::Client, attempt_->context()));
+        backendServer_->setAttribute("auburn.backend_server", backendServer);
+        return formatTraceparent(backendServer_->context());
     }
 
     void firstToken(std::chrono::microseconds sinceReceived) override
@@ -63,20 +64,20 @@
         metrics_.histogram("auburn_first_token_seconds", "Time from receipt to the first token.",
                            labels_)
                 .observe(seconds(sinceReceived));
-        if (runner_)
-            runner_->setAttribute("auburn.first_token_us",
-                                  static_cast<std::int64_t>(sinceReceived.count()));
+        if (backendServer_)
+            backendServer_->setAttribute("auburn.first_token_us",
+                                         static_cast<std::int64_t>(sinceReceived.count()));
     }
 
     void tokenGap(std::chrono::microseconds gap) override { gaps_.observe(seconds(gap)); }
 
     void attemptEnd(const AttemptEnd &end) override
     {
-        if (runner_) {
-            runner_->setAttribute("auburn.tokens", static_cast<std::int64_t>(end.tokens));
-            runner_->setAttribute("auburn.verdict", std::string(verdictName(end.verdict)));
+        if (backendServer_) {
+            backendServer_->setAttribute("auburn.tokens", static_cast<std::int64_t>(end.tokens));
+            backendServer_->setAttribute("auburn.verdict", std::string(verdictName(end.verdict)));
         }
-        endSpan(runner_, end.complete, end.error);
+        endSpan(backendServer_, end.complete, end.error);
         endSpan(attempt_, end.complete, end.error);
     }
 
@@ -152,7 +153,7 @@
     std::optional<Span> queue_;
     std::optional<Span> claim_;
     std::optional<Span> attempt_;
-    std::optional<Span> runner_;
+    std::optional<Span> backendServer_;
     HistogramSeries &gaps_;
     Counter &tokens_;
 };
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -114,7 +114,7 @@
         checkRequired();
         Settings settings;
         settings.id = name("id");
-        settings.place = name("place");
+        settings.failureDomain = name("failure-domain");
         settings.region = name("region");
         settings.callerListen = address("caller-listen");
         settings.statusListen = address("status-listen");
--- a/packages/daemon/src/settingtable.cpp
+++ b/packages/daemon/src/settingtable.cpp
@@ -24,8 +24,8 @@
 // The defaults of body-limit and balancer-delay come from docs/design.md, sections 4 and 2.7.
 constexpr Row kRows[] = {
     { "id", "NAME", "", "Name of this daemon, unique in the fleet.", kRequired },
-    { "place", "NAME", "", "Place (zone) of this VM.", kRequired },
-    { "region", "NAME", "", "Region of the place.", kRequired },
+    { "failure-domain", "NAME", "", "Failure domain (zone) of this VM.", kRequired },
+    { "region", "NAME", "", "Region of the failure domain.", kRequired },
     { "caller-listen", "IP:PORT", "0.0.0.0:8080", "Address for callers' HTTP requests." },
     { "status-listen", "IP:PORT", "127.0.0.1:8081", "Address of /healthz, /readyz and /metrics." },
     { "peer-bind", "tcp://IP:PORT", "tcp://0.0.0.0:8082", "Endpoint for other daemons." },
@@ -46,7 +46,7 @@
     { "list-url", "http://HOST:PORT", "", "Platform membership list.", kRequired },
     { "seeds", "tcp://IP:PORT,...", "",
       "Peer endpoints to contact first; the membership list adds more.", false, false, kList },
-    { "threads", "COUNT", "2", "Worker threads for callers and runners, 1 to 64." },
+    { "threads", "COUNT", "2", "Worker threads for callers and backend servers, 1 to 64." },
     { "log-level", "debug|info|warning|error", "info", "Least severe level that is logged." },
     { "trace-target", "file:PATH|http://HOST:PORT/PATH", "",
       "Where spans go as OTLP JSON; off if empty." },
--- a/packages/daemon/src/statemetrics.cpp
+++ b/packages/daemon/src/statemetrics.cpp
@@ -56,7 +56,7 @@
         collectMembers(*view);
         collectLoad(*view);
     }
-    collectPlaces();
+    collectFailureDomains();
     clearUnset();
 }
 
@@ -66,20 +66,22 @@
     for (const Member &member : view.members)
         ++counts[member.status];
     for (const auto &[status, name] : kStatusNames)
-        set("auburn_members", "Daemons of this place by status.", { { "status", name } },
+        set("auburn_members", "Daemons of this failure domain by status.", { { "status", name } },
             counts[status]);
-    set("auburn_leaving_runners", "Runners marked as leaving by the platform list.", {},
-        static_cast<double>(view.leavingRunners.size()));
+    set("auburn_leaving_backend_servers", "Backend servers marked as leaving by the platform list.",
+        {}, static_cast<double>(view.leavingBackendServers.size()));
 }
 
-void StateMetrics::collectPlaces()
+void StateMetrics::collectFailureDomains()
 {
-    for (const PlaceProgress &place : backend_.progress()) {
-        const MetricLabels labels{ { "place", place.place } };
-        set("auburn_place_reachable", "1 if the place was heard of within the failure timeout.",
-            labels, place.reachable ? 1 : 0);
-        set("auburn_place_config_revision_min", "Lowest configuration revision in force there.",
-            labels, static_cast<double>(place.minRevision));
+    for (const FailureDomainProgress &failureDomain : backend_.progress()) {
+        const MetricLabels labels{ { "failure_domain", failureDomain.failureDomain } };
+        set("auburn_failure_domain_reachable",
+            "1 if the failure domain was heard of within the failure timeout.", labels,
+            failureDomain.reachable ? 1 : 0);
+        set("auburn_failure_domain_config_revision_min",
+            "Lowest configuration revision in force there.", labels,
+            static_cast<double>(failureDomain.minRevision));
     }
 }
 
@@ -87,10 +89,12 @@
 {
     for (const auto &[service, load] : loadByService(view)) {
         const MetricLabels labels{ { "service", service } };
-        set("auburn_slots", "Runner slots of this place.", labels, load.totalSlots);
-        set("auburn_slots_free", "Free runner slots of this place.", labels, load.freeSlots);
+        set("auburn_slots", "Backend server slots of this failure domain.", labels,
+            load.totalSlots);
+        set("auburn_slots_free", "Free backend server slots of this failure domain.", labels,
+            load.freeSlots);
         for (std::size_t tier = 0; tier < load.waitingByTier.size(); ++tier)
-            set("auburn_waiting_requests", "Slot requests that wait in this place.",
+            set("auburn_waiting_requests", "Slot requests that wait in this failure domain.",
                 { { "service", service }, { "tier", std::to_string(tier) } },
                 load.waitingByTier[tier]);
     }
--- a/packages/daemon/src/tablerows.cpp
+++ b/packages/daemon/src/tablerows.cpp
@@ -75,10 +75,11 @@
                + " token_sha256=" + value.tokenSha256.substr(0, kShownHashDigits)
                + "... revoked=" + flag(value.revoked);
     }
-    std::string operator()(const Runner &value) const
+    std::string operator()(const BackendServer &value) const
     {
-        return "service=" + value.service + " place=" + value.place + " address=" + value.address
-               + " slots=" + std::to_string(value.slots) + " draining=" + flag(value.draining);
+        return "service=" + value.service + " failure_domain=" + value.failureDomain
+               + " address=" + value.address + " slots=" + std::to_string(value.slots)
+               + " draining=" + flag(value.draining);
     }
 };
 
@@ -116,11 +117,17 @@
                  value.className, value.tokenSha256.substr(0, kShownHashDigits),
                  value.revoked,   revision_ };
     }
-    CellRow operator()(const Runner &value) const
+    CellRow operator()(const BackendServer &value) const
     {
-        const bool leaving = view_ && view_->leavingRunners.contains(value.name);
-        return { value.name,           value.service,  value.place, value.address,
-                 integer(value.slots), value.draining, leaving,     revision_ };
+        const bool leaving = view_ && view_->leavingBackendServers.contains(value.name);
+        return { value.name,
+                 value.service,
+                 value.failureDomain,
+                 value.address,
+                 integer(value.slots),
+                 value.draining,
+                 leaving,
+                 revision_ };
     }
 
 private:
@@ -164,22 +171,22 @@
 {
     Rows rows;
     for (const CellLoad &cell : view.cells)
-        rows.push_back({ view.place, cell.service, std::to_string(cell.cell), cell.owner,
+        rows.push_back({ view.failureDomain, cell.service, std::to_string(cell.cell), cell.owner,
                          integer(cell.freeSlots), integer(cell.totalSlots),
                          total(cell.waitingByTier), tiersText(cell.waitingByTier) });
-    for (const PlaceView &place : view.places) {
-        for (const PlaceServiceLoad &load : place.services)
-            rows.push_back({ place.place, load.service, std::string(), std::string(),
-                             integer(load.freeSlots), integer(load.totalSlots),
+    for (const FailureDomainView &failureDomain : view.failureDomains) {
+        for (const FailureDomainServiceLoad &load : failureDomain.services)
+            rows.push_back({ failureDomain.failureDomain, load.service, std::string(),
+                             std::string(), integer(load.freeSlots), integer(load.totalSlots),
                              total(load.waitingByTier), tiersText(load.waitingByTier) });
     }
     return rows;
 }
 
-CellRow daemonRow(const Member &member, const std::string &place)
+CellRow daemonRow(const Member &member, const std::string &failureDomain)
 {
     return { member.id,
-             place,
+             failureDomain,
              statusText(member.status),
              member.endpoint,
              integer(member.incarnation),
@@ -190,20 +197,21 @@
 {
     Rows rows;
     for (const Member &member : view.members)
-        rows.push_back(daemonRow(member, view.place));
-    for (const PlaceView &place : view.places) {
-        for (const Member &contact : place.contacts)
-            rows.push_back(daemonRow(contact, place.place));
+        rows.push_back(daemonRow(member, view.failureDomain));
+    for (const FailureDomainView &failureDomain : view.failureDomains) {
+        for (const Member &contact : failureDomain.contacts)
+            rows.push_back(daemonRow(contact, failureDomain.failureDomain));
     }
     return rows;
 }
 
-Rows placeRows(const OperatorBackend &backend)
+Rows failureDomainRows(const OperatorBackend &backend)
 {
     Rows rows;
-    for (const PlaceProgress &place : backend.progress())
-        rows.push_back({ place.place, place.region, place.reachable, integer(place.daemons),
-                         integer(place.minRevision), integer(place.maxRevision) });
+    for (const FailureDomainProgress &failureDomain : backend.progress())
+        rows.push_back({ failureDomain.failureDomain, failureDomain.region, failureDomain.reachable,
+                         integer(failureDomain.daemons), integer(failureDomain.minRevision),
+                         integer(failureDomain.maxRevision) });
     return rows;
 }
 
@@ -246,8 +254,8 @@
         return ItemKind::RequestClass;
     case TableId::Services:
         return ItemKind::Service;
-    case TableId::Runners:
-        return ItemKind::Runner;
+    case TableId::BackendServers:
+        return ItemKind::BackendServer;
     case TableId::Organisations:
         return ItemKind::Organisation;
     case TableId::Callers:
@@ -277,8 +285,8 @@
         return itemRows(*kind, *state, view.get());
     if (table == TableId::Config)
         return configRows(*state);
-    if (table == TableId::Places)
-        return placeRows(backend);
+    if (table == TableId::FailureDomains)
+        return failureDomainRows(backend);
     if (table == TableId::History)
         return historyRows(backend);
     if (!view) {
--- a/packages/daemon/tests/commandexecutor_test.cpp
+++ b/packages/daemon/tests/commandexecutor_test.cpp
@@ -34,7 +34,7 @@
     {
         proto::OperatorRequest request;
         request.set_request_id("q");
-        request.set_command("drain runner r1");
+        request.set_command("drain backend_server r1");
         request.set_wait(true);
         request.set_timeout_ms(1000);
         return request;
@@ -63,30 +63,32 @@
 // Guards against numbers and durations that are compared or sorted as text.
 BOOST_AUTO_TEST_CASE(execute_queries_compareByType)
 {
-    BOOST_TEST(column(run("show runners sort slots desc"), 0) == "r2 r3 r1");
-    BOOST_TEST(column(run("show runners where slots > 4 and place = a"), 0) == "r2");
-    BOOST_TEST(column(run("show runners where leaving = true"), 0) == "r2");
-    BOOST_TEST(column(run("show runners sort slots limit 1"), 0) == "r1");
+    BOOST_TEST(column(run("show backend_servers sort slots desc"), 0) == "r2 r3 r1");
+    BOOST_TEST(column(run("show backend_servers where slots > 4 and failure_domain = a"), 0)
+               == "r2");
+    BOOST_TEST(column(run("show backend_servers where leaving = true"), 0) == "r2");
+    BOOST_TEST(column(run("show backend_servers sort slots limit 1"), 0) == "r1");
     BOOST_TEST(column(run("show classes where first_token > 2s"), 0) == "bulk");
     BOOST_TEST(column(run("show classes where name ~ ol"), 0) == "gold");
     BOOST_TEST(column(run("show load"), 6) == "3");
     BOOST_TEST(column(run("show daemons where status != dead"), 0) == "d1");
-    BOOST_TEST(column(run("show places where region = south"), 4) == "8");
+    BOOST_TEST(column(run("show failure_domains where region = south"), 4) == "8");
     BOOST_TEST(run("show config").rows_size() == 8);
     BOOST_TEST(run("show callers").rows(0).cells(3).text().size() < 64U);
 }
 
-// Guards against every kind of mistake that would be accepted, or reported at the wrong place.
+// Guards against every kind of mistake that would be accepted, or reported at the wrong failure
+// domain.
 BOOST_AUTO_TEST_CASE(execute_mistakes_haveStatusAndColumn)
 {
     const auto invalid = proto::OPERATOR_STATUS_INVALID;
     const std::vector<Case> cases{
         { "show runers", proto::OPERATOR_STATUS_SYNTAX_ERROR, 6 },
-        { "show runners where slot = 1", invalid, 20 },
-        { "show runners where slots = many", invalid, 28 },
-        { "show runners where draining < true", invalid, 20 },
-        { "show runners where slots ~ 1", invalid, 20 },
-        { "show runners sort size", invalid, 19 },
+        { "show backend_servers where slot = 1", invalid, 28 },
+        { "show backend_servers where slots = many", invalid, 36 },
+        { "show backend_servers where draining < true", invalid, 28 },
+        { "show backend_servers where slots ~ 1", invalid, 28 },
+        { "show backend_servers sort size", invalid, 27 },
         { "set class gold tier=8", invalid, 21 },
         { "set class gold tier=1 tier=2", invalid, 23 },
         { "set class gold first_token=fast", invalid, 28 },
@@ -98,13 +100,13 @@
         { "set caller web token_sha256=ABC", invalid, 29 },
         { "set caller x organisation=acme class=gold token_sha256=" + std::string(64, 'a'), invalid,
           56 },
-        { "set runner r1 address=host", invalid, 23 },
-        { "set runner r1 slots=0", invalid, 21 },
-        { "set runner r9 slots=4", invalid, 12 },
+        { "set backend_server r1 address=host", invalid, 31 },
+        { "set backend_server r1 slots=0", invalid, 29 },
+        { "set backend_server r9 slots=4", invalid, 20 },
         { "unset service chat", invalid, 15 },
         { "unset service none", proto::OPERATOR_STATUS_NOT_FOUND, 15 },
-        { "drain runner none", proto::OPERATOR_STATUS_NOT_FOUND, 14 },
-        { "drain runner r1 if revision 5", proto::OPERATOR_STATUS_CONFLICT, 0 },
+        { "drain backend_server none", proto::OPERATOR_STATUS_NOT_FOUND, 22 },
+        { "drain backend_server r1 if revision 5", proto::OPERATOR_STATUS_CONFLICT, 0 },
         { "set class gold tier=1 if revision 0", proto::OPERATOR_STATUS_CONFLICT, 0 },
     };
     for (const Case &item : cases) {
@@ -122,7 +124,7 @@
 // Guards against a change that overwrites fields it does not name, or has the wrong base.
 BOOST_AUTO_TEST_CASE(execute_set_keepsOtherFieldsAndBase)
 {
-    const proto::OperatorReply answer = run("set runner r1 slots=6 if revision 6");
+    const proto::OperatorReply answer = run("set backend_server r1 slots=6 if revision 6");
     BOOST_TEST(answer.status() == proto::OPERATOR_STATUS_OK);
     BOOST_TEST(answer.revision() == 9U);
     BOOST_REQUIRE(backend.changes().size() == 1U);
@@ -130,12 +132,12 @@
     BOOST_TEST(change.base_revision() == 6U);
     BOOST_TEST(change.operator_name() == "alice");
     BOOST_TEST(change.change_id() == sha256Hex("alice/q"));
-    BOOST_TEST(change.item().runner().slots() == 6U);
-    BOOST_TEST(change.item().runner().address() == "127.0.0.1:1");
+    BOOST_TEST(change.item().backend_server().slots() == 6U);
+    BOOST_TEST(change.item().backend_server().address() == "127.0.0.1:1");
     BOOST_TEST(run("set class new tier=3").status() == proto::OPERATOR_STATUS_OK);
     BOOST_TEST(run("unset class new").status() == proto::OPERATOR_STATUS_OK);
     BOOST_TEST(backend.changes().back().remove());
-    BOOST_TEST(run("undrain runner r2").status() == proto::OPERATOR_STATUS_OK);
+    BOOST_TEST(run("undrain backend_server r2").status() == proto::OPERATOR_STATUS_OK);
     BOOST_TEST(column(run("show history"), 3) == "set set unset set");
 }
 
@@ -150,11 +152,11 @@
     };
     for (const auto &[result, status] : results) {
         backend.setResult(result);
-        BOOST_TEST(run("drain runner r1").status() == status);
+        BOOST_TEST(run("drain backend_server r1").status() == status);
     }
     backend.loseState();
-    BOOST_TEST(run("drain runner r1").status() == proto::OPERATOR_STATUS_UNAVAILABLE);
-    BOOST_TEST(run("show runners").status() == proto::OPERATOR_STATUS_UNAVAILABLE);
+    BOOST_TEST(run("drain backend_server r1").status() == proto::OPERATOR_STATUS_UNAVAILABLE);
+    BOOST_TEST(run("show backend_servers").status() == proto::OPERATOR_STATUS_UNAVAILABLE);
 }
 
 // Guards against a log that never answers: the operator must learn that the outcome is unknown, and
@@ -174,8 +176,8 @@
     BOOST_TEST(!reply.has_value());
 }
 
-// Guards against "in force" while one place still has the old revision.
-BOOST_AUTO_TEST_CASE(execute_wait_answersWhenAllPlacesHaveIt)
+// Guards against "in force" while one failure domain still has the old revision.
+BOOST_AUTO_TEST_CASE(execute_wait_answersWhenAllFailureDomainsHaveIt)
 {
     run(waitingChange());
     executor.tick();
@@ -186,8 +188,8 @@
     BOOST_TEST(reply->status() == proto::OPERATOR_STATUS_OK);
 }
 
-// Guards against a wait that never ends, and names the places that lag.
-BOOST_AUTO_TEST_CASE(execute_waitTimesOut_namesPlaces)
+// Guards against a wait that never ends, and names the failure domains that lag.
+BOOST_AUTO_TEST_CASE(execute_waitTimesOut_namesFailureDomains)
 {
     run(waitingChange());
     executor.tick(CommandExecutor::Clock::now() + std::chrono::seconds(2));
--- a/packages/daemon/tests/fakebackend.h
+++ b/packages/daemon/tests/fakebackend.h
@@ -25,40 +25,40 @@
                     .className = "gold",
                     .tokenSha256 = std::string(64, 'a') },
             5);
-        put(Runner{ .name = "r1",
-                    .service = "chat",
-                    .place = "a",
-                    .address = "127.0.0.1:1",
-                    .slots = 4 },
+        put(BackendServer{ .name = "r1",
+                           .service = "chat",
+                           .failureDomain = "a",
+                           .address = "127.0.0.1:1",
+                           .slots = 4 },
             6);
-        put(Runner{ .name = "r2",
-                    .service = "chat",
-                    .place = "a",
-                    .address = "127.0.0.1:2",
-                    .slots = 16 },
+        put(BackendServer{ .name = "r2",
+                           .service = "chat",
+                           .failureDomain = "a",
+                           .address = "127.0.0.1:2",
+                           .slots = 16 },
             7);
-        put(Runner{ .name = "r3",
-                    .service = "chat",
-                    .place = "b",
-                    .address = "127.0.0.1:3",
-                    .slots = 8 },
+        put(BackendServer{ .name = "r3",
+                           .service = "chat",
+                           .failureDomain = "b",
+                           .address = "127.0.0.1:3",
+                           .slots = 8 },
             8);
         view_.selfId = "d1";
-        view_.place = "a";
+        view_.failureDomain = "a";
         view_.region = "north";
         view_.members = { Member{ .id = "d1", .status = MemberStatus::Ready, .configRevision = 8 },
                           Member{ .id = "d2", .status = MemberStatus::Dead, .configRevision = 1 } };
-        view_.places = { PlaceView{ .place = "b",
-                                    .region = "south",
-                                    .minConfigRevision = 8,
-                                    .maxConfigRevision = 8,
-                                    .liveDaemons = 2 } };
+        view_.failureDomains = { FailureDomainView{ .failureDomain = "b",
+                                                    .region = "south",
+                                                    .minConfigRevision = 8,
+                                                    .maxConfigRevision = 8,
+                                                    .liveDaemons = 2 } };
         view_.cells = { CellLoad{ .service = "chat",
                                   .owner = "d1",
                                   .freeSlots = 3,
                                   .totalSlots = 20,
                                   .waitingByTier = { 1, 0, 2 } } };
-        view_.leavingRunners = { "r2" };
+        view_.leavingBackendServers = { "r2" };
     }
 
     std::shared_ptr<const ConfigState> configState() const override
@@ -97,12 +97,12 @@
         return entries;
     }
 
-    // Makes every place report the given revision.
+    // Makes every failure domain report the given revision.
     void setProgress(std::uint64_t revision)
     {
         const std::lock_guard lock(mutex_);
         view_.members[0].configRevision = revision;
-        view_.places[0].minConfigRevision = revision;
+        view_.failureDomains[0].minConfigRevision = revision;
     }
 
     void setResult(ChangeResult result)
--- a/packages/daemon/tests/operatorserver_test.cpp
+++ b/packages/daemon/tests/operatorserver_test.cpp
@@ -79,7 +79,7 @@
                == "name  tier  first_token  token_gap  revision\n"
                   "gold  0     1.8s         26ms       2\n");
     const CtlResult json = run(
-            { "--output", "json", "show", "runners", "where", "slots", "=", "16" });
+            { "--output", "json", "show", "backend_servers", "where", "slots", "=", "16" });
     BOOST_TEST(json.out.find("\"leaving\": true") != std::string::npos);
     BOOST_TEST(json.out.find("\"slots\": 16") != std::string::npos);
 }
@@ -87,20 +87,21 @@
 // Guards against exit codes that scripts cannot rely on.
 BOOST_AUTO_TEST_CASE(run_everyOutcome_hasItsExitCode)
 {
-    BOOST_CHECK(run({ "drain", "runner", "r1" }).exit == CtlExit::Done);
+    BOOST_CHECK(run({ "drain", "backend_server", "r1" }).exit == CtlExit::Done);
     BOOST_CHECK(run({ "set", "class", "gold", "tier=9" }).exit == CtlExit::Usage);
-    BOOST_CHECK(run({ "drain", "runner", "none" }).exit == CtlExit::NotFound);
-    BOOST_CHECK(run({ "drain", "runner", "r1", "if", "revision", "1" }).exit == CtlExit::Conflict);
+    BOOST_CHECK(run({ "drain", "backend_server", "none" }).exit == CtlExit::NotFound);
+    BOOST_CHECK(run({ "drain", "backend_server", "r1", "if", "revision", "1" }).exit
+                == CtlExit::Conflict);
     backend.setResult(ChangeUnavailable{ "log" });
-    BOOST_CHECK(run({ "drain", "runner", "r1" }).exit == CtlExit::Unavailable);
+    BOOST_CHECK(run({ "drain", "backend_server", "r1" }).exit == CtlExit::Unavailable);
     backend.setResult(ChangeUnknown{ "log" });
-    BOOST_CHECK(run({ "drain", "runner", "r1" }).exit == CtlExit::Unknown);
+    BOOST_CHECK(run({ "drain", "backend_server", "r1" }).exit == CtlExit::Unknown);
     backend.setResult(ChangeAccepted{ 99 });
-    const CtlResult late = run({ "--wait", "--timeout", "200ms", "drain", "runner", "r1" });
+    const CtlResult late = run({ "--wait", "--timeout", "200ms", "drain", "backend_server", "r1" });
     BOOST_CHECK(late.exit == CtlExit::NotInForce);
     BOOST_TEST(late.err.find("revision 99") != std::string::npos);
     backend.setProgress(99);
-    const CtlResult done = run({ "--wait", "--output=json", "drain", "runner", "r1" });
+    const CtlResult done = run({ "--wait", "--output=json", "drain", "backend_server", "r1" });
     BOOST_CHECK(done.exit == CtlExit::Done);
     BOOST_TEST(done.out.find("\"revision\": 99") != std::string::npos);
     BOOST_TEST(backend.changes().back().operator_name() == "alice");
@@ -109,17 +110,18 @@
 // Guards against the caret of a mistake that only the daemon can find.
 BOOST_AUTO_TEST_CASE(run_unknownField_showsCaret)
 {
-    const CtlResult result = run({ "show", "runners", "where", "slot", "=", "1" });
+    const CtlResult result = run({ "show", "backend_servers", "where", "slot", "=", "1" });
     BOOST_CHECK(result.exit == CtlExit::Usage);
-    BOOST_TEST(result.err.find("show runners where slot = 1\n                   ^\n")
-               != std::string::npos);
+    BOOST_TEST(
+            result.err.find("show backend_servers where slot = 1\n                           ^\n")
+            != std::string::npos);
 }
 
 // Guards against a key that is not on the list: it must neither read nor change anything.
 BOOST_AUTO_TEST_CASE(run_unknownKey_getsNothing)
 {
     for (const std::vector<std::string> &command : std::vector<std::vector<std::string>>{
-                 { "show", "callers" }, { "drain", "runner", "r1" } }) {
+                 { "show", "callers" }, { "drain", "backend_server", "r1" } }) {
         const CtlResult result = run(command, mallory);
         BOOST_CHECK(result.exit == CtlExit::Failed);
         BOOST_TEST(result.out.empty());
@@ -136,9 +138,9 @@
     socket.set(zmq::sockopt::linger, 0);
     socket.connect(server->endpoint());
     proto::Envelope envelope;
-    envelope.mutable_operator_request()->set_command("drain runner r1");
+    envelope.mutable_operator_request()->set_command("drain backend_server r1");
     socket.send(zmq::buffer(envelope.SerializeAsString()), zmq::send_flags::dontwait);
-    BOOST_CHECK(run({ "show", "runners" }).exit == CtlExit::Done);
+    BOOST_CHECK(run({ "show", "backend_servers" }).exit == CtlExit::Done);
     BOOST_TEST(backend.changes().empty());
 }
 
@@ -146,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(request_tooLarge_isNotServedAndServerGoesOn)
 {
     proto::OperatorRequest request;
-    request.set_command("drain runner r1");
+    request.set_command("drain backend_server r1");
     request.set_request_id(std::string(kMaxOperatorRequest, 'x'));
     const auto result = callOperator({ .endpoint = server->endpoint(),
                                        .serverKey = fleet.publicKey.data(),
@@ -157,14 +159,14 @@
     BOOST_REQUIRE(std::holds_alternative<ClientError>(result));
     BOOST_CHECK(std::get<ClientError>(result).failure == ClientFailure::NoReply);
     BOOST_TEST(backend.changes().empty());
-    BOOST_CHECK(run({ "show", "runners" }).exit == CtlExit::Done);
+    BOOST_CHECK(run({ "show", "backend_servers" }).exit == CtlExit::Done);
 }
 
 // Guards against "may have been done" for a command that was never sent: no daemon listens, or the
 // server key is not the daemon's.
 BOOST_AUTO_TEST_CASE(run_noConnection_isUnavailable)
 {
-    const std::vector<std::string> drain{ "--timeout", "300ms", "drain", "runner", "r1" };
+    const std::vector<std::string> drain{ "--timeout", "300ms", "drain", "backend_server", "r1" };
     std::vector<std::string> wrongKey = drain;
     wrongKey.insert(wrongKey.begin(), { "--server-key", mallory.publicKey.data() });
     BOOST_CHECK(run(wrongKey).exit == CtlExit::Unavailable);
@@ -178,7 +180,8 @@
 BOOST_AUTO_TEST_CASE(run_replyLost_isUnknown)
 {
     backend.holdNext();
-    BOOST_CHECK(run({ "--timeout", "200ms", "drain", "runner", "r1" }).exit == CtlExit::Unknown);
+    BOOST_CHECK(run({ "--timeout", "200ms", "drain", "backend_server", "r1" }).exit
+                == CtlExit::Unknown);
     server.reset();
     backend.takeHeld()(ChangeAccepted{ 9 });
 }
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -23,7 +23,7 @@
     Keys alice;
     std::map<std::string, std::string> environment{
         { "AUBURN_ID", "d1" },
-        { "AUBURN_PLACE", "a" },
+        { "AUBURN_FAILURE_DOMAIN", "a" },
         { "AUBURN_REGION", "north" },
         { "AUBURN_PEER_ADVERTISED", "tcp://127.0.0.1:8082" },
         { "AUBURN_FLEET_PUBLIC_KEY", fleet.publicKey.data() },
@@ -80,7 +80,7 @@
 // Guards against starts that show one mistake at a time.
 BOOST_AUTO_TEST_CASE(read_manyMistakes_areReportedAtOnce)
 {
-    environment.erase("AUBURN_PLACE");
+    environment.erase("AUBURN_FAILURE_DOMAIN");
     environment["AUBURN_REGION"] = "north west";
     environment["AUBURN_LIST_URL"] = "127.0.0.1:9001";
     const SettingsExit exit = readExit({ "--caller-listen",
@@ -109,7 +109,7 @@
                                          "--id" });
     BOOST_TEST(exit.code == 2);
     for (const std::string part :
-         { "--place (AUBURN_PLACE) is required",
+         { "--failure-domain (AUBURN_FAILURE_DOMAIN) is required",
            "--region 'north west':", "--list-url '127.0.0.1:9001':",
            "--caller-listen 'localhost:80':", "--threads is given 2 times", "--threads '0,2':",
            "--trace-sampling 'nan':", "--log-level 'loud':", "--seeds 'tcp://host:1':",
--- a/packages/daemon/tests/statusserver_test.cpp
+++ b/packages/daemon/tests/statusserver_test.cpp
@@ -65,7 +65,8 @@
          { "auburn_config_revision 8\n", "auburn_members{status=\"ready\"} 1\n",
            "auburn_members{status=\"draining\"} 0\n", "auburn_slots_free{service=\"chat\"} 3\n",
            "auburn_waiting_requests{service=\"chat\",tier=\"2\"} 2\n",
-           "auburn_place_reachable{place=\"b\"} 1\n", "auburn_leaving_runners 1\n" })
+           "auburn_failure_domain_reachable{failure_domain=\"b\"} 1\n",
+           "auburn_leaving_backend_servers 1\n" })
         BOOST_TEST(text.find(line) != std::string::npos, line);
     backend.loseCells();
     BOOST_TEST(get("/metrics").body().find("auburn_slots_free{service=\"chat\"} 0\n")
--- a/packages/mesh/bench/benchload.cpp
+++ b/packages/mesh/bench/benchload.cpp
@@ -7,32 +7,33 @@
 namespace {
 
 constexpr unsigned kServices = 3;
-constexpr unsigned kRunnersPerCell = 16;
+constexpr unsigned kBackendServersPerCell = 16;
 constexpr unsigned kTiers = 8;
 
-unsigned cellsPerService(unsigned runners)
+unsigned cellsPerService(unsigned backendServers)
 {
-    const unsigned pool = runners / kServices;
-    return std::bit_ceil((pool + kRunnersPerCell - 1) / kRunnersPerCell);
+    const unsigned pool = backendServers / kServices;
+    return std::bit_ceil((pool + kBackendServersPerCell - 1) / kBackendServersPerCell);
 }
 
 } // namespace
 
-unsigned cellCountFor(unsigned runners)
+unsigned cellCountFor(unsigned backendServers)
 {
-    return kServices * cellsPerService(runners);
+    return kServices * cellsPerService(backendServers);
 }
 
-std::vector<CellLoad> makeLoads(const MemberView &view, unsigned runners, std::mt19937_64 &random)
+std::vector<CellLoad> makeLoads(const MemberView &view, unsigned backendServers,
+                                std::mt19937_64 &random)
 {
     std::vector<CellLoad> loads;
     for (unsigned service = 0; service < kServices; ++service) {
         const std::string name = "model-" + std::to_string(service);
-        for (unsigned cell = 0; cell < cellsPerService(runners); ++cell) {
+        for (unsigned cell = 0; cell < cellsPerService(backendServers); ++cell) {
             if (view.ownerOf(name + "/" + std::to_string(cell)) != view.selfId)
                 continue;
             CellLoad load{ .service = name, .cell = cell, .owner = view.selfId };
-            load.totalSlots = kRunnersPerCell * 16;
+            load.totalSlots = kBackendServersPerCell * 16;
             load.freeSlots = static_cast<unsigned>(random() % load.totalSlots);
             for (unsigned tier = 0; tier < kTiers; ++tier)
                 load.waitingByTier.push_back(static_cast<unsigned>(random() % 200));
--- a/packages/mesh/bench/benchload.h
+++ b/packages/mesh/bench/benchload.h
@@ -9,11 +9,12 @@
 
 namespace auburn {
 
-// Cells of a place at the design scale: 3 services, one cell per 16 runners rounded up to a power
-// of two per service, as in section 2.1 of the design.
-unsigned cellCountFor(unsigned runners);
+// Cells of a failure domain at the design scale: 3 services, one cell per 16 backend servers
+// rounded up to a power of two per service, as in section 2.1 of the design.
+unsigned cellCountFor(unsigned backendServers);
 
 // Loads of the cells that the view's own daemon owns, with requests waiting in all 8 tiers.
-std::vector<CellLoad> makeLoads(const MemberView &view, unsigned runners, std::mt19937_64 &random);
+std::vector<CellLoad> makeLoads(const MemberView &view, unsigned backendServers,
+                                std::mt19937_64 &random);
 
 } // namespace auburn
--- a/packages/mesh/bench/gossipbench.cpp
+++ b/packages/mesh/bench/gossipbench.cpp
@@ -34,9 +34,9 @@
 
 struct Shape
 {
-    unsigned places = 1;
+    unsigned failureDomains = 1;
     unsigned daemons = 6;
-    unsigned runners = 15;
+    unsigned backendServers = 15;
 };
 
 // Both sides of today's deployments, then the growth to the design scale.
@@ -51,18 +51,18 @@
     { 1, 96, 330 }, { 3, 6, 15 },  { 10, 6, 15 }, { 10, 12, 330 },
 };
 
-std::string placeName(unsigned place)
+std::string failureDomainName(unsigned failureDomain)
 {
-    return "place-" + std::to_string(place);
+    return "domain-" + std::to_string(failureDomain);
 }
 
-// Names as long as those of real VMs; places are spread over three regions.
-GossipOptions optionsFor(unsigned place, unsigned daemon)
+// Names as long as those of real VMs; failure domains are spread over three regions.
+GossipOptions optionsFor(unsigned failureDomain, unsigned daemon)
 {
-    return GossipOptions{ .selfId = "daemon-" + std::to_string(place) + "-"
+    return GossipOptions{ .selfId = "daemon-" + std::to_string(failureDomain) + "-"
                                     + std::to_string(daemon),
-                          .place = placeName(place),
-                          .region = "region-" + std::to_string(place % 3) };
+                          .failureDomain = failureDomainName(failureDomain),
+                          .region = "region-" + std::to_string(failureDomain % 3) };
 }
 
 double processCpuSeconds()
@@ -89,19 +89,19 @@
 void addMembers(GossipSim &sim, const Shape &shape)
 {
     std::string firstSeed;
-    for (unsigned place = 0; place < shape.places; ++place) {
-        std::string placeSeed;
+    for (unsigned failureDomain = 0; failureDomain < shape.failureDomains; ++failureDomain) {
+        std::string failureDomainSeed;
         for (unsigned daemon = 0; daemon < shape.daemons; ++daemon) {
-            GossipOptions options = optionsFor(place, daemon);
-            for (const std::string &seed : { placeSeed, firstSeed }) {
+            GossipOptions options = optionsFor(failureDomain, daemon);
+            for (const std::string &seed : { failureDomainSeed, firstSeed }) {
                 if (!seed.empty())
                     options.seeds.push_back(seed);
             }
             const std::size_t index = sim.add(std::move(options));
             if (daemon == 0)
-                placeSeed = sim.node(index).endpoint;
+                failureDomainSeed = sim.node(index).endpoint;
             if (index == 0)
-                firstSeed = placeSeed;
+                firstSeed = failureDomainSeed;
             sim.apply(index, [](GossipCore &core, GossipTime now) {
                 core.setStatus(MemberStatus::Ready, now);
             });
@@ -113,7 +113,7 @@
 {
     for (unsigned second = 0; second < seconds; ++second) {
         for (std::size_t i = 0; i < sim.size(); ++i) {
-            sim.node(i).core->setCellLoads(makeLoads(*sim.view(i), shape.runners, random));
+            sim.node(i).core->setCellLoads(makeLoads(*sim.view(i), shape.backendServers, random));
         }
         sim.run(1s);
     }
@@ -133,21 +133,22 @@
     double bytes = 0;
     double largest = 0;
     double messages = 0;
-    double placeBytes = 0;
+    double failureDomainBytes = 0;
     for (std::size_t i = 0; i < sim.size(); ++i) {
         const GossipSim::Node &node = sim.node(i);
         const auto own = static_cast<double>(node.traffic.bytesIn + node.traffic.bytesOut);
         bytes += own;
         largest = std::max(largest, own);
         messages += static_cast<double>(node.traffic.messagesIn + node.traffic.messagesOut);
-        placeBytes = std::max(placeBytes, static_cast<double>(node.placeBytes));
+        failureDomainBytes = std::max(failureDomainBytes,
+                                      static_cast<double>(node.failureDomainBytes));
     }
     const auto members = static_cast<double>(sim.size());
     const auto heap = static_cast<double>(mallinfo2().uordblks - heapBefore) / 1024;
-    std::printf("core,%u,%u,%u,%u,%.0f,%.0f,%.0f,%.1f,%.4f,%.0f\n", shape.places, shape.daemons,
-                shape.runners, cellCountFor(shape.runners), bytes / seconds / members,
-                largest / seconds, placeBytes / seconds, messages / seconds / members,
-                100 * cpu / seconds / members, heap / members);
+    std::printf("core,%u,%u,%u,%u,%.0f,%.0f,%.0f,%.1f,%.4f,%.0f\n", shape.failureDomains,
+                shape.daemons, shape.backendServers, cellCountFor(shape.backendServers),
+                bytes / seconds / members, largest / seconds, failureDomainBytes / seconds,
+                messages / seconds / members, 100 * cpu / seconds / members, heap / members);
     std::fflush(stdout);
 }
 
@@ -221,17 +222,17 @@
     const CurveKeyPair keys = makeCurveKeyPair().value();
     std::vector<BusMember> members;
     std::string firstSeed;
-    for (unsigned place = 0; place < shape.places; ++place) {
-        std::string placeSeed;
+    for (unsigned failureDomain = 0; failureDomain < shape.failureDomains; ++failureDomain) {
+        std::string failureDomainSeed;
         for (unsigned daemon = 0; daemon < shape.daemons; ++daemon) {
-            GossipOptions options = optionsFor(place, daemon);
+            GossipOptions options = optionsFor(failureDomain, daemon);
             options.endpoint = freeEndpoint(keys);
-            for (const std::string &seed : { placeSeed, firstSeed }) {
+            for (const std::string &seed : { failureDomainSeed, firstSeed }) {
                 if (!seed.empty())
                     options.seeds.push_back(seed);
             }
-            if (placeSeed.empty())
-                placeSeed = options.endpoint;
+            if (failureDomainSeed.empty())
+                failureDomainSeed = options.endpoint;
             if (firstSeed.empty())
                 firstSeed = options.endpoint;
             BusMember member;
@@ -255,7 +256,7 @@
         const auto end = std::chrono::steady_clock::now() + 1s;
         for (BusMember &member : members) {
             const auto view = member.membership->view();
-            member.membership->setCellLoads(makeLoads(*view, shape.runners, random));
+            member.membership->setCellLoads(makeLoads(*view, shape.backendServers, random));
         }
         for (int i = 0; i < 4; ++i) {
             std::this_thread::sleep_for(200ms);
@@ -293,7 +294,7 @@
         const auto ready = std::count_if(
                 view->members.begin(), view->members.end(),
                 [](const Member &known) { return known.status == MemberStatus::Ready; });
-        return ready == shape.daemons && view->places.size() + 1 == shape.places;
+        return ready == shape.daemons && view->failureDomains.size() + 1 == shape.failureDomains;
     });
 }
 
@@ -315,8 +316,8 @@
     const double per = static_cast<double>(seconds) * static_cast<double>(members.size());
     const double memory = residentKilobytes() - memoryBefore;
     // Every byte sent is a byte received by another daemon.
-    std::printf("buses,%u,%u,%u,%u,%.0f,%.0f,%.0f,%.1f,%.4f,%.0f,%.1f,%d\n", shape.places,
-                shape.daemons, shape.runners, cellCountFor(shape.runners),
+    std::printf("buses,%u,%u,%u,%u,%.0f,%.0f,%.0f,%.1f,%.4f,%.0f,%.1f,%d\n", shape.failureDomains,
+                shape.daemons, shape.backendServers, cellCountFor(shape.backendServers),
                 (after.bytes - before.bytes) / per, 2 * meter.bytes() / per,
                 2 * (meter.bytes() + kHeaderBytes * meter.segments()) / per,
                 (after.messages - before.messages) / per, 100 * cpu / per,
@@ -341,10 +342,10 @@
     return false;
 }
 
-// Time until all members of the origin's place, and all members, have the revision.
+// Time until all members of the origin's failure domain, and all members, have the revision.
 void measureRevision(double loss, bool relaysReadLog, unsigned runs)
 {
-    const Shape shape{ .places = 10, .daemons = 79, .runners = 330 };
+    const Shape shape{ .failureDomains = 10, .daemons = 79, .backendServers = 330 };
     GossipSim sim(3);
     sim.loss = loss;
     addMembers(sim, shape);
@@ -360,25 +361,26 @@
                 core.setConfigRevision(revision, now);
             });
         }
-        std::map<std::string, long long> placeTimes;
+        std::map<std::string, long long> failureDomainTimes;
         const auto all = [&] {
             std::map<std::string, bool> complete;
             for (std::size_t i = 0; i < sim.size(); ++i) {
-                bool &place = complete.try_emplace(sim.node(i).options.place, true).first->second;
-                place = place && hasRevision(sim, i, revision);
+                bool &failureDomain = complete.try_emplace(sim.node(i).options.failureDomain, true)
+                                              .first->second;
+                failureDomain = failureDomain && hasRevision(sim, i, revision);
             }
-            for (const auto &[place, isDone] : complete) {
+            for (const auto &[failureDomain, isDone] : complete) {
                 if (isDone)
-                    placeTimes.try_emplace(place, (sim.now() - start).count());
+                    failureDomainTimes.try_emplace(failureDomain, (sim.now() - start).count());
             }
-            return placeTimes.size() == shape.places;
+            return failureDomainTimes.size() == shape.failureDomains;
         };
         const bool done = sim.runUntil(all, 60s);
         const auto total = (sim.now() - start).count();
         std::printf("revision,%.2f,%s,%u,%lld,%lld,%lld,%d\n", loss,
-                    relaysReadLog ? "all relays" : "one daemon", run, placeTimes[placeName(0)],
-                    static_cast<long long>(total), static_cast<long long>((total + 999) / 1000),
-                    done ? 1 : 0);
+                    relaysReadLog ? "all relays" : "one daemon", run,
+                    failureDomainTimes[failureDomainName(0)], static_cast<long long>(total),
+                    static_cast<long long>((total + 999) / 1000), done ? 1 : 0);
         std::fflush(stdout);
         sim.run(5s);
     }
@@ -397,19 +399,22 @@
                                       command);
     command.parse(argc, argv);
     const auto fits = [&](const Shape &shape) {
-        const unsigned members = shape.places * shape.daemons;
+        const unsigned members = shape.failureDomains * shape.daemons;
         return members >= minimum.getValue() && members <= limit.getValue();
     };
     if (mode.getValue() == "core") {
-        std::puts("mode,places,daemons_per_place,runners_per_place,cells,bytes_per_s,"
-                  "bytes_per_s_busiest,place_bytes_per_s_busiest,messages_per_s,cpu_percent,"
-                  "heap_kb");
+        std::puts(
+                "mode,failure_domains,daemons_per_failure_domain,backend_servers_per_failure_"
+                "domain,cells,bytes_per_s,"
+                "bytes_per_s_busiest,failure_domain_bytes_per_s_busiest,messages_per_s,cpu_percent,"
+                "heap_kb");
         for (const Shape &shape : kCoreShapes) {
             if (fits(shape))
                 measureCore(shape, seconds.getValue());
         }
     } else if (mode.getValue() == "buses") {
-        std::puts("mode,places,daemons_per_place,runners_per_place,cells,envelope_bytes_per_s,"
+        std::puts("mode,failure_domains,daemons_per_failure_domain,backend_servers_per_failure_"
+                  "domain,cells,envelope_bytes_per_s,"
                   "tcp_bytes_per_s,wire_bytes_per_s,messages_per_s,cpu_percent,resident_kb,"
                   "connections,complete");
         for (const Shape &shape : kBusShapes) {
@@ -417,7 +422,8 @@
                 measureBuses(shape, seconds.getValue());
         }
     } else {
-        std::puts("mode,loss,source,run,own_place_ms,all_places_ms,rounds,complete");
+        std::puts("mode,loss,source,run,own_failure_domain_ms,all_failure_domains_ms,rounds,"
+                  "complete");
         measureRevision(0, false, 5);
         measureRevision(0.05, false, 5);
         measureRevision(0, true, 5);
--- a/packages/mesh/bench/gossipsim.cpp
+++ b/packages/mesh/bench/gossipsim.cpp
@@ -187,8 +187,8 @@
     const std::size_t bytes = message.envelope.ByteSizeLong();
     ++sender.traffic.messagesOut;
     sender.traffic.bytesOut += bytes;
-    if (message.envelope.has_place_digests())
-        sender.placeBytes += bytes;
+    if (message.envelope.has_failure_domain_digests())
+        sender.failureDomainBytes += bytes;
     const auto byId = byId_.find(message.peer);
     const auto byEndpoint = byEndpoint_.find(message.endpoint);
     std::size_t to = nodes_.size();
@@ -198,8 +198,9 @@
         to = byId->second;
     if (to == nodes_.size() || !arrives(from, to))
         return;
-    const bool samePlace = sender.options.place == nodes_[to]->options.place;
-    schedule(Event{ .time = now_ + (samePlace ? latency : interPlaceLatency),
+    const bool sameFailureDomain = sender.options.failureDomain
+                                   == nodes_[to]->options.failureDomain;
+    schedule(Event{ .time = now_ + (sameFailureDomain ? latency : interFailureDomainLatency),
                     .kind = EventKind::Message,
                     .node = to,
                     .peer = from,
@@ -219,8 +220,8 @@
     const std::size_t bytes = envelope.ByteSizeLong();
     ++node.traffic.messagesIn;
     node.traffic.bytesIn += bytes;
-    if (envelope.has_place_digests())
-        node.placeBytes += bytes;
+    if (envelope.has_failure_domain_digests())
+        node.failureDomainBytes += bytes;
     const Milliseconds tickBefore = node.core->nextTick();
     node.core->receive(envelope.sender(), envelope, timeOf(node));
     flush(to);
@@ -232,7 +233,7 @@
 {
     for (auto &node : nodes_) {
         node->traffic = SimTraffic();
-        node->placeBytes = 0;
+        node->failureDomainBytes = 0;
     }
 }
 
--- a/packages/mesh/bench/gossipsim.h
+++ b/packages/mesh/bench/gossipsim.h
@@ -43,15 +43,16 @@
         bool running = true;
         bool frozen = false;
         SimTraffic traffic;
-        // Bytes in and out of messages between places.
-        std::uint64_t placeBytes = 0;
+        // Bytes in and out of messages between failure domains.
+        std::uint64_t failureDomainBytes = 0;
         Milliseconds busy{ 0 };
         std::vector<std::pair<std::string, proto::Envelope>> backlog;
     };
 
     explicit GossipSim(std::uint64_t seed);
 
-    // Adds a running node; options need id, place, region and seeds only. Returns its index.
+    // Adds a running node; options need id, failure domain, region and seeds only. Returns its
+    // index.
     std::size_t add(GossipOptions options, Milliseconds wallSkew = Milliseconds(0));
     // Ends the node without notice, or starts it again with a new incarnation.
     void kill(std::size_t index);
@@ -81,7 +82,7 @@
     std::function<bool(std::size_t, std::size_t)> isCut;
     // One-way delay.
     Milliseconds latency{ 1 };
-    Milliseconds interPlaceLatency{ 20 };
+    Milliseconds interFailureDomainLatency{ 20 };
     // Nodes pull configuration when told of a higher revision, and have it after this time.
     bool pullsConfiguration = true;
     Milliseconds pullTime{ 10 };
--- a/packages/mesh/include/auburn/mesh/gossipcore.h
+++ b/packages/mesh/include/auburn/mesh/gossipcore.h
@@ -3,10 +3,11 @@
 // Every call takes the time; messages to send are collected and taken by the caller. A test or a
 // bench can therefore run hundreds of members in one thread, with any loss, delay or freeze.
 //
-// Inside a place, a member pushes a table of versions to a few peers per round. The peer replies
-// with everything of which it has a newer version and asks for what it lacks. Membership rows are 9
-// to 11 bytes, so that a full table fits one message; definitions (id, endpoint), loads and marks
-// travel only to a peer that lacks them. Between places, relays exchange one digest per place.
+// Inside a failure domain, a member pushes a table of versions to a few peers per round. The peer
+// replies with everything of which it has a newer version and asks for what it lacks. Membership
+// rows are 9 to 11 bytes, so that a full table fits one message; definitions (id, endpoint), loads
+// and marks travel only to a peer that lacks them. Between failure domains, relays exchange one
+// digest per failure domain.
 #pragma once
 
 #include "auburn.pb.h"
@@ -27,7 +28,7 @@
 class CrashMarks;
 class LeavingMarks;
 class MemberTable;
-class PlaceTable;
+class FailureDomainTable;
 struct MemberRecord;
 struct MemberRow;
 
@@ -46,14 +47,14 @@
 struct GossipOptions
 {
     std::string selfId;
-    std::string place;
+    std::string failureDomain;
     std::string region;
     // Peer endpoint of this daemon (tcp://IP:PORT).
     std::string endpoint;
     // Start time in microseconds since the epoch; must be higher than in the previous run.
     std::uint64_t incarnation = 0;
-    // Peer endpoints from settings, of this place or others; used until members are known and to
-    // rejoin after a partition.
+    // Peer endpoints from settings, of this failure domain or others; used until members are known
+    // and to rejoin after a partition.
     std::vector<std::string> seeds;
     std::uint64_t randomSeed = 0;
 
@@ -75,11 +76,11 @@
     // cut.
     std::chrono::milliseconds randomPeerPeriod{ 5000 };
 
-    // Digest exchange with each place of the region, and of other regions.
+    // Digest exchange with each failure domain of the region, and of other regions.
     std::chrono::milliseconds regionPeriod{ 1000 };
     std::chrono::milliseconds interRegionPeriod{ 5000 };
-    // A place that was not heard of for this long is removed.
-    std::chrono::milliseconds placeForgetAfter{ 3600000 };
+    // A failure domain that was not heard of for this long is removed.
+    std::chrono::milliseconds failureDomainForgetAfter{ 3600000 };
     unsigned relayCount = 2;
 
     // Shortest interval between two messages about urgent news, so that a burst shares messages.
@@ -122,25 +123,25 @@
     void tick(GossipTime now);
     // Monotonic time at which tick() has something to do.
     std::chrono::milliseconds nextTick() const;
-    // Handles a message; kinds other than Gossip and PlaceDigests are ignored.
+    // Handles a message; kinds other than Gossip and FailureDomainDigests are ignored.
     void receive(const std::string &sender, const proto::Envelope &envelope, GossipTime now);
 
     void setStatus(MemberStatus status, GossipTime now);
     void setConfigRevision(std::uint64_t revision, GossipTime now);
     // Loads of the cells that this daemon owns; published with the next round if changed.
     void setCellLoads(const std::vector<CellLoad> &loads);
-    // The platform list. Daemons become seeds; runners' leaving marks are set and lifted.
+    // The platform list. Daemons become seeds; backend servers' leaving marks are set and lifted.
     void setPlatformList(const std::vector<ListedMember> &list, GossipTime now);
-    // Sets or lifts one runner's leaving mark.
-    void markLeaving(const std::string &runner, bool leaving, GossipTime now);
+    // Sets or lifts one backend server's leaving mark.
+    void markLeaving(const std::string &backendServer, bool leaving, GossipTime now);
     // Reports that a peer does not answer; a live peer refutes it by its next heartbeats.
     void suspect(const std::string &peer, GossipTime now);
-    // Counts one crash of a runner caused by the request with this fingerprint.
+    // Counts one crash of a backend server caused by the request with this fingerprint.
     void addCrash(std::uint64_t fingerprint, GossipTime now);
-    // Known crashes caused by the fingerprint in this place.
+    // Known crashes caused by the fingerprint in this failure domain.
     unsigned crashes(std::uint64_t fingerprint, GossipTime now) const;
 
-    // True if this daemon is one of the place's relays.
+    // True if this daemon is one of the failure domain's relays.
     bool isRelay();
     // Messages collected since the last call.
     std::vector<GossipMessage> takeMessages();
@@ -160,7 +161,7 @@
     {
         std::string endpoint;
         // Empty for seeds from settings.
-        std::string place;
+        std::string failureDomain;
         std::string region;
     };
 
@@ -173,7 +174,7 @@
     std::vector<std::string> unknownEndpoints(bool relay) const;
     void takeNewIncarnation();
 
-    // Messages inside the place.
+    // Messages inside the failure domain.
     void receiveGossip(const std::string &sender, const proto::Gossip &gossip);
     void push(const MemberRecord &peer);
     void requestKeys(const std::string &sender);
@@ -195,16 +196,18 @@
     void sendUrgent();
     void findHigherRevision(const std::string &sender);
 
-    // Messages between places.
-    void receivePlaceDigests(const std::string &sender, const proto::PlaceDigests &digests);
+    // Messages between failure domains.
+    void receiveFailureDomainDigests(const std::string &sender,
+                                     const proto::FailureDomainDigests &digests);
     void answerForeignPush(const std::string &sender);
-    void exchangeWithPlaces();
-    void pushToPlace(const std::string &place);
-    const proto::PlaceDigest &ownDigest();
-    proto::PlaceDigest makeOwnDigest();
+    void exchangeWithFailureDomains();
+    void pushToFailureDomain(const std::string &failureDomain);
+    const proto::FailureDomainDigest &ownDigest();
+    proto::FailureDomainDigest makeOwnDigest();
 
     void emit(const std::string &peerId, const std::string &endpoint, proto::Gossip gossip);
-    void emit(const std::string &peerId, const std::string &endpoint, proto::PlaceDigests digests);
+    void emit(const std::string &peerId, const std::string &endpoint,
+              proto::FailureDomainDigests digests);
     std::string endpointOf(const std::string &peerId) const;
     std::shared_ptr<const MemberView> makeView() const;
     std::vector<std::string> relays();
@@ -215,7 +218,7 @@
     std::unique_ptr<MemberTable> members_;
     std::unique_ptr<LeavingMarks> leaving_;
     std::unique_ptr<CrashMarks> crashes_;
-    std::unique_ptr<PlaceTable> places_;
+    std::unique_ptr<FailureDomainTable> failureDomains_;
 
     GossipTime now_;
     std::chrono::milliseconds nextRound_{ 0 };
@@ -223,18 +226,18 @@
     std::chrono::milliseconds nextRandomPeer_{ 0 };
     std::chrono::milliseconds lastUrgent_{ 0 };
     std::chrono::milliseconds lastIncarnation_{ 0 };
-    // Next exchange with each other place.
-    std::map<std::string, std::chrono::milliseconds> placeDue_;
-    // Hash of our contacts that each place has last shown to know.
+    // Next exchange with each other failure domain.
+    std::map<std::string, std::chrono::milliseconds> failureDomainDue_;
+    // Hash of our contacts that each failure domain has last shown to know.
     std::map<std::string, std::uint32_t> contactsKnownBy_;
-    proto::PlaceDigest ownDigest_;
+    proto::FailureDomainDigest ownDigest_;
     std::chrono::milliseconds ownDigestMade_{ 0 };
 
     std::vector<std::string> activePeers_;
     // Position in activePeers_ of the next push.
     std::size_t nextActivePeer_ = 0;
     std::vector<Seed> listSeeds_;
-    // Seeds from settings that turned out to belong to other places, with their place.
+    // Seeds from settings that turned out to belong to other failure domains, with their place.
     std::map<std::string, std::string> foreignSeeds_;
     std::optional<std::vector<proto::CellDigest>> pendingLoads_;
     std::vector<GossipMessage> outbox_;
--- a/packages/mesh/include/auburn/mesh/listedmember.h
+++ b/packages/mesh/include/auburn/mesh/listedmember.h
@@ -5,7 +5,7 @@
 
 namespace auburn {
 
-enum class ListedKind { Daemon, Runner };
+enum class ListedKind { Daemon, BackendServer };
 
 struct ListedMember
 {
@@ -13,9 +13,9 @@
     ListedKind kind = ListedKind::Daemon;
     // Empty for a daemon.
     std::string service;
-    std::string place;
+    std::string failureDomain;
     std::string region;
-    // For a daemon its peer endpoint (tcp://IP:PORT), otherwise host:port of the runner.
+    // For a daemon its peer endpoint (tcp://IP:PORT), otherwise host:port of the backend server.
     std::string endpoint;
     bool leaving = false;
 };
--- a/packages/mesh/include/auburn/mesh/membership.h
+++ b/packages/mesh/include/auburn/mesh/membership.h
@@ -22,10 +22,10 @@
     using ViewCallback = std::function<void(const std::shared_ptr<const MemberView> &)>;
     using RevisionCallback = std::function<void(const HigherRevision &)>;
 
-    // Registers the handlers of Gossip and PlaceDigests with the bus, so it must be made before the
-    // bus starts, and the bus must be stopped before the Membership is destroyed. A random seed and
-    // an incarnation of 0 are replaced by random bits and the current time. Null with lastError()
-    // set if the id, the place or the endpoint is missing.
+    // Registers the handlers of Gossip and FailureDomainDigests with the bus, so it must be made
+    // before the bus starts, and the bus must be stopped before the Membership is destroyed. A
+    // random seed and an incarnation of 0 are replaced by random bits and the current time. Null
+    // with lastError() set if the id, the failure domain or the endpoint is missing.
     static std::unique_ptr<Membership> make(GossipOptions options, MessageBus &bus,
                                             PeerDirectory &peers);
     ~Membership() override;
@@ -49,11 +49,11 @@
     // Loads of all cells that this daemon owns, at any rate; published once per round if changed.
     void setCellLoads(const std::vector<CellLoad> &loads);
     void setPlatformList(const std::vector<ListedMember> &list);
-    void markLeaving(const std::string &runner, bool leaving);
+    void markLeaving(const std::string &backendServer, bool leaving);
     // Reports that a peer did not answer.
     void suspect(const std::string &daemonId);
     void addCrash(std::uint64_t fingerprint);
-    // Crashes that the fingerprint is known to have caused in this place.
+    // Crashes that the fingerprint is known to have caused in this failure domain.
     unsigned crashes(std::uint64_t fingerprint) const;
 
 private:
--- a/packages/mesh/include/auburn/mesh/memberview.h
+++ b/packages/mesh/include/auburn/mesh/memberview.h
@@ -1,5 +1,5 @@
-// MemberView: what a daemon believes about the other daemons and about leaving runners at one
-// moment.
+// MemberView: what a daemon believes about the other daemons and about leaving backend servers at
+// one moment.
 #pragma once
 
 #include <cstdint>
@@ -32,7 +32,7 @@
     std::vector<unsigned> waitingByTier;
 };
 
-struct PlaceServiceLoad
+struct FailureDomainServiceLoad
 {
     std::string service;
     unsigned freeSlots = 0;
@@ -40,32 +40,32 @@
     std::vector<unsigned> waitingByTier;
 };
 
-// What is known of another place, at most a few seconds old while the link is up.
-struct PlaceView
+// What is known of another failure domain, at most a few seconds old while the link is up.
+struct FailureDomainView
 {
-    std::string place;
+    std::string failureDomain;
     std::string region;
-    std::vector<PlaceServiceLoad> services;
+    std::vector<FailureDomainServiceLoad> services;
     std::vector<Member> contacts;
     std::uint64_t minConfigRevision = 0;
     std::uint64_t maxConfigRevision = 0;
     unsigned liveDaemons = 0;
-    // False once the place has not been heard of for the failure timeout.
+    // False once the failure domain has not been heard of for the failure timeout.
     bool reachable = true;
 };
 
 struct MemberView
 {
     std::string selfId;
-    std::string place;
+    std::string failureDomain;
     std::string region;
-    // All known members of this place, this daemon included, sorted by id.
+    // All known members of this failure domain, this daemon included, sorted by id.
     std::vector<Member> members;
     std::vector<CellLoad> cells;
-    // Other places, this one excluded.
-    std::vector<PlaceView> places;
-    // Runners that are marked as leaving by the platform list.
-    std::set<std::string> leavingRunners;
+    // Other failure domains, this one excluded.
+    std::vector<FailureDomainView> failureDomains;
+    // Backend servers that are marked as leaving by the platform list.
+    std::set<std::string> leavingBackendServers;
 
     // Ready members' ids for a key in rendezvous order, the owner first; a draining member is never
     // listed.
--- a/packages/mesh/src/placetable.cpp
+++ b/packages/mesh/src/failuredomaintable.cpp
@@ -1,4 +1,4 @@
-#include "placetable.h"
+#include "failuredomaintable.h"
 
 #include "auburn/core/hash.h"
 
@@ -11,17 +11,17 @@
 namespace {
 
 // Bounds what a faulty peer can make this daemon store.
-constexpr std::size_t kMaxPlaces = 64;
+constexpr std::size_t kMaxFailureDomains = 64;
 constexpr std::size_t kMaxDigestBytes = 16UL * 1024;
 
-PlaceView viewOf(const PlaceTable::Entry &entry)
+FailureDomainView viewOf(const FailureDomainTable::Entry &entry)
 {
-    const proto::PlaceDigest &digest = entry.digest;
-    PlaceView view{ .place = digest.place(), .region = digest.region() };
+    const proto::FailureDomainDigest &digest = entry.digest;
+    FailureDomainView view{ .failureDomain = digest.failure_domain(), .region = digest.region() };
     for (const proto::ServiceDigest &service : digest.services()) {
-        PlaceServiceLoad load{ .service = service.service(),
-                               .freeSlots = service.free_slots(),
-                               .totalSlots = service.total_slots() };
+        FailureDomainServiceLoad load{ .service = service.service(),
+                                       .freeSlots = service.free_slots(),
+                                       .totalSlots = service.total_slots() };
         load.waitingByTier.assign(service.waiting_by_tier().begin(),
                                   service.waiting_by_tier().end());
         view.services.push_back(std::move(load));
@@ -40,37 +40,38 @@
 
 } // namespace
 
-PlaceTable::PlaceTable(std::string ownPlace, std::string ownRegion,
-                       std::chrono::milliseconds regionTimeout,
-                       std::chrono::milliseconds interRegionTimeout,
-                       std::chrono::milliseconds forgetAfter)
-    : ownPlace_(std::move(ownPlace))
+FailureDomainTable::FailureDomainTable(std::string ownFailureDomain, std::string ownRegion,
+                                       std::chrono::milliseconds regionTimeout,
+                                       std::chrono::milliseconds interRegionTimeout,
+                                       std::chrono::milliseconds forgetAfter)
+    : ownFailureDomain_(std::move(ownFailureDomain))
     , ownRegion_(std::move(ownRegion))
     , regionTimeout_(regionTimeout)
     , interRegionTimeout_(interRegionTimeout)
     , forgetAfter_(forgetAfter)
 {}
 
-std::uint32_t PlaceTable::keyOf(const std::string &place)
+std::uint32_t FailureDomainTable::keyOf(const std::string &failureDomain)
 {
-    return static_cast<std::uint32_t>(stableHash(place));
+    return static_cast<std::uint32_t>(stableHash(failureDomain));
 }
 
-std::chrono::milliseconds PlaceTable::timeoutOf(const std::string &region) const
+std::chrono::milliseconds FailureDomainTable::timeoutOf(const std::string &region) const
 {
     return region == ownRegion_ ? regionTimeout_ : interRegionTimeout_;
 }
 
-bool PlaceTable::merge(const proto::PlaceDigest &digest, std::chrono::milliseconds now)
+bool FailureDomainTable::merge(const proto::FailureDomainDigest &digest,
+                               std::chrono::milliseconds now)
 {
-    if (digest.place() == ownPlace_) {
+    if (digest.failure_domain() == ownFailureDomain_) {
         noteOwnVersion(digest.version());
         return false;
     }
-    const auto found = entries_.find(digest.place());
-    if (digest.place().empty() || digest.ByteSizeLong() > kMaxDigestBytes)
+    const auto found = entries_.find(digest.failure_domain());
+    if (digest.failure_domain().empty() || digest.ByteSizeLong() > kMaxDigestBytes)
         return false;
-    if (found == entries_.end() && entries_.size() >= kMaxPlaces)
+    if (found == entries_.end() && entries_.size() >= kMaxFailureDomains)
         return false;
     if (found != entries_.end() && found->second.digest.version() >= digest.version())
         return false;
@@ -81,29 +82,29 @@
     } else {
         entry.digest.set_contacts_hash(hashOf(digest.contacts()));
     }
-    entries_[digest.place()] = std::move(entry);
+    entries_[digest.failure_domain()] = std::move(entry);
     ++version_;
     return true;
 }
 
-void PlaceTable::noteOwnVersion(std::uint64_t version)
+void FailureDomainTable::noteOwnVersion(std::uint64_t version)
 {
     ownVersion_ = std::max(ownVersion_, version);
 }
 
-std::uint64_t PlaceTable::nextOwnVersion(std::chrono::milliseconds wall)
+std::uint64_t FailureDomainTable::nextOwnVersion(std::chrono::milliseconds wall)
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wall).count();
     ownVersion_ = std::max(ownVersion_ + 1, static_cast<std::uint64_t>(seconds));
     return ownVersion_;
 }
 
-void PlaceTable::expire(std::chrono::milliseconds now)
+void FailureDomainTable::expire(std::chrono::milliseconds now)
 {
     std::erase_if(entries_, [this, now](const auto &entry) {
         return now - entry.second.lastProgress > forgetAfter_;
     });
-    for (auto &[place, entry] : entries_) {
+    for (auto &[failureDomain, entry] : entries_) {
         const bool reachable = now - entry.lastProgress <= timeoutOf(entry.digest.region());
         if (reachable != entry.reachable)
             ++version_;
@@ -111,59 +112,59 @@
     }
 }
 
-void PlaceTable::skipTime(std::chrono::milliseconds gap)
+void FailureDomainTable::skipTime(std::chrono::milliseconds gap)
 {
     for (auto &entry : entries_)
         entry.second.lastProgress += gap;
 }
 
-const PlaceTable::Entry *PlaceTable::find(const std::string &place) const
+const FailureDomainTable::Entry *FailureDomainTable::find(const std::string &failureDomain) const
 {
-    const auto found = entries_.find(place);
+    const auto found = entries_.find(failureDomain);
     return found == entries_.end() ? nullptr : &found->second;
 }
 
-proto::PlaceVersions PlaceTable::versions() const
+proto::FailureDomainVersions FailureDomainTable::versions() const
 {
     std::uint64_t base = ownVersion_;
     for (const auto &entry : entries_)
         base = std::max<std::uint64_t>(base, entry.second.digest.version());
-    proto::PlaceVersions result;
+    proto::FailureDomainVersions result;
     result.set_base_version(base);
-    for (const auto &[place, entry] : entries_) {
-        result.add_keys(keyOf(place));
+    for (const auto &[failureDomain, entry] : entries_) {
+        result.add_keys(keyOf(failureDomain));
         result.add_distances(base - entry.digest.version());
         result.add_contact_hashes(entry.digest.contacts_hash());
     }
     return result;
 }
 
-std::vector<const proto::PlaceDigest *> PlaceTable::newerThan(
-        const proto::PlaceVersions &peer, std::vector<std::uint32_t> *wanted) const
+std::vector<const proto::FailureDomainDigest *> FailureDomainTable::newerThan(
+        const proto::FailureDomainVersions &peer, std::vector<std::uint32_t> *wanted) const
 {
     std::unordered_map<std::uint32_t, std::uint64_t> known;
     const int count = std::min(peer.keys_size(), peer.distances_size());
     for (int i = 0; i < count; ++i)
         known[peer.keys(i)] = peer.base_version()
                               - std::min<std::uint64_t>(peer.distances(i), peer.base_version());
-    std::vector<const proto::PlaceDigest *> newer;
-    for (const auto &[place, entry] : entries_) {
-        const auto found = known.find(keyOf(place));
+    std::vector<const proto::FailureDomainDigest *> newer;
+    for (const auto &[failureDomain, entry] : entries_) {
+        const auto found = known.find(keyOf(failureDomain));
         const std::uint64_t peerVersion = found == known.end() ? 0 : found->second;
         if (entry.digest.version() > peerVersion)
             newer.push_back(&entry.digest);
         if (entry.digest.version() >= peerVersion)
-            known.erase(keyOf(place));
+            known.erase(keyOf(failureDomain));
     }
     if (wanted != nullptr) {
-        known.erase(keyOf(ownPlace_));
+        known.erase(keyOf(ownFailureDomain_));
         for (const auto &entry : known)
             wanted->push_back(entry.first);
     }
     return newer;
 }
 
-std::uint32_t PlaceTable::hashOf(
+std::uint32_t FailureDomainTable::hashOf(
         const google::protobuf::RepeatedPtrField<proto::MemberEntry> &contacts)
 {
     std::uint64_t hash = 0;
@@ -172,9 +173,10 @@
     return static_cast<std::uint32_t>(hash);
 }
 
-std::uint64_t PlaceTable::versionIn(const proto::PlaceVersions &peer, const std::string &place)
+std::uint64_t FailureDomainTable::versionIn(const proto::FailureDomainVersions &peer,
+                                            const std::string &failureDomain)
 {
-    const std::uint32_t key = keyOf(place);
+    const std::uint32_t key = keyOf(failureDomain);
     const int count = std::min(peer.keys_size(), peer.distances_size());
     for (int i = 0; i < count; ++i) {
         if (peer.keys(i) == key)
@@ -184,9 +186,10 @@
     return 0;
 }
 
-std::uint32_t PlaceTable::contactsHashIn(const proto::PlaceVersions &peer, const std::string &place)
+std::uint32_t FailureDomainTable::contactsHashIn(const proto::FailureDomainVersions &peer,
+                                                 const std::string &failureDomain)
 {
-    const std::uint32_t key = keyOf(place);
+    const std::uint32_t key = keyOf(failureDomain);
     const int count = std::min(peer.keys_size(), peer.contact_hashes_size());
     for (int i = 0; i < count; ++i) {
         if (peer.keys(i) == key)
@@ -195,27 +198,28 @@
     return 0;
 }
 
-void PlaceTable::addFor(const proto::PlaceVersions &peer, const proto::PlaceDigest &digest,
-                        google::protobuf::RepeatedPtrField<proto::PlaceDigest> &places)
+void FailureDomainTable::addFor(
+        const proto::FailureDomainVersions &peer, const proto::FailureDomainDigest &digest,
+        google::protobuf::RepeatedPtrField<proto::FailureDomainDigest> &failureDomains)
 {
-    proto::PlaceDigest &added = *places.Add();
+    proto::FailureDomainDigest &added = *failureDomains.Add();
     added = digest;
-    if (contactsHashIn(peer, digest.place()) == digest.contacts_hash())
+    if (contactsHashIn(peer, digest.failure_domain()) == digest.contacts_hash())
         added.clear_contacts();
 }
 
-const proto::PlaceDigest *PlaceTable::findKey(std::uint32_t key) const
+const proto::FailureDomainDigest *FailureDomainTable::findKey(std::uint32_t key) const
 {
-    for (const auto &[place, entry] : entries_) {
-        if (keyOf(place) == key)
+    for (const auto &[failureDomain, entry] : entries_) {
+        if (keyOf(failureDomain) == key)
             return &entry.digest;
     }
     return nullptr;
 }
 
-std::vector<PlaceView> PlaceTable::views() const
+std::vector<FailureDomainView> FailureDomainTable::views() const
 {
-    std::vector<PlaceView> views;
+    std::vector<FailureDomainView> views;
     for (const auto &entry : entries_)
         views.push_back(viewOf(entry.second));
     return views;
--- a/packages/mesh/src/gossipcore.cpp
+++ b/packages/mesh/src/gossipcore.cpp
@@ -1,9 +1,9 @@
 #include "auburn/mesh/gossipcore.h"
 
 #include "auburn/core/hash.h"
+#include "failuredomaintable.h"
 #include "marktables.h"
 #include "membertable.h"
-#include "placetable.h"
 
 #include <algorithm>
 #include <cmath>
@@ -84,12 +84,13 @@
     return static_cast<std::uint32_t>(std::chrono::floor<std::chrono::seconds>(now.wall).count());
 }
 
-// True if the peer's version of the place is missing or so old that its direct link must be cut.
-// Versions advance at least once per second.
-bool isOutdated(const proto::PlaceDigest &digest, const proto::PlaceVersions &peer)
+// True if the peer's version of the failure domain is missing or so old that its direct link must
+// be cut. Versions advance at least once per second.
+bool isOutdated(const proto::FailureDomainDigest &digest, const proto::FailureDomainVersions &peer)
 {
     constexpr std::uint64_t kDirectLinkLag = 20;
-    return PlaceTable::versionIn(peer, digest.place()) + kDirectLinkLag < digest.version();
+    return FailureDomainTable::versionIn(peer, digest.failure_domain()) + kDirectLinkLag
+           < digest.version();
 }
 
 } // namespace
@@ -106,9 +107,11 @@
     , leaving_(std::make_unique<LeavingMarks>(options_.leavingMarkLifetime,
                                               options_.maxLeavingMarks))
     , crashes_(std::make_unique<CrashMarks>(options_.crashMarkLifetime, options_.maxCrashMarks))
-    , places_(std::make_unique<PlaceTable>(
-              options_.place, options_.region, options_.failureTimeout + 2 * options_.regionPeriod,
-              options_.failureTimeout + 2 * options_.interRegionPeriod, options_.placeForgetAfter))
+    , failureDomains_(std::make_unique<FailureDomainTable>(
+              options_.failureDomain, options_.region,
+              options_.failureTimeout + 2 * options_.regionPeriod,
+              options_.failureTimeout + 2 * options_.interRegionPeriod,
+              options_.failureDomainForgetAfter))
     , now_(now)
     , nextSeedContact_(now.monotonic)
     , nextRandomPeer_(now.monotonic + options_.randomPeerPeriod)
@@ -139,11 +142,11 @@
     now_ = now;
     if (gap > options_.failureTimeout) {
         members_->skipTime(gap);
-        places_->skipTime(gap);
+        failureDomains_->skipTime(gap);
         takeNewIncarnation();
     }
     members_->expire(now.monotonic);
-    places_->expire(now.monotonic);
+    failureDomains_->expire(now.monotonic);
 }
 
 void GossipCore::tick(GossipTime now)
@@ -180,7 +183,7 @@
     if (now_.monotonic >= nextRandomPeer_)
         pushToRandomPeer();
     if (isRelay())
-        exchangeWithPlaces();
+        exchangeWithFailureDomains();
 }
 
 void GossipCore::publishLoads()
@@ -243,7 +246,7 @@
     std::unordered_set<std::string> known{ options_.endpoint };
     std::vector<std::string> candidates = options_.seeds;
     for (const Seed &seed : listSeeds_) {
-        if (seed.place == options_.place)
+        if (seed.failureDomain == options_.failureDomain)
             candidates.push_back(seed.endpoint);
     }
     for (const auto &entry : members_->records()) {
@@ -253,13 +256,14 @@
         else if (record.status != MemberStatus::Left)
             candidates.push_back(record.endpoint);
     }
-    for (const auto &entry : places_->entries()) {
+    for (const auto &entry : failureDomains_->entries()) {
         for (const proto::MemberEntry &contact : entry.second.digest.contacts())
             known.insert(contact.endpoint());
     }
-    // One seed named in all settings would otherwise be contacted by the daemons of all places.
-    for (const auto &[endpoint, place] : foreignSeeds_) {
-        const PlaceTable::Entry *entry = places_->find(place);
+    // One seed named in all settings would otherwise be contacted by the daemons of all failure
+    // domains.
+    for (const auto &[endpoint, failureDomain] : foreignSeeds_) {
+        const FailureDomainTable::Entry *entry = failureDomains_->find(failureDomain);
         if (!relay || (entry != nullptr && entry->reachable))
             known.insert(endpoint);
     }
@@ -288,7 +292,8 @@
     members_->self().lastProgress = now_.monotonic;
 }
 
-// ---- Inside the place -------------------------------------------------------------------------
+// ---- Inside the failure domain
+// -------------------------------------------------------------------------
 
 void GossipCore::receive(const std::string &sender, const proto::Envelope &envelope, GossipTime now)
 {
@@ -297,14 +302,14 @@
         return;
     if (envelope.has_gossip())
         receiveGossip(sender, envelope.gossip());
-    else if (envelope.has_place_digests())
-        receivePlaceDigests(sender, envelope.place_digests());
+    else if (envelope.has_failure_domain_digests())
+        receiveFailureDomainDigests(sender, envelope.failure_domain_digests());
     sendUrgent();
 }
 
 void GossipCore::receiveGossip(const std::string &sender, const proto::Gossip &gossip)
 {
-    if (gossip.place() != options_.place) {
+    if (gossip.failure_domain() != options_.failureDomain) {
         if (gossip.step() == proto::GOSSIP_STEP_PUSH)
             answerForeignPush(sender);
         return;
@@ -326,8 +331,8 @@
                                && members_->find(deadKey) != nullptr;
     for (const proto::MemberLoad &load : gossip.loads())
         members_->mergeLoad(load, now_.monotonic);
-    for (const proto::PlaceDigest &digest : gossip.places())
-        places_->merge(digest, now_.monotonic);
+    for (const proto::FailureDomainDigest &digest : gossip.failure_domains())
+        failureDomains_->merge(digest, now_.monotonic);
     mergeMarks(gossip);
     MemberRecord *record = members_->findId(sender);
     if (record != nullptr && gossip.rows().key_set() != 0)
@@ -379,7 +384,7 @@
     if (!peer.knowsSelf)
         members_->addDefinition(gossip, members_->self());
     gossip.set_marks_digest(marksDigest());
-    *gossip.mutable_place_versions() = places_->versions();
+    *gossip.mutable_failure_domain_versions() = failureDomains_->versions();
     emit(peer.id, peer.endpoint, std::move(gossip));
 }
 
@@ -417,14 +422,15 @@
     compareLoads(rows, answer);
     for (const std::uint32_t key : unknown)
         answer.add_wanted_members(key);
-    std::vector<std::uint32_t> wantedPlaces;
-    for (const proto::PlaceDigest *digest :
-         places_->newerThan(push.place_versions(), &wantedPlaces))
-        PlaceTable::addFor(push.place_versions(), *digest, *answer.mutable_places());
-    for (const std::uint32_t key : wantedPlaces)
-        answer.add_wanted_places(key);
-    if (!wantedPlaces.empty())
-        *answer.mutable_place_versions() = places_->versions();
+    std::vector<std::uint32_t> wantedFailureDomains;
+    for (const proto::FailureDomainDigest *digest :
+         failureDomains_->newerThan(push.failure_domain_versions(), &wantedFailureDomains))
+        FailureDomainTable::addFor(push.failure_domain_versions(), *digest,
+                                   *answer.mutable_failure_domains());
+    for (const std::uint32_t key : wantedFailureDomains)
+        answer.add_wanted_failure_domains(key);
+    if (!wantedFailureDomains.empty())
+        *answer.mutable_failure_domain_versions() = failureDomains_->versions();
     answer.set_marks_digest(marksDigest());
     addMarks(answer, push.marks_digest());
     emit(sender, endpointOf(sender), std::move(answer));
@@ -441,7 +447,7 @@
             continue;
         const auto found = known.find(key);
         if (found == known.end()) {
-            // Half of the message is left for loads, marks and places.
+            // Half of the message is left for loads, marks and failure domains.
             definitionBytes += record.id.size() + record.endpoint.size() + 24;
             if (definitionBytes > options_.maxMessageBytes / 2)
                 return;
@@ -502,7 +508,7 @@
     answer.set_step(proto::GOSSIP_STEP_FINAL);
     addWanted(reply, answer);
     addMarks(answer, reply.marks_digest());
-    const bool isEmpty = answer.members_size() + answer.loads_size() + answer.places_size()
+    const bool isEmpty = answer.members_size() + answer.loads_size() + answer.failure_domains_size()
                                  + answer.leaving_size() + answer.crashes_size()
                          == 0;
     if (!isEmpty)
@@ -528,9 +534,10 @@
         if (record != nullptr && record->loadHeartbeat > 0)
             addLoad(answer, *record);
     }
-    for (const std::uint32_t key : request.wanted_places()) {
-        if (const proto::PlaceDigest *digest = places_->findKey(key))
-            PlaceTable::addFor(request.place_versions(), *digest, *answer.mutable_places());
+    for (const std::uint32_t key : request.wanted_failure_domains()) {
+        if (const proto::FailureDomainDigest *digest = failureDomains_->findKey(key))
+            FailureDomainTable::addFor(request.failure_domain_versions(), *digest,
+                                       *answer.mutable_failure_domains());
     }
 }
 
@@ -600,105 +607,112 @@
         emit(peer, endpointOf(peer), gossip);
 }
 
-// ---- Between places ---------------------------------------------------------------------------
+// ---- Between failure domains
+// ---------------------------------------------------------------------------
 
-void GossipCore::exchangeWithPlaces()
+void GossipCore::exchangeWithFailureDomains()
 {
     std::map<std::string, std::string> regions;
     for (const Seed &seed : listSeeds_)
-        regions.emplace(seed.place, seed.region);
-    for (const auto &[place, entry] : places_->entries())
-        regions[place] = entry.digest.region();
-    regions.erase(options_.place);
-    // The relays share the exchanges of the place.
+        regions.emplace(seed.failureDomain, seed.region);
+    for (const auto &[failureDomain, entry] : failureDomains_->entries())
+        regions[failureDomain] = entry.digest.region();
+    regions.erase(options_.failureDomain);
+    // The relays share the exchanges of the failure domain.
     const auto share = static_cast<int>(std::max<std::size_t>(relays().size(), 1));
-    for (const auto &[place, region] : regions) {
-        milliseconds &due = placeDue_[place];
+    for (const auto &[failureDomain, region] : regions) {
+        milliseconds &due = failureDomainDue_[failureDomain];
         if (now_.monotonic < due)
             continue;
         const milliseconds period = region == options_.region ? options_.regionPeriod
                                                               : options_.interRegionPeriod;
-        // An exchange carries both digests, so one of the two places starts it; the other one does
-        // when it hears nothing.
-        const PlaceTable::Entry *entry = places_->find(place);
+        // An exchange carries both digests, so one of the two failure domains starts it; the other
+        // one does when it hears nothing.
+        const FailureDomainTable::Entry *entry = failureDomains_->find(failureDomain);
         const bool isSilent = entry == nullptr || now_.monotonic - entry->lastProgress > 2 * period;
-        if (options_.place > place && !isSilent)
+        if (options_.failureDomain > failureDomain && !isSilent)
             continue;
         // Half a round earlier, since this runs once per round only.
         due = now_.monotonic + period * share - options_.roundPeriod / 2;
-        pushToPlace(place);
+        pushToFailureDomain(failureDomain);
     }
 }
 
-void GossipCore::pushToPlace(const std::string &place)
+void GossipCore::pushToFailureDomain(const std::string &failureDomain)
 {
     std::vector<std::pair<std::string, std::string>> targets;
-    if (const PlaceTable::Entry *entry = places_->find(place)) {
+    if (const FailureDomainTable::Entry *entry = failureDomains_->find(failureDomain)) {
         for (const proto::MemberEntry &contact : entry->digest.contacts())
             targets.emplace_back(contact.id(), contact.endpoint());
         // The first contacts are the relays.
         if (entry->reachable && targets.size() > options_.relayCount)
             targets.resize(options_.relayCount);
     }
-    const bool isReachable = !targets.empty() && places_->find(place)->reachable;
+    const bool isReachable = !targets.empty() && failureDomains_->find(failureDomain)->reachable;
     for (const Seed &seed : listSeeds_) {
-        if (seed.place == place && !isReachable)
+        if (seed.failureDomain == failureDomain && !isReachable)
             targets.emplace_back(std::string(kSeedPrefix) + seed.endpoint, seed.endpoint);
     }
     if (targets.empty())
         return;
     const auto &[peerId, endpoint] = targets[randomBelow(targets.size())];
-    proto::PlaceDigests digests;
-    proto::PlaceDigest own = ownDigest();
-    // The contacts travel in the answer to a place that lacks them, and here until it has answered.
-    const bool contactsKnown = contactsKnownBy_[place] == own.contacts_hash();
+    proto::FailureDomainDigests digests;
+    proto::FailureDomainDigest own = ownDigest();
+    // The contacts travel in the answer to a failure domain that lacks them, and here until it has
+    // answered.
+    const bool contactsKnown = contactsKnownBy_[failureDomain] == own.contacts_hash();
     if (contactsKnown && isReachable)
         own.clear_contacts();
-    *digests.add_places() = std::move(own);
+    *digests.add_failure_domains() = std::move(own);
     emit(peerId, endpoint, std::move(digests));
 }
 
-void GossipCore::receivePlaceDigests(const std::string &sender, const proto::PlaceDigests &digests)
+void GossipCore::receiveFailureDomainDigests(const std::string &sender,
+                                             const proto::FailureDomainDigests &digests)
 {
-    for (const proto::PlaceDigest &digest : digests.places())
-        places_->merge(digest, now_.monotonic);
-    places_->noteOwnVersion(PlaceTable::versionIn(digests.known(), options_.place));
-    if (digests.places_size() > 0) {
-        const std::string &senderPlace = digests.places(digests.places_size() - 1).place();
-        if (places_->find(senderPlace) != nullptr)
-            contactsKnownBy_[senderPlace] = PlaceTable::contactsHashIn(digests.known(),
-                                                                       options_.place);
+    for (const proto::FailureDomainDigest &digest : digests.failure_domains())
+        failureDomains_->merge(digest, now_.monotonic);
+    failureDomains_->noteOwnVersion(
+            FailureDomainTable::versionIn(digests.known(), options_.failureDomain));
+    if (digests.failure_domains_size() > 0) {
+        const std::string &senderFailureDomain =
+                digests.failure_domains(digests.failure_domains_size() - 1).failure_domain();
+        if (failureDomains_->find(senderFailureDomain) != nullptr)
+            contactsKnownBy_[senderFailureDomain] = FailureDomainTable::contactsHashIn(
+                    digests.known(), options_.failureDomain);
     }
-    if (!digests.endpoint().empty() && digests.places_size() > 0
+    if (!digests.endpoint().empty() && digests.failure_domains_size() > 0
         && std::find(options_.seeds.begin(), options_.seeds.end(), digests.endpoint())
                    != options_.seeds.end())
-        foreignSeeds_[digests.endpoint()] = digests.places(digests.places_size() - 1).place();
+        foreignSeeds_[digests.endpoint()] =
+                digests.failure_domains(digests.failure_domains_size() - 1).failure_domain();
     findHigherRevision(sender);
     if (digests.reply())
         return;
-    proto::PlaceDigests answer;
+    proto::FailureDomainDigests answer;
     answer.set_reply(true);
-    for (const proto::PlaceDigest *digest : places_->newerThan(digests.known(), nullptr)) {
-        // What the sender gets from the place itself is not sent twice.
+    for (const proto::FailureDomainDigest *digest :
+         failureDomains_->newerThan(digests.known(), nullptr)) {
+        // What the sender gets from the failure domain itself is not sent twice.
         if (isOutdated(*digest, digests.known()))
-            PlaceTable::addFor(digests.known(), *digest, *answer.mutable_places());
+            FailureDomainTable::addFor(digests.known(), *digest, *answer.mutable_failure_domains());
     }
-    PlaceTable::addFor(digests.known(), ownDigest(), *answer.mutable_places());
+    FailureDomainTable::addFor(digests.known(), ownDigest(), *answer.mutable_failure_domains());
     emit(sender, endpointOf(sender), std::move(answer));
 }
 
 void GossipCore::answerForeignPush(const std::string &sender)
 {
-    proto::PlaceDigests answer;
+    proto::FailureDomainDigests answer;
     answer.set_reply(true);
     answer.set_endpoint(options_.endpoint);
-    *answer.add_places() = ownDigest();
+    *answer.add_failure_domains() = ownDigest();
     emit(sender, endpointOf(sender), std::move(answer));
 }
 
 // The digest is made once per period, since every new version travels to all daemons of the other
-// places.
-const proto::PlaceDigest &GossipCore::ownDigest()
+// failure domains.
+const proto::FailureDomainDigest &GossipCore::ownDigest()
 {
     if (now_.monotonic - ownDigestMade_ >= options_.regionPeriod * 9 / 10) {
         ownDigest_ = makeOwnDigest();
@@ -707,16 +721,16 @@
     return ownDigest_;
 }
 
-proto::PlaceDigest GossipCore::makeOwnDigest()
+proto::FailureDomainDigest GossipCore::makeOwnDigest()
 {
     const std::shared_ptr<const MemberView> current = view();
-    proto::PlaceDigest digest;
-    digest.set_place(options_.place);
+    proto::FailureDomainDigest digest;
+    digest.set_failure_domain(options_.failureDomain);
     digest.set_region(options_.region);
-    digest.set_version(places_->nextOwnVersion(now_.wall));
-    std::map<std::string, PlaceServiceLoad> services;
+    digest.set_version(failureDomains_->nextOwnVersion(now_.wall));
+    std::map<std::string, FailureDomainServiceLoad> services;
     for (const CellLoad &cell : current->cells) {
-        PlaceServiceLoad &sum = services[cell.service];
+        FailureDomainServiceLoad &sum = services[cell.service];
         sum.freeSlots += cell.freeSlots;
         sum.totalSlots += cell.totalSlots;
         addWaiting(sum.waitingByTier, cell.waitingByTier);
@@ -745,7 +759,7 @@
         contact.set_id(id);
         contact.set_endpoint(endpointOf(id));
     }
-    digest.set_contacts_hash(PlaceTable::hashOf(digest.contacts()));
+    digest.set_contacts_hash(FailureDomainTable::hashOf(digest.contacts()));
     return digest;
 }
 
@@ -769,8 +783,8 @@
             best = { .peer = record.id, .revision = record.configRevision };
     }
     if (best.peer.empty() && isRelay()) {
-        for (const auto &entry : places_->entries()) {
-            const proto::PlaceDigest &digest = entry.second.digest;
+        for (const auto &entry : failureDomains_->entries()) {
+            const proto::FailureDomainDigest &digest = entry.second.digest;
             if (digest.max_config_revision() > best.revision && digest.contacts_size() > 0)
                 best = { .peer = digest.contacts(0).id(),
                          .revision = digest.max_config_revision() };
@@ -835,7 +849,7 @@
         if (listed.kind == ListedKind::Daemon) {
             if (!listed.leaving && listed.endpoint != options_.endpoint)
                 listSeeds_.push_back(Seed{ .endpoint = listed.endpoint,
-                                           .place = listed.place,
+                                           .failureDomain = listed.failureDomain,
                                            .region = listed.region });
             continue;
         }
@@ -847,17 +861,17 @@
     }
 }
 
-void GossipCore::markLeaving(const std::string &runner, bool leaving, GossipTime now)
+void GossipCore::markLeaving(const std::string &backendServer, bool leaving, GossipTime now)
 {
     advance(now);
-    if (!leaving_->set(runner, leaving, now.wall))
+    if (!leaving_->set(backendServer, leaving, now.wall))
         return;
     members_->touch();
     raiseUrgent();
     proto::LeavingMark &mark = *urgentMarks_.add_leaving();
-    mark.set_runner(runner);
+    mark.set_backend_server(backendServer);
     mark.set_leaving(leaving);
-    mark.set_version(leaving_->versionOf(runner));
+    mark.set_version(leaving_->versionOf(backendServer));
     sendUrgent();
 }
 
@@ -922,7 +936,7 @@
 
 std::shared_ptr<const MemberView> GossipCore::view()
 {
-    const std::uint64_t version = members_->version() + places_->version();
+    const std::uint64_t version = members_->version() + failureDomains_->version();
     if (!view_ || viewVersion_ != version) {
         view_ = makeView();
         viewVersion_ = version;
@@ -934,7 +948,7 @@
 {
     auto result = std::make_shared<MemberView>();
     result->selfId = options_.selfId;
-    result->place = options_.place;
+    result->failureDomain = options_.failureDomain;
     result->region = options_.region;
     // If two members publish the same cell, ownership is moving and the newer report counts.
     std::map<std::pair<std::string, unsigned>, std::pair<milliseconds, CellLoad>> cells;
@@ -960,8 +974,8 @@
               [](const Member &left, const Member &right) { return left.id < right.id; });
     for (auto &entry : cells)
         result->cells.push_back(std::move(entry.second.second));
-    result->places = places_->views();
-    result->leavingRunners = leaving_->leavingRunners();
+    result->failureDomains = failureDomains_->views();
+    result->leavingBackendServers = leaving_->leavingBackendServers();
     return result;
 }
 
@@ -1004,17 +1018,17 @@
 void GossipCore::emit(const std::string &peerId, const std::string &endpoint, proto::Gossip gossip)
 {
     GossipMessage message{ .peer = peerId, .endpoint = endpoint };
-    gossip.set_place(options_.place);
+    gossip.set_failure_domain(options_.failureDomain);
     *message.envelope.mutable_gossip() = std::move(gossip);
     outbox_.push_back(std::move(message));
 }
 
 void GossipCore::emit(const std::string &peerId, const std::string &endpoint,
-                      proto::PlaceDigests digests)
+                      proto::FailureDomainDigests digests)
 {
-    *digests.mutable_known() = places_->versions();
+    *digests.mutable_known() = failureDomains_->versions();
     GossipMessage message{ .peer = peerId, .endpoint = endpoint };
-    *message.envelope.mutable_place_digests() = std::move(digests);
+    *message.envelope.mutable_failure_domain_digests() = std::move(digests);
     outbox_.push_back(std::move(message));
 }
 
--- a/packages/mesh/src/marktables.cpp
+++ b/packages/mesh/src/marktables.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxRunnerName = 256;
+constexpr std::size_t kMaxBackendServerName = 256;
 constexpr unsigned kMaxCrashCount = 1000;
 
 std::uint64_t toCount(std::chrono::milliseconds value)
@@ -46,14 +46,14 @@
     , limit_(limit)
 {}
 
-std::uint64_t LeavingMarks::digestOf(const std::string &runner, const Mark &mark)
+std::uint64_t LeavingMarks::digestOf(const std::string &backendServer, const Mark &mark)
 {
-    return stableHash(runner, 2 * mark.version + (mark.leaving ? 1 : 0));
+    return stableHash(backendServer, 2 * mark.version + (mark.leaving ? 1 : 0));
 }
 
-bool LeavingMarks::store(const std::string &runner, Mark mark)
+bool LeavingMarks::store(const std::string &backendServer, Mark mark)
 {
-    const auto found = marks_.find(runner);
+    const auto found = marks_.find(backendServer);
     if (found != marks_.end())
         erase(found);
     // A full table keeps the marks that rank highest, lifted marks and then the oldest going first.
@@ -67,12 +67,12 @@
                 marks_.begin(), marks_.end(), [&rank](const auto &left, const auto &right) {
                     return rank(left.first, left.second) < rank(right.first, right.second);
                 });
-        if (rank(runner, mark) < rank(lowest->first, lowest->second))
+        if (rank(backendServer, mark) < rank(lowest->first, lowest->second))
             return false;
         erase(lowest);
     }
-    digest_ ^= digestOf(runner, mark);
-    marks_.emplace(runner, mark);
+    digest_ ^= digestOf(backendServer, mark);
+    marks_.emplace(backendServer, mark);
     return true;
 }
 
@@ -82,9 +82,10 @@
     marks_.erase(position);
 }
 
-bool LeavingMarks::set(const std::string &runner, bool leaving, std::chrono::milliseconds wall)
+bool LeavingMarks::set(const std::string &backendServer, bool leaving,
+                       std::chrono::milliseconds wall)
 {
-    const auto found = marks_.find(runner);
+    const auto found = marks_.find(backendServer);
     const bool known = found != marks_.end();
     const bool changed = known ? found->second.leaving != leaving : leaving;
     const bool renew = known && found->second.leaving
@@ -92,17 +93,17 @@
     if (!changed && !renew)
         return false;
     const std::uint64_t next = known ? found->second.version + 1 : 0;
-    store(runner, Mark{ .version = std::max(toCount(wall), next), .leaving = leaving });
+    store(backendServer, Mark{ .version = std::max(toCount(wall), next), .leaving = leaving });
     return changed;
 }
 
 bool LeavingMarks::merge(const proto::LeavingMark &mark, std::chrono::milliseconds wall)
 {
     const std::uint64_t lifetime = toCount(lifetime_);
-    if (mark.runner().empty() || mark.runner().size() > kMaxRunnerName
+    if (mark.backend_server().empty() || mark.backend_server().size() > kMaxBackendServerName
         || mark.version() + lifetime < toCount(wall) || mark.version() > toCount(wall) + lifetime)
         return false;
-    const auto found = marks_.find(mark.runner());
+    const auto found = marks_.find(mark.backend_server());
     const Mark incoming{ .version = mark.version(), .leaving = mark.leaving() };
     if (found != marks_.end()) {
         const Mark &known = found->second;
@@ -110,7 +111,7 @@
             <= std::pair(known.version, known.leaving))
             return false;
     }
-    return store(mark.runner(), incoming);
+    return store(mark.backend_server(), incoming);
 }
 
 void LeavingMarks::expire(std::chrono::milliseconds wall)
@@ -122,36 +123,36 @@
     }
 }
 
-std::uint64_t LeavingMarks::leavingSince(const std::string &runner) const
+std::uint64_t LeavingMarks::leavingSince(const std::string &backendServer) const
 {
-    const auto found = marks_.find(runner);
+    const auto found = marks_.find(backendServer);
     return found != marks_.end() && found->second.leaving ? found->second.version : 0;
 }
 
-std::uint64_t LeavingMarks::versionOf(const std::string &runner) const
+std::uint64_t LeavingMarks::versionOf(const std::string &backendServer) const
 {
-    const auto found = marks_.find(runner);
+    const auto found = marks_.find(backendServer);
     return found == marks_.end() ? 0 : found->second.version;
 }
 
-std::set<std::string> LeavingMarks::leavingRunners() const
+std::set<std::string> LeavingMarks::leavingBackendServers() const
 {
-    std::set<std::string> runners;
-    for (const auto &[runner, mark] : marks_) {
+    std::set<std::string> backendServers;
+    for (const auto &[backendServer, mark] : marks_) {
         if (mark.leaving)
-            runners.insert(runner);
+            backendServers.insert(backendServer);
     }
-    return runners;
+    return backendServers;
 }
 
 void LeavingMarks::addTo(proto::Gossip &gossip, std::uint64_t fromVersion, int limit,
                          std::size_t start) const
 {
-    forEachFrom(marks_, start, [&](const std::string &runner, const Mark &mark) {
+    forEachFrom(marks_, start, [&](const std::string &backendServer, const Mark &mark) {
         if (mark.version < fromVersion || limit-- <= 0)
             return;
         proto::LeavingMark &added = *gossip.add_leaving();
-        added.set_runner(runner);
+        added.set_backend_server(backendServer);
         added.set_version(mark.version);
         added.set_leaving(mark.leaving);
     });
--- a/packages/mesh/src/marktables.h
+++ b/packages/mesh/src/marktables.h
@@ -1,4 +1,4 @@
-// Tables of leaving runners and of requests that crash runners.
+// Tables of leaving backend servers and of requests that crash backend servers.
 //
 // Both are bounded, expire by wall-clock time and merge without regard to order, so that all
 // members converge to the same content. A digest tells whether two tables differ.
@@ -22,16 +22,16 @@
 
     // Sets or lifts the mark with a version above the known one; true if the state changed. An
     // unchanged mark is renewed before its lifetime ends.
-    bool set(const std::string &runner, bool leaving, std::chrono::milliseconds wall);
+    bool set(const std::string &backendServer, bool leaving, std::chrono::milliseconds wall);
     // Takes over a newer mark; true if the mark is news.
     bool merge(const proto::LeavingMark &mark, std::chrono::milliseconds wall);
     void expire(std::chrono::milliseconds wall);
 
-    // Version of the mark if the runner is marked as leaving, otherwise 0.
-    std::uint64_t leavingSince(const std::string &runner) const;
+    // Version of the mark if the backend server is marked as leaving, otherwise 0.
+    std::uint64_t leavingSince(const std::string &backendServer) const;
     // Version of the mark, 0 if there is none.
-    std::uint64_t versionOf(const std::string &runner) const;
-    std::set<std::string> leavingRunners() const;
+    std::uint64_t versionOf(const std::string &backendServer) const;
+    std::set<std::string> leavingBackendServers() const;
     std::size_t size() const { return marks_.size(); }
     std::uint64_t digest() const { return digest_; }
     // Adds the marks from the given version on, at most limit, starting with the mark of the given
@@ -46,9 +46,9 @@
         bool leaving = false;
     };
 
-    static std::uint64_t digestOf(const std::string &runner, const Mark &mark);
+    static std::uint64_t digestOf(const std::string &backendServer, const Mark &mark);
     // False if a full table holds higher ranking marks only.
-    bool store(const std::string &runner, Mark mark);
+    bool store(const std::string &backendServer, Mark mark);
     void erase(std::map<std::string, Mark>::iterator position);
 
     const std::chrono::milliseconds lifetime_;
--- a/packages/mesh/src/membership.cpp
+++ b/packages/mesh/src/membership.cpp
@@ -46,7 +46,7 @@
         , view_(core_.view())
     {
         registerHandler(proto::Envelope::kGossip);
-        registerHandler(proto::Envelope::kPlaceDigests);
+        registerHandler(proto::Envelope::kFailureDomainDigests);
     }
 
     ~Impl() { stop(); }
@@ -232,8 +232,8 @@
         if (member.id != view.selfId && member.status != MemberStatus::Left)
             peers[member.id] = member.endpoint;
     }
-    for (const PlaceView &place : view.places) {
-        for (const Member &contact : place.contacts)
+    for (const FailureDomainView &failureDomain : view.failureDomains) {
+        for (const Member &contact : failureDomain.contacts)
             peers[contact.id] = contact.endpoint;
     }
     for (const auto &[id, endpoint] : peers) {
@@ -251,8 +251,8 @@
 std::unique_ptr<Membership> Membership::make(GossipOptions options, MessageBus &bus,
                                              PeerDirectory &peers)
 {
-    if (options.selfId.empty() || options.place.empty() || options.endpoint.empty()) {
-        setLastError("membership needs an id, a place and a peer endpoint");
+    if (options.selfId.empty() || options.failureDomain.empty() || options.endpoint.empty()) {
+        setLastError("membership needs an id, a failure domain and a peer endpoint");
         return nullptr;
     }
     if (options.randomSeed == 0)
@@ -319,9 +319,11 @@
     impl_->apply([&](GossipCore &core, GossipTime now) { core.setPlatformList(list, now); });
 }
 
-void Membership::markLeaving(const std::string &runner, bool leaving)
+void Membership::markLeaving(const std::string &backendServer, bool leaving)
 {
-    impl_->apply([&](GossipCore &core, GossipTime now) { core.markLeaving(runner, leaving, now); });
+    impl_->apply([&](GossipCore &core, GossipTime now) {
+        core.markLeaving(backendServer, leaving, now);
+    });
 }
 
 void Membership::suspect(const std::string &daemonId)
--- a/packages/mesh/src/membertable.h
+++ b/packages/mesh/src/membertable.h
@@ -1,4 +1,4 @@
-// MemberTable: the members of one place as one daemon knows them.
+// MemberTable: the members of one failure domain as one daemon knows them.
 //
 // A member is identified by a key, the hash of its id and incarnation. Only the member itself
 // changes its row, and raises the heartbeat with each change; the row with the higher heartbeat is
--- a/packages/mesh/tests/differential_test.cpp
+++ b/packages/mesh/tests/differential_test.cpp
@@ -16,7 +16,7 @@
 namespace data = boost::unit_test::data;
 
 // The naive protocol: every member sends its whole state to every other member in every round.
-class NaivePlace
+class NaiveFailureDomain
 {
 public:
     struct Row
@@ -67,8 +67,8 @@
             known = row;
             to.lastProgress[id] = now;
         }
-        for (const auto &[runner, mark] : from.marks)
-            to.marks[runner] = std::max(to.marks[runner], mark);
+        for (const auto &[backendServer, mark] : from.marks)
+            to.marks[backendServer] = std::max(to.marks[backendServer], mark);
     }
 };
 
@@ -92,7 +92,7 @@
         const std::vector<std::string> running(naive_.running.begin(), naive_.running.end());
         const std::string &id = running[random_() % running.size()];
         const std::size_t index = indexes_[id];
-        NaivePlace::Row &own = naive_.states[id].rows[id];
+        NaiveFailureDomain::Row &own = naive_.states[id].rows[id];
         switch (random_() % 7) {
         case 0:
             return join();
@@ -147,11 +147,11 @@
                 BOOST_TEST(loads[id] == row.freeSlots);
             }
             std::set<std::string> leaving;
-            for (const auto &[runner, mark] : naive_.states[observer].marks) {
+            for (const auto &[backendServer, mark] : naive_.states[observer].marks) {
                 if (mark.second)
-                    leaving.insert(runner);
+                    leaving.insert(backendServer);
             }
-            BOOST_TEST(view->leavingRunners == leaving, boost::test_tools::per_element());
+            BOOST_TEST(view->leavingBackendServers == leaving, boost::test_tools::per_element());
         }
     }
 
@@ -161,7 +161,7 @@
         const std::string id = "d" + std::to_string(indexes_.size());
         indexes_[id] = sim_.add(
                 GossipOptions{ .selfId = id,
-                               .place = "p",
+                               .failureDomain = "p",
                                .region = "r",
                                .seeds = { "tcp://10.20.0.1:7700", "tcp://10.20.0.2:7700",
                                           "tcp://10.20.0.3:7700" } });
@@ -191,18 +191,18 @@
 
     void mark(const std::string &id)
     {
-        const std::string runner = "runner-" + std::to_string(random_() % 5);
+        const std::string backendServer = "server-" + std::to_string(random_() % 5);
         const bool leaving = random_() % 2 == 0;
-        auto &known = naive_.states[id].marks[runner];
+        auto &known = naive_.states[id].marks[backendServer];
         known = { known.first + 1, leaving };
         sim_.apply(indexes_[id], [&](GossipCore &core, GossipTime now) {
-            core.markLeaving(runner, leaving, now);
+            core.markLeaving(backendServer, leaving, now);
         });
     }
 
     GossipSim sim_;
     std::mt19937_64 random_;
-    NaivePlace naive_;
+    NaiveFailureDomain naive_;
     std::map<std::string, std::size_t> indexes_;
 };
 
