--- a/packages/mesh/tests/gossipcore_test.cpp
+++ b/packages/mesh/tests/gossipcore_test.cpp
@@ -24,7 +24,7 @@
     return MemberStatus::Left;
 }
 
-// A simulated network with helpers; seeds point at the first member of each place.
+// A simulated network with helpers; seeds point at the first member of each failure domain.
 class Net
 {
 public:
@@ -32,13 +32,13 @@
         : sim(seed)
     {}
 
-    void addPlace(const std::string &place, const std::string &region, unsigned count,
-                  std::vector<std::string> seeds = {})
+    void addFailureDomain(const std::string &failureDomain, const std::string &region,
+                          unsigned count, std::vector<std::string> seeds = {})
     {
         const std::size_t first = sim.size();
         for (unsigned i = 0; i < count; ++i) {
-            GossipOptions options{ .selfId = place + "-" + std::to_string(i),
-                                   .place = place,
+            GossipOptions options{ .selfId = failureDomain + "-" + std::to_string(i),
+                                   .failureDomain = failureDomain,
                                    .region = region,
                                    .seeds = seeds };
             // Skew as large as a badly kept clock has.
@@ -62,13 +62,13 @@
         return true;
     }
 
-    // Every running member sees exactly the running members of its place as ready.
+    // Every running member sees exactly the running members of its failure domain as ready.
     bool isConverged()
     {
         std::map<std::string, std::set<std::string>> running;
         for (std::size_t i = 0; i < sim.size(); ++i) {
             if (sim.node(i).running && !sim.node(i).frozen)
-                running[sim.node(i).options.place].insert(sim.node(i).id);
+                running[sim.node(i).options.failureDomain].insert(sim.node(i).id);
         }
         for (std::size_t i = 0; i < sim.size(); ++i) {
             if (!sim.node(i).running || sim.node(i).frozen)
@@ -78,7 +78,7 @@
                 if (member.status == MemberStatus::Ready)
                     ready.insert(member.id);
             }
-            if (ready != running[sim.node(i).options.place])
+            if (ready != running[sim.node(i).options.failureDomain])
                 return false;
         }
         return true;
@@ -96,17 +96,18 @@
         return std::nullopt;
     }
 
-    void markLeaving(std::size_t index, const std::string &runner)
+    void markLeaving(std::size_t index, const std::string &backendServer)
     {
-        sim.apply(index,
-                  [&](GossipCore &core, GossipTime now) { core.markLeaving(runner, true, now); });
+        sim.apply(index, [&](GossipCore &core, GossipTime now) {
+            core.markLeaving(backendServer, true, now);
+        });
     }
 
-    bool everyoneKnowsLeaving(const std::string &runner)
+    bool everyoneKnowsLeaving(const std::string &backendServer)
     {
         for (std::size_t i = 0; i < sim.size(); ++i) {
             if (sim.node(i).running && !sim.node(i).frozen
-                && !sim.view(i)->leavingRunners.contains(runner))
+                && !sim.view(i)->leavingBackendServers.contains(backendServer))
                 return false;
         }
         return true;
@@ -132,21 +133,21 @@
 BOOST_AUTO_TEST_SUITE(gossipcore)
 
 // Guards against members that stay unknown, or are falsely declared dead, when messages are lost.
-BOOST_DATA_TEST_CASE(place_lostMessages_convergesAndStays, data::xrange(1, 13), seed)
+BOOST_DATA_TEST_CASE(failureDomain_lostMessages_convergesAndStays, data::xrange(1, 13), seed)
 {
     Net net(static_cast<std::uint64_t>(seed));
     net.sim.loss = 0.1;
-    net.addPlace("p", "r", 30);
+    net.addFailureDomain("p", "r", 30);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     const auto deviation = net.firstDeviation(60s);
     BOOST_TEST(!deviation.has_value());
 }
 
 // Guards against failure detection that a cut in one direction, or between two members, triggers.
-BOOST_DATA_TEST_CASE(place_oneWayCuts_nobodyIsDeclaredDead, data::xrange(1, 7), seed)
+BOOST_DATA_TEST_CASE(failureDomain_oneWayCuts_nobodyIsDeclaredDead, data::xrange(1, 7), seed)
 {
     Net net(static_cast<std::uint64_t>(seed));
-    net.addPlace("p", "r", 24);
+    net.addFailureDomain("p", "r", 24);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     // A quarter of all directed links.
     net.sim.isCut = [seed](std::size_t from, std::size_t to) {
@@ -161,7 +162,7 @@
 BOOST_AUTO_TEST_CASE(member_deafOrMute_othersKeepTheirIncarnations)
 {
     Net net(5);
-    net.addPlace("p", "r", 12);
+    net.addFailureDomain("p", "r", 12);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     std::vector<std::uint64_t> incarnations;
     for (std::size_t i = 0; i < 12; ++i)
@@ -185,7 +186,7 @@
 {
     Net net(static_cast<std::uint64_t>(seed));
     net.sim.loss = 0.02;
-    net.addPlace("p", "r", 20);
+    net.addFailureDomain("p", "r", 20);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     const std::uint64_t incarnation = net.sim.node(3).core->incarnation();
     net.sim.freeze(3);
@@ -206,7 +207,7 @@
 BOOST_AUTO_TEST_CASE(member_killedAndSuspected_isDeadSoonerThanUnsuspected)
 {
     Net net(9);
-    net.addPlace("p", "r", 40);
+    net.addFailureDomain("p", "r", 40);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     net.sim.apply(1, [](GossipCore &core, GossipTime now) { core.suspect("p-20", now); });
     BOOST_TEST(!net.firstDeviation(15s).has_value());
@@ -225,7 +226,7 @@
 BOOST_AUTO_TEST_CASE(member_restarts_higherIncarnationReplacesOld)
 {
     Net net(10);
-    net.addPlace("p", "r", 20);
+    net.addFailureDomain("p", "r", 20);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     net.sim.kill(6);
     net.sim.run(1s);
@@ -247,7 +248,7 @@
 BOOST_AUTO_TEST_CASE(member_drainsAndLeaves_isSeenAtOnceAndForgotten)
 {
     Net net(11);
-    net.addPlace("p", "r", 40);
+    net.addFailureDomain("p", "r", 40);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     const auto change = [&](MemberStatus status) {
         net.sim.apply(8,
@@ -267,15 +268,15 @@
 }
 
 // Guards against tables that grow with the number of replaced daemons.
-BOOST_AUTO_TEST_CASE(place_manyReplacements_tableStaysBounded)
+BOOST_AUTO_TEST_CASE(failureDomain_manyReplacements_tableStaysBounded)
 {
     Net net(12);
-    net.addPlace("p", "r", 10);
+    net.addFailureDomain("p", "r", 10);
     std::size_t oldest = 1;
     for (int i = 0; i < 100; ++i) {
         net.sim.kill(oldest++);
         net.sim.add(GossipOptions{ .selfId = "new-" + std::to_string(i),
-                                   .place = "p",
+                                   .failureDomain = "p",
                                    .region = "r",
                                    .seeds = { net.sim.node(0).endpoint } });
         net.sim.run(10s);
@@ -286,22 +287,23 @@
     BOOST_TEST(net.sim.node(0).core->memberCount() == 10U);
 }
 
-// Guards against a leaving runner that gets new work for more than 3 s (invariant 6) when only
-// half of the members ever hear from the platform list and messages are lost.
+// Guards against a leaving backend server that gets new work for more than 3 s (invariant 6) when
+// only half of the members ever hear from the platform list and messages are lost.
 BOOST_DATA_TEST_CASE(leavingMark_halfNeverHearFromList_knownEverywhereWithin3s, data::xrange(1, 13),
                      seed)
 {
     Net net(static_cast<std::uint64_t>(seed));
     net.sim.loss = 0.1;
-    net.addPlace("p", "r", 79);
+    net.addFailureDomain("p", "r", 79);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 30s));
-    std::vector<ListedMember> list{
-        { .name = "runner-1", .kind = ListedKind::Runner, .place = "p", .leaving = true }
-    };
+    std::vector<ListedMember> list{ { .name = "server-1",
+                                      .kind = ListedKind::BackendServer,
+                                      .failureDomain = "p",
+                                      .leaving = true } };
     // Only one of the list's readers hears in time.
     net.sim.apply(2 * static_cast<std::size_t>(seed),
                   [&](GossipCore &core, GossipTime now) { core.setPlatformList(list, now); });
-    BOOST_TEST(net.sim.runUntil([&] { return net.everyoneKnowsLeaving("runner-1"); }, 3s));
+    BOOST_TEST(net.sim.runUntil([&] { return net.everyoneKnowsLeaving("server-1"); }, 3s));
     // A lagging list does not lift the mark; a list that still says so later does.
     list[0].leaving = false;
     const auto readList = [&](std::size_t index) {
@@ -310,13 +312,13 @@
     };
     readList(0);
     net.sim.run(1s);
-    BOOST_TEST(net.everyoneKnowsLeaving("runner-1"));
+    BOOST_TEST(net.everyoneKnowsLeaving("server-1"));
     net.sim.run(40s);
     readList(0);
     BOOST_TEST(net.sim.runUntil(
             [&] {
                 for (std::size_t i = 0; i < net.sim.size(); ++i) {
-                    if (!net.sim.view(i)->leavingRunners.empty())
+                    if (!net.sim.view(i)->leavingBackendServers.empty())
                         return false;
                 }
                 return true;
@@ -329,18 +331,20 @@
 BOOST_AUTO_TEST_CASE(marks_lateJoiner_learnsThemUntilTheyExpire)
 {
     Net net(14);
-    net.addPlace("p", "r", 8);
+    net.addFailureDomain("p", "r", 8);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
-    net.markLeaving(2, "runner-1");
+    net.markLeaving(2, "server-1");
     const auto crash = [](GossipCore &core, GossipTime now) { core.addCrash(77, now); };
     // Two daemons count one crash each, at the same time.
     net.sim.apply(1, crash);
     net.sim.apply(2, crash);
     net.sim.run(120s);
-    net.sim.add(GossipOptions{
-            .selfId = "late", .place = "p", .region = "r", .seeds = { net.sim.node(0).endpoint } });
+    net.sim.add(GossipOptions{ .selfId = "late",
+                               .failureDomain = "p",
+                               .region = "r",
+                               .seeds = { net.sim.node(0).endpoint } });
     const GossipSim::Node &late = net.sim.node(8);
-    BOOST_TEST(net.sim.runUntil([&] { return net.everyoneKnowsLeaving("runner-1"); }, 10s));
+    BOOST_TEST(net.sim.runUntil([&] { return net.everyoneKnowsLeaving("server-1"); }, 10s));
     BOOST_TEST(late.core->crashes(77, net.sim.timeOf(late)) == 2U);
     for (std::uint64_t i = 0; i < 1000; ++i) {
         net.sim.apply(3, [i](GossipCore &core, GossipTime now) { core.addCrash(1000 + i, now); });
@@ -356,12 +360,12 @@
 BOOST_AUTO_TEST_CASE(join_listAway_oneLiveSeedSuffices)
 {
     Net net(15);
-    net.addPlace("p", "r", 6);
+    net.addFailureDomain("p", "r", 6);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     net.sim.kill(0);
     net.sim.run(10s);
     net.sim.add(GossipOptions{ .selfId = "new",
-                               .place = "p",
+                               .failureDomain = "p",
                                .region = "r",
                                .seeds = { "tcp://10.9.9.9:7700", net.sim.node(0).endpoint,
                                           net.sim.node(4).endpoint } });
@@ -370,11 +374,11 @@
     BOOST_TEST(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
 }
 
-// Guards against two halves of a place that never find each other again.
-BOOST_AUTO_TEST_CASE(place_splitForAnHour_reunites)
+// Guards against two halves of a failure domain that never find each other again.
+BOOST_AUTO_TEST_CASE(failureDomain_splitForAnHour_reunites)
 {
     Net net(16);
-    net.addPlace("p", "r", 12);
+    net.addFailureDomain("p", "r", 12);
     BOOST_REQUIRE(net.sim.runUntil([&] { return net.isConverged(); }, 20s));
     net.sim.isCut = [](std::size_t from, std::size_t to) { return (from < 6) != (to < 6); };
     net.sim.run(3600s);
@@ -383,25 +387,26 @@
     BOOST_TEST(net.sim.runUntil([&] { return net.isConverged(); }, 30s));
 }
 
-// Guards against places that lose sight of each other when relays change, and against a partition
-// between regions that is not noticed or not overcome.
-BOOST_AUTO_TEST_CASE(places_relaysKilledAndRegionsCut_viewsFollow)
+// Guards against failure domains that lose sight of each other when relays change, and against a
+// partition between regions that is not noticed or not overcome.
+BOOST_AUTO_TEST_CASE(failureDomains_relaysKilledAndRegionsCut_viewsFollow)
 {
     Net net(17);
-    net.addPlace("p0", "r0", 6);
+    net.addFailureDomain("p0", "r0", 6);
     const std::vector<std::string> seeds{ net.sim.node(0).endpoint };
-    net.addPlace("p1", "r0", 6, seeds);
-    net.addPlace("p2", "r1", 6, seeds);
+    net.addFailureDomain("p1", "r0", 6, seeds);
+    net.addFailureDomain("p2", "r1", 6, seeds);
     const auto allReach = [&](bool expected) {
         for (std::size_t i = 0; i < net.sim.size(); ++i) {
             if (!net.sim.node(i).running)
                 continue;
             const auto view = net.sim.view(i);
-            if (view->places.size() != 2)
+            if (view->failureDomains.size() != 2)
                 return false;
-            for (const PlaceView &place : view->places) {
-                const bool sameRegion = place.region == view->region;
-                if (place.reachable != (expected || sameRegion) || place.contacts.size() != 3)
+            for (const FailureDomainView &failureDomain : view->failureDomains) {
+                const bool sameRegion = failureDomain.region == view->region;
+                if (failureDomain.reachable != (expected || sameRegion)
+                    || failureDomain.contacts.size() != 3)
                     return false;
             }
         }
@@ -421,16 +426,16 @@
     BOOST_TEST(net.sim.runUntil([&] { return allReach(true); }, 60s));
 }
 
-// Guards against a configuration revision that does not reach all places within 20 s (invariant 8)
-// when only one daemon has it.
-BOOST_DATA_TEST_CASE(revision_knownToOneDaemon_reachesAllPlaces, data::xrange(1, 4), seed)
+// Guards against a configuration revision that does not reach all failure domains within 20 s
+// (invariant 8) when only one daemon has it.
+BOOST_DATA_TEST_CASE(revision_knownToOneDaemon_reachesAllFailureDomains, data::xrange(1, 4), seed)
 {
     Net net(static_cast<std::uint64_t>(seed));
     net.sim.loss = 0.05;
-    net.addPlace("p0", "r0", 20);
+    net.addFailureDomain("p0", "r0", 20);
     const std::vector<std::string> seeds{ net.sim.node(0).endpoint };
-    net.addPlace("p1", "r1", 20, seeds);
-    net.addPlace("p2", "r2", 20, seeds);
+    net.addFailureDomain("p1", "r1", 20, seeds);
+    net.addFailureDomain("p2", "r2", 20, seeds);
     net.sim.run(30s);
     net.sim.apply(5, [](GossipCore &core, GossipTime now) { core.setConfigRevision(42, now); });
     const auto allHave = [&] {
@@ -453,10 +458,10 @@
     net.sim.onSend = [&](std::size_t, const proto::Envelope &envelope) {
         largest = std::max(largest, envelope.ByteSizeLong());
     };
-    net.addPlace("p", "r", 5);
+    net.addFailureDomain("p", "r", 5);
     proto::Envelope envelope;
     proto::Gossip &gossip = *envelope.mutable_gossip();
-    gossip.set_place("p");
+    gossip.set_failure_domain("p");
     gossip.mutable_rows()->add_keys(1);
     gossip.mutable_rows()->add_status(16);
     for (int i = 0; i < 5000; ++i) {
--- a/packages/mesh/tests/membership_test.cpp
+++ b/packages/mesh/tests/membership_test.cpp
@@ -35,7 +35,9 @@
         const std::string endpoint = bus->endpoint();
         bus->stop();
         bus = ZmqBus::make({ .daemonId = id, .endpoint = endpoint, .keys = keys });
-        GossipOptions options{ .selfId = id, .place = "p", .region = "r", .endpoint = endpoint };
+        GossipOptions options{
+            .selfId = id, .failureDomain = "p", .region = "r", .endpoint = endpoint
+        };
         options.roundPeriod = 50ms;
         options.seedPeriod = 200ms;
         options.failureTimeout = 1000ms;
@@ -89,13 +91,13 @@
     }));
     BOOST_TEST(a.viewChanges > 0U);
     BOOST_TEST(a.membership->isRelay() + b.membership->isRelay() + c->membership->isRelay() == 2);
-    a.membership->markLeaving("runner-1", true);
+    a.membership->markLeaving("server-1", true);
     a.membership->addCrash(5);
     b.membership->setConfigRevision(9);
     c->membership->setCellLoads({ CellLoad{ .service = "s", .cell = 1, .freeSlots = 4 } });
     BOOST_TEST(waitFor([&] {
         const auto view = b.membership->view();
-        return view->leavingRunners.contains("runner-1") && b.membership->crashes(5) == 1
+        return view->leavingBackendServers.contains("server-1") && b.membership->crashes(5) == 1
                && view->cells.size() == 1 && view->cells[0].freeSlots == 4
                && std::all_of(view->members.begin(), view->members.end(),
                               [](const Member &member) { return member.configRevision == 9; });
--- a/packages/relay/bench/relaybench.cpp
+++ b/packages/relay/bench/relaybench.cpp
@@ -53,7 +53,7 @@
         const std::string &address = addresses_[next_++ % addresses_.size()];
         const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
         callback(GrantedSlot{ .slotId = demand.requestId,
-                              .runner = address,
+                              .backendServer = address,
                               .address = address,
                               .service = demand.service,
                               .dispatchBefore = until });
--- a/packages/relay/include/auburn/relay/callerserver.h
+++ b/packages/relay/include/auburn/relay/callerserver.h
@@ -31,7 +31,7 @@
         std::uint16_t port = 0;
         unsigned threads = 2;
         RelayLimits limits;
-        RunnerLimits runners;
+        BackendServerLimits backendServers;
         // The current configuration; null means not ready.
         std::function<std::shared_ptr<const ConfigState>()> config;
         // Requests are refused with not_ready while this is false; an empty function means true.
--- a/packages/relay/include/auburn/relay/relaylimits.h
+++ b/packages/relay/include/auburn/relay/relaylimits.h
@@ -1,4 +1,4 @@
-// Limits of the callers' side and timeouts of the runners' side of the relay.
+// Limits of the callers' side and timeouts of the backend servers' side of the relay.
 #pragma once
 
 #include <chrono>
@@ -16,7 +16,7 @@
     std::size_t keyCharacters = 64;
     // A caller that takes no byte for this long is disconnected.
     std::chrono::milliseconds writeTimeout{ 30000 };
-    // Unsent bytes for one caller above which reading from its runner stops.
+    // Unsent bytes for one caller above which reading from its backend server stops.
     std::size_t relayBufferBytes = std::size_t{ 256 } * 1024;
     // A connection without a request is closed after this time.
     std::chrono::milliseconds keepAliveTime{ 60000 };
@@ -27,13 +27,13 @@
     std::size_t connections = 8192;
 };
 
-struct RunnerLimits
+struct BackendServerLimits
 {
     std::chrono::milliseconds connectTimeout{ 1000 };
     // A pooled connection is closed after this time without use. Shorter than the 5 s that common
     // engine servers keep an idle connection.
     std::chrono::milliseconds poolTime{ 4000 };
-    // Idle connections for each runner and worker thread.
+    // Idle connections for each backend server and worker thread.
     std::size_t poolSize = 64;
     // A plain answer that is larger ends the attempt.
     std::size_t answerBytes = std::size_t{ 32 } * 1024 * 1024;
--- a/packages/relay/include/auburn/relay/requestobserver.h
+++ b/packages/relay/include/auburn/relay/requestobserver.h
@@ -30,7 +30,7 @@
     int httpStatus = 0;
     // Set if the system refused the request or ended its stream with an error event.
     std::optional<RefusalCode> refusal;
-    // The caller got the whole answer of a runner.
+    // The caller got the whole answer of a backend server.
     bool complete = false;
     bool callerGone = false;
     // Tokens relayed to the caller.
@@ -54,8 +54,8 @@
     virtual void queueEnd(bool granted) = 0;
     virtual void claimBegin() = 0;
     virtual void claimEnd(bool won) = 0;
-    // The traceparent that the runner gets; may be empty. Number counts from 1.
-    virtual std::string attemptBegin(const std::string &runner, unsigned number) = 0;
+    // The traceparent that the backend server gets; may be empty. Number counts from 1.
+    virtual std::string attemptBegin(const std::string &backendServer, unsigned number) = 0;
     // Time from the receipt of the request to the first token that goes to the caller.
     virtual void firstToken(std::chrono::microseconds sinceReceived) = 0;
     // Time since the previous token; called once for tokens that arrive together.
--- a/packages/relay/src/answerwriter.h
+++ b/packages/relay/src/answerwriter.h
@@ -27,7 +27,7 @@
     virtual void refuse(const Refusal &refusal) = 0;
     virtual void sendWhole(AnswerHead head, std::string body) = 0;
     // Writes the head together with the first data. False if the caller is behind: the session
-    // stops reading from the runner until RelaySession::callerReady().
+    // stops reading from the backend server until RelaySession::callerReady().
     virtual bool beginStream(const AnswerHead &head, const std::vector<std::string_view> &data) = 0;
     virtual bool sendData(const std::vector<std::string_view> &data) = 0;
     // Ends the stream. After a broken one the connection is closed as well.
--- a/packages/relay/src/runnercall.cpp
+++ b/packages/relay/src/backendservercall.cpp
@@ -1,4 +1,4 @@
-#include "runnercall.h"
+#include "backendservercall.h"
 
 #include "auburn/core/endpoint.h"
 
@@ -18,12 +18,12 @@
 namespace {
 
 constexpr std::size_t kReadSize = std::size_t{ 16 } * 1024;
-// Larger than any head that a runner sends in practice.
+// Larger than any head that a backend server sends in practice.
 constexpr std::uint32_t kAnswerHeadLimit = 64 * 1024;
 
-std::string requestHead(const RunnerDial &dial)
+std::string requestHead(const BackendServerDial &dial)
 {
-    const RunnerMessage &message = dial.message;
+    const BackendServerMessage &message = dial.message;
     std::string head;
     head.reserve(512);
     head.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
@@ -43,7 +43,8 @@
 
 } // namespace
 
-RunnerCall::RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents *events)
+BackendServerCall::BackendServerCall(BackendServerClient &client, BackendServerDial dial,
+                                     CallEvents *events)
     : client_(client)
     , dial_(std::move(dial))
     , events_(events)
@@ -55,7 +56,7 @@
     parser_.skip(dial_.message.method == "HEAD");
 }
 
-void RunnerCall::start()
+void BackendServerCall::start()
 {
     if (!dial_.freshConnection)
         socket_ = client_.takeIdle(dial_.address);
@@ -71,13 +72,13 @@
     });
 }
 
-void RunnerCall::connect()
+void BackendServerCall::connect()
 {
     socket_ = std::make_unique<tcp::socket>(client_.context_);
     const std::optional<tcp::endpoint> endpoint = parseEndpoint(dial_.address);
     if (!endpoint) {
         asio::post(client_.context_, [self = shared_from_this()] {
-            self->end(CallEnd::ConnectFailed, "address of the runner is not IP:PORT");
+            self->end(CallEnd::ConnectFailed, "address of the backend server is not IP:PORT");
         });
         return;
     }
@@ -86,7 +87,7 @@
             *endpoint, [self = shared_from_this()](ErrorCode error) { self->connected(error); });
 }
 
-void RunnerCall::connected(ErrorCode error)
+void BackendServerCall::connected(ErrorCode error)
 {
     if (ended_)
         return;
@@ -99,7 +100,7 @@
     sendRequest();
 }
 
-void RunnerCall::sendRequest()
+void BackendServerCall::sendRequest()
 {
     head_ = requestHead(dial_);
     deadline_.setAfter(dial_.idleTimeout);
@@ -114,7 +115,7 @@
                       });
 }
 
-void RunnerCall::requestSent(ErrorCode error, std::size_t bytes)
+void BackendServerCall::requestSent(ErrorCode error, std::size_t bytes)
 {
     if (ended_)
         return;
@@ -125,11 +126,12 @@
     }
     sent_ = !error;
     deadline_.setAfter(dial_.idleTimeout);
-    // After a partial write the runner may have answered and closed, so the answer is still read.
+    // After a partial write the backend server may have answered and closed, so the answer is still
+    // read.
     read();
 }
 
-void RunnerCall::read()
+void BackendServerCall::read()
 {
     if (reading_ || paused_ || ended_)
         return;
@@ -141,13 +143,13 @@
                              });
 }
 
-void RunnerCall::received(ErrorCode error, std::size_t bytes)
+void BackendServerCall::received(ErrorCode error, std::size_t bytes)
 {
     if (ended_)
         return;
     if (error) {
-        end(CallEnd::Broken,
-            error == asio::error::eof ? "the runner closed the connection" : error.message());
+        end(CallEnd::Broken, error == asio::error::eof ? "the backend server closed the connection"
+                                                       : error.message());
         return;
     }
     receivedBytes_ = true;
@@ -158,7 +160,7 @@
         read();
 }
 
-bool RunnerCall::parse()
+bool BackendServerCall::parse()
 {
     ErrorCode error;
     while (buffer_.size() > 0 && !parser_.is_done()) {
@@ -185,7 +187,7 @@
     return true;
 }
 
-void RunnerCall::deliver()
+void BackendServerCall::deliver()
 {
     if (!headDelivered_ && parser_.is_header_done()) {
         headDelivered_ = true;
@@ -199,7 +201,7 @@
     data.clear();
 }
 
-void RunnerCall::answerComplete()
+void BackendServerCall::answerComplete()
 {
     const bool reusable = sent_ && !dial_.freshConnection && parser_.keep_alive()
                           && buffer_.size() == 0;
@@ -208,7 +210,7 @@
     end(CallEnd::Complete, {});
 }
 
-void RunnerCall::timedOut()
+void BackendServerCall::timedOut()
 {
     if (ended_)
         return;
@@ -217,10 +219,10 @@
     if (connecting_)
         end(CallEnd::ConnectFailed, "connect: timed out");
     else
-        end(CallEnd::Silent, "the runner sent nothing within the idle timeout");
+        end(CallEnd::Silent, "the backend server sent nothing within the idle timeout");
 }
 
-void RunnerCall::end(CallEnd how, const std::string &error)
+void BackendServerCall::end(CallEnd how, const std::string &error)
 {
     if (ended_)
         return;
@@ -239,7 +241,7 @@
                         .error = error });
 }
 
-void RunnerCall::close()
+void BackendServerCall::close()
 {
     if (ended_)
         return;
@@ -250,19 +252,19 @@
     socket_->close(ignored);
 }
 
-void RunnerCall::detach()
+void BackendServerCall::detach()
 {
     events_ = nullptr;
     resume();
 }
 
-void RunnerCall::pause()
+void BackendServerCall::pause()
 {
     paused_ = true;
     deadline_.clear();
 }
 
-void RunnerCall::resume()
+void BackendServerCall::resume()
 {
     if (!paused_ || ended_)
         return;
--- a/packages/relay/src/runnercall.h
+++ b/packages/relay/src/backendservercall.h
@@ -1,9 +1,9 @@
-// RunnerCall: one HTTP request to a runner and the reading of its answer.
+// BackendServerCall: one HTTP request to a backend server and the reading of its answer.
 #pragma once
 
 #include "auburn/core/datasinkbody.h"
 #include "auburn/core/lazydeadline.h"
-#include "runnerclient.h"
+#include "backendserverclient.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -13,15 +13,15 @@
 
 namespace auburn {
 
-class RunnerCall : public std::enable_shared_from_this<RunnerCall>
+class BackendServerCall : public std::enable_shared_from_this<BackendServerCall>
 {
 public:
     // Without events the answer is read and ignored.
-    RunnerCall(RunnerClient &client, RunnerDial dial, CallEvents *events);
+    BackendServerCall(BackendServerClient &client, BackendServerDial dial, CallEvents *events);
 
     void start();
-    // Ends the call without further events and closes its connection, which interrupts a runner
-    // that is still working.
+    // Ends the call without further events and closes its connection, which interrupts a backend
+    // server that is still working.
     void close();
     // Ends the events, but reads on to the end of the answer so that the connection can be pooled.
     void detach();
@@ -49,8 +49,8 @@
     void timedOut();
     void end(CallEnd how, const std::string &error);
 
-    RunnerClient &client_;
-    RunnerDial dial_;
+    BackendServerClient &client_;
+    BackendServerDial dial_;
     // Null once no events are wanted any more.
     CallEvents *events_;
     std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
--- a/packages/relay/src/runnerclient.cpp
+++ b/packages/relay/src/backendserverclient.cpp
@@ -1,6 +1,6 @@
-#include "runnerclient.h"
+#include "backendserverclient.h"
 
-#include "runnercall.h"
+#include "backendservercall.h"
 
 #include <utility>
 
@@ -20,35 +20,40 @@
 
 } // namespace
 
-RunnerClient::RunnerClient(boost::asio::io_context &context, RunnerLimits limits)
+BackendServerClient::BackendServerClient(boost::asio::io_context &context,
+                                         BackendServerLimits limits)
     : context_(context)
     , limits_(limits)
     , sweepTimer_(context)
 {}
 
-RunnerClient::~RunnerClient() = default;
+BackendServerClient::~BackendServerClient() = default;
 
-std::shared_ptr<RunnerCall> RunnerClient::call(RunnerDial dial, CallEvents &events)
+std::shared_ptr<BackendServerCall> BackendServerClient::call(BackendServerDial dial,
+                                                             CallEvents &events)
 {
-    auto call = std::make_shared<RunnerCall>(*this, std::move(dial), &events);
+    auto call = std::make_shared<BackendServerCall>(*this, std::move(dial), &events);
     call->start();
     return call;
 }
 
-void RunnerClient::notify(const std::string &address, RunnerMessage message)
+void BackendServerClient::notify(const std::string &address, BackendServerMessage message)
 {
-    RunnerDial dial{ .address = address, .message = std::move(message), .freshConnection = true };
-    std::make_shared<RunnerCall>(*this, std::move(dial), nullptr)->start();
+    BackendServerDial dial{ .address = address,
+                            .message = std::move(message),
+                            .freshConnection = true };
+    std::make_shared<BackendServerCall>(*this, std::move(dial), nullptr)->start();
 }
 
-void RunnerClient::shutDown()
+void BackendServerClient::shutDown()
 {
     closed_ = true;
     idle_.clear();
     sweepTimer_.cancel();
 }
 
-std::unique_ptr<RunnerClient::Socket> RunnerClient::takeIdle(const std::string &address)
+std::unique_ptr<BackendServerClient::Socket> BackendServerClient::takeIdle(
+        const std::string &address)
 {
     const auto found = idle_.find(address);
     if (found == idle_.end())
@@ -64,7 +69,7 @@
     return nullptr;
 }
 
-void RunnerClient::putIdle(const std::string &address, Socket socket)
+void BackendServerClient::putIdle(const std::string &address, Socket socket)
 {
     std::vector<IdleConnection> &connections = idle_[address];
     if (closed_ || connections.size() >= limits_.poolSize)
@@ -73,7 +78,7 @@
     scheduleSweep();
 }
 
-void RunnerClient::scheduleSweep()
+void BackendServerClient::scheduleSweep()
 {
     if (sweepScheduled_ || closed_)
         return;
@@ -85,7 +90,7 @@
     });
 }
 
-void RunnerClient::sweep()
+void BackendServerClient::sweep()
 {
     sweepScheduled_ = false;
     const auto oldest = std::chrono::steady_clock::now() - limits_.poolTime;
--- a/packages/relay/src/runnerclient.h
+++ b/packages/relay/src/backendserverclient.h
@@ -1,5 +1,5 @@
-// RunnerClient: HTTP calls to runners from one worker thread, with a pool of idle connections for
-// each runner.
+// BackendServerClient: HTTP calls to backend servers from one worker thread, with a pool of idle
+// connections for each backend server.
 //
 // The client never repeats a request: a repeat is a decision of the session, which knows whether
 // the request may run twice. The verdict of a call is exact in one direction: DidNotRun means that
@@ -7,8 +7,8 @@
 #pragma once
 
 #include "auburn/core/verdict.h"
+#include "auburn/relay/backendserverkind.h"
 #include "auburn/relay/relaylimits.h"
-#include "auburn/relay/runnerkind.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,17 +26,17 @@
 
 namespace auburn {
 
-class RunnerCall;
+class BackendServerCall;
 
-struct RunnerDial
+struct BackendServerDial
 {
     // IP address and port.
     std::string address;
-    RunnerMessage message;
-    // Never use a pooled connection: the runner could have closed it, and the bytes written to it
-    // would make the outcome unknown.
+    BackendServerMessage message;
+    // Never use a pooled connection: the backend server could have closed it, and the bytes written
+    // to it would make the outcome unknown.
     bool freshConnection = false;
-    // The call ends if the runner delivers nothing for this long.
+    // The call ends if the backend server delivers nothing for this long.
     std::chrono::milliseconds idleTimeout{ 10000 };
 };
 
@@ -47,7 +47,7 @@
     ConnectFailed,
     // The connection broke, or what arrived is not HTTP.
     Broken,
-    // The runner was silent for the idle timeout.
+    // The backend server was silent for the idle timeout.
     Silent,
 };
 
@@ -70,28 +70,28 @@
     virtual void callHead(const Header &header) = 0;
     // Views are valid during the call of this function.
     virtual void callData(const std::vector<std::string_view> &data) = 0;
-    // The last event; not called after RunnerCall::close().
+    // The last event; not called after BackendServerCall::close().
     virtual void callEnded(const CallResult &result) = 0;
 };
 
-class RunnerClient
+class BackendServerClient
 {
 public:
-    RunnerClient(boost::asio::io_context &context, RunnerLimits limits);
-    ~RunnerClient();
-    RunnerClient(const RunnerClient &) = delete;
-    RunnerClient &operator=(const RunnerClient &) = delete;
+    BackendServerClient(boost::asio::io_context &context, BackendServerLimits limits);
+    ~BackendServerClient();
+    BackendServerClient(const BackendServerClient &) = delete;
+    BackendServerClient &operator=(const BackendServerClient &) = delete;
 
     // Starts a call; events start after this returns. The events object must live until callEnded()
     // or until close().
-    std::shared_ptr<RunnerCall> call(RunnerDial dial, CallEvents &events);
+    std::shared_ptr<BackendServerCall> call(BackendServerDial dial, CallEvents &events);
     // Sends a message whose answer does not matter, such as a cancellation.
-    void notify(const std::string &address, RunnerMessage message);
+    void notify(const std::string &address, BackendServerMessage message);
     // Closes idle connections; later ones are not pooled any more.
     void shutDown();
 
 private:
-    friend class RunnerCall;
+    friend class BackendServerCall;
     using Socket = boost::asio::ip::tcp::socket;
 
     struct IdleConnection
@@ -107,7 +107,7 @@
     void sweep();
 
     boost::asio::io_context &context_;
-    RunnerLimits limits_;
+    BackendServerLimits limits_;
     std::unordered_map<std::string, std::vector<IdleConnection>> idle_;
     boost::asio::steady_timer sweepTimer_;
     bool sweepScheduled_ = false;
--- a/packages/relay/src/callerserver.cpp
+++ b/packages/relay/src/callerserver.cpp
@@ -88,7 +88,7 @@
         for (std::size_t i = 0; i < workers_.size(); ++i) {
             post(i, [this, i] {
                 workers_[i]->forEachConnection([](CallerConnection &entry) { entry.abort(); });
-                workers_[i]->context.runners.shutDown();
+                workers_[i]->context.backendServers.shutDown();
             });
         }
         // Answers of the sources that arrive now are still needed to finish their claims.
--- a/packages/relay/src/kinds/openaikind.cpp
+++ b/packages/relay/src/kinds/openaikind.cpp
@@ -1,5 +1,5 @@
 // Engines with the OpenAI-compatible API of section 4 of the design page.
-#include "auburn/relay/runnerkind.h"
+#include "auburn/relay/backendserverkind.h"
 #include "prompt.h"
 
 #include <QJsonDocument>
@@ -9,16 +9,16 @@
 
 namespace {
 
-class OpenaiKind final : public RunnerKind
+class OpenaiKind final : public BackendServerKind
 {
 public:
-    RunnerMessage message(const RelayRequest &request, const std::string &attemptId,
-                          const std::string &traceparent) const override
+    BackendServerMessage message(const RelayRequest &request, const std::string &attemptId,
+                                 const std::string &traceparent) const override
     {
-        RunnerMessage message{ .method = request.method,
-                               .target = request.target,
-                               .fields = { { "Content-Type", "application/json" },
-                                           { "X-Request-Id", attemptId } } };
+        BackendServerMessage message{ .method = request.method,
+                                      .target = request.target,
+                                      .fields = { { "Content-Type", "application/json" },
+                                                  { "X-Request-Id", attemptId } } };
         if (request.stream)
             message.fields.push_back({ "Accept", "text/event-stream" });
         if (!traceparent.empty())
@@ -30,18 +30,18 @@
         return message;
     }
 
-    std::optional<RunnerMessage> resume(const std::string &attemptId,
-                                        const std::string &lastEventId) const override
+    std::optional<BackendServerMessage> resume(const std::string &attemptId,
+                                               const std::string &lastEventId) const override
     {
-        return RunnerMessage{ .method = "GET",
-                              .target = "/v1/requests/" + attemptId + "/stream",
-                              .fields = { { "Accept", "text/event-stream" },
-                                          { "Last-Event-ID", lastEventId } } };
+        return BackendServerMessage{ .method = "GET",
+                                     .target = "/v1/requests/" + attemptId + "/stream",
+                                     .fields = { { "Accept", "text/event-stream" },
+                                                 { "Last-Event-ID", lastEventId } } };
     }
 
-    std::optional<RunnerMessage> cancel(const std::string &attemptId) const override
+    std::optional<BackendServerMessage> cancel(const std::string &attemptId) const override
     {
-        return RunnerMessage{ .method = "DELETE", .target = "/v1/requests/" + attemptId };
+        return BackendServerMessage{ .method = "DELETE", .target = "/v1/requests/" + attemptId };
     }
 
     unsigned tokensIn(const std::string &answerBody) const override
@@ -53,8 +53,9 @@
     }
 };
 
-const RunnerKindRegistry::Registration kRegistration("openai",
-                                                     [] { return std::make_unique<OpenaiKind>(); });
+const BackendServerKindRegistry::Registration kRegistration("openai", [] {
+    return std::make_unique<OpenaiKind>();
+});
 
 } // namespace
 
--- a/packages/relay/src/kinds/plainkind.cpp
+++ b/packages/relay/src/kinds/plainkind.cpp
@@ -1,19 +1,19 @@
 // Plain HTTP services: the caller's request is passed on as it is.
-#include "auburn/relay/runnerkind.h"
+#include "auburn/relay/backendserverkind.h"
 
 namespace auburn {
 
 namespace {
 
-class PlainKind final : public RunnerKind
+class PlainKind final : public BackendServerKind
 {
 public:
-    RunnerMessage message(const RelayRequest &request, const std::string &attemptId,
-                          const std::string &traceparent) const override
+    BackendServerMessage message(const RelayRequest &request, const std::string &attemptId,
+                                 const std::string &traceparent) const override
     {
-        RunnerMessage message{ .method = request.method,
-                               .target = request.target,
-                               .fields = request.fields };
+        BackendServerMessage message{ .method = request.method,
+                                      .target = request.target,
+                                      .fields = request.fields };
         message.fields.push_back({ "X-Request-Id", attemptId });
         if (!traceparent.empty())
             message.fields.push_back({ "traceparent", traceparent });
@@ -23,14 +23,14 @@
         return message;
     }
 
-    std::optional<RunnerMessage> resume(const std::string & /*attemptId*/,
-                                        const std::string & /*lastEventId*/) const override
+    std::optional<BackendServerMessage> resume(const std::string & /*attemptId*/,
+                                               const std::string & /*lastEventId*/) const override
     {
         return std::nullopt;
     }
 
     // A plain service has no cancel call; closing the connection is all there is.
-    std::optional<RunnerMessage> cancel(const std::string & /*attemptId*/) const override
+    std::optional<BackendServerMessage> cancel(const std::string & /*attemptId*/) const override
     {
         return std::nullopt;
     }
@@ -38,8 +38,9 @@
     unsigned tokensIn(const std::string & /*answerBody*/) const override { return 0; }
 };
 
-const RunnerKindRegistry::Registration kRegistration("plain",
-                                                     [] { return std::make_unique<PlainKind>(); });
+const BackendServerKindRegistry::Registration kRegistration("plain", [] {
+    return std::make_unique<PlainKind>();
+});
 
 } // namespace
 
--- a/packages/relay/src/organisationlimiter.h
+++ b/packages/relay/src/organisationlimiter.h
@@ -11,7 +11,7 @@
 class OrganisationLimiter
 {
 public:
-    // Holds one place of an organisation until destruction.
+    // Holds one failure domain of an organisation until destruction.
     class Ticket
     {
     public:
--- a/packages/relay/src/relaysession.cpp
+++ b/packages/relay/src/relaysession.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 // A grant that arrives after its time is given back; an owner that only sends such grants is
-// treated as one without runners.
+// treated as one without backend servers.
 constexpr unsigned kMaxLapsedGrants = 3;
 // Resumes of one stream that bring no new event before the stream is given up.
 constexpr unsigned kMaxIdleResumes = 2;
@@ -80,7 +80,7 @@
 SlotOutcome failedOutcome(const CallResult &result)
 {
     if (result.verdict == Verdict::DidNotRun)
-        return SlotOutcome::RunnerUnreachable;
+        return SlotOutcome::BackendServerUnreachable;
     return SlotOutcome::Failed;
 }
 
@@ -93,7 +93,7 @@
     , request_(std::move(request))
     , ticket_(std::move(ticket))
     , writer_(&writer)
-    , kind_(RunnerKindRegistry::make(kindName(request_.service.kind)))
+    , kind_(BackendServerKindRegistry::make(kindName(request_.service.kind)))
     , deadline_(worker.io, [this] { deadlinePassed(); })
 {}
 
@@ -110,7 +110,8 @@
     worker_.shared.retryBudget.addRequest();
     deadline_.set(request_.deadline);
     if (!kind_) {
-        fail({ .code = RefusalCode::NoRunnerAvailable, .message = "unknown kind of runner" });
+        fail({ .code = RefusalCode::NoBackendServerAvailable,
+               .message = "unknown kind of backend server" });
         return;
     }
     if (request_.nonIdempotent)
@@ -188,7 +189,7 @@
                        .promptTokens = request_.promptTokens,
                        .fingerprint = request_.fingerprint,
                        .deadline = request_.deadline,
-                       .excludedRunners = excludedRunners_ };
+                       .excludedBackendServers = excludedBackendServers_ };
     SlotSource *slots = worker_.shared.options.slots;
     slots->request(std::move(demand), [self = shared_from_this()](SlotAnswer answer) {
         asio::post(self->worker_.io, [self, answer = std::move(answer)]() mutable {
@@ -225,7 +226,7 @@
     if (++lapsedGrants_ < kMaxLapsedGrants)
         requestSlot();
     else
-        fail({ .code = RefusalCode::NoRunnerAvailable,
+        fail({ .code = RefusalCode::NoBackendServerAvailable,
                .verdict = verdict_,
                .message = "slots were granted too late to be used" });
 }
@@ -234,8 +235,8 @@
 {
     if (!slot_)
         return;
-    // The fingerprint accuses the request of a crash, so a runner that is silent or answers with an
-    // error does not count.
+    // The fingerprint accuses the request of a crash, so a backend server that is silent or answers
+    // with an error does not count.
     SlotReport report{ .outcome = outcome,
                        .tokens = attemptTokens_,
                        .fingerprint = request_.fingerprint,
@@ -266,21 +267,22 @@
     resumesWithoutProgress_ = 0;
     attemptTraceparent_ = request_.traceparent;
     if (trace_)
-        attemptTraceparent_ = trace_->attemptBegin(slot_->runner, attempt_);
+        attemptTraceparent_ = trace_->attemptBegin(slot_->backendServer, attempt_);
     startCall(kind_->message(request_, attemptId_, attemptTraceparent_), request_.nonIdempotent);
 }
 
-void RelaySession::startCall(RunnerMessage message, bool fresh)
+void RelaySession::startCall(BackendServerMessage message, bool fresh)
 {
     body_.clear();
     bodyTooLarge_ = false;
     headIsStream_ = false;
     scanner_.reset();
-    call_ = worker_.runners.call(RunnerDial{ .address = slot_->address,
-                                             .message = std::move(message),
-                                             .freshConnection = fresh,
-                                             .idleTimeout = request_.service.idleTimeout },
-                                 *this);
+    call_ = worker_.backendServers.call(
+            BackendServerDial{ .address = slot_->address,
+                               .message = std::move(message),
+                               .freshConnection = fresh,
+                               .idleTimeout = request_.service.idleTimeout },
+            *this);
 }
 
 void RelaySession::callHead(const Header &header)
@@ -319,19 +321,20 @@
     scanner_.release();
     if (streamDone_)
         streamDone();
-    else if (sequenceBroken_ || runnerSentError_)
+    else if (sequenceBroken_ || backendServerSentError_)
         attemptFailed({ .end = CallEnd::Broken,
                         .verdict = Verdict::Ran,
-                        .error = sequenceBroken_ ? "gap in the runner's events"
-                                                 : "the runner ended its stream with an error" });
+                        .error = sequenceBroken_
+                                         ? "gap in the backend server's events"
+                                         : "the backend server ended its stream with an error" });
 }
 
 void RelaySession::acceptEvent(const SseEvent &event)
 {
-    if (streamDone_ || runnerSentError_ || sequenceBroken_)
+    if (streamDone_ || backendServerSentError_ || sequenceBroken_)
         return;
     if (event.error) {
-        runnerSentError_ = true;
+        backendServerSentError_ = true;
         return;
     }
     if (isRepeatedEvent(event) || sequenceBroken_)
@@ -417,12 +420,12 @@
 {
     for (const std::string_view view : data)
         body_.append(view);
-    bodyTooLarge_ = body_.size() > worker_.shared.options.runners.answerBytes;
+    bodyTooLarge_ = body_.size() > worker_.shared.options.backendServers.answerBytes;
     if (!bodyTooLarge_)
         return;
     attemptFailed({ .end = CallEnd::Broken,
                     .verdict = Verdict::Ran,
-                    .error = "the runner's answer is too large" });
+                    .error = "the backend server's answer is too large" });
 }
 
 void RelaySession::callEnded(const CallResult &result)
@@ -437,7 +440,7 @@
         return;
     }
     CallResult incomplete = result;
-    incomplete.error = resuming_ ? "the runner did not resume the stream"
+    incomplete.error = resuming_ ? "the backend server did not resume the stream"
                                  : "the stream ended without [DONE]";
     attemptFailed(incomplete);
 }
@@ -449,7 +452,7 @@
         verdict_ = Verdict::Ran;
         call_.reset();
         endAttemptTrace(false, "status " + std::to_string(head_.status));
-        excludedRunners_.push_back(slot_->runner);
+        excludedBackendServers_.push_back(slot_->backendServer);
         releaseSlot(SlotOutcome::Failed);
         requestSlot();
         return;
@@ -476,20 +479,21 @@
 {
     attemptSent_ = attemptSent_ || result.verdict != Verdict::DidNotRun;
     verdict_ = mergeVerdicts(verdict_, result.verdict);
-    const bool ownDecision = runnerSentError_ || sequenceBroken_ || bodyTooLarge_;
+    const bool ownDecision = backendServerSentError_ || sequenceBroken_ || bodyTooLarge_;
     const bool lost = result.end == CallEnd::Broken || result.end == CallEnd::ConnectFailed;
     attemptCrashed_ = attemptSent_ && lost && !ownDecision;
     call_->close();
     call_.reset();
     logEvent(LogLevel::Info, "attempt_failed",
              { { "request", request_.id },
-               { "runner", slot_->runner },
+               { "backend_server", slot_->backendServer },
                { "verdict", verdictName(result.verdict) },
                { "error", result.error } });
     if (result.stalePooled && !streamBegun_ && mayRetry(result.verdict)) {
-        // The runner closed an idle connection, as servers do at any time. The request is
+        // The backend server closed an idle connection, as servers do at any time. The request is
         // idempotent, so it is sent again over a new connection; that is not held against the
-        // runner or the budget. Its id differs, so that a cancellation cannot hit the wrong one.
+        // backend server or the budget. Its id differs, so that a cancellation cannot hit the wrong
+        // one.
         attemptId_ += "r";
         startCall(kind_->message(request_, attemptId_, attemptTraceparent_), true);
         return;
@@ -497,14 +501,14 @@
     const bool resumeRefused = resuming_ && result.end == CallEnd::Complete && !headIsStream_;
     if (streamBegun_ && !resumeRefused && tryResume())
         return;
-    // A runner that dropped the connection may still be computing.
+    // A backend server that dropped the connection may still be computing.
     if (attemptSent_)
         cancelAttempt();
-    const Refusal refusal{ .code = RefusalCode::RunnerFailed,
+    const Refusal refusal{ .code = RefusalCode::BackendServerFailed,
                            .verdict = verdict_,
-                           .message = "the runner failed: " + result.error };
+                           .message = "the backend server failed: " + result.error };
     endAttemptTrace(false, result.error);
-    excludedRunners_.push_back(slot_->runner);
+    excludedBackendServers_.push_back(slot_->backendServer);
     releaseSlot(attemptSent_ ? SlotOutcome::Failed : failedOutcome(result));
     wastedTokens_ += attemptTokens_;
     if (streamBegun_) {
@@ -512,7 +516,7 @@
         return;
     }
     tokens_ -= attemptTokens_;
-    runnerSentError_ = false;
+    backendServerSentError_ = false;
     sequenceBroken_ = false;
     lastEventId_.clear();
     if (mayRetry(result.verdict) && worker_.shared.retryBudget.takeRetry())
@@ -525,18 +529,18 @@
 {
     if (finished_ || streamBegun_)
         return false;
-    if (attempt_ >= worker_.shared.options.runners.attempts)
+    if (attempt_ >= worker_.shared.options.backendServers.attempts)
         return false;
     return !request_.nonIdempotent || attemptVerdict == Verdict::DidNotRun;
 }
 
 bool RelaySession::tryResume()
 {
-    if (runnerSentError_ || sequenceBroken_ || lastEventId_.empty())
+    if (backendServerSentError_ || sequenceBroken_ || lastEventId_.empty())
         return false;
     if (++resumesWithoutProgress_ > kMaxIdleResumes)
         return false;
-    std::optional<RunnerMessage> message = kind_->resume(attemptId_, lastEventId_);
+    std::optional<BackendServerMessage> message = kind_->resume(attemptId_, lastEventId_);
     if (!message)
         return false;
     resuming_ = true;
@@ -548,8 +552,8 @@
 {
     if (!slot_ || attempt_ == 0)
         return;
-    if (std::optional<RunnerMessage> message = kind_->cancel(attemptId_))
-        worker_.runners.notify(slot_->address, std::move(*message));
+    if (std::optional<BackendServerMessage> message = kind_->cancel(attemptId_))
+        worker_.backendServers.notify(slot_->address, std::move(*message));
 }
 
 void RelaySession::endAttemptTrace(bool complete, const std::string &error)
--- a/packages/relay/src/relaysession.h
+++ b/packages/relay/src/relaysession.h
@@ -9,8 +9,8 @@
 #pragma once
 
 #include "answerwriter.h"
+#include "backendservercall.h"
 #include "organisationlimiter.h"
-#include "runnercall.h"
 #include "ssescanner.h"
 #include "workercontext.h"
 
@@ -56,7 +56,7 @@
     void releaseSlot(SlotOutcome outcome);
 
     void dispatch();
-    void startCall(RunnerMessage message, bool fresh);
+    void startCall(BackendServerMessage message, bool fresh);
     void callHead(const Header &header) override;
     void callData(const std::vector<std::string_view> &data) override;
     void callEnded(const CallResult &result) override;
@@ -89,13 +89,13 @@
     OrganisationLimiter::Ticket ticket_;
     // Null once the answer is complete or the caller has gone.
     AnswerWriter *writer_;
-    std::unique_ptr<RunnerKind> kind_;
+    std::unique_ptr<BackendServerKind> kind_;
     std::unique_ptr<RequestTrace> trace_;
     LazyDeadline deadline_;
 
     std::optional<WonClaim> claim_;
     std::optional<GrantedSlot> slot_;
-    std::shared_ptr<RunnerCall> call_;
+    std::shared_ptr<BackendServerCall> call_;
     bool waitingForSlot_ = false;
     bool finished_ = false;
     bool callerGone_ = false;
@@ -105,11 +105,11 @@
     unsigned attempt_ = 0;
     std::string attemptId_;
     std::string attemptTraceparent_;
-    std::vector<std::string> excludedRunners_;
+    std::vector<std::string> excludedBackendServers_;
     unsigned lapsedGrants_ = 0;
-    // Bytes of this attempt reached the runner, possibly over an earlier connection.
+    // Bytes of this attempt reached the backend server, possibly over an earlier connection.
     bool attemptSent_ = false;
-    // The runner's connection broke after that.
+    // The backend server's connection broke after that.
     bool attemptCrashed_ = false;
     bool attemptOpen_ = false;
     Clock::time_point dispatched_;
@@ -125,7 +125,7 @@
     bool headIsStream_ = false;
     bool streamBegun_ = false;
     bool streamDone_ = false;
-    bool runnerSentError_ = false;
+    bool backendServerSentError_ = false;
     bool resuming_ = false;
     unsigned resumesWithoutProgress_ = 0;
     std::string lastEventId_;
--- a/packages/relay/src/workercontext.h
+++ b/packages/relay/src/workercontext.h
@@ -1,9 +1,9 @@
 // WorkerContext: what the sessions of one worker thread share.
 #pragma once
 
+#include "backendserverclient.h"
 #include "organisationlimiter.h"
 #include "retrybudget.h"
-#include "runnerclient.h"
 
 #include "auburn/relay/callerserver.h"
 
@@ -19,7 +19,7 @@
 {
     explicit RelayShared(CallerServer::Options serverOptions)
         : options(std::move(serverOptions))
-        , retryBudget(options.runners.retryShare, options.runners.retryBurst)
+        , retryBudget(options.backendServers.retryShare, options.backendServers.retryBurst)
     {}
 
     const CallerServer::Options options;
@@ -51,12 +51,12 @@
 {
     explicit WorkerContext(RelayShared &relayShared)
         : io(1)
-        , runners(io, relayShared.options.runners)
+        , backendServers(io, relayShared.options.backendServers)
         , shared(relayShared)
     {}
 
     boost::asio::io_context io;
-    RunnerClient runners;
+    BackendServerClient backendServers;
     RelayShared &shared;
 };
 
--- a/packages/relay/tests/attempts_test.cpp
+++ b/packages/relay/tests/attempts_test.cpp
@@ -70,8 +70,8 @@
     BOOST_TEST(demand.prefixHash != 0U);
 }
 
-// Guards against a plain answer that mixes two attempts when the runner dies in between.
-BOOST_AUTO_TEST_CASE(chat_runnerCrashes_answerReplacedWhole)
+// Guards against a plain answer that mixes two attempts when the backend server dies in between.
+BOOST_AUTO_TEST_CASE(chat_backendServerCrashes_answerReplacedWhole)
 {
     addEngine("r1");
     addEngine("r2");
@@ -84,27 +84,28 @@
     BOOST_CHECK(released[0].report.outcome == SlotOutcome::Failed);
     BOOST_TEST(released[0].report.fingerprint == slots.demands()[0].fingerprint);
     BOOST_TEST(released[0].report.crashed);
-    BOOST_TEST(slots.demands()[1].excludedRunners.size() == 1U);
+    BOOST_TEST(slots.demands()[1].excludedBackendServers.size() == 1U);
 }
 
-// Guards against an unreachable runner being reported as one that may have run the request.
-BOOST_AUTO_TEST_CASE(chat_noRunnerReachable_didNotRun)
+// Guards against an unreachable backend server being reported as one that may have run the request.
+BOOST_AUTO_TEST_CASE(chat_noBackendServerReachable_didNotRun)
 {
     addEngine("r1");
     controlEngine(0, { { "action", "crash" } });
-    options.runners.attempts = 2;
+    options.backendServers.attempts = 2;
     serve();
     const Response response = exchange(chatRequest("hello", false, 5));
     BOOST_TEST(response.status == 502);
-    BOOST_TEST(response.errorCode() == "runner_failed");
+    BOOST_TEST(response.errorCode() == "backend_server_failed");
     BOOST_TEST(response.fields.at("Auburn-Verdict") == "did-not-run");
     checkSlotsReleased();
     BOOST_TEST(slots.granted() == 2U);
-    BOOST_CHECK(slots.released()[0].report.outcome == SlotOutcome::RunnerUnreachable);
+    BOOST_CHECK(slots.released()[0].report.outcome == SlotOutcome::BackendServerUnreachable);
 }
 
-// Guards against a runner that accepts and never answers holding the request until its deadline.
-BOOST_AUTO_TEST_CASE(chat_silentRunner_retriedElsewhere)
+// Guards against a backend server that accepts and never answers holding the request until its
+// deadline.
+BOOST_AUTO_TEST_CASE(chat_silentBackendServer_retriedElsewhere)
 {
     items[{ ItemKind::Service, "m" }] = std::make_shared<const Item>(
             Item{ Service{ .name = "m", .idleTimeout = std::chrono::milliseconds(200) }, 1 });
@@ -114,7 +115,7 @@
     serve();
     checkWholeAnswer(exchange(chatRequest("hello", false, 5)), "hello", 5);
     checkSlotsReleased();
-    // A frozen runner is not evidence that the request crashes runners.
+    // A frozen backend server is not evidence that the request crashes backend servers.
     BOOST_TEST(!slots.released()[0].report.crashed);
 }
 
@@ -136,14 +137,14 @@
 // Guards against retries that multiply the load of a failing pool.
 BOOST_AUTO_TEST_CASE(retries_budgetSpent_requestsFail)
 {
-    options.runners.retryShare = 0.1;
-    options.runners.retryBurst = 2;
+    options.backendServers.retryShare = 0.1;
+    options.backendServers.retryBurst = 2;
     addEngine("r1");
     controlEngine(0, { { "action", "drop" }, { "count", 1000 } });
     serve();
     for (int i = 0; i < 20; ++i) {
         const Response response = exchange(chatRequest("p", false, 2));
-        BOOST_TEST(response.errorCode() == "runner_failed");
+        BOOST_TEST(response.errorCode() == "backend_server_failed");
         BOOST_TEST(response.fields.at("Auburn-Verdict") == "may-have-run");
     }
     checkSlotsReleased();
@@ -152,7 +153,8 @@
     BOOST_TEST(slots.granted() <= 24U);
 }
 
-// Guards against a server error of one runner that reaches the caller although another is well.
+// Guards against a server error of one backend server that reaches the caller although another is
+// well.
 BOOST_AUTO_TEST_CASE(chat_serverError_retried)
 {
     addEngine("r1");
@@ -197,8 +199,9 @@
     BOOST_TEST(response.json().value("echo").toString().toStdString() == "payload");
 }
 
-// Guards against a non-idempotent request that is sent twice after a runner read it and closed.
-BOOST_AUTO_TEST_CASE(nonIdempotent_runnerReadsAndCloses_oneArrival)
+// Guards against a non-idempotent request that is sent twice after a backend server read it and
+// closed.
+BOOST_AUTO_TEST_CASE(nonIdempotent_backendServerReadsAndCloses_oneArrival)
 {
     addService("s1");
     addService("s2");
@@ -213,8 +216,8 @@
     BOOST_TEST(serviceArrivals(1) == 0U);
 }
 
-// Guards against non-idempotent requests on a pooled connection: the runner could close it, and the
-// outcome would be unknown without need.
+// Guards against non-idempotent requests on a pooled connection: the backend server could close it,
+// and the outcome would be unknown without need.
 BOOST_AUTO_TEST_CASE(nonIdempotent_afterPooledCall_usesFreshConnection)
 {
     options.threads = 1;
@@ -228,9 +231,9 @@
     BOOST_TEST(serviceArrivals(0) == 2U);
 }
 
-// Guards against a claim that stays open when no runner could be reached: a repeat must be able to
-// run.
-BOOST_AUTO_TEST_CASE(nonIdempotent_runnerUnreachable_retriedElsewhere)
+// Guards against a claim that stays open when no backend server could be reached: a repeat must be
+// able to run.
+BOOST_AUTO_TEST_CASE(nonIdempotent_backendServerUnreachable_retriedElsewhere)
 {
     addService("s1");
     addService("s2");
--- a/packages/relay/tests/badinput_test.cpp
+++ b/packages/relay/tests/badinput_test.cpp
@@ -20,7 +20,8 @@
         addEngine("r1");
     }
 
-    // The refusal must name its code, its verdict and a request id, and no runner may be asked.
+    // The refusal must name its code, its verdict and a request id, and no backend server may be
+    // asked.
     void checkRefused(const std::string &request, int status, const std::string &code)
     {
         if (!server)
@@ -63,7 +64,7 @@
     checkRefused(httpRequest("POST", "/v1/chat/completions", "", body), 404, "model_not_found");
 }
 
-// Guards against bodies that a runner would have to reject.
+// Guards against bodies that a backend server would have to reject.
 BOOST_AUTO_TEST_CASE(chat_brokenBody_invalidRequest)
 {
     for (const char *body :
@@ -193,7 +194,7 @@
     checkRefused(chatRequest("p", false, 1), 503, "not_ready");
 }
 
-// Guards against a caller that takes no bytes and pins its runner and its buffer for ever.
+// Guards against a caller that takes no bytes and pins its backend server and its buffer for ever.
 BOOST_AUTO_TEST_CASE(stream_slowReader_disconnectedAndCancelled)
 {
     standin::EngineOptions engine = fastEngine();
--- a/packages/relay/tests/prompt_test.cpp
+++ b/packages/relay/tests/prompt_test.cpp
@@ -24,7 +24,7 @@
     }
 }
 
-// Guards against turns of one conversation that are not sent to the runner that caches it.
+// Guards against turns of one conversation that are not sent to the backend server that caches it.
 BOOST_AUTO_TEST_CASE(prefixHash_laterTurn_same)
 {
     const auto first = parsePrompt(R"({"model":"m","messages":[{"content":"system"}]})");
--- a/packages/relay/tests/relayfixture.cpp
+++ b/packages/relay/tests/relayfixture.cpp
@@ -35,10 +35,10 @@
 
 // ---- Fakes -----------------------------------------------------------------
 
-void FakeSlots::addRunner(const std::string &name, const std::string &address)
+void FakeSlots::addBackendServer(const std::string &name, const std::string &address)
 {
     const std::lock_guard lock(mutex_);
-    runners_.emplace_back(name, address);
+    backendServers_.emplace_back(name, address);
 }
 
 void FakeSlots::setMode(Mode mode)
@@ -58,15 +58,15 @@
             return;
         }
         if (mode_ == Mode::Grant) {
-            const auto isFree = [&demand](const auto &runner) {
-                return std::ranges::count(demand.excludedRunners, runner.first) == 0;
+            const auto isFree = [&demand](const auto &backendServer) {
+                return std::ranges::count(demand.excludedBackendServers, backendServer.first) == 0;
             };
-            auto found = std::ranges::find_if(runners_, isFree);
-            if (found == runners_.end())
-                found = runners_.begin();
+            auto found = std::ranges::find_if(backendServers_, isFree);
+            if (found == backendServers_.end())
+                found = backendServers_.begin();
             ++granted_;
             answer = GrantedSlot{ .slotId = "s" + std::to_string(granted_),
-                                  .runner = found->first,
+                                  .backendServer = found->first,
                                   .address = found->second,
                                   .service = demand.service,
                                   .dispatchBefore = std::chrono::steady_clock::now()
@@ -86,7 +86,7 @@
 void FakeSlots::release(const GrantedSlot &slot, SlotReport report)
 {
     const std::lock_guard lock(mutex_);
-    released_.push_back({ slot.runner, report });
+    released_.push_back({ slot.backendServer, report });
 }
 
 std::vector<FakeSlots::Released> FakeSlots::released() const
@@ -185,9 +185,9 @@
     void queueEnd(bool granted) override { observer_.add(granted ? "granted" : "notGranted"); }
     void claimBegin() override { observer_.add("claimBegin"); }
     void claimEnd(bool won) override { observer_.add(won ? "won" : "lost"); }
-    std::string attemptBegin(const std::string &runner, unsigned /*number*/) override
+    std::string attemptBegin(const std::string &backendServer, unsigned /*number*/) override
     {
-        observer_.add("attempt:" + runner);
+        observer_.add("attempt:" + backendServer);
         return "attempt-parent";
     }
     void firstToken(std::chrono::microseconds /*sinceReceived*/) override
@@ -461,7 +461,7 @@
     auto engine = standins.run([this, &engineOptions] {
         return standin::StandinEngine::make(standins.context(), engineOptions);
     });
-    slots.addRunner(name, "127.0.0.1:" + std::to_string(engine->port()));
+    slots.addBackendServer(name, "127.0.0.1:" + std::to_string(engine->port()));
     engines.push_back(std::move(engine));
 }
 
@@ -469,7 +469,7 @@
 {
     auto service = standins.run(
             [this] { return standin::StandinService::make(standins.context(), {}); });
-    slots.addRunner(name, "127.0.0.1:" + std::to_string(service->port()));
+    slots.addBackendServer(name, "127.0.0.1:" + std::to_string(service->port()));
     services.push_back(std::move(service));
 }
 
--- a/packages/relay/tests/relayfixture.h
+++ b/packages/relay/tests/relayfixture.h
@@ -1,5 +1,5 @@
 // Fixture of the relay's tests: a caller server with fake sources of slots and claims in front of
-// stand-in runners, over real sockets.
+// stand-in backend servers, over real sockets.
 #pragma once
 
 #include "standinengine.h"
@@ -35,7 +35,8 @@
 // Polls until the condition holds; false after kPatience.
 bool waitFor(const std::function<bool()> &condition);
 
-// Grants the runners in the given order, excluded ones last, and records what is given back.
+// Grants the backend servers in the given order, excluded ones last, and records what is given
+// back.
 class FakeSlots final : public SlotSource
 {
 public:
@@ -43,11 +44,11 @@
 
     struct Released
     {
-        std::string runner;
+        std::string backendServer;
         SlotReport report;
     };
 
-    void addRunner(const std::string &name, const std::string &address);
+    void addBackendServer(const std::string &name, const std::string &address);
     void setMode(Mode mode);
     void request(SlotDemand demand, Callback callback) override;
     void cancel(const std::string &requestId) override;
@@ -62,7 +63,7 @@
 private:
     mutable std::mutex mutex_;
     Mode mode_ = Mode::Grant;
-    std::vector<std::pair<std::string, std::string>> runners_;
+    std::vector<std::pair<std::string, std::string>> backendServers_;
     std::vector<SlotDemand> demands_;
     std::vector<Released> released_;
     std::map<std::string, Callback> waiting_;
--- a/packages/relay/tests/streaming_test.cpp
+++ b/packages/relay/tests/streaming_test.cpp
@@ -49,7 +49,7 @@
 BOOST_FIXTURE_TEST_SUITE(streaming, StreamingFixture)
 
 // Guards against lost, repeated or reordered tokens.
-BOOST_AUTO_TEST_CASE(stream_healthyRunner_whole)
+BOOST_AUTO_TEST_CASE(stream_healthyBackendServer_whole)
 {
     addEngine("r1");
     serve();
@@ -76,7 +76,7 @@
     checkWhole(stream("boom", 30), "boom", 30);
 }
 
-// Guards against a broken connection that ends a stream the runner could still complete.
+// Guards against a broken connection that ends a stream the backend server could still complete.
 BOOST_AUTO_TEST_CASE(stream_cutAfterFirstToken_resumed)
 {
     addEngine("r1");
@@ -86,8 +86,8 @@
     BOOST_TEST(engineRecord(0).size() == 1U);
 }
 
-// Guards against a stream whose runner is gone looking complete, or going on with another attempt's
-// output.
+// Guards against a stream whose backend server is gone looking complete, or going on with another
+// attempt's output.
 BOOST_AUTO_TEST_CASE(stream_lostAfterFirstToken_errorEventWithoutDone)
 {
     addEngine("r1");
@@ -141,8 +141,8 @@
     BOOST_TEST(engineRecord(0).size() == 1U);
 }
 
-// Guards against runners that keep working for callers that have gone.
-BOOST_AUTO_TEST_CASE(stream_callerHangsUp_cancelledAtRunner)
+// Guards against backend servers that keep working for callers that have gone.
+BOOST_AUTO_TEST_CASE(stream_callerHangsUp_cancelledAtBackendServer)
 {
     addEngine("r1");
     serve();
@@ -156,7 +156,7 @@
 }
 
 // Guards against the same while a plain answer is being computed.
-BOOST_AUTO_TEST_CASE(plain_callerHangsUp_cancelledAtRunner)
+BOOST_AUTO_TEST_CASE(plain_callerHangsUp_cancelledAtBackendServer)
 {
     addEngine("r1");
     serve();
--- a/packages/schedule/bench/decisionbench.cpp
+++ b/packages/schedule/bench/decisionbench.cpp
@@ -1,9 +1,9 @@
 // Cost of one scheduling decision: a release that grants the next waiting request, and the request
-// that takes its place in the queue. One cell holds all runners of a place, which is the worst case
-// of the division into cells.
+// that takes its turn in the queue. One cell holds all backend servers of a failure
+// domain, which is the worst case of the division into cells.
 //
-// Prints CSV: organisations, runners, tiers, decisions, and the cost in microseconds of CPU time at
-// p50, p99 and p99.9. CPU time leaves out the waits for a core on a shared machine.
+// Prints CSV: organisations, backend servers, tiers, decisions, and the cost in microseconds of CPU
+// time at p50, p99 and p99.9. CPU time leaves out the waits for a core on a shared machine.
 #include "auburn/schedule/cellscheduler.h"
 
 #include <algorithm>
@@ -17,7 +17,7 @@
 using namespace auburn;
 using Clock = std::chrono::steady_clock;
 
-constexpr unsigned kRunners = 330;
+constexpr unsigned kBackendServers = 330;
 constexpr unsigned kSlots = 8;
 constexpr unsigned kTiers = 8;
 constexpr unsigned kWaiting = 1000;
@@ -30,16 +30,16 @@
     return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
 }
 
-std::vector<RunnerSpec> makeRunners()
+std::vector<BackendServerSpec> makeBackendServers()
 {
-    std::vector<RunnerSpec> runners;
-    runners.reserve(kRunners);
-    for (unsigned i = 0; i < kRunners; ++i) {
-        runners.push_back(RunnerSpec{ .name = "runner-" + std::to_string(i),
-                                      .address = "127.0.0.1:9000",
-                                      .slots = kSlots });
+    std::vector<BackendServerSpec> backendServers;
+    backendServers.reserve(kBackendServers);
+    for (unsigned i = 0; i < kBackendServers; ++i) {
+        backendServers.push_back(BackendServerSpec{ .name = "server-" + std::to_string(i),
+                                                    .address = "127.0.0.1:9000",
+                                                    .slots = kSlots });
     }
-    return runners;
+    return backendServers;
 }
 
 class DecisionBench
@@ -48,8 +48,8 @@
     explicit DecisionBench(unsigned organisations)
         : organisations_(organisations)
     {
-        cell_.configure(makeRunners(), now_);
-        for (unsigned i = 0; i < kRunners * kSlots + kWaiting; ++i)
+        cell_.configure(makeBackendServers(), now_);
+        for (unsigned i = 0; i < kBackendServers * kSlots + kWaiting; ++i)
             request();
     }
 
@@ -63,8 +63,8 @@
             costs.back() += request();
         }
         std::sort(costs.begin(), costs.end());
-        std::printf("%u,%u,%u,%u,%.2f,%.2f,%.2f\n", organisations_, kRunners, kTiers, kDecisions,
-                    costs[kDecisions / 2], costs[kDecisions * 99 / 100],
+        std::printf("%u,%u,%u,%u,%.2f,%.2f,%.2f\n", organisations_, kBackendServers, kTiers,
+                    kDecisions, costs[kDecisions / 2], costs[kDecisions * 99 / 100],
                     costs[kDecisions * 999ULL / 1000]);
     }
 
@@ -120,7 +120,7 @@
 
 int main()
 {
-    std::printf("organisations,runners,tiers,decisions,p50_us,p99_us,p999_us\n");
+    std::printf("organisations,backend_servers,tiers,decisions,p50_us,p99_us,p999_us\n");
     for (const unsigned organisations : { 10U, 1000U, 21000U, 100000U }) {
         DecisionBench bench(organisations);
         bench.run();
--- a/packages/schedule/include/auburn/schedule/cellowner.h
+++ b/packages/schedule/include/auburn/schedule/cellowner.h
@@ -1,8 +1,9 @@
-// CellOwner: serves the slot messages for the cells of this daemon's place.
+// CellOwner: serves the slot messages for the cells of this daemon's failure domain.
 //
-// It serves a request for any cell of the place, also for one that it does not own by its own view:
-// views differ for a while after a change, and the front decides whom it asks. Requests with the
-// cell number kAnyCell come from other places and go to the foreign handler (SlotGateway).
+// It serves a request for any cell of the failure domain, also for one that it does not own by its
+// own view: views differ for a while after a change, and the front decides whom it asks. Requests
+// with the cell number kAnyCell come from other failure domains and go to the foreign handler
+// (SlotGateway).
 #pragma once
 
 #include "auburn/config/configstate.h"
@@ -40,7 +41,7 @@
         // empty.
         std::function<void(std::vector<CellLoad>)> publishLoads;
         TierQueue::Options queue;
-        RunnerTable::Options runners;
+        BackendServerTable::Options backendServers;
         SuspectRequests::Options suspects;
     };
 
@@ -53,11 +54,11 @@
 
     // Receives the answers to this daemon's own front; set before the first message.
     void setLocalHandler(MessageBus::Handler handler) { localHandler_ = std::move(handler); }
-    // Receives the messages of fronts of other places; set before the first message.
+    // Receives the messages of fronts of other failure domains; set before the first message.
     void setForeignHandler(MessageBus::Handler handler) { foreignHandler_ = std::move(handler); }
 
-    // A runner's load report, as polled by this daemon.
-    void reportLoad(const std::string &runner, RunnerLoad load);
+    // A backend server's load report, as polled by this daemon.
+    void reportLoad(const std::string &backendServer, BackendServerLoad load);
 
     // Follows configuration and views, expires leases, publishes loads; to be called every 50 ms.
     void tick(TimePoint now);
@@ -86,8 +87,8 @@
     Cell findCell(const CellId &id) const;
     Cell cellFor(const CellId &id);
     std::map<CellId, Cell> cells() const;
-    std::vector<RunnerSpec> runnersOf(const CellId &id, const ConfigState &config,
-                                      const MemberView &view) const;
+    std::vector<BackendServerSpec> backendServersOf(const CellId &id, const ConfigState &config,
+                                                    const MemberView &view) const;
     void addOwnedCells(const ConfigState &config, const MemberView &view);
     void dropUnusedCells(const ConfigState &config, const MemberView &view);
     void reconfigure(const ConfigState &config, const MemberView &view, TimePoint now);
--- a/packages/schedule/include/auburn/schedule/cellscheduler.h
+++ b/packages/schedule/include/auburn/schedule/cellscheduler.h
@@ -1,4 +1,4 @@
-// CellScheduler: the owner's side of one cell, made of a TierQueue and a RunnerTable.
+// CellScheduler: the owner's side of one cell, made of a TierQueue and a BackendServerTable.
 //
 // All state is soft: fronts resend waiting requests and report held slots, so an owner that starts
 // without state is complete within one report period. Every operation is safe to repeat: a request,
@@ -8,7 +8,7 @@
 
 #include "auburn/core/refusal.h"
 #include "auburn/mesh/memberview.h"
-#include "auburn/schedule/runnertable.h"
+#include "auburn/schedule/backendservertable.h"
 #include "auburn/schedule/tierqueue.h"
 
 #include <array>
@@ -39,14 +39,14 @@
     std::uint64_t prefixHash = 0;
     std::chrono::steady_clock::time_point since;
     std::chrono::steady_clock::time_point deadline;
-    std::vector<std::string> excludedRunners;
+    std::vector<std::string> excludedBackendServers;
 };
 
 // One entry of a front's report of held slots.
 struct ReportedSlot
 {
     std::string slotId;
-    std::string runner;
+    std::string backendServer;
     unsigned tier = 0;
     std::string organisation;
 };
@@ -56,7 +56,7 @@
     std::string front;
     std::string requestId;
     std::string slotId;
-    std::string runner;
+    std::string backendServer;
     std::string address;
     std::chrono::milliseconds dispatchWithin{ 0 };
 };
@@ -85,15 +85,15 @@
         // Daemon id of the owner, for the published load.
         std::string owner;
         TierQueue::Options queue;
-        RunnerTable::Options runners;
-        // Requests wait through an outage of all runners that ends within this time, and are
-        // refused in a longer one so that the front can try elsewhere.
+        BackendServerTable::Options backendServers;
+        // Requests wait through an outage of all backend servers that ends within this time, and
+        // are refused in a longer one so that the front can try elsewhere.
         std::chrono::milliseconds maxOutageWait{ 2000 };
     };
 
     explicit CellScheduler(Options options);
 
-    SlotEvents configure(const std::vector<RunnerSpec> &runners, TimePoint now);
+    SlotEvents configure(const std::vector<BackendServerSpec> &backendServers, TimePoint now);
     SlotEvents request(const SlotAsk &ask, TimePoint now);
     SlotEvents cancel(const std::string &front, const std::string &requestId, TimePoint now);
     // Returns a slot; a slot that is not known is ignored.
@@ -102,7 +102,7 @@
     // All slots of this cell that a front holds.
     SlotEvents reportHeld(const std::string &front, const std::vector<ReportedSlot> &slots,
                           TimePoint now);
-    void reportLoad(const std::string &runner, RunnerLoad load, TimePoint now);
+    void reportLoad(const std::string &backendServer, BackendServerLoad load, TimePoint now);
     // Expires requests, leases and undispatched grants; to be called every 50 ms or so.
     SlotEvents tick(TimePoint now, const FrontGone &frontGone);
 
@@ -125,7 +125,7 @@
         // Empty for a slot that was learned from a report.
         std::string requestId;
         std::string organisation;
-        RunnerTable::RunnerId runner = 0;
+        BackendServerTable::BackendServerId backendServer = 0;
         bool probe = false;
         // True once the front has reported the slot.
         bool confirmed = false;
@@ -158,7 +158,8 @@
     bool surelyMisses(const SlotAsk &ask, TimePoint now) const;
     void enqueue(const SlotAsk &ask, TimePoint now, SlotEvents &events);
     void dispatch(TimePoint now, SlotEvents &events);
-    SlotGranted grant(const Ask &ask, RunnerTable::RunnerId runner, TimePoint now);
+    SlotGranted grant(const Ask &ask, BackendServerTable::BackendServerId backendServer,
+                      TimePoint now);
     SlotGranted grantEvent(const std::string &slotId, const Slot &slot) const;
     SlotRefused refuse(const WaitingRequest &request, Refusal refusal);
     SlotMap::iterator drop(SlotMap::iterator slot, const SlotReport &report, TimePoint now);
@@ -172,7 +173,7 @@
     const Options options_;
     mutable std::mutex mutex_;
     TierQueue queue_;
-    RunnerTable runners_;
+    BackendServerTable backendServers_;
     std::unordered_map<std::string, Ask> asks_;
     SlotMap slots_;
     // Slot by request id, for requests that arrive again after the grant.
--- a/packages/schedule/include/auburn/schedule/slotclient.h
+++ b/packages/schedule/include/auburn/schedule/slotclient.h
@@ -1,9 +1,10 @@
 // SlotClient: the front's side of slot grants.
 //
-// It asks the owner of a cell of its own place, moves on to the next daemon if the owner is silent,
-// and to other cells, the places of the region and other regions if there is no room or no runner.
-// Every step uses a new wire id, so an answer that belongs to an earlier step is recognised: a late
-// grant is released, a late refusal is ignored. A request is answered exactly once.
+// It asks the owner of a cell of its own failure domain, moves on to the next daemon if the owner
+// is silent, and to other cells, the failure domains of the region and other regions if there is no
+// room or no backend server. Every step uses a new wire id, so an answer that belongs to an earlier
+// step is recognised: a late grant is released, a late refusal is ignored. A request is answered
+// exactly once.
 //
 // All timers run in tick(now). Thread-safe; requests are sharded, each under its own lock.
 #pragma once
@@ -47,9 +48,9 @@
         std::function<unsigned(unsigned bound)> random;
         // Called with the id of a daemon that does not acknowledge; may be empty.
         std::function<void(const std::string &daemonId)> suspect;
-        // True if requests with this fingerprint are refused because they crash runners; may be
-        // empty.
-        std::function<bool(std::uint64_t fingerprint)> crashesRunners;
+        // True if requests with this fingerprint are refused because they crash backend servers;
+        // may be empty.
+        std::function<bool(std::uint64_t fingerprint)> crashesBackendServers;
     };
 
     // Null with lastError() set if a required option is missing. Sets the bus handlers of SlotAck,
@@ -63,8 +64,8 @@
     void cancel(const std::string &requestId) override;
     void release(const GrantedSlot &slot, SlotReport report) override;
 
-    // Like request, but never leaves this place; for requests that came from another place.
-    // waited is the time that the request has spent waiting there.
+    // Like request, but never leaves this failure domain; for requests that came from another
+    // failure domain. waited is the time that the request has spent waiting there.
     void requestHere(SlotDemand demand, Callback callback, std::chrono::milliseconds waited);
 
     void tick(TimePoint now);
@@ -77,10 +78,11 @@
     struct Pending;
     class PendingMap;
 
-    // Where a request is sent: a cell of the own place, or any cell of another place.
+    // Where a request is sent: a cell of the own failure domain, or any cell of another failure
+    // domain.
     struct Target
     {
-        std::string place;
+        std::string failureDomain;
         unsigned cell = 0;
         auto operator<=>(const Target &) const = default;
     };
@@ -116,7 +118,7 @@
     unsigned cellsHere(const std::string &service, const MemberView &view) const;
     std::optional<Target> nextTarget(const Pending &pending, const MemberView &view) const;
     std::optional<Target> nextCell(const Pending &pending, const MemberView &view) const;
-    std::optional<Target> nextPlace(const Pending &pending, const MemberView &view) const;
+    std::optional<Target> nextFailureDomain(const Pending &pending, const MemberView &view) const;
     std::vector<std::string> daemonsFor(const Pending &pending, const MemberView &view) const;
 
     // Steps of a request; the caller holds the lock of the request.
--- a/packages/schedule/include/auburn/schedule/slotgateway.h
+++ b/packages/schedule/include/auburn/schedule/slotgateway.h
@@ -1,8 +1,8 @@
-// SlotGateway: serves slot requests of other places.
+// SlotGateway: serves slot requests of other failure domains.
 //
-// A front knows only a few contact daemons of another place and none of its owners. The contact
-// therefore asks for the slot as a front of its own place, passes the grant on, and keeps the slot
-// until the other front releases it or falls silent.
+// A front knows only a few contact daemons of another failure domain and none of its owners. The
+// contact therefore asks for the slot as a front of its own failure domain, passes the grant on,
+// and keeps the slot until the other front releases it or falls silent.
 #pragma once
 
 #include "auburn/core/shardedmap.h"
--- a/packages/schedule/include/auburn/schedule/slotsource.h
+++ b/packages/schedule/include/auburn/schedule/slotsource.h
@@ -1,4 +1,4 @@
-// SlotSource: where a front gets the right to send one request to one runner.
+// SlotSource: where a front gets the right to send one request to one backend server.
 #pragma once
 
 #include "auburn/core/refusal.h"
@@ -26,18 +26,18 @@
     std::uint64_t prefixHash = 0;
     // Estimated prompt size, in tokens.
     unsigned promptTokens = 0;
-    // Hash of organisation and body, for requests that crash runners.
+    // Hash of organisation and body, for requests that crash backend servers.
     std::uint64_t fingerprint = 0;
     // The caller gives up at this time.
     std::chrono::steady_clock::time_point deadline;
-    // Runners on which earlier attempts failed.
-    std::vector<std::string> excludedRunners;
+    // Backend servers on which earlier attempts failed.
+    std::vector<std::string> excludedBackendServers;
 };
 
 struct GrantedSlot
 {
     std::string slotId;
-    std::string runner;
+    std::string backendServer;
     // host:port
     std::string address;
     std::string service;
@@ -48,9 +48,10 @@
     std::chrono::steady_clock::time_point dispatchBefore;
 };
 
-enum class SlotOutcome { Completed, Cancelled, Failed, RunnerUnreachable, Unused };
+enum class SlotOutcome { Completed, Cancelled, Failed, BackendServerUnreachable, Unused };
 
-// How the attempt on a granted slot went; tells the owner about the runner's speed and health.
+// How the attempt on a granted slot went; tells the owner about the backend server's speed and
+// health.
 struct SlotReport
 {
     SlotOutcome outcome = SlotOutcome::Unused;
@@ -61,7 +62,7 @@
     unsigned tokens = 0;
     // That of the demand.
     std::uint64_t fingerprint = 0;
-    // The connection broke as it does when a runner crashes.
+    // The connection broke as it does when a backend server crashes.
     bool crashed = false;
 };
 
--- a/packages/schedule/include/auburn/schedule/suspectrequests.h
+++ b/packages/schedule/include/auburn/schedule/suspectrequests.h
@@ -1,7 +1,8 @@
-// SuspectRequests: keeps requests that crash runners from taking down one runner after the other.
+// SuspectRequests: keeps requests that crash backend servers from taking down one backend server
+// after the other.
 //
-// The owner of a cell sees every attempt of its runners, whichever daemon the caller turns to, so
-// the limit is kept here; gossip carries the counts to other owners. After its first crash a
+// The owner of a cell sees every attempt of its backend servers, whichever daemon the caller turns
+// to, so the limit is kept here; gossip carries the counts to other owners. After its first crash a
 // request is tried alone: until that attempt has ended, further requests with the same content are
 // refused.
 #pragma once
@@ -17,7 +18,7 @@
 
 namespace auburn {
 
-// Crashes in a place after which a request is refused (design, section 2.6).
+// Crashes in a failure domain after which a request is refused (design, section 2.6).
 constexpr unsigned kCrashLimit = 2;
 // Longest time for which one attempt of a suspect request excludes the next.
 constexpr std::chrono::seconds kSuspectTrial{ 30 };
@@ -30,7 +31,8 @@
 
     struct Options
     {
-        // Crashes that the fingerprint has caused in this place; empty: no request is suspect.
+        // Crashes that the fingerprint has caused in this failure domain; empty: no request is
+        // suspect.
         std::function<unsigned(std::uint64_t fingerprint)> crashes;
         // Counts one more crash.
         std::function<void(std::uint64_t fingerprint)> addCrash;
--- a/packages/schedule/include/auburn/schedule/tierqueue.h
+++ b/packages/schedule/include/auburn/schedule/tierqueue.h
@@ -54,7 +54,7 @@
     struct Admission
     {
         bool accepted = false;
-        // The request that lost its place to the new one.
+        // The request that lost its failure domain to the new one.
         std::optional<WaitingRequest> evicted;
     };
 
@@ -94,7 +94,7 @@
     std::size_t grantsAhead(const WaitingRequest &request) const;
 
     // Requests that one call of grantNext passes over at most; bounds its cost when many waiting
-    // requests exclude the runners that are free.
+    // requests exclude the backend servers that are free.
     static constexpr unsigned kMaxSkipped = 16;
 
 private:
--- a/packages/schedule/src/runnertable.cpp
+++ b/packages/schedule/src/backendservertable.cpp
@@ -1,4 +1,4 @@
-#include "auburn/schedule/runnertable.h"
+#include "auburn/schedule/backendservertable.h"
 
 #include <algorithm>
 #include <cassert>
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kAverageWeight = 0.2;
-// Runners with enough samples that are needed for a median.
+// Backend servers with enough samples that are needed for a median.
 constexpr std::size_t kMinJudged = 3;
 constexpr double kMaxSlowness = 16;
 
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void RunnerTable::Average::add(std::chrono::microseconds sample)
+void BackendServerTable::Average::add(std::chrono::microseconds sample)
 {
     if (sample.count() <= 0)
         return;
@@ -29,52 +29,53 @@
     ++samples;
 }
 
-RunnerTable::RunnerTable(Options options)
+BackendServerTable::BackendServerTable(Options options)
     : options_(options)
 {}
 
-void RunnerTable::configure(const std::vector<RunnerSpec> &runners)
+void BackendServerTable::configure(const std::vector<BackendServerSpec> &backendServers)
 {
     for (Entry &entry : entries_)
         entry.configured = false;
-    for (const RunnerSpec &spec : runners) {
+    for (const BackendServerSpec &spec : backendServers) {
         const auto found = byName_.find(spec.name);
-        const RunnerId id = found == byName_.end() ? addEntry() : found->second;
+        const BackendServerId id = found == byName_.end() ? addEntry() : found->second;
         Entry &entry = entries_[id];
-        // A runner at a new address is a new process; what was learned about the old one is void.
+        // A backend server at a new address is a new process; what was learned about the old one is
+        // void.
         if (entry.spec.address != spec.address)
             markHealthy(entry);
         entry.spec = spec;
         entry.configured = true;
         byName_[spec.name] = id;
     }
-    for (RunnerId id = 0; id < entries_.size(); ++id) {
+    for (BackendServerId id = 0; id < entries_.size(); ++id) {
         dropIfUnused(id);
         refresh(id);
     }
 }
 
-std::optional<RunnerTable::RunnerId> RunnerTable::find(const std::string &name) const
+std::optional<BackendServerTable::BackendServerId> BackendServerTable::find(
+        const std::string &name) const
 {
     const auto found = byName_.find(name);
     return found == byName_.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<RunnerTable::RunnerId> RunnerTable::choose(std::uint64_t prefixHash,
-                                                         const std::vector<std::string> &excluded,
-                                                         TimePoint now) const
+std::optional<BackendServerTable::BackendServerId> BackendServerTable::choose(
+        std::uint64_t prefixHash, const std::vector<std::string> &excluded, TimePoint now) const
 {
-    // A due probe goes first, or a busy pool would never get its runner back; a request that has
-    // failed before is not used for it while healthy runners are free.
-    const std::optional<RunnerId> probe = dueProbe(excluded, now);
+    // A due probe goes first, or a busy pool would never get its backend server back; a request
+    // that has failed before is not used for it while healthy backend servers are free.
+    const std::optional<BackendServerId> probe = dueProbe(excluded, now);
     if (probe && excluded.empty())
         return probe;
-    const std::optional<RunnerId> withPrefix = affine(prefixHash);
-    std::optional<RunnerId> best;
+    const std::optional<BackendServerId> withPrefix = affine(prefixHash);
+    std::optional<BackendServerId> best;
     double bestScore = std::numeric_limits<double>::max();
     const std::size_t count = free_.size();
     for (std::size_t step = 0; step < count; ++step) {
-        const FreeRunner &candidate = free_[(nextStart_ + step) % count];
+        const FreeBackendServer &candidate = free_[(nextStart_ + step) % count];
         const double bonus = withPrefix == candidate.id ? options_.affinityBonus : 0;
         if (candidate.score - bonus >= bestScore)
             continue;
@@ -86,7 +87,7 @@
     return best ? best : probe;
 }
 
-bool RunnerTable::acquire(RunnerId id, std::uint64_t prefixHash, TimePoint now)
+bool BackendServerTable::acquire(BackendServerId id, std::uint64_t prefixHash, TimePoint now)
 {
     Entry &entry = entries_[id];
     ++nextStart_;
@@ -99,7 +100,7 @@
     return true;
 }
 
-void RunnerTable::adopt(RunnerId id)
+void BackendServerTable::adopt(BackendServerId id)
 {
     Entry &entry = entries_[id];
     ++entry.inUse;
@@ -107,7 +108,8 @@
     refresh(id);
 }
 
-void RunnerTable::release(RunnerId id, bool probe, const SlotReport &report, TimePoint now)
+void BackendServerTable::release(BackendServerId id, bool probe, const SlotReport &report,
+                                 TimePoint now)
 {
     Entry &entry = entries_[id];
     assert(entry.inUse > 0);
@@ -126,9 +128,9 @@
     refresh(id);
 }
 
-void RunnerTable::reportLoad(const std::string &name, RunnerLoad load, TimePoint now)
+void BackendServerTable::reportLoad(const std::string &name, BackendServerLoad load, TimePoint now)
 {
-    const std::optional<RunnerId> id = find(name);
+    const std::optional<BackendServerId> id = find(name);
     if (!id)
         return;
     Entry &entry = entries_[*id];
@@ -143,11 +145,11 @@
     refresh(*id);
 }
 
-void RunnerTable::update(TimePoint now)
+void BackendServerTable::update(TimePoint now)
 {
     const double firstToken = medianOf(&Entry::firstToken);
     const double tokenGap = medianOf(&Entry::tokenGap);
-    for (RunnerId id = 0; id < entries_.size(); ++id) {
+    for (BackendServerId id = 0; id < entries_.size(); ++id) {
         Entry &entry = entries_[id];
         if (entry.probing && now - entry.probeStarted >= options_.probePasses)
             markHealthy(entry);
@@ -163,12 +165,12 @@
     }
 }
 
-bool RunnerTable::hasFreeSlot(TimePoint now) const
+bool BackendServerTable::hasFreeSlot(TimePoint now) const
 {
     return !free_.empty() || dueProbe({}, now).has_value();
 }
 
-std::optional<RunnerTable::TimePoint> RunnerTable::usableFrom(
+std::optional<BackendServerTable::TimePoint> BackendServerTable::usableFrom(
         const std::vector<std::string> &excluded, TimePoint now) const
 {
     if (excluded.empty() && healthy_ > 0)
@@ -184,15 +186,15 @@
     return earliest;
 }
 
-unsigned RunnerTable::freeSlots() const
+unsigned BackendServerTable::freeSlots() const
 {
     unsigned total = 0;
-    for (const FreeRunner &runner : free_)
-        total += limit(entries_[runner.id]) - entries_[runner.id].inUse;
+    for (const FreeBackendServer &backendServer : free_)
+        total += limit(entries_[backendServer.id]) - entries_[backendServer.id].inUse;
     return total;
 }
 
-unsigned RunnerTable::totalSlots() const
+unsigned BackendServerTable::totalSlots() const
 {
     unsigned total = 0;
     for (const Entry &entry : entries_) {
@@ -202,12 +204,12 @@
     return total;
 }
 
-bool RunnerTable::accepts(const Entry &entry)
+bool BackendServerTable::accepts(const Entry &entry)
 {
     return entry.present && entry.configured && entry.spec.accepting;
 }
 
-unsigned RunnerTable::limit(const Entry &entry) const
+unsigned BackendServerTable::limit(const Entry &entry) const
 {
     if (entry.slowness <= 1)
         return entry.spec.slots;
@@ -216,34 +218,34 @@
     return std::min(entry.spec.slots, std::max(1U, reduced));
 }
 
-bool RunnerTable::isHealthyAndFree(const Entry &entry) const
+bool BackendServerTable::isHealthyAndFree(const Entry &entry) const
 {
     return accepts(entry) && !entry.setAside && entry.inUse < limit(entry);
 }
 
-bool RunnerTable::isProbeDue(const Entry &entry, TimePoint now) const
+bool BackendServerTable::isProbeDue(const Entry &entry, TimePoint now) const
 {
     return !entry.probing && now >= entry.setAsideUntil && entry.inUse < limit(entry);
 }
 
-std::optional<RunnerTable::RunnerId> RunnerTable::dueProbe(const std::vector<std::string> &excluded,
-                                                           TimePoint now) const
+std::optional<BackendServerTable::BackendServerId> BackendServerTable::dueProbe(
+        const std::vector<std::string> &excluded, TimePoint now) const
 {
-    for (const RunnerId id : aside_) {
+    for (const BackendServerId id : aside_) {
         if (isProbeDue(entries_[id], now) && !contains(excluded, entries_[id].spec.name))
             return id;
     }
     return std::nullopt;
 }
 
-double RunnerTable::score(const Entry &entry)
+double BackendServerTable::score(const Entry &entry)
 {
     const double load = entry.inUse + entry.foreignLoad + 1;
     return load / entry.spec.slots * entry.slowness;
 }
 
 // Brings free_, aside_ and healthy_ in line with an entry that has changed.
-void RunnerTable::refresh(RunnerId id)
+void BackendServerTable::refresh(BackendServerId id)
 {
     Entry &entry = entries_[id];
     const bool healthy = accepts(entry) && !entry.setAside;
@@ -262,12 +264,12 @@
     }
     if (entry.freeIndex == kNotFree) {
         entry.freeIndex = free_.size();
-        free_.push_back(FreeRunner{ .id = id });
+        free_.push_back(FreeBackendServer{ .id = id });
     }
     free_[entry.freeIndex].score = score(entry);
 }
 
-void RunnerTable::removeFree(Entry &entry)
+void BackendServerTable::removeFree(Entry &entry)
 {
     if (entry.freeIndex == kNotFree)
         return;
@@ -277,13 +279,14 @@
     entry.freeIndex = kNotFree;
 }
 
-std::optional<RunnerTable::RunnerId> RunnerTable::affine(std::uint64_t prefixHash) const
+std::optional<BackendServerTable::BackendServerId> BackendServerTable::affine(
+        std::uint64_t prefixHash) const
 {
     const auto found = affinityByHash_.find(prefixHash);
     return found == affinityByHash_.end() ? std::nullopt : std::optional(found->second->second);
 }
 
-void RunnerTable::remember(std::uint64_t prefixHash, RunnerId id)
+void BackendServerTable::remember(std::uint64_t prefixHash, BackendServerId id)
 {
     if (prefixHash == 0 || options_.affinityCapacity == 0)
         return;
@@ -301,7 +304,7 @@
     affinityByHash_[prefixHash] = affinity_.begin();
 }
 
-void RunnerTable::setAside(Entry &entry, TimePoint now)
+void BackendServerTable::setAside(Entry &entry, TimePoint now)
 {
     const auto doubled = std::max(options_.firstBackOff, 2 * entry.backOff);
     entry.backOff = std::min(doubled, options_.maxBackOff);
@@ -310,7 +313,7 @@
     entry.setAsideUntil = now + entry.backOff;
 }
 
-void RunnerTable::markHealthy(Entry &entry)
+void BackendServerTable::markHealthy(Entry &entry)
 {
     entry.setAside = false;
     entry.probing = false;
@@ -318,13 +321,13 @@
     entry.backOff = {};
 }
 
-void RunnerTable::judgeProbe(Entry &entry, const SlotReport &report, TimePoint now)
+void BackendServerTable::judgeProbe(Entry &entry, const SlotReport &report, TimePoint now)
 {
     const bool answered = report.outcome == SlotOutcome::Completed
                           || (report.outcome == SlotOutcome::Cancelled
                               && report.firstToken.count() > 0);
     const bool failed = report.outcome == SlotOutcome::Failed
-                        || report.outcome == SlotOutcome::RunnerUnreachable;
+                        || report.outcome == SlotOutcome::BackendServerUnreachable;
     if (answered)
         markHealthy(entry);
     else if (failed)
@@ -333,7 +336,7 @@
         entry.probing = false;
 }
 
-void RunnerTable::judge(Entry &entry, const SlotReport &report, TimePoint now)
+void BackendServerTable::judge(Entry &entry, const SlotReport &report, TimePoint now)
 {
     switch (report.outcome) {
     case SlotOutcome::Completed:
@@ -343,7 +346,7 @@
         if (++entry.failures >= options_.maxFailures)
             setAside(entry, now);
         break;
-    case SlotOutcome::RunnerUnreachable:
+    case SlotOutcome::BackendServerUnreachable:
         setAside(entry, now);
         break;
     case SlotOutcome::Cancelled:
@@ -352,7 +355,7 @@
     }
 }
 
-double RunnerTable::medianOf(Average Entry::*average) const
+double BackendServerTable::medianOf(Average Entry::*average) const
 {
     std::vector<double> values;
     for (const Entry &entry : entries_) {
@@ -366,11 +369,11 @@
     return *middle;
 }
 
-RunnerTable::RunnerId RunnerTable::addEntry()
+BackendServerTable::BackendServerId BackendServerTable::addEntry()
 {
     const auto vacant = std::find_if(entries_.begin(), entries_.end(),
                                      [](const Entry &entry) { return !entry.present; });
-    const auto id = static_cast<RunnerId>(vacant - entries_.begin());
+    const auto id = static_cast<BackendServerId>(vacant - entries_.begin());
     if (vacant == entries_.end())
         entries_.emplace_back();
     assert(entries_[id].freeIndex == kNotFree && !entries_[id].countedHealthy);
@@ -379,7 +382,7 @@
     return id;
 }
 
-void RunnerTable::dropIfUnused(RunnerId id)
+void BackendServerTable::dropIfUnused(BackendServerId id)
 {
     Entry &entry = entries_[id];
     if (!entry.present || entry.configured || entry.inUse > 0)
--- a/packages/schedule/src/cellowner.cpp
+++ b/packages/schedule/src/cellowner.cpp
@@ -69,11 +69,11 @@
     }
 }
 
-void CellOwner::reportLoad(const std::string &runner, RunnerLoad load)
+void CellOwner::reportLoad(const std::string &backendServer, BackendServerLoad load)
 {
     const TimePoint now = options_.clock();
     for (const auto &entry : cells())
-        entry.second->reportLoad(runner, load, now);
+        entry.second->reportLoad(backendServer, load, now);
 }
 
 void CellOwner::tick(TimePoint now)
@@ -120,11 +120,12 @@
     send(front, ackMessage(request.request_id()));
     const Cell cell = cellFor(CellId{ .service = request.service(), .cell = request.cell() });
     if (!cell) {
-        send(front, refusalMessage(request.request_id(),
-                                   Refusal{ .code = RefusalCode::NoRunnerAvailable,
-                                            .verdict = Verdict::DidNotRun,
-                                            .message = "the cell has no runner of the service",
-                                            .retryAfter = std::nullopt }));
+        send(front,
+             refusalMessage(request.request_id(),
+                            Refusal{ .code = RefusalCode::NoBackendServerAvailable,
+                                     .verdict = Verdict::DidNotRun,
+                                     .message = "the cell has no backend server of the service",
+                                     .retryAfter = std::nullopt }));
         return;
     }
     const TimePoint now = options_.clock();
@@ -153,7 +154,8 @@
     const proto::SlotRelease &release = envelope.slot_release();
     const SlotReport report = reportFromProto(release);
     const TimePoint now = options_.clock();
-    // A slot of another place's pool was granted by an owner there, which counts the crash.
+    // A slot of another failure domain's pool was granted by an owner there, which counts the
+    // crash.
     if (release.cell() != kAnyCell)
         suspects_.attemptEnded(report.fingerprint, report.crashed);
     // A late grant is released without its cell, which the front no longer knows.
@@ -218,16 +220,16 @@
     const auto view = options_.views->view();
     if (!config || !view)
         return nullptr;
-    const std::vector<RunnerSpec> runners = runnersOf(id, *config, *view);
-    if (runners.empty())
+    const std::vector<BackendServerSpec> backendServers = backendServersOf(id, *config, *view);
+    if (backendServers.empty())
         return nullptr;
     const Cell made = std::make_shared<CellScheduler>(
             CellScheduler::Options{ .service = id.service,
                                     .cell = id.cell,
                                     .owner = options_.selfId,
                                     .queue = options_.queue,
-                                    .runners = options_.runners });
-    made->configure(runners, options_.clock());
+                                    .backendServers = options_.backendServers });
+    made->configure(backendServers, options_.clock());
     const std::unique_lock lock(mutex_);
     return cells_.try_emplace(id, made).first->second;
 }
@@ -238,20 +240,22 @@
     return cells_;
 }
 
-std::vector<RunnerSpec> CellOwner::runnersOf(const CellId &id, const ConfigState &config,
-                                             const MemberView &view) const
+std::vector<BackendServerSpec> CellOwner::backendServersOf(const CellId &id,
+                                                           const ConfigState &config,
+                                                           const MemberView &view) const
 {
-    std::vector<RunnerSpec> specs;
-    const std::vector<const Runner *> runners = config.runners(id.service, view.place);
-    const unsigned count = cellCount(runners.size());
-    for (const Runner *runner : runners) {
-        if (cellOfRunner(runner->name, count) != id.cell)
+    std::vector<BackendServerSpec> specs;
+    const std::vector<const BackendServer *> backendServers = config.backendServers(
+            id.service, view.failureDomain);
+    const unsigned count = cellCount(backendServers.size());
+    for (const BackendServer *backendServer : backendServers) {
+        if (cellOfBackendServer(backendServer->name, count) != id.cell)
             continue;
-        const bool leaving = view.leavingRunners.contains(runner->name);
-        specs.push_back(RunnerSpec{ .name = runner->name,
-                                    .address = runner->address,
-                                    .slots = runner->slots,
-                                    .accepting = !runner->draining && !leaving });
+        const bool leaving = view.leavingBackendServers.contains(backendServer->name);
+        specs.push_back(BackendServerSpec{ .name = backendServer->name,
+                                           .address = backendServer->address,
+                                           .slots = backendServer->slots,
+                                           .accepting = !backendServer->draining && !leaving });
     }
     return specs;
 }
@@ -259,10 +263,11 @@
 void CellOwner::addOwnedCells(const ConfigState &config, const MemberView &view)
 {
     for (const Service *service : config.services()) {
-        const std::size_t runners = config.runners(service->name, view.place).size();
-        const unsigned count = runners == 0 ? 0 : cellCount(runners);
+        const std::size_t backendServers = config.backendServers(service->name, view.failureDomain)
+                                                   .size();
+        const unsigned count = backendServers == 0 ? 0 : cellCount(backendServers);
         for (unsigned cell = 0; cell < count; ++cell) {
-            if (view.ownerOf(cellKey(service->name, view.place, cell)) == options_.selfId)
+            if (view.ownerOf(cellKey(service->name, view.failureDomain, cell)) == options_.selfId)
                 cellFor(CellId{ .service = service->name, .cell = cell });
         }
     }
@@ -273,9 +278,9 @@
     const std::unique_lock lock(mutex_);
     std::erase_if(cells_, [&](const auto &entry) {
         const CellId &id = entry.first;
-        const bool owned = view.ownerOf(cellKey(id.service, view.place, id.cell))
+        const bool owned = view.ownerOf(cellKey(id.service, view.failureDomain, id.cell))
                            == options_.selfId;
-        const bool used = owned && !runnersOf(id, config, view).empty();
+        const bool used = owned && !backendServersOf(id, config, view).empty();
         return !used && entry.second.use_count() == 1 && entry.second->idle();
     });
 }
@@ -285,7 +290,7 @@
     addOwnedCells(config, view);
     dropUnusedCells(config, view);
     for (const auto &[id, cell] : cells())
-        sendAll(cell->configure(runnersOf(id, config, view), now));
+        sendAll(cell->configure(backendServersOf(id, config, view), now));
 }
 
 void CellOwner::publish(const MemberView &view)
@@ -294,7 +299,7 @@
         return;
     std::vector<CellLoad> owned;
     for (const auto &[id, cell] : cells()) {
-        if (view.ownerOf(cellKey(id.service, view.place, id.cell)) == options_.selfId)
+        if (view.ownerOf(cellKey(id.service, view.failureDomain, id.cell)) == options_.selfId)
             owned.push_back(cell->load());
     }
     options_.publishLoads(std::move(owned));
--- a/packages/schedule/src/cells.cpp
+++ b/packages/schedule/src/cells.cpp
@@ -8,26 +8,27 @@
 
 namespace {
 
-constexpr std::size_t kRunnersPerCell = 16;
+constexpr std::size_t kBackendServersPerCell = 16;
 
 } // namespace
 
-unsigned cellCount(std::size_t runners)
+unsigned cellCount(std::size_t backendServers)
 {
-    const std::size_t cells = (runners + kRunnersPerCell - 1) / kRunnersPerCell;
+    const std::size_t cells = (backendServers + kBackendServersPerCell - 1)
+                              / kBackendServersPerCell;
     return static_cast<unsigned>(std::bit_ceil(cells));
 }
 
-unsigned cellOfRunner(std::string_view runner, unsigned cells)
+unsigned cellOfBackendServer(std::string_view backendServer, unsigned cells)
 {
-    return static_cast<unsigned>(stableHash(runner) % cells);
+    return static_cast<unsigned>(stableHash(backendServer) % cells);
 }
 
-std::string cellKey(std::string_view service, std::string_view place, unsigned cell)
+std::string cellKey(std::string_view service, std::string_view failureDomain, unsigned cell)
 {
     std::string key(service);
     key += '/';
-    key += place;
+    key += failureDomain;
     key += '/';
     key += std::to_string(cell);
     return key;
--- a/packages/schedule/src/cellscheduler.cpp
+++ b/packages/schedule/src/cellscheduler.cpp
@@ -55,15 +55,16 @@
 CellScheduler::CellScheduler(Options options)
     : options_(std::move(options))
     , queue_(options_.queue)
-    , runners_(options_.runners)
+    , backendServers_(options_.backendServers)
     , slotPrefix_(makeShortId() + '-')
 {}
 
-SlotEvents CellScheduler::configure(const std::vector<RunnerSpec> &runners, TimePoint now)
+SlotEvents CellScheduler::configure(const std::vector<BackendServerSpec> &backendServers,
+                                    TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     SlotEvents events;
-    runners_.configure(runners);
+    backendServers_.configure(backendServers);
     refuseInOutage(now, events);
     dispatch(now, events);
     return events;
@@ -148,10 +149,11 @@
     return events;
 }
 
-void CellScheduler::reportLoad(const std::string &runner, RunnerLoad load, TimePoint now)
+void CellScheduler::reportLoad(const std::string &backendServer, BackendServerLoad load,
+                               TimePoint now)
 {
     const std::lock_guard lock(mutex_);
-    runners_.reportLoad(runner, load, now);
+    backendServers_.reportLoad(backendServer, load, now);
 }
 
 SlotEvents CellScheduler::tick(TimePoint now, const FrontGone &frontGone)
@@ -165,7 +167,7 @@
     }
     dropStaleSlots(now, frontGone);
     dropStaleAsks(now, frontGone);
-    runners_.update(now);
+    backendServers_.update(now);
     refuseInOutage(now, events);
     refuseExcluded(now, events);
     dispatch(now, events);
@@ -178,8 +180,8 @@
     return CellLoad{ .service = options_.service,
                      .cell = options_.cell,
                      .owner = options_.owner,
-                     .freeSlots = runners_.freeSlots(),
-                     .totalSlots = runners_.totalSlots(),
+                     .freeSlots = backendServers_.freeSlots(),
+                     .totalSlots = backendServers_.totalSlots(),
                      .waitingByTier = queue_.waitingByTier() };
 }
 
@@ -208,9 +210,11 @@
 {
     if (ask.deadline <= now)
         return makeRefusal(RefusalCode::DeadlineExceeded, "the deadline has passed");
-    const std::optional<TimePoint> usable = runners_.usableFrom(ask.excludedRunners, now);
+    const std::optional<TimePoint> usable = backendServers_.usableFrom(ask.excludedBackendServers,
+                                                                       now);
     if (!usable || *usable - now > options_.maxOutageWait)
-        return makeRefusal(RefusalCode::NoRunnerAvailable, "no runner of the service is available");
+        return makeRefusal(RefusalCode::NoBackendServerAvailable,
+                           "no backend server of the service is available");
     if (surelyMisses(ask, now)) {
         return makeRefusal(RefusalCode::DeadlineExceeded,
                            "the estimated wait is longer than the time to the deadline");
@@ -221,7 +225,7 @@
 bool CellScheduler::surelyMisses(const SlotAsk &ask, TimePoint now) const
 {
     const double rate = releaseRate_.peak(now) * kRateMargin;
-    if (rate <= 0 || runners_.hasFreeSlot(now))
+    if (rate <= 0 || backendServers_.hasFreeSlot(now))
         return false;
     const WaitingRequest request{ .id = ask.requestId,
                                   .tier = std::min(ask.tier, options_.queue.tiers - 1),
@@ -259,32 +263,35 @@
 {
     const TierQueue::Eligible eligible = [&](const WaitingRequest &request) {
         const SlotAsk &ask = asks_.at(request.id).ask;
-        return ask.excludedRunners.empty()
-               || runners_.choose(ask.prefixHash, ask.excludedRunners, now).has_value();
+        return ask.excludedBackendServers.empty()
+               || backendServers_.choose(ask.prefixHash, ask.excludedBackendServers, now)
+                          .has_value();
     };
-    while (queue_.size() > 0 && runners_.hasFreeSlot(now)) {
+    while (queue_.size() > 0 && backendServers_.hasFreeSlot(now)) {
         const std::optional<WaitingRequest> next = queue_.grantNext(eligible);
         if (!next)
             return;
         const auto found = asks_.find(next->id);
         const Ask ask = std::move(found->second);
         asks_.erase(found);
-        const auto runner = runners_.choose(ask.ask.prefixHash, ask.ask.excludedRunners, now);
-        events.emplace_back(grant(ask, *runner, now));
+        const auto backendServer = backendServers_.choose(ask.ask.prefixHash,
+                                                          ask.ask.excludedBackendServers, now);
+        events.emplace_back(grant(ask, *backendServer, now));
     }
 }
 
-SlotGranted CellScheduler::grant(const Ask &ask, RunnerTable::RunnerId runner, TimePoint now)
+SlotGranted CellScheduler::grant(const Ask &ask, BackendServerTable::BackendServerId backendServer,
+                                 TimePoint now)
 {
     const std::string slotId = slotPrefix_ + std::to_string(++slotCount_);
-    const bool probe = runners_.acquire(runner, ask.ask.prefixHash, now);
+    const bool probe = backendServers_.acquire(backendServer, ask.ask.prefixHash, now);
     queue_.slotTaken(ask.ask.organisation);
     slotByRequest_[ask.ask.requestId] = slotId;
     Slot &slot = slots_[slotId];
     slot = Slot{ .front = ask.ask.front,
                  .requestId = ask.ask.requestId,
                  .organisation = ask.ask.organisation,
-                 .runner = runner,
+                 .backendServer = backendServer,
                  .probe = probe,
                  .confirmed = false,
                  .granted = now,
@@ -297,8 +304,8 @@
     return SlotGranted{ .front = slot.front,
                         .requestId = slot.requestId,
                         .slotId = slotId,
-                        .runner = runners_.name(slot.runner),
-                        .address = runners_.address(slot.runner),
+                        .backendServer = backendServers_.name(slot.backendServer),
+                        .address = backendServers_.address(slot.backendServer),
                         .dispatchWithin = kDispatchWithin };
 }
 
@@ -314,7 +321,7 @@
                                                      const SlotReport &report, TimePoint now)
 {
     const Slot &state = slot->second;
-    runners_.release(state.runner, state.probe, report, now);
+    backendServers_.release(state.backendServer, state.probe, report, now);
     queue_.slotReturned(state.organisation);
     if (!state.requestId.empty())
         slotByRequest_.erase(state.requestId);
@@ -336,15 +343,16 @@
         known->second.lastSeen = now;
         return;
     }
-    const std::optional<RunnerTable::RunnerId> runner = runners_.find(reported.runner);
-    if (!runner)
+    const std::optional<BackendServerTable::BackendServerId> backendServer = backendServers_.find(
+            reported.backendServer);
+    if (!backendServer)
         return;
-    runners_.adopt(*runner);
+    backendServers_.adopt(*backendServer);
     queue_.slotTaken(reported.organisation);
     slots_[reported.slotId] = Slot{ .front = front,
                                     .requestId = {},
                                     .organisation = reported.organisation,
-                                    .runner = *runner,
+                                    .backendServer = *backendServer,
                                     .probe = false,
                                     .confirmed = true,
                                     .granted = now,
@@ -374,29 +382,30 @@
 {
     if (queue_.size() == 0)
         return;
-    const std::optional<TimePoint> usable = runners_.usableFrom({}, now);
+    const std::optional<TimePoint> usable = backendServers_.usableFrom({}, now);
     if (usable && *usable - now <= options_.maxOutageWait)
         return;
     for (const std::string &id : queue_.ids()) {
         const std::optional<WaitingRequest> request = queue_.cancel(id);
-        events.emplace_back(refuse(*request, makeRefusal(RefusalCode::NoRunnerAvailable,
-                                                         "no runner of the service is available")));
+        events.emplace_back(
+                refuse(*request, makeRefusal(RefusalCode::NoBackendServerAvailable,
+                                             "no backend server of the service is available")));
     }
 }
 
-// Requests that have already failed on every runner that is left.
+// Requests that have already failed on every backend server that is left.
 void CellScheduler::refuseExcluded(TimePoint now, SlotEvents &events)
 {
     std::vector<std::string> hopeless;
     for (const auto &[id, ask] : asks_) {
-        const std::vector<std::string> &excluded = ask.ask.excludedRunners;
-        if (!excluded.empty() && !runners_.usableFrom(excluded, now))
+        const std::vector<std::string> &excluded = ask.ask.excludedBackendServers;
+        if (!excluded.empty() && !backendServers_.usableFrom(excluded, now))
             hopeless.push_back(id);
     }
     for (const std::string &id : hopeless) {
-        events.emplace_back(
-                refuse(*queue_.cancel(id), makeRefusal(RefusalCode::NoRunnerAvailable,
-                                                       "the request has failed on every runner")));
+        events.emplace_back(refuse(*queue_.cancel(id),
+                                   makeRefusal(RefusalCode::NoBackendServerAvailable,
+                                               "the request has failed on every backend server")));
     }
 }
 
--- a/packages/schedule/src/slotclient.cpp
+++ b/packages/schedule/src/slotclient.cpp
@@ -39,10 +39,10 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.count()));
 }
 
-// True for a refusal that another cell or place may not give.
+// True for a refusal that another cell or failure domain may not give.
 bool isLocalRefusal(RefusalCode code)
 {
-    return code == RefusalCode::Overloaded || code == RefusalCode::NoRunnerAvailable
+    return code == RefusalCode::Overloaded || code == RefusalCode::NoBackendServerAvailable
            || code == RefusalCode::DeadlineExceeded || code == RefusalCode::NotReady;
 }
 
@@ -65,12 +65,13 @@
     return { 0, 0 };
 }
 
-const PlaceServiceLoad *findService(const PlaceView &place, const std::string &service)
+const FailureDomainServiceLoad *findService(const FailureDomainView &failureDomain,
+                                            const std::string &service)
 {
     const auto found = std::find_if(
-            place.services.begin(), place.services.end(),
-            [&](const PlaceServiceLoad &load) { return load.service == service; });
-    return found == place.services.end() ? nullptr : &*found;
+            failureDomain.services.begin(), failureDomain.services.end(),
+            [&](const FailureDomainServiceLoad &load) { return load.service == service; });
+    return found == failureDomain.services.end() ? nullptr : &*found;
 }
 
 const Member *findMember(const MemberView &view, const std::string &id)
@@ -142,10 +143,10 @@
     const auto view = options_.views->view();
     if (!byRequest_->insert(pending)) {
         pending->callback(makeRefusal(RefusalCode::InvalidRequest, "the request id is in use"));
-    } else if (fingerprint != 0 && options_.crashesRunners
-               && options_.crashesRunners(fingerprint)) {
-        finish(*pending,
-               makeRefusal(RefusalCode::CrashesRunners, "the request has crashed its runners"));
+    } else if (fingerprint != 0 && options_.crashesBackendServers
+               && options_.crashesBackendServers(fingerprint)) {
+        finish(*pending, makeRefusal(RefusalCode::CrashesBackendServers,
+                                     "the request has crashed its backend servers"));
     } else if (!view) {
         finish(*pending, makeRefusal(RefusalCode::NotReady, "the daemon has no member view yet"));
     } else {
@@ -245,7 +246,7 @@
     }
     const TimePoint dispatchBefore = now + std::chrono::milliseconds(grant.dispatch_within_ms());
     GrantedSlot slot{ .slotId = grant.slot_id(),
-                      .runner = grant.runner(),
+                      .backendServer = grant.backend_server(),
                       .address = grant.address(),
                       .service = pending->demand.service,
                       .cell = pending->target.cell,
@@ -270,8 +271,8 @@
         finish(*pending, std::move(reason));
         return;
     }
-    // Lack of room says more to the caller than a place without runners.
-    if (!pending->refusal || pending->refusal->code == RefusalCode::NoRunnerAvailable)
+    // Lack of room says more to the caller than a failure domain without backend servers.
+    if (!pending->refusal || pending->refusal->code == RefusalCode::NoBackendServerAvailable)
         pending->refusal = std::move(reason);
     byWire_.take(pending->wireId);
     pending->wireId.clear();
@@ -285,7 +286,8 @@
     // A repeated grant of a slot that is in use must not free it.
     if (held_.visit(grant.slot_id(), [](const Held &) {}))
         return;
-    send(owner, releaseMessage(GrantedSlot{ .slotId = grant.slot_id(), .runner = grant.runner() },
+    send(owner, releaseMessage(GrantedSlot{ .slotId = grant.slot_id(),
+                                            .backendServer = grant.backend_server() },
                                SlotReport{}));
 }
 
@@ -301,11 +303,14 @@
     const auto config = options_.config();
     if (!config)
         return 0;
-    const std::vector<const Runner *> runners = config->runners(service, view.place);
-    const bool anyAccepts = std::any_of(runners.begin(), runners.end(), [&](const Runner *runner) {
-        return !runner->draining && !view.leavingRunners.contains(runner->name);
-    });
-    return anyAccepts ? cellCount(runners.size()) : 0;
+    const std::vector<const BackendServer *> backendServers = config->backendServers(
+            service, view.failureDomain);
+    const bool anyAccepts = std::any_of(
+            backendServers.begin(), backendServers.end(), [&](const BackendServer *backendServer) {
+                return !backendServer->draining
+                       && !view.leavingBackendServers.contains(backendServer->name);
+            });
+    return anyAccepts ? cellCount(backendServers.size()) : 0;
 }
 
 std::optional<SlotClient::Target> SlotClient::nextTarget(const Pending &pending,
@@ -314,7 +319,7 @@
     std::optional<Target> cell = nextCell(pending, view);
     if (cell || pending.staysHere)
         return cell;
-    return nextPlace(pending, view);
+    return nextFailureDomain(pending, view);
 }
 
 std::optional<SlotClient::Target> SlotClient::nextCell(const Pending &pending,
@@ -323,14 +328,14 @@
     std::vector<unsigned> untried;
     const unsigned count = cellsHere(pending.demand.service, view);
     for (unsigned cell = 0; cell < count; ++cell) {
-        if (!pending.tried.contains(Target{ .place = view.place, .cell = cell }))
+        if (!pending.tried.contains(Target{ .failureDomain = view.failureDomain, .cell = cell }))
             untried.push_back(cell);
     }
     if (untried.empty())
         return std::nullopt;
     const auto size = static_cast<unsigned>(untried.size());
     const std::uint64_t prefix = pending.demand.prefixHash;
-    // Requests with one prefix start at one cell, where its runner is known.
+    // Requests with one prefix start at one cell, where its backend server is known.
     const unsigned first = prefix != 0 ? static_cast<unsigned>(prefix % size)
                                        : options_.random(size);
     const unsigned second = size == 1 ? first : (first + 1 + options_.random(size - 1)) % size;
@@ -338,30 +343,32 @@
     const auto secondRank = cellRank(view, pending.demand, untried[second]);
     const bool firstHasRoom = prefix != 0 && std::get<0>(firstRank) < 0;
     const unsigned chosen = firstHasRoom || firstRank <= secondRank ? first : second;
-    return Target{ .place = view.place, .cell = untried[chosen] };
+    return Target{ .failureDomain = view.failureDomain, .cell = untried[chosen] };
 }
 
-std::optional<SlotClient::Target> SlotClient::nextPlace(const Pending &pending,
-                                                        const MemberView &view) const
+std::optional<SlotClient::Target> SlotClient::nextFailureDomain(const Pending &pending,
+                                                                const MemberView &view) const
 {
-    const PlaceView *best = nullptr;
+    const FailureDomainView *best = nullptr;
     std::tuple<bool, std::tuple<int, unsigned>> bestRank;
-    for (const PlaceView &place : view.places) {
-        const PlaceServiceLoad *load = findService(place, pending.demand.service);
-        const bool usable = place.reachable && load && load->totalSlots > 0
-                            && !place.contacts.empty();
-        if (!usable || pending.tried.contains(Target{ .place = place.place, .cell = kAnyCell }))
+    for (const FailureDomainView &failureDomain : view.failureDomains) {
+        const FailureDomainServiceLoad *load = findService(failureDomain, pending.demand.service);
+        const bool usable = failureDomain.reachable && load && load->totalSlots > 0
+                            && !failureDomain.contacts.empty();
+        if (!usable
+            || pending.tried.contains(
+                    Target{ .failureDomain = failureDomain.failureDomain, .cell = kAnyCell }))
             continue;
-        const std::tuple rank(place.region != view.region,
+        const std::tuple rank(failureDomain.region != view.region,
                               loadRank(load->freeSlots, load->waitingByTier, pending.demand.tier));
         if (!best || rank < bestRank) {
-            best = &place;
+            best = &failureDomain;
             bestRank = rank;
         }
     }
     if (!best)
         return std::nullopt;
-    return Target{ .place = best->place, .cell = kAnyCell };
+    return Target{ .failureDomain = best->failureDomain, .cell = kAnyCell };
 }
 
 std::vector<std::string> SlotClient::daemonsFor(const Pending &pending,
@@ -369,15 +376,16 @@
 {
     std::vector<std::string> daemons;
     if (pending.target.cell == kAnyCell) {
-        for (const PlaceView &place : view.places) {
-            if (place.place != pending.target.place)
+        for (const FailureDomainView &failureDomain : view.failureDomains) {
+            if (failureDomain.failureDomain != pending.target.failureDomain)
                 continue;
-            for (const Member &contact : place.contacts)
+            for (const Member &contact : failureDomain.contacts)
                 daemons.push_back(contact.id);
         }
         return daemons;
     }
-    daemons = view.rankedOwners(cellKey(pending.demand.service, view.place, pending.target.cell));
+    daemons = view.rankedOwners(
+            cellKey(pending.demand.service, view.failureDomain, pending.target.cell));
     if (daemons.empty())
         daemons.push_back(options_.selfId);
     if (daemons.size() > kMaxDaemonsPerCell)
@@ -394,8 +402,9 @@
         if (tryNextDaemon(pending, view, now))
             return;
     }
-    finish(pending, pending.refusal.value_or(makeRefusal(RefusalCode::NoRunnerAvailable,
-                                                         "no runner of the service is available")));
+    finish(pending,
+           pending.refusal.value_or(makeRefusal(RefusalCode::NoBackendServerAvailable,
+                                                "no backend server of the service is available")));
 }
 
 bool SlotClient::tryNextDaemon(Pending &pending, const MemberView &view, TimePoint now)
@@ -426,7 +435,7 @@
     proto::SlotRequest *message = envelope.mutable_slot_request();
     message->set_request_id(pending.wireId);
     message->set_service(demand.service);
-    message->set_place(pending.target.place);
+    message->set_failure_domain(pending.target.failureDomain);
     message->set_cell(pending.target.cell);
     message->set_tier(demand.tier);
     message->set_organisation(demand.organisation);
@@ -435,8 +444,8 @@
     message->set_fingerprint(demand.fingerprint);
     message->set_deadline_ms(millisecondsBetween(now, demand.deadline));
     message->set_waited_ms(millisecondsBetween(pending.started, now));
-    for (const std::string &runner : demand.excludedRunners)
-        message->add_excluded_runners(runner);
+    for (const std::string &backendServer : demand.excludedBackendServers)
+        message->add_excluded_backend_servers(backendServer);
     pending.sent = now;
     pending.acknowledged = false;
     return send(pending.owner, std::move(envelope));
@@ -519,7 +528,7 @@
     if (pending.target.cell == kAnyCell)
         return false;
     const std::string owner = view.ownerOf(
-            cellKey(pending.demand.service, view.place, pending.target.cell));
+            cellKey(pending.demand.service, view.failureDomain, pending.target.cell));
     if (!owner.empty() && owner != pending.viewOwner)
         return true;
     const Member *member = findMember(view, pending.owner);
@@ -537,15 +546,16 @@
     return true;
 }
 
-// The slot with the cell and owner that its runner has by the present configuration and view.
+// The slot with the cell and owner that its backend server has by the present configuration and
+// view.
 GrantedSlot SlotClient::atOwnerNow(const GrantedSlot &slot, const MemberView &view) const
 {
     GrantedSlot result = slot;
     const unsigned cells = cellsHere(slot.service, view);
     if (slot.cell == kAnyCell || cells == 0)
         return result;
-    result.cell = cellOfRunner(slot.runner, cells);
-    const std::string owner = view.ownerOf(cellKey(slot.service, view.place, result.cell));
+    result.cell = cellOfBackendServer(slot.backendServer, cells);
+    const std::string owner = view.ownerOf(cellKey(slot.service, view.failureDomain, result.cell));
     if (!owner.empty())
         result.owner = owner;
     return result;
@@ -558,7 +568,7 @@
         proto::Envelope &envelope = reports[{ at.owner, at.service, at.cell }];
         proto::HeldSlot *entry = envelope.mutable_held_slots()->add_slots();
         entry->set_slot_id(at.slotId);
-        entry->set_runner(at.runner);
+        entry->set_backend_server(at.backendServer);
         entry->set_tier(held.tier);
         entry->set_organisation(held.organisation);
     };
--- a/packages/schedule/src/slotgateway.cpp
+++ b/packages/schedule/src/slotgateway.cpp
@@ -30,7 +30,7 @@
                        .promptTokens = request.prompt_tokens(),
                        .fingerprint = request.fingerprint(),
                        .deadline = ask.deadline,
-                       .excludedRunners = ask.excludedRunners };
+                       .excludedBackendServers = ask.excludedBackendServers };
 }
 
 } // namespace
@@ -168,12 +168,13 @@
 
 void SlotGateway::sendGrant(const Held &held)
 {
-    options_.bus->send(held.front, grantMessage(SlotGranted{ .front = held.front,
-                                                             .requestId = held.wireId,
-                                                             .slotId = held.slot.slotId,
-                                                             .runner = held.slot.runner,
-                                                             .address = held.slot.address,
-                                                             .dispatchWithin = kDispatchWithin }));
+    options_.bus->send(held.front,
+                       grantMessage(SlotGranted{ .front = held.front,
+                                                 .requestId = held.wireId,
+                                                 .slotId = held.slot.slotId,
+                                                 .backendServer = held.slot.backendServer,
+                                                 .address = held.slot.address,
+                                                 .dispatchWithin = kDispatchWithin }));
 }
 
 } // namespace auburn
--- a/packages/schedule/src/slotmessages.cpp
+++ b/packages/schedule/src/slotmessages.cpp
@@ -23,8 +23,8 @@
         return proto::ATTEMPT_OUTCOME_CANCELLED;
     case SlotOutcome::Failed:
         return proto::ATTEMPT_OUTCOME_FAILED;
-    case SlotOutcome::RunnerUnreachable:
-        return proto::ATTEMPT_OUTCOME_RUNNER_UNREACHABLE;
+    case SlotOutcome::BackendServerUnreachable:
+        return proto::ATTEMPT_OUTCOME_BACKEND_SERVER_UNREACHABLE;
     case SlotOutcome::Unused:
         break;
     }
@@ -40,8 +40,8 @@
         return SlotOutcome::Cancelled;
     case proto::ATTEMPT_OUTCOME_FAILED:
         return SlotOutcome::Failed;
-    case proto::ATTEMPT_OUTCOME_RUNNER_UNREACHABLE:
-        return SlotOutcome::RunnerUnreachable;
+    case proto::ATTEMPT_OUTCOME_BACKEND_SERVER_UNREACHABLE:
+        return SlotOutcome::BackendServerUnreachable;
     default:
         return SlotOutcome::Unused;
     }
@@ -59,8 +59,8 @@
                     .prefixHash = message.prefix_hash(),
                     .since = now - boundedMilliseconds(message.waited_ms()),
                     .deadline = now + boundedMilliseconds(message.deadline_ms()),
-                    .excludedRunners = { message.excluded_runners().begin(),
-                                         message.excluded_runners().end() } };
+                    .excludedBackendServers = { message.excluded_backend_servers().begin(),
+                                                message.excluded_backend_servers().end() } };
 }
 
 SlotReport reportFromProto(const proto::SlotRelease &message)
@@ -81,7 +81,7 @@
     slots.reserve(static_cast<std::size_t>(message.slots_size()));
     for (const proto::HeldSlot &slot : message.slots()) {
         slots.push_back(ReportedSlot{ .slotId = slot.slot_id(),
-                                      .runner = slot.runner(),
+                                      .backendServer = slot.backend_server(),
                                       .tier = slot.tier(),
                                       .organisation = slot.organisation() });
     }
@@ -105,7 +105,7 @@
     proto::SlotGrant *message = envelope.mutable_slot_grant();
     message->set_request_id(grant.requestId);
     message->set_slot_id(grant.slotId);
-    message->set_runner(grant.runner);
+    message->set_backend_server(grant.backendServer);
     message->set_address(grant.address);
     message->set_dispatch_within_ms(static_cast<std::uint64_t>(grant.dispatchWithin.count()));
     return envelope;
@@ -142,7 +142,7 @@
     proto::Envelope envelope;
     proto::SlotRelease *message = envelope.mutable_slot_release();
     message->set_slot_id(slot.slotId);
-    message->set_runner(slot.runner);
+    message->set_backend_server(slot.backendServer);
     message->set_outcome(outcomeToProto(report.outcome));
     message->set_first_token_us(static_cast<std::uint64_t>(report.firstToken.count()));
     message->set_token_gap_us(static_cast<std::uint64_t>(report.tokenGap.count()));
--- a/packages/schedule/src/suspectrequests.cpp
+++ b/packages/schedule/src/suspectrequests.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-Refusal crashesRunners(const char *message)
+Refusal crashesBackendServers(const char *message)
 {
-    return Refusal{ .code = RefusalCode::CrashesRunners,
+    return Refusal{ .code = RefusalCode::CrashesBackendServers,
                     .verdict = Verdict::DidNotRun,
                     .message = message,
                     .retryAfter = std::nullopt };
@@ -27,11 +27,12 @@
     if (crashes == 0)
         return std::nullopt;
     if (crashes >= kCrashLimit)
-        return crashesRunners("the request has crashed its runners");
+        return crashesBackendServers("the request has crashed its backend servers");
     const std::lock_guard lock(mutex_);
     std::erase_if(trials_, [now](const auto &trial) { return trial.second <= now; });
     if (!trials_.emplace(fingerprint, now + kSuspectTrial).second)
-        return crashesRunners("the request has crashed a runner and is being tried once more");
+        return crashesBackendServers(
+                "the request has crashed a backend server and is being tried once more");
     return std::nullopt;
 }
 
--- a/packages/schedule/tests/runnertable_test.cpp
+++ b/packages/schedule/tests/backendservertable_test.cpp
@@ -1,4 +1,4 @@
-#include "auburn/schedule/runnertable.h"
+#include "auburn/schedule/backendservertable.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,16 +11,16 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-struct RunnerTableFixture
+struct BackendServerTableFixture
 {
-    RunnerTableFixture()
+    BackendServerTableFixture()
     {
         for (const char *name : { "a", "b", "c", "d" })
-            specs.push_back(RunnerSpec{ .name = name, .address = name, .slots = 8 });
+            specs.push_back(BackendServerSpec{ .name = name, .address = name, .slots = 8 });
         table.configure(specs);
     }
 
-    // Name of the runner that gets the next request; empty if none is free.
+    // Name of the backend server that gets the next request; empty if none is free.
     std::string take(std::uint64_t prefix = 0, const std::vector<std::string> &excluded = {})
     {
         const auto id = table.choose(prefix, excluded, now);
@@ -39,7 +39,7 @@
         table.release(*table.find(name), probe, report, now);
     }
 
-    // Takes all free slots and counts them by runner.
+    // Takes all free slots and counts them by backend server.
     std::map<std::string, unsigned> takeAll()
     {
         std::map<std::string, unsigned> taken;
@@ -48,30 +48,30 @@
         return taken;
     }
 
-    RunnerTable::TimePoint now{ std::chrono::hours(1) };
-    RunnerTable table{ RunnerTable::Options{} };
-    std::vector<RunnerSpec> specs;
+    BackendServerTable::TimePoint now{ std::chrono::hours(1) };
+    BackendServerTable table{ BackendServerTable::Options{} };
+    std::vector<BackendServerSpec> specs;
     bool wasProbe = false;
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(runnertable, RunnerTableFixture)
+BOOST_FIXTURE_TEST_SUITE(runnertable, BackendServerTableFixture)
 
 // Guards against uneven load and against more requests than slots.
 BOOST_AUTO_TEST_CASE(choose_allHealthy_slotsAreSpreadAndNeverExceeded)
 {
     for (int i = 0; i < 8; ++i)
         take();
-    for (RunnerTable::RunnerId id = 0; id < 4; ++id)
+    for (BackendServerTable::BackendServerId id = 0; id < 4; ++id)
         BOOST_TEST(table.inUse(id) == 2U);
     for (const auto &entry : takeAll())
         BOOST_TEST(entry.second == 6U);
     BOOST_TEST(!table.hasFreeSlot(now));
 }
 
-// Guards against new work on a runner that is leaving.
-BOOST_AUTO_TEST_CASE(choose_runnerDraining_getsNothingAndKeepsItsSlots)
+// Guards against new work on a backend server that is leaving.
+BOOST_AUTO_TEST_CASE(choose_backendServerDraining_getsNothingAndKeepsItsSlots)
 {
     take();
     specs[0].accepting = false;
@@ -85,12 +85,12 @@
     BOOST_TEST(!table.find("a").has_value());
 }
 
-// Guards against a slow runner that keeps its full share.
-BOOST_AUTO_TEST_CASE(update_runnerTenTimesSlower_getsOneSlotUntilItRecovers)
+// Guards against a slow backend server that keeps its full share.
+BOOST_AUTO_TEST_CASE(update_backendServerTenTimesSlower_getsOneSlotUntilItRecovers)
 {
     const auto sample = [&](milliseconds slowest) {
         for (int i = 0; i < 30; ++i) {
-            for (const RunnerSpec &spec : specs) {
+            for (const BackendServerSpec &spec : specs) {
                 table.adopt(*table.find(spec.name));
                 giveBack(spec.name, SlotOutcome::Completed, false,
                          spec.name == "d" ? slowest : milliseconds(100));
@@ -110,12 +110,12 @@
     BOOST_TEST(takeAll().at("d") == 8U);
 }
 
-// Guards against requests that go on failing on a dead runner, and against one that is never used
-// again.
-BOOST_AUTO_TEST_CASE(release_runnerUnreachable_setAsideThenProbedByOneRequest)
+// Guards against requests that go on failing on a dead backend server, and against one that is
+// never used again.
+BOOST_AUTO_TEST_CASE(release_backendServerUnreachable_setAsideThenProbedByOneRequest)
 {
     table.adopt(*table.find("a"));
-    giveBack("a", SlotOutcome::RunnerUnreachable);
+    giveBack("a", SlotOutcome::BackendServerUnreachable);
     for (int i = 0; i < 9; ++i)
         BOOST_TEST(take() != "a");
     now += milliseconds(500);
@@ -123,7 +123,7 @@
     BOOST_TEST(wasProbe);
     BOOST_TEST(take() != "a");
     // A failed probe doubles the time.
-    giveBack("a", SlotOutcome::RunnerUnreachable, true);
+    giveBack("a", SlotOutcome::BackendServerUnreachable, true);
     now += milliseconds(999);
     BOOST_TEST(take() != "a");
     now += milliseconds(1);
@@ -132,21 +132,21 @@
     BOOST_TEST(takeAll().at("a") == 8U);
 }
 
-// Guards against retries that are used as probes while healthy runners are free.
-BOOST_AUTO_TEST_CASE(choose_probeDueAndRequestIsARetry_healthyRunnerIsTaken)
+// Guards against retries that are used as probes while healthy backend servers are free.
+BOOST_AUTO_TEST_CASE(choose_probeDueAndRequestIsARetry_healthyBackendServerIsTaken)
 {
     table.adopt(*table.find("a"));
-    giveBack("a", SlotOutcome::RunnerUnreachable);
+    giveBack("a", SlotOutcome::BackendServerUnreachable);
     now += milliseconds(500);
     BOOST_TEST(take(0, { "b" }) != "a");
     BOOST_TEST(take() == "a");
 }
 
-// Guards against a runner that stays out while its probe is a long stream.
-BOOST_AUTO_TEST_CASE(update_probeLastsLong_runnerIsUsedAgain)
+// Guards against a backend server that stays out while its probe is a long stream.
+BOOST_AUTO_TEST_CASE(update_probeLastsLong_backendServerIsUsedAgain)
 {
     table.adopt(*table.find("a"));
-    giveBack("a", SlotOutcome::RunnerUnreachable);
+    giveBack("a", SlotOutcome::BackendServerUnreachable);
     now += milliseconds(500);
     BOOST_TEST(take() == "a");
     now += milliseconds(3000);
@@ -154,8 +154,8 @@
     BOOST_TEST(takeAll().at("a") == 7U);
 }
 
-// Guards against lost prefix caches, and against a hot prefix that overloads its runner.
-BOOST_AUTO_TEST_CASE(choose_samePrefix_staysUntilRunnerIsMoreLoaded)
+// Guards against lost prefix caches, and against a hot prefix that overloads its backend server.
+BOOST_AUTO_TEST_CASE(choose_samePrefix_staysUntilBackendServerIsMoreLoaded)
 {
     const std::string first = take(42);
     unsigned same = 0;
@@ -170,10 +170,10 @@
 {
     BOOST_TEST(take() == "a");
     giveBack("a", SlotOutcome::Completed);
-    table.reportLoad("a", RunnerLoad{ .running = 1 }, now);
+    table.reportLoad("a", BackendServerLoad{ .running = 1 }, now);
     BOOST_TEST(take(0, { "b", "c", "d" }) == "a");
     giveBack("a", SlotOutcome::Completed);
-    table.reportLoad("a", RunnerLoad{ .running = 6 }, now);
+    table.reportLoad("a", BackendServerLoad{ .running = 6 }, now);
     for (int i = 0; i < 12; ++i)
         BOOST_TEST(take() != "a");
     now += milliseconds(5000);
--- a/packages/schedule/tests/cellscheduler_test.cpp
+++ b/packages/schedule/tests/cellscheduler_test.cpp
@@ -19,13 +19,13 @@
 {
     SchedulerFixture() { configure(1, 2); }
 
-    void configure(unsigned runners, unsigned slots)
+    void configure(unsigned backendServers, unsigned slots)
     {
         specs.clear();
-        for (unsigned i = 0; i < runners; ++i) {
-            specs.push_back(RunnerSpec{ .name = "r" + std::to_string(i),
-                                        .address = "127.0.0.1:" + std::to_string(9000 + i),
-                                        .slots = slots });
+        for (unsigned i = 0; i < backendServers; ++i) {
+            specs.push_back(BackendServerSpec{ .name = "r" + std::to_string(i),
+                                               .address = "127.0.0.1:" + std::to_string(9000 + i),
+                                               .slots = slots });
         }
         note(scheduler.configure(specs, now));
     }
@@ -72,7 +72,7 @@
     ReportedSlot reported(const std::string &id)
     {
         return ReportedSlot{ .slotId = grants.at(id).slotId,
-                             .runner = grants.at(id).runner,
+                             .backendServer = grants.at(id).backendServer,
                              .organisation = "o" };
     }
 
@@ -81,7 +81,7 @@
             .service = "s",
             .owner = "self",
             .queue = { .tiers = 3, .sharedCapacity = 4, .reservedPerTier = 1 } } };
-    std::vector<RunnerSpec> specs;
+    std::vector<BackendServerSpec> specs;
     std::map<std::string, SlotGranted> grants;
     std::map<std::string, RefusalCode> refusals;
 };
@@ -93,7 +93,7 @@
         : random(seed)
     {
         for (const char *name : { "r0", "r1", "r2" })
-            specs.push_back(RunnerSpec{ .name = name, .address = name, .slots = 3 });
+            specs.push_back(BackendServerSpec{ .name = name, .address = name, .slots = 3 });
         cell.configure(specs, now);
     }
 
@@ -130,7 +130,7 @@
         const auto one = std::next(running.begin(), below(static_cast<unsigned>(running.size())));
         const SlotGranted grant = one->second.first;
         --naive.held[one->second.second];
-        --onRunner[grant.runner];
+        --onBackendServer[grant.backendServer];
         running.erase(one);
         take(cell.release("front", grant.slotId, SlotReport{ .outcome = outcome }, now));
         // A repeated release has no effect.
@@ -142,7 +142,8 @@
         std::vector<ReportedSlot> held;
         held.reserve(running.size());
         for (const auto &[id, slot] : running)
-            held.push_back({ .slotId = slot.first.slotId, .runner = slot.first.runner });
+            held.push_back(
+                    { .slotId = slot.first.slotId, .backendServer = slot.first.backendServer });
         take(cell.reportHeld("front", held, now));
         take(cell.tick(now, kNoneGone));
     }
@@ -167,7 +168,7 @@
         BOOST_REQUIRE_EQUAL(grant.requestId, expected->id);
         ++naive.held[expected->organisation];
         running[grant.requestId] = { grant, expected->organisation };
-        BOOST_REQUIRE_LE(++onRunner[grant.runner], 3U);
+        BOOST_REQUIRE_LE(++onBackendServer[grant.backendServer], 3U);
     }
 
     void takeRefusal(const SlotRefused &refused)
@@ -186,7 +187,8 @@
         if (kind < 5)
             request();
         else if (kind < 9 && !running.empty())
-            release(below(20) == 0 ? SlotOutcome::RunnerUnreachable : SlotOutcome::Completed);
+            release(below(20) == 0 ? SlotOutcome::BackendServerUnreachable
+                                   : SlotOutcome::Completed);
         else
             report();
     }
@@ -203,13 +205,13 @@
     TierQueue::Options options{ .tiers = 3, .sharedCapacity = 6, .reservedPerTier = 1 };
     CellScheduler cell{ CellScheduler::Options{ .service = "s", .queue = options } };
     NaiveQueue naive{ options };
-    std::vector<RunnerSpec> specs;
+    std::vector<BackendServerSpec> specs;
     CellScheduler::TimePoint now{ std::chrono::hours(1) };
     unsigned nextId = 0;
     std::map<std::string, unsigned> open;
     // Grant and organisation by request.
     std::map<std::string, std::pair<SlotGranted, std::string>> running;
-    std::map<std::string, unsigned> onRunner;
+    std::map<std::string, unsigned> onBackendServer;
 };
 
 } // namespace
@@ -257,7 +259,7 @@
 // Guards against an owner without state that grants slots which are in use.
 BOOST_AUTO_TEST_CASE(reportHeld_newOwner_countsReportedSlotsUntilTheyAreGone)
 {
-    const ReportedSlot foreign{ .slotId = "x", .runner = "r0", .organisation = "o" };
+    const ReportedSlot foreign{ .slotId = "x", .backendServer = "r0", .organisation = "o" };
     note(scheduler.reportHeld("front", { foreign }, now));
     BOOST_TEST(scheduler.load().freeSlots == 1U);
     now += milliseconds(1);
@@ -274,39 +276,39 @@
     BOOST_TEST(scheduler.load().freeSlots == 1U);
 }
 
-// Guards against callers that wait for their deadline while no runner is up.
-BOOST_AUTO_TEST_CASE(request_allRunnersDownForLong_waitingAndNewRequestsAreRefused)
+// Guards against callers that wait for their deadline while no backend server is up.
+BOOST_AUTO_TEST_CASE(request_allBackendServersDownForLong_waitingAndNewRequestsAreRefused)
 {
     configure(1, 1);
     request("a");
-    release("a", SlotOutcome::RunnerUnreachable);
+    release("a", SlotOutcome::BackendServerUnreachable);
     request("b");
     BOOST_TEST(refusals.empty());
     for (const int backOff : { 500, 1000, 2000 }) {
         tick(milliseconds(backOff));
         BOOST_TEST(grants.count("b") == 1U);
-        release("b", SlotOutcome::RunnerUnreachable);
+        release("b", SlotOutcome::BackendServerUnreachable);
         grants.clear();
         request("b");
     }
-    BOOST_TEST((refusals.at("b") == RefusalCode::NoRunnerAvailable));
+    BOOST_TEST((refusals.at("b") == RefusalCode::NoBackendServerAvailable));
 }
 
-// Guards against a retry that waits for its deadline when no other runner is left.
-BOOST_AUTO_TEST_CASE(tick_onlyExcludedRunnersLeft_waitingRetryIsRefused)
+// Guards against a retry that waits for its deadline when no other backend server is left.
+BOOST_AUTO_TEST_CASE(tick_onlyExcludedBackendServersLeft_waitingRetryIsRefused)
 {
     configure(2, 1);
     request("a");
     request("b");
     SlotAsk retry = ask("retry");
-    retry.excludedRunners = { "r0" };
+    retry.excludedBackendServers = { "r0" };
     note(scheduler.request(retry, now));
     tick(milliseconds(50));
     BOOST_TEST(refusals.empty());
     specs.pop_back();
     note(scheduler.configure(specs, now));
     tick(milliseconds(50));
-    BOOST_TEST((refusals.at("retry") == RefusalCode::NoRunnerAvailable));
+    BOOST_TEST((refusals.at("retry") == RefusalCode::NoBackendServerAvailable));
 }
 
 // Guards against a queue that fills with requests which cannot be served in time.
@@ -339,8 +341,8 @@
 }
 
 // Guards against any difference from the naive queue, requests without an answer or with two,
-// refusals of a higher tier while a lower one keeps its shared place, more requests on a runner
-// than it has slots, and free slots beside waiting requests.
+// refusals of a higher tier while a lower one keeps its shared failure domain, more requests on a
+// backend server than it has slots, and free slots beside waiting requests.
 BOOST_AUTO_TEST_CASE(allOperations_randomSequences_equalNaiveQueue)
 {
     for (unsigned seed = 1; seed <= 150; ++seed) {
--- a/packages/schedule/tests/slotexchange_test.cpp
+++ b/packages/schedule/tests/slotexchange_test.cpp
@@ -19,7 +19,7 @@
 struct Node
 {
     std::string id;
-    std::string place;
+    std::string failureDomain;
     FakeViews views;
     std::unique_ptr<CellOwner> owner;
     std::unique_ptr<SlotClient> client;
@@ -43,27 +43,30 @@
         : network(seed)
     {}
 
-    void addRunners(const std::string &place, unsigned count, unsigned slots)
+    void addBackendServers(const std::string &failureDomain, unsigned count, unsigned slots)
     {
         for (unsigned i = 0; i < count; ++i) {
-            const std::string name = place + "-r" + std::to_string(i);
-            const ItemValue runner = Runner{
-                .name = name, .service = "s", .place = place, .address = name + ":1", .slots = slots
-            };
-            items[keyOf(runner)] = std::make_shared<const Item>(Item{ .value = runner });
+            const std::string name = failureDomain + "-r" + std::to_string(i);
+            const ItemValue backendServer = BackendServer{ .name = name,
+                                                           .service = "s",
+                                                           .failureDomain = failureDomain,
+                                                           .address = name + ":1",
+                                                           .slots = slots };
+            items[keyOf(backendServer)] = std::make_shared<const Item>(
+                    Item{ .value = backendServer });
         }
         const ItemValue service = Service{ .name = "s" };
         items[keyOf(service)] = std::make_shared<const Item>(Item{ .value = service });
         config = ConfigState::make(items, ++revision);
     }
 
-    void addPlace(const std::string &place, const std::vector<std::string> &ids)
+    void addFailureDomain(const std::string &failureDomain, const std::vector<std::string> &ids)
     {
         for (const std::string &id : ids) {
             Node &node = nodes[id];
             node.id = id;
-            node.place = place;
-            node.views.set(readyView(id, place, ids));
+            node.failureDomain = failureDomain;
+            node.views.set(readyView(id, failureDomain, ids));
             const auto clock = [this] { return network.now; };
             const auto configNow = [this] { return config; };
             node.owner = CellOwner::make({ .selfId = id,
@@ -107,7 +110,8 @@
             }
             job.slot = std::get<GrantedSlot>(answer);
             job.endsAt = network.now + duration;
-            maxOnRunner = std::max(maxOnRunner, ++onRunner[job.slot->runner]);
+            maxOnBackendServer = std::max(maxOnBackendServer,
+                                          ++onBackendServer[job.slot->backendServer]);
         });
         return id;
     }
@@ -127,7 +131,7 @@
             const bool ends = job.slot && job.endsAt <= network.now;
             if (!ends || network.isFrozen(job.front->id) || network.isRemoved(job.front->id))
                 continue;
-            --onRunner[job.slot->runner];
+            --onBackendServer[job.slot->backendServer];
             const SlotReport report{ .outcome = SlotOutcome::Completed };
             job.front->client->release(*job.slot, report);
             job.slot.reset();
@@ -191,7 +195,7 @@
     Node &ownerNode(unsigned cell = 0)
     {
         const auto view = nodes.begin()->second.views.view();
-        return nodes.at(view->ownerOf(cellKey("s", view->place, cell)));
+        return nodes.at(view->ownerOf(cellKey("s", view->failureDomain, cell)));
     }
 
     Node &otherThan(const Node &node)
@@ -206,38 +210,38 @@
     std::shared_ptr<const ConfigState> config;
     std::map<std::string, Node> nodes;
     std::map<std::string, Job> jobs;
-    std::map<std::string, unsigned> onRunner;
-    unsigned maxOnRunner = 0;
+    std::map<std::string, unsigned> onBackendServer;
+    unsigned maxOnBackendServer = 0;
     unsigned steps = 0;
     std::uint64_t revision = 0;
 };
 
 const std::vector<std::string> kIds{ "a", "b", "c", "d" };
 
-struct OnePlace : SlotWorld
+struct OneFailureDomain : SlotWorld
 {
-    explicit OnePlace(unsigned seed = 1, unsigned runners = 4)
+    explicit OneFailureDomain(unsigned seed = 1, unsigned backendServers = 4)
         : SlotWorld(seed)
     {
-        addRunners("p", runners, 2);
-        addPlace("p", kIds);
+        addBackendServers("p", backendServers, 2);
+        addFailureDomain("p", kIds);
     }
 };
 
-struct TwoPlaces : SlotWorld
+struct TwoFailureDomains : SlotWorld
 {
-    explicit TwoPlaces(unsigned seed = 1)
+    explicit TwoFailureDomains(unsigned seed = 1)
         : SlotWorld(seed)
     {
-        addRunners("p2", 2, 2);
-        addPlace("p1", { "a", "b" });
-        addPlace("p2", { "x", "y" });
+        addBackendServers("p2", 2, 2);
+        addFailureDomain("p1", { "a", "b" });
+        addFailureDomain("p2", { "x", "y" });
         MemberView view = readyView("a", "p1", { "a", "b" });
-        view.places.push_back(
-                PlaceView{ .place = "p2",
-                           .region = "region",
-                           .services = { { .service = "s", .totalSlots = 4 } },
-                           .contacts = { Member{ .id = "x" }, Member{ .id = "y" } } });
+        view.failureDomains.push_back(
+                FailureDomainView{ .failureDomain = "p2",
+                                   .region = "region",
+                                   .services = { { .service = "s", .totalSlots = 4 } },
+                                   .contacts = { Member{ .id = "x" }, Member{ .id = "y" } } });
         nodes.at("a").views.set(view);
         view.selfId = "b";
         nodes.at("b").views.set(view);
@@ -248,21 +252,21 @@
 
 BOOST_AUTO_TEST_SUITE(slotexchange)
 
-// Guards against more requests on a runner than its slots, lost answers and double answers while
-// messages are late and repeated.
+// Guards against more requests on a backend server than its slots, lost answers and double answers
+// while messages are late and repeated.
 BOOST_AUTO_TEST_CASE(request_delaysAndDuplicates_answeredOnceWithinSlots)
 {
     for (unsigned seed = 1; seed <= 20; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            OnePlace world(seed, seed % 2 == 0 ? 4 : 40);
+            OneFailureDomain world(seed, seed % 2 == 0 ? 4 : 40);
             world.network.faults = { .duplicates = 0.3, .maxDelay = milliseconds(30) };
             world.run(seconds(8), [&] { world.load(60); });
             world.run(seconds(25));
             world.requireAllAnsweredOnce();
-            BOOST_REQUIRE_LE(world.maxOnRunner, 2U);
-            // The small pool is overloaded, so its runners must have been full.
-            BOOST_REQUIRE(seed % 2 == 1 || world.maxOnRunner == 2U);
+            BOOST_REQUIRE_LE(world.maxOnBackendServer, 2U);
+            // The small pool is overloaded, so its backend servers must have been full.
+            BOOST_REQUIRE(seed % 2 == 1 || world.maxOnBackendServer == 2U);
         }
     }
 }
@@ -273,7 +277,7 @@
     for (unsigned seed = 1; seed <= 20; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            OnePlace world(seed);
+            OneFailureDomain world(seed);
             world.network.faults = { .loss = 0.1, .duplicates = 0.1 };
             world.run(seconds(8), [&] { world.load(30); });
             world.run(seconds(30));
@@ -289,7 +293,7 @@
     for (unsigned seed = 1; seed <= 20; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            OnePlace world(seed);
+            OneFailureDomain world(seed);
             for (int i = 0; i < 4; ++i) {
                 const std::string &frozen = kIds[world.network.below(4)];
                 world.run(milliseconds(500), [&] { world.load(20); });
@@ -299,7 +303,7 @@
             }
             world.run(seconds(30));
             world.requireAllAnsweredOnce();
-            BOOST_REQUIRE_LE(world.maxOnRunner, 8U);
+            BOOST_REQUIRE_LE(world.maxOnBackendServer, 8U);
         }
     }
 }
@@ -307,7 +311,7 @@
 // Guards against waiting for a silent owner longer than two acknowledgement timeouts.
 BOOST_AUTO_TEST_CASE(request_ownerSilent_nextDaemonInOrderServes)
 {
-    OnePlace world;
+    OneFailureDomain world;
     Node &owner = world.ownerNode();
     world.network.freeze(owner.id);
     const std::string id = world.request(world.otherThan(owner), seconds(1));
@@ -319,7 +323,7 @@
 // Guards against a late grant that keeps its slot when the cancel was lost.
 BOOST_AUTO_TEST_CASE(request_lateGrantOfOldOwner_isReleased)
 {
-    OnePlace world;
+    OneFailureDomain world;
     Node &owner = world.ownerNode();
     world.network.freeze(owner.id);
     world.request(world.otherThan(owner), seconds(10));
@@ -333,20 +337,20 @@
     BOOST_TEST(load.freeSlots == load.totalSlots);
 }
 
-// Guards against unbounded overload of runners while two daemons both act as the owner.
+// Guards against unbounded overload of backend servers while two daemons both act as the owner.
 BOOST_AUTO_TEST_CASE(request_twoOwnersAtOnce_atMostTwiceTheSlotsAndAllAnswered)
 {
     for (unsigned seed = 1; seed <= 10; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            OnePlace world(seed);
+            OneFailureDomain world(seed);
             const std::string owner = world.ownerNode().id;
             std::vector<std::string> others = kIds;
             std::erase(others, owner);
             for (const std::string &id : { others[0], others[1] })
                 world.nodes.at(id).views.set(readyView(id, "p", others));
             world.run(seconds(6), [&] { world.load(60); });
-            BOOST_REQUIRE_LE(world.maxOnRunner, 4U);
+            BOOST_REQUIRE_LE(world.maxOnBackendServer, 4U);
             for (const std::string &id : kIds)
                 world.nodes.at(id).views.set(readyView(id, "p", kIds));
             world.run(seconds(30));
@@ -358,7 +362,7 @@
 // Guards against a new owner that does not know the slots in use or the waiting requests.
 BOOST_AUTO_TEST_CASE(view_ownerLeaves_newOwnerLearnsSlotsAndServesWaiting)
 {
-    OnePlace world;
+    OneFailureDomain world;
     Node &owner = world.ownerNode();
     Node &front = world.otherThan(owner);
     std::vector<std::string> ids;
@@ -377,7 +381,7 @@
     BOOST_TEST(load.freeSlots == 0U);
     BOOST_TEST(std::accumulate(load.waitingByTier.begin(), load.waitingByTier.end(), 0U) == 2U);
     world.run(seconds(10));
-    BOOST_TEST(world.maxOnRunner == 2U);
+    BOOST_TEST(world.maxOnBackendServer == 2U);
     for (const std::string &id : ids)
         BOOST_TEST((world.jobs.at(id).answers == 1U && !world.jobs.at(id).refusal));
 }
@@ -385,7 +389,7 @@
 // Guards against slots that a crashed front keeps.
 BOOST_AUTO_TEST_CASE(view_frontDies_itsSlotsServeOthers)
 {
-    OnePlace world;
+    OneFailureDomain world;
     Node &owner = world.ownerNode();
     Node &front = world.otherThan(owner);
     for (int i = 0; i < 8; ++i)
@@ -406,7 +410,7 @@
 // Guards against a cancelled request that takes a slot or is answered.
 BOOST_AUTO_TEST_CASE(cancel_grantOnItsWay_slotComesBackWithoutAnswer)
 {
-    OnePlace world;
+    OneFailureDomain world;
     Node &owner = world.ownerNode();
     // Each message takes one millisecond, so the grant has just been sent.
     world.network.faults.maxDelay = milliseconds(1);
@@ -421,7 +425,7 @@
 // Guards against requests that wait past the caller's deadline.
 BOOST_AUTO_TEST_CASE(tick_deadlinePasses_refusedAsDidNotRun)
 {
-    OnePlace world;
+    OneFailureDomain world;
     Node &front = world.otherThan(world.ownerNode());
     for (int i = 0; i < 8; ++i)
         world.request(front, seconds(5));
@@ -434,26 +438,26 @@
 // Guards against a refusal in one cell while another cell has room.
 BOOST_AUTO_TEST_CASE(request_severalCells_allCellsAreFilledBeforeARefusal)
 {
-    OnePlace world(1, 40);
+    OneFailureDomain world(1, 40);
     BOOST_TEST(cellCount(40) == 4U);
     Node &front = world.nodes.at("a");
     for (int i = 0; i < 80 + 4 * (12 + 4); ++i)
         world.request(front, seconds(100), seconds(200));
     world.run(seconds(2));
     unsigned running = 0;
-    for (const auto &entry : world.onRunner)
+    for (const auto &entry : world.onBackendServer)
         running += entry.second;
     BOOST_TEST(running == 80U);
 }
 
-// Guards against a refusal while another place has runners, and against slots that a place loses to
-// fronts of other places.
-BOOST_AUTO_TEST_CASE(request_ownPlaceHasNoRunner_otherPlaceServes)
+// Guards against a refusal while another failure domain has backend servers, and against slots that
+// a failure domain loses to fronts of other failure domains.
+BOOST_AUTO_TEST_CASE(request_ownFailureDomainHasNoBackendServer_otherFailureDomainServes)
 {
     for (unsigned seed = 1; seed <= 10; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            TwoPlaces world(seed);
+            TwoFailureDomains world(seed);
             world.network.faults = { .loss = 0.05,
                                      .duplicates = 0.1,
                                      .maxDelay = milliseconds(25) };
@@ -469,14 +473,14 @@
     }
 }
 
-// Guards against slots that a dead front of another place keeps.
+// Guards against slots that a dead front of another failure domain keeps.
 BOOST_AUTO_TEST_CASE(gateway_foreignFrontDies_slotsComeBack)
 {
-    TwoPlaces world;
+    TwoFailureDomains world;
     for (int i = 0; i < 4; ++i)
         world.request(world.nodes.at("a"), seconds(100));
     world.run(seconds(5));
-    BOOST_TEST(world.onRunner.size() == 2U);
+    BOOST_TEST(world.onBackendServer.size() == 2U);
     world.network.remove("a");
     world.run(kSlotLease + seconds(3));
     for (const char *id : { "x", "y" })
--- a/packages/schedule/tests/slotthreads_test.cpp
+++ b/packages/schedule/tests/slotthreads_test.cpp
@@ -93,7 +93,8 @@
     };
     add(Service{ .name = "s" });
     for (const char *name : { "r1", "r2", "r3" })
-        add(Runner{ .name = name, .service = "s", .place = "p", .address = name, .slots = 2 });
+        add(BackendServer{
+                .name = name, .service = "s", .failureDomain = "p", .address = name, .slots = 2 });
     return ConfigState::make(items, 1);
 }
 
--- a/packages/schedule/tests/tierqueue_test.cpp
+++ b/packages/schedule/tests/tierqueue_test.cpp
@@ -171,8 +171,8 @@
     BOOST_TEST(!queue.grantNext().has_value());
 }
 
-// Guards against a request that cannot use the free runner and blocks all others.
-BOOST_AUTO_TEST_CASE(grantNext_firstNotEligible_nextIsGrantedAndFirstKeepsItsPlace)
+// Guards against a request that cannot use the free backend server and blocks all others.
+BOOST_AUTO_TEST_CASE(grantNext_firstNotEligible_nextIsGrantedAndFirstKeepsItsFailureDomain)
 {
     TierQueue queue({});
     queue.push(requestOf("first", 0, 10));
--- a/tests/e2e/atmostonce_test.cpp
+++ b/tests/e2e/atmostonce_test.cpp
@@ -1,4 +1,4 @@
-// Non-idempotent requests with real processes: a runner never executes one key twice.
+// Non-idempotent requests with real processes: a backend server never executes one key twice.
 
 #include "auburn/core/lasterror.h"
 #include "cluster.h"
@@ -23,9 +23,10 @@
     OnceFixture()
     {
         cluster = Cluster::start(
-                { .places = { { .name = "a1", .region = "region-a", .poolRunners = 1 },
-                              { .name = "a2", .region = "region-a", .poolRunners = 1 },
-                              { .name = "b1", .region = "region-b", .poolRunners = 1 } } });
+                { .failureDomains = {
+                          { .name = "a1", .region = "region-a", .poolBackendServers = 1 },
+                          { .name = "a2", .region = "region-a", .poolBackendServers = 1 },
+                          { .name = "b1", .region = "region-b", .poolBackendServers = 1 } } });
         BOOST_REQUIRE_MESSAGE(cluster, lastError());
     }
 
@@ -45,12 +46,12 @@
                             .timeout = std::chrono::seconds(30) };
     }
 
-    // Executions of each key, summed over all runners, as the stand-ins counted them.
+    // Executions of each key, summed over all backend servers, as the stand-ins counted them.
     std::map<std::string, int> executions() const
     {
         std::map<std::string, int> counts;
-        for (const RunnerSlot &runner : cluster->runners()) {
-            const HttpAnswer answer = Cluster::get(runner.address, "/control/executions");
+        for (const BackendServerSlot &backendServer : cluster->backendServers()) {
+            const HttpAnswer answer = Cluster::get(backendServer.address, "/control/executions");
             const QJsonArray list = QJsonDocument::fromJson(QByteArray::fromStdString(answer.body))
                                             .object()["executions"]
                                             .toArray();
@@ -60,11 +61,11 @@
         return counts;
     }
 
-    void controlPlainRunners(const std::string &json) const
+    void controlPlainBackendServers(const std::string &json) const
     {
-        for (const RunnerSlot &runner : cluster->runners()) {
-            if (runner.service == "inventory")
-                BOOST_REQUIRE(Cluster::control(runner.address, json).status == 200);
+        for (const BackendServerSlot &backendServer : cluster->backendServers()) {
+            if (backendServer.service == "inventory")
+                BOOST_REQUIRE(Cluster::control(backendServer.address, json).status == 200);
         }
     }
 
@@ -133,10 +134,11 @@
     BOOST_TEST(executions()[key] == 0);
 }
 
-// Guards against a runner that reads the request and closes: the relay must not send it again.
-BOOST_AUTO_TEST_CASE(order_runnerClosesAfterReading_mayHaveRunOnce)
+// Guards against a backend server that reads the request and closes: the relay must not send it
+// again.
+BOOST_AUTO_TEST_CASE(order_backendServerClosesAfterReading_mayHaveRunOnce)
 {
-    controlPlainRunners(R"({"action":"drop","count":1})");
+    controlPlainBackendServers(R"({"action":"drop","count":1})");
     const std::string key = makeUuid7();
     const HttpAnswer answer = httpCall(order(daemon(0), key));
     BOOST_TEST(answer.header("auburn-verdict") == "may-have-run");
@@ -177,7 +179,7 @@
 }
 
 // Guards against a daemon that was frozen between its claim and its dispatch, or whose owner was:
-// the caller sends the request through another place meanwhile.
+// the caller sends the request through another failure domain meanwhile.
 BOOST_AUTO_TEST_CASE(order_daemonFrozenWhileCallerRetries_runsAtMostOnce)
 {
     for (int round = 0; round < 6; ++round) {
@@ -199,7 +201,7 @@
 BOOST_AUTO_TEST_CASE(order_daemonKilledAfterDispatch_runsAtMostOnce)
 {
     const std::string key = makeUuid7();
-    controlPlainRunners(R"({"action":"freeze"})");
+    controlPlainBackendServers(R"({"action":"freeze"})");
     HttpAnswer first;
     std::thread caller([&] { first = httpCall(order(daemon(0), key)); });
     // The claim is on the log once the second daemon is told that the key is held.
@@ -207,7 +209,7 @@
             [&] { return refusedWith(httpCall(order(daemon(5), key)), "idempotency_key_held"); }));
     daemon(0).process->sendSignal(SIGKILL);
     caller.join();
-    controlPlainRunners(R"({"action":"thaw"})");
+    controlPlainBackendServers(R"({"action":"thaw"})");
     for (std::size_t i = 1; i < cluster->daemons().size(); ++i)
         httpCall(order(daemon(i), key));
     BOOST_TEST(executions()[key] <= 1);
--- a/tests/e2e/operation_test.cpp
+++ b/tests/e2e/operation_test.cpp
@@ -1,5 +1,5 @@
-// Faults and operations with real processes: crashes, overload, leaving runners, restarts, racing
-// operators.
+// Faults and operations with real processes: crashes, overload, leaving backend servers, restarts,
+// racing operators.
 
 #include "auburn/core/lasterror.h"
 #include "cluster.h"
@@ -25,11 +25,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-std::vector<PlaceSpec> threePlaces(unsigned poolRunners)
+std::vector<FailureDomainSpec> threeFailureDomains(unsigned poolBackendServers)
 {
-    return { { .name = "a1", .region = "region-a", .poolRunners = poolRunners },
-             { .name = "a2", .region = "region-a", .poolRunners = poolRunners },
-             { .name = "b1", .region = "region-b", .poolRunners = poolRunners } };
+    return { { .name = "a1", .region = "region-a", .poolBackendServers = poolBackendServers },
+             { .name = "a2", .region = "region-a", .poolBackendServers = poolBackendServers },
+             { .name = "b1", .region = "region-b", .poolBackendServers = poolBackendServers } };
 }
 
 struct OperationFixture
@@ -42,9 +42,9 @@
 
     DaemonSlot &daemon(std::size_t index) const { return cluster->daemons()[index]; }
 
-    static std::size_t executionsAt(const RunnerSlot &runner)
+    static std::size_t executionsAt(const BackendServerSlot &backendServer)
     {
-        const HttpAnswer answer = Cluster::get(runner.address, "/control/executions");
+        const HttpAnswer answer = Cluster::get(backendServer.address, "/control/executions");
         return static_cast<std::size_t>(
                 QJsonDocument::fromJson(QByteArray::fromStdString(answer.body))
                         .object()["executions"]
@@ -52,13 +52,13 @@
                         .size());
     }
 
-    // Engines whose process has ended, by place.
-    std::map<std::string, unsigned> crashedByPlace() const
+    // Engines whose process has ended, by failure domain.
+    std::map<std::string, unsigned> crashedByFailureDomain() const
     {
         std::map<std::string, unsigned> crashed;
-        for (const RunnerSlot &runner : cluster->runners()) {
-            if (!runner.process->running())
-                ++crashed[runner.place];
+        for (const BackendServerSlot &backendServer : cluster->backendServers()) {
+            if (!backendServer.process->running())
+                ++crashed[backendServer.failureDomain];
         }
         return crashed;
     }
@@ -127,14 +127,15 @@
 
 BOOST_FIXTURE_TEST_SUITE(operation, OperationFixture)
 
-// Guards against one request that takes down all runners when its caller sends it again through
-// other daemons.
-BOOST_AUTO_TEST_CASE(chat_requestCrashesRunners_atMostTwoInAPlace)
+// Guards against one request that takes down all backend servers when its caller sends it again
+// through other daemons.
+BOOST_AUTO_TEST_CASE(chat_requestCrashesBackendServers_atMostTwoInAFailureDomain)
 {
-    startCluster({ .places = threePlaces(4), .separateEngines = true });
-    for (const RunnerSlot &runner : cluster->runners()) {
-        if (runner.service == "chat-pool")
-            Cluster::control(runner.address, R"({"action":"crash_on_word","word":"poison"})");
+    startCluster({ .failureDomains = threeFailureDomains(4), .separateEngines = true });
+    for (const BackendServerSlot &backendServer : cluster->backendServers()) {
+        if (backendServer.service == "chat-pool")
+            Cluster::control(backendServer.address,
+                             R"({"action":"crash_on_word","word":"poison"})");
     }
     for (int round = 0; round < 3; ++round) {
         for (const DaemonSlot &target : cluster->daemons()) {
@@ -142,8 +143,8 @@
             BOOST_TEST(answer.status != 200);
         }
     }
-    for (const auto &[place, count] : crashedByPlace())
-        BOOST_TEST(count <= 2U, count << " engines crashed in " << place);
+    for (const auto &[failureDomain, count] : crashedByFailureDomain())
+        BOOST_TEST(count <= 2U, count << " engines crashed in " << failureDomain);
     for (const DaemonSlot &target : cluster->daemons())
         BOOST_TEST(httpCall(cluster->chat(target, "token-interactive", "harmless", 4)).status
                    == 200);
@@ -153,7 +154,7 @@
 // answer.
 BOOST_AUTO_TEST_CASE(chat_enginesKilledDuringStreams_wholeOrError)
 {
-    startCluster({ .places = threePlaces(2), .separateEngines = true });
+    startCluster({ .failureDomains = threeFailureDomains(2), .separateEngines = true });
     std::vector<LoadItem> items;
     for (unsigned i = 0; i < 60; ++i)
         items.push_back({ .at = milliseconds(10 * i),
@@ -163,9 +164,9 @@
     std::thread killer([&] {
         std::this_thread::sleep_for(milliseconds(700));
         unsigned killed = 0;
-        for (const RunnerSlot &runner : cluster->runners()) {
-            if (runner.service == "chat-pool" && killed < 2) {
-                kill(runner.process->pid(), SIGKILL);
+        for (const BackendServerSlot &backendServer : cluster->backendServers()) {
+            if (backendServer.service == "chat-pool" && killed < 2) {
+                kill(backendServer.process->pid(), SIGKILL);
                 ++killed;
             }
         }
@@ -186,14 +187,14 @@
     BOOST_TEST(whole > 0U);
 }
 
-// Guards against a runner that the list shows as leaving and that still gets work 3 s later, from
-// any daemon. Whether a daemon knows of the mark is a question of real time, so the test waits for
-// the bound itself.
-BOOST_AUTO_TEST_CASE(list_runnerLeaving_noNewWorkAfterThreeSeconds)
+// Guards against a backend server that the list shows as leaving and that still gets work 3 s
+// later, from any daemon. Whether a daemon knows of the mark is a question of real time, so the
+// test waits for the bound itself.
+BOOST_AUTO_TEST_CASE(list_backendServerLeaving_noNewWorkAfterThreeSeconds)
 {
-    startCluster({ .places = threePlaces(2) });
-    const RunnerSlot leaving = cluster->runners().front();
-    BOOST_REQUIRE(cluster->markRunnerLeaving(leaving));
+    startCluster({ .failureDomains = threeFailureDomains(2) });
+    const BackendServerSlot leaving = cluster->backendServers().front();
+    BOOST_REQUIRE(cluster->markBackendServerLeaving(leaving));
     std::this_thread::sleep_for(seconds(3));
     const std::size_t before = executionsAt(leaving);
     for (int i = 0; i < 8; ++i) {
@@ -207,7 +208,7 @@
 // under load.
 BOOST_AUTO_TEST_CASE(restart_allDaemonsInTurnUnderLoad_nothingLost)
 {
-    startCluster({ .places = threePlaces(2) });
+    startCluster({ .failureDomains = threeFailureDomains(2) });
     std::vector<DaemonSlot> &daemons = cluster->daemons();
     BalancedCallers callers(*cluster, daemons, 12);
     for (DaemonSlot &slot : daemons) {
@@ -226,7 +227,7 @@
 // Guards against two operators who are both told that they won, or both that they lost.
 BOOST_AUTO_TEST_CASE(ctl_twoOperatorsRace_exactlyOneWins)
 {
-    startCluster({ .places = threePlaces(1) });
+    startCluster({ .failureDomains = threeFailureDomains(1) });
     for (int round = 0; round < 5; ++round) {
         const std::string name = "race" + std::to_string(round);
         const auto change = [&](const std::string &tier) {
@@ -251,7 +252,7 @@
 // lowest class that gets nothing: three times the slots are asked for at once by the lowest class.
 BOOST_AUTO_TEST_CASE(burst_ofLowestClass_highestIsNeverRefused)
 {
-    startCluster({ .places = threePlaces(1), .engineSlots = 4 });
+    startCluster({ .failureDomains = threeFailureDomains(1), .engineSlots = 4 });
     std::vector<LoadItem> items;
     for (unsigned i = 0; i < 300; ++i)
         items.push_back({ .at = milliseconds(2 * i),
@@ -280,11 +281,11 @@
     BOOST_TEST((percentile(waits["interactive"], 0.95) < percentile(waits["batch"], 0.5)));
 }
 
-// Guards against a place that loses its configuration, or never becomes ready, because the platform
-// is away while all of its VMs are replaced.
-BOOST_AUTO_TEST_CASE(replace_allDaemonsOfAPlaceWhilePlatformAway_bootFromNeighbours)
+// Guards against a failure domain that loses its configuration, or never becomes ready, because the
+// platform is away while all of its VMs are replaced.
+BOOST_AUTO_TEST_CASE(replace_allDaemonsOfAFailureDomainWhilePlatformAway_bootFromNeighbours)
 {
-    startCluster({ .places = threePlaces(1) });
+    startCluster({ .failureDomains = threeFailureDomains(1) });
     BOOST_REQUIRE(cluster->ctl(daemon(0), "set class night tier=5 first_token=9s token_gap=90ms",
                                { "--wait" })
                           .exitCode
--- a/tests/e2e/path_test.cpp
+++ b/tests/e2e/path_test.cpp
@@ -1,5 +1,5 @@
-// The whole path with real processes: six daemons in three places of two regions, 15 engines, 3
-// plain runners.
+// The whole path with real processes: six daemons in three failure domains of two regions, 15
+// engines, 3 plain backend servers.
 
 #include "auburn/core/lasterror.h"
 #include "cluster.h"
@@ -18,9 +18,9 @@
 {
     PathFixture()
     {
-        cluster = Cluster::start({ .places = { { .name = "a1", .region = "region-a" },
-                                               { .name = "a2", .region = "region-a" },
-                                               { .name = "b1", .region = "region-b" } },
+        cluster = Cluster::start({ .failureDomains = { { .name = "a1", .region = "region-a" },
+                                                       { .name = "a2", .region = "region-a" },
+                                                       { .name = "b1", .region = "region-b" } },
                                    .trace = true });
         BOOST_REQUIRE_MESSAGE(cluster, lastError());
     }
@@ -45,8 +45,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(path, PathFixture)
 
-// Guards against a daemon, place or class that cannot be served, and against answers that are cut
-// or differ between the streamed and the plain form of one prompt.
+// Guards against a daemon, failure domain or class that cannot be served, and against answers that
+// are cut or differ between the streamed and the plain form of one prompt.
 BOOST_AUTO_TEST_CASE(chat_everyClassThroughEveryDaemon_wholeAnswer)
 {
     for (const DaemonSlot &daemon : cluster->daemons()) {
@@ -77,12 +77,12 @@
         const std::string text(std::istreambuf_iterator<char>(file), {});
         return contains(text, "\"name\":\"" + name + "\"");
     };
-    for (const char *name : { "caller", "queue", "attempt", "runner" })
+    for (const char *name : { "caller", "queue", "attempt", "backend_server" })
         BOOST_TEST(waitFor([&] { return traced(name); }), "no span " << name);
 }
 
 // Guards against an operator's change that is not in force everywhere when --wait returns.
-BOOST_AUTO_TEST_CASE(ctl_setWithWait_inForceInEveryPlace)
+BOOST_AUTO_TEST_CASE(ctl_setWithWait_inForceInEveryFailureDomain)
 {
     const ProgramResult set = cluster->ctl(
             first(), "set class night tier=5 first_token=9s token_gap=90ms", { "--wait" });
@@ -97,15 +97,16 @@
 BOOST_AUTO_TEST_CASE(ctl_mistakes_haveTheirExitCodes)
 {
     BOOST_TEST(cluster->ctl(first(), "shwo classes").exitCode == 2);
-    BOOST_TEST(cluster->ctl(first(), "drain runner nobody").exitCode == 3);
+    BOOST_TEST(cluster->ctl(first(), "drain backend_server nobody").exitCode == 3);
     BOOST_TEST(cluster->ctl(first(), "set class batch tier=6 if revision 1").exitCode == 4);
 }
 
-// Guards against a runner that is drained by an operator and goes on to receive requests.
-BOOST_AUTO_TEST_CASE(drain_runnerByOperator_getsNoNewRequest)
+// Guards against a backend server that is drained by an operator and goes on to receive requests.
+BOOST_AUTO_TEST_CASE(drain_backendServerByOperator_getsNoNewRequest)
 {
-    const RunnerSlot &drained = cluster->runners().front();
-    const ProgramResult drain = cluster->ctl(first(), "drain runner " + drained.name, { "--wait" });
+    const BackendServerSlot &drained = cluster->backendServers().front();
+    const ProgramResult drain = cluster->ctl(first(), "drain backend_server " + drained.name,
+                                             { "--wait" });
     BOOST_REQUIRE_MESSAGE(drain.exitCode == 0, drain.output);
     const std::string before = Cluster::get(drained.address, "/control/executions").body;
     for (const DaemonSlot &daemon : cluster->daemons()) {
--- a/tests/standins/executionrecord.h
+++ b/tests/standins/executionrecord.h
@@ -1,4 +1,4 @@
-// ExecutionRecord: what a stand-in of a runner has executed, as the tests' evidence.
+// ExecutionRecord: what a stand-in of a backend server has executed, as the tests' evidence.
 #pragma once
 
 #include <deque>
--- a/tests/standins/listenflag.h
+++ b/tests/standins/listenflag.h
@@ -1,4 +1,4 @@
-// The --listen flag of the runner stand-ins.
+// The --listen flag of the backend server stand-ins.
 #pragma once
 
 #include <cstdint>
--- a/tests/standins/standinhttp.h
+++ b/tests/standins/standinhttp.h
@@ -1,5 +1,5 @@
-// A small HTTP server for stand-ins of runners: one thread, many listeners, answers that can be
-// held, streamed or dropped.
+// A small HTTP server for stand-ins of backend servers: one thread, many listeners, answers that
+// can be held, streamed or dropped.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -57,7 +57,7 @@
 std::unique_ptr<Cluster> Cluster::start(ClusterOptions options)
 {
     std::unique_ptr<Cluster> cluster(new Cluster(std::move(options)));
-    if (!cluster->startPlatform() || !cluster->startRunners())
+    if (!cluster->startPlatform() || !cluster->startBackendServers())
         return nullptr;
     cluster->planDaemons();
     if (!cluster->seedConfiguration())
@@ -92,7 +92,7 @@
 Cluster::~Cluster()
 {
     daemons_.clear();
-    runners_.clear();
+    backendServers_.clear();
     log_.reset();
     list_.reset();
     const char *keep = std::getenv("AUBURN_KEEP_LOGS");
@@ -139,26 +139,30 @@
     return true;
 }
 
-bool Cluster::startRunners()
+bool Cluster::startBackendServers()
 {
-    for (const PlaceSpec &place : options_.places) {
-        const unsigned perProcess = options_.separateEngines ? 1 : place.poolRunners;
-        for (unsigned first = 0; first < place.poolRunners; first += perProcess) {
-            if (!startRunnerProcess("standin_engine", "chat-pool", place, first, perProcess))
+    for (const FailureDomainSpec &failureDomain : options_.failureDomains) {
+        const unsigned perProcess = options_.separateEngines ? 1 : failureDomain.poolBackendServers;
+        for (unsigned first = 0; first < failureDomain.poolBackendServers; first += perProcess) {
+            if (!startBackendServerProcess("standin_engine", "chat-pool", failureDomain, first,
+                                           perProcess))
                 return false;
         }
-        if (place.deskRunners > 0
-            && !startRunnerProcess("standin_engine", "chat-desk", place, 0, place.deskRunners))
+        if (failureDomain.deskBackendServers > 0
+            && !startBackendServerProcess("standin_engine", "chat-desk", failureDomain, 0,
+                                          failureDomain.deskBackendServers))
             return false;
-        if (place.plainRunners > 0
-            && !startRunnerProcess("standin_service", "inventory", place, 0, place.plainRunners))
+        if (failureDomain.plainBackendServers > 0
+            && !startBackendServerProcess("standin_service", "inventory", failureDomain, 0,
+                                          failureDomain.plainBackendServers))
             return false;
     }
     return true;
 }
 
-bool Cluster::startRunnerProcess(const std::string &program, const std::string &service,
-                                 const PlaceSpec &place, unsigned first, unsigned count)
+bool Cluster::startBackendServerProcess(const std::string &program, const std::string &service,
+                                        const FailureDomainSpec &failureDomain, unsigned first,
+                                        unsigned count)
 {
     std::vector<std::string> arguments{ "--listen", network_ + "240:0", "--count",
                                         std::to_string(count) };
@@ -167,7 +171,7 @@
         arguments.insert(arguments.end(), options_.engineArguments.begin(),
                          options_.engineArguments.end());
     }
-    const std::string base = service + "-" + place.name + "-";
+    const std::string base = service + "-" + failureDomain.name + "-";
     const std::shared_ptr<ChildProcess> process = startStandin(
             program, base + std::to_string(first), arguments);
     if (!process)
@@ -178,23 +182,23 @@
         return false;
     }
     for (unsigned i = 0; i < count; ++i)
-        runners_.push_back(RunnerSlot{ .name = base + std::to_string(first + i),
-                                       .service = service,
-                                       .place = place.name,
-                                       .address = lines[i],
-                                       .process = process });
+        backendServers_.push_back(BackendServerSlot{ .name = base + std::to_string(first + i),
+                                                     .service = service,
+                                                     .failureDomain = failureDomain.name,
+                                                     .address = lines[i],
+                                                     .process = process });
     return true;
 }
 
 void Cluster::planDaemons()
 {
     unsigned host = 1;
-    for (const PlaceSpec &place : options_.places) {
-        for (unsigned i = 0; i < place.daemons; ++i) {
+    for (const FailureDomainSpec &failureDomain : options_.failureDomains) {
+        for (unsigned i = 0; i < failureDomain.daemons; ++i) {
             DaemonSlot slot;
-            slot.id = place.name + "-d" + std::to_string(i);
-            slot.place = place.name;
-            slot.region = place.region;
+            slot.id = failureDomain.name + "-d" + std::to_string(i);
+            slot.failureDomain = failureDomain.name;
+            slot.region = failureDomain.region;
             slot.address = network_ + std::to_string(host++);
             daemons_.push_back(std::move(slot));
         }
@@ -237,12 +241,12 @@
                                   .className = "batch",
                                   .tokenSha256 = sha256Hex("token-" + name) } });
     }
-    for (const RunnerSlot &runner : runners_)
-        items.push_back({ Runner{ .name = runner.name,
-                                  .service = runner.service,
-                                  .place = runner.place,
-                                  .address = runner.address,
-                                  .slots = options_.engineSlots } });
+    for (const BackendServerSlot &backendServer : backendServers_)
+        items.push_back({ BackendServer{ .name = backendServer.name,
+                                         .service = backendServer.service,
+                                         .failureDomain = backendServer.failureDomain,
+                                         .address = backendServer.address,
+                                         .slots = options_.engineSlots } });
     return items;
 }
 
@@ -269,7 +273,7 @@
     std::map<std::string, std::string> environment{
         { "AUBURN_ID",
           slot.id + (slot.generation > 1 ? "-" + std::to_string(slot.generation) : "") },
-        { "AUBURN_PLACE", slot.place },
+        { "AUBURN_FAILURE_DOMAIN", slot.failureDomain },
         { "AUBURN_REGION", slot.region },
         { "AUBURN_CALLER_LISTEN", slot.callerAddress() },
         { "AUBURN_STATUS_LISTEN", slot.statusAddress() },
@@ -302,7 +306,7 @@
         changeList("DELETE", idOf(slot, slot.generation - 1), {});
     const QJsonObject member{
         { "kind", "daemon" },
-        { "place", QString::fromStdString(slot.place) },
+        { "failure_domain", QString::fromStdString(slot.failureDomain) },
         { "region", QString::fromStdString(slot.region) },
         { "address", QString::fromStdString(slot.peerEndpoint()) },
         { "state", "live" },
@@ -333,14 +337,15 @@
            == 200;
 }
 
-bool Cluster::markRunnerLeaving(const RunnerSlot &runner)
+bool Cluster::markBackendServerLeaving(const BackendServerSlot &backendServer)
 {
-    const QJsonObject member{ { "kind", "runner" },
-                              { "service", QString::fromStdString(runner.service) },
-                              { "place", QString::fromStdString(runner.place) },
-                              { "address", QString::fromStdString(runner.address) },
+    const QJsonObject member{ { "kind", "backend_server" },
+                              { "service", QString::fromStdString(backendServer.service) },
+                              { "failure_domain",
+                                QString::fromStdString(backendServer.failureDomain) },
+                              { "address", QString::fromStdString(backendServer.address) },
                               { "state", "leaving" } };
-    return changeList("PUT", runner.name, toJson(member));
+    return changeList("PUT", backendServer.name, toJson(member));
 }
 
 HttpRequest Cluster::chat(const DaemonSlot &daemon, const std::string &token,
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -1,8 +1,8 @@
 // Cluster: the whole system as separate processes on loopback addresses: platform stand-ins,
-// runners and daemons.
+// backend servers and daemons.
 //
-// Each daemon gets an address of its own in 127.0.0.0/8, so that links between places can be cut by
-// address.
+// Each daemon gets an address of its own in 127.0.0.0/8, so that links between failure domains can
+// be cut by address.
 #pragma once
 
 #include "auburn/config/configstate.h"
@@ -17,15 +17,15 @@
 
 namespace auburn::testing {
 
-struct PlaceSpec
+struct FailureDomainSpec
 {
     std::string name;
     std::string region;
     unsigned daemons = 2;
-    // Runners of "chat-pool" and of "chat-desk", and plain runners of "inventory".
-    unsigned poolRunners = 4;
-    unsigned deskRunners = 1;
-    unsigned plainRunners = 1;
+    // Backend servers of "chat-pool" and of "chat-desk", and plain backend servers of "inventory".
+    unsigned poolBackendServers = 4;
+    unsigned deskBackendServers = 1;
+    unsigned plainBackendServers = 1;
 };
 
 struct CallerSpec
@@ -37,7 +37,7 @@
 
 struct ClusterOptions
 {
-    std::vector<PlaceSpec> places;
+    std::vector<FailureDomainSpec> failureDomains;
     // Request slots of each engine.
     unsigned engineSlots = 8;
     // Further arguments of every engine process.
@@ -48,7 +48,8 @@
     std::vector<std::string> logArguments;
     // Organisations beside those of the standard callers, each with one caller.
     unsigned extraOrganisations = 0;
-    // One process for each engine instead of one per place; needed to kill a single engine.
+    // One process for each engine instead of one per failure domain; needed to kill a single
+    // engine.
     bool separateEngines = false;
     // Folder for logs and traces; empty: a new folder below the system's temporary folder.
     std::string folder;
@@ -59,7 +60,7 @@
 struct DaemonSlot
 {
     std::string id;
-    std::string place;
+    std::string failureDomain;
     std::string region;
     std::string address;
     unsigned generation = 0;
@@ -71,14 +72,14 @@
     std::string operatorEndpoint() const { return "tcp://" + address + ":8083"; }
 };
 
-struct RunnerSlot
+struct BackendServerSlot
 {
     std::string name;
     std::string service;
-    std::string place;
+    std::string failureDomain;
     // host:port
     std::string address;
-    // Shared by all runners of one process.
+    // Shared by all backend servers of one process.
     std::shared_ptr<ChildProcess> process;
 };
 
@@ -91,7 +92,7 @@
     ~Cluster();
 
     std::vector<DaemonSlot> &daemons() { return daemons_; }
-    std::vector<RunnerSlot> &runners() { return runners_; }
+    std::vector<BackendServerSlot> &backendServers() { return backendServers_; }
     const std::string &folder() const { return options_.folder; }
     const std::string &logAddress() const { return logAddress_; }
     const std::string &listAddress() const { return listAddress_; }
@@ -105,8 +106,8 @@
     // Changes an entry of the membership list: method PUT or DELETE.
     bool changeList(const std::string &method, const std::string &name,
                     const std::string &json) const;
-    // Shows a runner as leaving in the membership list.
-    bool markRunnerLeaving(const RunnerSlot &runner);
+    // Shows a backend server as leaving in the membership list.
+    bool markBackendServerLeaving(const BackendServerSlot &backendServer);
 
     // A chat completion through a daemon, with the token of one of the standard callers.
     HttpRequest chat(const DaemonSlot &daemon, const std::string &token, const std::string &prompt,
@@ -132,9 +133,10 @@
 private:
     explicit Cluster(ClusterOptions options);
     bool startPlatform();
-    bool startRunners();
-    bool startRunnerProcess(const std::string &program, const std::string &service,
-                            const PlaceSpec &place, unsigned first, unsigned count);
+    bool startBackendServers();
+    bool startBackendServerProcess(const std::string &program, const std::string &service,
+                                   const FailureDomainSpec &failureDomain, unsigned first,
+                                   unsigned count);
     void planDaemons();
     std::vector<Item> configuration() const;
     bool seedConfiguration();
@@ -157,7 +159,7 @@
     std::string listAddress_;
     std::unique_ptr<ChildProcess> log_;
     std::unique_ptr<ChildProcess> list_;
-    std::vector<RunnerSlot> runners_;
+    std::vector<BackendServerSlot> backendServers_;
     std::vector<DaemonSlot> daemons_;
     bool ownsFolder_ = false;
 };
