--- a/tests/support/fakenetwork.h
+++ b/tests/support/fakenetwork.h
@@ -152,11 +152,11 @@
     std::shared_ptr<const MemberView> current_ = std::make_shared<const MemberView>();
 };
 
-// Members of a place with the given ids, all ready.
-inline MemberView readyView(const std::string &self, const std::string &place,
+// Members of a failure domain with the given ids, all ready.
+inline MemberView readyView(const std::string &self, const std::string &failureDomain,
                             const std::vector<std::string> &ids)
 {
-    MemberView view{ .selfId = self, .place = place, .region = "region" };
+    MemberView view{ .selfId = self, .failureDomain = failureDomain, .region = "region" };
     for (const std::string &id : ids)
         view.members.push_back(Member{ .id = id, .status = MemberStatus::Ready });
     return view;
