Count an attempt at its owner only as long as it lasts

Cause: the owner of a cell kept the prompt tokens of an attempt as waiting for good when the datagram with the first token was lost, when an asker never told the end, or when the answer came too late to be used. Owners also kept believing in caches of engines that had started again, and a late answer of a forgotten engine made its new view one without a cache. Ruled out: slowness factors (the same error for all engines) and the price of a full batch (10 running of 32 after the burst). Change: the owner itself remembers whether it was told of the first token and takes the tokens off with the attempt; an asker answers a late reply with the end of the attempt; owners forget replaced servers; reports and progress never create a view. Tests: three failed first (475, 511 ms for a bound of 300; 3,259 uncached tokens for 2,000); the late reply and the owner's forgetting use calls that did not exist.

--- a/packages/peers/include/auburn/peers/cellplacement.h
+++ b/packages/peers/include/auburn/peers/cellplacement.h
@@ -51,6 +51,9 @@
     // Beats to and from other daemons; must be set before the first request.
     void setExchange(PeerExchange *exchange) { exchange_ = exchange; }
     void datagramReceived(const proto::PeerDatagram &datagram, const std::string &sender);
+    // Drops what this daemon knows as an owner about a server that was started again or has left.
+    void forget(const std::string &serverId);
+
     // Drops what ended without notice; to be called about once a second.
     void sweep();
 
@@ -76,6 +79,9 @@
     {
         routing::PlacementChoice choice;
         Clock::time_point expires;
+        // This daemon was told of the first token. The datagram may be lost, and then the prompt
+        // counts as waiting until the attempt ends.
+        bool progressed = false;
     };
 
     std::optional<std::string> ownerOf(const std::string &domain) const;
@@ -88,7 +94,7 @@
                                                          const std::string &asker,
                                                          std::uint64_t number);
     void answer(const proto::PlaceRequest &request, const std::string &sender);
-    void answered(const proto::PlaceReply &reply);
+    void answered(const proto::PlaceReply &reply, const std::string &sender);
     void unanswered(std::uint64_t number);
     void updated(const proto::PlaceUpdate &update, const std::string &sender);
     void update(const std::string &key, const proto::PlaceUpdate &update);
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -58,6 +58,13 @@
     return proto::PLACE_OUTCOME_ABANDONED;
 }
 
+proto::PlaceUpdate abandonedUpdate()
+{
+    proto::PlaceUpdate message;
+    message.set_outcome(proto::PLACE_OUTCOME_ABANDONED);
+    return message;
+}
+
 int checkedUrgency(std::uint32_t urgency)
 {
     return static_cast<int>(std::min<std::uint32_t>(urgency, routing::kLowestUrgency));
@@ -222,11 +229,15 @@
     placeHere(pending.query, pending.handler);
 }
 
-void CellPlacement::answered(const proto::PlaceReply &reply)
+void CellPlacement::answered(const proto::PlaceReply &reply, const std::string &sender)
 {
     auto node = pending_.extract(reply.number());
-    if (node.empty())
+    if (node.empty()) {
+        // Too late: the attempt runs elsewhere, and the owner must not count it.
+        if (!reply.server().empty())
+            sendUpdate({ .owner = sender, .ownerNumber = reply.number() }, abandonedUpdate());
         return;
+    }
     Pending &pending = node.mapped();
     pending.timer->cancel();
     const BackendServer *server = options_.directory->find(reply.server());
@@ -265,8 +276,11 @@
     if (!choice)
         return std::nullopt;
     cell_.attemptStarted(*choice, query, now);
-    owned_.insert_or_assign(ownedKey(asker, number),
-                            Owned{ .choice = *choice, .expires = now + timeLeft + kExpiryMargin });
+    Owned &attempt = owned_[ownedKey(asker, number)];
+    // A number comes again only from an asker that was started again.
+    if (!attempt.choice.serverId.empty())
+        cell_.attemptEnded(attempt.choice, attempt.progressed, AttemptOutcome::Abandoned, now);
+    attempt = Owned{ .choice = *choice, .expires = now + timeLeft + kExpiryMargin };
     return choice;
 }
 
@@ -307,12 +321,14 @@
     if (found == owned_.end())
         return;
     const auto now = Clock::now();
+    Owned &attempt = found->second;
     if (update.outcome() == proto::PLACE_OUTCOME_PROGRESSED) {
-        cell_.attemptProgressed(found->second.choice,
-                                std::chrono::microseconds(update.since_start_us()), now);
+        if (!std::exchange(attempt.progressed, true))
+            cell_.attemptProgressed(attempt.choice,
+                                    std::chrono::microseconds(update.since_start_us()), now);
         return;
     }
-    cell_.attemptEnded(found->second.choice, update.progressed(), outcomeOf(update.outcome()), now);
+    cell_.attemptEnded(attempt.choice, attempt.progressed, outcomeOf(update.outcome()), now);
     owned_.erase(found);
 }
 
@@ -326,11 +342,19 @@
     if (datagram.has_place_request())
         answer(datagram.place_request(), sender);
     else if (datagram.has_place_reply())
-        answered(datagram.place_reply());
+        answered(datagram.place_reply(), sender);
     else if (datagram.has_place_update())
         updated(datagram.place_update(), sender);
 }
 
+void CellPlacement::forget(const std::string &serverId)
+{
+    cell_.forget(serverId);
+    std::erase_if(owned_, [&serverId](const auto &entry) {
+        return entry.second.choice.serverId == serverId;
+    });
+}
+
 void CellPlacement::sweep()
 {
     const auto now = Clock::now();
@@ -339,7 +363,8 @@
             ++it;
             continue;
         }
-        cell_.attemptEnded(it->second.choice, true, AttemptOutcome::Abandoned, now);
+        cell_.attemptEnded(it->second.choice, it->second.progressed, AttemptOutcome::Abandoned,
+                           now);
         it = owned_.erase(it);
     }
     std::erase_if(silent_, [now](const auto &entry) { return entry.second <= now; });
@@ -377,7 +402,6 @@
     options_.own->attemptEnded(choice, progressed, outcome, Clock::now());
     proto::PlaceUpdate message;
     message.set_outcome(encodeOutcome(outcome));
-    message.set_progressed(progressed);
     sendUpdate(choice, std::move(message));
 }
 
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,7 +49,19 @@
     std::map<std::string, CellPlacement *> daemons;
     std::vector<LivePeer> peers;
     std::set<std::string> frozen;
+    // Datagrams that are lost.
+    std::function<bool(const proto::PeerDatagram &datagram)> loses;
+    // Set while datagrams wait in the network.
+    bool isHolding = false;
+    std::vector<std::function<void()>> held;
     unsigned datagrams = 0;
+
+    void deliverHeld()
+    {
+        isHolding = false;
+        for (const auto &deliver : std::exchange(held, {}))
+            deliver();
+    }
 };
 
 std::vector<LivePeer> FakeExchange::livePeersIn(const std::string &failureDomain) const
@@ -64,9 +77,17 @@
 void FakeExchange::send(const std::string &target, const proto::PeerDatagram &datagram)
 {
     ++network_.datagrams;
-    const auto found = network_.daemons.find(target);
-    if (found != network_.daemons.end() && !network_.frozen.contains(target))
-        found->second->datagramReceived(datagram, address_);
+    if (network_.loses && network_.loses(datagram))
+        return;
+    const auto deliver = [&network = network_, target, datagram, sender = address_] {
+        const auto found = network.daemons.find(target);
+        if (found != network.daemons.end() && !network.frozen.contains(target))
+            found->second->datagramReceived(datagram, sender);
+    };
+    if (network_.isHolding)
+        network_.held.emplace_back(deliver);
+    else
+        deliver();
 }
 
 struct CellPlacementFixture
@@ -121,16 +142,16 @@
                  .timeToTarget = milliseconds(600) };
     }
 
-    PlacementChoice place(const std::string &daemon, const PlacementQuery &query)
+    PlacementChoice place(const std::string &daemon, const PlacementQuery &query,
+                          milliseconds timeLeft = milliseconds(5000))
     {
         std::optional<PlacementChoice> result;
         bool answered = false;
-        daemons[daemon]->place(query, milliseconds(5000),
-                               [&](std::optional<PlacementChoice> choice) {
-                                   BOOST_TEST(!answered);
-                                   answered = true;
-                                   result = std::move(choice);
-                               });
+        daemons[daemon]->place(query, timeLeft, [&](std::optional<PlacementChoice> choice) {
+            BOOST_TEST(!answered);
+            answered = true;
+            result = std::move(choice);
+        });
         BOOST_REQUIRE(runUntil(
                 io, [&] { return answered; }, milliseconds(1000)));
         BOOST_REQUIRE(result);
@@ -220,6 +241,65 @@
     BOOST_TEST(place("a2", prompt(9)).predicted < milliseconds(300));
 }
 
+// Guards against prompt tokens that stay in the owner's view for good because the datagram that
+// tells of the first token is lost.
+BOOST_AUTO_TEST_CASE(attempts_whoseFirstTokenWasNotTold_freeTheOwnersView)
+{
+    std::vector<PlacementChoice> choices;
+    choices.reserve(80);
+    for (int i = 0; i < 80; ++i)
+        choices.push_back(place("a2", prompt(9)));
+    network.loses = [](const proto::PeerDatagram &datagram) {
+        return datagram.place_update().outcome() == proto::PLACE_OUTCOME_PROGRESSED;
+    };
+    for (const PlacementChoice &choice : choices) {
+        daemons["a2"]->attemptProgressed(choice, choice.predicted);
+        daemons["a2"]->attemptEnded(choice, true, routing::AttemptOutcome::Succeeded);
+    }
+    BOOST_TEST(place("a2", prompt(9)).predicted < milliseconds(300));
+}
+
+// Guards against the same when the asker is gone before its attempt ends.
+BOOST_AUTO_TEST_CASE(attempts_whoseEndWasNotTold_freeTheOwnersViewAfterTheirTimeLimit)
+{
+    for (int i = 0; i < 80; ++i)
+        place("a2", prompt(9), milliseconds(0));
+    BOOST_TEST(place("a2", prompt(9), milliseconds(0)).predicted > milliseconds(300));
+    runUntil(
+            io, [] { return false; }, milliseconds(600));
+    for (const auto &[name, daemon] : daemons)
+        daemon->sweep();
+    BOOST_TEST(place("a2", prompt(9)).predicted < milliseconds(300));
+}
+
+// Guards against work that an owner counts although its answer came too late to be used.
+BOOST_AUTO_TEST_CASE(answer_tooLate_theOwnerIsToldThatNothingRuns)
+{
+    network.isHolding = true;
+    place("a2", prompt(9));
+    unsigned abandoned = 0;
+    network.loses = [&](const proto::PeerDatagram &datagram) {
+        abandoned += datagram.place_update().outcome() == proto::PLACE_OUTCOME_ABANDONED ? 1 : 0;
+        return false;
+    };
+    // The question reaches the owner, and then its answer the asker.
+    network.deliverHeld();
+    BOOST_TEST(abandoned == 1U);
+}
+
+// Guards against prompts that are sent to a restarted engine for parts that it no longer caches.
+BOOST_AUTO_TEST_CASE(server_startedAgain_theOwnerForgetsItsCache)
+{
+    const PlacementQuery query = prompt(9);
+    const PlacementChoice home = place("a2", query);
+    daemons["a2"]->attemptProgressed(home, home.predicted);
+    daemons["a2"]->attemptEnded(home, true, routing::AttemptOutcome::Succeeded);
+    BOOST_TEST(place("a2", prompt(9)).uncachedTokens == 2000U);
+    for (const auto &[name, daemon] : daemons)
+        daemon->forget(home.serverId);
+    BOOST_TEST(place("a2", prompt(9)).uncachedTokens > 2000U);
+}
+
 // The owner may know a server that has left by what the asker knows.
 BOOST_AUTO_TEST_CASE(owner_namesAServerThatDrains_anotherIsTaken)
 {
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -185,7 +185,7 @@
         std::optional<TimePoint> lastStream;
     };
 
-    ServerView &view(const std::string &serverId, const Service *service);
+    ServerView &view(const std::string &serverId, const Service &service);
     std::optional<PlacementChoice> chooseAmong(std::vector<const BackendServer *> servers,
                                                const PlacementQuery &query, TimePoint now);
     std::optional<PlacementChoice> cheapest(const std::vector<const BackendServer *> &servers,
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -133,14 +133,13 @@
         region_ = found->second;
 }
 
-Placement::ServerView &Placement::view(const std::string &serverId, const Service *service)
+Placement::ServerView &Placement::view(const std::string &serverId, const Service &service)
 {
     const auto found = views_.find(serverId);
     if (found != views_.end())
         return found->second;
-    const double capacity = service && service->engine
-                                    ? static_cast<double>(service->engine->cacheTokens)
-                                              * kCacheShare
+    const double capacity = service.engine
+                                    ? static_cast<double>(service.engine->cacheTokens) * kCacheShare
                                     : 0;
     return views_.emplace(serverId, ServerView(static_cast<std::uint64_t>(capacity))).first->second;
 }
@@ -223,7 +222,7 @@
 {
     double sum = 0;
     for (const BackendServer *server : servers)
-        sum += decayedSlowness(view(server->id, query.service), now);
+        sum += decayedSlowness(view(server->id, *query.service), now);
     return sum;
 }
 
@@ -306,7 +305,7 @@
     }
     double streams = query.steadyStream ? 1 : 0;
     for (const BackendServer *server : servers) {
-        const ServerView &candidate = view(server->id, query.service);
+        const ServerView &candidate = view(server->id, *query.service);
         streams += candidate.steadyStreams + peerTotal(candidate, now).steadyStreams;
     }
     const double perEngine = std::max(1.0, kPoolSlotShare * servers.front()->slots);
@@ -391,7 +390,7 @@
                               != query.excluded.end();
         if (excluded)
             continue;
-        ServerView &candidate = view(server->id, query.service);
+        ServerView &candidate = view(server->id, *query.service);
         const double slowness = relativeSlowness(decayedSlowness(candidate, now), slownessSum,
                                                  servers.size());
         std::uint64_t uncached = 0;
@@ -426,7 +425,7 @@
 void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query,
                                TimePoint /*now*/)
 {
-    ServerView &server = view(choice.serverId, query.service);
+    ServerView &server = view(choice.serverId, *query.service);
     ++server.running;
     server.steadyStreams += choice.steadyStream ? 1 : 0;
     server.waitingTokens[choice.urgency] += choice.uncachedTokens;
@@ -436,7 +435,10 @@
 void Placement::attemptProgressed(const PlacementChoice &choice, microseconds sinceStart,
                                   TimePoint now)
 {
-    ServerView &server = view(choice.serverId, nullptr);
+    const auto found = views_.find(choice.serverId);
+    if (found == views_.end())
+        return;
+    ServerView &server = found->second;
     dropWaiting(server.waitingTokens[choice.urgency], choice.uncachedTokens);
     const double predictedMs = std::max(10.0, toMs(choice.predicted));
     // The prediction contains the slowness that was known when it was made.
@@ -480,9 +482,11 @@
 
 void Placement::reported(const std::string &serverId, LoadReport report, TimePoint now)
 {
-    ServerView &server = view(serverId, nullptr);
-    server.report = report;
-    server.reportedAt = now;
+    const auto found = views_.find(serverId);
+    if (found == views_.end())
+        return;
+    found->second.report = report;
+    found->second.reportedAt = now;
 }
 
 void Placement::peerReported(const std::string &peer, const std::map<std::string, PeerLoad> &loads,
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -99,6 +99,20 @@
         BOOST_TEST(start(placement, prompt(1)).serverId == home.serverId);
 }
 
+// Guards against an engine that is believed to cache nothing after its restart, because an answer
+// from before the restart came in first.
+BOOST_AUTO_TEST_CASE(forgottenServer_lateAnswer_cachesAgain)
+{
+    const PlacementQuery query = prompt(1);
+    const PlacementChoice home = start(placement, query);
+    placement.forget(home.serverId);
+    placement.reported(home.serverId, { .running = 1, .slots = 128 }, now);
+    placement.attemptProgressed(home, milliseconds(100), now);
+    placement.attemptEnded(home, true, AttemptOutcome::Succeeded, now);
+    start(placement, prompt(1));
+    BOOST_TEST(placement.choose(directory, prompt(1), now)->uncachedTokens == 2000U);
+}
+
 // One hot session must not wait at one engine without a limit.
 BOOST_AUTO_TEST_CASE(session_homeIsFarBehind_isSpread)
 {
