Guard the connection of a request that was answered before it was sent

Change: a server that answers after the first bytes and reads nothing else; the next call must use a new connection. Seen: with the condition taken out of answerParsed() the test fails (1 connection, no answer to the second call); with it, it passes. Conclusion: no change of behaviour.

--- a/packages/gateway/tests/httpclient_test.cpp
+++ b/packages/gateway/tests/httpclient_test.cpp
@@ -2,8 +2,11 @@
 
 #include "scriptedserver.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <list>
 #include <optional>
 
 namespace auburn::gateway {
@@ -12,6 +15,46 @@
 
 namespace {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers each connection as soon as its first bytes are in and reads nothing after them.
+class HastyServer
+{
+public:
+    explicit HastyServer(asio::io_context &io)
+        : acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    std::size_t connections() const { return sockets_.size(); }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            tcp::socket &accepted = sockets_.emplace_back(std::move(socket));
+            accepted.async_read_some(asio::buffer(buffer_),
+                                     [this, &accepted](boost::system::error_code, std::size_t) {
+                                         asio::write(accepted, asio::buffer(answer_));
+                                     });
+            accept();
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    std::list<tcp::socket> sockets_;
+    std::array<char, 1024> buffer_{};
+    const std::string answer_ = wholeAnswer(413, "", "too long");
+};
+
 struct HttpClientFixture
 {
     HttpReply get(HttpClient &client, milliseconds timeout = milliseconds(1000))
@@ -68,6 +111,23 @@
     BOOST_TEST(!get(client, milliseconds(100)).error.empty());
 }
 
+// Guards against a request that is sent behind the unsent rest of an earlier one, of which the
+// server would read it as a part.
+BOOST_AUTO_TEST_CASE(post_answeredBeforeItIsSent_itsConnectionIsNotUsedAgain)
+{
+    HastyServer server(io);
+    HttpClient client(io, server.address());
+    // More than both sides of a connection buffer.
+    const std::size_t bodyBytes = std::size_t{ 64 } * 1024 * 1024;
+    std::optional<HttpReply> reply;
+    client.post("/x", "text/plain", std::string(bodyBytes, 'b'), milliseconds(3000),
+                [&](HttpReply answer) { reply = std::move(answer); });
+    BOOST_REQUIRE(runUntil(io, [&] { return reply.has_value(); }));
+    BOOST_TEST(reply->status == 413);
+    BOOST_TEST(get(client).status == 413);
+    BOOST_TEST(server.connections() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(get_nobodyListens_isAnError)
 {
     HttpClient client(io, "127.0.0.1:1");
