--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -543,15 +543,19 @@
     finish({ .status = streamBegun_ ? status_ : kBadGateway, .reason = reason });
 }
 
+void Exchange::noteUnansweredAttempt()
+{
+    if (attempt_ && connection_ && connection_->isConnected())
+        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+}
+
 void Exchange::deadlinePassed()
 {
     if (finished_)
         return;
     const auto guard = shared_from_this();
     constexpr int kGatewayTimeout = 504;
-    // Bytes of an attempt without an answer may be at work.
-    if (attempt_ && connection_ && connection_->isConnected())
-        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    noteUnansweredAttempt();
     endAttempt(isRepeatable() || progressed_ ? AttemptOutcome::Abandoned : AttemptOutcome::Failed,
                "deadline");
     if (verdict_ == Verdict::DidNotRun && !streamBegun_) {
@@ -621,6 +625,7 @@
     // An order that is under way is not broken off; its answer is dropped.
     if (request_.route->kind == RequestKind::Unsafe && attempt_)
         return;
+    noteUnansweredAttempt();
     // The answer to a question for a server finds the exchange finished.
     endAttempt(AttemptOutcome::Abandoned, "caller_gone");
     finish({ .status = 0, .reason = "caller_gone" });
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -58,6 +58,8 @@
     void watchForStall();
     std::chrono::milliseconds stallLimit() const;
     void stalled();
+    // Bytes of an attempt that ends without an answer may be at work.
+    void noteUnansweredAttempt();
     void deadlinePassed();
 
     bool ownsAnswer(const AnswerHeader &header) override;
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -2,6 +2,8 @@
 
 #include "gatewayfixture.h"
 
+#include "auburn/core/log.h"
+
 namespace auburn::gateway {
 
 using std::chrono::milliseconds;
@@ -228,6 +230,31 @@
             io, [&] { return gateway->requestsInProgress() == 0; }, milliseconds(200)));
 }
 
+// Guards against a log that says of a request at work that it did not run.
+BOOST_AUTO_TEST_CASE(callerLeaves_requestIsAtWork_logSaysItMayHaveRun)
+{
+    std::vector<std::string> lines;
+    setLogSink([&lines](std::string_view line) { lines.emplace_back(line); });
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { "", milliseconds(300) } } };
+    });
+    ScriptedClient client(io, address);
+    client.send(request("GET", "/read/x"));
+    BOOST_REQUIRE(runUntil(io, [&] { return server.requests().size() == 1; }));
+    client.close();
+    runUntil(
+            io, [&] { return gateway->requestsInProgress() == 0; }, milliseconds(200));
+    setLogSink({});
+    unsigned told = 0;
+    for (const std::string &line : lines) {
+        if (line.find("caller_gone") == std::string::npos)
+            continue;
+        ++told;
+        BOOST_TEST(line.find("verdict=may-have-run") != std::string::npos, line);
+    }
+    BOOST_TEST(told == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(callerLeaves_order_goesOn)
 {
     ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
