--- a/packages/routing/bench/placementbench.cpp
+++ b/packages/routing/bench/placementbench.cpp
@@ -65,7 +65,7 @@
 private:
     PlacementQuery nextQuery()
     {
-        const std::uint64_t session = random_() % (kSessionsPerEngine * engines_);
+        const std::uint64_t session = random_() % (std::uint64_t{ kSessionsPerEngine } * engines_);
         return { .service = &service_,
                  .prompt = { { .id = 1, .tokens = 2500 },
                              { .id = 100 + session, .tokens = 3800 },
