Share the accept loop, current limits and string views inside the gateway

Cause: Gateway and StatusEndpoint each had the loop that accepts connections and pauses after a failure; the status endpoint's swallowed the error. The limits in force were chosen in three places, and three files had the same view() of Beast's strings. Change: Listener takes the loop and listenOn(); ClientConnection::currentLimits(); beastview.h. HttpClient::abortAll() had no caller and is gone. A success without a seal is no longer counted as a run and then taken back before it is counted as a broken attempt. Behaviour: as before, except that a status endpoint that cannot accept now logs accept_failed as callers' listeners do. Not mended: relay's CallerServer has a like loop over several worker contexts; it goes when relay's request path moves onto the gateway.

--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -40,8 +40,6 @@
     void get(const std::string &target, std::chrono::milliseconds timeout, ReplyHandler handler);
     void post(const std::string &target, const std::string &contentType, std::string body,
               std::chrono::milliseconds timeout, ReplyHandler handler);
-    // Ends all calls with an error; for a service that has stopped answering.
-    void abortAll();
     std::uint64_t calls() const { return calls_; }
 
 private:
--- /dev/null
+++ b/packages/gateway/src/beastview.h
@@ -0,0 +1,15 @@
+// Views of Beast's strings in the standard type.
+#pragma once
+
+#include <boost/beast/core/string_type.hpp>
+
+#include <string_view>
+
+namespace auburn::gateway {
+
+inline std::string_view view(boost::beast::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+} // namespace auburn::gateway
--- a/packages/gateway/src/callerrequest.cpp
+++ b/packages/gateway/src/callerrequest.cpp
@@ -1,5 +1,7 @@
 #include "callerrequest.h"
 
+#include "beastview.h"
+
 #include "auburn/core/hash.h"
 
 #include <boost/beast/core/string.hpp>
@@ -17,11 +19,6 @@
 
 namespace {
 
-std::string_view view(boost::beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 bool isConnectionField(http::field name)
 {
     switch (name) {
--- a/packages/gateway/src/clientconnection.cpp
+++ b/packages/gateway/src/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "clientconnection.h"
 
+#include "beastview.h"
 #include "socketoptions.h"
 
 #include "auburn/core/log.h"
@@ -33,11 +34,6 @@
 // Callers reuse connections up to most of the idle limit; ours lasts a little longer.
 constexpr milliseconds kIdleMargin{ 1000 };
 
-std::string_view view(boost::beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 // A request whose length can be read in two ways would let one request hide in another.
 bool hasSoundFraming(const RequestHeader &header)
 {
@@ -82,14 +78,16 @@
 
 // ---- Input -----------------------------------------------------------------
 
+routing::TrafficLimits ClientConnection::currentLimits() const
+{
+    return core_.state.config ? core_.state.config->limits() : routing::TrafficLimits();
+}
+
 void ClientConnection::beginRequest()
 {
-    const milliseconds idle = core_.state.config
-                                      ? core_.state.config->limits().idleTime + kIdleMargin
-                                      : routing::TrafficLimits().idleTime;
+    const routing::TrafficLimits limits = currentLimits();
+    const milliseconds idle = core_.state.config ? limits.idleTime + kIdleMargin : limits.idleTime;
     parser_.emplace();
-    const routing::TrafficLimits limits = core_.state.config ? core_.state.config->limits()
-                                                             : routing::TrafficLimits();
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser_->body_limit(limits.bodyBytes);
     keepAlive_ = true;
@@ -147,8 +145,7 @@
         if (phase_ == Phase::Idle && input_.size() > 0) {
             phase_ = Phase::Header;
             received_ = Clock::now();
-            readDeadline_.setAfter(core_.state.config ? core_.state.config->limits().headerTime
-                                                      : routing::TrafficLimits().headerTime);
+            readDeadline_.setAfter(currentLimits().headerTime);
         }
         ErrorCode error = http::error::need_more;
         if (input_.size() > 0) {
--- a/packages/gateway/src/clientconnection.h
+++ b/packages/gateway/src/clientconnection.h
@@ -50,6 +50,8 @@
         Closed,
     };
 
+    // Those of the configuration in force, or the defaults before there is one.
+    routing::TrafficLimits currentLimits() const;
     void beginRequest();
     void read();
     void received(ErrorCode error, std::size_t bytes);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include "exchange.h"
 
+#include "beastview.h"
+
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
 
@@ -33,11 +35,6 @@
 constexpr milliseconds kLeastStall{ 150 };
 constexpr milliseconds kLeastStreamStall{ 600 };
 
-std::string_view view(boost::beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 std::string secondsText(milliseconds time)
 {
     char text[32];
@@ -432,12 +429,11 @@
         serverRejected();
         return;
     }
-    ++runs_;
     if (status_ < 300 && !sealed_) {
-        --runs_;
         attemptBroken({ .end = CallEnd::Invalid, .error = "a success without the server's seal" });
         return;
     }
+    ++runs_;
     if (status_ >= 500 && isRepeatable() && runs_ < request_.route->maxAttempts && sink_
         && timeLeft() > kLeastStall && takeRetry()) {
         excluded_.push_back(attempt_->serverId);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -2,13 +2,12 @@
 
 #include "clientconnection.h"
 #include "gatewaycore.h"
-#include "socketoptions.h"
+#include "listener.h"
 
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -18,12 +17,10 @@
 
 namespace asio = boost::asio;
 using boost::asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
 
 namespace {
 
-// Pause after accept() failed, for example for lack of descriptors.
-constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+constexpr int kBacklog = 1024;
 
 class GatewayImpl : public Gateway
 {
@@ -33,17 +30,10 @@
                  .options = std::move(options),
                  .state = *core_.options.state,
                  .pool = std::make_shared<ConnectionPool>(io) }
-        , acceptor_(io)
-        , acceptTimer_(io)
+        , listener_(io, [this](tcp::socket socket) { accepted(std::move(socket)); })
     {}
 
-    bool listen()
-    {
-        if (!listenOn(acceptor_, core_.options.listenAddress, 1024))
-            return false;
-        accept();
-        return true;
-    }
+    bool listen() { return listener_.listen(core_.options.listenAddress, kBacklog); }
 
     void drain(std::chrono::milliseconds idleTime) override
     {
@@ -68,35 +58,20 @@
     void forgetAddress(const std::string &address) override { core_.pool->drop(address); }
 
 private:
-    void accept()
+    void accepted(tcp::socket socket)
     {
-        acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted)
-                return;
-            if (error) {
-                logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
-                acceptTimer_.expires_after(kAcceptPause);
-                acceptTimer_.async_wait([this](ErrorCode waitError) {
-                    if (!waitError)
-                        accept();
-                });
-                return;
-            }
-            if (core_.connections < core_.options.maxConnections) {
-                const auto client = std::make_shared<ClientConnection>(core_, std::move(socket));
-                clients_.push_back(client);
-                client->start();
-            } else {
-                logEvent(LogLevel::Warning, "connection_refused",
-                         { { "connections", static_cast<long long>(core_.connections) } });
-            }
-            accept();
-        });
+        if (core_.connections >= core_.options.maxConnections) {
+            logEvent(LogLevel::Warning, "connection_refused",
+                     { { "connections", static_cast<long long>(core_.connections) } });
+            return;
+        }
+        const auto client = std::make_shared<ClientConnection>(core_, std::move(socket));
+        clients_.push_back(client);
+        client->start();
     }
 
     GatewayCore core_;
-    tcp::acceptor acceptor_;
-    asio::steady_timer acceptTimer_;
+    Listener listener_;
     std::vector<std::weak_ptr<ClientConnection>> clients_;
 };
 
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -146,14 +146,4 @@
     connection->watchIdle([] {});
 }
 
-void HttpClient::abortAll()
-{
-    const auto calls = open_;
-    for (const auto &call : calls)
-        call->fail("given up with the other calls");
-    for (const auto &connection : idle_)
-        connection->close();
-    idle_.clear();
-}
-
 } // namespace auburn::gateway
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -1,5 +1,6 @@
 #include "auburn/gateway/outboundconnection.h"
 
+#include "beastview.h"
 #include "socketoptions.h"
 
 #include "auburn/core/datasinkbody.h"
@@ -273,9 +274,8 @@
 
 void OutboundConnection::noteKeepAlive(const AnswerHeader &header)
 {
-    const auto value = header[http::field::keep_alive];
     constexpr std::string_view kName = "timeout=";
-    const std::string_view text(value.data(), value.size());
+    const std::string_view text = view(header[http::field::keep_alive]);
     const std::size_t at = text.find(kName);
     if (at == std::string_view::npos)
         return;
--- a/packages/gateway/src/socketoptions.cpp
+++ b/packages/gateway/src/socketoptions.cpp
@@ -1,8 +1,5 @@
 #include "socketoptions.h"
 
-#include "auburn/core/endpoint.h"
-#include "auburn/core/lasterror.h"
-
 #include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -39,22 +36,4 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-bool listenOn(tcp::acceptor &acceptor, const std::string &address, int backlog)
-{
-    const auto endpoint = parseEndpoint(address);
-    if (!endpoint)
-        return false;
-    boost::system::error_code error;
-    acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(*endpoint, error);
-    if (!error)
-        acceptor.listen(backlog, error);
-    if (error)
-        setLastError("cannot listen on " + address + ": " + error.message());
-    return !error;
-}
-
 } // namespace auburn::gateway
--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -1,13 +1,13 @@
 #include "auburn/gateway/statusendpoint.h"
 
+#include "beastview.h"
 #include "callerrequest.h"
+#include "listener.h"
 #include "socketoptions.h"
 
 #include "auburn/core/lazydeadline.h"
-#include "auburn/core/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -29,7 +29,7 @@
 namespace {
 
 constexpr std::chrono::seconds kIdleTime{ 20 };
-constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+constexpr int kBacklog = 64;
 constexpr std::uint32_t kHeaderLimit = 8 * 1024;
 
 class Session : public std::enable_shared_from_this<Session>
@@ -65,8 +65,7 @@
     void answer()
     {
         const auto &request = parser_->get();
-        const auto target = request.target();
-        const std::string path(pathOf({ target.data(), target.size() }));
+        const std::string path(pathOf(view(request.target())));
         StatusAnswer answer{ .status = 405 };
         if (request.method() == http::verb::get)
             answer = (*handler_)(path);
@@ -103,48 +102,18 @@
 public:
     StatusEndpointImpl(asio::io_context &io, Handler handler)
         : io_(io)
-        , acceptor_(io)
-        , acceptTimer_(io)
         , handler_(std::make_shared<Handler>(std::move(handler)))
+        , listener_(io, [this](tcp::socket socket) {
+            std::make_shared<Session>(io_, std::move(socket), handler_)->start();
+        })
     {}
 
-    bool listen(const std::string &address)
-    {
-        if (!listenOn(acceptor_, address, 64))
-            return false;
-        accept();
-        return true;
-    }
+    bool listen(const std::string &address) { return listener_.listen(address, kBacklog); }
 
 private:
-    void accept()
-    {
-        acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted)
-                return;
-            if (error) {
-                acceptAfterPause();
-                return;
-            }
-            std::make_shared<Session>(io_, std::move(socket), handler_)->start();
-            accept();
-        });
-    }
-
-    // Accepting fails as long as there is no descriptor.
-    void acceptAfterPause()
-    {
-        acceptTimer_.expires_after(kAcceptPause);
-        acceptTimer_.async_wait([this](ErrorCode error) {
-            if (!error)
-                accept();
-        });
-    }
-
     asio::io_context &io_;
-    tcp::acceptor acceptor_;
-    asio::steady_timer acceptTimer_;
     std::shared_ptr<Handler> handler_;
+    Listener listener_;
 };
 
 } // namespace
