Sum up what is known of each server once for a placement

Cause: a placement added up the other daemons' loads of every candidate up to four times, looked each candidate up by its id three times, and did it again when the request yielded. Local placement stood in LocalPlacementSource and again in CellPlacement; the check of the own region in Placement and in CellPlacement; the part of a prompt that names its session in Placement and in cell.cpp. Change: Candidate holds a server's view, the load of all daemons and the slowness, made once for both passes; CellPlacement places locally through LocalPlacementSource; Placement::isInOwnRegion() and sessionPartId() serve both users. Parameters that nothing read are gone (attemptStarted, registryLost); RetryLedger's sums are const. Tests only lost the unread argument; no assertion changed. Conclusion: less work on the path of every request.

--- a/packages/peers/include/auburn/peers/cellplacement.h
+++ b/packages/peers/include/auburn/peers/cellplacement.h
@@ -67,6 +67,7 @@
     struct Pending
     {
         routing::PlacementQuery query;
+        std::chrono::milliseconds timeLeft{ 0 };
         std::shared_ptr<const routing::TrafficConfig> config;
         ChoiceHandler handler;
         std::string owner;
@@ -83,11 +84,9 @@
     };
 
     std::optional<std::string> ownerOf(const routing::Cell &cell) const;
-    bool isInOwnRegion(const std::string &domain) const;
     void ask(const std::string &owner, const routing::Cell &cell,
              const routing::PlacementQuery &query, std::chrono::milliseconds timeLeft,
              ChoiceHandler handler);
-    void placeHere(const routing::PlacementQuery &query, const ChoiceHandler &handler);
     std::optional<routing::PlacementChoice> placeAsOwner(const routing::PlacementQuery &query,
                                                          const routing::Cell &cell,
                                                          std::chrono::milliseconds timeLeft,
@@ -102,6 +101,8 @@
 
     boost::asio::io_context &io_;
     const Options options_;
+    // Places where there is no cell or its owner does not answer.
+    routing::LocalPlacementSource local_;
     routing::Placement cell_;
     PeerExchange *exchange_ = nullptr;
     std::uint64_t nextNumber_ = 1;
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -80,6 +80,7 @@
 CellPlacement::CellPlacement(boost::asio::io_context &io, Options options)
     : io_(io)
     , options_(std::move(options))
+    , local_(*options_.directory, *options_.own)
     , cell_({ .failureDomain = options_.failureDomain, .regions = options_.regions })
 {}
 
@@ -113,14 +114,14 @@
 void CellPlacement::place(const PlacementQuery &query, milliseconds timeLeft, ChoiceHandler handler)
 {
     if (!exchange_ || !exchange_->isLargeFleet() || !query.service->engine) {
-        placeHere(query, handler);
+        local_.place(query, timeLeft, handler);
         return;
     }
     const Cell cell = cellOf(options_.directory->readyServers(query.service->name), query,
                              options_.failureDomain);
     const std::optional<std::string> owner = ownerOf(cell);
     if (!owner) {
-        placeHere(query, handler);
+        local_.place(query, timeLeft, handler);
         return;
     }
     if (!owner->empty()) {
@@ -130,31 +131,14 @@
     const std::uint64_t number = nextNumber_++;
     auto choice = placeAsOwner(query, cell, timeLeft, {}, number);
     if (!choice) {
-        placeHere(query, handler);
+        local_.place(query, timeLeft, handler);
         return;
     }
     choice->ownerNumber = number;
-    options_.own->attemptStarted(*choice, query, Clock::now());
+    options_.own->attemptStarted(*choice, query);
     handler(choice);
 }
 
-void CellPlacement::placeHere(const PlacementQuery &query, const ChoiceHandler &handler)
-{
-    const auto now = Clock::now();
-    const auto choice = options_.own->choose(*options_.directory, query, now);
-    if (choice)
-        options_.own->attemptStarted(*choice, query, now);
-    handler(choice);
-}
-
-bool CellPlacement::isInOwnRegion(const std::string &domain) const
-{
-    const auto region = options_.regions.find(domain);
-    const auto ownRegion = options_.regions.find(options_.failureDomain);
-    return region != options_.regions.end() && ownRegion != options_.regions.end()
-           && region->second == ownRegion->second;
-}
-
 void CellPlacement::ask(const std::string &owner, const Cell &cell, const PlacementQuery &query,
                         milliseconds timeLeft, ChoiceHandler handler)
 {
@@ -183,12 +167,13 @@
     for (const std::string &server : options_.own->avoidedServers(Clock::now()))
         request.add_excluded(server);
     Pending pending{ .query = query,
+                     .timeLeft = timeLeft,
                      .config = *options_.config,
                      .handler = std::move(handler),
                      .owner = owner,
                      .timer = std::make_unique<boost::asio::steady_timer>(io_) };
-    pending.timer->expires_after(isInOwnRegion(cell.failureDomain) ? kSameRegionTimeout
-                                                                   : kOtherRegionTimeout);
+    pending.timer->expires_after(cell_.isInOwnRegion(cell.failureDomain) ? kSameRegionTimeout
+                                                                         : kOtherRegionTimeout);
     pending.timer->async_wait([this, number](boost::system::error_code error) {
         if (!error)
             unanswered(number);
@@ -205,7 +190,7 @@
     const Pending &pending = node.mapped();
     silent_[pending.owner] = Clock::now() + kSilentTime;
     logEvent(LogLevel::Info, "placement_unanswered", { { "owner", pending.owner } });
-    placeHere(pending.query, pending.handler);
+    local_.place(pending.query, pending.timeLeft, pending.handler);
 }
 
 void CellPlacement::answered(const proto::PlaceReply &reply, const std::string &sender)
@@ -234,11 +219,11 @@
         // The owner knows a server that this daemon does not, or knows that one has left.
         if (!reply.server().empty())
             attemptEnded(choice, false, AttemptOutcome::Abandoned);
-        placeHere(pending.query, pending.handler);
+        local_.place(pending.query, pending.timeLeft, pending.handler);
         return;
     }
     choice.address = server->address;
-    options_.own->attemptStarted(choice, pending.query, Clock::now());
+    options_.own->attemptStarted(choice, pending.query);
     pending.handler(choice);
 }
 
@@ -253,7 +238,7 @@
     auto choice = cell_.chooseIn(*options_.directory, cell, query, now);
     if (!choice)
         return std::nullopt;
-    cell_.attemptStarted(*choice, query, now);
+    cell_.attemptStarted(*choice, query);
     Owned &attempt = owned_[ownedKey(asker, number)];
     // A number comes again only from an asker that was started again.
     if (!attempt.choice.serverId.empty())
@@ -369,7 +354,7 @@
 void CellPlacement::attemptProgressed(const PlacementChoice &choice,
                                       std::chrono::microseconds sinceStart)
 {
-    options_.own->attemptProgressed(choice, sinceStart, Clock::now());
+    local_.attemptProgressed(choice, sinceStart);
     proto::PlaceUpdate message;
     message.set_outcome(proto::PLACE_OUTCOME_PROGRESSED);
     message.set_since_start_us(static_cast<std::uint64_t>(sinceStart.count()));
@@ -379,7 +364,7 @@
 void CellPlacement::attemptEnded(const PlacementChoice &choice, bool progressed,
                                  AttemptOutcome outcome)
 {
-    options_.own->attemptEnded(choice, progressed, outcome, Clock::now());
+    local_.attemptEnded(choice, progressed, outcome);
     proto::PlaceUpdate message;
     message.set_outcome(encodeOutcome(outcome));
     sendUpdate(choice, std::move(message));
--- a/packages/routing/bench/placementbench.cpp
+++ b/packages/routing/bench/placementbench.cpp
@@ -80,7 +80,7 @@
                                                 now_);
         if (!choice)
             return;
-        placement_.attemptStarted(*choice, query, now_);
+        placement_.attemptStarted(*choice, query);
         inProgress_.push_back(*choice);
         if (inProgress_.size() <= std::size_t{ kInProgressPerEngine } * engines_)
             return;
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -91,7 +91,7 @@
 // Uncached prompt tokens of requests without a first token, by urgency.
 using WaitingTokens = std::array<std::uint64_t, kLowestUrgency + 1>;
 
-// What another daemon has at a server.
+// What a daemon, or all of them, have at a server.
 struct PeerLoad
 {
     unsigned running = 0;
@@ -123,7 +123,7 @@
                                             const PlacementQuery &query, TimePoint now);
 
     // Bookkeeping of one attempt, in this order; first progress may not come.
-    void attemptStarted(const PlacementChoice &choice, const PlacementQuery &query, TimePoint now);
+    void attemptStarted(const PlacementChoice &choice, const PlacementQuery &query);
     void attemptProgressed(const PlacementChoice &choice, std::chrono::microseconds sinceStart,
                            TimePoint now);
     void attemptEnded(const PlacementChoice &choice, bool progressed, AttemptOutcome outcome,
@@ -138,6 +138,8 @@
 
     // This daemon's load at each server with requests, for other daemons.
     std::map<std::string, PeerLoad> ownLoads() const;
+    // The failure domain lies in this daemon's region.
+    bool isInOwnRegion(const std::string &failureDomain) const;
     // True if the server failed recently and is avoided.
     bool isAvoided(const std::string &serverId, TimePoint now) const;
     std::vector<std::string> avoidedServers(TimePoint now) const;
@@ -186,40 +188,49 @@
         std::optional<TimePoint> lastStream;
     };
 
+    // One server as it is seen at the time of a choice.
+    struct Candidate
+    {
+        const BackendServer *server = nullptr;
+        const ServerView *view = nullptr;
+        // Of all daemons.
+        PeerLoad load;
+        double slowness = 1;
+    };
+
     ServerView &view(const std::string &serverId, const Service &service);
-    std::optional<PlacementChoice> chooseAmong(std::vector<const BackendServer *> servers,
+    std::optional<PlacementChoice> chooseAmong(const std::vector<const BackendServer *> &servers,
                                                const PlacementQuery &query, TimePoint now);
-    std::optional<PlacementChoice> cheapest(const std::vector<const BackendServer *> &servers,
+    std::vector<Candidate> candidatesOf(const std::vector<const BackendServer *> &servers,
+                                        const PlacementQuery &query, TimePoint now);
+    std::optional<PlacementChoice> cheapest(const std::vector<Candidate> &candidates,
                                             std::size_t poolSize, const PlacementQuery &query,
-                                            int urgency, TimePoint now);
+                                            int urgency, TimePoint now) const;
     // Moves the engines of the stream pool to the front, in an order that all daemons share, and
     // returns their number.
-    std::size_t arrangeStreamPool(std::vector<const BackendServer *> &servers,
-                                  const PlacementQuery &query, TimePoint now);
-    static std::chrono::microseconds poolCost(const ServerView &view, bool inPool,
-                                              const PlacementQuery &query, std::uint64_t uncached,
-                                              TimePoint now);
+    std::size_t arrangeStreamPool(std::vector<Candidate> &candidates, const PlacementQuery &query,
+                                  TimePoint now);
+    static std::chrono::microseconds poolCost(const Candidate &candidate, bool inPool,
+                                              const PlacementQuery &query, std::uint64_t uncached);
     static double relativeSlowness(double own, double sum, std::size_t servers);
-    double totalSlowness(const std::vector<const BackendServer *> &servers,
-                         const PlacementQuery &query, TimePoint now);
     std::chrono::microseconds distanceCost(const BackendServer &server,
                                            const PlacementQuery &query) const;
-    bool isLocalRegion(const BackendServer &server) const;
-    static Homes homeServers(const std::vector<const BackendServer *> &servers, std::size_t first,
+    static Homes homeServers(const std::vector<Candidate> &candidates, std::size_t first,
                              const PromptParts &prompt);
-    static std::uint64_t expectedUncached(const ServerView &view, const BackendServer &server,
-                                          const Homes &homes, const PromptParts &prompt);
+    static std::uint64_t expectedUncached(const Candidate &candidate, const Homes &homes,
+                                          const PromptParts &prompt);
     static double decayedSlowness(const ServerView &view, TimePoint now);
     static double decayedFailureShare(const ServerView &view, TimePoint now);
-    static PeerLoad peerTotal(const ServerView &view, TimePoint now);
-    static std::chrono::microseconds predictEngine(const ServerView &view, std::uint64_t uncached,
-                                                   unsigned slots, double slowness, int urgency,
-                                                   TimePoint now);
+    // What this daemon and all others have at the server.
+    static PeerLoad totalLoad(const ServerView &view, TimePoint now);
+    static std::chrono::microseconds predictEngine(const Candidate &candidate,
+                                                   std::uint64_t uncached, double slowness,
+                                                   int urgency, TimePoint now);
     // Tokens that an engine reads before those of a new request with the urgency.
-    static std::uint64_t tokensAhead(const ServerView &view, int urgency, TimePoint now);
+    static std::uint64_t tokensAhead(const PeerLoad &load, int urgency);
     static bool mayYield(const PlacementQuery &query, const PlacementChoice &choice);
-    static std::chrono::microseconds predictPlain(const ServerView &view, unsigned slots,
-                                                  double slowness, TimePoint now);
+    static std::chrono::microseconds predictPlain(const Candidate &candidate, double slowness,
+                                                  TimePoint now);
     static std::chrono::microseconds failureCost(const ServerView &view, bool repeatable,
                                                  TimePoint now);
 
--- a/packages/routing/include/auburn/routing/promptpart.h
+++ b/packages/routing/include/auburn/routing/promptpart.h
@@ -18,4 +18,8 @@
 
 std::uint64_t totalTokens(const PromptParts &parts);
 
+// The part that the requests of one session share; it comes before the request's own part. 0 for an
+// empty prompt.
+std::uint64_t sessionPartId(const PromptParts &parts);
+
 } // namespace auburn::routing
--- a/packages/routing/include/auburn/routing/retryledger.h
+++ b/packages/routing/include/auburn/routing/retryledger.h
@@ -32,8 +32,8 @@
     // Takes one retry; false if the share is used up.
     bool takeRetry(TimePoint now);
 
-    std::uint64_t requestsInWindow(TimePoint now);
-    std::uint64_t retriesInWindow(TimePoint now);
+    std::uint64_t requestsInWindow(TimePoint now) const;
+    std::uint64_t retriesInWindow(TimePoint now) const;
 
 private:
     static constexpr std::size_t kBuckets = 20;
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -70,7 +70,7 @@
     DirectoryChange removeNow(std::string_view id, std::uint64_t position);
 
     // The registry did not answer, or answered that it cannot serve.
-    void registryLost(TimePoint now);
+    void registryLost();
     void registryAnswered(TimePoint now);
     bool isRegistryAvailable() const { return available_; }
     // The registry was there all the while and only this daemon could not reach it: what is missing
--- a/packages/routing/src/cell.cpp
+++ b/packages/routing/src/cell.cpp
@@ -27,19 +27,13 @@
     return -weight / std::log(unit);
 }
 
-// The part that requests of one session share; it comes before the request's own part.
-std::uint64_t sessionOf(const PromptParts &prompt)
-{
-    return prompt.empty() ? 0 : prompt[std::max<std::size_t>(prompt.size(), 2) - 2].id;
-}
-
 std::string domainOf(const std::map<std::string, unsigned> &engines, const PlacementQuery &query,
                      const std::string &ownDomain)
 {
     const bool stays = query.steadyStream || query.prompt.empty();
     if (stays && engines.contains(ownDomain))
         return ownDomain;
-    const std::uint64_t key = sessionOf(query.prompt);
+    const std::uint64_t key = sessionPartId(query.prompt);
     const auto best = std::max_element(engines.begin(), engines.end(),
                                        [key](const auto &left, const auto &right) {
                                            return weightedScore(left.first, key, left.second)
@@ -66,7 +60,7 @@
         return {};
     Cell cell{ .failureDomain = domainOf(engines, query, ownDomain) };
     cell.parts = partsFor(engines[cell.failureDomain]);
-    const std::uint64_t session = sessionOf(query.prompt);
+    const std::uint64_t session = sessionPartId(query.prompt);
     const std::string_view bytes(reinterpret_cast<const char *>(&session), sizeof(session));
     cell.part = static_cast<unsigned>(stableHash(bytes) % cell.parts);
     return cell;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace auburn::routing {
@@ -145,9 +146,9 @@
     return views_.emplace(serverId, ServerView(static_cast<std::uint64_t>(capacity))).first->second;
 }
 
-bool Placement::isLocalRegion(const BackendServer &server) const
+bool Placement::isInOwnRegion(const std::string &failureDomain) const
 {
-    const auto found = options_.regions.find(server.failureDomain);
+    const auto found = options_.regions.find(failureDomain);
     return found != options_.regions.end() && found->second == region_;
 }
 
@@ -155,24 +156,24 @@
 {
     if (server.failureDomain == options_.failureDomain)
         return microseconds(0);
-    if (isLocalRegion(server))
+    if (isInOwnRegion(server.failureDomain))
         return kOtherDomainCost;
     const auto kiloTokens = static_cast<std::int64_t>(totalTokens(query.prompt) / 1000);
     return kOtherRegionCost + kRegionCostPerKiloToken * kiloTokens;
 }
 
 // The first two servers by rendezvous hashing, which every daemon finds alike.
-Placement::Homes Placement::homeServers(const std::vector<const BackendServer *> &servers,
-                                        std::size_t first, const PromptParts &prompt)
+Placement::Homes Placement::homeServers(const std::vector<Candidate> &candidates, std::size_t first,
+                                        const PromptParts &prompt)
 {
     Homes homes;
     if (prompt.empty())
         return homes;
-    const std::uint64_t key = prompt.size() >= 2 ? prompt[prompt.size() - 2].id : prompt[0].id;
+    const std::uint64_t key = sessionPartId(prompt);
     std::uint64_t firstWeight = 0;
     std::uint64_t secondWeight = 0;
-    for (std::size_t i = first; i < servers.size(); ++i) {
-        const BackendServer *server = servers[i];
+    for (std::size_t i = first; i < candidates.size(); ++i) {
+        const BackendServer *server = candidates[i].server;
         const std::uint64_t weight = stableHash(server->id, key);
         if (!homes.first || weight > firstWeight) {
             homes.second = homes.first;
@@ -187,16 +188,16 @@
     return homes;
 }
 
-std::uint64_t Placement::expectedUncached(const ServerView &view, const BackendServer &server,
-                                          const Homes &homes, const PromptParts &prompt)
+std::uint64_t Placement::expectedUncached(const Candidate &candidate, const Homes &homes,
+                                          const PromptParts &prompt)
 {
-    const std::uint64_t uncached = view.cache.uncachedTokens(prompt);
+    const std::uint64_t uncached = candidate.view->cache.uncachedTokens(prompt);
     const std::uint64_t shared = sharedTokens(prompt);
     const std::uint64_t own = totalTokens(prompt) - shared;
     double share = 0;
-    if (&server == homes.first)
+    if (candidate.server == homes.first)
         share = kFirstHomeCachedShare;
-    else if (&server == homes.second)
+    else if (candidate.server == homes.second)
         share = kSecondHomeCachedShare;
     const auto expected = own
                           + static_cast<std::uint64_t>((1 - share) * static_cast<double>(shared));
@@ -218,23 +219,16 @@
     return std::max(1.0, own / std::max(1.0, others));
 }
 
-double Placement::totalSlowness(const std::vector<const BackendServer *> &servers,
-                                const PlacementQuery &query, TimePoint now)
-{
-    double sum = 0;
-    for (const BackendServer *server : servers)
-        sum += decayedSlowness(view(server->id, *query.service), now);
-    return sum;
-}
-
 double Placement::decayedFailureShare(const ServerView &view, TimePoint now)
 {
     return view.failureShare * halvings(now - view.failureAt, kFailureHalfLife);
 }
 
-PeerLoad Placement::peerTotal(const ServerView &view, TimePoint now)
+PeerLoad Placement::totalLoad(const ServerView &view, TimePoint now)
 {
-    PeerLoad total;
+    PeerLoad total{ .running = view.running,
+                    .steadyStreams = view.steadyStreams,
+                    .waitingTokens = view.waitingTokens };
     for (const auto &[peer, entry] : view.peers) {
         if (now - entry.at > kPeerLoadLifetime)
             continue;
@@ -246,21 +240,19 @@
     return total;
 }
 
-std::uint64_t Placement::tokensAhead(const ServerView &view, int urgency, TimePoint now)
+std::uint64_t Placement::tokensAhead(const PeerLoad &load, int urgency)
 {
-    const PeerLoad peers = peerTotal(view, now);
-    std::uint64_t tokens = 0;
-    for (int level = 0; level <= urgency; ++level)
-        tokens += view.waitingTokens[level] + peers.waitingTokens[level];
-    return tokens;
+    const auto end = load.waitingTokens.begin() + urgency + 1;
+    return std::accumulate(load.waitingTokens.begin(), end, std::uint64_t{ 0 });
 }
 
-microseconds Placement::predictEngine(const ServerView &view, std::uint64_t uncached,
-                                      unsigned slots, double slowness, int urgency, TimePoint now)
+microseconds Placement::predictEngine(const Candidate &candidate, std::uint64_t uncached,
+                                      double slowness, int urgency, TimePoint now)
 {
-    const PeerLoad peers = peerTotal(view, now);
-    const auto waiting = static_cast<double>(tokensAhead(view, urgency, now));
-    unsigned running = view.running + peers.running;
+    const ServerView &view = *candidate.view;
+    const unsigned slots = candidate.server->slots;
+    const auto waiting = static_cast<double>(tokensAhead(candidate.load, urgency));
+    unsigned running = candidate.load.running;
     if (view.reportedAt && now - *view.reportedAt < kReportLifetime)
         running = std::max(running, view.report.running);
     const double readMs = (waiting + static_cast<double>(uncached)) / kPrefillTokensPerMs;
@@ -271,11 +263,11 @@
     return fromMs(ms * slowness);
 }
 
-microseconds Placement::predictPlain(const ServerView &view, unsigned slots, double slowness,
-                                     TimePoint now)
+microseconds Placement::predictPlain(const Candidate &candidate, double slowness, TimePoint now)
 {
-    const PeerLoad peers = peerTotal(view, now);
-    unsigned busy = view.running + peers.running;
+    const ServerView &view = *candidate.view;
+    const unsigned slots = candidate.server->slots;
+    unsigned busy = candidate.load.running;
     if (view.reportedAt && now - *view.reportedAt < kReportLifetime)
         busy = std::max(busy, view.report.running + view.report.waiting);
     const double queued = busy >= slots ? busy - slots + 1.0 : 0.0;
@@ -291,11 +283,11 @@
     return fromMs(decayedFailureShare(view, now) * costMs);
 }
 
-std::size_t Placement::arrangeStreamPool(std::vector<const BackendServer *> &servers,
+std::size_t Placement::arrangeStreamPool(std::vector<Candidate> &candidates,
                                          const PlacementQuery &query, TimePoint now)
 {
     const auto found = pools_.find(query.service->name);
-    if (servers.empty() || (!query.steadyStream && found == pools_.end()))
+    if (candidates.empty() || (!query.steadyStream && found == pools_.end()))
         return 0;
     StreamPool &pool = pools_[query.service->name];
     if (query.steadyStream)
@@ -305,35 +297,33 @@
         return 0;
     }
     double streams = query.steadyStream ? 1 : 0;
-    for (const BackendServer *server : servers) {
-        const ServerView &candidate = view(server->id, *query.service);
-        streams += candidate.steadyStreams + peerTotal(candidate, now).steadyStreams;
-    }
-    const double perEngine = std::max(1.0, kPoolSlotShare * servers.front()->slots);
+    for (const Candidate &candidate : candidates)
+        streams += candidate.load.steadyStreams;
+    const double perEngine = std::max(1.0, kPoolSlotShare * candidates.front().server->slots);
     const auto needed = static_cast<std::size_t>(std::ceil(streams / perEngine));
     const auto largest = static_cast<std::size_t>(
-            std::max(1.0, kPoolMaxShare * static_cast<double>(servers.size())));
+            std::max(1.0, kPoolMaxShare * static_cast<double>(candidates.size())));
     const std::size_t wanted = std::clamp<std::size_t>(needed, 1, largest);
     const bool shrinks = wanted < pool.size && now - pool.changedAt > kPoolShrinkPause;
     if (wanted > pool.size || shrinks) {
         pool.size = shrinks ? pool.size - 1 : wanted;
         pool.changedAt = now;
     }
-    std::sort(servers.begin(), servers.end(),
-              [](const BackendServer *left, const BackendServer *right) {
-                  return stableHash(left->id) < stableHash(right->id);
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &left, const Candidate &right) {
+                  return stableHash(left.server->id) < stableHash(right.server->id);
               });
-    return std::min(pool.size, servers.size());
+    return std::min(pool.size, candidates.size());
 }
 
-microseconds Placement::poolCost(const ServerView &view, bool inPool, const PlacementQuery &query,
-                                 std::uint64_t uncached, TimePoint now)
+microseconds Placement::poolCost(const Candidate &candidate, bool inPool,
+                                 const PlacementQuery &query, std::uint64_t uncached)
 {
     if (query.steadyStream)
         return inPool ? microseconds(0) : microseconds(kStreamOutsidePoolCost);
     if (!inPool)
         return microseconds(0);
-    const std::uint64_t tokens = uncached + tokensAhead(view, kLowestUrgency, now);
+    const std::uint64_t tokens = uncached + tokensAhead(candidate.load, kLowestUrgency);
     return tokens > kPoolPromptTokens ? kLongPromptInsidePoolCost : kPromptInsidePoolCost;
 }
 
@@ -350,17 +340,35 @@
     std::vector<const BackendServer *> servers = directory.readyServers(query.service->name);
     std::erase_if(servers,
                   [&cell](const BackendServer *server) { return !cell.contains(*server); });
-    return chooseAmong(std::move(servers), query, now);
+    return chooseAmong(servers, query, now);
 }
 
-std::optional<PlacementChoice> Placement::chooseAmong(std::vector<const BackendServer *> servers,
-                                                      const PlacementQuery &query, TimePoint now)
+std::optional<PlacementChoice> Placement::chooseAmong(
+        const std::vector<const BackendServer *> &servers, const PlacementQuery &query,
+        TimePoint now)
 {
-    const std::size_t poolSize = arrangeStreamPool(servers, query, now);
-    auto onTime = cheapest(servers, poolSize, query, query.urgency.onTime, now);
+    std::vector<Candidate> candidates = candidatesOf(servers, query, now);
+    const std::size_t poolSize = arrangeStreamPool(candidates, query, now);
+    auto onTime = cheapest(candidates, poolSize, query, query.urgency.onTime, now);
     if (!onTime || !mayYield(query, *onTime))
         return onTime;
-    return cheapest(servers, poolSize, query, query.urgency.late, now);
+    return cheapest(candidates, poolSize, query, query.urgency.late, now);
+}
+
+std::vector<Placement::Candidate> Placement::candidatesOf(
+        const std::vector<const BackendServer *> &servers, const PlacementQuery &query,
+        TimePoint now)
+{
+    std::vector<Candidate> candidates;
+    candidates.reserve(servers.size());
+    for (const BackendServer *server : servers) {
+        const ServerView &known = view(server->id, *query.service);
+        candidates.push_back({ .server = server,
+                               .view = &known,
+                               .load = totalLoad(known, now),
+                               .slowness = decayedSlowness(known, now) });
+    }
+    return candidates;
 }
 
 // Large prompts keep their turn: they would otherwise wait for as long as the burst lasts.
@@ -374,38 +382,42 @@
     return !isLarge && choice.predicted > target;
 }
 
-std::optional<PlacementChoice> Placement::cheapest(
-        const std::vector<const BackendServer *> &servers, std::size_t poolSize,
-        const PlacementQuery &query, int urgency, TimePoint now)
+std::optional<PlacementChoice> Placement::cheapest(const std::vector<Candidate> &candidates,
+                                                   std::size_t poolSize,
+                                                   const PlacementQuery &query, int urgency,
+                                                   TimePoint now) const
 {
-    const Homes homes = query.steadyStream ? homeServers(servers, 0, {})
-                                           : homeServers(servers, poolSize, query.prompt);
+    const Homes homes = query.steadyStream ? Homes()
+                                           : homeServers(candidates, poolSize, query.prompt);
     const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
-    const double slownessSum = totalSlowness(servers, query, now);
+    double slownessSum = 0;
+    for (const Candidate &candidate : candidates)
+        slownessSum += candidate.slowness;
     std::optional<PlacementChoice> best;
     microseconds bestCost{ 0 };
-    for (std::size_t i = 0; i < servers.size(); ++i) {
-        const BackendServer *server = servers[i];
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const Candidate &candidate = candidates[i];
+        const BackendServer *server = candidate.server;
+        const ServerView &known = *candidate.view;
         const bool excluded = std::find(query.excluded.begin(), query.excluded.end(), server->id)
                               != query.excluded.end();
         if (excluded)
             continue;
-        ServerView &candidate = view(server->id, *query.service);
-        const double slowness = relativeSlowness(decayedSlowness(candidate, now), slownessSum,
-                                                 servers.size());
+        const double slowness = relativeSlowness(candidate.slowness, slownessSum,
+                                                 candidates.size());
         std::uint64_t uncached = 0;
         microseconds predicted{ 0 };
         if (query.service->engine) {
-            uncached = expectedUncached(candidate, *server, homes, query.prompt);
-            predicted = predictEngine(candidate, uncached, server->slots, slowness, urgency, now);
+            uncached = expectedUncached(candidate, homes, query.prompt);
+            predicted = predictEngine(candidate, uncached, slowness, urgency, now);
         } else {
-            predicted = predictPlain(candidate, server->slots, slowness, now);
+            predicted = predictPlain(candidate, slowness, now);
         }
         const std::uint64_t reread = uncached - std::min(uncached, ownTokens);
         const microseconds cost = predicted + distanceCost(*server, query) + rereadCost(reread)
                                   + straggleCost(slowness)
-                                  + poolCost(candidate, i < poolSize, query, uncached, now)
-                                  + failureCost(candidate, query.repeatable, now);
+                                  + poolCost(candidate, i < poolSize, query, uncached)
+                                  + failureCost(known, query.repeatable, now);
         if (best && cost >= bestCost)
             continue;
         bestCost = cost;
@@ -413,17 +425,16 @@
                                 .address = server->address,
                                 .predicted = predicted,
                                 .uncachedTokens = uncached,
-                                .inFlight = candidate.running,
+                                .inFlight = known.running,
                                 .steadyStream = query.steadyStream,
                                 .urgency = urgency };
-        if (candidate.reportedAt)
-            best->reportAge = std::chrono::duration_cast<milliseconds>(now - *candidate.reportedAt);
+        if (known.reportedAt)
+            best->reportAge = std::chrono::duration_cast<milliseconds>(now - *known.reportedAt);
     }
     return best;
 }
 
-void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query,
-                               TimePoint /*now*/)
+void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query)
 {
     ServerView &server = view(choice.serverId, *query.service);
     ++server.running;
--- a/packages/routing/src/placementsource.cpp
+++ b/packages/routing/src/placementsource.cpp
@@ -10,7 +10,7 @@
     const auto now = Clock::now();
     const auto choice = placement_.choose(directory_, query, now);
     if (choice)
-        placement_.attemptStarted(*choice, query, now);
+        placement_.attemptStarted(*choice, query);
     handler(choice);
 }
 
--- a/packages/routing/src/promptpart.cpp
+++ b/packages/routing/src/promptpart.cpp
@@ -10,4 +10,11 @@
     return total;
 }
 
+std::uint64_t sessionPartId(const PromptParts &parts)
+{
+    if (parts.empty())
+        return 0;
+    return parts.size() >= 2 ? parts[parts.size() - 2].id : parts[0].id;
+}
+
 } // namespace auburn::routing
--- a/packages/routing/src/retryledger.cpp
+++ b/packages/routing/src/retryledger.cpp
@@ -53,12 +53,12 @@
     return sum;
 }
 
-std::uint64_t RetryLedger::requestsInWindow(TimePoint now)
+std::uint64_t RetryLedger::requestsInWindow(TimePoint now) const
 {
     return total(&Bucket::requests, now);
 }
 
-std::uint64_t RetryLedger::retriesInWindow(TimePoint now)
+std::uint64_t RetryLedger::retriesInWindow(TimePoint now) const
 {
     return total(&Bucket::retries, now);
 }
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -118,7 +118,7 @@
     return result;
 }
 
-void ServerDirectory::registryLost(TimePoint /*now*/)
+void ServerDirectory::registryLost()
 {
     available_ = false;
 }
--- a/packages/routing/tests/burst_test.cpp
+++ b/packages/routing/tests/burst_test.cpp
@@ -92,7 +92,7 @@
                                     .urgency = { .onTime = 2, .late = yields_ ? 3 : 2 },
                                     .timeToTarget = milliseconds(600) };
         const auto choice = placement_.choose(directory_, query, at(ms));
-        placement_.attemptStarted(*choice, query, at(ms));
+        placement_.attemptStarted(*choice, query);
         const bool large = own > 16000;
         ++result_.asked;
         result_.large += large ? 1 : 0;
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -59,7 +59,7 @@
     {
         const auto choice = placement.choose(directory, query, now);
         BOOST_REQUIRE(choice);
-        placement.attemptStarted(*choice, query, now);
+        placement.attemptStarted(*choice, query);
         return *choice;
     }
 
@@ -127,7 +127,7 @@
     const std::string home = placement.choose(directory, prompt(5), now)->serverId;
     WaitingTokens waiting{};
     waiting[0] = 400000;
-    placement.attemptStarted(*placement.choose(directory, prompt(5), now), prompt(5), now);
+    placement.attemptStarted(*placement.choose(directory, prompt(5), now), prompt(5));
     placement.peerReported("peer", { { home, { .running = 50, .waitingTokens = waiting } } }, now);
     BOOST_TEST(placement.choose(directory, prompt(5), now)->serverId != home);
     now += std::chrono::seconds(5);
@@ -176,7 +176,7 @@
 {
     for (int i = 0; i < 20; ++i) {
         const PlacementChoice choice{ .serverId = "desk-0" };
-        placement.attemptStarted(choice, order(), now);
+        placement.attemptStarted(choice, order());
         placement.attemptEnded(choice, true,
                                i % 2 == 0 ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded,
                                now);
@@ -192,7 +192,7 @@
         for (int i = 0; i < 12; ++i) {
             PlacementChoice choice{ .serverId = "engine-" + std::to_string(i),
                                     .predicted = milliseconds(100) };
-            placement.attemptStarted(choice, prompt(900), now);
+            placement.attemptStarted(choice, prompt(900));
             placement.attemptProgressed(choice, milliseconds(800), now);
             placement.attemptEnded(choice, true, AttemptOutcome::Succeeded, now);
         }
@@ -205,7 +205,7 @@
     const std::string home = placement.choose(directory, prompt(3), now)->serverId;
     for (int round = 0; round < 12; ++round) {
         PlacementChoice choice{ .serverId = home, .predicted = milliseconds(100) };
-        placement.attemptStarted(choice, prompt(900), now);
+        placement.attemptStarted(choice, prompt(900));
         placement.attemptProgressed(choice, milliseconds(2000), now);
         placement.attemptEnded(choice, true, AttemptOutcome::Succeeded, now);
     }
--- a/packages/routing/tests/serverdirectory_test.cpp
+++ b/packages/routing/tests/serverdirectory_test.cpp
@@ -69,7 +69,7 @@
 {
     directory.update(server("s"), 1);
     directory.update(server("t"), 2);
-    directory.registryLost(now);
+    directory.registryLost();
     directory.registryAnswered(now);
     BOOST_TEST((directory.remove("s", 3, now) == DirectoryChange::RemovalPending));
     BOOST_TEST((directory.remove("t", 4, now) == DirectoryChange::RemovalPending));
@@ -83,7 +83,7 @@
 BOOST_AUTO_TEST_CASE(expire_registryStillAway_keepsTheServer)
 {
     directory.update(server("s"), 1);
-    directory.registryLost(now);
+    directory.registryLost();
     directory.remove("s", 2, now);
     BOOST_TEST(directory.expire(now + std::chrono::minutes(1)).empty());
     BOOST_TEST(ready() == 1U);
@@ -93,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(removeNow_registryAway_actsAtOnce)
 {
     directory.update(server("s"), 1);
-    directory.registryLost(now);
+    directory.registryLost();
     BOOST_TEST((directory.removeNow("s", 2) == DirectoryChange::Removed));
     BOOST_TEST(ready() == 0U);
 }
