--- a/packages/core/src/boundedoutput.cpp
+++ b/packages/core/src/boundedoutput.cpp
@@ -41,18 +41,20 @@
 
 bool BoundedOutput::flush()
 {
-    while (!buffer_.empty()) {
+    std::size_t done = 0;
+    while (done < buffer_.size()) {
         // A pipe that polls as writable takes PIPE_BUF bytes without blocking.
         pollfd entry{ .fd = options_.descriptor, .events = POLLOUT, .revents = 0 };
         if (poll(&entry, 1, 0) != 1 || (entry.revents & POLLOUT) == 0)
-            return false;
-        const std::size_t size = std::min<std::size_t>(buffer_.size(), PIPE_BUF);
-        const ssize_t written = write(options_.descriptor, buffer_.data(), size);
+            break;
+        const std::size_t size = std::min<std::size_t>(buffer_.size() - done, PIPE_BUF);
+        const ssize_t written = write(options_.descriptor, buffer_.data() + done, size);
         if (written <= 0)
-            return false;
-        buffer_.erase(0, static_cast<std::size_t>(written));
+            break;
+        done += static_cast<std::size_t>(written);
     }
-    return true;
+    buffer_.erase(0, done);
+    return buffer_.empty();
 }
 
 } // namespace auburn
