Destroy the bus of a test station before what its handler uses

Station declared its bus before the mutex and the list that the bus thread's handler fills, so at the end of a case the list was freed while the bus still received. valgrind names the freed vector in the handler of zmqbus_test.cpp. Ruled out: the bus itself and libzmq. Under valgrind the nine cases report nothing but two sends of uninitialised padding inside libzmq. Change: the bus is the last member. No check changed. Conclusion: a fault of the test's fixture; the product's order of destruction is unaffected.

--- a/packages/mesh/tests/zmqbus_test.cpp
+++ b/packages/mesh/tests/zmqbus_test.cpp
@@ -70,11 +70,13 @@
                != received_.end();
     }
 
-    std::unique_ptr<ZmqBus> bus;
-
 private:
     std::mutex mutex_;
     std::vector<std::pair<std::string, std::string>> received_;
+
+public:
+    // Destroyed first: its thread calls the handler, which uses the members above, until it ends.
+    std::unique_ptr<ZmqBus> bus;
 };
 
 // Sends until the message arrives: delivery is not guaranteed while a connection is set up anew.
