Tell of live daemons by heartbeats, read the store by two of a domain, documents by difference

Each daemon read the servers' topic itself every 12 s, all heartbeats of all servers included, and read all documents of any daemon that had been started again, because every entry of its first listing counted as a change. A listing that was refused once began anew. Ruled out: 60 ms of live time a peer with mentions of any age (a dead domain was believed for over 30 s); all mentions in every beat (bytes).

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -47,9 +47,11 @@
         Metrics *metrics = nullptr;
         // Connections of callers beyond this number are closed at once.
         std::size_t maxConnections = 2000;
-        // Called when other daemons should soon learn of this daemon's state: a server broke off a
-        // request, or much work was placed at one.
-        std::function<void()> noteworthy;
+        // Called when much work was placed at one server, which other daemons should know before
+        // they place more.
+        std::function<void()> workPlaced;
+        // Called when a server broke off a request, which may crash others as well.
+        std::function<void()> serverBrokeOff;
     };
 
     // Null with lastError() set if the address cannot be used.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -160,8 +160,8 @@
     fields_.clear();
     body_.clear();
     splitter_.reset();
-    if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.noteworthy)
-        core_.options.noteworthy();
+    if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.workPlaced)
+        core_.options.workPlaced();
     connection_ = core_.pool->take(choice.address, isRepeatable() ? kMaxIdle : kUnsafeMaxIdle);
     logEvent(LogLevel::Info, "request_placed",
              { { "id", request_.id },
@@ -497,8 +497,8 @@
     verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
     if (result.end == CallEnd::Broken && !result.staleConnection) {
         core_.state.crashes.addCrash(fingerprint_, Clock::now());
-        if (core_.options.noteworthy)
-            core_.options.noteworthy();
+        if (core_.options.serverBrokeOff)
+            core_.options.serverBrokeOff();
     }
     endAttempt(AttemptOutcome::Failed, result.error);
     const bool blocked = core_.state.crashes.isBlocked(fingerprint_, Clock::now());
--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "auburn.pb.h"
+#include "auburn/peers/peertable.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,22 +22,19 @@
 
 using proto::PeerBeat;
 
+// Who gets a beat of a large fleet; in a small one every beat goes to all.
+enum class BeatScope {
+    // A few daemons at random.
+    Regular,
+    FailureDomain,
+    Fleet,
+};
+
 struct BeatContent
 {
+    BeatScope scope = BeatScope::Regular;
     // The load of each server; for fleets in which every beat reaches all daemons.
     bool loads = false;
-    // The recent changes of servers; for the own failure domain.
-    bool changes = false;
-};
-
-// Another daemon that was heard from in the last seconds.
-struct LivePeer
-{
-    std::string vm;
-    std::string beatAddress;
-    std::string failureDomain;
-    unsigned cpuMillis = 0;
-    bool serving = false;
 };
 
 class PeerExchange
@@ -56,6 +54,8 @@
         // Beat addresses to begin with; they may be stale.
         std::vector<std::string> seeds;
         std::chrono::milliseconds interval{ 100 };
+        // In a large fleet, once it has found itself.
+        std::chrono::milliseconds largeFleetInterval{ 250 };
         // Fills in positions, crashes and what else the beat is to carry.
         std::function<void(PeerBeat &beat, BeatContent content)> fill;
         std::function<void(const PeerBeat &beat)> received;
@@ -70,14 +70,15 @@
 
     // Adds a daemon's beat address; known ones are ignored.
     virtual void addPeer(const std::string &beatAddress) = 0;
-    // Sends a beat now, in addition to the regular ones.
-    virtual void sendSoon() = 0;
-    // The same, to all daemons of this failure domain at least.
-    virtual void sendToDomainSoon() = 0;
+    // Sends a beat in a moment, in addition to the regular ones. Several calls share one beat, to
+    // the widest scope among them.
+    virtual void sendSoon(BeatScope scope) = 0;
     // Other daemons heard from in the last seconds.
     virtual unsigned livePeers() const = 0;
     // The live peers of a failure domain.
     virtual std::vector<LivePeer> livePeersIn(const std::string &failureDomain) const = 0;
+    // Those of this failure domain that have just said that the store answers their reads.
+    virtual std::vector<LivePeer> storeReaders() const = 0;
     virtual unsigned ownCpuMillis() const = 0;
     // Too many daemons to tell each of them every load.
     virtual bool isLargeFleet() const = 0;
--- /dev/null
+++ b/packages/peers/include/auburn/peers/peertable.h
@@ -0,0 +1,92 @@
+// PeerTable: the other daemons that this one knows, which of them live, and to whom a beat goes.
+//
+// In a small fleet every beat goes to every daemon. In a large one it goes to a few, and carries
+// the newest heartbeats of some other daemons, so that each daemon learns soon enough that another
+// one lives without hearing from it. A heartbeat is a number that its daemon raises with every
+// beat: one that does not rise any more cannot make a dead daemon look alive.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace auburn::peers {
+
+// Up to this number of other daemons every beat goes to all of them, with the load at each server.
+inline constexpr std::size_t kFullMeshPeers = 12;
+
+// What a daemon tells of itself.
+struct LivePeer
+{
+    std::string vm;
+    std::string beatAddress;
+    std::string failureDomain;
+    // Share of a core, in thousandths.
+    unsigned cpuMillis = 0;
+    // Not stopping.
+    bool serving = false;
+    // The daemon reads the store, and the store answers it; known only at first hand.
+    bool readsStore = false;
+    // Raised with every beat; a daemon that was started again begins higher.
+    std::uint64_t heartbeat = 0;
+};
+
+class PeerTable
+{
+public:
+    using Clock = std::chrono::steady_clock;
+    using TimePoint = Clock::time_point;
+
+    PeerTable(std::string ownAddress, std::string failureDomain);
+
+    // False if the address is known or this daemon's own.
+    bool add(const std::string &beatAddress, TimePoint now);
+    // A beat of the peer has arrived.
+    void heard(const LivePeer &peer, TimePoint now);
+    // Another daemon has told of the peer; counts only if its heartbeat is newer.
+    void mentioned(const LivePeer &peer, TimePoint now);
+    // Forgets daemons that have been silent for long; their addresses.
+    std::vector<std::string> sweep(TimePoint now);
+
+    std::size_t size() const { return peers_.size(); }
+    unsigned live(TimePoint now) const;
+    bool isLargeFleet(TimePoint now) const { return live(now) > kFullMeshPeers; }
+    std::vector<LivePeer> liveIn(const std::string &failureDomain, TimePoint now) const;
+
+    // Daemons of this failure domain that said a moment ago, themselves, that they read the store.
+    std::vector<LivePeer> storeReaders(TimePoint now) const;
+
+    // Addresses for the regular beat of this round: all in a small fleet, else a few at random.
+    // Daemons that were never heard or are silent get their turn now and then.
+    std::vector<std::string> beatTargets(unsigned round, TimePoint now,
+                                         std::mt19937_64 &random) const;
+    // Live daemons of this failure domain.
+    std::vector<std::string> domainTargets(TimePoint now) const;
+    std::vector<std::string> liveTargets(TimePoint now) const;
+    // Daemons with a fresh heartbeat to tell others of, at random.
+    std::vector<LivePeer> mentions(TimePoint now, std::mt19937_64 &random) const;
+
+private:
+    struct Peer
+    {
+        // Of the newest heartbeat; epoch if none is known.
+        TimePoint heard;
+        TimePoint heardDirectly;
+        TimePoint addedAt;
+        LivePeer info;
+    };
+
+    void take(Peer &peer, const LivePeer &info, TimePoint now);
+    bool isLive(const Peer &peer, TimePoint now) const;
+    std::chrono::milliseconds liveTime() const;
+
+    const std::string ownAddress_;
+    const std::string failureDomain_;
+    std::map<std::string, Peer> peers_;
+};
+
+} // namespace auburn::peers
--- a/packages/peers/src/documenttopic.cpp
+++ b/packages/peers/src/documenttopic.cpp
@@ -1,29 +1,61 @@
 #include "auburn/peers/documenttopic.h"
 
+#include "auburn/core/hash.h"
+
 #include <algorithm>
 
 namespace auburn::peers {
 
-bool DocumentTopic::put(std::string_view key, std::string_view value, std::uint64_t offset)
+namespace {
+
+// Removals that are remembered; a daemon that has missed more reads everything.
+constexpr std::size_t kRemovalLimit = 2000;
+
+} // namespace
+
+bool DocumentTopic::put(std::string_view key, std::string_view value, std::uint64_t offset,
+                        std::uint64_t fingerprint)
 {
-    const auto found = documents_.find(key);
-    if (found != documents_.end() && found->second.offset >= offset)
+    const auto [found, isNew] = documents_.try_emplace(std::string(key));
+    Document &document = found->second;
+    if (!isNew && document.offset >= offset)
         return false;
-    documents_.insert_or_assign(std::string(key),
-                                Document{ .value = std::string(value), .offset = offset });
+    if (isNew || document.fingerprint != fingerprint) {
+        if (!isNew)
+            digest_ ^= stableHash(key, document.fingerprint);
+        digest_ ^= stableHash(key, fingerprint);
+        document.changedOffset = offset;
+        document.fingerprint = fingerprint;
+    }
+    document.value = value;
+    document.offset = offset;
     return true;
 }
 
-void DocumentTopic::erase(std::string_view key)
+void DocumentTopic::erase(std::string_view key, std::uint64_t offset)
 {
     const auto found = documents_.find(key);
-    if (found != documents_.end())
-        documents_.erase(found);
+    if (found == documents_.end())
+        return;
+    digest_ ^= stableHash(key, found->second.fingerprint);
+    documents_.erase(found);
+    removals_.push_back({ .key = std::string(key), .offset = offset });
+    if (removals_.size() <= kRemovalLimit)
+        return;
+    historyFrom_ = std::max(historyFrom_, removals_.front().offset + 1);
+    removals_.pop_front();
 }
 
 void DocumentTopic::advance(std::uint64_t nextOffset)
 {
+    if (nextOffset_ == 0)
+        historyFrom_ = nextOffset;
     nextOffset_ = std::max(nextOffset_, nextOffset);
 }
 
+bool DocumentTopic::hasHistorySince(std::uint64_t offset) const
+{
+    return offset > 0 && offset >= historyFrom_;
+}
+
 } // namespace auburn::peers
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -10,8 +10,8 @@
 
 #include <algorithm>
 #include <array>
-#include <map>
 #include <random>
+#include <unordered_map>
 #include <utility>
 
 namespace auburn::peers {
@@ -23,16 +23,51 @@
 namespace {
 
 constexpr std::size_t kMaxDatagram = 8192;
-// Up to this number of peers every beat goes to all of them, with the load at each server.
-constexpr std::size_t kFullMeshPeers = 12;
-// Peers that get a beat when there are more.
-constexpr std::size_t kFanOut = 6;
-constexpr std::size_t kAddressesInBeat = 3;
-constexpr std::chrono::milliseconds kLiveTime{ 3000 };
-// A peer that is silent gets only every such beat.
-constexpr unsigned kSilentStride = 8;
 // Several changes within this time share one extra beat.
 constexpr std::chrono::milliseconds kSoon{ 5 };
+// A daemon that has just started beats as often as in a small fleet, so that all are found soon.
+constexpr std::chrono::seconds kStartTime{ 5 };
+
+// Higher than that of an earlier process with the same name, unless the clock was set back between.
+std::uint64_t firstHeartbeat()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+proto::PeerMention encodeMention(const LivePeer &peer)
+{
+    proto::PeerMention mention;
+    mention.set_vm(peer.vm);
+    mention.set_beat_address(peer.beatAddress);
+    mention.set_failure_domain(peer.failureDomain);
+    mention.set_cpu_millis(peer.cpuMillis);
+    mention.set_serving(peer.serving);
+    mention.set_heartbeat(peer.heartbeat);
+    return mention;
+}
+
+LivePeer decodeMention(const proto::PeerMention &mention)
+{
+    return { .vm = mention.vm(),
+             .beatAddress = mention.beat_address(),
+             .failureDomain = mention.failure_domain(),
+             .cpuMillis = mention.cpu_millis(),
+             .serving = mention.serving(),
+             .heartbeat = mention.heartbeat() };
+}
+
+LivePeer decodeSender(const PeerBeat &beat)
+{
+    return { .vm = beat.vm(),
+             .beatAddress = beat.beat_address(),
+             .failureDomain = beat.failure_domain(),
+             .cpuMillis = beat.cpu_millis(),
+             .serving = beat.serving(),
+             .readsStore = beat.store_up_ms() > 0,
+             .heartbeat = beat.heartbeat() };
+}
 
 class PeerExchangeImpl : public PeerExchange
 {
@@ -43,6 +78,7 @@
         , timer_(io)
         , soonTimer_(io)
         , random_(std::random_device{}())
+        , table_(options_.beatAddress, options_.failureDomain)
     {
         incarnation_ = std::uniform_int_distribution<std::uint64_t>()(random_);
     }
@@ -72,7 +108,7 @@
 
     void addPeer(const std::string &beatAddress) override
     {
-        if (beatAddress == options_.beatAddress || peers_.contains(beatAddress))
+        if (beatAddress == options_.beatAddress || endpoints_.contains(beatAddress))
             return;
         const auto endpoint = parseEndpoint(beatAddress);
         if (!endpoint) {
@@ -80,100 +116,82 @@
                      { { "address", beatAddress }, { "reason", lastError() } });
             return;
         }
-        peers_.emplace(beatAddress,
-                       Peer{ .endpoint = udp::endpoint(endpoint->address(), endpoint->port()) });
+        endpoints_.emplace(beatAddress, udp::endpoint(endpoint->address(), endpoint->port()));
+        table_.add(beatAddress, Clock::now());
         logEvent(LogLevel::Info, "peer_added", { { "address", beatAddress } });
     }
 
-    void sendToDomainSoon() override
-    {
-        wholeDomain_ = true;
-        sendSoon();
-    }
-
-    void sendSoon() override
+    void sendSoon(BeatScope scope) override
     {
+        soonScope_ = std::max(soonScope_, scope);
         if (std::exchange(soon_, true))
             return;
         soonTimer_.expires_after(kSoon);
         soonTimer_.async_wait([this](ErrorCode error) {
             soon_ = false;
             if (!error)
-                sendBeats();
+                sendBeats(std::exchange(soonScope_, BeatScope::Regular));
         });
     }
 
     unsigned ownCpuMillis() const override { return options_.cpuMillis; }
-    bool isLargeFleet() const override { return livePeers() > kFullMeshPeers; }
+    bool isLargeFleet() const override { return table_.isLargeFleet(Clock::now()); }
+    unsigned livePeers() const override { return table_.live(Clock::now()); }
 
     std::vector<LivePeer> livePeersIn(const std::string &failureDomain) const override
     {
-        const auto now = Clock::now();
-        std::vector<LivePeer> result;
-        for (const auto &[address, peer] : peers_) {
-            if (isLive(peer, now) && peer.info.failureDomain == failureDomain)
-                result.push_back(peer.info);
-        }
-        return result;
+        return table_.liveIn(failureDomain, Clock::now());
     }
 
-    void send(const std::string &beatAddress, const proto::PeerDatagram &datagram) override
+    std::vector<LivePeer> storeReaders() const override
     {
-        const auto found = peers_.find(beatAddress);
-        if (found != peers_.end())
-            sendBytes(datagram.SerializeAsString(), found->second.endpoint);
+        return table_.storeReaders(Clock::now());
     }
 
-    unsigned livePeers() const override
+    void send(const std::string &beatAddress, const proto::PeerDatagram &datagram) override
     {
-        const auto now = Clock::now();
-        return static_cast<unsigned>(
-                std::count_if(peers_.begin(), peers_.end(),
-                              [now](const auto &entry) { return isLive(entry.second, now); }));
+        sendBytes(datagram.SerializeAsString(), beatAddress);
     }
 
 private:
-    struct Peer
-    {
-        udp::endpoint endpoint;
-        // Epoch if it was never heard.
-        Clock::time_point heard;
-        LivePeer info;
-    };
-
-    static bool isLive(const Peer &peer, Clock::time_point now)
-    {
-        return peer.heard != Clock::time_point() && now - peer.heard < kLiveTime;
-    }
-
     void beat()
     {
-        sendBeats();
-        timer_.expires_after(options_.interval);
+        const auto now = Clock::now();
+        sendBeats(BeatScope::Regular);
+        forgetSilentPeers(now);
+        const bool sparse = now - startedAt_ > kStartTime && table_.isLargeFleet(now);
+        timer_.expires_after(sparse ? options_.largeFleetInterval : options_.interval);
         timer_.async_wait([this](ErrorCode error) {
             if (!error)
                 beat();
         });
     }
 
-    void sendBeats()
+    void forgetSilentPeers(Clock::time_point now)
     {
-        ++round_;
-        const auto now = Clock::now();
-        std::vector<const Peer *> targets;
-        for (const auto &[address, peer] : peers_) {
-            const bool turn = round_ % kSilentStride == 0 || round_ <= kSilentStride;
-            if (isLive(peer, now) || turn)
-                targets.push_back(&peer);
+        for (const std::string &address : table_.sweep(now))
+            endpoints_.erase(address);
+    }
+
+    std::vector<std::string> targetsOf(BeatScope scope, Clock::time_point now)
+    {
+        switch (scope) {
+        case BeatScope::Regular:
+            return table_.beatTargets(++round_, now, random_);
+        case BeatScope::FailureDomain:
+            return table_.domainTargets(now);
+        case BeatScope::Fleet:
+            return table_.liveTargets(now);
         }
-        const bool fullMesh = targets.size() <= kFullMeshPeers;
-        const bool wholeDomain = std::exchange(wholeDomain_, false);
-        if (!fullMesh && wholeDomain)
-            std::erase_if(targets, [this](const Peer *peer) {
-                return peer->info.failureDomain != options_.failureDomain;
-            });
-        else if (!fullMesh)
-            pickTargets(targets);
+        return {};
+    }
+
+    void sendBeats(BeatScope scope)
+    {
+        const auto now = Clock::now();
+        const bool large = table_.isLargeFleet(now);
+        // In a small fleet every beat goes to all.
+        const BeatScope actual = large ? scope : BeatScope::Regular;
         proto::PeerDatagram datagram;
         PeerBeat &beat = *datagram.mutable_beat();
         beat.set_vm(options_.vm);
@@ -182,42 +200,27 @@
         beat.set_read_address(options_.readAddress);
         beat.set_failure_domain(options_.failureDomain);
         beat.set_cpu_millis(options_.cpuMillis);
-        options_.fill(beat, { .loads = fullMesh, .changes = wholeDomain && !fullMesh });
-        addKnown(beat, now);
+        beat.set_heartbeat(++heartbeat_);
+        options_.fill(beat, { .scope = actual, .loads = !large });
+        for (const LivePeer &peer : table_.mentions(now, random_))
+            *beat.add_mentions() = encodeMention(peer);
         const std::string bytes = datagram.SerializeAsString();
-        for (const Peer *target : targets)
-            sendBytes(bytes, target->endpoint);
+        for (const std::string &target : targetsOf(actual, now))
+            sendBytes(bytes, target);
     }
 
-    void sendBytes(const std::string &bytes, const udp::endpoint &target)
+    void sendBytes(const std::string &bytes, const std::string &beatAddress)
     {
+        const auto target = endpoints_.find(beatAddress);
+        if (target == endpoints_.end())
+            return;
         ErrorCode error;
-        socket_.send_to(asio::buffer(bytes), target, 0, error);
+        socket_.send_to(asio::buffer(bytes), target->second, 0, error);
         // A datagram that is not sent is like one that is lost; the next one replaces it.
         if (error && !std::exchange(sendFailed_, true))
             logEvent(LogLevel::Warning, "datagram_not_sent", { { "error", error.message() } });
     }
 
-    // A few peers at random.
-    void pickTargets(std::vector<const Peer *> &targets)
-    {
-        std::shuffle(targets.begin(), targets.end(), random_);
-        targets.resize(std::min(kFanOut, targets.size()));
-    }
-
-    void addKnown(PeerBeat &beat, Clock::time_point now)
-    {
-        std::vector<const std::string *> live;
-        for (const auto &[address, peer] : peers_) {
-            if (isLive(peer, now))
-                live.push_back(&address);
-        }
-        std::shuffle(live.begin(), live.end(), random_);
-        live.resize(std::min(live.size(), kAddressesInBeat));
-        for (const std::string *address : live)
-            beat.add_known(*address);
-    }
-
     void receive()
     {
         socket_.async_receive_from(asio::buffer(buffer_), sender_,
@@ -247,22 +250,15 @@
 
     void takeBeat(const PeerBeat &beat)
     {
-        if (beat.beat_address().empty())
-            return;
-        if (beat.beat_address() == options_.beatAddress)
+        if (beat.beat_address().empty() || beat.beat_address() == options_.beatAddress)
             return;
+        const auto now = Clock::now();
         addPeer(beat.beat_address());
-        const auto found = peers_.find(beat.beat_address());
-        if (found == peers_.end())
-            return;
-        found->second.heard = Clock::now();
-        found->second.info = LivePeer{ .vm = beat.vm(),
-                                       .beatAddress = beat.beat_address(),
-                                       .failureDomain = beat.failure_domain(),
-                                       .cpuMillis = beat.cpu_millis(),
-                                       .serving = beat.serving() };
-        for (const std::string &address : beat.known())
-            addPeer(address);
+        table_.heard(decodeSender(beat), now);
+        for (const proto::PeerMention &mention : beat.mentions()) {
+            addPeer(mention.beat_address());
+            table_.mentioned(decodeMention(mention), now);
+        }
         options_.received(beat);
     }
 
@@ -271,14 +267,16 @@
     asio::steady_timer timer_;
     asio::steady_timer soonTimer_;
     std::mt19937_64 random_;
+    PeerTable table_;
+    std::unordered_map<std::string, udp::endpoint> endpoints_;
     std::uint64_t incarnation_ = 0;
-    std::map<std::string, Peer> peers_;
+    std::uint64_t heartbeat_ = firstHeartbeat();
+    const Clock::time_point startedAt_ = Clock::now();
     std::array<char, kMaxDatagram> buffer_{};
     udp::endpoint sender_;
     unsigned round_ = 0;
     bool soon_ = false;
-    // The next beat goes to the whole failure domain.
-    bool wholeDomain_ = false;
+    BeatScope soonScope_ = BeatScope::Regular;
     bool sendFailed_ = false;
 };
 
--- /dev/null
+++ b/packages/peers/src/peertable.cpp
@@ -0,0 +1,179 @@
+#include "auburn/peers/peertable.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace auburn::peers {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Targets of a regular beat in a large fleet.
+constexpr std::size_t kFanOut = 6;
+constexpr std::size_t kMentionsInBeat = 5;
+// In a small fleet mentions only introduce daemons that were added.
+constexpr std::size_t kMentionsInSmallFleet = 1;
+// Only heartbeats this fresh are passed on; older ones would keep a dead daemon alive for as long
+// as they travel.
+constexpr milliseconds kMentionAge{ 600 };
+constexpr milliseconds kLiveTime{ 3000 };
+// The time between two heartbeats that arrive, at first or second hand, grows with the fleet. A
+// request that asks a dead daemon goes on after a short timeout, so a late notice costs little, and
+// daemons that disagree about who lives place the requests of one cell twice.
+constexpr milliseconds kLiveTimePerPeer{ 60 };
+// What a daemon says of its reads of the store holds for this time: three of the beats that it
+// sends to its failure domain.
+constexpr milliseconds kReaderWordTime{ 2100 };
+// A peer that is silent gets only every such beat.
+constexpr unsigned kSilentStride = 8;
+constexpr std::chrono::minutes kForgetTime{ 10 };
+
+} // namespace
+
+PeerTable::PeerTable(std::string ownAddress, std::string failureDomain)
+    : ownAddress_(std::move(ownAddress))
+    , failureDomain_(std::move(failureDomain))
+{}
+
+bool PeerTable::add(const std::string &beatAddress, TimePoint now)
+{
+    if (beatAddress == ownAddress_)
+        return false;
+    return peers_.try_emplace(beatAddress, Peer{ .addedAt = now }).second;
+}
+
+void PeerTable::take(Peer &peer, const LivePeer &info, TimePoint now)
+{
+    peer.heard = now;
+    peer.info = info;
+}
+
+void PeerTable::heard(const LivePeer &peer, TimePoint now)
+{
+    const auto found = peers_.find(peer.beatAddress);
+    if (found == peers_.end())
+        return;
+    take(found->second, peer, now);
+    found->second.heardDirectly = now;
+}
+
+void PeerTable::mentioned(const LivePeer &peer, TimePoint now)
+{
+    const auto found = peers_.find(peer.beatAddress);
+    if (found == peers_.end() || peer.heartbeat <= found->second.info.heartbeat)
+        return;
+    const bool readsStore = found->second.info.readsStore;
+    take(found->second, peer, now);
+    found->second.info.readsStore = readsStore;
+}
+
+std::vector<std::string> PeerTable::sweep(TimePoint now)
+{
+    std::vector<std::string> forgotten;
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        if (now - std::max(it->second.heard, it->second.addedAt) <= kForgetTime) {
+            ++it;
+            continue;
+        }
+        forgotten.push_back(it->first);
+        it = peers_.erase(it);
+    }
+    return forgotten;
+}
+
+milliseconds PeerTable::liveTime() const
+{
+    return std::max(kLiveTime, kLiveTimePerPeer * static_cast<int>(peers_.size()));
+}
+
+bool PeerTable::isLive(const Peer &peer, TimePoint now) const
+{
+    return peer.heard != TimePoint() && now - peer.heard < liveTime();
+}
+
+unsigned PeerTable::live(TimePoint now) const
+{
+    return static_cast<unsigned>(
+            std::count_if(peers_.begin(), peers_.end(),
+                          [&](const auto &entry) { return isLive(entry.second, now); }));
+}
+
+std::vector<LivePeer> PeerTable::liveIn(const std::string &failureDomain, TimePoint now) const
+{
+    std::vector<LivePeer> result;
+    for (const auto &[address, peer] : peers_) {
+        if (peer.info.failureDomain == failureDomain && isLive(peer, now))
+            result.push_back(peer.info);
+    }
+    return result;
+}
+
+std::vector<LivePeer> PeerTable::storeReaders(TimePoint now) const
+{
+    std::vector<LivePeer> result;
+    for (const auto &[address, peer] : peers_) {
+        const bool recent = peer.heardDirectly != TimePoint()
+                            && now - peer.heardDirectly < kReaderWordTime;
+        if (recent && peer.info.readsStore && peer.info.failureDomain == failureDomain_)
+            result.push_back(peer.info);
+    }
+    return result;
+}
+
+std::vector<std::string> PeerTable::beatTargets(unsigned round, TimePoint now,
+                                                std::mt19937_64 &random) const
+{
+    const bool silentTurn = round % kSilentStride == 0 || round <= kSilentStride;
+    std::vector<const std::string *> due;
+    for (const auto &[address, peer] : peers_) {
+        if (silentTurn || isLive(peer, now))
+            due.push_back(&address);
+    }
+    std::vector<const std::string *> picked;
+    std::sample(due.begin(), due.end(), std::back_inserter(picked),
+                due.size() <= kFullMeshPeers ? due.size() : kFanOut, random);
+    std::vector<std::string> targets;
+    for (const std::string *address : picked)
+        targets.push_back(*address);
+    return targets;
+}
+
+std::vector<std::string> PeerTable::domainTargets(TimePoint now) const
+{
+    std::vector<std::string> targets;
+    for (const auto &[address, peer] : peers_) {
+        if (peer.info.failureDomain == failureDomain_ && isLive(peer, now))
+            targets.push_back(address);
+    }
+    return targets;
+}
+
+std::vector<std::string> PeerTable::liveTargets(TimePoint now) const
+{
+    std::vector<std::string> targets;
+    for (const auto &[address, peer] : peers_) {
+        if (isLive(peer, now))
+            targets.push_back(address);
+    }
+    return targets;
+}
+
+std::vector<LivePeer> PeerTable::mentions(TimePoint now, std::mt19937_64 &random) const
+{
+    std::vector<const Peer *> fresh;
+    for (const auto &[address, peer] : peers_) {
+        if (peer.heard != TimePoint() && now - peer.heard < kMentionAge)
+            fresh.push_back(&peer);
+    }
+    std::vector<const Peer *> picked;
+    std::sample(fresh.begin(), fresh.end(), std::back_inserter(picked),
+                peers_.size() > kFullMeshPeers ? kMentionsInBeat : kMentionsInSmallFleet, random);
+    std::vector<LivePeer> result;
+    for (const Peer *peer : picked)
+        result.push_back(peer->info);
+    return result;
+}
+
+} // namespace auburn::peers
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -30,12 +30,12 @@
     {}
 
     void addPeer(const std::string &) override {}
-    void sendSoon() override {}
-    void sendToDomainSoon() override {}
+    void sendSoon(BeatScope) override {}
     unsigned livePeers() const override { return 20; }
     bool isLargeFleet() const override { return true; }
     unsigned ownCpuMillis() const override { return 100; }
     std::vector<LivePeer> livePeersIn(const std::string &failureDomain) const override;
+    std::vector<LivePeer> storeReaders() const override { return {}; }
     void send(const std::string &target, const proto::PeerDatagram &datagram) override;
 
 private:
--- /dev/null
+++ b/packages/peers/tests/peertable_test.cpp
@@ -0,0 +1,184 @@
+// Whole fleets of tables that exchange beats in simulated time, without a network.
+
+#include "auburn/peers/peertable.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace auburn::peers {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds kBeatInterval{ 250 };
+
+struct FleetFixture
+{
+    struct Daemon
+    {
+        PeerTable table;
+        LivePeer self;
+        bool down = false;
+    };
+
+    static std::string addressOf(std::size_t index) { return "10.0.0.1:" + std::to_string(index); }
+
+    void build(std::size_t daemons)
+    {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            const std::string domain = "d" + std::to_string(i % 3);
+            fleet.push_back({ .table = PeerTable(addressOf(i), domain),
+                              .self = { .vm = "vm" + std::to_string(i),
+                                        .beatAddress = addressOf(i),
+                                        .failureDomain = domain,
+                                        .serving = true,
+                                        .heartbeat = 1 } });
+            for (std::size_t other = 0; other < daemons; ++other)
+                fleet.back().table.add(addressOf(other), now);
+        }
+    }
+
+    void deliver(Daemon &from, Daemon &to)
+    {
+        if (to.down || (loss > 0 && std::uniform_real_distribution<>(0, 1)(random) < loss))
+            return;
+        ++beats;
+        to.table.add(from.self.beatAddress, now);
+        to.table.heard(from.self, now);
+        for (const LivePeer &peer : from.table.mentions(now, random)) {
+            to.table.add(peer.beatAddress, now);
+            to.table.mentioned(peer, now);
+        }
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        const auto end = now + time;
+        for (; now < end; now += kBeatInterval) {
+            ++round;
+            for (Daemon &daemon : fleet) {
+                if (daemon.down)
+                    continue;
+                ++daemon.self.heartbeat;
+                for (const std::string &target : daemon.table.beatTargets(round, now, random))
+                    deliver(daemon, fleet[std::stoul(target.substr(target.find(':') + 1))]);
+            }
+        }
+    }
+
+    // Smallest and largest number of peers that a daemon believes to live.
+    std::pair<unsigned, unsigned> believed()
+    {
+        unsigned least = static_cast<unsigned>(fleet.size());
+        unsigned most = 0;
+        for (const Daemon &daemon : fleet) {
+            if (daemon.down)
+                continue;
+            least = std::min(least, daemon.table.live(now));
+            most = std::max(most, daemon.table.live(now));
+        }
+        return { least, most };
+    }
+
+    std::vector<Daemon> fleet;
+    std::mt19937_64 random{ 7 };
+    PeerTable::TimePoint now = PeerTable::Clock::now();
+    unsigned round = 0;
+    unsigned beats = 0;
+    double loss = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peerTable, FleetFixture)
+
+BOOST_AUTO_TEST_CASE(smallFleet_everyBeatReachesAll)
+{
+    build(6);
+    run(seconds(2));
+    BOOST_TEST(fleet[0].table.beatTargets(100, now, random).size() == 5U);
+    BOOST_TEST(!fleet[0].table.isLargeFleet(now));
+}
+
+// Guards against daemons that disagree about who lives and therefore about who owns a cell.
+BOOST_AUTO_TEST_CASE(largeFleet_lossyLinks_liveDaemonsStayLiveEverywhere)
+{
+    for (const std::size_t daemons : { 71, 300, 790 }) {
+        fleet.clear();
+        round = 0;
+        loss = 0.03;
+        build(daemons);
+        run(seconds(60));
+        std::size_t missing = 0;
+        std::size_t looks = 0;
+        for (int look = 0; look < 4; ++look) {
+            run(milliseconds(1000));
+            for (const Daemon &daemon : fleet) {
+                missing += daemons - 1 - daemon.table.live(now);
+                looks += daemons - 1;
+            }
+        }
+        BOOST_TEST_CONTEXT(daemons << " daemons, " << missing << " of " << looks)
+        BOOST_TEST(missing * 1000 < looks);
+    }
+}
+
+// Guards against daemons that tell each other of a dead one and so keep it alive.
+BOOST_AUTO_TEST_CASE(largeFleet_aDomainDies_isForgottenEverywhere)
+{
+    build(300);
+    run(seconds(30));
+    for (Daemon &daemon : fleet)
+        daemon.down = daemon.self.failureDomain == "d1";
+    run(seconds(30));
+    const auto [least, most] = believed();
+    BOOST_TEST(most == 199U);
+    BOOST_TEST(least >= 197U);
+}
+
+// Guards against a fleet that, started as a whole, takes long to know itself.
+BOOST_AUTO_TEST_CASE(largeFleet_starts_isKnownWithinTenSeconds)
+{
+    build(300);
+    run(seconds(10));
+    BOOST_TEST(believed().first >= 285U);
+}
+
+BOOST_AUTO_TEST_CASE(daemonStartedAgain_higherHeartbeat_isTaken)
+{
+    build(2);
+    PeerTable &table = fleet[0].table;
+    table.add("10.0.0.1:1", now);
+    LivePeer peer = fleet[1].self;
+    peer.heartbeat = 100;
+    table.heard(peer, now);
+    peer.serving = false;
+    peer.heartbeat = 99;
+    table.mentioned(peer, now);
+    BOOST_TEST(table.liveIn("d1", now).front().serving);
+    peer.heartbeat = 1000;
+    table.mentioned(peer, now);
+    BOOST_TEST(!table.liveIn("d1", now).front().serving);
+}
+
+BOOST_AUTO_TEST_CASE(daemon_silentForLong_isForgotten)
+{
+    build(2);
+    fleet[0].table.add("10.0.0.1:1", now);
+    fleet[0].table.sweep(now + std::chrono::minutes(9));
+    BOOST_TEST(fleet[0].table.size() > 0U);
+    fleet[0].table.sweep(now + std::chrono::minutes(11));
+    BOOST_TEST(fleet[0].table.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::peers
