Spread daemons over equal plain servers; share a server's connections among all daemons

Cause: in a trial with 300 daemons and 102 plain servers 74 of the servers got no request, 136 connections were reset because they were over a server's limit, and 121 orders ended with 502 that had reached no server, for which their callers may not ask again. Daemons of a large fleet do not know each other's requests at plain servers, and of several equal ones all took the first; each kept up to 48 idle connections. Ruled out: a wait for a reset before an order is sent on a new connection (a round trip for every order). Tests: plain_manyDaemonsAndEqualServers_loadIsSpread (3 of 34 servers were used without the change) and server_acceptsFewConnectionsOfManyDaemons_fewStayIdle (6 idle instead of 2).

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -30,6 +30,8 @@
     routing::Placement placement;
     routing::RetryLedger retries;
     routing::CrashRegistry crashes;
+    // Live daemons, this one included.
+    unsigned daemons = 1;
     // Null before the first configuration is known.
     std::shared_ptr<const routing::TrafficConfig> config;
 };
--- a/packages/gateway/src/connectionpool.cpp
+++ b/packages/gateway/src/connectionpool.cpp
@@ -13,8 +13,11 @@
 // A connection is given up this much earlier than the server would close it.
 constexpr milliseconds kIdleMargin{ 800 };
 constexpr std::size_t kIdlePerServer = 48;
+// Part of the connections that a server accepts which may be idle. A server resets those beyond its
+// limit, and a request that was sent on one may have run.
+constexpr double kIdleShare = 0.5;
 
-milliseconds idleLimit(const OutboundConnection &connection)
+milliseconds idleTimeLimit(const OutboundConnection &connection)
 {
     if (!connection.keepAlive())
         return kDefaultIdleTime;
@@ -24,7 +27,7 @@
 bool isFresh(const OutboundConnection &connection, milliseconds maxIdle)
 {
     const auto idle = OutboundConnection::Clock::now() - connection.idleSince();
-    return idle <= std::min(maxIdle, idleLimit(connection));
+    return idle <= std::min(maxIdle, idleTimeLimit(connection));
 }
 
 } // namespace
@@ -47,10 +50,19 @@
     return std::make_shared<OutboundConnection>(io_, address);
 }
 
-void ConnectionPool::put(const std::shared_ptr<OutboundConnection> &connection)
+std::size_t idleConnectionLimit(unsigned accepted, unsigned daemons)
+{
+    if (accepted == 0)
+        return kIdlePerServer;
+    const double share = kIdleShare * accepted / std::max(1U, daemons);
+    return std::clamp<std::size_t>(static_cast<std::size_t>(share), 1, kIdlePerServer);
+}
+
+void ConnectionPool::put(const std::shared_ptr<OutboundConnection> &connection,
+                         std::size_t idleLimit)
 {
     std::vector<std::shared_ptr<OutboundConnection>> &idle = idle_[connection->address()];
-    if (!connection->isReusable() || idle.size() >= kIdlePerServer) {
+    if (!connection->isReusable() || idle.size() >= idleLimit) {
         connection->close();
         return;
     }
--- a/packages/gateway/src/connectionpool.h
+++ b/packages/gateway/src/connectionpool.h
@@ -11,6 +11,10 @@
 
 namespace auburn::gateway {
 
+// Connections to one server that a daemon may keep idle, out of those that the server accepts from
+// all daemons; 0 accepted means that it does not say.
+std::size_t idleConnectionLimit(unsigned accepted, unsigned daemons);
+
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
 {
 public:
@@ -19,8 +23,8 @@
     // The connection that was used last, if its idle time is at most maxIdle; a new one otherwise.
     std::shared_ptr<OutboundConnection> take(const std::string &address,
                                              std::chrono::milliseconds maxIdle);
-    // Keeps a reusable connection; closes any other.
-    void put(const std::shared_ptr<OutboundConnection> &connection);
+    // Keeps a reusable connection unless so many are idle there already; closes any other.
+    void put(const std::shared_ptr<OutboundConnection> &connection, std::size_t idleLimit);
     // Closes connections that were idle for too long.
     void sweep();
     // Closes all idle connections to the address.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -284,7 +284,8 @@
     if (connection_) {
         if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
             || connection_->isReusable())
-            core_.pool->put(connection_);
+            core_.pool->put(connection_,
+                            idleConnectionLimit(service_->maxConnections, core_.state.daemons));
         else
             connection_->close();
         connection_.reset();
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -59,7 +59,7 @@
           .services = { { .service = "desk" } },
           .isPublic = true },
     };
-    data.services = { { .name = "desk" },
+    data.services = { { .name = "desk", .maxConnections = 40 },
                       { .name = "engines",
                         .engine = routing::EngineModel{ .slots = 8, .cacheTokens = 10000 } } };
     data.limits.headerBytes = 4096;
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -146,6 +146,25 @@
     BOOST_TEST(server.connections() == 3U);
 }
 
+// Guards against daemons that together keep more idle connections than the server accepts: it
+// resets new ones, and the orders on them may have run.
+BOOST_AUTO_TEST_CASE(server_acceptsFewConnectionsOfManyDaemons_fewStayIdle)
+{
+    state.daemons = 10;
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { sealed(200, "x"), std::chrono::milliseconds(100) } } };
+    });
+    std::vector<std::unique_ptr<ScriptedClient>> clients;
+    for (int i = 0; i < 6; ++i) {
+        clients.push_back(std::make_unique<ScriptedClient>(io, address));
+        clients.back()->send(request("GET", "/read/x"));
+    }
+    BOOST_TEST(runUntil(io, [&] { return server.closedByPeer() == 4; }));
+    runFor(io, std::chrono::milliseconds(50));
+    BOOST_TEST(server.connections() == 6U);
+    BOOST_TEST(server.closedByPeer() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(server_answersAnEarlierRequestFirst_isToldByItsId)
 {
     addServer("s1", "desk", [](const ScriptedRequest &seen) {
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -81,7 +81,9 @@
     : io_(io)
     , options_(std::move(options))
     , local_(*options_.directory, *options_.own)
-    , cell_({ .failureDomain = options_.failureDomain, .regions = options_.regions })
+    , cell_({ .vm = options_.vm,
+              .failureDomain = options_.failureDomain,
+              .regions = options_.regions })
 {}
 
 // The serving daemon of the domain with the largest share of a processor; hashing decides between
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -107,6 +107,8 @@
 
     struct Options
     {
+        // Name of this daemon's VM.
+        std::string vm;
         std::string failureDomain;
         // Region of each failure domain.
         std::map<std::string, std::string> regions;
@@ -229,6 +231,9 @@
     // Tokens that an engine reads before those of a new request with the urgency.
     static std::uint64_t tokensAhead(const PeerLoad &load, int urgency);
     static bool mayYield(const PlacementQuery &query, const PlacementChoice &choice);
+    // Differs between daemons, so that those without a common view do not all take the same of
+    // several equal servers.
+    std::chrono::microseconds spreadCost(const BackendServer &server) const;
     static std::chrono::microseconds predictPlain(const Candidate &candidate, double slowness,
                                                   TimePoint now);
     static std::chrono::microseconds failureCost(const ServerView &view, bool repeatable,
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -80,6 +80,8 @@
     std::string name;
     // Set for model engines.
     std::optional<EngineModel> engine;
+    // Connections that one server accepts from all daemons together; 0 if it does not say.
+    unsigned maxConnections = 0;
 };
 
 struct TrafficLimits
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -26,6 +26,8 @@
 // Round trip to another region.
 constexpr milliseconds kOtherRegionCost{ 45 };
 constexpr milliseconds kOtherDomainCost{ 3 };
+// Less than the way to another failure domain, more than a few requests in progress.
+constexpr microseconds kSpreadCost{ 2000 };
 // Bytes of a prompt that cross regions are paid for; cost for each 1,000 tokens.
 constexpr microseconds kRegionCostPerKiloToken{ 2000 };
 // Reading a shared part again takes an engine's time from all requests that wait there, and not
@@ -275,6 +277,13 @@
     return fromMs(ms * slowness);
 }
 
+microseconds Placement::spreadCost(const BackendServer &server) const
+{
+    constexpr std::uint64_t kSteps = 1000;
+    const std::uint64_t step = stableHash(server.id, stableHash(options_.vm)) % kSteps;
+    return kSpreadCost * static_cast<std::int64_t>(step) / static_cast<std::int64_t>(kSteps);
+}
+
 microseconds Placement::failureCost(const ServerView &view, bool repeatable, TimePoint now)
 {
     if (view.avoidUntil && now < *view.avoidUntil)
@@ -407,15 +416,17 @@
                                                  candidates.size());
         std::uint64_t uncached = 0;
         microseconds predicted{ 0 };
+        microseconds spread{ 0 };
         if (query.service->engine) {
             uncached = expectedUncached(candidate, homes, query.prompt);
             predicted = predictEngine(candidate, uncached, slowness, urgency, now);
         } else {
             predicted = predictPlain(candidate, slowness, now);
+            spread = spreadCost(*server);
         }
         const std::uint64_t reread = uncached - std::min(uncached, ownTokens);
-        const microseconds cost = predicted + distanceCost(*server, query) + rereadCost(reread)
-                                  + straggleCost(slowness)
+        const microseconds cost = predicted + spread + distanceCost(*server, query)
+                                  + rereadCost(reread) + straggleCost(slowness)
                                   + poolCost(candidate, i < poolSize, query, uncached)
                                   + failureCost(known, query.repeatable, now);
         if (best && cost >= bestCost)
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -236,6 +236,28 @@
         BOOST_TEST(prompts[server] == 0U);
 }
 
+// The load of a large fleet on many equal plain servers. Daemons that do not know each other's
+// requests all took the first of them, which then reset connections beyond its limit.
+BOOST_AUTO_TEST_CASE(plain_manyDaemonsAndEqualServers_loadIsSpread)
+{
+    constexpr int kDaemons = 100;
+    constexpr int kServers = 34;
+    for (int i = 0; i < kServers; ++i)
+        add("equal-" + std::to_string(i), "equal", "a", 6);
+    const Service equal{ .name = "equal" };
+    std::map<std::string, int> requestsAt;
+    for (int i = 0; i < kDaemons; ++i) {
+        Placement daemon({ .vm = "vm-" + std::to_string(i),
+                           .failureDomain = "a",
+                           .regions = { { "a", "r1" }, { "b", "r2" } } });
+        for (int request = 0; request < 3; ++request)
+            ++requestsAt[start(daemon, { .service = &equal }).serverId];
+    }
+    BOOST_TEST(requestsAt.size() > 30U);
+    for (const auto &[server, requests] : requestsAt)
+        BOOST_TEST(requests <= 3 * 3 * kDaemons / kServers, server << " has " << requests);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
