--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "beastview.h"
+#include "requestrecord.h"
 
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
@@ -58,8 +59,7 @@
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadline_(core.io, [this] { deadlinePassed(); })
     , stall_(core.io, [this] { stalled(); })
-    , lastEventId_(request_.lastEventId)
-    , lastEventNumber_(eventNumber(request_.lastEventId))
+    , stream_(request_.lastEventId)
 {
     ++core_.requests;
 }
@@ -159,25 +159,16 @@
     isStream_ = false;
     fields_.clear();
     body_.clear();
-    splitter_.reset();
+    stream_.attemptStarted();
     if (choice.uncachedTokens >= kNoteworthyTokens && core_.options.workPlaced)
         core_.options.workPlaced();
     connection_ = core_.pool->take(choice.address, isRepeatable() ? kMaxIdle : kUnsafeMaxIdle);
-    logEvent(LogLevel::Info, "request_placed",
-             { { "id", request_.id },
-               { "attempt", static_cast<long long>(attempts_) },
-               { "service", service_->name },
-               { "server", choice.serverId },
-               { "address", choice.address },
-               { "predicted_ms", static_cast<long long>(choice.predicted.count() / 1000) },
-               { "uncached_tokens", static_cast<long long>(choice.uncachedTokens) },
-               { "in_flight", static_cast<long long>(choice.inFlight) },
-               { "urgency", static_cast<long long>(choice.urgency) },
-               { "report_age_ms",
-                 choice.reportAge ? static_cast<long long>(choice.reportAge->count()) : -1LL },
-               { "config", static_cast<long long>(request_.config->version()) },
-               { "connection", connection_->isConnected() ? "reused" : "new" },
-               { "left_ms", static_cast<long long>(timeLeft().count()) } });
+    recordPlacement({ .request = request_,
+                      .choice = choice,
+                      .service = service_->name,
+                      .attempt = attempts_,
+                      .reusesConnection = connection_->isConnected(),
+                      .timeLeft = timeLeft() });
     watchForStall();
     connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
 }
@@ -200,8 +191,8 @@
         add(dialect.organisation, request_.organisation->name);
     if (service_->engine)
         add(dialect.urgency, std::to_string(choice.urgency));
-    if (!lastEventId_.empty())
-        add(dialect.lastEventId, lastEventId_);
+    if (!stream_.lastEventId().empty())
+        add(dialect.lastEventId, stream_.lastEventId());
     if (request_.body)
         add("Content-Length", std::to_string(request_.body->size()));
     else if (request_.method != "GET" && request_.method != "HEAD")
@@ -261,25 +252,17 @@
     if (!attempt_)
         return;
     stall_.clear();
-    const auto now = Clock::now();
     core_.options.placement->attemptEnded(*attempt_, progressed_, outcome);
-    if (core_.options.metrics)
-        core_.options.metrics
-                ->counter("auburn_attempts_total", "Attempts at backend servers by end",
-                          { { "service", service_->name },
-                            { "outcome", std::string(routing::attemptOutcomeName(outcome)) } })
-                .add();
-    if (outcome != AttemptOutcome::Succeeded) {
-        logEvent(LogLevel::Info, "attempt_failed",
-                 { { "id", request_.id },
-                   { "attempt", static_cast<long long>(attempts_) },
-                   { "server", attempt_->serverId },
-                   { "reason", reason },
-                   { "status", static_cast<long long>(status_) },
-                   { "verdict", verdictName(verdict_) },
-                   { "ms", static_cast<long long>(
-                                   duration_cast<milliseconds>(now - attemptStart_).count()) } });
-    }
+    recordAttempt({ .request = request_,
+                    .server = attempt_->serverId,
+                    .service = service_->name,
+                    .attempt = attempts_,
+                    .outcome = outcome,
+                    .reason = reason,
+                    .status = status_,
+                    .verdict = verdict_,
+                    .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_) },
+                  core_.options.metrics);
     attempt_.reset();
     if (connection_) {
         if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
@@ -349,7 +332,7 @@
 {
     for (const std::string_view bytes : data) {
         if (isStream_)
-            splitter_.feed(bytes);
+            stream_.feed(bytes);
         else
             body_.append(bytes);
     }
@@ -361,40 +344,24 @@
 
 void Exchange::forwardEvents()
 {
-    outgoing_.clear();
-    while (const auto event = splitter_.next())
-        appendEvent(*event, outgoing_);
-    if (outgoing_.empty() || !sink_)
+    const std::string_view events = stream_.takeEvents(Clock::now());
+    if (events.empty() || !sink_)
         return;
-    const auto now = Clock::now();
     noteProgress();
     watchForStall();
-    if (!streamBegun_) {
-        streamBegun_ = true;
-        firstEventAt_ = now;
-        sink_->beginStream({ .status = status_, .fields = fields_ });
-    } else {
-        longestGap_ = std::max(longestGap_, duration_cast<milliseconds>(now - lastEventAt_));
-    }
-    lastEventAt_ = now;
+    beginStream();
     if (sink_)
-        sink_->sendStreamData(outgoing_);
+        sink_->sendStreamData(events);
     if (sink_ && sink_->isBackedUp() && connection_)
         connection_->pause();
 }
 
-void Exchange::appendEvent(std::string_view event, std::string &out)
+void Exchange::beginStream()
 {
-    const std::string_view id = eventId(event);
-    const auto number = eventNumber(id);
-    if (number && lastEventNumber_ && *number <= *lastEventNumber_)
+    if (stream_.hasBegun() || !sink_)
         return;
-    if (!id.empty()) {
-        lastEventId_ = id;
-        lastEventNumber_ = number;
-    }
-    ++events_;
-    out.append(event);
+    stream_.setBegun();
+    sink_->beginStream({ .status = status_, .fields = fields_ });
 }
 
 void Exchange::callEnded(const CallResult &result)
@@ -412,12 +379,9 @@
 
 void Exchange::streamComplete()
 {
-    if (!streamBegun_ && sink_) {
-        streamBegun_ = true;
-        sink_->beginStream({ .status = status_, .fields = fields_ });
-    }
-    if (sink_ && !splitter_.rest().empty())
-        sink_->sendStreamData(splitter_.rest());
+    beginStream();
+    if (sink_ && !stream_.rest().empty())
+        sink_->sendStreamData(stream_.rest());
     endAttempt(AttemptOutcome::Succeeded, {});
     if (sink_)
         sink_->endStream(true);
@@ -454,7 +418,7 @@
     std::string body = std::move(body_);
     endAttempt(serverError ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded,
                "server_error");
-    if (streamBegun_) {
+    if (stream_.hasBegun()) {
         failUnknown("resume_failed");
         return;
     }
@@ -518,7 +482,7 @@
 
 void Exchange::refuse(const char *reason)
 {
-    if (verdict_ != Verdict::DidNotRun || streamBegun_) {
+    if (verdict_ != Verdict::DidNotRun || stream_.hasBegun()) {
         failUnknown(reason);
         return;
     }
@@ -531,13 +495,13 @@
 void Exchange::failUnknown(const char *reason)
 {
     constexpr int kBadGateway = 502;
-    if (streamBegun_) {
+    if (stream_.hasBegun()) {
         if (sink_)
             sink_->endStream(false);
     } else if (sink_) {
         sink_->sendWhole({ .status = kBadGateway }, {});
     }
-    finish({ .status = streamBegun_ ? status_ : kBadGateway, .reason = reason });
+    finish({ .status = stream_.hasBegun() ? status_ : kBadGateway, .reason = reason });
 }
 
 void Exchange::noteUnansweredAttempt()
@@ -555,11 +519,11 @@
     noteUnansweredAttempt();
     endAttempt(isRepeatable() || progressed_ ? AttemptOutcome::Abandoned : AttemptOutcome::Failed,
                "deadline");
-    if (verdict_ == Verdict::DidNotRun && !streamBegun_) {
+    if (verdict_ == Verdict::DidNotRun && !stream_.hasBegun()) {
         refuse("deadline");
         return;
     }
-    if (streamBegun_) {
+    if (stream_.hasBegun()) {
         failUnknown("deadline");
         return;
     }
@@ -576,38 +540,13 @@
     sink_ = nullptr;
     deadline_.clear();
     stall_.clear();
-    const auto now = Clock::now();
-    const auto age = [this](Clock::time_point at) {
-        return static_cast<long long>(duration_cast<milliseconds>(at - request_.received).count());
-    };
-    const bool failed = ending.status >= 400 || std::string_view(ending.reason) != "served";
-    logEvent(failed ? LogLevel::Warning : LogLevel::Info, "request_ended",
-             { { "id", request_.id },
-               { "route", request_.route->name },
-               { "kind", routing::requestKindName(request_.route->kind) },
-               { "status", static_cast<long long>(ending.status) },
-               { "reason", ending.reason },
-               { "verdict", verdictName(verdict_) },
-               { "attempts", static_cast<long long>(attempts_) },
-               { "first_ms", firstEventAt_ ? age(*firstEventAt_) : -1LL },
-               { "gap_ms", static_cast<long long>(longestGap_.count()) },
-               { "events", static_cast<long long>(events_) },
-               { "ms", age(now) } });
-    Metrics *metrics = core_.options.metrics;
-    if (metrics) {
-        const MetricLabels labels{ { "kind",
-                                     std::string(routing::requestKindName(request_.route->kind)) },
-                                   { "reason", ending.reason } };
-        metrics->counter("auburn_requests_total", "Requests by kind and end", labels).add();
-        metrics->histogram("auburn_request_seconds", "Time from the first byte to the last",
-                           { labels[0] })
-                .observe(std::chrono::duration<double>(now - request_.received).count());
-        if (firstEventAt_)
-            metrics->histogram("auburn_first_event_seconds",
-                               "Time from the first byte to the first event", { labels[0] })
-                    .observe(std::chrono::duration<double>(*firstEventAt_ - request_.received)
-                                     .count());
-    }
+    recordEnd({ .request = request_,
+                .stream = stream_,
+                .status = ending.status,
+                .reason = ending.reason,
+                .verdict = verdict_,
+                .attempts = attempts_ },
+              core_.options.metrics);
     const auto self = std::move(self_);
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -7,8 +7,8 @@
 
 #include "answersink.h"
 #include "callerrequest.h"
-#include "eventsplitter.h"
 #include "gatewaycore.h"
+#include "streamanswer.h"
 
 #include "auburn/core/lazydeadline.h"
 #include "auburn/core/verdict.h"
@@ -70,7 +70,8 @@
     void noteLoad(const AnswerHeader &header);
     void noteProgress();
     void forwardEvents();
-    void appendEvent(std::string_view event, std::string &out);
+    // Sends the head of the answer before the first event.
+    void beginStream();
     void streamComplete();
     void wholeAnswerComplete();
     void passAnswer();
@@ -121,17 +122,9 @@
     bool isStream_ = false;
     std::vector<HeaderField> fields_;
     std::string body_;
-    EventSplitter splitter_;
-    std::string outgoing_;
 
     // The answer that the caller gets.
-    bool streamBegun_ = false;
-    std::string lastEventId_;
-    std::optional<std::uint64_t> lastEventNumber_;
-    std::uint64_t events_ = 0;
-    std::optional<Clock::time_point> firstEventAt_;
-    Clock::time_point lastEventAt_;
-    std::chrono::milliseconds longestGap_{ 0 };
+    StreamAnswer stream_;
 };
 
 } // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/requestrecord.cpp
@@ -0,0 +1,100 @@
+#include "requestrecord.h"
+
+#include "auburn/core/log.h"
+
+#include <string>
+
+namespace auburn::gateway {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::string_view kServed = "served";
+
+void countEnd(const RequestEnd &end, Clock::time_point now, Metrics &metrics)
+{
+    const CallerRequest &request = end.request;
+    const MetricLabels labels{ { "kind",
+                                 std::string(routing::requestKindName(request.route->kind)) },
+                               { "reason", std::string(end.reason) } };
+    metrics.counter("auburn_requests_total", "Requests by kind and end", labels).add();
+    metrics.histogram("auburn_request_seconds", "Time from the first byte to the last",
+                      { labels[0] })
+            .observe(std::chrono::duration<double>(now - request.received).count());
+    if (const auto firstEventAt = end.stream.firstEventAt())
+        metrics.histogram("auburn_first_event_seconds",
+                          "Time from the first byte to the first event", { labels[0] })
+                .observe(std::chrono::duration<double>(*firstEventAt - request.received).count());
+}
+
+} // namespace
+
+void recordPlacement(const PlacementRecord &record)
+{
+    const routing::PlacementChoice &choice = record.choice;
+    logEvent(LogLevel::Info, "request_placed",
+             { { "id", record.request.id },
+               { "attempt", static_cast<long long>(record.attempt) },
+               { "service", record.service },
+               { "server", choice.serverId },
+               { "address", choice.address },
+               { "predicted_ms", static_cast<long long>(choice.predicted.count() / 1000) },
+               { "uncached_tokens", static_cast<long long>(choice.uncachedTokens) },
+               { "in_flight", static_cast<long long>(choice.inFlight) },
+               { "urgency", static_cast<long long>(choice.urgency) },
+               { "report_age_ms",
+                 choice.reportAge ? static_cast<long long>(choice.reportAge->count()) : -1LL },
+               { "config", static_cast<long long>(record.request.config->version()) },
+               { "connection", record.reusesConnection ? "reused" : "new" },
+               { "left_ms", static_cast<long long>(record.timeLeft.count()) } });
+}
+
+void recordAttempt(const AttemptRecord &record, Metrics *metrics)
+{
+    if (metrics)
+        metrics->counter(
+                       "auburn_attempts_total", "Attempts at backend servers by end",
+                       { { "service", std::string(record.service) },
+                         { "outcome", std::string(routing::attemptOutcomeName(record.outcome)) } })
+                .add();
+    if (record.outcome == routing::AttemptOutcome::Succeeded)
+        return;
+    logEvent(LogLevel::Info, "attempt_failed",
+             { { "id", record.request.id },
+               { "attempt", static_cast<long long>(record.attempt) },
+               { "server", record.server },
+               { "reason", record.reason },
+               { "status", static_cast<long long>(record.status) },
+               { "verdict", verdictName(record.verdict) },
+               { "ms", static_cast<long long>(record.duration.count()) } });
+}
+
+void recordEnd(const RequestEnd &end, Metrics *metrics)
+{
+    const CallerRequest &request = end.request;
+    const auto now = Clock::now();
+    const auto age = [&request](Clock::time_point at) {
+        return static_cast<long long>(duration_cast<milliseconds>(at - request.received).count());
+    };
+    const bool failed = end.status >= 400 || end.reason != kServed;
+    const auto firstEventAt = end.stream.firstEventAt();
+    logEvent(failed ? LogLevel::Warning : LogLevel::Info, "request_ended",
+             { { "id", request.id },
+               { "route", request.route->name },
+               { "kind", routing::requestKindName(request.route->kind) },
+               { "status", static_cast<long long>(end.status) },
+               { "reason", end.reason },
+               { "verdict", verdictName(end.verdict) },
+               { "attempts", static_cast<long long>(end.attempts) },
+               { "first_ms", firstEventAt ? age(*firstEventAt) : -1LL },
+               { "gap_ms", static_cast<long long>(end.stream.longestGap().count()) },
+               { "events", static_cast<long long>(end.stream.events()) },
+               { "ms", age(now) } });
+    if (metrics)
+        countEnd(end, now, *metrics);
+}
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/src/requestrecord.h
@@ -0,0 +1,56 @@
+// What logs and metrics say of one request: each placement, each attempt that failed, and its end.
+#pragma once
+
+#include "callerrequest.h"
+#include "streamanswer.h"
+
+#include "auburn/core/metrics.h"
+#include "auburn/core/verdict.h"
+#include "auburn/routing/placement.h"
+
+#include <chrono>
+#include <string_view>
+
+namespace auburn::gateway {
+
+struct PlacementRecord
+{
+    const CallerRequest &request;
+    const routing::PlacementChoice &choice;
+    std::string_view service;
+    unsigned attempt = 0;
+    bool reusesConnection = false;
+    std::chrono::milliseconds timeLeft{ 0 };
+};
+
+struct AttemptRecord
+{
+    const CallerRequest &request;
+    std::string_view server;
+    std::string_view service;
+    unsigned attempt = 0;
+    routing::AttemptOutcome outcome = routing::AttemptOutcome::Succeeded;
+    std::string_view reason;
+    // Of the answer; 0 if there was none.
+    int status = 0;
+    Verdict verdict = Verdict::DidNotRun;
+    std::chrono::milliseconds duration{ 0 };
+};
+
+struct RequestEnd
+{
+    const CallerRequest &request;
+    const StreamAnswer &stream;
+    // What the caller got; 0 if it got nothing.
+    int status = 0;
+    std::string_view reason;
+    Verdict verdict = Verdict::DidNotRun;
+    unsigned attempts = 0;
+};
+
+// The metrics may be null.
+void recordPlacement(const PlacementRecord &record);
+void recordAttempt(const AttemptRecord &record, Metrics *metrics);
+void recordEnd(const RequestEnd &end, Metrics *metrics);
+
+} // namespace auburn::gateway
