--- a/packages/daemon/src/loadpoller.cpp
+++ b/packages/daemon/src/loadpoller.cpp
@@ -1,5 +1,6 @@
 #include "loadpoller.h"
 
+#include "auburn/core/log.h"
 #include "auburn/schedule/cells.h"
 
 #include <QJsonDocument>
@@ -84,12 +85,31 @@
                      [this, reply, name = backendServer.name] {
                          pending_.erase(name);
                          reply->deleteLater();
-                         if (reply->error() != QNetworkReply::NoError)
-                             return;
-                         if (const std::optional<BackendServerLoad> load = parseLoad(
-                                     reply->read(kMaxReportBytes)))
-                             options_.report(name, *load);
+                         answered(name, *reply);
                      });
 }
 
+void LoadPoller::answered(const std::string &backendServer, QNetworkReply &reply)
+{
+    if (reply.error() != QNetworkReply::NoError) {
+        failed(backendServer, reply.errorString().toStdString());
+        return;
+    }
+    const std::optional<BackendServerLoad> load = parseLoad(reply.read(kMaxReportBytes));
+    if (!load) {
+        failed(backendServer, "the report cannot be read");
+        return;
+    }
+    if (failing_.erase(backendServer) > 0)
+        logEvent(LogLevel::Info, "load_report_regained", { { "server", backendServer } });
+    options_.report(backendServer, *load);
+}
+
+void LoadPoller::failed(const std::string &backendServer, const std::string &reason)
+{
+    if (failing_.insert(backendServer).second)
+        logEvent(LogLevel::Warning, "load_report_failed",
+                 { { "server", backendServer }, { "reason", reason } });
+}
+
 } // namespace auburn
--- a/packages/daemon/src/loadpoller.h
+++ b/packages/daemon/src/loadpoller.h
@@ -1,7 +1,8 @@
 // LoadPoller: reads the load reports of the engines in the cells that this daemon owns.
 //
-// Only a cell's owner polls, so a backend server is asked once per interval however many daemons
-// there are.
+// A poll that fails leaves the last report in force; the first failure of a backend server in a row
+// and its end are logged. Only a cell's owner polls, so a backend server is asked once per interval
+// however many daemons there are.
 #pragma once
 
 #include "auburn/config/configstate.h"
@@ -41,12 +42,17 @@
     void pollAll();
     void pollPool(const Service &service, const ConfigState &config, const MemberView &view);
     void poll(const BackendServer &backendServer);
+    void answered(const std::string &backendServer, QNetworkReply &reply);
+    // Logs the first failure in a row.
+    void failed(const std::string &backendServer, const std::string &reason);
 
     const Options options_;
     QNetworkAccessManager network_;
     QTimer timer_;
     // Backend servers with a poll in progress; a slow backend server is not asked twice.
     std::set<std::string> pending_;
+    // Backend servers whose last poll failed.
+    std::set<std::string> failing_;
 };
 
 } // namespace auburn
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -99,7 +99,8 @@
 
 routing::PlacementQuery Exchange::placementQuery() const
 {
-    return { .service = service_,
+    return { .requestId = request_.id,
+             .service = service_,
              .prompt = request_.prompt,
              .urgency = request_.config->urgency(service_->name, *request_.route,
                                                  request_.organisation),
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -41,6 +41,7 @@
                { "service", record.service },
                { "server", choice.serverId },
                { "address", choice.address },
+               { "owner", choice.owner.empty() ? std::string("self") : choice.owner },
                { "predicted_ms", static_cast<long long>(choice.predicted.count() / 1000) },
                { "uncached_tokens", static_cast<long long>(choice.uncachedTokens) },
                { "in_flight", static_cast<long long>(choice.inFlight) },
--- a/packages/peers/include/auburn/peers/cellplacement.h
+++ b/packages/peers/include/auburn/peers/cellplacement.h
@@ -71,6 +71,7 @@
         std::shared_ptr<const routing::TrafficConfig> config;
         ChoiceHandler handler;
         std::string owner;
+        std::chrono::milliseconds timeout{ 0 };
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
     // An attempt that this daemon placed as an owner.
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -173,9 +173,10 @@
                      .config = *options_.config,
                      .handler = std::move(handler),
                      .owner = owner,
+                     .timeout = cell_.isInOwnRegion(cell.failureDomain) ? kSameRegionTimeout
+                                                                        : kOtherRegionTimeout,
                      .timer = std::make_unique<boost::asio::steady_timer>(io_) };
-    pending.timer->expires_after(cell_.isInOwnRegion(cell.failureDomain) ? kSameRegionTimeout
-                                                                         : kOtherRegionTimeout);
+    pending.timer->expires_after(pending.timeout);
     pending.timer->async_wait([this, number](boost::system::error_code error) {
         if (!error)
             unanswered(number);
@@ -191,7 +192,10 @@
         return;
     const Pending &pending = node.mapped();
     silent_[pending.owner] = Clock::now() + kSilentTime;
-    logEvent(LogLevel::Info, "placement_unanswered", { { "owner", pending.owner } });
+    logEvent(LogLevel::Info, "placement_unanswered",
+             { { "id", pending.query.requestId },
+               { "owner", pending.owner },
+               { "waited_ms", static_cast<long long>(pending.timeout.count()) } });
     local_.place(pending.query, pending.timeLeft, pending.handler);
 }
 
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -32,6 +32,8 @@
 
 struct PlacementQuery
 {
+    // For logs.
+    std::string requestId;
     const Service *service = nullptr;
     PromptParts prompt;
     Urgency urgency;
