Pass over a silent owner of a cell for longer each time

Cause: in a large fleet a dead daemon counts as live for 4 s (71 daemons) to 47 s (790), and every daemon lost 30 or 80 ms to it every 700 ms. Change: the pause doubles up to 5.6 s while the owner stays silent; an answer ends it; questions that fail together count once. Test: owner_silentAgain_isPassedOverForLonger; it fails without the doubling and without counting once. Ruled out: a shorter live time (peertable_test: daemons then disagree about who lives).

--- a/packages/peers/include/auburn/peers/cellplacement.h
+++ b/packages/peers/include/auburn/peers/cellplacement.h
@@ -74,6 +74,12 @@
         std::chrono::milliseconds timeout{ 0 };
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
+    // Until when others are asked instead of an owner, and for how long since its last failure.
+    struct Silence
+    {
+        Clock::time_point until;
+        std::chrono::milliseconds pause{ 0 };
+    };
     // An attempt that this daemon placed as an owner.
     struct Owned
     {
@@ -84,6 +90,7 @@
         bool progressed = false;
     };
 
+    bool isPassedOver(const std::string &owner, Clock::time_point now) const;
     std::optional<std::string> ownerOf(const routing::Cell &cell) const;
     void ask(const std::string &owner, const routing::Cell &cell,
              const routing::PlacementQuery &query, std::chrono::milliseconds timeLeft,
@@ -96,6 +103,7 @@
     void answer(const proto::PlaceRequest &request, const std::string &sender);
     void answered(const proto::PlaceReply &reply, const std::string &sender);
     void unanswered(std::uint64_t number);
+    void noteSilence(const std::string &owner);
     void updated(const proto::PlaceUpdate &update, const std::string &sender);
     void update(const std::string &key, const proto::PlaceUpdate &update);
     void sendUpdate(const routing::PlacementChoice &choice, proto::PlaceUpdate update);
@@ -110,8 +118,8 @@
     std::unordered_map<std::uint64_t, Pending> pending_;
     // By asker and its number.
     std::unordered_map<std::string, Owned> owned_;
-    // Owners that did not answer, and until when others are asked instead.
-    std::map<std::string, Clock::time_point> silent_;
+    // Owners that did not answer.
+    std::map<std::string, Silence> silent_;
 };
 
 } // namespace auburn::peers
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -20,8 +20,10 @@
 // Time for an owner's answer; both include a pause of a daemon that is waiting for its processor.
 constexpr milliseconds kSameRegionTimeout{ 30 };
 constexpr milliseconds kOtherRegionTimeout{ 80 };
-// An owner that did not answer is passed over for this time.
+// An owner that did not answer is passed over for this time, and each time after that for twice as
+// long; a dead one counts as live for some seconds in a large fleet.
 constexpr milliseconds kSilentTime{ 700 };
+constexpr milliseconds kLongestSilentTime{ 5600 };
 // An attempt whose end was not told counts as ended this long after its time limit.
 constexpr milliseconds kExpiryMargin{ 500 };
 
@@ -86,6 +88,12 @@
               .regions = options_.regions })
 {}
 
+bool CellPlacement::isPassedOver(const std::string &owner, Clock::time_point now) const
+{
+    const auto silent = silent_.find(owner);
+    return silent != silent_.end() && now < silent->second.until;
+}
+
 // The serving daemon of the domain with the largest share of a processor; hashing decides between
 // equal ones, so that they share the cells. Empty means that this daemon is the owner.
 std::optional<std::string> CellPlacement::ownerOf(const Cell &cell) const
@@ -94,8 +102,7 @@
     const auto now = Clock::now();
     std::vector<LivePeer> candidates = exchange_->livePeersIn(domain);
     std::erase_if(candidates, [&](const LivePeer &peer) {
-        const auto silent = silent_.find(peer.beatAddress);
-        return !peer.serving || (silent != silent_.end() && now < silent->second);
+        return !peer.serving || isPassedOver(peer.beatAddress, now);
     });
     if (domain == options_.failureDomain)
         candidates.push_back({ .vm = options_.vm,
@@ -191,7 +198,7 @@
     if (node.empty())
         return;
     const Pending &pending = node.mapped();
-    silent_[pending.owner] = Clock::now() + kSilentTime;
+    noteSilence(pending.owner);
     logEvent(LogLevel::Info, "placement_unanswered",
              { { "id", pending.query.requestId },
                { "owner", pending.owner },
@@ -199,6 +206,17 @@
     local_.place(pending.query, pending.timeLeft, pending.handler);
 }
 
+// Several questions that are under way together fail together and count as one.
+void CellPlacement::noteSilence(const std::string &owner)
+{
+    const auto now = Clock::now();
+    if (isPassedOver(owner, now))
+        return;
+    Silence &silence = silent_[owner];
+    silence.pause = std::clamp(silence.pause * 2, kSilentTime, kLongestSilentTime);
+    silence.until = now + silence.pause;
+}
+
 void CellPlacement::answered(const proto::PlaceReply &reply, const std::string &sender)
 {
     auto node = pending_.extract(reply.number());
@@ -210,6 +228,7 @@
     }
     Pending &pending = node.mapped();
     pending.timer->cancel();
+    silent_.erase(pending.owner);
     const BackendServer *server = options_.directory->find(reply.server());
     const bool usable = server && server->state == routing::ServerState::Ready
                         && server->service == pending.query.service->name;
@@ -338,7 +357,9 @@
                            now);
         it = owned_.erase(it);
     }
-    std::erase_if(silent_, [now](const auto &entry) { return entry.second <= now; });
+    std::erase_if(silent_, [now](const auto &entry) {
+        return entry.second.until + kLongestSilentTime <= now;
+    });
 }
 
 // ---- The asker's side ------------------------------------------------------
--- a/packages/peers/src/peertable.cpp
+++ b/packages/peers/src/peertable.cpp
@@ -135,6 +135,7 @@
     std::sample(due.begin(), due.end(), std::back_inserter(picked),
                 due.size() <= kFullMeshPeers ? due.size() : kFanOut, random);
     std::vector<std::string> targets;
+    targets.reserve(picked.size());
     for (const std::string *address : picked)
         targets.push_back(*address);
     return targets;
@@ -171,6 +172,7 @@
     std::sample(fresh.begin(), fresh.end(), std::back_inserter(picked),
                 peers_.size() > kFullMeshPeers ? kMentionsInBeat : kMentionsInSmallFleet, random);
     std::vector<LivePeer> result;
+    result.reserve(picked.size());
     for (const Peer *peer : picked)
         result.push_back(peer->info);
     return result;
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <thread>
 #include <utility>
 
 namespace auburn::peers {
@@ -189,6 +190,30 @@
     BOOST_TEST(domains.size() == 1U);
 }
 
+// In a large fleet a dead owner counts as live for seconds; each daemon must not lose a timeout to
+// it every 700 ms. Questions that fail together are one failure.
+BOOST_AUTO_TEST_CASE(owner_silentAgain_isPassedOverForLonger)
+{
+    const auto questionsWithin = [&](int steps) {
+        network.datagrams = 0;
+        for (int i = 0; i < steps; ++i) {
+            place("a2", prompt(1));
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+        return network.datagrams;
+    };
+    const std::string owner = place("a2", prompt(1)).owner;
+    BOOST_REQUIRE(!owner.empty());
+    network.frozen = { owner };
+    for (int i = 0; i < 4; ++i)
+        daemons["a2"]->place(prompt(1), milliseconds(5000), [](auto) {});
+    runFor(io, milliseconds(120));
+    const unsigned first = questionsWithin(8);
+    BOOST_TEST(first >= 1U);
+    BOOST_TEST(first <= 2U);
+    BOOST_TEST(questionsWithin(10) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(owner_frozen_placesByTheOwnViewAndIsNotAskedAgainAtOnce)
 {
     network.frozen = { "a1", "b1" };
