--- a/packages/peers/include/auburn/peers/documenttopic.h
+++ b/packages/peers/include/auburn/peers/documenttopic.h
@@ -1,7 +1,7 @@
 // DocumentTopic: the newest document of each key of one topic of the platform's store, as a daemon
 // passes it on to daemons that cannot read the store or need not.
 //
-// Many records of the store only renew a document. What a document says is summed up by a
+// A record of the store may only renew a document. What a document says is summed up by a
 // fingerprint, so that another daemon gets only what has changed since it last read, and two
 // daemons with the same digest need not read from each other at all.
 #pragma once
