--- a/packages/peers/include/auburn/peers/peertable.h
+++ b/packages/peers/include/auburn/peers/peertable.h
@@ -1,7 +1,7 @@
 // PeerTable: the other daemons that this one knows, which of them live, and to whom a beat goes.
 //
 // In a small fleet every beat goes to every daemon. In a large one it goes to a few, and carries
-// the newest heartbeats of some other daemons, so that each daemon learns soon enough that another
+// fresh heartbeats of some other daemons, so that each daemon learns soon enough that another
 // one lives without hearing from it. A heartbeat is a number that its daemon raises with every
 // beat: one that does not rise any more cannot make a dead daemon look alive.
 #pragma once
