Bound what a server in trouble may send; let no choice or word of the store outlive a pause

Cause: troubles that operators of similar systems told of, looked for with real sockets. Ruled out by tests that passed before: a second copy of an answer reaching another caller (by id, or on an idle connection), slow streams being cut, a byte now and then counting as progress, work ended because a server left the registry, an old peer bringing back a server or a version.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -54,13 +54,21 @@
     std::string error;
 };
 
+// The request that an answer names.
+enum class AnswerOwner {
+    ThisCall,
+    AnotherCall,
+    // It names none.
+    Unnamed,
+};
+
 // Receives what happens to one call. Nothing is called after callEnded() or close().
 class CallEvents
 {
 public:
     virtual ~CallEvents() = default;
-    // True if the answer belongs to the call; otherwise it is dropped.
-    virtual bool ownsAnswer(const AnswerHeader &header) = 0;
+    // Whom the answer names; one to another request is dropped.
+    virtual AnswerOwner ownerOf(const AnswerHeader &header) = 0;
     virtual void answerBegun(const AnswerHeader &header) = 0;
     // The views are valid during the call only.
     virtual void answerData(const std::vector<std::string_view> &data) = 0;
@@ -114,6 +122,9 @@
     void deliver();
     void answerParsed();
     void readEnded(ErrorCode error);
+    bool isBeyondLimits() const;
+    // False if the answer may belong to an earlier call.
+    bool isTrusted(AnswerOwner owner) const;
     void noteKeepAlive(const AnswerHeader &header);
     void end(CallEnd how, std::string error);
 
@@ -135,6 +146,10 @@
     bool dropping_ = false;
     bool anyByte_ = false;
     bool reusable_ = false;
+    // The server has named the request in an answer on this connection.
+    bool namesRequests_ = false;
+    std::size_t headBytes_ = 0;
+    std::size_t droppedBytes_ = 0;
     unsigned answers_ = 0;
     Clock::time_point idleSince_;
     std::optional<std::chrono::seconds> keepAlive_;
--- a/packages/gateway/src/callerrequest.h
+++ b/packages/gateway/src/callerrequest.h
@@ -1,6 +1,7 @@
 // CallerRequest: one whole request of a caller with its route and organisation.
 #pragma once
 
+#include "auburn/core/bootclock.h"
 #include "auburn/core/headerfield.h"
 #include "auburn/gateway/headerdialect.h"
 #include "auburn/routing/promptpart.h"
@@ -36,7 +37,7 @@
     std::string lastEventId;
     routing::PromptParts prompt;
     // When the first byte arrived.
-    std::chrono::steady_clock::time_point received;
+    BootClock::time_point received;
     // Time that the caller gives the request from then on.
     std::optional<std::chrono::milliseconds> deadline;
 
--- a/packages/gateway/src/clientconnection.cpp
+++ b/packages/gateway/src/clientconnection.cpp
@@ -246,10 +246,19 @@
     const auto self = shared_from_this();
     if (phase_ == Phase::Header || phase_ == Phase::Body)
         reject(408, phase_ == Phase::Header ? "header_timeout" : "body_timeout");
+    else if (phase_ == Phase::Idle && hasUnreadInput())
+        readDeadline_.setAfter(currentLimits().headerTime);
     else if (phase_ != Phase::Answering)
         close();
 }
 
+// After a pause of this process the idle limit passes together with a request that came in time.
+bool ClientConnection::hasUnreadInput() const
+{
+    ErrorCode error;
+    return socket_.available(error) > 0 && !error;
+}
+
 void ClientConnection::reject(int status, const char *reason)
 {
     readDeadline_.clear();
--- a/packages/gateway/src/clientconnection.h
+++ b/packages/gateway/src/clientconnection.h
@@ -8,6 +8,7 @@
 #include "exchange.h"
 #include "gatewaycore.h"
 
+#include "auburn/core/bootclock.h"
 #include "auburn/core/lazydeadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -37,7 +38,7 @@
 
 private:
     using ErrorCode = boost::system::error_code;
-    using Clock = std::chrono::steady_clock;
+    using Clock = BootClock;
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     enum class Phase {
@@ -61,6 +62,8 @@
     void requestComplete();
     void parseFailed(ErrorCode error);
     void readDeadlinePassed();
+    // Bytes of a request have arrived that were not read yet.
+    bool hasUnreadInput() const;
     // An answer of the gateway itself before an exchange exists.
     void reject(int status, const char *reason);
 
--- a/packages/gateway/src/eventsplitter.cpp
+++ b/packages/gateway/src/eventsplitter.cpp
@@ -78,6 +78,18 @@
     return {};
 }
 
+bool isComment(std::string_view event)
+{
+    std::size_t line = 0;
+    while (line < event.size()) {
+        const char first = event[line];
+        if (first != ':' && first != '\r' && first != '\n')
+            return false;
+        line = std::min(event.find('\n', line), event.size() - 1) + 1;
+    }
+    return true;
+}
+
 std::optional<std::uint64_t> eventNumber(std::string_view id)
 {
     std::uint64_t number = 0;
--- a/packages/gateway/src/eventsplitter.h
+++ b/packages/gateway/src/eventsplitter.h
@@ -31,6 +31,8 @@
 
 // Value of the id field of an event; empty if it has none.
 std::string_view eventId(std::string_view event);
+// The event consists of comment lines only.
+bool isComment(std::string_view event);
 // The id as a number; empty if it is not one.
 std::optional<std::uint64_t> eventNumber(std::string_view id);
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -35,6 +35,13 @@
 constexpr milliseconds kLongestRetryAfter{ 1000 };
 constexpr milliseconds kLeastStall{ 150 };
 constexpr milliseconds kLeastStreamStall{ 600 };
+// A stalled attempt that no other server could take is looked at again after this time.
+constexpr milliseconds kStallRecheck{ 250 };
+// A choice of a server that takes longer was delayed by a pause of this daemon or the owner; far
+// more than any owner's time limit.
+constexpr milliseconds kChoiceLifetime{ 500 };
+// An event that is not complete within this size.
+constexpr std::size_t kMaxEvent = std::size_t{ 1024 } * 1024;
 
 std::string secondsText(milliseconds time)
 {
@@ -72,7 +79,7 @@
 void Exchange::start()
 {
     self_ = shared_from_this();
-    const auto now = Clock::now();
+    const auto now = std::chrono::steady_clock::now();
     core_.state.retries.countRequest(now);
     const std::string &name = routing::pickService(*request_.route, stableHash(request_.id));
     service_ = request_.config->findService(name);
@@ -84,7 +91,7 @@
         refuse("crashes_servers");
         return;
     }
-    deadline_.set(deadlineAt_);
+    deadline_.setAfter(timeLeft());
     nextAttempt();
 }
 
@@ -123,6 +130,7 @@
         deadlinePassed();
         return;
     }
+    askedAt_ = Clock::now();
     core_.options.placement->place(
             placementQuery(), timeLeft(),
             [self = shared_from_this()](const std::optional<routing::PlacementChoice> &choice) {
@@ -133,16 +141,24 @@
 void Exchange::placed(const std::optional<routing::PlacementChoice> &choice)
 {
     const bool wanted = !finished_ && sink_;
-    if (!wanted && choice)
+    const bool outdated = isOutdated();
+    if (choice && (!wanted || outdated))
         returnPlacement(*choice);
     if (!wanted)
         return;
-    if (choice)
+    if (outdated)
+        nextAttempt();
+    else if (choice)
         startAttempt(*choice);
     else
         refuse("no_server");
 }
 
+bool Exchange::isOutdated() const
+{
+    return Clock::now() - askedAt_ > kChoiceLifetime || timeLeft() < kLeastUsefulTime;
+}
+
 void Exchange::returnPlacement(const routing::PlacementChoice &choice)
 {
     core_.options.placement->attemptEnded(choice, false, AttemptOutcome::Abandoned);
@@ -227,12 +243,13 @@
     const auto guard = shared_from_this();
     const bool mayRun = runs_ + 1 < request_.route->maxAttempts;
     excluded_.push_back(attempt_->serverId);
-    const auto now = Clock::now();
+    const auto now = std::chrono::steady_clock::now();
     const auto other = core_.state.placement.choose(core_.state.directory, placementQuery(), now);
     const bool useful = other && !core_.state.placement.isAvoided(other->serverId, now)
                         && timeLeft() > duration_cast<milliseconds>(other->predicted);
     if (!mayRun || !useful || !takeRetry()) {
         excluded_.pop_back();
+        stall_.setAfter(kStallRecheck);
         return;
     }
     if (connection_->isConnected()) {
@@ -245,7 +262,7 @@
 
 bool Exchange::takeRetry()
 {
-    return core_.state.retries.takeRetry(Clock::now());
+    return core_.state.retries.takeRetry(std::chrono::steady_clock::now());
 }
 
 void Exchange::endAttempt(AttemptOutcome outcome, std::string_view reason)
@@ -278,14 +295,16 @@
 
 // ---- Answers of servers ----------------------------------------------------
 
-bool Exchange::ownsAnswer(const AnswerHeader &header)
+AnswerOwner Exchange::ownerOf(const AnswerHeader &header)
 {
     const auto id = view(header[core_.options.dialect.requestId]);
-    if (id.empty() || id == request_.id)
-        return true;
+    if (id.empty())
+        return AnswerOwner::Unnamed;
+    if (id == request_.id)
+        return AnswerOwner::ThisCall;
     logEvent(LogLevel::Warning, "foreign_answer_dropped",
              { { "id", request_.id }, { "server", attempt_->serverId }, { "answer_id", id } });
-    return false;
+    return AnswerOwner::AnotherCall;
 }
 
 void Exchange::noteLoad(const AnswerHeader &header)
@@ -301,7 +320,8 @@
         return;
     parsed = std::from_chars(parsed.ptr + 1, last, report.slots);
     if (parsed.ec == std::errc())
-        core_.state.placement.reported(attempt_->serverId, report, Clock::now());
+        core_.state.placement.reported(attempt_->serverId, report,
+                                       std::chrono::steady_clock::now());
 }
 
 void Exchange::answerBegun(const AnswerHeader &header)
@@ -339,7 +359,9 @@
     }
     if (isStream_)
         forwardEvents();
-    else if (body_.size() > kMaxWholeAnswer)
+    const bool endless = isStream_ ? stream_.rest().size() > kMaxEvent
+                                   : body_.size() > kMaxWholeAnswer;
+    if (endless && attempt_)
         attemptBroken({ .end = CallEnd::Invalid, .error = "the answer is too large" });
 }
 
@@ -348,8 +370,10 @@
     const std::string_view events = stream_.takeEvents(Clock::now());
     if (events.empty() || !sink_)
         return;
-    noteProgress();
-    watchForStall();
+    if (stream_.tookEvent()) {
+        noteProgress();
+        watchForStall();
+    }
     beginStream();
     if (sink_)
         sink_->sendStreamData(events);
@@ -462,12 +486,13 @@
     ++runs_;
     verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
     if (result.end == CallEnd::Broken && !result.staleConnection) {
-        core_.state.crashes.addCrash(fingerprint_, Clock::now());
+        core_.state.crashes.addCrash(fingerprint_, std::chrono::steady_clock::now());
         if (core_.options.serverBrokeOff)
             core_.options.serverBrokeOff();
     }
     endAttempt(AttemptOutcome::Failed, result.error);
-    const bool blocked = core_.state.crashes.isBlocked(fingerprint_, Clock::now());
+    const bool blocked = core_.state.crashes.isBlocked(fingerprint_,
+                                                       std::chrono::steady_clock::now());
     if (isRepeatable() && !blocked && sink_ && runs_ < request_.route->maxAttempts && takeRetry())
         nextAttempt();
     else
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -10,6 +10,7 @@
 #include "gatewaycore.h"
 #include "streamanswer.h"
 
+#include "auburn/core/bootclock.h"
 #include "auburn/core/lazydeadline.h"
 #include "auburn/core/verdict.h"
 
@@ -39,7 +40,8 @@
     void callerReady();
 
 private:
-    using Clock = std::chrono::steady_clock;
+    // Callers count their deadlines while this VM is suspended, too.
+    using Clock = BootClock;
 
     // Why the exchange ended, for logs and metrics.
     struct Ending
@@ -50,6 +52,8 @@
 
     void nextAttempt();
     void placed(const std::optional<routing::PlacementChoice> &choice);
+    // The choice was made too long ago to hold.
+    bool isOutdated() const;
     // Gives a placement back that is not used.
     void returnPlacement(const routing::PlacementChoice &choice);
     void startAttempt(const routing::PlacementChoice &choice);
@@ -62,7 +66,7 @@
     void noteUnansweredAttempt();
     void deadlinePassed();
 
-    bool ownsAnswer(const AnswerHeader &header) override;
+    AnswerOwner ownerOf(const AnswerHeader &header) override;
     void answerBegun(const AnswerHeader &header) override;
     void answerData(const std::vector<std::string_view> &data) override;
     void callEnded(const CallResult &result) override;
@@ -105,6 +109,8 @@
 
     std::optional<routing::PlacementChoice> attempt_;
     Clock::time_point attemptStart_;
+    // When a server was asked for.
+    Clock::time_point askedAt_;
     bool progressed_ = false;
     std::vector<std::string> excluded_;
     // Attempts whose request may have reached a server's work.
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -44,7 +44,7 @@
 
     const std::shared_ptr<OutboundConnection> &connection() const { return connection_; }
 
-    bool ownsAnswer(const AnswerHeader & /*header*/) override { return true; }
+    AnswerOwner ownerOf(const AnswerHeader & /*header*/) override { return AnswerOwner::Unnamed; }
 
     void answerBegun(const AnswerHeader &header) override
     {
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -25,7 +25,10 @@
 namespace {
 
 constexpr std::size_t kReadSize = std::size_t{ 16 } * 1024;
+// Heads of one call, those of interim answers included, and a line that has not ended.
 constexpr std::uint32_t kAnswerHeadLimit = 64 * 1024;
+// Answers to other requests that are dropped in one call.
+constexpr std::size_t kDroppedLimit = std::size_t{ 1024 } * 1024;
 
 } // namespace
 
@@ -78,6 +81,8 @@
     anyByte_ = false;
     headSeen_ = false;
     dropping_ = false;
+    headBytes_ = 0;
+    droppedBytes_ = 0;
     parser_ = std::make_unique<Parser>();
     if (connected_)
         send();
@@ -200,12 +205,18 @@
         ErrorCode error;
         if (input_.size() > 0) {
             const std::size_t used = parser_->response.put(input_.data(), error);
+            headBytes_ += headSeen_ ? 0 : used;
             if (parser_->response.is_header_done() && !headSeen_ && !headerParsed())
                 return false;
             deliver();
+            droppedBytes_ += dropping_ ? used : 0;
             input_.consume(used);
             if (!inCall_ || closed_)
                 return false;
+            if (isBeyondLimits()) {
+                end(CallEnd::Invalid, "an answer beyond the limits");
+                return false;
+            }
         } else {
             error = http::error::need_more;
         }
@@ -229,12 +240,25 @@
     return false;
 }
 
+bool OutboundConnection::isBeyondLimits() const
+{
+    return headBytes_ > kAnswerHeadLimit || input_.size() > kAnswerHeadLimit
+           || droppedBytes_ > kDroppedLimit;
+}
+
+// A server that names the request in its answers does so in each of them.
+bool OutboundConnection::isTrusted(AnswerOwner owner) const
+{
+    return owner != AnswerOwner::Unnamed || !namesRequests_;
+}
+
 bool OutboundConnection::headerParsed()
 {
     headSeen_ = true;
     const AnswerHeader &header = parser_->response.get();
     const bool interim = header.result_int() / 100 == 1;
-    dropping_ = interim || !events_->ownsAnswer(header);
+    const AnswerOwner owner = interim ? AnswerOwner::Unnamed : events_->ownerOf(header);
+    dropping_ = interim || owner == AnswerOwner::AnotherCall;
     if (dropping_) {
         // A foreign answer without a length cannot be told from the one that follows it.
         if (!interim && parser_->response.need_eof()) {
@@ -243,6 +267,11 @@
         }
         return true;
     }
+    if (!isTrusted(owner)) {
+        end(CallEnd::Invalid, "an answer without the request's id on a connection in use");
+        return false;
+    }
+    namesRequests_ = namesRequests_ || owner == AnswerOwner::ThisCall;
     noteKeepAlive(header);
     events_->answerBegun(header);
     return inCall_ && !closed_;
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -8,7 +8,7 @@
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 namespace {
 
--- a/packages/gateway/src/streamanswer.cpp
+++ b/packages/gateway/src/streamanswer.cpp
@@ -16,9 +16,10 @@
 std::string_view StreamAnswer::takeEvents(TimePoint now)
 {
     taken_.clear();
+    tookEvent_ = false;
     while (const auto event = splitter_.next())
         appendEvent(*event);
-    if (taken_.empty())
+    if (!tookEvent_)
         return taken_;
     if (firstEventAt_)
         longestGap_ = std::max(longestGap_, duration_cast<milliseconds>(now - lastEventAt_));
@@ -38,8 +39,11 @@
         lastEventId_ = id;
         lastEventNumber_ = number;
     }
-    ++events_;
     taken_.append(event);
+    if (isComment(event))
+        return;
+    ++events_;
+    tookEvent_ = true;
 }
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/streamanswer.h
+++ b/packages/gateway/src/streamanswer.h
@@ -6,6 +6,8 @@
 
 #include "eventsplitter.h"
 
+#include "auburn/core/bootclock.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -17,7 +19,7 @@
 class StreamAnswer
 {
 public:
-    using TimePoint = std::chrono::steady_clock::time_point;
+    using TimePoint = BootClock::time_point;
 
     // The id of the last event that the caller has already; empty if it has none.
     explicit StreamAnswer(std::string lastEventId);
@@ -27,6 +29,8 @@
     void feed(std::string_view bytes) { splitter_.feed(bytes); }
     // The whole new events that were fed; valid until the next call.
     std::string_view takeEvents(TimePoint now);
+    // The last call of takeEvents() returned more than comments, which only keep a connection open.
+    bool tookEvent() const { return tookEvent_; }
     // What follows the last whole event.
     std::string_view rest() const { return splitter_.rest(); }
 
@@ -44,6 +48,7 @@
 
     EventSplitter splitter_;
     std::string taken_;
+    bool tookEvent_ = false;
     bool begun_ = false;
     std::string lastEventId_;
     std::optional<std::uint64_t> lastEventNumber_;
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -99,10 +99,15 @@
     : address("127.0.0.1:" + std::to_string(freePort(io)))
 {
     state.config = std::make_shared<const routing::TrafficConfig>(testConfig());
+    makeGateway(source);
+}
+
+void GatewayFixture::makeGateway(routing::PlacementSource &placement)
+{
     gateway = Gateway::make(io, { .listenAddress = address,
                                   .dialect = testDialect(),
                                   .state = &state,
-                                  .placement = &source });
+                                  .placement = &placement });
     BOOST_REQUIRE_MESSAGE(gateway, lastError());
 }
 
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -16,6 +16,8 @@
 {
     GatewayFixture();
 
+    // Opens the gateway on the fixture's address.
+    void makeGateway(routing::PlacementSource &placement);
     // Adds a server of the "desk" or "engines" service.
     ScriptedServer &addServer(const std::string &id, const std::string &service,
                               ScriptedServer::Handler handler);
--- /dev/null
+++ b/packages/gateway/tests/pause_test.cpp
@@ -0,0 +1,161 @@
+// A daemon that was paused or delayed acts on nothing that ran out meanwhile, and answers what it
+// had accepted.
+
+#include "gatewayfixture.h"
+
+#include "auburn/core/bootclock.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace auburn::gateway {
+
+using routing::AttemptOutcome;
+using routing::PlacementChoice;
+using routing::PlacementQuery;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Passes the choice of the local source on after a delay, as an owner does that was paused.
+class DelayedSource : public routing::PlacementSource
+{
+public:
+    DelayedSource(boost::asio::io_context &io, routing::PlacementSource &local)
+        : io_(io)
+        , local_(local)
+    {}
+
+    // Of the next choice only.
+    void delayNext(milliseconds delay) { delay_ = delay; }
+    unsigned choices() const { return choices_; }
+    unsigned returned() const { return returned_; }
+
+    void place(const PlacementQuery &query, milliseconds timeLeft, ChoiceHandler handler) override
+    {
+        ++choices_;
+        const milliseconds delay = std::exchange(delay_, milliseconds(0));
+        local_.place(query, timeLeft, [&](std::optional<PlacementChoice> choice) {
+            if (delay.count() == 0) {
+                handler(choice);
+                return;
+            }
+            auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+            timer->async_wait(
+                    [timer, handler, choice](boost::system::error_code) { handler(choice); });
+        });
+    }
+
+    void attemptProgressed(const PlacementChoice &choice,
+                           std::chrono::microseconds sinceStart) override
+    {
+        local_.attemptProgressed(choice, sinceStart);
+    }
+
+    void attemptEnded(const PlacementChoice &choice, bool progressed,
+                      AttemptOutcome outcome) override
+    {
+        returned_ += outcome == AttemptOutcome::Abandoned ? 1 : 0;
+        local_.attemptEnded(choice, progressed, outcome);
+    }
+
+private:
+    boost::asio::io_context &io_;
+    routing::PlacementSource &local_;
+    milliseconds delay_{ 0 };
+    unsigned choices_ = 0;
+    unsigned returned_ = 0;
+};
+
+struct PauseFixture : GatewayFixture
+{
+    PauseFixture()
+        : delayed(io, source)
+    {
+        gateway.reset();
+        makeGateway(delayed);
+    }
+
+    ScriptedServer &addDesk(const std::string &id)
+    {
+        return addServer(id, "desk", [](const ScriptedRequest &) {
+            return ScriptedReply{ .parts = { { sealed(200, "yes") } } };
+        });
+    }
+
+    DelayedSource delayed;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(pause, PauseFixture)
+
+// A choice was made on what was known before the pause; the server may have left since.
+BOOST_AUTO_TEST_CASE(choice_arrivesAfterAPause_isMadeAgain)
+{
+    ScriptedServer &first = addDesk("s1");
+    delayed.delayNext(milliseconds(800));
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/order/x", {}, "b"));
+    runFor(io, milliseconds(100));
+    ScriptedServer &second = addDesk("s2");
+    state.directory.removeNow("s1", ++position);
+    BOOST_REQUIRE(runUntil(io, [&] { return isWhole(client.received()); }));
+    BOOST_TEST(statusOf(client.received()) == 200);
+    BOOST_TEST(first.requests().empty());
+    BOOST_TEST(second.requests().size() == 1U);
+    BOOST_TEST(delayed.returned() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(choice_arrivesAfterTheDeadline_isNotSent)
+{
+    ScriptedServer &server = addDesk("s1");
+    delayed.delayNext(milliseconds(250));
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/order/x", "X-Deadline: 200\r\n", "b"));
+    // The process is paused, so the deadline and the choice come up together.
+    runFor(io, milliseconds(50));
+    std::this_thread::sleep_for(milliseconds(400));
+    BOOST_REQUIRE(runUntil(io, [&] { return isWhole(client.received()); }));
+    BOOST_TEST(statusOf(client.received()) == 503);
+    BOOST_TEST(server.requests().empty());
+    runFor(io, milliseconds(50));
+    BOOST_TEST(delayed.returned() == 1U);
+}
+
+// The VM was suspended: only the clock that counts suspended time knows that the caller is gone.
+BOOST_AUTO_TEST_CASE(request_vmSuspendedBeforeItIsSent_isNotSent)
+{
+    ScriptedServer &server = addDesk("s1");
+    delayed.delayNext(milliseconds(100));
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/order/x", "X-Deadline: 1000\r\n", "b"));
+    runFor(io, milliseconds(50));
+    const SuspendedTimeForTest suspended(milliseconds(5000));
+    BOOST_REQUIRE(runUntil(io, [&] { return isWhole(client.received()); }));
+    BOOST_TEST(statusOf(client.received()) == 503);
+    BOOST_TEST(server.requests().empty());
+}
+
+// The request was sent while the connection was open; after a pause its idle limit and the request
+// come up together.
+BOOST_AUTO_TEST_CASE(idleConnection_requestArrivesDuringAPause_isAnswered)
+{
+    ScriptedServer &server = addDesk("s1");
+    gateway->drain(milliseconds(200));
+    ScriptedClient client(io, address);
+    runFor(io, milliseconds(50));
+    client.send(request("POST", "/order/x", {}, "b"));
+    std::this_thread::sleep_for(milliseconds(400));
+    BOOST_REQUIRE(runUntil(io, [&] { return isWhole(client.received()) || client.isClosed(); }));
+    BOOST_TEST(statusOf(client.received()) == 200);
+    BOOST_TEST(server.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::gateway
--- /dev/null
+++ b/packages/gateway/tests/servertrouble_test.cpp
@@ -0,0 +1,346 @@
+// Servers in trouble: bytes without end, second copies of answers, streams that stall or only look
+// alive. Each case ends early, costs bounded memory and never reaches the wrong caller.
+
+#include "gatewayfixture.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <list>
+#include <utility>
+
+namespace auburn::gateway {
+
+using std::chrono::milliseconds;
+using End = ScriptedReply::End;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// Answers every request with a beginning and then the same bytes again and again until its peer
+// closes the connection.
+class EndlessServer
+{
+public:
+    EndlessServer(boost::asio::io_context &io, std::string beginning, const std::string &block)
+        : acceptor_(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , beginning_(std::move(beginning))
+    {
+        constexpr std::size_t kWriteSize = std::size_t{ 16 } * 1024;
+        while (repeated_.size() < kWriteSize)
+            repeated_ += block;
+        accept();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    // Its peer has closed every connection.
+    bool isLeftAlone() const { return accepted_ > 0 && open_ == 0; }
+    unsigned accepted() const { return accepted_; }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            ++accepted_;
+            ++open_;
+            tcp::socket &accepted = sockets_.emplace_back(std::move(socket));
+            accepted.async_read_some(
+                    boost::asio::buffer(buffer_),
+                    [this, &accepted](boost::system::error_code error, std::size_t) {
+                        if (error)
+                            --open_;
+                        else
+                            write(accepted, beginning_);
+                    });
+            accept();
+        });
+    }
+
+    void write(tcp::socket &socket, const std::string &bytes)
+    {
+        boost::asio::async_write(socket, boost::asio::buffer(bytes),
+                                 [this, &socket](boost::system::error_code error, std::size_t) {
+                                     if (error)
+                                         --open_;
+                                     else
+                                         write(socket, repeated_);
+                                 });
+    }
+
+    tcp::acceptor acceptor_;
+    std::list<tcp::socket> sockets_;
+    std::array<char, 4096> buffer_{};
+    std::string beginning_;
+    std::string repeated_;
+    unsigned accepted_ = 0;
+    unsigned open_ = 0;
+};
+
+struct ServerTroubleFixture : GatewayFixture
+{
+    // The only server of the service answers without end. Expects that the request fails long
+    // before its deadline and that the server's connection is closed.
+    void expectEndedEarly(const std::string &service, const std::string &target,
+                          const std::string &beginning, const std::string &block)
+    {
+        EndlessServer server(io, beginning, block);
+        state.directory.update({ .id = "endless",
+                                 .service = service,
+                                 .address = server.address(),
+                                 .failureDomain = "a",
+                                 .slots = 8 },
+                               ++position);
+        const auto begin = std::chrono::steady_clock::now();
+        const std::string answer = exchange(request("POST", target, {}, "b"));
+        const auto took = std::chrono::steady_clock::now() - begin;
+        BOOST_TEST(!(isWhole(answer) && statusOf(answer) == 200));
+        BOOST_TEST((took < milliseconds(1000)));
+        BOOST_TEST(runUntil(
+                io, [&] { return server.isLeftAlone(); }, milliseconds(300)));
+        BOOST_TEST(server.accepted() == 1U);
+    }
+
+    static ScriptedReply eventsWithPauses(unsigned first, unsigned last, milliseconds pause)
+    {
+        ScriptedReply reply{ .parts = { { streamHead() } } };
+        for (unsigned id = first; id <= last; ++id)
+            reply.parts.push_back({ chunk(event(id)), pause });
+        reply.parts.push_back({ "0\r\n\r\n" });
+        return reply;
+    }
+
+    static std::string allEvents(unsigned last)
+    {
+        std::string text;
+        for (unsigned id = 1; id <= last; ++id)
+            text += event(id);
+        return text;
+    }
+
+    // One event, then pieces that complete no further event.
+    static ScriptedReply oneEventThen(const std::string &piece, unsigned pieces)
+    {
+        ScriptedReply reply{ .parts = { { streamHead() }, { chunk(event(1)) } } };
+        for (unsigned i = 0; i < pieces; ++i)
+            reply.parts.push_back({ chunk(piece), milliseconds(100) });
+        return reply;
+    }
+
+    static constexpr const char *kOwnHead = "HTTP/1.1 200 OK\r\nX-Seal: s\r\n";
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(serverTrouble, ServerTroubleFixture)
+
+// ---- Bytes without end -----------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(statusLine_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("desk", "/order/x", "HTTP/1.1 200 ", "a");
+}
+
+BOOST_AUTO_TEST_CASE(head_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("desk", "/order/x", "HTTP/1.1 200 OK\r\n", "X-F: abc\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(interimAnswers_withoutEnd_areGivenUp)
+{
+    expectEndedEarly("desk", "/order/x", "", "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(body_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("desk", "/order/x",
+                     std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n",
+                     chunk(std::string(1000, 'x')));
+}
+
+BOOST_AUTO_TEST_CASE(bodyOfAnotherAnswer_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("desk", "/order/x",
+                     std::string(kOwnHead) + "X-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     chunk(std::string(1000, 'x')));
+}
+
+BOOST_AUTO_TEST_CASE(answersToAnotherRequest_withoutEnd_areGivenUp)
+{
+    expectEndedEarly("desk", "/order/x", "", sealed(200, "abc", "X-Id: other\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(chunkExtension_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("desk", "/order/x",
+                     std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n1;", "a");
+}
+
+BOOST_AUTO_TEST_CASE(trailer_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("desk", "/order/x",
+                     std::string(kOwnHead) + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                     "X-F: abc\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(event_withoutEnd_isGivenUp)
+{
+    expectEndedEarly("engines", "/digest/x", streamHead(), chunk("data: abc\n"));
+}
+
+// ---- Copies of answers -----------------------------------------------------
+
+// The second copy arrives when the connection carries the next caller's request.
+BOOST_AUTO_TEST_CASE(copyOfAnAnswer_onAConnectionInUse_reachesNobody)
+{
+    std::string previous;
+    ScriptedServer &server = addServer("s1", "desk", [&previous](const ScriptedRequest &seen) {
+        const std::string id(seen["X-Id"]);
+        const std::string answer = sealed(200, "answer to " + id, "X-Id: " + id + "\r\n");
+        const std::string copy = std::exchange(previous, answer);
+        return ScriptedReply{ .parts = { { copy }, { answer, milliseconds(20) } } };
+    });
+    for (int i = 0; i < 4; ++i) {
+        const std::string text = request("POST", "/order/x", {}, "b");
+        const std::size_t at = text.find("X-Id: ") + 6;
+        const std::string id = text.substr(at, text.find("\r\n", at) - at);
+        const std::string answer = exchange(text);
+        BOOST_TEST(statusOf(answer) == 200);
+        BOOST_TEST(answer.find("answer to " + id) != std::string::npos, answer);
+    }
+    BOOST_TEST(server.connections() == 1U);
+}
+
+// A server that names the request in its answers must name it in each of them: an answer without a
+// name on a connection in use may be a rest of an earlier one.
+BOOST_AUTO_TEST_CASE(answerWithoutId_afterAnswersWithIds_isNotTrusted)
+{
+    unsigned calls = 0;
+    addServer("s1", "desk", [&calls](const ScriptedRequest &seen) {
+        const std::string id(seen["X-Id"]);
+        const std::string fields = calls++ == 0 ? "X-Id: " + id + "\r\n" : std::string();
+        return ScriptedReply{ .parts = { { sealed(200, "x", fields) } } };
+    });
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 200);
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 502);
+}
+
+// The copy comes between two requests; the connection must not carry another one.
+BOOST_AUTO_TEST_CASE(copyOfAnAnswer_onAnIdleConnection_endsIt)
+{
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &seen) {
+        const std::string answer = sealed(200, "x", "X-Id: " + std::string(seen["X-Id"]) + "\r\n");
+        return ScriptedReply{ .parts = { { answer }, { answer, milliseconds(30) } } };
+    });
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 200);
+        runFor(io, milliseconds(60));
+    }
+    BOOST_TEST(server.connections() == 2U);
+}
+
+// ---- Streams that are slow, and streams that stall -------------------------
+
+// Every event is later than the route wants, none by so much that the stream counts as stalled.
+BOOST_AUTO_TEST_CASE(slowButSteadyStream_isNotCut)
+{
+    const auto slow = [](const ScriptedRequest &) {
+        return eventsWithPauses(1, 6, milliseconds(350));
+    };
+    ScriptedServer &first = addServer("e1", "engines", slow);
+    ScriptedServer &second = addServer("e2", "engines", slow);
+    BOOST_TEST(chunkedBody(exchange(request("POST", "/chat/x", {}, "b"))) == allEvents(6));
+    BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
+// No other server could go on with it, so its pauses are no reason to give it up.
+BOOST_AUTO_TEST_CASE(slowStream_onlyServer_isNotCut)
+{
+    ScriptedServer &server = addServer("e1", "engines", [](const ScriptedRequest &) {
+        return eventsWithPauses(1, 4, milliseconds(800));
+    });
+    BOOST_TEST(chunkedBody(exchange(request("POST", "/chat/x", {}, "b"))) == allEvents(4));
+    BOOST_TEST(server.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(stalledStream_sendsAByteNowAndThen_goesOnElsewhere)
+{
+    const auto stalling = [](const ScriptedRequest &seen) {
+        return seen["X-Last"].empty() ? oneEventThen("d", 60)
+                                      : eventsWithPauses(2, 4, milliseconds(2));
+    };
+    addServer("e1", "engines", stalling);
+    addServer("e2", "engines", stalling);
+    const auto begin = std::chrono::steady_clock::now();
+    BOOST_TEST(chunkedBody(exchange(request("POST", "/chat/x", {}, "b"))) == allEvents(4));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(1500)));
+}
+
+// Comment lines keep a connection open; they are not progress.
+BOOST_AUTO_TEST_CASE(stalledStream_sendsCommentsOnly_goesOnElsewhere)
+{
+    const auto stalling = [](const ScriptedRequest &seen) {
+        return seen["X-Last"].empty() ? oneEventThen(": wait\n\n", 60)
+                                      : eventsWithPauses(2, 4, milliseconds(2));
+    };
+    addServer("e1", "engines", stalling);
+    addServer("e2", "engines", stalling);
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string body = chunkedBody(exchange(request("POST", "/chat/x", {}, "b")));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(1500)));
+    for (unsigned id = 1; id <= 4; ++id)
+        BOOST_TEST(body.find(event(id)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(stalledStream_sendsAByteNowAndThen_endsAtTheRoutesTimeout)
+{
+    addServer("e1", "engines", [](const ScriptedRequest &) { return oneEventThen("d", 60); });
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string answer = exchange(request("POST", "/digest/x", {}, "b"));
+    BOOST_TEST(!isWhole(answer));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds(2000)));
+}
+
+// The other server was not there when the stream was first looked at.
+BOOST_AUTO_TEST_CASE(stalledStream_anotherServerComesLater_goesOnThere)
+{
+    addServer("e1", "engines", [](const ScriptedRequest &) { return oneEventThen("d", 100); });
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/chat/x", {}, "b"));
+    runFor(io, milliseconds(1100));
+    addServer("e2", "engines",
+              [](const ScriptedRequest &) { return eventsWithPauses(2, 4, milliseconds(2)); });
+    BOOST_TEST(runUntil(
+            io, [&] { return isWhole(client.received()); }, milliseconds(1500)));
+    BOOST_TEST(chunkedBody(client.received()) == allEvents(4));
+}
+
+// ---- Servers that are only silent towards the registry ---------------------
+
+// The registry drops a server that is slow to report; what runs there goes on to its end.
+BOOST_AUTO_TEST_CASE(serverLeavesTheRegistry_itsRunningWorkGoesOn)
+{
+    ScriptedServer &first = addServer("e1", "engines", [](const ScriptedRequest &) {
+        return eventsWithPauses(1, 6, milliseconds(60));
+    });
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/chat/x", {}, "b"));
+    BOOST_REQUIRE(runUntil(io, [&] { return client.received().size() > 200; }));
+    state.directory.removeNow("e1", ++position);
+    state.placement.forget("e1");
+    ScriptedServer &second = addServer("e2", "engines", [](const ScriptedRequest &) {
+        return eventsWithPauses(1, 6, milliseconds(2));
+    });
+    BOOST_TEST(runUntil(io, [&] { return isWhole(client.received()); }));
+    BOOST_TEST(chunkedBody(client.received()) == allEvents(6));
+    BOOST_TEST(first.requests().size() == 1U);
+    BOOST_TEST(second.requests().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::gateway
