Let two daemons of a failure domain read the store at a start, and keep beats near

By arithmetic about 1,800 of the calls are the start: every daemon registered, listed the daemons, listed both topics and read on until it had found the readers. Change: a daemon looks for others first (0.25 s; 1.5 s when the whole system starts for the first time) and reads at once only if its duty is to read or callers wait and nobody could tell it anything; only readers register. A daemon that has just started says so in its beat and is told of up to 40 others, those of its failure domain first. Of six targets of a beat three are in the own failure domain, two in the region and one elsewhere; beats inside the region mention 14 other daemons, those to other regions 5. While the store is away the daemons that stand in ask less often by rank (1.2 to 4.8 s), and a reader that is answered tells its failure domain at once. Ruled out: the same fan-out with 5 mentions in each beat, and two targets at each distance: peertable_test found 0.11 to 0.21% of the live daemons missing from another one's view (bound 0.1%); 10 mentions missed the bound at 790 daemons (0.14%). New tests that the code before fails or could not compile: storereaders_test (starts, outage), peerexchange_test (newcomer), peertable_test (beats stay in their region); gateway_test, peers_test and platform_test pass.

--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,8 @@
         std::string beatAddress;
         std::string readAddress;
         std::string failureDomain;
+        // Region of each failure domain.
+        std::map<std::string, std::string> regions;
         // Share of a core that this daemon has, in thousandths.
         unsigned cpuMillis = 0;
         // Beat addresses to begin with; they may be stale.
--- a/packages/peers/include/auburn/peers/peertable.h
+++ b/packages/peers/include/auburn/peers/peertable.h
@@ -35,13 +35,31 @@
     std::uint64_t heartbeat = 0;
 };
 
+// Addresses for a beat: daemons of the sender's region, and of other regions.
+struct BeatTargets
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+};
+
+// A beat to another region carries at most so many mentions.
+inline constexpr std::size_t kMentionsInFarBeat = 5;
+
 class PeerTable
 {
 public:
     using Clock = std::chrono::steady_clock;
     using TimePoint = Clock::time_point;
 
-    PeerTable(std::string ownAddress, std::string failureDomain);
+    struct Options
+    {
+        std::string ownAddress;
+        std::string failureDomain;
+        // Region of each failure domain; one that is missing is a region of its own.
+        std::map<std::string, std::string> regions;
+    };
+
+    explicit PeerTable(Options options);
 
     // False if the address is known or this daemon's own.
     bool add(const std::string &beatAddress, TimePoint now);
@@ -60,15 +78,19 @@
     // Daemons of this failure domain that said a moment ago, themselves, that they read the store.
     std::vector<LivePeer> storeReaders(TimePoint now) const;
 
-    // Addresses for the regular beat of this round: all in a small fleet, else a few at random.
-    // Daemons that were never heard or are silent get their turn now and then.
-    std::vector<std::string> beatTargets(unsigned round, TimePoint now,
-                                         std::mt19937_64 &random) const;
+    // Addresses for the regular beat of this round: all in a small fleet, else a few at random,
+    // most of them near, since who lives in a failure domain decides there and the way to other
+    // regions is dear. Daemons that were never heard or are silent get their turn now and then.
+    BeatTargets beatTargets(unsigned round, TimePoint now, std::mt19937_64 &random) const;
     // Live daemons of this failure domain.
     std::vector<std::string> domainTargets(TimePoint now) const;
     std::vector<std::string> liveTargets(TimePoint now) const;
-    // Daemons with a fresh heartbeat to tell others of, at random.
+    // Daemons with a fresh heartbeat to tell others of, at random; in a small fleet only one, which
+    // introduces daemons that were added.
     std::vector<LivePeer> mentions(TimePoint now, std::mt19937_64 &random) const;
+    // Live daemons for a newcomer, those of its failure domain first.
+    std::vector<LivePeer> introductions(const std::string &failureDomain, TimePoint now,
+                                        std::mt19937_64 &random) const;
 
 private:
     struct Peer
@@ -84,8 +106,18 @@
     bool isLive(const Peer &peer, TimePoint now) const;
     std::chrono::milliseconds liveTime() const;
 
-    const std::string ownAddress_;
-    const std::string failureDomain_;
+    // How far away a failure domain is.
+    enum class Distance {
+        OwnDomain,
+        OwnRegion,
+        Far,
+    };
+    static constexpr std::size_t kDistances = 3;
+
+    Distance distanceTo(const std::string &failureDomain) const;
+    std::string regionOf(const std::string &failureDomain) const;
+
+    const Options options_;
     std::map<std::string, Peer> peers_;
 };
 
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -78,7 +78,9 @@
         , timer_(io)
         , soonTimer_(io)
         , random_(std::random_device{}())
-        , table_(options_.beatAddress, options_.failureDomain)
+        , table_({ .ownAddress = options_.beatAddress,
+                   .failureDomain = options_.failureDomain,
+                   .regions = options_.regions })
     {
         incarnation_ = std::uniform_int_distribution<std::uint64_t>()(random_);
     }
@@ -173,15 +175,15 @@
             endpoints_.erase(address);
     }
 
-    std::vector<std::string> targetsOf(BeatScope scope, Clock::time_point now)
+    BeatTargets targetsOf(BeatScope scope, Clock::time_point now)
     {
         switch (scope) {
         case BeatScope::Regular:
             return table_.beatTargets(++round_, now, random_);
         case BeatScope::FailureDomain:
-            return table_.domainTargets(now);
+            return { .near = table_.domainTargets(now) };
         case BeatScope::Fleet:
-            return table_.liveTargets(now);
+            return { .near = table_.liveTargets(now) };
         }
         return {};
     }
@@ -189,9 +191,36 @@
     void sendBeats(BeatScope scope)
     {
         const auto now = Clock::now();
-        const bool large = table_.isLargeFleet(now);
         // In a small fleet every beat goes to all.
-        const BeatScope actual = large ? scope : BeatScope::Regular;
+        const BeatScope actual = table_.isLargeFleet(now) ? scope : BeatScope::Regular;
+        const BeatTargets targets = targetsOf(actual, now);
+        proto::PeerDatagram datagram = makeBeat(actual, table_.mentions(now, random_));
+        sendTo(targets.near, datagram);
+        auto &mentions = *datagram.mutable_beat()->mutable_mentions();
+        const int farMentions = std::min(mentions.size(), static_cast<int>(kMentionsInFarBeat));
+        mentions.DeleteSubrange(farMentions, mentions.size() - farMentions);
+        sendTo(targets.far, datagram);
+    }
+
+    void sendTo(const std::vector<std::string> &targets, const proto::PeerDatagram &datagram)
+    {
+        if (targets.empty())
+            return;
+        const std::string bytes = datagram.SerializeAsString();
+        for (const std::string &target : targets)
+            sendBytes(bytes, target);
+    }
+
+    // The daemon has just started and knows only its seeds.
+    void welcome(const PeerBeat &newcomer)
+    {
+        const std::vector<LivePeer> others = table_.introductions(newcomer.failure_domain(),
+                                                                  Clock::now(), random_);
+        send(newcomer.beat_address(), makeBeat(BeatScope::Regular, others));
+    }
+
+    proto::PeerDatagram makeBeat(BeatScope scope, const std::vector<LivePeer> &mentions)
+    {
         proto::PeerDatagram datagram;
         PeerBeat &beat = *datagram.mutable_beat();
         beat.set_vm(options_.vm);
@@ -201,12 +230,11 @@
         beat.set_failure_domain(options_.failureDomain);
         beat.set_cpu_millis(options_.cpuMillis);
         beat.set_heartbeat(++heartbeat_);
-        options_.fill(beat, { .scope = actual, .loads = !large });
-        for (const LivePeer &peer : table_.mentions(now, random_))
+        beat.set_newcomer(!heardAny_);
+        options_.fill(beat, { .scope = scope, .loads = !table_.isLargeFleet(Clock::now()) });
+        for (const LivePeer &peer : mentions)
             *beat.add_mentions() = encodeMention(peer);
-        const std::string bytes = datagram.SerializeAsString();
-        for (const std::string &target : targetsOf(actual, now))
-            sendBytes(bytes, target);
+        return datagram;
     }
 
     void sendBytes(const std::string &bytes, const std::string &beatAddress)
@@ -259,6 +287,9 @@
             addPeer(mention.beat_address());
             table_.mentioned(decodeMention(mention), now);
         }
+        heardAny_ = true;
+        if (beat.newcomer())
+            welcome(beat);
         options_.received(beat);
     }
 
@@ -275,6 +306,8 @@
     std::array<char, kMaxDatagram> buffer_{};
     udp::endpoint sender_;
     unsigned round_ = 0;
+    // A beat of another daemon has arrived.
+    bool heardAny_ = false;
     bool soon_ = false;
     BeatScope soonScope_ = BeatScope::Regular;
     bool sendFailed_ = false;
--- a/packages/peers/src/peertable.cpp
+++ b/packages/peers/src/peertable.cpp
@@ -1,6 +1,7 @@
 #include "auburn/peers/peertable.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <utility>
 
@@ -10,9 +11,15 @@
 
 namespace {
 
-// Targets of a regular beat in a large fleet.
+// Targets of a regular beat in a large fleet: in all, and of these in the own failure domain, in
+// other ones of the region and elsewhere.
 constexpr std::size_t kFanOut = 6;
-constexpr std::size_t kMentionsInBeat = 5;
+constexpr std::array<std::size_t, 3> kFanOutByDistance{ 3, 2, 1 };
+// Daemons that a newcomer is told of; the datagram stays under 4 KB.
+constexpr std::size_t kIntroductions = 40;
+// Mentions in a beat to a daemon of the region; those to others are shorter, since their way is
+// dear.
+constexpr std::size_t kMentionsInBeat = 14;
 // In a small fleet mentions only introduce daemons that were added.
 constexpr std::size_t kMentionsInSmallFleet = 1;
 // Only heartbeats this fresh are passed on; older ones would keep a dead daemon alive for as long
@@ -32,14 +39,29 @@
 
 } // namespace
 
-PeerTable::PeerTable(std::string ownAddress, std::string failureDomain)
-    : ownAddress_(std::move(ownAddress))
-    , failureDomain_(std::move(failureDomain))
-{}
+PeerTable::PeerTable(Options options)
+    : options_(std::move(options))
+{
+    static_assert(kFanOutByDistance.size() == kDistances);
+}
+
+std::string PeerTable::regionOf(const std::string &failureDomain) const
+{
+    const auto found = options_.regions.find(failureDomain);
+    return found == options_.regions.end() ? failureDomain : found->second;
+}
+
+PeerTable::Distance PeerTable::distanceTo(const std::string &failureDomain) const
+{
+    if (failureDomain == options_.failureDomain)
+        return Distance::OwnDomain;
+    return regionOf(failureDomain) == regionOf(options_.failureDomain) ? Distance::OwnRegion
+                                                                       : Distance::Far;
+}
 
 bool PeerTable::add(const std::string &beatAddress, TimePoint now)
 {
-    if (beatAddress == ownAddress_)
+    if (beatAddress == options_.ownAddress)
         return false;
     return peers_.try_emplace(beatAddress, Peer{ .addedAt = now }).second;
 }
@@ -116,28 +138,38 @@
     for (const auto &[address, peer] : peers_) {
         const bool recent = peer.heardDirectly != TimePoint()
                             && now - peer.heardDirectly < kReaderWordTime;
-        if (recent && peer.info.readsStore && peer.info.failureDomain == failureDomain_)
+        if (recent && peer.info.readsStore && peer.info.failureDomain == options_.failureDomain)
             result.push_back(peer.info);
     }
     return result;
 }
 
-std::vector<std::string> PeerTable::beatTargets(unsigned round, TimePoint now,
-                                                std::mt19937_64 &random) const
+BeatTargets PeerTable::beatTargets(unsigned round, TimePoint now, std::mt19937_64 &random) const
 {
     const bool silentTurn = round % kSilentStride == 0 || round <= kSilentStride;
-    std::vector<const std::string *> due;
+    std::array<std::vector<const std::string *>, kDistances> due;
+    std::size_t count = 0;
     for (const auto &[address, peer] : peers_) {
-        if (silentTurn || isLive(peer, now))
-            due.push_back(&address);
+        if (!silentTurn && !isLive(peer, now))
+            continue;
+        due[static_cast<std::size_t>(distanceTo(peer.info.failureDomain))].push_back(&address);
+        ++count;
+    }
+    const bool toAll = count <= kFullMeshPeers;
+    BeatTargets targets;
+    // From far to near: what one group lacks, the nearer ones get.
+    std::size_t wanted = 0;
+    for (std::size_t distance = kDistances; distance-- > 0;) {
+        const auto &group = due[distance];
+        wanted += kFanOutByDistance[distance];
+        const std::size_t taken = toAll ? group.size() : std::min(group.size(), wanted);
+        std::vector<const std::string *> picked;
+        std::sample(group.begin(), group.end(), std::back_inserter(picked), taken, random);
+        wanted -= std::min(wanted, taken);
+        const bool isFar = static_cast<Distance>(distance) == Distance::Far;
+        for (const std::string *address : picked)
+            (isFar ? targets.far : targets.near).push_back(*address);
     }
-    std::vector<const std::string *> picked;
-    std::sample(due.begin(), due.end(), std::back_inserter(picked),
-                due.size() <= kFullMeshPeers ? due.size() : kFanOut, random);
-    std::vector<std::string> targets;
-    targets.reserve(picked.size());
-    for (const std::string *address : picked)
-        targets.push_back(*address);
     return targets;
 }
 
@@ -145,7 +177,7 @@
 {
     std::vector<std::string> targets;
     for (const auto &[address, peer] : peers_) {
-        if (peer.info.failureDomain == failureDomain_ && isLive(peer, now))
+        if (peer.info.failureDomain == options_.failureDomain && isLive(peer, now))
             targets.push_back(address);
     }
     return targets;
@@ -161,6 +193,22 @@
     return targets;
 }
 
+std::vector<LivePeer> PeerTable::introductions(const std::string &failureDomain, TimePoint now,
+                                               std::mt19937_64 &random) const
+{
+    std::vector<LivePeer> result;
+    for (const auto &[address, peer] : peers_) {
+        if (isLive(peer, now))
+            result.push_back(peer.info);
+    }
+    std::shuffle(result.begin(), result.end(), random);
+    std::stable_partition(result.begin(), result.end(), [&failureDomain](const LivePeer &peer) {
+        return peer.failureDomain == failureDomain;
+    });
+    result.resize(std::min(result.size(), kIntroductions));
+    return result;
+}
+
 std::vector<LivePeer> PeerTable::mentions(TimePoint now, std::mt19937_64 &random) const
 {
     std::vector<const Peer *> fresh;
--- a/packages/peers/tests/peerexchange_test.cpp
+++ b/packages/peers/tests/peerexchange_test.cpp
@@ -60,6 +60,21 @@
     BOOST_TEST(b->livePeersIn("other").empty());
 }
 
+// Guards against a daemon that starts in a large fleet and hears of few others for seconds, because
+// only one beat in many is meant for it.
+BOOST_AUTO_TEST_CASE(newcomer_ofALargeFleet_isToldOfOthersAtOnce)
+{
+    const std::string seed = freeAddress();
+    std::vector<std::unique_ptr<PeerExchange>> fleet;
+    fleet.push_back(make("vm0", seed, {}));
+    for (int i = 1; i < 24; ++i)
+        fleet.push_back(make("vm" + std::to_string(i), freeAddress(), { seed }));
+    BOOST_REQUIRE(runUntil(io, [&] { return fleet[0]->livePeers() == 23; }));
+    const auto newcomer = make("new", freeAddress(), { seed });
+    BOOST_TEST(runUntil(
+            io, [&] { return newcomer->livePeers() >= 20; }, milliseconds(15)));
+}
+
 BOOST_AUTO_TEST_CASE(datagram_unreadable_isIgnored)
 {
     const std::string address = freeAddress();
--- a/packages/peers/tests/peertable_test.cpp
+++ b/packages/peers/tests/peertable_test.cpp
@@ -35,7 +35,9 @@
     {
         for (std::size_t i = 0; i < daemons; ++i) {
             const std::string domain = "d" + std::to_string(i % 3);
-            fleet.push_back({ .table = PeerTable(addressOf(i), domain),
+            fleet.push_back({ .table = PeerTable({ .ownAddress = addressOf(i),
+                                                   .failureDomain = domain,
+                                                   .regions = regions }),
                               .self = { .vm = "vm" + std::to_string(i),
                                         .beatAddress = addressOf(i),
                                         .failureDomain = domain,
@@ -51,9 +53,14 @@
         if (to.down || (loss > 0 && std::uniform_real_distribution<>(0, 1)(random) < loss))
             return;
         ++beats;
+        farBeats += regions.at(from.self.failureDomain) == regions.at(to.self.failureDomain) ? 0U
+                                                                                             : 1U;
         to.table.add(from.self.beatAddress, now);
         to.table.heard(from.self, now);
-        for (const LivePeer &peer : from.table.mentions(now, random)) {
+        std::vector<LivePeer> mentions = from.table.mentions(now, random);
+        const bool far = regions.at(from.self.failureDomain) != regions.at(to.self.failureDomain);
+        mentions.resize(far ? std::min(mentions.size(), kMentionsInFarBeat) : mentions.size());
+        for (const LivePeer &peer : mentions) {
             to.table.add(peer.beatAddress, now);
             to.table.mentioned(peer, now);
         }
@@ -68,8 +75,11 @@
                 if (daemon.down)
                     continue;
                 ++daemon.self.heartbeat;
-                for (const std::string &target : daemon.table.beatTargets(round, now, random))
-                    deliver(daemon, fleet[std::stoul(target.substr(target.find(':') + 1))]);
+                const BeatTargets targets = daemon.table.beatTargets(round, now, random);
+                for (const auto &group : { targets.near, targets.far }) {
+                    for (const std::string &target : group)
+                        deliver(daemon, fleet[std::stoul(target.substr(target.find(':') + 1))]);
+                }
             }
         }
     }
@@ -88,11 +98,16 @@
         return { least, most };
     }
 
+    // Two failure domains of one region and one of another.
+    const std::map<std::string, std::string> regions{ { "d0", "r0" },
+                                                      { "d1", "r0" },
+                                                      { "d2", "r1" } };
     std::vector<Daemon> fleet;
     std::mt19937_64 random{ 7 };
     PeerTable::TimePoint now = PeerTable::Clock::now();
     unsigned round = 0;
     unsigned beats = 0;
+    unsigned farBeats = 0;
     double loss = 0;
 };
 
@@ -104,7 +119,8 @@
 {
     build(6);
     run(seconds(2));
-    BOOST_TEST(fleet[0].table.beatTargets(100, now, random).size() == 5U);
+    const BeatTargets targets = fleet[0].table.beatTargets(100, now, random);
+    BOOST_TEST(targets.near.size() + targets.far.size() == 5U);
     BOOST_TEST(!fleet[0].table.isLargeFleet(now));
 }
 
@@ -131,6 +147,30 @@
     }
 }
 
+// Guards against beats that cross regions in proportion to the fleet, most of which say what the
+// nearer daemons have said.
+BOOST_AUTO_TEST_CASE(largeFleet_beats_stayMostlyInTheirRegion)
+{
+    build(300);
+    run(seconds(10));
+    beats = 0;
+    farBeats = 0;
+    run(seconds(20));
+    BOOST_TEST(farBeats * 5 < beats);
+    BOOST_TEST(beats <= 300U * 6 * 4 * 20);
+}
+
+BOOST_AUTO_TEST_CASE(introductions_ownDomain_comesFirst)
+{
+    build(300);
+    run(seconds(10));
+    const auto introduced = fleet[0].table.introductions("d2", now, random);
+    BOOST_TEST(introduced.size() >= 20U);
+    BOOST_TEST(introduced.size() <= 40U);
+    for (const LivePeer &peer : introduced)
+        BOOST_TEST(peer.failureDomain == "d2");
+}
+
 // Guards against daemons that tell each other of a dead one and so keep it alive.
 BOOST_AUTO_TEST_CASE(largeFleet_aDomainDies_isForgottenEverywhere)
 {
--- a/packages/peers/tests/storereaders_test.cpp
+++ b/packages/peers/tests/storereaders_test.cpp
@@ -5,11 +5,14 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <vector>
 
 namespace auburn::peers {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 struct StoreReadersFixture
@@ -52,6 +55,26 @@
         }
     }
 
+    // Of the daemon when it hears all others and none of them reads.
+    ReaderDuty lonelyDuty(const Daemon &daemon) const
+    {
+        std::vector<LivePeer> peers;
+        for (const Daemon &other : domain) {
+            if (&other != &daemon)
+                peers.push_back(other.self);
+        }
+        return readerDuty(daemon.self, peers, {});
+    }
+
+    // Daemons that read at this time after a start of all at once, before any reader was heard.
+    long beginners(ReaderStart start) const
+    {
+        start.largeFleet = true;
+        return std::count_if(domain.begin(), domain.end(), [&](const Daemon &daemon) {
+            return mayBeginReading(start, lonelyDuty(daemon));
+        });
+    }
+
     long readers() const
     {
         return std::count_if(domain.begin(), domain.end(),
@@ -106,18 +129,63 @@
     BOOST_TEST(readers() == 0);
     unsigned standIns = 0;
     for (const Daemon &daemon : domain) {
-        std::vector<LivePeer> peers;
-        for (const Daemon &other : domain) {
-            if (&other != &daemon)
-                peers.push_back(other.self);
-        }
-        const ReaderDuty duty = readerDuty(daemon.self, peers, {});
+        const ReaderDuty duty = lonelyDuty(daemon);
         BOOST_TEST(duty.reads);
         standIns += duty.standsIn ? 1U : 0U;
     }
     BOOST_TEST(standIns == 11U);
 }
 
+// Guards against an outage that costs as many calls as there are daemons: a failure domain of a
+// fleet of 790 daemons asks a store that is away at most as often as 30 daemons at full pace.
+BOOST_AUTO_TEST_CASE(storeIsAway_largeDomain_callsDoNotGrowWithIt)
+{
+    for (int i = 13; i < 79; ++i)
+        domain.push_back({ .self = { .vm = "vm" + std::to_string(i),
+                                     .failureDomain = "d",
+                                     .cpuMillis = 120U,
+                                     .serving = true } });
+    double callsPerSecond = 0;
+    for (const Daemon &daemon : domain) {
+        const ReaderDuty duty = lonelyDuty(daemon);
+        BOOST_TEST((duty.retryPause <= std::chrono::seconds(5)));
+        callsPerSecond += 1000.0 / static_cast<double>(duty.retryPause.count());
+    }
+    BOOST_TEST(callsPerSecond < 30 / 1.2);
+}
+
+// Guards against a start in which every daemon reads what two of its failure domain will tell it.
+BOOST_AUTO_TEST_CASE(start_ofTheWholeSystem_onlyTheFirstTwoRead)
+{
+    const ReaderStart start{ .sinceStart = milliseconds(1600), .firstStart = true };
+    BOOST_TEST(beginners(start) == 2);
+    // The two may be cut off from the store.
+    BOOST_TEST(beginners({ .sinceStart = milliseconds(3000), .firstStart = true }) == 13);
+}
+
+BOOST_AUTO_TEST_CASE(start_ofTheWholeSystem_firstLooksForOthers)
+{
+    BOOST_TEST(beginners({ .sinceStart = milliseconds(1000), .firstStart = true }) == 0);
+}
+
+// Callers wait while all daemons start again; none of them has anything to serve by.
+BOOST_AUTO_TEST_CASE(start_afterAllWereKilled_everyDaemonReads)
+{
+    BOOST_TEST(beginners({ .sinceStart = milliseconds(300) }) == 13);
+}
+
+// One daemon that starts again gets everything from the others.
+BOOST_AUTO_TEST_CASE(start_ofOneDaemonThatOthersTold_leavesTheStoreToTheReaders)
+{
+    BOOST_TEST(beginners({ .sinceStart = milliseconds(300), .knowsDocuments = true }) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(start_smallFleet_readsAfterAMoment)
+{
+    BOOST_TEST(!mayBeginReading({ .sinceStart = milliseconds(100) }, {}));
+    BOOST_TEST(mayBeginReading({ .sinceStart = milliseconds(300) }, {}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::peers
