--- a/packages/peers/src/storereaders.cpp
+++ b/packages/peers/src/storereaders.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds kLongestStandInPause{ 4800 };
 // Ranks by which the pause grows once.
 constexpr unsigned kRanksPerPause = 5;
-// Time in which a daemon that has started hears of others; several beats.
-constexpr milliseconds kFindTime{ 250 };
+// Time in which a daemon that has started hears of others in its region; callers wait for it.
+constexpr milliseconds kFindTime{ 50 };
 // All daemons start within a fraction of a second, and processors are busy with the start.
 constexpr milliseconds kFirstFindTime{ 1500 };
 // Readers tell their failure domain of themselves within this time after that.
