--- a/packages/gateway/src/clientconnection.cpp
+++ b/packages/gateway/src/clientconnection.cpp
@@ -1,6 +1,7 @@
 #include "clientconnection.h"
 
 #include "beastview.h"
+#include "retryafter.h"
 #include "socketoptions.h"
 
 #include "auburn/core/log.h"
@@ -31,6 +32,8 @@
 constexpr std::size_t kLingerBytes = std::size_t{ 8 } * 1024 * 1024;
 // Bytes that wait for a slow caller before reading from its server pauses.
 constexpr std::size_t kOutputHigh = std::size_t{ 128 } * 1024;
+// What callers of a daemon that stops are told to wait; they reach another one.
+constexpr milliseconds kWaitAtStop{ 500 };
 // Callers reuse connections up to most of the idle limit; ours lasts a little longer.
 constexpr milliseconds kIdleMargin{ 1000 };
 
@@ -285,11 +288,19 @@
                 .add();
     AnswerHead head{ .status = status };
     if (status == 503)
-        head.fields.push_back({ .name = "Retry-After", .value = "0.5" });
+        head.fields.push_back(retryAfterField(waitBeforeRetry()));
     sendWhole(std::move(head), {});
     read();
 }
 
+milliseconds ClientConnection::waitBeforeRetry() const
+{
+    if (core_.state.config)
+        return kWaitAtStop;
+    return waitForConfiguration(
+            std::chrono::duration_cast<milliseconds>(Clock::now() - core_.openedAt));
+}
+
 // ---- Answers ---------------------------------------------------------------
 
 std::string ClientConnection::headText(const AnswerHead &head) const
--- a/packages/gateway/src/clientconnection.h
+++ b/packages/gateway/src/clientconnection.h
@@ -62,6 +62,8 @@
     void requestComplete();
     void parseFailed(ErrorCode error);
     void readDeadlinePassed();
+    // What a caller is told to wait whose request the gateway refuses without an exchange.
+    std::chrono::milliseconds waitBeforeRetry() const;
     // Bytes of a request have arrived that were not read yet.
     bool hasUnreadInput() const;
     // An answer of the gateway itself before an exchange exists.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "beastview.h"
 #include "requestrecord.h"
+#include "retryafter.h"
 
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
@@ -43,13 +44,6 @@
 // An event that is not complete within this size.
 constexpr std::size_t kMaxEvent = std::size_t{ 1024 } * 1024;
 
-std::string secondsText(milliseconds time)
-{
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.2f", std::chrono::duration<double>(time).count());
-    return text;
-}
-
 milliseconds timeLimit(const CallerRequest &request)
 {
     const milliseconds timeout = request.route->timeout;
@@ -513,8 +507,7 @@
         return;
     }
     if (sink_)
-        sink_->sendWhole(
-                { .status = 503, .fields = { { "Retry-After", secondsText(retryAfter()) } } }, {});
+        sink_->sendWhole({ .status = 503, .fields = { retryAfterField(retryAfter()) } }, {});
     finish({ .status = 503, .reason = reason });
 }
 
--- a/packages/gateway/src/gatewaycore.h
+++ b/packages/gateway/src/gatewaycore.h
@@ -3,6 +3,7 @@
 
 #include "connectionpool.h"
 
+#include "auburn/core/bootclock.h"
 #include "auburn/gateway/gateway.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,8 @@
     Gateway::Options options;
     RoutingState &state;
     std::shared_ptr<ConnectionPool> pool;
+    // When the gateway began to serve.
+    const BootClock::time_point openedAt = BootClock::now();
     bool draining = false;
     bool refusing = false;
     // How long an idle connection of a caller stays open during a drain.
--- a/packages/gateway/tests/badinput_test.cpp
+++ b/packages/gateway/tests/badinput_test.cpp
@@ -3,6 +3,8 @@
 
 #include "gatewayfixture.h"
 
+#include "auburn/core/bootclock.h"
+
 namespace auburn::gateway {
 
 using std::chrono::milliseconds;
@@ -109,6 +111,25 @@
     BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 503);
 }
 
+// All daemons were started again while the store is away. Guards against callers that spend their
+// only retry while the configuration is still missing.
+BOOST_AUTO_TEST_CASE(configuration_missingForLong_callersAreToldToWaitLonger)
+{
+    const auto retryAfter = [this] {
+        const std::string answer = exchange(request("GET", "/read/x"));
+        const std::string name = "Retry-After: ";
+        return std::stod(answer.substr(answer.find(name) + name.size()));
+    };
+    state.config = nullptr;
+    BOOST_TEST(retryAfter() == 0.5);
+    const SuspendedTimeForTest later(milliseconds(1500));
+    const double wait = retryAfter();
+    BOOST_TEST(wait >= 1.5);
+    BOOST_TEST(wait < 2.5);
+    const SuspendedTimeForTest muchLater(milliseconds(60000));
+    BOOST_TEST(retryAfter() == 3.0);
+}
+
 BOOST_AUTO_TEST_CASE(connection_keptOpen_servesTheNextRequest)
 {
     ScriptedClient client(io, address);
