--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -140,12 +140,15 @@
         returnPlacement(*choice);
     if (!wanted)
         return;
-    if (outdated)
+    if (outdated) {
+        recordOutdatedChoice(request_, choice, duration_cast<milliseconds>(Clock::now() - askedAt_),
+                             timeLeft());
         nextAttempt();
-    else if (choice)
+    } else if (choice) {
         startAttempt(*choice);
-    else
+    } else {
         refuse("no_server");
+    }
 }
 
 bool Exchange::isOutdated() const
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -32,6 +32,17 @@
 
 } // namespace
 
+void recordOutdatedChoice(const CallerRequest &request,
+                          const std::optional<routing::PlacementChoice> &choice, milliseconds age,
+                          milliseconds timeLeft)
+{
+    logEvent(LogLevel::Info, "choice_outdated",
+             { { "id", request.id },
+               { "server", choice ? choice->serverId : std::string() },
+               { "age_ms", static_cast<long long>(age.count()) },
+               { "left_ms", static_cast<long long>(timeLeft.count()) } });
+}
+
 void recordPlacement(const PlacementRecord &record)
 {
     const routing::PlacementChoice &choice = record.choice;
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -9,6 +9,7 @@
 #include "auburn/routing/placement.h"
 
 #include <chrono>
+#include <optional>
 #include <string_view>
 
 namespace auburn::gateway {
@@ -48,6 +49,10 @@
     unsigned attempts = 0;
 };
 
+// A choice of a server came too late to be used.
+void recordOutdatedChoice(const CallerRequest &request,
+                          const std::optional<routing::PlacementChoice> &choice,
+                          std::chrono::milliseconds age, std::chrono::milliseconds timeLeft);
 // The metrics may be null.
 void recordPlacement(const PlacementRecord &record);
 void recordAttempt(const AttemptRecord &record, Metrics *metrics);
