--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -166,6 +166,14 @@
     return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
 }
 
+std::string GatewayFixture::allEvents(unsigned last)
+{
+    std::string text;
+    for (unsigned id = 1; id <= last; ++id)
+        text += event(id);
+    return text;
+}
+
 std::string GatewayFixture::chunkedBody(const std::string &answer)
 {
     std::string body;
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -32,6 +32,8 @@
     static std::string chunk(const std::string &data);
     static std::string streamHead();
     static std::string event(unsigned id);
+    // The events from 1 to the last one.
+    static std::string allEvents(unsigned last);
     // Data of a chunked answer without its framing; also of an incomplete one.
     static std::string chunkedBody(const std::string &answer);
     static int statusOf(const std::string &answer);
--- a/packages/gateway/tests/servertrouble_test.cpp
+++ b/packages/gateway/tests/servertrouble_test.cpp
@@ -114,14 +114,6 @@
         return reply;
     }
 
-    static std::string allEvents(unsigned last)
-    {
-        std::string text;
-        for (unsigned id = 1; id <= last; ++id)
-            text += event(id);
-        return text;
-    }
-
     // One event, then pieces that complete no further event.
     static ScriptedReply oneEventThen(const std::string &piece, unsigned pieces)
     {
--- a/packages/gateway/tests/streams_test.cpp
+++ b/packages/gateway/tests/streams_test.cpp
@@ -23,14 +23,6 @@
         return reply;
     }
 
-    static std::string allEvents(unsigned last)
-    {
-        std::string text;
-        for (unsigned id = 1; id <= last; ++id)
-            text += event(id);
-        return text;
-    }
-
     // Goes on after the last event that the daemon names.
     static ScriptedServer::Handler resuming(unsigned last)
     {
