--- a/packages/gateway/tests/pause_test.cpp
+++ b/packages/gateway/tests/pause_test.cpp
@@ -39,7 +39,7 @@
     {
         ++choices_;
         const milliseconds delay = std::exchange(delay_, milliseconds(0));
-        local_.place(query, timeLeft, [&](std::optional<PlacementChoice> choice) {
+        local_.place(query, timeLeft, [&](const std::optional<PlacementChoice> &choice) {
             if (delay.count() == 0) {
                 handler(choice);
                 return;
