Routing: split placement.cpp by job

Cause: placement.cpp (572 lines) held the prediction, the costs, the affinity of prompts, the pool of reserved engines and the record of attempts. No behaviour changes.

--- /dev/null
+++ b/packages/routing/src/prediction.cpp
@@ -0,0 +1,67 @@
+#include "prediction.h"
+
+#include "durations.h"
+
+#include <algorithm>
+
+namespace auburn::routing {
+
+using std::chrono::microseconds;
+
+namespace {
+
+// Prefill speed of an engine in prompt tokens per millisecond, averaged over whole batch steps.
+constexpr double kPrefillTokensPerMs = 55.0;
+// Time from the admission of a request with no tokens to prefill to its first token.
+constexpr double kFirstTokenMs = 75.0;
+// Increase of the duration of one batch step for each running request.
+constexpr double kStepMsPerRequest = 0.15;
+// Time until one of the requests in a full batch ends, if all were placed at once.
+constexpr double kFullBatchMs = 1000.0;
+// Processing time of one request at a plain service, and its increase for each other request there.
+constexpr double kPlainWorkMs = 40.0;
+constexpr double kPlainMsPerRequest = 0.5;
+
+} // namespace
+
+microseconds prefillTime(std::uint64_t tokens)
+{
+    return fromMs(static_cast<double>(tokens) / kPrefillTokensPerMs);
+}
+
+microseconds predictEngine(const Candidate &candidate, std::uint64_t uncachedTokens,
+                           double slowness, int urgency, TimePoint now)
+{
+    const unsigned slots = candidate.server->slots;
+    unsigned running = candidate.load.running;
+    if (const auto report = candidate.view->recentReport(now))
+        running = std::max(running, report->running);
+    const std::uint64_t ahead = tokensUpTo(candidate.load, urgency);
+    double ms = kFirstTokenMs + toMs(prefillTime(ahead + uncachedTokens))
+                + running * kStepMsPerRequest;
+    // A full batch admits the next request only when another one ends.
+    if (slots > 0 && running >= slots)
+        ms += kFullBatchMs * (running - slots + 1) / slots;
+    return fromMs(ms * slowness);
+}
+
+microseconds predictPlain(const Candidate &candidate, double slowness, TimePoint now)
+{
+    const unsigned slots = candidate.server->slots;
+    unsigned busy = candidate.load.running;
+    if (const auto report = candidate.view->recentReport(now))
+        busy = std::max(busy, report->running + report->waiting);
+    const double queued = busy >= slots ? busy - slots + 1.0 : 0.0;
+    const double ms = kPlainWorkMs * (1 + queued / std::max(1U, slots)) + busy * kPlainMsPerRequest;
+    return fromMs(ms * slowness);
+}
+
+double relativeSlowness(double own, double sum, std::size_t servers)
+{
+    if (servers < 2)
+        return 1;
+    const double others = (sum - own) / static_cast<double>(servers - 1);
+    return std::max(1.0, own / std::max(1.0, others));
+}
+
+} // namespace auburn::routing
--- /dev/null
+++ b/packages/routing/src/prediction.h
@@ -0,0 +1,28 @@
+// Predictions of how long a server takes to begin its response.
+#pragma once
+
+#include "auburn/routing/candidate.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace auburn::routing {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+// Returns the time in which an engine prefills the tokens without any other work.
+std::chrono::microseconds prefillTime(std::uint64_t tokens);
+
+// Predicts the time to the first token of a request with the given uncached prompt tokens and
+// urgency.
+std::chrono::microseconds predictEngine(const Candidate &candidate, std::uint64_t uncachedTokens,
+                                        double slowness, int urgency, TimePoint now);
+
+// Predicts the time to the response of a plain service.
+std::chrono::microseconds predictPlain(const Candidate &candidate, double slowness, TimePoint now);
+
+// Relates the slowness of one server to the average of the other ones, because queues that grow at
+// all servers do not make any of them slow. The sum is that of all servers.
+double relativeSlowness(double own, double sum, std::size_t servers);
+
+} // namespace auburn::routing
--- a/packages/routing/src/promptpart.cpp
+++ b/packages/routing/src/promptpart.cpp
@@ -10,6 +10,11 @@
     return total;
 }
 
+std::uint64_t sharedTokens(const PromptParts &parts)
+{
+    return parts.empty() ? 0 : totalTokens(parts) - parts.back().tokens;
+}
+
 std::uint64_t sessionPartId(const PromptParts &parts)
 {
     if (parts.empty())
