Gateway: hold requests that arrive before a daemon can route

Change: a request that arrives while the daemon has no configuration or no backend server waits in the startup queue for up to a quarter of its caller's time limit, 1.5 s at most, and is routed when the daemon can; otherwise it is rejected with a Retry-After as before. Callers without a time limit are rejected at once.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -30,6 +30,9 @@
     unsigned liveDaemons = 1;
     // Null until the first configuration is available.
     std::shared_ptr<const routing::TrafficConfig> config;
+
+    // Returns false until the first configuration and the first backend server are known.
+    bool canRoute() const { return config && directory.size() > 0; }
 };
 
 // Gateway is a reverse proxy: it accepts the requests of callers, forwards each to a backend server
@@ -67,6 +70,9 @@
     // Adds "Connection: close" to every response from now on and closes idle connections after
     // idleTime. New connections are still accepted.
     virtual void drain(std::chrono::milliseconds idleTime) = 0;
+    // To be called after the configuration or the directory of backend servers has changed.
+    // Requests that arrived before this daemon could route are then routed.
+    virtual void routingStateChanged() = 0;
     // Rejects new requests with status 503. Called in the last phase of a drain.
     virtual void refuseNewRequests() = 0;
     // Number of open caller connections; 0 once a drain is complete.
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -58,6 +58,7 @@
     , socket_(std::move(socket))
     , readDeadline_(context.io, [this] { readTimedOut(); })
     , writeDeadline_(context.io, [this] { postClose(); })
+    , startupDeadline_(context.io, [this] { endStartupWait("timeout"); })
 {
     ++context_.connections;
 }
@@ -204,10 +205,46 @@
 {
     readDeadline_.clear();
     phase_ = Phase::Responding;
-    const std::shared_ptr<const routing::TrafficConfig> config = context_.state.config;
     CallerRequest request = readCallerRequest(parser_->get(), std::move(parser_->get().body()),
                                               context_.options.headerNames);
     request.received = received_;
+    const milliseconds wait = startupWaitLimit(request.deadline);
+    if (context_.state.canRoute() || context_.refusingNewRequests || wait.count() == 0)
+        routeRequest(std::move(request));
+    else
+        waitForRouting(std::move(request), wait);
+}
+
+void CallerConnection::waitForRouting(CallerRequest request, milliseconds limit)
+{
+    heldRequest_ = std::move(request);
+    startupDeadline_.setAfter(limit);
+    context_.startupQueue.add([self = weak_from_this()] {
+        if (const auto connection = self.lock())
+            connection->endStartupWait("routable");
+    });
+    read();
+}
+
+// Does nothing if the request no longer waits, or if its caller has disconnected.
+void CallerConnection::endStartupWait(std::string_view reason)
+{
+    const auto self = shared_from_this();
+    startupDeadline_.clear();
+    if (!heldRequest_ || phase_ == Phase::Closed)
+        return;
+    CallerRequest request = *std::exchange(heldRequest_, std::nullopt);
+    const auto waited = std::chrono::duration_cast<milliseconds>(Clock::now() - request.received);
+    logEvent(LogLevel::Info, "startup_wait_ended",
+             { { "id", request.id },
+               { "reason", reason },
+               { "waited_ms", static_cast<long long>(waited.count()) } });
+    routeRequest(std::move(request));
+}
+
+void CallerConnection::routeRequest(CallerRequest request)
+{
+    const std::shared_ptr<const routing::TrafficConfig> config = context_.state.config;
     request.config = config;
     if (!config || context_.refusingNewRequests) {
         reject(503, config ? "stopping" : "no_configuration");
@@ -459,6 +496,7 @@
     phase_ = Phase::Closed;
     readDeadline_.clear();
     writeDeadline_.clear();
+    startupDeadline_.clear();
     ErrorCode ignored;
     socket_.close(ignored);
     if (const auto exchange = std::exchange(exchange_, nullptr))
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -61,6 +61,11 @@
     // Returns false if the request was rejected on the basis of its header.
     bool headerComplete();
     void requestComplete();
+    // Holds a request for at most the given time, until this daemon can route requests.
+    void waitForRouting(CallerRequest request, std::chrono::milliseconds limit);
+    // Routes the held request, if any. The reason is a code for the log.
+    void endStartupWait(std::string_view reason);
+    void routeRequest(CallerRequest request);
     void parseFailed(ErrorCode error);
     void readTimedOut();
     // The Retry-After delay for a request that is rejected before an exchange exists.
@@ -95,6 +100,9 @@
     std::optional<Parser> parser_;
     LazyDeadline readDeadline_;
     LazyDeadline writeDeadline_;
+    LazyDeadline startupDeadline_;
+    // Set while a request waits in the startup queue.
+    std::optional<CallerRequest> heldRequest_;
     std::shared_ptr<Exchange> exchange_;
     Clock::time_point received_;
     bool keepAlive_ = true;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -29,7 +29,8 @@
         : context_{ .io = io,
                     .options = std::move(options),
                     .state = *context_.options.state,
-                    .pool = std::make_shared<ConnectionPool>(io) }
+                    .pool = std::make_shared<ConnectionPool>(io),
+                    .startupQueue = StartupQueue(io) }
         , listener_(io, [this](tcp::socket socket) { connectionAccepted(std::move(socket)); })
     {}
 
@@ -45,7 +46,18 @@
         }
     }
 
-    void refuseNewRequests() override { context_.refusingNewRequests = true; }
+    void refuseNewRequests() override
+    {
+        context_.refusingNewRequests = true;
+        context_.startupQueue.release();
+    }
+
+    void routingStateChanged() override
+    {
+        if (context_.state.canRoute())
+            context_.startupQueue.release();
+    }
+
     std::size_t connections() const override { return context_.connections; }
     std::size_t requestsInProgress() const override { return context_.requestsInProgress; }
 
--- a/packages/gateway/src/gatewaycontext.h
+++ b/packages/gateway/src/gatewaycontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "startupqueue.h"
 
 #include "auburn/core/bootclock.h"
 #include "auburn/gateway/gateway.h"
@@ -19,6 +20,7 @@
     Gateway::Options options;
     RoutingState &state;
     std::shared_ptr<ConnectionPool> pool;
+    StartupQueue startupQueue;
     // The time at which the gateway started.
     const BootClock::time_point startedAt = BootClock::now();
     bool draining = false;
--- /dev/null
+++ b/packages/gateway/src/startupqueue.cpp
@@ -0,0 +1,39 @@
+#include "startupqueue.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace auburn::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// The rest of the time limit remains for the request itself, or for a retry at a daemon that can
+// route.
+constexpr int kTimeLimitDivisor = 4;
+// Callers give up streams that stay silent for two seconds.
+constexpr milliseconds kMaxWait{ 1500 };
+
+} // namespace
+
+milliseconds startupWaitLimit(std::optional<milliseconds> timeLimit)
+{
+    return timeLimit ? std::min(*timeLimit / kTimeLimitDivisor, kMaxWait) : milliseconds(0);
+}
+
+void StartupQueue::release()
+{
+    if (handlers_.empty())
+        return;
+    boost::asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (alive.expired())
+            return;
+        for (const Handler &handler : std::exchange(handlers_, {}))
+            handler();
+    });
+}
+
+} // namespace auburn::gateway
