Routing: copy cached prompt parts between engines

Change: a request that is placed on an engine which lacks its shared parts names the engine to copy them from: one to which this daemon sent them, otherwise the first one of the rendezvous order. Sources that are avoided, excluded or no longer ready are not used. A copied token counts as half of a token to prefill, in the prediction and in the cost of repeated prefill. The log line of a placement has the source.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -207,6 +207,9 @@
         add(headerNames.organisation, request_.organisation->name);
     if (service_->engine)
         add(headerNames.urgency, std::to_string(choice.urgency));
+    const routing::BackendServer *source = context_.state.directory.find(choice.copySource);
+    if (source && source->state == routing::ServerState::Ready)
+        add(headerNames.copySource, source->address);
     if (!stream_.lastEventId().empty())
         add(headerNames.lastEventId, stream_.lastEventId());
     if (request_.body)
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -55,6 +55,7 @@
                { "owner", choice.owner.empty() ? std::string("self") : choice.owner },
                { "predicted_ms", static_cast<long long>(choice.predicted.count() / 1000) },
                { "uncached_tokens", static_cast<long long>(choice.uncachedTokens) },
+               { "copy_source", choice.copySource },
                { "in_flight", static_cast<long long>(choice.inFlight) },
                { "urgency", static_cast<long long>(choice.urgency) },
                { "report_age_ms",
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -78,12 +78,13 @@
              .organisation = "X-Org",
              .expectedServer = "X-Server",
              .urgency = "X-Urgency",
+             .copySource = "X-Copy-Source",
              .promptParts = "X-Parts",
              .lastEventId = "X-Last",
              .responseSeal = "X-Seal",
              .notExecuted = "X-Not-Executed",
              .serverLoad = "X-Load",
-             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Last" } };
+             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source", "X-Last" } };
 }
 
 std::uint16_t freePort(boost::asio::io_context &io)
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -240,6 +240,7 @@
                             .uncachedTokens = reply.uncached_tokens(),
                             .inFlight = reply.in_flight(),
                             .gapSensitiveStream = pending.query.gapSensitiveStream,
+                            .copySource = reply.copy_source(),
                             .urgency = clampUrgency(reply.urgency()),
                             .owner = pending.owner,
                             .ownerNumber = reply.number() };
@@ -306,6 +307,7 @@
             reply.set_uncached_tokens(choice->uncachedTokens);
             reply.set_in_flight(choice->inFlight);
             reply.set_urgency(static_cast<std::uint32_t>(choice->urgency));
+            reply.set_copy_source(choice->copySource);
         }
     }
     exchange_->send(sender, datagram);
--- a/packages/routing/include/auburn/routing/attempt.h
+++ b/packages/routing/include/auburn/routing/attempt.h
@@ -34,6 +34,9 @@
     bool repeatable = false;
 };
 
+// Returns true if the query excludes the server.
+bool isExcluded(const PlacementQuery &query, const std::string &serverId);
+
 // The server selected for one attempt, and what the selection was based on. It is passed back with
 // every report about the attempt.
 struct PlacementChoice
@@ -46,6 +49,9 @@
     // Number of requests that this daemon already had in progress at the server.
     unsigned inFlight = 0;
     bool gapSensitiveStream = false;
+    // Id of the engine from which the selected one copies the cached prompt parts that it lacks;
+    // empty if it does not copy any.
+    std::string copySource;
     // Urgency with which the request is queued at the engine.
     int urgency = 0;
     // Set if another daemon placed the attempt: the owner's address and the number under which it
--- a/packages/routing/include/auburn/routing/promptaffinity.h
+++ b/packages/routing/include/auburn/routing/promptaffinity.h
@@ -5,9 +5,11 @@
 // there.
 #pragma once
 
+#include "auburn/routing/attempt.h"
 #include "auburn/routing/candidate.h"
 #include "auburn/routing/promptpart.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -25,6 +27,12 @@
 
     // Returns the number of prompt tokens that the candidate has to prefill.
     std::uint64_t expectedUncached(const Candidate &candidate, const PromptParts &prompt) const;
+    // Returns an engine from which the others can copy the prompt's shared parts: one to which this
+    // daemon sent them, otherwise the one that is expected to have them; null if there is none. An
+    // avoided engine is not used. A wrong answer costs the request one ordinary prefill.
+    const BackendServer *copySource(const std::vector<Candidate> &candidates,
+                                    const PlacementQuery &query,
+                                    std::chrono::steady_clock::time_point now) const;
 
 private:
     double cachedShare(const BackendServer *server) const;
--- a/packages/routing/src/attempt.cpp
+++ b/packages/routing/src/attempt.cpp
@@ -1,7 +1,15 @@
 #include "auburn/routing/attempt.h"
 
+#include <algorithm>
+
 namespace auburn::routing {
 
+bool isExcluded(const PlacementQuery &query, const std::string &serverId)
+{
+    return std::find(query.excluded.begin(), query.excluded.end(), serverId)
+           != query.excluded.end();
+}
+
 std::string_view attemptOutcomeName(AttemptOutcome outcome)
 {
     switch (outcome) {
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -19,11 +19,17 @@
 constexpr double kCacheShare = 0.8;
 // A prompt is large if prefilling it takes more than this share of the time left to its target.
 constexpr double kLargePromptShare = 0.5;
+// Share of the prefill of shared tokens that a copy from another engine costs: the transfer takes
+// little time, but the copied parts take up memory of a second engine.
+constexpr double kCopyCostShare = 0.5;
 
-bool isExcluded(const PlacementQuery &query, const BackendServer &server)
+// Returns the uncached tokens of a prompt whose shared parts are copied from another engine, as
+// the number of tokens that are as expensive to prefill.
+std::uint64_t uncachedWithCopy(std::uint64_t uncachedTokens, std::uint64_t ownTokens)
 {
-    return std::find(query.excluded.begin(), query.excluded.end(), server.id)
-           != query.excluded.end();
+    const std::uint64_t missing = uncachedTokens - std::min(uncachedTokens, ownTokens);
+    const auto copied = static_cast<std::uint64_t>(kCopyCostShare * static_cast<double>(missing));
+    return uncachedTokens - missing + copied;
 }
 
 } // namespace
@@ -135,19 +141,26 @@
                                             : PromptAffinity(candidates.all, candidates.poolSize,
                                                              query.prompt);
     const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
+    const BackendServer *copySource = query.service->engine
+                                              ? affinity.copySource(candidates.all, query, now)
+                                              : nullptr;
     std::optional<PlacementChoice> best;
     microseconds bestCost{ 0 };
     for (std::size_t i = 0; i < candidates.all.size(); ++i) {
         const Candidate &candidate = candidates.all[i];
-        if (isExcluded(query, *candidate.server))
+        if (isExcluded(query, candidate.server->id))
             continue;
         const double slowness = relativeSlowness(candidate.slowness, candidates.slownessSum,
                                                  candidates.all.size());
         std::uint64_t uncached = 0;
+        bool copies = false;
         microseconds predicted{ 0 };
         microseconds spread{ 0 };
         if (query.service->engine) {
             uncached = affinity.expectedUncached(candidate, query.prompt);
+            copies = copySource && copySource != candidate.server && uncached > ownTokens;
+            if (copies)
+                uncached = uncachedWithCopy(uncached, ownTokens);
             predicted = predictEngine(candidate, uncached, slowness, urgency, now);
         } else {
             predicted = predictPlain(candidate, slowness, now);
@@ -169,6 +182,7 @@
                                 .uncachedTokens = uncached,
                                 .inFlight = candidate.view->ownLoad().running,
                                 .gapSensitiveStream = query.gapSensitiveStream,
+                                .copySource = copies ? copySource->id : std::string(),
                                 .urgency = urgency,
                                 .reportAge = candidate.view->reportAge(now) };
     }
--- a/packages/routing/src/promptaffinity.cpp
+++ b/packages/routing/src/promptaffinity.cpp
@@ -55,4 +55,26 @@
     return std::min(uncached, own + static_cast<std::uint64_t>(missing));
 }
 
+const BackendServer *PromptAffinity::copySource(const std::vector<Candidate> &candidates,
+                                                const PlacementQuery &query,
+                                                std::chrono::steady_clock::time_point now) const
+{
+    if (sharedTokens(query.prompt) == 0)
+        return nullptr;
+    const std::uint64_t part = sessionPartId(query.prompt);
+    const BackendServer *known = nullptr;
+    const BackendServer *expected = nullptr;
+    for (const Candidate &candidate : candidates) {
+        const BackendServer *server = candidate.server;
+        if (candidate.view->isAvoided(now) || isExcluded(query, server->id))
+            continue;
+        if (server == primary_)
+            expected = server;
+        const bool cached = candidate.view->cache().contains(part);
+        if (cached && (!known || server == primary_))
+            known = server;
+    }
+    return known ? known : expected;
+}
+
 } // namespace auburn::routing
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -136,6 +136,43 @@
     BOOST_TEST(placement.choose(directory, prompt(5), now)->serverId == primary);
 }
 
+// A hot key: its requests fill the queue of the engine that has the session's part. Guards against
+// the other engines prefilling the part again instead of copying it.
+BOOST_AUTO_TEST_CASE(session_longQueueAtItsEngine_othersCopyItsPart)
+{
+    const PlacementChoice primary = start(placement, prompt(1));
+    BOOST_TEST(primary.copySource.empty());
+    std::optional<PlacementChoice> moved;
+    for (int i = 0; i < 200 && !moved; ++i) {
+        const PlacementChoice choice = start(placement, prompt(1));
+        if (choice.serverId != primary.serverId)
+            moved = choice;
+    }
+    BOOST_REQUIRE(moved);
+    BOOST_TEST(moved->copySource == primary.serverId);
+}
+
+// Guards against copies from an engine that has just failed or that the request must not use.
+BOOST_AUTO_TEST_CASE(session_itsEngineFailed_isNotCopiedFromIt)
+{
+    const PlacementQuery query = prompt(1);
+    const PlacementChoice primary = start(placement, query);
+    PlacementQuery retry = query;
+    retry.excluded = { primary.serverId };
+    BOOST_TEST(placement.choose(directory, retry, now)->copySource != primary.serverId);
+    placement.attemptEnded(primary, false, AttemptOutcome::Failed, now);
+    BOOST_TEST(placement.choose(directory, query, now)->copySource != primary.serverId);
+}
+
+// Guards against a header for a copy on a request whose prompt shares nothing.
+BOOST_AUTO_TEST_CASE(prompt_withoutSharedParts_isNotCopied)
+{
+    PlacementQuery query = prompt(1);
+    query.prompt = { { .id = 9, .tokens = 4000 } };
+    start(placement, query);
+    BOOST_TEST(placement.choose(directory, query, now)->copySource.empty());
+}
+
 // Long prompts of a lower rank wait at one of two equal engines. Guards against urgent requests
 // that are placed behind them because only requests of their own rank were counted: an engine
 // prefills the prompts that it has admitted in order.
