--- a/packages/routing/src/prediction.cpp
+++ b/packages/routing/src/prediction.cpp
@@ -16,23 +16,12 @@
 constexpr double kFirstTokenMs = 75.0;
 // Increase of the duration of one batch step for each running request.
 constexpr double kStepMsPerRequest = 0.15;
-// Share of the less urgent waiting tokens that the engine prefills before those of a new request:
-// it has admitted most of these requests already, and urgency only orders those that wait for a
-// slot.
-constexpr double kAdmittedShare = 0.7;
 // Time until one of the requests in a full batch ends, if all were placed at once.
 constexpr double kFullBatchMs = 1000.0;
 // Processing time of one request at a plain service, and its increase for each other request there.
 constexpr double kPlainWorkMs = 40.0;
 constexpr double kPlainMsPerRequest = 0.5;
 
-std::uint64_t tokensAhead(const PeerLoad &load, int urgency)
-{
-    const std::uint64_t urgent = tokensUpTo(load, urgency);
-    const std::uint64_t lessUrgent = tokensUpTo(load, kLowestUrgency) - urgent;
-    return urgent + static_cast<std::uint64_t>(kAdmittedShare * static_cast<double>(lessUrgent));
-}
-
 } // namespace
 
 microseconds prefillTime(std::uint64_t tokens)
@@ -47,7 +36,7 @@
     unsigned running = candidate.load.running;
     if (const auto report = candidate.view->recentReport(now))
         running = std::max(running, report->running);
-    const std::uint64_t ahead = tokensAhead(candidate.load, urgency);
+    const std::uint64_t ahead = tokensUpTo(candidate.load, urgency);
     double ms = kFirstTokenMs + toMs(prefillTime(ahead + uncachedTokens))
                 + running * kStepMsPerRequest;
     // A full batch admits the next request only when another one ends.
