Routing: weigh the delay that a prompt causes to running streams

Cause: a stream on an engine that prefills a prompt gets one token for each chunk of about 36 ms instead of one each 4 ms. Placement predicted the first token of the newcomer only, so long prompts went where many streams ran. Change: a candidate's cost includes a third of the prefill time for each stream that runs there. The costs of an engine and of a plain service are assessed by functions of their own.

--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -17,6 +17,7 @@
 #include "auburn/routing/attempt.h"
 #include "auburn/routing/candidate.h"
 #include "auburn/routing/distance.h"
+#include "auburn/routing/promptaffinity.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/serverload.h"
 #include "auburn/routing/serverview.h"
@@ -25,6 +26,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -96,6 +98,23 @@
         double slownessSum = 0;
     };
 
+    // Where the shared parts of the query's prompt are expected.
+    struct PromptLocation
+    {
+        PromptAffinity affinity;
+        // Null if there is no engine to copy the parts from.
+        const BackendServer *copySource = nullptr;
+    };
+    // The consequences of placing the query at one candidate. The cost includes the prediction.
+    struct Assessment
+    {
+        std::chrono::microseconds predicted{ 0 };
+        std::chrono::microseconds cost{ 0 };
+        std::uint64_t uncachedTokens = 0;
+        // Null if the candidate copies nothing.
+        const BackendServer *copySource = nullptr;
+    };
+
     Distance distanceTo(const BackendServer &server) const;
     ServerView &view(const std::string &serverId, const Service &service);
     std::optional<PlacementChoice> chooseAmong(const std::vector<const BackendServer *> &servers,
@@ -105,6 +124,12 @@
     std::optional<PlacementChoice> chooseLowestCost(const Candidates &candidates,
                                                     const PlacementQuery &query, int urgency,
                                                     TimePoint now) const;
+    static PromptLocation locatePrompt(const Candidates &candidates, const PlacementQuery &query,
+                                       TimePoint now);
+    static Assessment assessEngine(const Candidate &candidate, bool inPool, double slowness,
+                                   const PromptLocation &location, const PlacementQuery &query,
+                                   int urgency, TimePoint now);
+    Assessment assessPlain(const Candidate &candidate, double slowness, TimePoint now) const;
     // Reserves engines for gap-sensitive streams and sorts them to the front.
     void arrangeStreamPool(Candidates &candidates, const PlacementQuery &query, TimePoint now);
     static bool shouldUseLateUrgency(const PlacementQuery &query, const PlacementChoice &choice);
--- a/packages/routing/include/auburn/routing/serverload.h
+++ b/packages/routing/include/auburn/routing/serverload.h
@@ -22,7 +22,9 @@
 // The load of one daemon, or the total of all daemons, at one server.
 struct PeerLoad
 {
+    // Requests in progress, and those among them that have not produced their first token.
     unsigned running = 0;
+    unsigned waiting = 0;
     // Number of gap-sensitive streams among the running requests.
     unsigned gapSensitiveStreams = 0;
     WaitingTokens waitingTokens{};
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -4,7 +4,6 @@
 #include "prediction.h"
 
 #include "auburn/routing/cell.h"
-#include "auburn/routing/promptaffinity.h"
 
 #include <algorithm>
 #include <utility>
@@ -132,61 +131,86 @@
     return !isLarge && choice.predicted > target;
 }
 
+Placement::PromptLocation Placement::locatePrompt(const Candidates &candidates,
+                                                  const PlacementQuery &query, TimePoint now)
+{
+    if (!query.service->engine)
+        return {};
+    PromptLocation location;
+    if (!query.gapSensitiveStream)
+        location.affinity = PromptAffinity(candidates.all, candidates.poolSize, query.prompt);
+    location.copySource = location.affinity.copySource(candidates.all, query, now);
+    return location;
+}
+
+Placement::Assessment Placement::assessEngine(const Candidate &candidate, bool inPool,
+                                              double slowness, const PromptLocation &location,
+                                              const PlacementQuery &query, int urgency,
+                                              TimePoint now)
+{
+    const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
+    Assessment result;
+    result.uncachedTokens = location.affinity.expectedUncached(candidate, query.prompt);
+    const bool lacksParts = result.uncachedTokens > ownTokens;
+    if (lacksParts && location.copySource != candidate.server)
+        result.copySource = location.copySource;
+    if (result.copySource)
+        result.uncachedTokens = uncachedWithCopy(result.uncachedTokens, ownTokens);
+    const std::uint64_t repeatedTokens = result.uncachedTokens
+                                         - std::min(result.uncachedTokens, ownTokens);
+    result.predicted = predictEngine(candidate, result.uncachedTokens, slowness, urgency, now);
+    result.cost = result.predicted + repeatedPrefillCost(repeatedTokens)
+                  + neighbourCost(candidate.load, result.uncachedTokens)
+                  + StreamPool::cost(candidate, inPool, query.gapSensitiveStream,
+                                     result.uncachedTokens);
+    return result;
+}
+
+Placement::Assessment Placement::assessPlain(const Candidate &candidate, double slowness,
+                                             TimePoint now) const
+{
+    const microseconds predicted = predictPlain(candidate, slowness, now);
+    return { .predicted = predicted,
+             .cost = predicted + spreadCost(*candidate.server, options_.vm) };
+}
+
 std::optional<PlacementChoice> Placement::chooseLowestCost(const Candidates &candidates,
                                                            const PlacementQuery &query, int urgency,
                                                            TimePoint now) const
 {
-    const PromptAffinity affinity = query.gapSensitiveStream
-                                            ? PromptAffinity()
-                                            : PromptAffinity(candidates.all, candidates.poolSize,
-                                                             query.prompt);
-    const std::uint64_t ownTokens = totalTokens(query.prompt) - sharedTokens(query.prompt);
-    const BackendServer *copySource = query.service->engine
-                                              ? affinity.copySource(candidates.all, query, now)
-                                              : nullptr;
-    std::optional<PlacementChoice> best;
-    microseconds bestCost{ 0 };
+    const PromptLocation location = locatePrompt(candidates, query, now);
+    const Candidate *best = nullptr;
+    Assessment bestAssessment;
     for (std::size_t i = 0; i < candidates.all.size(); ++i) {
         const Candidate &candidate = candidates.all[i];
         if (isExcluded(query, candidate.server->id))
             continue;
         const double slowness = relativeSlowness(candidate.slowness, candidates.slownessSum,
                                                  candidates.all.size());
-        std::uint64_t uncached = 0;
-        bool copies = false;
-        microseconds predicted{ 0 };
-        microseconds spread{ 0 };
-        if (query.service->engine) {
-            uncached = affinity.expectedUncached(candidate, query.prompt);
-            copies = copySource && copySource != candidate.server && uncached > ownTokens;
-            if (copies)
-                uncached = uncachedWithCopy(uncached, ownTokens);
-            predicted = predictEngine(candidate, uncached, slowness, urgency, now);
-        } else {
-            predicted = predictPlain(candidate, slowness, now);
-            spread = spreadCost(*candidate.server, options_.vm);
-        }
-        const std::uint64_t repeatedTokens = uncached - std::min(uncached, ownTokens);
-        const microseconds cost = predicted + spread
-                                  + distanceCost(distanceTo(*candidate.server), query.prompt)
-                                  + repeatedPrefillCost(repeatedTokens) + stragglerCost(slowness)
-                                  + StreamPool::cost(candidate, i < candidates.poolSize,
-                                                     query.gapSensitiveStream, uncached)
-                                  + failureCost(*candidate.view, query.repeatable, now);
-        if (best && cost >= bestCost)
+        const bool inPool = i < candidates.poolSize;
+        Assessment assessment = query.service->engine ? assessEngine(candidate, inPool, slowness,
+                                                                     location, query, urgency, now)
+                                                      : assessPlain(candidate, slowness, now);
+        assessment.cost += distanceCost(distanceTo(*candidate.server), query.prompt)
+                           + stragglerCost(slowness)
+                           + failureCost(*candidate.view, query.repeatable, now);
+        if (best && assessment.cost >= bestAssessment.cost)
             continue;
-        bestCost = cost;
-        best = PlacementChoice{ .serverId = candidate.server->id,
-                                .address = candidate.server->address,
-                                .predicted = predicted,
-                                .uncachedTokens = uncached,
-                                .inFlight = candidate.view->ownLoad().running,
-                                .gapSensitiveStream = query.gapSensitiveStream,
-                                .copySource = copies ? copySource->id : std::string(),
-                                .urgency = urgency,
-                                .reportAge = candidate.view->reportAge(now) };
+        best = &candidate;
+        bestAssessment = assessment;
     }
-    return best;
+    if (!best)
+        return std::nullopt;
+    const BackendServer *source = bestAssessment.copySource;
+    return PlacementChoice{ .serverId = best->server->id,
+                            .address = best->server->address,
+                            .predicted = bestAssessment.predicted,
+                            .uncachedTokens = bestAssessment.uncachedTokens,
+                            .inFlight = best->view->ownLoad().running,
+                            .gapSensitiveStream = query.gapSensitiveStream,
+                            .copySource = source ? source->id : std::string(),
+                            .urgency = urgency,
+                            .reportAge = best->view->reportAge(now) };
 }
 
 void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query)
--- a/packages/routing/src/placementcost.cpp
+++ b/packages/routing/src/placementcost.cpp
@@ -1,6 +1,7 @@
 #include "placementcost.h"
 
 #include "durations.h"
+#include "prediction.h"
 
 #include "auburn/core/hash.h"
 
@@ -23,6 +24,9 @@
 // Prefilling a shared part again delays all requests queued at the engine, not only the one being
 // placed. Cost for each 1,000 tokens, in addition to the predicted time.
 constexpr microseconds kRepeatedPrefillCostPerKiloToken{ 200000 };
+// Weight of the delay of a running request, relative to that of the request being placed: most
+// running requests have time left until they miss a target.
+constexpr double kNeighbourWeight = 1.0 / 3;
 // A server that is slower than the others by this factor is a straggler; it receives fewer requests
 // even if their prompt parts are cached there.
 constexpr double kStragglerSlowness = 2.0;
@@ -55,6 +59,12 @@
     return kRepeatedPrefillCostPerKiloToken * static_cast<std::int64_t>(tokens) / 1000;
 }
 
+microseconds neighbourCost(const PeerLoad &load, std::uint64_t uncachedTokens)
+{
+    const unsigned streams = load.running - std::min(load.running, load.waiting);
+    return fromMs(kNeighbourWeight * streams * toMs(prefillTime(uncachedTokens)));
+}
+
 microseconds stragglerCost(double slowness)
 {
     const double excess = std::max(0.0, slowness - kStragglerSlowness);
--- a/packages/routing/src/placementcost.h
+++ b/packages/routing/src/placementcost.h
@@ -18,6 +18,10 @@
 // Cost of prefilling shared tokens that another engine is expected to have.
 std::chrono::microseconds repeatedPrefillCost(std::uint64_t tokens);
 
+// Cost of the delay that prefilling the tokens causes to the requests that run on the engine, whose
+// streams receive only one token for each prefill chunk.
+std::chrono::microseconds neighbourCost(const PeerLoad &load, std::uint64_t uncachedTokens);
+
 // Cost of a server that is much slower than the others; see relativeSlowness().
 std::chrono::microseconds stragglerCost(double slowness);
 
--- a/packages/routing/src/serverload.cpp
+++ b/packages/routing/src/serverload.cpp
@@ -14,6 +14,7 @@
 void addLoad(PeerLoad &total, const PeerLoad &load)
 {
     total.running += load.running;
+    total.waiting += load.waiting;
     total.gapSensitiveStreams += load.gapSensitiveStreams;
     for (std::size_t level = 0; level < total.waitingTokens.size(); ++level)
         total.waitingTokens[level] += load.waitingTokens[level];
--- a/packages/routing/src/serverview.cpp
+++ b/packages/routing/src/serverview.cpp
@@ -29,9 +29,11 @@
 constexpr milliseconds kPeerLoadLifetime{ 1500 };
 constexpr milliseconds kReportLifetime{ 400 };
 
-void subtractWaiting(std::uint64_t &waiting, std::uint64_t tokens)
+void subtractWaiting(PeerLoad &load, const PlacementChoice &choice)
 {
-    waiting -= std::min(waiting, tokens);
+    std::uint64_t &tokens = load.waitingTokens[choice.urgency];
+    tokens -= std::min(tokens, choice.uncachedTokens);
+    load.waiting -= std::min(load.waiting, 1U);
 }
 
 } // namespace
@@ -43,6 +45,7 @@
 void ServerView::attemptStarted(const PlacementChoice &choice, const PromptParts &prompt)
 {
     ++ownLoad_.running;
+    ++ownLoad_.waiting;
     ownLoad_.gapSensitiveStreams += choice.gapSensitiveStream ? 1 : 0;
     ownLoad_.waitingTokens[choice.urgency] += choice.uncachedTokens;
     cache_.touch(prompt);
@@ -51,7 +54,7 @@
 void ServerView::attemptProgressed(const PlacementChoice &choice, microseconds sinceStart,
                                    TimePoint now)
 {
-    subtractWaiting(ownLoad_.waitingTokens[choice.urgency], choice.uncachedTokens);
+    subtractWaiting(ownLoad_, choice);
     const double predictedMs = std::max(kMinPredictedMs, toMs(choice.predicted));
     // The prediction already includes the slowness that was known when it was made.
     const double known = slowness(now);
@@ -68,7 +71,7 @@
     if (choice.gapSensitiveStream)
         ownLoad_.gapSensitiveStreams -= std::min(ownLoad_.gapSensitiveStreams, 1U);
     if (!progressed)
-        subtractWaiting(ownLoad_.waitingTokens[choice.urgency], choice.uncachedTokens);
+        subtractWaiting(ownLoad_, choice);
     if (outcome != AttemptOutcome::Abandoned)
         recordOutcome(outcome, now);
 }
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -136,6 +136,23 @@
     BOOST_TEST(placement.choose(directory, prompt(5), now)->serverId == primary);
 }
 
+// Streams run at all engines of the own failure domain. Guards against a placement that considers
+// only the first token of the newcomer: prefilling a long prompt delays every stream that runs
+// there, while a short one hardly does.
+BOOST_AUTO_TEST_CASE(longPrompt_streamsRunInTheOwnDomain_goesElsewhere)
+{
+    std::map<std::string, PeerLoad> loads;
+    for (int i = 0; i < 12; i += 3)
+        loads["engine-" + std::to_string(i)].running = 20;
+    PlacementQuery query = prompt(7);
+    query.prompt = { { .id = 70, .tokens = 20000 } };
+    placement.choose(directory, query, now);
+    placement.recordPeerLoads("peer", loads, now);
+    BOOST_TEST(!loads.contains(placement.choose(directory, query, now)->serverId));
+    query.prompt.back().tokens = 100;
+    BOOST_TEST(loads.contains(placement.choose(directory, query, now)->serverId));
+}
+
 // A hot key: its requests fill the queue of the engine that has the session's part. Guards against
 // the other engines prefilling the part again instead of copying it.
 BOOST_AUTO_TEST_CASE(session_longQueueAtItsEngine_othersCopyItsPart)
