Routing: count the prompt in progress as work ahead of urgent requests

Cause: the prediction left out the tokens of less urgent requests, though an engine finishes the prompt that it is prefilling. Change: at most one mean waiting prompt of lower urgency counts as ahead.

--- a/packages/routing/src/prediction.cpp
+++ b/packages/routing/src/prediction.cpp
@@ -22,6 +22,17 @@
 constexpr double kPlainWorkMs = 40.0;
 constexpr double kPlainMsPerRequest = 0.5;
 
+// Returns the number of tokens that the engine prefills before those of a new request: the more
+// urgent ones, and the rest of the prompt in progress, which a more urgent request does not
+// interrupt. Since long prompts are in progress for longer, its rest is about one mean prompt.
+std::uint64_t tokensAhead(const PeerLoad &load, int urgency)
+{
+    const std::uint64_t urgent = tokensUpTo(load, urgency);
+    const std::uint64_t all = tokensUpTo(load, kLowestUrgency);
+    const std::uint64_t meanPrompt = all / std::max(1U, load.waiting);
+    return urgent + std::min(all - urgent, meanPrompt);
+}
+
 } // namespace
 
 microseconds prefillTime(std::uint64_t tokens)
@@ -36,7 +47,7 @@
     unsigned running = candidate.load.running;
     if (const auto report = candidate.view->recentReport(now))
         running = std::max(running, report->running);
-    const std::uint64_t ahead = tokensUpTo(candidate.load, urgency);
+    const std::uint64_t ahead = tokensAhead(candidate.load, urgency);
     double ms = kFirstTokenMs + toMs(prefillTime(ahead + uncachedTokens))
                 + running * kStepMsPerRequest;
     // A full batch admits the next request only when another one ends.
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -190,6 +190,42 @@
     BOOST_TEST(placement.choose(directory, query, now)->copySource.empty());
 }
 
+// A long prompt of a lower rank is in progress at one of several equal engines. Guards against
+// urgent requests that are placed behind it because only requests of their own rank were counted.
+BOOST_AUTO_TEST_CASE(urgentRequest_longPromptInProgress_avoidsTheEngine)
+{
+    PlacementQuery urgent = prompt(7);
+    urgent.urgency = { .onTime = 0, .late = 0 };
+    urgent.prompt = { { .id = 7000, .tokens = 1500 } };
+    const std::string preferred = placement.choose(directory, urgent, now)->serverId;
+    std::map<std::string, PeerLoad> loads;
+    for (int i = 0; i < 12; ++i)
+        loads["engine-" + std::to_string(i)] = { .running = 4, .waiting = 1 };
+    loads[preferred].waitingTokens[kLowestUrgency] = 15000;
+    placement.recordPeerLoads("peer", loads, now);
+    BOOST_TEST(placement.choose(directory, urgent, now)->serverId != preferred);
+}
+
+// Guards against a long queue of lower rank that makes urgent requests count as late, although
+// they overtake all of it but the prompt in progress.
+BOOST_AUTO_TEST_CASE(urgentRequest_longQueueOfLowerRank_isPredictedBehindOnePrompt)
+{
+    PlacementQuery urgent = prompt(7);
+    urgent.urgency = { .onTime = 0, .late = 1 };
+    urgent.prompt = { { .id = 7000, .tokens = 1500 } };
+    placement.choose(directory, urgent, now);
+    std::map<std::string, PeerLoad> loads;
+    for (int i = 0; i < 12; ++i) {
+        PeerLoad &load = loads["engine-" + std::to_string(i)];
+        load = { .running = 20, .waiting = 20 };
+        load.waitingTokens[kLowestUrgency] = 100000;
+    }
+    placement.recordPeerLoads("peer", loads, now);
+    const auto choice = placement.choose(directory, urgent, now);
+    BOOST_TEST(choice->urgency == 0);
+    BOOST_TEST(choice->predicted < milliseconds(300));
+}
+
 BOOST_AUTO_TEST_CASE(plainService_ownDomainFree_staysThere)
 {
     BOOST_TEST(start(placement, order()).serverId == "desk-0");
