--- a/packages/config/include/auburn/config/configfold.h
+++ b/packages/config/include/auburn/config/configfold.h
@@ -25,7 +25,7 @@
 // 2,800 changes a day. A publisher repeats an append for some seconds only.
 constexpr std::size_t kRecentChangeIds = 4096;
 
-// Changes that are held to answer pulls with changes instead of the whole state.
+// Changes that are held to respond to pulls with changes instead of the whole state.
 constexpr std::size_t kHeldChanges = 2048;
 
 // Not thread-safe.
--- a/packages/config/include/auburn/config/configfollower.h
+++ b/packages/config/include/auburn/config/configfollower.h
@@ -27,19 +27,19 @@
     // this and the client's margin, which must leave time within the 20 s in which a change takes
     // effect.
     std::chrono::milliseconds pollWait{ 5000 };
-    // A reader of the log that is told of a higher revision pulls it from the peer after this time:
-    // its read of the log may be on a silent connection.
+    // A reader of the log that receives a higher revision by gossip pulls it from the peer after
+    // this time: its read of the log may be on a silent connection.
     std::chrono::milliseconds overdueAfter{ 2000 };
-    // Records asked for in one read of the log.
+    // Maximum number of records in one read of the log.
     std::size_t readRecords = 100;
     // Bounds of the delay after a failed read; the delay doubles from the first to the second.
     std::chrono::milliseconds retryMin{ 200 };
     std::chrono::milliseconds retryMax{ 5000 };
-    // A daemon without configuration asks peers for this long before it reads the log.
+    // A daemon without configuration queries peers for this long before it reads the log.
     std::chrono::milliseconds bootPeerWait{ 2000 };
-    // A pull ends if no chunk of the answer arrives for this long.
+    // A pull ends if no chunk of the response arrives for this long.
     std::chrono::milliseconds pullTimeout{ 2000 };
-    // Size of the chunks in which pulls are answered.
+    // Size of the chunks of a response to a pull.
     std::size_t chunkBytes = 64UL * 1024;
 };
 
@@ -62,7 +62,7 @@
 {
 public:
     using FoldedListener = std::function<void(const std::vector<FoldedChange> &)>;
-    // Ends its effect when destroyed, on the thread of Qt's event loop.
+    // The effect ends when the handle is destroyed, on the thread of Qt's event loop.
     using Handle = std::shared_ptr<void>;
 
     virtual ~ConfigFollower() = default;
@@ -78,8 +78,8 @@
     // True while this daemon is a relay. Callable from any thread.
     virtual void setFollowing(bool following) = 0;
 
-    // Tells the configuration revision of a peer, also if it is 0: a daemon without configuration
-    // asks any peer. Callable from any thread, as often as gossip arrives.
+    // Records the configuration revision of a peer, also if it is 0: a daemon without configuration
+    // queries any peer. Callable from any thread, as often as gossip arrives.
     virtual void onPeerRevision(const std::string &peerId, std::uint64_t revision) = 0;
 
     // Outcomes of recent changes, oldest first. Callable from any thread.
@@ -90,7 +90,7 @@
     // Reads the log while the handle exists, also on a daemon that is not a relay.
     virtual Handle keepReading() = 0;
 
-    // The listener gets the outcomes of changes once the store holds them.
+    // The listener receives the outcomes of changes once the store holds them.
     virtual Handle onFolded(FoldedListener listener) = 0;
 
     virtual SnapshotStatus snapshotStatus() const = 0;
--- a/packages/config/include/auburn/config/configpublisher.h
+++ b/packages/config/include/auburn/config/configpublisher.h
@@ -3,7 +3,7 @@
 // Readers decide on a change when they fold it, so a change is reported as accepted only after this
 // daemon has folded its own record. A lost append is repeated under the same change id, which
 // readers count once. The log is read before the first append, so that a change
-// is refused for certain, not with an unknown outcome, while the log is away.
+// is refused for certain, not with an unknown outcome, while the log is unavailable.
 #pragma once
 
 #include "auburn/config/configfollower.h"
@@ -35,7 +35,7 @@
     std::string reason;
 };
 
-// The change is not on the log and will not get there.
+// The change is not on the log and will not be appended later.
 struct ChangeUnavailable
 {
     std::string reason;
--- a/packages/config/include/auburn/config/configstore.h
+++ b/packages/config/include/auburn/config/configstore.h
@@ -26,8 +26,8 @@
     // Revision of the current state; 0 if there is none.
     std::uint64_t revision() const;
 
-    // Replaces the state and tells the subscribers; false if the state is null or its revision is
-    // not higher than the current one.
+    // Replaces the state and notifies the subscribers; false if the state is null or its revision
+    // is not higher than the current one.
     bool update(const std::shared_ptr<const ConfigState> &state);
 
     // The listener is called on the thread that updates the store, with no lock held.
--- a/packages/config/include/auburn/config/logclient.h
+++ b/packages/config/include/auburn/config/logclient.h
@@ -1,7 +1,7 @@
 // LogClient: appends to and reads from the streams of the platform's log.
 //
-// An append whose answer is lost may have taken effect. The result says which of the three cases
-// applies, so that a caller repeats an append only under an id that readers count once.
+// An append whose response is lost may have taken effect. The result states which of the three
+// cases applies, so that a caller repeats an append only under an id that readers count once.
 #pragma once
 
 #include <chrono>
@@ -57,15 +57,15 @@
 {
     // For example http://10.0.0.1:8080; paths of section 4 of the design page are added to it.
     std::string baseUrl;
-    // Longest time from the call to the answer of an append, connecting included.
+    // Time limit of an append, from the call to the response, connecting included.
     std::chrono::milliseconds appendTimeout{ 2000 };
     // Time that a read may take beyond its own wait.
     std::chrono::milliseconds readMargin{ 2000 };
-    // A longer answer ends the call with an error.
+    // A longer response ends the call with an error.
     std::size_t maxAnswerBytes = 64UL * 1024 * 1024;
 };
 
-// Lives on the thread of Qt's event loop; all calls and callbacks happen there. It must not be
+// Used on the thread of Qt's event loop; all calls and callbacks happen there. It must not be
 // destroyed from a callback.
 class LogClient
 {
@@ -82,7 +82,7 @@
 
     virtual void append(const std::string &stream, std::string bytes, AppendCallback callback) = 0;
 
-    // Reads at most max records with offsets >= from. If there is none, the log holds the answer
+    // Reads at most max records with offsets >= from. If there is none, the log holds the response
     // until one is appended or wait has passed.
     virtual void read(const std::string &stream, std::uint64_t from, std::size_t max,
                       std::chrono::milliseconds wait, ReadCallback callback) = 0;
--- a/packages/config/include/auburn/config/membershiplistclient.h
+++ b/packages/config/include/auburn/config/membershiplistclient.h
@@ -17,12 +17,12 @@
 struct MembershipListClientOptions
 {
     std::string baseUrl;
-    // Longest time from the call to the answer, connecting included.
+    // Time limit from the call to the response, connecting included.
     std::chrono::milliseconds timeout{ 2000 };
     std::size_t maxAnswerBytes = 16UL * 1024 * 1024;
 };
 
-// Lives on the thread of Qt's event loop; all calls and callbacks happen there.
+// Used on the thread of Qt's event loop; all calls and callbacks happen there.
 class MembershipListClient
 {
 public:
--- a/packages/config/include/auburn/config/snapshotwriter.h
+++ b/packages/config/include/auburn/config/snapshotwriter.h
@@ -1,8 +1,9 @@
 // SnapshotWriter: keeps a usable snapshot of the configuration on the log.
 //
-// The log forgets records after its retention, so a relay appends the whole state again when the
+// The log removes records after its retention, so a relay appends the whole state again when the
 // newest usable snapshot is older than a third of the retention. Several relays run this; the delay
-// before a snapshot is random, and a relay that reads another's chunks in that time stands back.
+// before a snapshot is random, and a relay that reads another relay's chunks in that time writes
+// none.
 #pragma once
 
 #include "auburn/config/configfollower.h"
@@ -32,7 +33,7 @@
     std::chrono::milliseconds minInterval{ 60000 };
 };
 
-// Lives on the thread of Qt's event loop.
+// Used on the thread of Qt's event loop.
 class SnapshotWriter
 {
 public:
--- a/packages/config/src/chunkassembler.h
+++ b/packages/config/src/chunkassembler.h
@@ -1,4 +1,4 @@
-// ChunkAssembler: collects the chunks of one snapshot or of one answer to a pull.
+// ChunkAssembler: collects the chunks of one snapshot or of one response to a pull.
 #pragma once
 
 #include "auburn.pb.h"
--- a/packages/config/src/configfollower.cpp
+++ b/packages/config/src/configfollower.cpp
@@ -138,7 +138,7 @@
     template<typename Method>
     void listen(MessageBus &bus, proto::Envelope::BodyCase kind, Method method)
     {
-        // The bus may call after this object is gone; the closed mailbox then drops the task.
+        // The bus may call after this object was destroyed; the closed mailbox then drops the task.
         bus.setHandler(kind, [this, mailbox = mailbox_, method](const std::string &sender,
                                                                 const proto::Envelope &envelope) {
             mailbox->post(
@@ -350,7 +350,7 @@
     }
 
     // True if a peer's higher revision should have come from the log by now. Gossip repeats the
-    // revision, so this is looked at again.
+    // revision, so this is checked again.
     bool isOverdue() const
     {
         return behindSince_
@@ -399,7 +399,7 @@
             return;
         }
         adopt(std::move(*fold), "peer");
-        // The bootstrap goes on only if this daemon is still behind the log's retention.
+        // The bootstrap continues only if this daemon is still behind the log's retention.
         if (fold_->revision() + 1 >= logEarliest_)
             bootstrap_.reset();
     }
@@ -443,7 +443,7 @@
     std::optional<ConfigFold> fold_;
     std::optional<LogBootstrap> bootstrap_;
 
-    // When a peer's higher revision was first heard of since the last record was folded.
+    // When a higher revision of a peer was first received since the last record was folded.
     std::optional<std::chrono::steady_clock::time_point> behindSince_;
 
     bool reading_ = false;
--- a/packages/config/src/configpublisher.cpp
+++ b/packages/config/src/configpublisher.cpp
@@ -29,7 +29,7 @@
     unsigned failures = 0;
     bool appending = false;
     bool mayBeOnLog = false;
-    // Offset of the first append that was answered.
+    // Offset of the first append that got a response.
     std::optional<std::uint64_t> offset;
 };
 
--- a/packages/config/src/httplogclient.cpp
+++ b/packages/config/src/httplogclient.cpp
@@ -17,8 +17,8 @@
     return "the log answered with HTTP status " + std::to_string(status);
 }
 
-// A 4xx answer is the log's refusal. It proves nothing if the request was sent twice, because the
-// first copy may have been appended; 408 and 5xx answers can come after the effect.
+// A 4xx response is the log's refusal. It proves nothing if the request was sent twice, because the
+// first copy may have been appended; 408 and 5xx responses can follow after the effect.
 bool isCertainRefusal(const HttpAnswer &answer)
 {
     const bool clientError = answer.status >= 400 && answer.status < 500;
--- a/packages/config/src/logbootstrap.h
+++ b/packages/config/src/logbootstrap.h
@@ -34,7 +34,7 @@
     // Offset to read from.
     std::uint64_t next() const { return next_; }
 
-    // Takes the answer to a read from next().
+    // Adds the response to a read from next().
     Step add(const LogBatch &batch);
 
     ConfigFold take();
--- a/packages/config/src/mailbox.h
+++ b/packages/config/src/mailbox.h
@@ -1,4 +1,4 @@
-// Mailbox: runs tasks on the thread that made it, until it is closed.
+// Mailbox: runs tasks on the thread on which it was created, until it is closed.
 #pragma once
 
 #include <QMetaObject>
--- a/packages/config/src/peerpull.h
+++ b/packages/config/src/peerpull.h
@@ -1,4 +1,4 @@
-// PeerPull: chooses a peer with newer configuration, asks it and collects its answer.
+// PeerPull: selects a peer with a newer configuration, requests it and collects the response.
 #pragma once
 
 #include "auburn/mesh/bus.h"
@@ -17,14 +17,14 @@
 public:
     explicit PeerPull(MessageBus &bus);
 
-    // Notes what a peer has.
+    // Records the revision of a peer.
     void notePeer(const std::string &peerId, std::uint64_t revision);
 
-    // Forgets peers that have nothing newer than this daemon.
+    // Removes peers that have nothing newer than this daemon.
     void forgetUpTo(std::uint64_t revision);
 
-    // Asks the peer with the highest revision, unless an answer is awaited. Peers that cannot be
-    // reached are forgotten; gossip names them again.
+    // Sends a pull to the peer with the highest revision, unless a response is pending. Peers that
+    // cannot be reached are removed; gossip adds them again.
     void begin(std::uint64_t ownRevision);
 
     bool isWaiting() const { return !peer_.empty(); }
@@ -32,11 +32,11 @@
     // Changes with every pull and every chunk; a timeout is due if it stays the same.
     std::uint64_t progress() const { return progress_; }
 
-    // Ends the pull and forgets the peer.
+    // Ends the pull and removes the peer.
     void fail();
 
-    // Takes a chunk; all chunks of the answer once it is complete, which ends the pull. Chunks of
-    // other senders are dropped.
+    // Adds a chunk; returns all chunks of the response once it is complete, which ends the pull.
+    // Chunks of other senders are dropped.
     std::optional<std::vector<proto::ConfigChunk>> addChunk(const std::string &sender,
                                                             const proto::ConfigChunk &chunk);
 
@@ -45,7 +45,7 @@
 
     MessageBus &bus_;
     std::map<std::string, std::uint64_t> peers_;
-    // Peer that was asked; empty if none.
+    // Peer to which the pull was sent; empty if none.
     std::string peer_;
     ChunkAssembler assembler_;
     std::uint64_t progress_ = 0;
--- a/packages/config/src/platformhttp.cpp
+++ b/packages/config/src/platformhttp.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// What is known of a request in progress.
+// State of a request in progress.
 struct Progress
 {
     unsigned timesSent = 0;
--- a/packages/config/src/platformhttp.h
+++ b/packages/config/src/platformhttp.h
@@ -24,7 +24,7 @@
 {
     int status = 0;
     QByteArray body;
-    // Qt sends a request again on its own when a connection closes before the answer.
+    // Qt sends a request again on its own when a connection closes before the response.
     unsigned timesSent = 0;
 };
 
@@ -38,7 +38,7 @@
 using HttpResult = std::variant<HttpAnswer, HttpFailure>;
 
 // Requests of one channel share connections; a failure gives the channel new ones. Qt queues
-// requests beyond six to one host without any sign, so long polls need channels of their own.
+// requests beyond six to one host without reporting it, so long polls need channels of their own.
 class PlatformHttp
 {
 public:
--- a/packages/config/src/pullserver.cpp
+++ b/packages/config/src/pullserver.cpp
@@ -34,7 +34,7 @@
         proto::Envelope envelope;
         *envelope.mutable_config_chunk() = chunk;
         *envelope.mutable_config_chunk()->mutable_newest_snapshot() = newestSnapshot;
-        // The puller asks again if a chunk is lost.
+        // The puller repeats the pull if a chunk is lost.
         if (!bus_.send(puller, std::move(envelope)))
             return;
     }
--- a/packages/config/src/pullserver.h
+++ b/packages/config/src/pullserver.h
@@ -1,4 +1,4 @@
-// PullServer: answers the configuration pulls of other daemons.
+// PullServer: responds to the configuration pulls of other daemons.
 #pragma once
 
 #include "auburn/config/configfold.h"
@@ -17,7 +17,7 @@
     PullServer(MessageBus &bus, std::size_t chunkBytes);
 
     // Sends the changes after the puller's revision if the fold still holds them, otherwise the
-    // whole state. Without a fold the answer is one chunk with a count of 0.
+    // whole state. Without a fold the response is one chunk with a count of 0.
     void answer(const std::string &puller, const proto::ConfigPull &pull, const ConfigFold *fold,
                 const proto::SnapshotMark &newestSnapshot);
 
--- a/packages/config/src/snapshottracker.h
+++ b/packages/config/src/snapshottracker.h
@@ -1,4 +1,4 @@
-// SnapshotTracker: knows the newest complete snapshot on the log.
+// SnapshotTracker: tracks the newest complete snapshot on the log.
 #pragma once
 
 #include "auburn.pb.h"
@@ -14,10 +14,10 @@
 class SnapshotTracker
 {
 public:
-    // Takes a chunk that was read from the log, with its time on the log.
+    // Adds a chunk that was read from the log, with its time on the log.
     void addChunk(std::chrono::milliseconds time, const proto::ConfigChunk &chunk);
 
-    // Takes the knowledge of a peer.
+    // Adds the snapshot that a peer reported.
     void adopt(const proto::SnapshotMark &mark);
 
     // Both fields are 0 if no snapshot is known.
--- a/packages/config/src/snapshotwriter.cpp
+++ b/packages/config/src/snapshotwriter.cpp
@@ -112,7 +112,7 @@
 
     void appendChunk()
     {
-        // A writer that was paused for long would append a state that nobody can use.
+        // A writer that was paused for long would append a state that no reader can use.
         if (!active_ || Clock::now() - *lastBegin_ > options_.retention / 6) {
             giveUp("the writer stopped or was too slow");
             return;
