Gateway: drop expired entries of the startup queue

Cause: while the store is unavailable for long, the entries of requests that have been rejected in the meantime stayed in the queue until a configuration came. Change: adding an entry removes those whose wait is over. Two files are formatted.

--- a/packages/gateway/include/auburn/gateway/headernames.h
+++ b/packages/gateway/include/auburn/gateway/headernames.h
@@ -20,8 +20,8 @@
     std::string expectedServer;
     // Set by the daemon: urgency at an engine, 0 to 9.
     std::string urgency;
-    // Set by the daemon: IP:PORT of the engine from which the server copies the prompt parts that it
-    // lacks.
+    // Set by the daemon: IP:PORT of the engine from which the server copies the prompt parts that
+    // it lacks.
     std::string copySource;
     // The ids and token counts of the parts of the prompt.
     std::string promptParts;
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -219,10 +219,11 @@
 {
     heldRequest_ = std::move(request);
     startupDeadline_.setAfter(limit);
-    context_.startupQueue.add([self = weak_from_this()] {
+    const auto route = [self = weak_from_this()] {
         if (const auto connection = self.lock())
             connection->endStartupWait("routable");
-    });
+    };
+    context_.startupQueue.add(route, limit);
     read();
 }
 
--- a/packages/gateway/src/startupqueue.cpp
+++ b/packages/gateway/src/startupqueue.cpp
@@ -24,15 +24,24 @@
     return timeLimit ? std::min(*timeLimit / kTimeLimitDivisor, kMaxWait) : milliseconds(0);
 }
 
+// Expired entries are removed, so that the queue stays small while the store is unavailable for
+// long.
+void StartupQueue::add(Handler handler, milliseconds limit)
+{
+    const auto now = Clock::now();
+    std::erase_if(entries_, [now](const Entry &entry) { return entry.expires <= now; });
+    entries_.push_back({ .handler = std::move(handler), .expires = now + limit });
+}
+
 void StartupQueue::release()
 {
-    if (handlers_.empty())
+    if (entries_.empty())
         return;
     boost::asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
         if (alive.expired())
             return;
-        for (const Handler &handler : std::exchange(handlers_, {}))
-            handler();
+        for (const Entry &entry : std::exchange(entries_, {}))
+            entry.handler();
     });
 }
 
--- a/packages/gateway/src/startupqueue.h
+++ b/packages/gateway/src/startupqueue.h
@@ -3,7 +3,6 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
-#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,15 +27,24 @@
         : io_(io)
     {}
 
-    void add(Handler handler) { handlers_.push_back(std::move(handler)); }
+    // Adds a request that waits for at most the given time; the caller ends a longer wait itself.
+    void add(Handler handler, std::chrono::milliseconds limit);
     // Calls the handlers in the order in which the requests arrived, after the current event has
     // been processed: one response of the store may hold many servers, and the first one must not
     // receive all requests.
     void release();
 
 private:
+    using Clock = std::chrono::steady_clock;
+
+    struct Entry
+    {
+        Handler handler;
+        Clock::time_point expires;
+    };
+
     boost::asio::io_context &io_;
-    std::vector<Handler> handlers_;
+    std::vector<Entry> entries_;
     // A posted call sees that the queue no longer exists.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -84,7 +84,8 @@
              .responseSeal = "X-Seal",
              .notExecuted = "X-Not-Executed",
              .serverLoad = "X-Load",
-             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source", "X-Last" } };
+             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source",
+                           "X-Last" } };
 }
 
 std::uint16_t freePort(boost::asio::io_context &io)
