Gateway: log and count the decisions of the retry budget

Each decision now has a log line with the service, the reason and the figures, and a counter by service.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -251,7 +251,7 @@
     const bool canFinishElsewhere = other
                                     && !context_.state.placement.isAvoided(other->serverId, now)
                                     && timeLeft() > duration_cast<milliseconds>(other->predicted);
-    if (!attemptsLeft || !canFinishElsewhere || !takeRetry()) {
+    if (!attemptsLeft || !canFinishElsewhere || !takeRetry("stalled")) {
         excluded_.pop_back();
         stallTimer_.setAfter(kStallRecheckInterval);
         return;
@@ -264,9 +264,20 @@
     requestPlacement();
 }
 
-bool Exchange::takeRetry()
+bool Exchange::takeRetry(std::string_view reason)
 {
-    return context_.state.retries.tryConsumeRetry(std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    routing::RetryBudget &budget = context_.state.retries;
+    const bool granted = budget.tryConsumeRetry(now);
+    recordRetry({ .request = request_,
+                  .service = service_->name,
+                  .reason = reason,
+                  .granted = granted,
+                  .requestsInWindow = budget.requestsInWindow(now),
+                  .retriesInWindow = budget.retriesInWindow(now),
+                  .daemons = budget.daemonCount() },
+                context_.options.metrics);
+    return granted;
 }
 
 void Exchange::endAttempt(AttemptOutcome outcome, std::string_view reason)
@@ -430,7 +441,7 @@
     }
     ++possibleExecutions_;
     if (status_ >= 500 && isRepeatable() && possibleExecutions_ < request_.route->maxAttempts
-        && writer_ && timeLeft() > kMinStallTimeout && takeRetry()) {
+        && writer_ && timeLeft() > kMinStallTimeout && takeRetry("server_error")) {
         excluded_.push_back(attempt_->serverId);
         endAttempt(AttemptOutcome::ServerError, "server_error");
         requestPlacement();
@@ -468,7 +479,7 @@
     excluded_.push_back(attempt_->serverId);
     ++rejections_;
     endAttempt(AttemptOutcome::Rejected, "rejected");
-    if (rejections_ <= kMaxRejections && writer_ && takeRetry())
+    if (rejections_ <= kMaxRejections && writer_ && takeRetry("rejected"))
         requestPlacement();
     else if (verdict_ == Verdict::DidNotRun)
         refuse("servers_full");
@@ -501,7 +512,7 @@
     const bool blocked = context_.state.crashes.isBlocked(fingerprint_,
                                                           std::chrono::steady_clock::now());
     if (isRepeatable() && !blocked && writer_ && possibleExecutions_ < request_.route->maxAttempts
-        && takeRetry())
+        && takeRetry("server_broke_off"))
         requestPlacement();
     else
         failWithUnknownOutcome("server_broke_off");
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -101,8 +101,9 @@
 
     // True if the request may run more than once.
     bool isRepeatable() const;
-    // Takes one retry from the retry budget of this daemon. Returns false if none is left.
-    bool takeRetry();
+    // Takes one retry from the retry budget of this daemon. Returns false if none is left. The
+    // reason tells why the request would be sent again.
+    bool takeRetry(std::string_view reason);
     routing::PlacementQuery placementQuery() const;
 
     // Responds with status 503, or fails with an unknown outcome if a server may have run the
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -85,6 +85,22 @@
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
 
+void recordRetry(const RetryRecord &record, Metrics *metrics)
+{
+    if (metrics)
+        metrics->counter("auburn_retries_total", "Decisions of the retry budget",
+                         { { "service", std::string(record.service) },
+                           { "decision", record.granted ? "granted" : "refused" } })
+                .add();
+    logEvent(LogLevel::Info, record.granted ? "retry_granted" : "retry_refused",
+             { { "id", record.request.id },
+               { "service", record.service },
+               { "reason", record.reason },
+               { "requests", static_cast<long long>(record.requestsInWindow) },
+               { "retries", static_cast<long long>(record.retriesInWindow) },
+               { "daemons", static_cast<long long>(record.daemons) } });
+}
+
 void recordRequestEnd(const RequestEndRecord &record, Metrics *metrics)
 {
     const CallerRequest &request = record.request;
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -9,6 +9,7 @@
 #include "auburn/routing/placement.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -41,6 +42,21 @@
     std::chrono::milliseconds duration{ 0 };
 };
 
+// A decision of the retry budget.
+struct RetryRecord
+{
+    const CallerRequest &request;
+    std::string_view service;
+    // Why the request would be sent to another server.
+    std::string_view reason;
+    bool granted = false;
+    // The figures on which the decision was based, of this daemon only.
+    std::uint64_t requestsInWindow = 0;
+    std::uint64_t retriesInWindow = 0;
+    // Number of daemons that share the allowance.
+    unsigned daemons = 0;
+};
+
 // The end of a request.
 struct RequestEndRecord
 {
@@ -61,6 +77,8 @@
 void recordPlacement(const PlacementRecord &record);
 // Counts the attempt and logs it unless it succeeded. The metrics may be null.
 void recordAttempt(const AttemptRecord &record, Metrics *metrics);
+// Logs and counts a decision of the retry budget. The metrics may be null.
+void recordRetry(const RetryRecord &record, Metrics *metrics);
 // Logs and counts the end of a request. The metrics may be null.
 void recordRequestEnd(const RequestEndRecord &record, Metrics *metrics);
 
--- a/packages/routing/include/auburn/routing/retrybudget.h
+++ b/packages/routing/include/auburn/routing/retrybudget.h
@@ -33,6 +33,7 @@
     // Consumes one retry; returns false if the budget is used up.
     bool tryConsumeRetry(TimePoint now);
 
+    unsigned daemonCount() const { return daemons_; }
     std::uint64_t requestsInWindow(TimePoint now) const;
     std::uint64_t retriesInWindow(TimePoint now) const;
 
