Routing: a retry budget that restarts, cuts and freezes can only reduce

Callers' requests were sent to further servers more often than the limit of a service allows. Cause: a budget lived in one process and began with its whole part of a window; the part was the allowance divided by the daemons that answered just then (1 in the first seconds and during a cut); and one budget paid for all services. The class of fault: a limit that is kept per process and promised for the sum.

Each service now has tokens of its own. A request earns a fraction of a token that expires after half a window; the allowance arrives over time, in parts by a number of daemons that never decreases in the life of a process and is unknown until the store's registrations or another daemon tell it. A new process has none.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -75,13 +75,13 @@
 {
     self_ = shared_from_this();
     const auto now = std::chrono::steady_clock::now();
-    context_.state.retries.recordRequest(now);
     const std::string &name = routing::pickService(*request_.route, stableHash(request_.id));
     service_ = request_.config->findService(name);
     if (!service_) {
         refuse("unknown_service");
         return;
     }
+    context_.state.retries.recordRequest(name, now);
     if (context_.state.crashes.isBlocked(fingerprint_, now)) {
         refuse("crashes_servers");
         return;
@@ -268,13 +268,12 @@
 {
     const auto now = std::chrono::steady_clock::now();
     routing::RetryBudget &budget = context_.state.retries;
-    const bool granted = budget.tryConsumeRetry(now);
+    const bool granted = budget.tryConsumeRetry(service_->name, now);
     recordRetry({ .request = request_,
                   .service = service_->name,
                   .reason = reason,
                   .granted = granted,
-                  .requestsInWindow = budget.requestsInWindow(now),
-                  .retriesInWindow = budget.retriesInWindow(now),
+                  .available = budget.available(service_->name, now),
                   .daemons = budget.daemonCount() },
                 context_.options.metrics);
     return granted;
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -96,9 +96,8 @@
              { { "id", record.request.id },
                { "service", record.service },
                { "reason", record.reason },
-               { "requests", static_cast<long long>(record.requestsInWindow) },
-               { "retries", static_cast<long long>(record.retriesInWindow) },
-               { "daemons", static_cast<long long>(record.daemons) } });
+               { "available", static_cast<long long>(record.available) },
+               { "daemons", static_cast<long long>(record.daemons.value_or(0)) } });
 }
 
 void recordRequestEnd(const RequestEndRecord &record, Metrics *metrics)
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -9,7 +9,6 @@
 #include "auburn/routing/placement.h"
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -50,11 +49,10 @@
     // Why the request would be sent to another server.
     std::string_view reason;
     bool granted = false;
-    // The figures on which the decision was based, of this daemon only.
-    std::uint64_t requestsInWindow = 0;
-    std::uint64_t retriesInWindow = 0;
-    // Number of daemons that share the allowance.
-    unsigned daemons = 0;
+    // Number of further retries at the service that this daemon could send now.
+    unsigned available = 0;
+    // Number of daemons that share the allowance; empty if it is unknown.
+    std::optional<unsigned> daemons;
 };
 
 // The end of a request.
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -101,9 +101,20 @@
     : address("127.0.0.1:" + std::to_string(freePort(io)))
 {
     state.config = std::make_shared<const routing::TrafficConfig>(testConfig());
+    fillRetryBudget();
     startGateway(placementSource);
 }
 
+void GatewayFixture::fillRetryBudget()
+{
+    constexpr unsigned kRequests = 1000;
+    const auto now = std::chrono::steady_clock::now();
+    for (unsigned i = 0; i < kRequests; ++i) {
+        for (const char *service : { "desk", "engines" })
+            state.retries.recordRequest(service, now);
+    }
+}
+
 void GatewayFixture::startGateway(routing::PlacementSource &placement)
 {
     gateway = Gateway::make(io, { .listenAddress = address,
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -16,6 +16,8 @@
 {
     GatewayFixture();
 
+    // Records requests that earn enough retries for the whole test.
+    void fillRetryBudget();
     // Starts the gateway on the fixture's address.
     void startGateway(routing::PlacementSource &placement);
     // Adds a server of the "desk" or "engines" service.
@@ -43,7 +45,7 @@
     RoutingState state{ .directory = {},
                         .placement = routing::Placement(
                                 { .failureDomain = "a", .regions = { { "a", "r" } } }),
-                        .retries = routing::RetryBudget({ .allowance = 100 }),
+                        .retries = routing::RetryBudget({ .window = std::chrono::hours(1) }),
                         .crashes = {},
                         .config = nullptr };
     routing::LocalPlacementSource placementSource{ state.directory, state.placement };
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -100,6 +100,20 @@
     BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
 }
 
+// Guards against a daemon that has just started and sends rejected requests to further servers as
+// if the process before it had sent none.
+BOOST_AUTO_TEST_CASE(rejections_daemonHasJustStarted_costOneArrivalForEachRequest)
+{
+    state.retries = routing::RetryBudget({ .allowance = 100 });
+    const auto reject = respondWith(wholeAnswer(503, "X-Not-Executed: 1\r\n", ""));
+    const ScriptedServer &first = addServer("s1", "desk", reject);
+    const ScriptedServer &second = addServer("s2", "desk", reject);
+    constexpr unsigned kRequests = 5;
+    for (unsigned i = 0; i < kRequests; ++i)
+        BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 503);
+    BOOST_TEST(first.requests().size() + second.requests().size() == kRequests);
+}
+
 // A 503 from a server that may have run the request must not be forwarded, because the caller would
 // retry.
 BOOST_AUTO_TEST_CASE(unsafe_serverAnswers503AfterRunning_becomesAnUnknownOutcome)
--- a/packages/routing/tests/retrylimit_test.cpp
+++ b/packages/routing/tests/retrylimit_test.cpp
@@ -1,6 +1,7 @@
 // Tests the limit of retries of a whole fleet: the sum over all daemons must stay within the limit
 // of each service although daemons restart, freeze, do not see each other and share no state.
 
+#include "auburn/routing/fleetsize.h"
 #include "auburn/routing/retrybudget.h"
 
 #include <boost/test/unit_test.hpp>
@@ -69,23 +70,34 @@
 
     void restart()
     {
+        fleetSize_ = FleetSize();
         budget_ = std::make_unique<RetryBudget>(RetryBudget::Options{
                 .ratio = kRatio, .window = kWindow, .allowance = kAllowance });
-        budget_->setDaemonCount(1);
+        setLiveDaemons(1);
     }
-    void setLiveDaemons(unsigned count) { budget_->setDaemonCount(count); }
-    void recordRequest(const std::string & /*service*/, TimePoint now)
+    void setLiveDaemons(unsigned count)
+    {
+        fleetSize_.recordLive(count);
+        budget_->setDaemonCount(fleetSize_.daemons());
+    }
+    void setRegisteredDaemons(unsigned count)
+    {
+        fleetSize_.recordRegistered(count);
+        budget_->setDaemonCount(fleetSize_.daemons());
+    }
+    void recordRequest(const std::string &service, TimePoint now)
     {
-        budget_->recordRequest(now);
+        budget_->recordRequest(service, now);
     }
-    bool tryConsumeRetry(const std::string & /*service*/, TimePoint now)
+    bool tryConsumeRetry(const std::string &service, TimePoint now)
     {
-        return budget_->tryConsumeRetry(now);
+        return budget_->tryConsumeRetry(service, now);
     }
 
     TimePoint frozenUntil;
 
 private:
+    FleetSize fleetSize_;
     std::unique_ptr<RetryBudget> budget_;
 };
 
@@ -103,6 +115,13 @@
             daemon.setLiveDaemons(count);
     }
 
+    // Lets every daemon read the registrations of all daemons in the store.
+    void setRegisteredDaemons()
+    {
+        for (SimulatedDaemon &daemon : fleet)
+            daemon.setRegisteredDaemons(static_cast<unsigned>(fleet.size()));
+    }
+
     void restartAll()
     {
         for (SimulatedDaemon &daemon : fleet)
@@ -188,13 +207,13 @@
 BOOST_AUTO_TEST_CASE(sum_daemonsRestartTwiceInAWindow_staysWithinTheLimit)
 {
     startFleet(kSmallFleet);
-    setLiveDaemons(kSmallFleet);
+    setRegisteredDaemons();
     play(seconds(20), { { kEngines, 190 } });
     failing[kEngines] = true;
     for (int restarts = 0; restarts < 2; ++restarts) {
         play(seconds(3), { { kEngines, 190 } });
         restartAll();
-        setLiveDaemons(kSmallFleet);
+        setRegisteredDaemons();
     }
     play(seconds(12), { { kEngines, 190 } });
     checkLimit();
@@ -204,7 +223,7 @@
 BOOST_AUTO_TEST_CASE(sum_daemonsDoNotSeeEachOther_staysWithinTheLimit)
 {
     startFleet(kSmallFleet);
-    setLiveDaemons(kSmallFleet);
+    setRegisteredDaemons();
     play(seconds(20), { { kDesk, 10 } });
     setLiveDaemons(1);
     failing[kDesk] = true;
@@ -219,7 +238,7 @@
     startFleet(277);
     failing[kDesk] = true;
     play(seconds(5), { { kDesk, 300 } });
-    setLiveDaemons(277);
+    setRegisteredDaemons();
     play(seconds(10), { { kDesk, 300 } });
     checkLimit();
 }
@@ -228,7 +247,7 @@
 BOOST_AUTO_TEST_CASE(sum_oneOfTwoServicesFails_staysWithinItsOwnLimit)
 {
     startFleet(kSmallFleet);
-    setLiveDaemons(kSmallFleet);
+    setRegisteredDaemons();
     play(seconds(20), { { kEngines, 300 }, { kDesk, 60 } });
     failing[kDesk] = true;
     play(seconds(15), { { kEngines, 300 }, { kDesk, 60 } });
@@ -240,7 +259,7 @@
 BOOST_AUTO_TEST_CASE(sum_frozenDaemonsWakeUp_staysWithinTheLimit)
 {
     startFleet(kSmallFleet);
-    setLiveDaemons(kSmallFleet);
+    setRegisteredDaemons();
     play(seconds(20), { { kEngines, 190 } });
     failing[kEngines] = true;
     play(seconds(4), { { kEngines, 190 } });
@@ -260,7 +279,7 @@
         failing[kEngines] = false;
         const unsigned daemons = seed % 5 == 0 ? 60 : kSmallFleet;
         startFleet(daemons);
-        setLiveDaemons(daemons);
+        setRegisteredDaemons();
         for (unsigned step = 0; step < 30; ++step) {
             SimulatedDaemon &daemon = fleet[random() % fleet.size()];
             switch (random() % 6) {
@@ -269,6 +288,8 @@
                 break;
             case 1:
                 restartAll();
+                if (random() % 2 == 0)
+                    setRegisteredDaemons();
                 break;
             case 2:
                 daemon.frozenUntil = now + milliseconds(random() % 5000);
@@ -293,7 +314,7 @@
 BOOST_AUTO_TEST_CASE(retries_oneServerOfTwelveCrashes_areAllGranted)
 {
     startFleet(kSmallFleet);
-    setLiveDaemons(kSmallFleet);
+    setRegisteredDaemons();
     play(seconds(30), { { kEngines, 84 } });
     for (SimulatedDaemon &daemon : fleet) {
         for (int request = 0; request < 4; ++request)
