--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -2,6 +2,8 @@
 
 #include "auburn/core/log.h"
 
+#include <array>
+#include <charconv>
 #include <string>
 
 namespace auburn::gateway {
@@ -14,6 +16,21 @@
 
 constexpr std::string_view kServed = "served";
 
+// Returns the ids of the prompt's parts in hexadecimal, separated by commas, without the last one,
+// which no other request shares.
+std::string sharedPartIds(const routing::PromptParts &parts)
+{
+    constexpr int kHexadecimal = 16;
+    std::string text;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        std::array<char, 2 * sizeof(parts[i].id)> digits{};
+        const auto written = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                           parts[i].id, kHexadecimal);
+        text.append(i > 0 ? "," : "").append(digits.data(), written.ptr);
+    }
+    return text;
+}
+
 void updateRequestMetrics(const RequestEndRecord &record, Clock::time_point now, Metrics &metrics)
 {
     const CallerRequest &request = record.request;
@@ -82,6 +99,7 @@
                { "reason", record.reason },
                { "status", static_cast<long long>(record.status) },
                { "verdict", verdictName(record.verdict) },
+               { "prompt_parts", sharedPartIds(record.request.prompt) },
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
 
