Routing: count crashes of engines by the parts of the prompt

Cause: crashes were counted by a hash of the whole request, and no two of these requests are alike, so no count exceeded one. The class of fault: a count that is keyed more narrowly than what causes the counted event.

PromptCrashRegistry counts crashes for each shared part, over all daemons. Crashes at the same moment count once, requests that have been answered for half a second are not blamed, daemons that start later take over the blocks, and a blocked part is tried again twice. Requests that wait for a placement when the part is blocked are rejected too; they have not run.

--- a/packages/core/include/auburn/core/hash.h
+++ b/packages/core/include/auburn/core/hash.h
@@ -26,6 +26,9 @@
 // SHA-256 of the bytes as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view bytes);
 
+// The number in lower-case hexadecimal digits, without leading zeros.
+std::string toHexadecimal(std::uint64_t number);
+
 // True if both strings are equal; the running time does not depend on where they differ.
 bool equalConstantTime(std::string_view left, std::string_view right);
 
--- a/packages/core/src/hash.cpp
+++ b/packages/core/src/hash.cpp
@@ -1,6 +1,8 @@
 #include "auburn/core/hash.h"
 
 #include <QCryptographicHash>
+#include <array>
+#include <charconv>
 #include <xxhash.h>
 
 namespace auburn {
@@ -24,6 +26,14 @@
     return hash.result().toHex().toStdString();
 }
 
+std::string toHexadecimal(std::uint64_t number)
+{
+    constexpr int kBase = 16;
+    std::array<char, 2 * sizeof(number)> digits{};
+    const auto written = std::to_chars(digits.data(), digits.data() + digits.size(), number, kBase);
+    return { digits.data(), written.ptr };
+}
+
 bool equalConstantTime(std::string_view left, std::string_view right)
 {
     if (left.size() != right.size())
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -42,6 +42,8 @@
 // A placement that took longer than this was delayed by a pause of this daemon or of the owner,
 // since the limit is far above the timeout of any owner. Its choice is discarded.
 constexpr milliseconds kMaxChoiceAge{ 500 };
+// A server that has sent a response for this time does not crash because of its prompt.
+constexpr milliseconds kSoundProgress{ 500 };
 // A stream with an incomplete event larger than this is aborted.
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
@@ -57,6 +59,7 @@
     : context_(context)
     , request_(std::move(request))
     , fingerprint_(requestFingerprint(request_))
+    , sharedParts_(routing::sharedPartIds(request_.prompt))
     , writer_(writer)
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadlineTimer_(context.io, [this] { deadlinePassed(); })
@@ -74,15 +77,15 @@
 void Exchange::start()
 {
     self_ = shared_from_this();
-    const auto now = std::chrono::steady_clock::now();
+    startedAt_ = std::chrono::steady_clock::now();
     const std::string &name = routing::pickService(*request_.route, stableHash(request_.id));
     service_ = request_.config->findService(name);
     if (!service_) {
         refuse("unknown_service");
         return;
     }
-    context_.state.retries.recordRequest(name, now);
-    if (context_.state.crashes.isBlocked(fingerprint_, now)) {
+    context_.state.retries.recordRequest(name, startedAt_);
+    if (crashesServers()) {
         refuse("crashes_servers");
         return;
     }
@@ -145,6 +148,9 @@
                              duration_cast<milliseconds>(Clock::now() - placementRequestedAt_),
                              timeLeft());
         requestPlacement();
+    } else if (choice && context_.state.promptCrashes.wasBlockedSince(sharedParts_, startedAt_)) {
+        releasePlacement(*choice);
+        refuse("crashes_servers");
     } else if (choice) {
         startAttempt(*choice);
     } else {
@@ -357,6 +363,7 @@
         return;
     progressed_ = true;
     const auto now = Clock::now();
+    progressedAt_ = now;
     context_.options.placement->attemptProgressed(
             *attempt_, duration_cast<std::chrono::microseconds>(now - attemptStart_));
 }
@@ -384,6 +391,8 @@
         return;
     if (stream_.hasNewEvent()) {
         reportProgress();
+        if (Clock::now() - progressedAt_ >= kSoundProgress)
+            recordSound();
         startStallTimer();
     }
     beginStream();
@@ -421,6 +430,7 @@
     // are forwarded as they are.
     if (writer_ && !stream_.remainder().empty())
         writer_->sendStreamData(stream_.remainder());
+    recordSound();
     endAttempt(AttemptOutcome::Succeeded, {});
     if (writer_)
         writer_->endStream(true);
@@ -452,6 +462,8 @@
 void Exchange::forwardResponse()
 {
     const bool serverError = status_ >= 500;
+    if (!serverError)
+        recordSound();
     const bool statusMeansNotRun = status_ == 503 || status_ == 429 || status_ == 408;
     const int status = status_;
     ResponseHead head{ .status = status_, .fields = std::move(fields_) };
@@ -502,21 +514,41 @@
     }
     ++possibleExecutions_;
     verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
-    if (result.outcome == CallOutcome::Broken && !result.staleConnection) {
-        context_.state.crashes.addCrash(fingerprint_, std::chrono::steady_clock::now());
-        if (context_.options.serverDisconnected)
-            context_.options.serverDisconnected();
-    }
+    if (result.outcome == CallOutcome::Broken && !result.staleConnection)
+        recordCrash();
     endAttempt(AttemptOutcome::Failed, result.error);
-    const bool blocked = context_.state.crashes.isBlocked(fingerprint_,
-                                                          std::chrono::steady_clock::now());
-    if (isRepeatable() && !blocked && writer_ && possibleExecutions_ < request_.route->maxAttempts
-        && takeRetry("server_broke_off"))
+    if (isRepeatable() && !crashesServers() && writer_
+        && possibleExecutions_ < request_.route->maxAttempts && takeRetry("server_broke_off"))
         requestPlacement();
     else
         failWithUnknownOutcome("server_broke_off");
 }
 
+bool Exchange::crashesServers()
+{
+    const auto now = std::chrono::steady_clock::now();
+    return context_.state.crashes.isBlocked(fingerprint_, now)
+           || context_.state.promptCrashes.blockedPart(sharedParts_, now);
+}
+
+void Exchange::recordCrash()
+{
+    const auto now = std::chrono::steady_clock::now();
+    context_.state.crashes.addCrash(fingerprint_, now);
+    if (!progressed_ || Clock::now() - progressedAt_ < kSoundProgress)
+        context_.state.promptCrashes.recordCrash(sharedParts_, now);
+    if (context_.options.serverDisconnected)
+        context_.options.serverDisconnected();
+}
+
+void Exchange::recordSound()
+{
+    const bool unblocked = context_.state.promptCrashes.recordSuccess(
+            sharedParts_, std::chrono::steady_clock::now());
+    if (unblocked && context_.options.promptPartUnblocked)
+        context_.options.promptPartUnblocked();
+}
+
 milliseconds Exchange::retryAfter() const
 {
     return std::clamp(timeLeft() / 4, kMinRetryAfter, kMaxRetryAfter);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -99,6 +99,12 @@
     // closes it.
     void endAttempt(routing::AttemptOutcome outcome, std::string_view reason);
 
+    // True if the request, or another one with a part of its prompt, has crashed too many servers.
+    bool crashesServers();
+    // Records that a server crashed while it ran the request.
+    void recordCrash();
+    // Records that a server runs the request without crashing.
+    void recordSound();
     // True if the request may run more than once.
     bool isRepeatable() const;
     // Takes one retry from the retry budget of this daemon. Returns false if none is left. The
@@ -119,10 +125,13 @@
     const CallerRequest request_;
     // Identifies repetitions of the request, to block one that crashes servers.
     const std::uint64_t fingerprint_;
+    // The parts of the prompt that other requests may have as well.
+    const std::vector<std::uint64_t> sharedParts_;
     const routing::Service *service_ = nullptr;
     ResponseWriter *writer_;
     // Keeps the exchange alive until it is finished, because its calls refer to it.
     std::shared_ptr<Exchange> self_;
+    std::chrono::steady_clock::time_point startedAt_;
     const Clock::time_point deadlineAt_;
     LazyDeadline deadlineTimer_;
     LazyDeadline stallTimer_;
@@ -133,6 +142,7 @@
     // The time at which a placement was requested.
     Clock::time_point placementRequestedAt_;
     bool progressed_ = false;
+    Clock::time_point progressedAt_;
     std::vector<std::string> excluded_;
     // Number of attempts in which a server may have run the request.
     unsigned possibleExecutions_ = 0;
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -1,9 +1,8 @@
 #include "requestrecord.h"
 
+#include "auburn/core/hash.h"
 #include "auburn/core/log.h"
 
-#include <array>
-#include <charconv>
 #include <string>
 
 namespace auburn::gateway {
@@ -16,18 +15,12 @@
 
 constexpr std::string_view kServed = "served";
 
-// Returns the ids of the prompt's parts in hexadecimal, separated by commas, without the last one,
-// which no other request shares.
-std::string sharedPartIds(const routing::PromptParts &parts)
+// Returns the ids of the prompt's shared parts in hexadecimal, separated by commas.
+std::string sharedPartsText(const routing::PromptParts &parts)
 {
-    constexpr int kHexadecimal = 16;
     std::string text;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        std::array<char, 2 * sizeof(parts[i].id)> digits{};
-        const auto written = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                           parts[i].id, kHexadecimal);
-        text.append(i > 0 ? "," : "").append(digits.data(), written.ptr);
-    }
+    for (const std::uint64_t part : routing::sharedPartIds(parts))
+        text.append(text.empty() ? "" : ",").append(toHexadecimal(part));
     return text;
 }
 
@@ -99,7 +92,7 @@
                { "reason", record.reason },
                { "status", static_cast<long long>(record.status) },
                { "verdict", verdictName(record.verdict) },
-               { "prompt_parts", sharedPartIds(record.request.prompt) },
+               { "prompt_parts", sharedPartsText(record.request.prompt) },
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
 
--- a/packages/routing/include/auburn/routing/promptpart.h
+++ b/packages/routing/include/auburn/routing/promptpart.h
@@ -21,6 +21,9 @@
 // Returns the number of tokens in the parts that other prompts may have as well: all but the last.
 std::uint64_t sharedTokens(const PromptParts &parts);
 
+// Returns the ids of the parts that other prompts may have as well.
+std::vector<std::uint64_t> sharedPartIds(const PromptParts &parts);
+
 // Returns the id of the part that the requests of one session share, which precedes the request's
 // own part; 0 for an empty prompt.
 std::uint64_t sessionPartId(const PromptParts &parts);
--- /dev/null
+++ b/packages/routing/tests/promptcrashregistry_test.cpp
@@ -0,0 +1,152 @@
+#include "auburn/routing/promptcrashregistry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+namespace auburn::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kCommon = 1;
+constexpr std::uint64_t kBad = 2;
+constexpr std::uint64_t kOther = 3;
+
+// Daemons that exchange all their reports.
+struct PromptCrashRegistryFixture
+{
+    void exchangeReports()
+    {
+        for (std::size_t from = 0; from < daemons.size(); ++from) {
+            for (const PromptCrashReport &report : daemons[from].ownReports(24, now)) {
+                for (std::size_t to = 0; to < daemons.size(); ++to) {
+                    if (to != from)
+                        daemons[to].mergePeer(std::to_string(from), report, now);
+                }
+            }
+        }
+    }
+
+    // Lets a daemon record a crash of a request with both parts, then exchanges all reports.
+    void crash(std::size_t daemon)
+    {
+        daemons[daemon].recordCrash({ kCommon, kBad }, now);
+        exchangeReports();
+        now += milliseconds(500);
+    }
+
+    void succeed(std::size_t daemon, const PromptCrashRegistry::Parts &parts)
+    {
+        daemons[daemon].recordSuccess(parts, now);
+        exchangeReports();
+    }
+
+    bool isBlocked(std::size_t daemon, std::uint64_t part)
+    {
+        return daemons[daemon].blockedPart({ part }, now).has_value();
+    }
+
+    // Crashes engines through different daemons until the part is blocked everywhere; the other
+    // part succeeds in between.
+    void blockBadPart()
+    {
+        for (unsigned i = 0; i < kPromptCrashLimit; ++i) {
+            crash(i % daemons.size());
+            succeed(0, { kCommon });
+        }
+    }
+
+    std::vector<PromptCrashRegistry> daemons = std::vector<PromptCrashRegistry>(3);
+    PromptCrashRegistry::TimePoint now = PromptCrashRegistry::TimePoint() + std::chrono::hours(1);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(promptCrashRegistry, PromptCrashRegistryFixture)
+
+// Guards against requests that come at a different daemon each time, so that none alone sees enough
+// crashes.
+BOOST_AUTO_TEST_CASE(crashes_atDifferentDaemons_blockThePartEverywhere)
+{
+    blockBadPart();
+    for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon) {
+        BOOST_TEST(isBlocked(daemon, kBad));
+        BOOST_TEST(!isBlocked(daemon, kCommon));
+        BOOST_TEST(!isBlocked(daemon, kOther));
+    }
+}
+
+// Guards against a restarted daemon that lets the requests through again.
+BOOST_AUTO_TEST_CASE(daemon_startsAfterTheCrashes_blocksThePartToo)
+{
+    blockBadPart();
+    daemons[1] = PromptCrashRegistry();
+    exchangeReports();
+    BOOST_TEST(isBlocked(1, kBad));
+    BOOST_TEST(!isBlocked(1, kCommon));
+}
+
+// The loss of a failure domain ends many engines at once, whatever they run.
+BOOST_AUTO_TEST_CASE(crashes_atTheSameTime_countOnce)
+{
+    for (unsigned i = 0; i < 10; ++i)
+        daemons[i % daemons.size()].recordCrash({ kCommon, kBad }, now);
+    exchangeReports();
+    for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon)
+        BOOST_TEST(!isBlocked(daemon, kBad));
+}
+
+// Guards against a sound part that stays blocked although another daemon runs requests with it.
+BOOST_AUTO_TEST_CASE(blockedPart_succeedsAtAnyDaemon_isUnblockedEverywhere)
+{
+    blockBadPart();
+    succeed(2, { kBad });
+    exchangeReports();
+    for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon)
+        BOOST_TEST(!isBlocked(daemon, kBad));
+}
+
+// A part that was blocked by mistake must come back, but each trial may end an engine.
+BOOST_AUTO_TEST_CASE(blockedPart_requestsGoOn_isTriedTwiceAtMost)
+{
+    blockBadPart();
+    unsigned trials = 0;
+    for (const auto end = now + minutes(9); now < end; now += seconds(1)) {
+        for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon) {
+            if (isBlocked(daemon, kBad))
+                continue;
+            ++trials;
+            daemons[daemon].recordCrash({ kBad }, now);
+            exchangeReports();
+        }
+    }
+    BOOST_TEST(trials > 0U);
+    BOOST_TEST(trials <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(blockedPart_notUsedForLong_isForgotten)
+{
+    blockBadPart();
+    now += minutes(11);
+    for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon)
+        BOOST_TEST(!isBlocked(daemon, kBad));
+}
+
+// Guards against reports that keep each other alive after the requests have stopped.
+BOOST_AUTO_TEST_CASE(reports_withoutNewCrashes_expire)
+{
+    daemons[0].recordCrash({ kBad }, now);
+    daemons[1].recordCrash({ kBad }, now);
+    for (const auto end = now + minutes(3); now < end; now += seconds(1))
+        exchangeReports();
+    BOOST_TEST(daemons[0].ownReports(24, now).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::routing
