Gateway: a stream without a length that ends inside an event is broken off

Callers got a truncated event in a stream that ended as complete. Cause: a response without a length or chunks ends with its connection, and the gateway took the end of the connection for the end of the stream even inside an event. Such an attempt now fails as one that broke off, so it may be resumed, counts as a crash of the engine, and the caller sees the end as broken off.

streamWithoutLength_endsInsideAnEvent_isBrokenOff failed on the code before; gateway_test passes.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -51,6 +51,9 @@
     // True if an earlier call succeeded on this connection, and it broke before the server sent any
     // byte for this call. The server probably closed it while it was idle.
     bool staleConnection = false;
+    // True if the response has neither a length nor chunks, so that the end of the connection is
+    // its end. Whether it is whole can only be told from its content.
+    bool endedByClose = false;
     std::string error;
 };
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -417,6 +417,9 @@
     const auto guard = shared_from_this();
     if (result.outcome != CallOutcome::Complete)
         attemptFailed(result);
+    else if (isStream_ && result.endedByClose && !stream_.remainder().empty())
+        attemptFailed({ .outcome = CallOutcome::Broken,
+                        .error = "the stream ended inside an event" });
     else if (isStream_)
         streamComplete();
     else
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -303,7 +303,7 @@
     if (!reusable_)
         close();
     if (handler)
-        handler->callEnded(CallResult{});
+        handler->callEnded(CallResult{ .endedByClose = parser_->response.need_eof() });
 }
 
 void OutboundConnection::parseKeepAlive(const ResponseHeader &header)
--- a/packages/gateway/tests/serverfaults_test.cpp
+++ b/packages/gateway/tests/serverfaults_test.cpp
@@ -127,6 +127,8 @@
         return reply;
     }
 
+    static inline const std::string kUnframedStreamHead =
+            "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
     static constexpr const char *kResponseHead = "HTTP/1.1 200 OK\r\nX-Seal: s\r\n";
 };
 
@@ -331,6 +333,29 @@
     BOOST_TEST(second.requests().empty());
 }
 
+// Guards against a stream without a length that breaks off inside an event and is ended as complete.
+BOOST_AUTO_TEST_CASE(streamWithoutLength_endsInsideAnEvent_isBrokenOff)
+{
+    addServer("s1", "engines", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { kUnframedStreamHead + event(1) + "id: 2\ndata: d" } },
+                              .end = End::Close };
+    });
+    const std::string response = exchange(request("POST", "/digest/x", {}, "b"));
+    BOOST_TEST(!isComplete(response));
+    BOOST_TEST(chunkedBody(response) == event(1));
+}
+
+BOOST_AUTO_TEST_CASE(streamWithoutLength_endsAfterAnEvent_isComplete)
+{
+    addServer("s1", "engines", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { kUnframedStreamHead + eventsUpTo(2) } },
+                              .end = End::Close };
+    });
+    const std::string response = exchange(request("POST", "/digest/x", {}, "b"));
+    BOOST_TEST(isComplete(response));
+    BOOST_TEST(chunkedBody(response) == eventsUpTo(2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
