Gateway: do not reuse a connection after a rejection without an id

A faulty server wrote an earlier rejection once more on a kept connection, and the caller of the next request was told that it had not run while the server ran it (or it would have run on a second server). Cause: a response without the id of its request is taken for that of the current one as long as no response on the connection had an id. A connection is closed after a rejection without an id; copies with the id of an earlier request were already dropped.

rejectionWithoutId_isRepeatedOnAKeptConnection_isNotTrusted failed on the code before (503); gateway_test passes.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -285,6 +285,16 @@
     return granted;
 }
 
+bool Exchange::canReuseConnection(AttemptOutcome outcome) const
+{
+    // A faulty server may write the rejection once more. Without an id it would be taken for that
+    // of the next request on the connection.
+    if (outcome == AttemptOutcome::Rejected && !identified_)
+        return false;
+    return outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
+           || connection_->isReusable();
+}
+
 void Exchange::endAttempt(AttemptOutcome outcome, std::string_view reason)
 {
     if (!attempt_)
@@ -303,8 +313,7 @@
                   context_.options.metrics);
     attempt_.reset();
     if (connection_) {
-        if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
-            || connection_->isReusable())
+        if (canReuseConnection(outcome))
             context_.pool->release(connection_, idleConnectionLimit(service_->maxConnections,
                                                                     context_.state.liveDaemons));
         else
@@ -347,6 +356,7 @@
     const HeaderNames &headerNames = context_.options.headerNames;
     status_ = static_cast<int>(header.result_int());
     sealed_ = !header[headerNames.responseSeal].empty();
+    identified_ = !header[headerNames.requestId].empty();
     notExecuted_ = !header[headerNames.notExecuted].empty() || status_ == 421;
     fields_ = endToEndFields(header);
     reportLoad(header);
@@ -418,8 +428,8 @@
     if (result.outcome != CallOutcome::Complete)
         attemptFailed(result);
     else if (isStream_ && result.endedByClose && !stream_.remainder().empty())
-        attemptFailed({ .outcome = CallOutcome::Broken,
-                        .error = "the stream ended inside an event" });
+        attemptFailed(
+                { .outcome = CallOutcome::Broken, .error = "the stream ended inside an event" });
     else if (isStream_)
         streamComplete();
     else
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -95,6 +95,8 @@
     void attemptRejected();
     // Handles an attempt that ended without a valid response.
     void attemptFailed(const CallResult &result);
+    // True if the connection of the ended attempt can carry another request.
+    bool canReuseConnection(routing::AttemptOutcome outcome) const;
     // Reports the end of the current attempt, if any, and returns its connection to the pool or
     // closes it.
     void endAttempt(routing::AttemptOutcome outcome, std::string_view reason);
@@ -157,6 +159,8 @@
     int status_ = 0;
     bool sealed_ = false;
     bool notExecuted_ = false;
+    // The response carries the id of the request.
+    bool identified_ = false;
     bool isStream_ = false;
     std::vector<HeaderField> fields_;
     std::string body_;
--- a/packages/gateway/tests/serverfaults_test.cpp
+++ b/packages/gateway/tests/serverfaults_test.cpp
@@ -333,7 +333,8 @@
     BOOST_TEST(second.requests().empty());
 }
 
-// Guards against a stream without a length that breaks off inside an event and is ended as complete.
+// Guards against a stream without a length that breaks off inside an event and is ended as
+// complete.
 BOOST_AUTO_TEST_CASE(streamWithoutLength_endsInsideAnEvent_isBrokenOff)
 {
     addServer("s1", "engines", [](const ScriptedRequest &) {
@@ -356,6 +357,25 @@
     BOOST_TEST(chunkedBody(response) == eventsUpTo(2));
 }
 
+// Guards against a server that writes an earlier rejection once more on a kept connection: the
+// caller would be told that its request has not run while the server runs it, or it would run on a
+// second server.
+BOOST_AUTO_TEST_CASE(rejectionWithoutId_isRepeatedOnAKeptConnection_isNotTrusted)
+{
+    const std::string rejection = wholeAnswer(503, "X-Not-Executed: 1\r\n", "");
+    const ScriptedServer *server = nullptr;
+    server = &addServer("s1", "desk", [&](const ScriptedRequest &received) {
+        if (received.target() == "/order/rejected")
+            return ScriptedReply{ { { rejection } } };
+        const ScriptedPart result{ sealed(200, "done"), milliseconds(100) };
+        const bool isKept = server->connections() == 1;
+        return isKept ? ScriptedReply{ { { rejection }, result } } : ScriptedReply{ { result } };
+    });
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/rejected", {}, "b"))) == 503);
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/runs", {}, "b"))) == 200);
+    BOOST_TEST(server->requests().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
