Routing: obey servers that say that they are leaving

A server that leaves says so in its responses, before or instead of the registry. Nothing read it, so requests went to it until the registry listed it as draining, also while the store was down or behind. The signal is decoded with the other header names of the platform; the directory keeps it with the start time of the server, so no entry of the registry takes it back, and a restarted server under the same id receives requests again. Cells still follow the registry alone, so that all daemons agree on them.

Other daemons are not told by heartbeats.

--- a/packages/gateway/include/auburn/gateway/headernames.h
+++ b/packages/gateway/include/auburn/gateway/headernames.h
@@ -33,6 +33,8 @@
     std::string notExecuted;
     // The numbers of running requests, waiting requests and slots of the responding backend server.
     std::string serverLoad;
+    // Present in every response of a backend server that is leaving.
+    std::string serverLeaving;
     // Headers that callers must not set; they are removed from requests.
     std::vector<std::string> reserved;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -151,6 +151,8 @@
     } else if (choice && context_.state.promptCrashes.wasBlockedSince(sharedParts_, startedAt_)) {
         releasePlacement(*choice);
         refuse("crashes_servers");
+    } else if (choice && !context_.state.directory.isAvailable(choice->serverId)) {
+        replacePlacement(*choice);
     } else if (choice) {
         startAttempt(*choice);
     } else {
@@ -158,6 +160,13 @@
     }
 }
 
+void Exchange::replacePlacement(const routing::PlacementChoice &choice)
+{
+    releasePlacement(choice);
+    excluded_.push_back(choice.serverId);
+    requestPlacement();
+}
+
 bool Exchange::isChoiceOutdated() const
 {
     return Clock::now() - placementRequestedAt_ > kMaxChoiceAge || timeLeft() < kMinTimeLeft;
@@ -213,9 +222,8 @@
         add(headerNames.organisation, request_.organisation->name);
     if (service_->engine)
         add(headerNames.urgency, std::to_string(choice.urgency));
-    const routing::BackendServer *source = context_.state.directory.find(choice.copySource);
-    if (source && source->state == routing::ServerState::Ready)
-        add(headerNames.copySource, source->address);
+    if (context_.state.directory.isAvailable(choice.copySource))
+        add(headerNames.copySource, context_.state.directory.find(choice.copySource)->address);
     if (!stream_.lastEventId().empty())
         add(headerNames.lastEventId, stream_.lastEventId());
     if (request_.body)
@@ -351,6 +359,17 @@
                                                   std::chrono::steady_clock::now());
 }
 
+void Exchange::withdrawLeavingServer(const ResponseHeader &header)
+{
+    if (header[context_.options.headerNames.serverLeaving].empty())
+        return;
+    if (context_.state.directory.withdraw(attempt_->serverId))
+        logEvent(LogLevel::Info, "server_withdrawn",
+                 { { "server", attempt_->serverId },
+                   { "service", service_->name },
+                   { "id", request_.id } });
+}
+
 void Exchange::responseStarted(const ResponseHeader &header)
 {
     const HeaderNames &headerNames = context_.options.headerNames;
@@ -360,6 +379,7 @@
     notExecuted_ = !header[headerNames.notExecuted].empty() || status_ == 421;
     fields_ = endToEndFields(header);
     reportLoad(header);
+    withdrawLeavingServer(header);
     if (!notExecuted_)
         verdict_ = Verdict::Ran;
     isStream_ = request_.route->kind == RequestKind::Stream && status_ == 200 && sealed_;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -57,6 +57,8 @@
     // left.
     void requestPlacement();
     void placementReceived(const std::optional<routing::PlacementChoice> &choice);
+    // Releases a placement on a server that receives no more requests, and requests another.
+    void replacePlacement(const routing::PlacementChoice &choice);
     // True if the placement took so long that its choice is no longer valid.
     bool isChoiceOutdated() const;
     // Releases a placement that is not used.
@@ -81,6 +83,8 @@
 
     // Reports the load that the server states in its response header.
     void reportLoad(const ResponseHeader &header);
+    // Stops sending requests to the server if its response says that it is leaving.
+    void withdrawLeavingServer(const ResponseHeader &header);
     // Reports the first progress of the attempt to the placement source.
     void reportProgress();
     void forwardEvents();
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -84,6 +84,7 @@
              .responseSeal = "X-Seal",
              .notExecuted = "X-Not-Executed",
              .serverLoad = "X-Load",
+             .serverLeaving = "X-Leaving",
              .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source",
                            "X-Last" } };
 }
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -6,6 +6,8 @@
 // registry is available takes effect at once, because some servers leave without announcing it.
 #pragma once
 
+#include "auburn/routing/serveravailability.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -87,8 +89,16 @@
     // Removes the servers whose deferred removal is due and returns their ids.
     std::vector<std::string> removeExpired(TimePoint now);
 
-    // Returns the servers of the service that may receive new requests.
+    // Returns the servers of the service that the registry lists as ready. All daemons have the
+    // same ones, as far as they have read the registry equally far.
     std::vector<const BackendServer *> readyServers(std::string_view service) const;
+    // Returns the ready servers of the service that have not withdrawn themselves.
+    std::vector<const BackendServer *> availableServers(std::string_view service) const;
+    // True if the server exists and may receive new requests.
+    bool isAvailable(std::string_view id) const;
+    // Records that a server has said that it is leaving. Returns false if this was known.
+    bool withdraw(std::string_view id);
+    std::size_t withdrawnServers() const { return availability_.withdrawnServers(); }
     // Returns null if no entry has the id.
     const BackendServer *find(std::string_view id) const;
     std::vector<std::string> ids() const;
@@ -111,6 +121,7 @@
     std::map<std::string, Entry, std::less<>> entries_;
     // Positions of removed ids, so that a delayed older record does not add one again.
     std::map<std::string, std::uint64_t, std::less<>> removedPositions_;
+    ServerAvailability availability_;
     bool registryAvailable_ = true;
     std::optional<TimePoint> registryRecoveredAt_;
 };
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -179,6 +179,28 @@
     return ready;
 }
 
+std::vector<const BackendServer *> ServerDirectory::availableServers(std::string_view service) const
+{
+    std::vector<const BackendServer *> available = readyServers(service);
+    std::erase_if(available, [this](const BackendServer *server) {
+        return !availability_.isAvailable(server->id, server->startedAtUnixMs);
+    });
+    return available;
+}
+
+bool ServerDirectory::isAvailable(std::string_view id) const
+{
+    const BackendServer *server = find(id);
+    return server && server->state == ServerState::Ready
+           && availability_.isAvailable(server->id, server->startedAtUnixMs);
+}
+
+bool ServerDirectory::withdraw(std::string_view id)
+{
+    const BackendServer *server = find(id);
+    return server && availability_.withdraw(server->id, server->startedAtUnixMs);
+}
+
 const BackendServer *ServerDirectory::find(std::string_view id) const
 {
     const auto found = entries_.find(id);
