Routing: obey servers that ask for no requests for some time

A server that rejects a request with 503 may add Retry-After: it wants nothing from this daemon for so long. Nothing read it, so requests and retries went on to reach it. Dates, negative numbers and other text have no effect. When all servers of a service wait, the callers' Retry-After is the first return plus up to half of it, within the third of the time that callers wait.

With the field ignored, serverInBackoff_untilItsTime_receivesNoRequests fails in 48 checks and allServersInBackoff_rejection_namesTheirReturn in one; gateway_test, routing_test, peers_test, platform_test pass. Probes of the product that are requests do not exist on this path. Other daemons are not told.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -47,6 +47,8 @@
 // A stream with an incomplete event larger than this is aborted.
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
+constexpr unsigned kServiceUnavailable = 503;
+
 milliseconds timeLimit(const CallerRequest &request)
 {
     const milliseconds timeout = request.route->timeout;
@@ -151,7 +153,9 @@
     } else if (choice && context_.state.promptCrashes.wasBlockedSince(sharedParts_, startedAt_)) {
         releasePlacement(*choice);
         refuse("crashes_servers");
-    } else if (choice && !context_.state.directory.isAvailable(choice->serverId)) {
+    } else if (choice
+               && !context_.state.directory.isAvailable(choice->serverId,
+                                                        std::chrono::steady_clock::now())) {
         replacePlacement(*choice);
     } else if (choice) {
         startAttempt(*choice);
@@ -222,7 +226,7 @@
         add(headerNames.organisation, request_.organisation->name);
     if (service_->engine)
         add(headerNames.urgency, std::to_string(choice.urgency));
-    if (context_.state.directory.isAvailable(choice.copySource))
+    if (context_.state.directory.isAvailable(choice.copySource, std::chrono::steady_clock::now()))
         add(headerNames.copySource, context_.state.directory.find(choice.copySource)->address);
     if (!stream_.lastEventId().empty())
         add(headerNames.lastEventId, stream_.lastEventId());
@@ -359,15 +363,27 @@
                                                   std::chrono::steady_clock::now());
 }
 
-void Exchange::withdrawLeavingServer(const ResponseHeader &header)
+void Exchange::obeyServerSignals(const ResponseHeader &header)
 {
-    if (header[context_.options.headerNames.serverLeaving].empty())
-        return;
-    if (context_.state.directory.withdraw(attempt_->serverId))
+    routing::ServerDirectory &directory = context_.state.directory;
+    const bool isLeaving = !header[context_.options.headerNames.serverLeaving].empty();
+    if (isLeaving && directory.withdraw(attempt_->serverId))
         logEvent(LogLevel::Info, "server_withdrawn",
                  { { "server", attempt_->serverId },
                    { "service", service_->name },
                    { "id", request_.id } });
+    const auto wait = header.result_int() == kServiceUnavailable
+                              ? parseRetryAfter(toStringView(header["Retry-After"]))
+                              : std::nullopt;
+    if (!wait)
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    directory.backOff(attempt_->serverId, now + *wait, now);
+    logEvent(LogLevel::Info, "server_backoff",
+             { { "server", attempt_->serverId },
+               { "service", service_->name },
+               { "id", request_.id },
+               { "ms", static_cast<long long>(wait->count()) } });
 }
 
 void Exchange::responseStarted(const ResponseHeader &header)
@@ -379,7 +395,7 @@
     notExecuted_ = !header[headerNames.notExecuted].empty() || status_ == 421;
     fields_ = endToEndFields(header);
     reportLoad(header);
-    withdrawLeavingServer(header);
+    obeyServerSignals(header);
     if (!notExecuted_)
         verdict_ = Verdict::Ran;
     isStream_ = request_.route->kind == RequestKind::Stream && status_ == 200 && sealed_;
@@ -584,6 +600,12 @@
 
 milliseconds Exchange::retryAfter() const
 {
+    const auto now = std::chrono::steady_clock::now();
+    const routing::ServerDirectory &directory = context_.state.directory;
+    const bool isAvailable = !service_ || !directory.availableServers(service_->name, now).empty();
+    const auto returnAt = isAvailable ? std::nullopt : directory.firstReturn(service_->name, now);
+    if (returnAt)
+        return serviceRetryDelay(std::chrono::ceil<milliseconds>(*returnAt - now), timeLeft());
     return std::clamp(timeLeft() / 4, kMinRetryAfter, kMaxRetryAfter);
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -83,8 +83,9 @@
 
     // Reports the load that the server states in its response header.
     void reportLoad(const ResponseHeader &header);
-    // Stops sending requests to the server if its response says that it is leaving.
-    void withdrawLeavingServer(const ResponseHeader &header);
+    // Stops sending requests to the server if its response says that it is leaving, or for as long
+    // as it asks for.
+    void obeyServerSignals(const ResponseHeader &header);
     // Reports the first progress of the attempt to the placement source.
     void reportProgress();
     void forwardEvents();
--- a/packages/gateway/src/retryafter.cpp
+++ b/packages/gateway/src/retryafter.cpp
@@ -1,7 +1,10 @@
 #include "retryafter.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
+#include <random>
+#include <system_error>
 
 namespace auburn::gateway {
 
@@ -11,6 +14,7 @@
 
 constexpr milliseconds kMinRetryDelay{ 500 };
 constexpr milliseconds kMaxRetryDelay{ 3000 };
+constexpr milliseconds kMinServiceRetryDelay{ 100 };
 
 } // namespace
 
@@ -19,6 +23,29 @@
     return std::clamp(missingFor, kMinRetryDelay, kMaxRetryDelay);
 }
 
+std::optional<milliseconds> parseRetryAfter(std::string_view text)
+{
+    // Longer times mean the same as this one: not within the time of any request.
+    constexpr double kMaxSeconds = 86400;
+    double seconds = 0;
+    const char *last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), last, seconds);
+    const bool isOutOfRange = parsed.ec == std::errc::result_out_of_range;
+    if (parsed.ptr != last || (parsed.ec != std::errc() && !isOutOfRange) || !(seconds >= 0))
+        return std::nullopt;
+    const double limited = isOutOfRange ? kMaxSeconds : std::min(seconds, kMaxSeconds);
+    return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(limited));
+}
+
+milliseconds serviceRetryDelay(milliseconds untilReturn, milliseconds timeLeft)
+{
+    thread_local std::minstd_rand random{ std::random_device{}() };
+    const milliseconds earliest = std::max(untilReturn, kMinServiceRetryDelay);
+    std::uniform_int_distribution<milliseconds::rep> spread(0, (earliest / 2).count());
+    return std::min(earliest + milliseconds(spread(random)),
+                    std::max(timeLeft / 3, kMinServiceRetryDelay));
+}
+
 HeaderField retryAfterField(milliseconds delay)
 {
     char text[32];
--- a/packages/gateway/src/retryafter.h
+++ b/packages/gateway/src/retryafter.h
@@ -3,6 +3,8 @@
 #include "auburn/core/headerfield.h"
 
 #include <chrono>
+#include <optional>
+#include <string_view>
 
 namespace auburn::gateway {
 
@@ -12,6 +14,16 @@
 // second time.
 std::chrono::milliseconds missingConfigurationRetryDelay(std::chrono::milliseconds missingFor);
 
+// Parses the Retry-After field of a backend server: seconds, which may have a fraction. Returns
+// nullopt for a date, a negative number and anything else that is no number of seconds.
+std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view text);
+
+// Returns the retry delay for a caller when all servers of its service accept requests again after
+// the given time. The delays of callers are spread over half of that time, so that they do not all
+// return at the same moment, and end within the third of the caller's time that callers wait.
+std::chrono::milliseconds serviceRetryDelay(std::chrono::milliseconds untilReturn,
+                                            std::chrono::milliseconds timeLeft);
+
 // Returns a Retry-After field with the delay in seconds, with two decimals.
 HeaderField retryAfterField(std::chrono::milliseconds delay);
 
--- a/packages/gateway/tests/serversignals_test.cpp
+++ b/packages/gateway/tests/serversignals_test.cpp
@@ -1,7 +1,9 @@
 // Tests what backend servers say about themselves in their responses.
 
 #include "gatewayfixture.h"
+#include "retryafter.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <string>
@@ -57,6 +59,15 @@
         BOOST_REQUIRE(leaving->requests().size() == 1U);
     }
 
+    void wait(milliseconds time)
+    {
+        boost::asio::steady_timer timer(io, time);
+        bool done = false;
+        timer.async_wait([&done](boost::system::error_code) { done = true; });
+        runUntil(
+                io, [&done] { return done; }, time * 2);
+    }
+
     static constexpr int kRequests = 20;
     std::string leavingReply = sealed(200, "done", "X-Leaving: 1\r\n");
     ScriptedServer *leaving = nullptr;
@@ -109,6 +120,52 @@
     BOOST_TEST(leaving->requests().size() == 1U);
 }
 
+// Guards against requests to a server that has asked for time, and against a server that stays
+// without requests after that time.
+BOOST_AUTO_TEST_CASE(serverInBackoff_untilItsTime_receivesNoRequests)
+{
+    leavingReply = wholeAnswer(503, "X-Not-Executed: 1\r\nRetry-After: 2.5\r\n", "");
+    letServerLeave();
+    leavingReply = sealed(200, "back");
+    const auto start = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - start < milliseconds(2300)) {
+        BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 503);
+        wait(milliseconds(50));
+    }
+    BOOST_TEST(leaving->requests().size() == 1U);
+    wait(milliseconds(400));
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 200);
+    BOOST_TEST(leaving->requests().size() == 2U);
+}
+
+// Guards against callers that are told to return before any server accepts requests again.
+BOOST_AUTO_TEST_CASE(allServersInBackoff_rejection_namesTheirReturn)
+{
+    leavingReply = wholeAnswer(503, "X-Not-Executed: 1\r\nRetry-After: 0.4\r\n", "");
+    letServerLeave();
+    const std::string response = exchange(request("POST", "/order/x", {}, "b"));
+    BOOST_TEST(statusOf(response) == 503);
+    const std::string name = "Retry-After: ";
+    const std::size_t at = response.find(name);
+    BOOST_REQUIRE(at != std::string::npos);
+    const double seconds = std::stod(response.substr(at + name.size()));
+    BOOST_TEST(seconds >= 0.3);
+    BOOST_TEST(seconds <= 0.6);
+    BOOST_TEST(leaving->requests().size() == 1U);
+}
+
+// A field that names no number of seconds has no effect, and an enormous one has a bounded one.
+BOOST_AUTO_TEST_CASE(retryAfter_valuesOfAnyForm_areUnderstoodOrIgnored)
+{
+    BOOST_TEST((parseRetryAfter("2") == milliseconds(2000)));
+    BOOST_TEST((parseRetryAfter("0.25") == milliseconds(250)));
+    BOOST_TEST((parseRetryAfter("0") == milliseconds(0)));
+    BOOST_TEST((parseRetryAfter("1e999") == milliseconds(86400000)));
+    BOOST_TEST((parseRetryAfter("99999999999") == milliseconds(86400000)));
+    for (const char *text : { "", "-1", "nan", "soon", "2 s", "Fri, 31 Dec 1999 23:59:59 GMT" })
+        BOOST_TEST(!parseRetryAfter(text), text);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -233,7 +233,7 @@
     pending.timer->cancel();
     backoffs_.erase(pending.owner);
     const BackendServer *server = options_.directory->find(reply.server());
-    const bool usable = server && options_.directory->isAvailable(server->id)
+    const bool usable = server && options_.directory->isAvailable(server->id, Clock::now())
                         && server->service == pending.query.service->name;
     PlacementChoice choice{ .serverId = reply.server(),
                             .predicted = std::chrono::microseconds(reply.predicted_us()),
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -92,13 +92,20 @@
     // Returns the servers of the service that the registry lists as ready. All daemons have the
     // same ones, as far as they have read the registry equally far.
     std::vector<const BackendServer *> readyServers(std::string_view service) const;
-    // Returns the ready servers of the service that have not withdrawn themselves.
-    std::vector<const BackendServer *> availableServers(std::string_view service) const;
+    // Returns the ready servers of the service that accept requests now, by what they have said
+    // about themselves.
+    std::vector<const BackendServer *> availableServers(std::string_view service,
+                                                        TimePoint now) const;
     // True if the server exists and may receive new requests.
-    bool isAvailable(std::string_view id) const;
+    bool isAvailable(std::string_view id, TimePoint now) const;
     // Records that a server has said that it is leaving. Returns false if this was known.
     bool withdraw(std::string_view id);
-    std::size_t withdrawnServers() const { return availability_.withdrawnServers(); }
+    // Records that a server has asked for no requests until the time.
+    void backOff(std::string_view id, TimePoint until, TimePoint now);
+    // Returns the time at which the first of the service's servers accepts requests again; nullopt
+    // if none has named a time.
+    std::optional<TimePoint> firstReturn(std::string_view service, TimePoint now) const;
+    const ServerAvailability &availability() const { return availability_; }
     // Returns null if no entry has the id.
     const BackendServer *find(std::string_view id) const;
     std::vector<std::string> ids() const;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -68,14 +68,14 @@
 std::optional<PlacementChoice> Placement::choose(const ServerDirectory &directory,
                                                  const PlacementQuery &query, TimePoint now)
 {
-    return chooseAmong(directory.availableServers(query.service->name), query, now);
+    return chooseAmong(directory.availableServers(query.service->name, now), query, now);
 }
 
 std::optional<PlacementChoice> Placement::chooseInCell(const ServerDirectory &directory,
                                                        const Cell &cell,
                                                        const PlacementQuery &query, TimePoint now)
 {
-    std::vector<const BackendServer *> servers = directory.availableServers(query.service->name);
+    std::vector<const BackendServer *> servers = directory.availableServers(query.service->name, now);
     std::erase_if(servers,
                   [&cell](const BackendServer *server) { return !cell.contains(*server); });
     return chooseAmong(servers, query, now);
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -179,20 +179,21 @@
     return ready;
 }
 
-std::vector<const BackendServer *> ServerDirectory::availableServers(std::string_view service) const
+std::vector<const BackendServer *> ServerDirectory::availableServers(std::string_view service,
+                                                                     TimePoint now) const
 {
     std::vector<const BackendServer *> available = readyServers(service);
-    std::erase_if(available, [this](const BackendServer *server) {
-        return !availability_.isAvailable(server->id, server->startedAtUnixMs);
+    std::erase_if(available, [&](const BackendServer *server) {
+        return !availability_.isAvailable(server->id, server->startedAtUnixMs, now);
     });
     return available;
 }
 
-bool ServerDirectory::isAvailable(std::string_view id) const
+bool ServerDirectory::isAvailable(std::string_view id, TimePoint now) const
 {
     const BackendServer *server = find(id);
     return server && server->state == ServerState::Ready
-           && availability_.isAvailable(server->id, server->startedAtUnixMs);
+           && availability_.isAvailable(server->id, server->startedAtUnixMs, now);
 }
 
 bool ServerDirectory::withdraw(std::string_view id)
@@ -201,6 +202,24 @@
     return server && availability_.withdraw(server->id, server->startedAtUnixMs);
 }
 
+void ServerDirectory::backOff(std::string_view id, TimePoint until, TimePoint now)
+{
+    if (const BackendServer *server = find(id))
+        availability_.backOff(server->id, server->startedAtUnixMs, until, now);
+}
+
+std::optional<ServerDirectory::TimePoint> ServerDirectory::firstReturn(std::string_view service,
+                                                                       TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const BackendServer *server : readyServers(service)) {
+        const auto at = availability_.returnTime(server->id, server->startedAtUnixMs, now);
+        if (at && (!first || *at < *first))
+            first = at;
+    }
+    return first;
+}
+
 const BackendServer *ServerDirectory::find(std::string_view id) const
 {
     const auto found = entries_.find(id);
