--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -2,6 +2,8 @@
 
 #include "auburn/core/lasterror.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace auburn::gateway {
 
 using routing::RequestKind;
@@ -125,6 +127,15 @@
     BOOST_REQUIRE_MESSAGE(gateway, lastError());
 }
 
+void GatewayFixture::wait(milliseconds time)
+{
+    boost::asio::steady_timer timer(io, time);
+    bool done = false;
+    timer.async_wait([&done](boost::system::error_code) { done = true; });
+    runUntil(
+            io, [&done] { return done; }, time * 2);
+}
+
 ScriptedServer &GatewayFixture::addServer(const std::string &id, const std::string &service,
                                           ScriptedServer::Handler handler)
 {
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -20,6 +20,8 @@
     void fillRetryBudget();
     // Starts the gateway on the fixture's address.
     void startGateway(routing::PlacementSource &placement);
+    // Runs the gateway and the servers for this time.
+    void wait(std::chrono::milliseconds time);
     // Adds a server of the "desk" or "engines" service.
     ScriptedServer &addServer(const std::string &id, const std::string &service,
                               ScriptedServer::Handler handler);
--- a/packages/gateway/tests/promptcrashes_test.cpp
+++ b/packages/gateway/tests/promptcrashes_test.cpp
@@ -3,7 +3,6 @@
 
 #include "gatewayfixture.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <string>
@@ -38,15 +37,6 @@
                                 "{\"" + own + "\"}"));
     }
 
-    void wait(milliseconds time)
-    {
-        boost::asio::steady_timer timer(io, time);
-        bool done = false;
-        timer.async_wait([&done](boost::system::error_code) { done = true; });
-        runUntil(
-                io, [&done] { return done; }, time * 2);
-    }
-
     // Longer than the time within which crashes count as one, such as the loss of a whole failure
     // domain.
     static constexpr milliseconds kPause{ 300 };
--- a/packages/gateway/tests/serversignals_test.cpp
+++ b/packages/gateway/tests/serversignals_test.cpp
@@ -3,7 +3,6 @@
 #include "gatewayfixture.h"
 #include "retryafter.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <string>
@@ -59,15 +58,6 @@
         BOOST_REQUIRE(leaving->requests().size() == 1U);
     }
 
-    void wait(milliseconds time)
-    {
-        boost::asio::steady_timer timer(io, time);
-        bool done = false;
-        timer.async_wait([&done](boost::system::error_code) { done = true; });
-        runUntil(
-                io, [&done] { return done; }, time * 2);
-    }
-
     static constexpr int kRequests = 20;
     std::string leavingReply = sealed(200, "done", "X-Leaving: 1\r\n");
     ScriptedServer *leaving = nullptr;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -75,7 +75,8 @@
                                                        const Cell &cell,
                                                        const PlacementQuery &query, TimePoint now)
 {
-    std::vector<const BackendServer *> servers = directory.availableServers(query.service->name, now);
+    std::vector<const BackendServer *> servers = directory.availableServers(query.service->name,
+                                                                            now);
     std::erase_if(servers,
                   [&cell](const BackendServer *server) { return !cell.contains(*server); });
     return chooseAmong(servers, query, now);
