Routing: report a success with a prompt part only if it clears crashes

After a crash, every further success with a popular part was news to the other daemons, whose reports then kept the entries of all popular parts in each heartbeat for as long as there was traffic. Found on reading the new registry; successes_withoutNewCrashes_areNotReported failed on the code before. routing_test passes.

--- a/packages/routing/include/auburn/routing/promptcrashregistry.h
+++ b/packages/routing/include/auburn/routing/promptcrashregistry.h
@@ -26,7 +26,7 @@
     std::uint64_t part = 0;
     // Crashes since this daemon's last success with the part.
     unsigned crashes = 0;
-    // Rises with each success with the part; 0 before the first one. A higher number than in the
+    // Rises when a success clears crashes; 0 before the first one. A higher number than in the
     // previous report clears the part.
     std::uint64_t successes = 0;
     // The daemon rejects requests with the part.
--- a/packages/routing/src/promptcrashregistry.cpp
+++ b/packages/routing/src/promptcrashregistry.cpp
@@ -128,7 +128,9 @@
     bool unblocked = false;
     for (const std::uint64_t part : parts) {
         Entry *entry = find(part, now);
-        if (!entry)
+        // Without crashes there is nothing to clear, here or elsewhere. Reporting each success
+        // would keep the entries of all popular parts in the heartbeats.
+        if (!entry || (entry->crashes == 0 && entry->own.crashes == 0))
             continue;
         unblocked = unblocked || isBlocked(*entry);
         entry->own = { .crashes = 0, .successes = ++successes_ };
@@ -142,6 +144,8 @@
                                     TimePoint now)
 {
     const Entry *known = find(report.part, now);
+    if (!known && report.crashes == 0 && !report.blocked)
+        return;
     const bool isKnownPeer = known && known->peers.contains(peer);
     const Counts previous = isKnownPeer ? known->peers.at(peer) : Counts{};
     const bool isNews = report.successes > previous.successes
--- a/packages/routing/tests/promptcrashregistry_test.cpp
+++ b/packages/routing/tests/promptcrashregistry_test.cpp
@@ -137,6 +137,19 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
+// Guards against popular parts that stay in all heartbeats because every success is news.
+BOOST_AUTO_TEST_CASE(successes_withoutNewCrashes_areNotReported)
+{
+    crash(0);
+    for (const auto end = now + minutes(3); now < end; now += seconds(1)) {
+        for (std::size_t daemon = 0; daemon < daemons.size(); ++daemon)
+            daemons[daemon].recordSuccess({ kCommon, kBad }, now);
+        exchangeReports();
+    }
+    for (const PromptCrashRegistry &daemon : daemons)
+        BOOST_TEST(daemon.ownReports(24, now).empty());
+}
+
 // Guards against reports that keep each other alive after the requests have stopped.
 BOOST_AUTO_TEST_CASE(reports_withoutNewCrashes_expire)
 {
