Daemon: do not print a misplaced secret that begins with a dash

Its key is random, and a secret that is given where no value belongs was printed as the name of an unknown flag if it began with a dash (one key in 85). Only text with the characters of a flag is printed now. read_misplacedSecretBeginsWithADash_isNotPrinted failed on the code before; 300 runs of the random test pass.

--- a/packages/daemon/src/settingvalues.cpp
+++ b/packages/daemon/src/settingvalues.cpp
@@ -61,10 +61,15 @@
     }
 
     // Removes the value from an unknown argument, because a mistyped flag may contain a secret
-    // after '='.
+    // after '='. A misplaced secret may itself begin with a dash, but hardly consists only of the
+    // characters of a flag.
     static std::string withoutValue(const std::string &argument)
     {
-        return argument.starts_with("-") ? argument.substr(0, argument.find('=')) : "(value)";
+        const std::string name = argument.substr(0, argument.find('='));
+        const bool isFlag = name.starts_with("-")
+                            && name.find_first_not_of("-abcdefghijklmnopqrstuvwxyz0123456789")
+                                       == std::string::npos;
+        return isFlag ? name : "(value)";
     }
 
     TCLAP::CmdLine commandLine_;
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -138,6 +138,15 @@
                != std::string::npos);
 }
 
+// Guards against a secret that is taken for the name of a flag, because it begins with a dash.
+BOOST_AUTO_TEST_CASE(read_misplacedSecretBeginsWithADash_isNotPrinted)
+{
+    const std::string key(alice.secretKey.data());
+    for (const std::string &secret : { "-" + key.substr(1), "--" + key.substr(2) })
+        BOOST_TEST(readExit({ "--fleet-secret-keys", secret }).text.find(secret)
+                   == std::string::npos);
+}
+
 // Guards against a setting that is missing in the help text.
 BOOST_AUTO_TEST_CASE(read_helpOrVersion_exitsWithZero)
 {
