--- /dev/null
+++ b/review/standins/fleet.cpp
@@ -0,0 +1,112 @@
+#include "fleet.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+namespace review {
+
+namespace {
+
+const std::vector<std::string> kZones{ "kuching-a", "pasir-gudang-a", "ipoh-a" };
+
+std::string makeRoute(const RouteOptions &route)
+{
+    return R"({"name":")" + route.name + R"(","host":"desk.example","path_prefix":")"
+           + route.pathPrefix + R"(","kind":")" + route.kind
+           + R"(","timeout_ms":1200,"slo_ms":250,"priority":2,"service":")" + route.service
+           + R"(","max_attempts":)" + std::to_string(route.maxAttempts) + R"(,"public":false})";
+}
+
+std::string makeTemporaryFolder()
+{
+    std::string name = (std::filesystem::temp_directory_path() / "auburn-review-XXXXXX").string();
+    return mkdtemp(name.data()) ? name : std::string();
+}
+
+} // namespace
+
+Fleet::Fleet(Options options)
+    : options_(std::move(options))
+    , record_(options_.folder + "/record.txt")
+    , network_(freeNetwork())
+    , temporaryFolder_(makeTemporaryFolder())
+    , store_(network_ + ".200:8742")
+{}
+
+Fleet::~Fleet()
+{
+    daemons_.reset();
+    runners_.clear();
+    std::error_code ignored;
+    const bool keep = std::getenv("KEEP_LOGS") != nullptr;
+    if (!temporaryFolder_.empty() && !keep)
+        std::filesystem::remove_all(temporaryFolder_, ignored);
+}
+
+bool Fleet::start()
+{
+    if (temporaryFolder_.empty() || !store_.open())
+        return false;
+    std::vector<std::string> routes;
+    for (const RouteOptions &route : options_.routes)
+        routes.push_back(makeRoute(route));
+    store_.put("keyed.op", "config",
+               configuration(7, routes,
+                             { R"({"name":"desk","health_path":"/healthz","max_conns":96,)"
+                               R"("protocol":"h1","tls":false})" }));
+    for (unsigned i = 0; i < kZones.size() * options_.runnersPerZone; ++i) {
+        Runner::Options runner = options_.runner;
+        runner.id = "i-" + std::to_string(i + 1);
+        runner.address = network_ + "." + std::to_string(101 + i) + ":8080";
+        runner.service = "desk";
+        runner.zone = kZones[i % kZones.size()];
+        runners_.push_back(std::make_unique<Runner>(std::move(runner), store_));
+        if (!runners_.back()->start())
+            return false;
+    }
+    daemons_ = std::make_unique<Daemons>(Daemons::Options{ .root = options_.root,
+                                                           .folder = temporaryFolder_,
+                                                           .network = network_,
+                                                           .storeAddress = store_.address(),
+                                                           .zones = kZones });
+    if (!daemons_->start() || !waitReady())
+        return false;
+    record_.line("all daemons are ready; logs in " + temporaryFolder_);
+    return true;
+}
+
+unsigned Fleet::endedDaemons()
+{
+    unsigned ended = 0;
+    for (unsigned i = 0; i < daemons_->count(); ++i)
+        ended += daemons_->isRunning(i) ? 0 : 1;
+    return ended;
+}
+
+std::string makeRequest(const std::string &method, const std::string &path, const std::string &id,
+                        const std::string &body)
+{
+    const std::string length = method == "GET"
+                                       ? std::string()
+                                       : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id
+           + "\r\nDeadline-Ms: 2500\r\nApi-Key: " + kApiKey + "\r\n" + length + "\r\n" + body;
+}
+
+bool isTroubleWanted()
+{
+    const char *trouble = std::getenv("TROUBLE");
+    return !trouble || std::string(trouble) != "0";
+}
+
+int report(int result)
+{
+    const char *text = result == kHeld     ? "the rule held"
+                       : result == kBroken ? "the rule was broken"
+                                           : "the case could not run";
+    std::cout << text << "\n";
+    return result;
+}
+
+} // namespace review
