--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -13,9 +13,10 @@
 std::string makeRoute(const RouteOptions &route)
 {
     return R"({"name":")" + route.name + R"(","host":"desk.example","path_prefix":")"
-           + route.pathPrefix + R"(","kind":")" + route.kind
-           + R"(","timeout_ms":1200,"slo_ms":250,"priority":2,"service":")" + route.service
-           + R"(","max_attempts":)" + std::to_string(route.maxAttempts) + R"(,"public":false})";
+           + route.pathPrefix + R"(","kind":")" + route.kind + R"(","timeout_ms":)"
+           + std::to_string(route.timeout.count()) + R"(,"slo_ms":250,"priority":2,"service":")"
+           + route.service + R"(","max_attempts":)" + std::to_string(route.maxAttempts)
+           + R"(,"public":false})";
 }
 
 std::string makeTemporaryFolder()
@@ -69,7 +70,8 @@
                                                            .folder = temporaryFolder_,
                                                            .network = network_,
                                                            .storeAddress = store_.address(),
-                                                           .zones = kZones });
+                                                           .zones = kZones,
+                                                           .memoryMb = options_.memoryMb });
     if (!daemons_->start() || !waitReady())
         return false;
     record_.line("all daemons are ready; logs in " + temporaryFolder_);
@@ -85,13 +87,14 @@
 }
 
 std::string makeRequest(const std::string &method, const std::string &path, const std::string &id,
-                        const std::string &body)
+                        const std::string &body, Milliseconds deadline)
 {
     const std::string length = method == "GET"
                                        ? std::string()
                                        : "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id
-           + "\r\nDeadline-Ms: 2500\r\nApi-Key: " + kApiKey + "\r\n" + length + "\r\n" + body;
+           + "\r\nDeadline-Ms: " + std::to_string(deadline.count()) + "\r\nApi-Key: " + kApiKey
+           + "\r\n" + length + "\r\n" + body;
 }
 
 bool isTroubleWanted()
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -24,6 +24,7 @@
     std::string pathPrefix;
     std::string kind;
     unsigned maxAttempts = 1;
+    Milliseconds timeout{ 1200 };
     std::string service = "desk";
 };
 
@@ -37,6 +38,7 @@
         std::string folder;
         std::vector<RouteOptions> routes;
         unsigned runnersPerZone = 1;
+        unsigned memoryMb = 260;
         // Options of all runners; the fleet fills in id, address, zone and service.
         Runner::Options runner;
     };
@@ -69,7 +71,7 @@
 
 // Returns a request to a route of the fleet.
 std::string makeRequest(const std::string &method, const std::string &path, const std::string &id,
-                        const std::string &body);
+                        const std::string &body, Milliseconds deadline = Milliseconds(2500));
 
 // True unless the environment variable TROUBLE is 0.
 bool isTroubleWanted();
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -379,14 +379,16 @@
         text.append(name).append(" = \"region-").append(name).append("\"\n");
     text += "[listen]\nfront = \"" + front(index) + "\"\nready = \"" + ip(index)
             + ":8749\"\ncontrol = \"" + ip(index) + ":8748\"\n";
-    text += "[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4200\n"
-            "link_mbps = 1000.0\ndisk_mb = 0\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n"
-            "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\nstable_window_ms = 4000\n"
-            "ack_ms = 5000\ncatch_up_s = 4\ndrain_ms = 2500\ngrace_s = 8\nlost_slack_ms = 200\n"
-            "config_apply_ms = 2500\nrollback_slack_ms = 250\nouter_ms = 6000\n"
-            "strict_revoke = false\nrevoke_ms = 5000\nretry_budget_ratio = 0.2\n"
-            "budget_window_s = 10\nbudget_extra = 52\nrecover_s = 12\npass_ms = 300\n"
-            "reuse_window_s = 8.1\n[platform]\naddr = \""
+    text += "[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = "
+            + std::to_string(options_.memoryMb)
+            + "\nmax_fds = 4200\n"
+              "link_mbps = 1000.0\ndisk_mb = 0\n[tolerate]\nmachines = 1\nzones = 0\nregions = 0\n"
+              "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\nstable_window_ms = 4000\n"
+              "ack_ms = 5000\ncatch_up_s = 4\ndrain_ms = 2500\ngrace_s = 8\nlost_slack_ms = 200\n"
+              "config_apply_ms = 2500\nrollback_slack_ms = 250\nouter_ms = 6000\n"
+              "strict_revoke = false\nrevoke_ms = 5000\nretry_budget_ratio = 0.2\n"
+              "budget_window_s = 10\nbudget_extra = 52\nrecover_s = 12\npass_ms = 300\n"
+              "reuse_window_s = 8.1\n[platform]\naddr = \""
             + options_.storeAddress
             + "\"\nform = \"log\"\nwrites_per_s = 400\nreads_per_s = 2000\nparts = 12\n"
               "append_ms = 2.0\nkeep_s = 300\npart_mb = 200\nttl_min_ms = 1000\n";
@@ -457,6 +459,20 @@
         kill(processes_[index], signal);
 }
 
+unsigned long Daemons::memoryKb(unsigned index)
+{
+    if (!isRunning(index))
+        return 0;
+    std::ifstream status("/proc/" + std::to_string(processes_[index]) + "/status");
+    constexpr std::string_view kName = "RssAnon:";
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.rfind(kName, 0) == 0)
+            return std::strtoul(line.c_str() + kName.size(), nullptr, 10);
+    }
+    return 0;
+}
+
 std::string freeNetwork()
 {
     std::mt19937 random(std::random_device{}());
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -175,6 +175,7 @@
         std::string storeAddress;
         std::vector<std::string> zones;
         unsigned count = 6;
+        unsigned memoryMb = 260;
     };
 
     explicit Daemons(Options options);
@@ -189,6 +190,8 @@
     // True if the process of the daemon runs.
     bool isRunning(unsigned index);
     void sendSignal(unsigned index, int signal);
+    // Anonymous memory of the daemon's process in KB; 0 if it has ended.
+    unsigned long memoryKb(unsigned index);
     unsigned count() const { return options_.count; }
 
 private:
