--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -10,13 +10,21 @@
 
 const std::vector<std::string> kZones{ "kuching-a", "pasir-gudang-a", "ipoh-a" };
 
+constexpr const char *kPlainService =
+        R"({"name":"desk","health_path":"/healthz","max_conns":96,"protocol":"h1","tls":false})";
+constexpr const char *kEngineService =
+        R"({"name":"desk","health_path":"/healthz","max_conns":610,"protocol":"h1","tls":false,)"
+        R"("engine":{"slots":128,"kv_capacity":525395,"kv_token_bytes":35136,"link_mbps":370000.0,)"
+        R"("moves":true,"backups":true,"stride":3,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,)"
+        R"("handle_s":5.0,"models":[{"name":"m"}]}})";
+
 std::string makeRoute(const RouteOptions &route)
 {
     return R"({"name":")" + route.name + R"(","host":"desk.example","path_prefix":")"
            + route.pathPrefix + R"(","kind":")" + route.kind + R"(","timeout_ms":)"
            + std::to_string(route.timeout.count()) + R"(,"slo_ms":250,"priority":2,"service":")"
            + route.service + R"(","max_attempts":)" + std::to_string(route.maxAttempts)
-           + R"(,"public":false})";
+           + R"(,"public":false,"gap_target_ms":250})";
 }
 
 std::string makeTemporaryFolder()
@@ -53,9 +61,7 @@
     for (const RouteOptions &route : options_.routes)
         routes.push_back(makeRoute(route));
     store_.put("keyed.op", "config",
-               configuration(7, routes,
-                             { R"({"name":"desk","health_path":"/healthz","max_conns":96,)"
-                               R"("protocol":"h1","tls":false})" }));
+               configuration(7, routes, { options_.engines ? kEngineService : kPlainService }));
     for (unsigned i = 0; i < kZones.size() * options_.runnersPerZone; ++i) {
         Runner::Options runner = options_.runner;
         runner.id = "i-" + std::to_string(i + 1);
@@ -97,6 +103,16 @@
            + "\r\n" + length + "\r\n" + body;
 }
 
+std::string makeStreamRequest(const std::string &path, const std::string &id,
+                              const std::string &promptParts)
+{
+    const std::string body = id + std::string(1000, 'q');
+    return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id
+           + "\r\nModel: m\r\nToken-Count: 1460,80\r\nPrompt-Prefix: " + promptParts
+           + "\r\nDeadline-Ms: 6000\r\nApi-Key: " + kApiKey
+           + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 bool isTroubleWanted()
 {
     const char *trouble = std::getenv("TROUBLE");
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -39,6 +39,8 @@
         std::vector<RouteOptions> routes;
         unsigned runnersPerZone = 1;
         unsigned memoryMb = 260;
+        // The service consists of model engines.
+        bool engines = false;
         // Options of all runners; the fleet fills in id, address, zone and service.
         Runner::Options runner;
     };
@@ -69,6 +71,10 @@
     std::unique_ptr<Daemons> daemons_;
 };
 
+// Returns a request for a stream with a prompt of these parts, for example "5c1e07a2:800,b3:200".
+std::string makeStreamRequest(const std::string &path, const std::string &id,
+                              const std::string &promptParts);
+
 // Returns a request to a route of the fleet.
 std::string makeRequest(const std::string &method, const std::string &path, const std::string &id,
                         const std::string &body, Milliseconds deadline = Milliseconds(2500));
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -325,21 +325,47 @@
             --running_;
             return;
         }
-        const std::string load = std::to_string(--running_) + ",0,"
-                                 + std::to_string(options_.slots);
-        if (options_.finished)
+        const std::string load = std::to_string(running_) + ",0," + std::to_string(options_.slots);
+        std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: ";
+        head.append(arrival.request.field("Attempt-Id")).append("\r\nResponse-Seal: seal-");
+        head.append(options_.id).append("\r\nRunner-Load: ").append(load).append("\r\n");
+        if (options_.finished && options_.events == 0)
             options_.finished(arrival);
-        const std::string body(options_.bodyBytes, 'b');
-        std::string text = "HTTP/1.1 200 OK\r\nAttempt-Id: ";
-        text.append(arrival.request.field("Attempt-Id")).append("\r\nResponse-Seal: seal-");
-        text.append(options_.id).append("\r\nRunner-Load: ").append(load);
-        text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
-        text.append("\r\n\r\n").append(body);
-        if (!socket.send(text))
+        const bool alive = options_.events > 0 ? streamEvents(socket, head, deed)
+                                               : answer(socket, head);
+        --running_;
+        if (deed == Deed::CrashAfterFirstEvent)
+            goDown();
+        if (!alive)
             return;
     }
 }
 
+bool Runner::answer(Socket &socket, const std::string &head) const
+{
+    const std::string body(options_.bodyBytes, 'b');
+    return socket.send(head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+bool Runner::streamEvents(Socket &socket, const std::string &head, Deed deed) const
+{
+    std::string text = head + "Content-Type: text/event-stream\r\n"
+                       + "Transfer-Encoding: chunked\r\n\r\n";
+    for (unsigned i = 1; i <= options_.events; ++i) {
+        const std::string event = "id: " + std::to_string(i) + "\ndata: piece\n\n";
+        char size[16];
+        std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+        text.append(size).append(event).append("\r\n");
+        if (acceptor_.isCrashing() || !socket.send(text))
+            return false;
+        if (deed == Deed::CrashAfterFirstEvent)
+            return false;
+        text.clear();
+        std::this_thread::sleep_for(options_.eventInterval);
+    }
+    return socket.send("0\r\n\r\n");
+}
+
 Daemons::Daemons(Options options)
     : options_(std::move(options))
     , processes_(options_.count, -1)
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -111,7 +111,7 @@
 {
 public:
     // What the runner does with a request. Answer is the default.
-    enum class Deed { Answer, Crash };
+    enum class Deed { Answer, Crash, CrashAfterFirstEvent };
 
     struct Options
     {
@@ -123,6 +123,9 @@
         Milliseconds work{ 30 };
         // Size of the body of an answer.
         std::size_t bodyBytes = 800;
+        // If not 0, an answer is a stream of so many events, one in each interval.
+        unsigned events = 0;
+        Milliseconds eventInterval{ 40 };
         // The runner is back after this time if it crashes.
         Milliseconds downTime{ 2000 };
         // Decides what a request that begins to run does to its runner.
@@ -141,6 +144,9 @@
 
 private:
     void serve(Socket &socket);
+    // Both return false if the connection or the runner has ended.
+    bool answer(Socket &socket, const std::string &head) const;
+    bool streamEvents(Socket &socket, const std::string &head, Deed deed) const;
     void announce();
     void heartbeatLoop();
     void goDown();
