Gateway: log and count responses that end with their connection

The end of a response without a length was not told apart from a framed one: its attempt logged nothing if it was taken for complete, and attempt_failed has neither the events nor the bytes after the last one. unframed_response_ended gives both and the decision, and auburn_unframed_responses_total counts the decisions. No decision changes.

--- a/packages/gateway/src/eventstream.cpp
+++ b/packages/gateway/src/eventstream.cpp
@@ -31,6 +31,9 @@
 
 void EventStream::appendEvent(std::string_view event)
 {
+    const bool isComment = isCommentOnly(event);
+    if (!isComment)
+        ++attemptEventCount_;
     const std::string_view id = eventId(event);
     const auto number = numericEventId(id);
     if (number && lastEventNumber_ && *number <= *lastEventNumber_)
@@ -40,7 +43,7 @@
         lastEventNumber_ = number;
     }
     newEvents_.append(event);
-    if (isCommentOnly(event))
+    if (isComment)
         return;
     ++eventCount_;
     hasNewEvent_ = true;
--- a/packages/gateway/src/eventstream.h
+++ b/packages/gateway/src/eventstream.h
@@ -29,7 +29,11 @@
     explicit EventStream(std::string lastEventId);
 
     // Starts an attempt at another server. A partial event of the previous one is discarded.
-    void attemptStarted() { splitter_.reset(); }
+    void attemptStarted()
+    {
+        splitter_.reset();
+        attemptEventCount_ = 0;
+    }
     void feed(std::string_view bytes) { splitter_.feed(bytes); }
     // Returns the complete new events received so far. The text is valid until the next call.
     std::string_view takeEvents(TimePoint now);
@@ -46,6 +50,9 @@
     const std::string &lastEventId() const { return lastEventId_; }
     // Number of events returned so far, without comments.
     std::uint64_t eventCount() const { return eventCount_; }
+    // Number of whole events in the current attempt, without comments, but with events that the
+    // caller has already received.
+    std::uint64_t attemptEventCount() const { return attemptEventCount_; }
     std::optional<TimePoint> firstEventAt() const { return firstEventAt_; }
     // The longest time between two consecutive events, without comments.
     std::chrono::milliseconds longestGap() const { return longestGap_; }
@@ -60,6 +67,7 @@
     std::string lastEventId_;
     std::optional<std::uint64_t> lastEventNumber_;
     std::uint64_t eventCount_ = 0;
+    std::uint64_t attemptEventCount_ = 0;
     std::optional<TimePoint> firstEventAt_;
     TimePoint lastEventAt_;
     std::chrono::milliseconds longestGap_{ 0 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -461,9 +461,20 @@
     if (finished_ || !attempt_)
         return;
     const auto guard = shared_from_this();
+    const bool endsInsideEvent = isStream_ && result.endedByClose && !stream_.remainder().empty();
+    if (result.endedByClose)
+        recordUnframedEnd({ .request = request_,
+                            .server = attempt_->serverId,
+                            .service = service_->name,
+                            .status = status_,
+                            .events = stream_.attemptEventCount(),
+                            .pendingBytes = stream_.remainder().size(),
+                            .complete = !endsInsideEvent,
+                            .reason = endsInsideEvent ? "inside_event" : "" },
+                          context_.options.metrics);
     if (result.outcome != CallOutcome::Complete)
         attemptFailed(result);
-    else if (isStream_ && result.endedByClose && !stream_.remainder().empty())
+    else if (endsInsideEvent)
         attemptFailed(
                 { .outcome = CallOutcome::Broken, .error = "the stream ended inside an event" });
     else if (isStream_)
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -96,6 +96,25 @@
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
 
+void recordUnframedEnd(const UnframedEndRecord &record, Metrics *metrics)
+{
+    const std::string_view result = record.complete ? "complete" : "broken_off";
+    if (metrics)
+        metrics->counter("auburn_unframed_responses_total",
+                         "Responses without a length that ended with their connection",
+                         { { "service", std::string(record.service) },
+                           { "result", std::string(result) } })
+                .add();
+    logEvent(LogLevel::Info, "unframed_response_ended",
+             { { "id", record.request.id },
+               { "server", record.server },
+               { "result", result },
+               { "status", static_cast<long long>(record.status) },
+               { "events", static_cast<long long>(record.events) },
+               { "pending_bytes", static_cast<long long>(record.pendingBytes) },
+               { "reason", record.reason } });
+}
+
 void recordRetry(const RetryRecord &record, Metrics *metrics)
 {
     if (metrics)
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -9,6 +9,8 @@
 #include "auburn/routing/placement.h"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -41,6 +43,25 @@
     std::chrono::milliseconds duration{ 0 };
 };
 
+// The end of a response that has neither a length nor chunks, so that the end of its connection was
+// its only mark.
+struct UnframedEndRecord
+{
+    const CallerRequest &request;
+    std::string_view server;
+    std::string_view service;
+    // The status of the response.
+    int status = 0;
+    // Number of whole events that this server sent, without comments; 0 if it is no stream.
+    std::uint64_t events = 0;
+    // Number of bytes after the last whole event.
+    std::size_t pendingBytes = 0;
+    // True if the response was taken for complete.
+    bool complete = false;
+    // Why it was not taken for complete.
+    std::string_view reason;
+};
+
 // A decision of the retry budget.
 struct RetryRecord
 {
@@ -75,6 +96,8 @@
 void recordPlacement(const PlacementRecord &record);
 // Counts the attempt and logs it unless it succeeded. The metrics may be null.
 void recordAttempt(const AttemptRecord &record, Metrics *metrics);
+// Logs and counts the end of a response without a length. The metrics may be null.
+void recordUnframedEnd(const UnframedEndRecord &record, Metrics *metrics);
 // Logs and counts a decision of the retry budget. The metrics may be null.
 void recordRetry(const RetryRecord &record, Metrics *metrics);
 // Logs and counts the end of a request. The metrics may be null.
