Gateway: failing tests of streams that are broken off and end as complete

A stream without a length is cut at every byte, and its server crashes after a whole event.

ScriptedServer can crash: it closes the connection in an orderly way and stops listening.

--- a/packages/gateway/tests/serverfaults_test.cpp
+++ b/packages/gateway/tests/serverfaults_test.cpp
@@ -333,6 +333,79 @@
     BOOST_TEST(second.requests().empty());
 }
 
+// Guards against a stream without a length that is broken off, at any byte, and ended as complete.
+BOOST_AUTO_TEST_CASE(streamWithoutLength_connectionClosesAtAnyByte_isCompleteOnlyAfterAnEvent)
+{
+    const std::string events = eventsUpTo(2);
+    std::size_t sent = 0;
+    addServer("s1", "engines", [&](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { kUnframedStreamHead + events.substr(0, sent) } },
+                              .end = End::Close };
+    });
+    for (; sent <= events.size(); ++sent) {
+        const bool isAfterEvent = sent == event(1).size() || sent == events.size();
+        // Equal requests would be rejected after some that crash their server.
+        const std::string response = exchange(
+                request("POST", "/digest/x", {}, std::to_string(sent)));
+        const bool endedAsComplete = isComplete(response) && statusOf(response) == 200;
+        BOOST_TEST(endedAsComplete == isAfterEvent, "cut after " << sent << " bytes");
+        BOOST_TEST(statusOf(response) == (sent < event(1).size() ? 502 : 200));
+    }
+}
+
+// Guards against the orderly close of the connections of a server that crashed being taken for the
+// end of a stream.
+BOOST_AUTO_TEST_CASE(streamWithoutLength_serverCrashesAfterAnEvent_isBrokenOff)
+{
+    addServer("s1", "engines", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { kUnframedStreamHead + event(1) } }, .end = End::Crash };
+    });
+    const std::string response = exchange(request("POST", "/digest/x", {}, "b"));
+    BOOST_TEST(!isComplete(response));
+    BOOST_TEST(chunkedBody(response) == event(1));
+}
+
+// The same for a stream that another server can go on with.
+BOOST_AUTO_TEST_CASE(resumableStreamWithoutLength_serverCrashesAfterAnEvent_goesOnElsewhere)
+{
+    const auto crashing = [](const ScriptedRequest &received) {
+        if (received["X-Last"].empty())
+            return ScriptedReply{ .parts = { { kUnframedStreamHead + event(1) } },
+                                  .end = End::Crash };
+        return ScriptedReply{ .parts = { { kUnframedStreamHead + event(2) + event(3) } },
+                              .end = End::Close };
+    };
+    addServer("e1", "engines", crashing);
+    addServer("e2", "engines", crashing);
+    const std::string response = exchange(request("POST", "/chat/x", {}, "b"));
+    BOOST_TEST(isComplete(response));
+    BOOST_TEST(chunkedBody(response) == eventsUpTo(3));
+}
+
+// The same for a response that is no stream: its caller would get a part of the body as a success.
+BOOST_AUTO_TEST_CASE(responseWithoutLength_serverCrashes_isNotASuccess)
+{
+    addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { kResponseHead + std::string("\r\npart of the bo") } },
+                              .end = End::Crash };
+    });
+    BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, "b"))) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(responseWithoutLength_serverGoesOn_isForwarded)
+{
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { kResponseHead + std::string("\r\nthe body") } },
+                              .end = End::Close };
+    });
+    for (int i = 0; i < 3; ++i) {
+        const std::string response = exchange(request("POST", "/order/x", {}, "b"));
+        BOOST_TEST(statusOf(response) == 200);
+        BOOST_TEST(response.substr(response.size() - 8) == "the body");
+    }
+    BOOST_TEST(server.requests().size() == 3U);
+}
+
 // Guards against a stream without a length that breaks off inside an event and is ended as
 // complete.
 BOOST_AUTO_TEST_CASE(streamWithoutLength_endsInsideAnEvent_isBrokenOff)
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -80,6 +80,8 @@
             read();
             return;
         }
+        if (reply_.end == ScriptedReply::End::Crash)
+            state_->acceptor.close(ignored);
         if (reply_.end == ScriptedReply::End::Reset)
             socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
@@ -96,23 +98,22 @@
 
 ScriptedServer::ScriptedServer(asio::io_context &io, Handler handler)
     : io_(io)
-    , acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-    , state_(std::make_shared<State>())
+    , state_(std::make_shared<State>(io))
+    , address_("127.0.0.1:" + std::to_string(state_->acceptor.local_endpoint().port()))
 {
     state_->handler = std::move(handler);
     accept();
 }
 
-ScriptedServer::~ScriptedServer() = default;
-
-std::string ScriptedServer::address() const
+ScriptedServer::~ScriptedServer()
 {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    ErrorCode ignored;
+    state_->acceptor.close(ignored);
 }
 
 void ScriptedServer::accept()
 {
-    acceptor_.async_accept([this](ErrorCode error, tcp::socket socket) {
+    state_->acceptor.async_accept([this](ErrorCode error, tcp::socket socket) {
         if (error)
             return;
         ++state_->connections;
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -30,8 +30,9 @@
 struct ScriptedReply
 {
     std::vector<ScriptedPart> parts;
-    // What happens after the last part.
-    enum class End { KeepOpen, Close, Reset } end = End::KeepOpen;
+    // What happens after the last part. A server that crashes closes the connection in an orderly
+    // way, as the kernel does for a process that ends, and stops listening.
+    enum class End { KeepOpen, Close, Reset, Crash } end = End::KeepOpen;
 };
 
 // A whole answer with a length; the fields end with "\r\n" each.
@@ -46,7 +47,7 @@
     ScriptedServer(boost::asio::io_context &io, Handler handler);
     ~ScriptedServer();
 
-    std::string address() const;
+    const std::string &address() const { return address_; }
     // Every request that was read, in order.
     const std::vector<ScriptedRequest> &requests() const { return state_->requests; }
     unsigned connections() const { return state_->connections; }
@@ -56,6 +57,10 @@
 private:
     struct State
     {
+        explicit State(boost::asio::io_context &io)
+            : acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        {}
+        boost::asio::ip::tcp::acceptor acceptor;
         Handler handler;
         std::vector<ScriptedRequest> requests;
         unsigned connections = 0;
@@ -66,8 +71,8 @@
     void accept();
 
     boost::asio::io_context &io_;
-    boost::asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<State> state_;
+    const std::string address_;
 };
 
 // One connection of a test's client; collects everything that it receives.
