Gateway: a stream that ends before its first event is broken off

Callers saw an empty, complete stream with status 200 (ORDER) when a server sent the head of a response without a length and its connection closed before the first event.

Cause: only the bytes after the last event were looked at, and there are none. No stream is empty, so at least one whole event is needed too. The content check moves to where the close of the connection is handled, so that a response is not reported as complete first.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -51,8 +51,8 @@
     // True if an earlier call succeeded on this connection, and it broke before the server sent any
     // byte for this call. The server probably closed it while it was idle.
     bool staleConnection = false;
-    // True if the response has neither a length nor chunks, so that the end of the connection is
-    // its end. Whether it is whole can only be told from its content.
+    // True if the response has neither a length nor chunks, so that the close of the connection is
+    // its only end.
     bool endedByClose = false;
     std::string error;
 };
@@ -77,6 +77,9 @@
     virtual void responseStarted(const ResponseHeader &header) = 0;
     // Receives a part of the response body. The views are valid only until the function returns.
     virtual void responseData(const std::vector<std::string_view> &data) = 0;
+    // Called when the server closes the connection of a response without a length. Returns why the
+    // response is not complete after the data received so far, or null if it may be.
+    virtual const char *incompleteReason() const { return nullptr; }
     // Called once, at the end of the call.
     virtual void callEnded(const CallResult &result) = 0;
 };
@@ -137,11 +140,15 @@
     void deliverBody();
     void responseComplete();
     void readFailed(ErrorCode error);
+    // Handles the close of a connection by its server during a response without a length.
+    void closedByServer();
     bool exceedsLimits() const;
     // False if the response may belong to an earlier call.
     bool isTrusted(ResponseMatch match) const;
     void parseKeepAlive(const ResponseHeader &header);
+    // Ends the call with a failure.
     void finishCall(CallOutcome outcome, std::string error);
+    void finishCall(CallResult result);
 
     const std::string address_;
     boost::asio::ip::tcp::socket socket_;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -456,12 +456,21 @@
     writer_->beginStream({ .status = status_, .fields = fields_ });
 }
 
+const char *Exchange::incompleteReason() const
+{
+    if (!isStream_)
+        return nullptr;
+    if (!stream_.remainder().empty())
+        return "the stream ended inside an event";
+    // No stream is empty, so its server stopped before the first event.
+    return stream_.attemptEventCount() == 0 ? "the stream ended before its first event" : nullptr;
+}
+
 void Exchange::callEnded(const CallResult &result)
 {
     if (finished_ || !attempt_)
         return;
     const auto guard = shared_from_this();
-    const bool endsInsideEvent = isStream_ && result.endedByClose && !stream_.remainder().empty();
     if (result.endedByClose)
         recordUnframedEnd({ .request = request_,
                             .server = attempt_->serverId,
@@ -469,14 +478,11 @@
                             .status = status_,
                             .events = stream_.attemptEventCount(),
                             .pendingBytes = stream_.remainder().size(),
-                            .complete = !endsInsideEvent,
-                            .reason = endsInsideEvent ? "inside_event" : "" },
+                            .complete = result.outcome == CallOutcome::Complete,
+                            .reason = result.error },
                           context_.options.metrics);
     if (result.outcome != CallOutcome::Complete)
         attemptFailed(result);
-    else if (endsInsideEvent)
-        attemptFailed(
-                { .outcome = CallOutcome::Broken, .error = "the stream ended inside an event" });
     else if (isStream_)
         streamComplete();
     else
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -79,6 +79,7 @@
     ResponseMatch matchResponse(const ResponseHeader &header) override;
     void responseStarted(const ResponseHeader &header) override;
     void responseData(const std::vector<std::string_view> &data) override;
+    const char *incompleteReason() const override;
     void callEnded(const CallResult &result) override;
 
     // Reports the load that the server states in its response header.
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -188,16 +188,20 @@
 
 void OutboundConnection::readFailed(ErrorCode error)
 {
-    if (error == asio::error::eof && headerDone_ && !discarding_ && parser_->response.need_eof()) {
-        ErrorCode ignored;
-        parser_->response.put_eof(ignored);
-        if (parser_->response.is_done()) {
-            responseComplete();
-            return;
-        }
-    }
-    finishCall(CallOutcome::Broken,
-               error == asio::error::eof ? "the server closed the connection" : error.message());
+    const bool closed = error == asio::error::eof;
+    if (closed && headerDone_ && !discarding_ && parser_->response.need_eof())
+        closedByServer();
+    else
+        finishCall(CallOutcome::Broken,
+                   closed ? "the server closed the connection" : error.message());
+}
+
+void OutboundConnection::closedByServer()
+{
+    if (const char *reason = handler_->incompleteReason())
+        finishCall({ .outcome = CallOutcome::Broken, .endedByClose = true, .error = reason });
+    else
+        responseComplete();
 }
 
 bool OutboundConnection::parse()
@@ -320,17 +324,21 @@
 }
 
 void OutboundConnection::finishCall(CallOutcome outcome, std::string error)
+{
+    const bool stale = responseCount_ > 0 && !bytesReceived_ && outcome == CallOutcome::Broken;
+    finishCall({ .outcome = outcome, .staleConnection = stale, .error = std::move(error) });
+}
+
+void OutboundConnection::finishCall(CallResult result)
 {
     if (closed_)
         return;
     const auto self = shared_from_this();
-    const bool stale = responseCount_ > 0 && !bytesReceived_ && outcome == CallOutcome::Broken;
     inCall_ = false;
     CallHandler *handler = std::exchange(handler_, nullptr);
     close();
     if (handler)
-        handler->callEnded(CallResult{
-                .outcome = outcome, .staleConnection = stale, .error = std::move(error) });
+        handler->callEnded(result);
 }
 
 void OutboundConnection::close()
