Gateway: the close of a crashed server's connections ends no response

Cause: the close of a connection was taken for the end of the response, but the kernel closes the connections of a process that ends in the same way. The content cannot tell, so the connection now connects to its server again: one that accepts goes on living, one that refuses or stays silent for 300 ms has not ended its response. The new connection replaces the closed one in the pool, where the next request would have opened it.

Three tests failed before and pass: a crash after an event (broken off, and resumed elsewhere if the stream is resumable) and inside a body.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -90,6 +90,10 @@
 // are read and discarded, because a faulty server may send more responses than it received
 // requests. A read stays pending while the connection is idle, so that a server that closes the
 // connection or sends unsolicited bytes is detected before the next call.
+//
+// The kernel closes the connections of a process that crashes, too. So a response without a length
+// that ends with its connection is complete only if the server then accepts another connection,
+// which replaces the closed one.
 class OutboundConnection : public std::enable_shared_from_this<OutboundConnection>
 {
 public:
@@ -139,9 +143,14 @@
     bool processHeader();
     void deliverBody();
     void responseComplete();
+    // Ends the call with success.
+    void callComplete();
     void readFailed(ErrorCode error);
     // Handles the close of a connection by its server during a response without a length.
     void closedByServer();
+    // Connects to the server again, to tell the end of a response from a crash.
+    void reconnect();
+    void reconnected(ErrorCode error);
     bool exceedsLimits() const;
     // False if the response may belong to an earlier call.
     bool isTrusted(ResponseMatch match) const;
@@ -152,6 +161,8 @@
 
     const std::string address_;
     boost::asio::ip::tcp::socket socket_;
+    // The connection that replaces the closed one, while it is being established.
+    std::optional<boost::asio::ip::tcp::socket> replacement_;
     boost::asio::steady_timer connectTimer_;
     boost::beast::flat_buffer input_;
     std::unique_ptr<Parser> parser_;
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -21,6 +21,7 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
 
 namespace {
 
@@ -28,6 +29,7 @@
 // Limit of the header bytes of all responses in one call, including interim ones. It also limits
 // the input that the parser cannot consume yet, such as an unterminated line.
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::chrono::milliseconds kReconnectTimeout{ 300 };
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
 
@@ -201,7 +203,45 @@
     if (const char *reason = handler_->incompleteReason())
         finishCall({ .outcome = CallOutcome::Broken, .endedByClose = true, .error = reason });
     else
-        responseComplete();
+        reconnect();
+}
+
+void OutboundConnection::reconnect()
+{
+    replacement_.emplace(socket_.get_executor());
+    connectTimer_.expires_after(kReconnectTimeout);
+    connectTimer_.async_wait([self = shared_from_this()](ErrorCode error) {
+        if (!error)
+            self->reconnected(asio::error::timed_out);
+    });
+    replacement_->async_connect(
+            *parseEndpoint(address_),
+            [self = shared_from_this()](ErrorCode error) { self->reconnected(error); });
+}
+
+void OutboundConnection::reconnected(ErrorCode error)
+{
+    if (!replacement_)
+        return;
+    connectTimer_.cancel();
+    tcp::socket replacement = std::move(*replacement_);
+    replacement_.reset();
+    if (error) {
+        finishCall({ .outcome = CallOutcome::Broken,
+                     .endedByClose = true,
+                     .error = "the server closed the connection and accepts no other: "
+                              + error.message() });
+        return;
+    }
+    socket_ = std::move(replacement);
+    setTcpOptions(socket_);
+    input_.clear();
+    responseCount_ = 0;
+    echoesRequestId_ = false;
+    idleSince_ = Clock::now();
+    // The rest of a request that was not sent completely may still be written to the old socket.
+    reusable_ = sent_;
+    callComplete();
 }
 
 bool OutboundConnection::parse()
@@ -299,8 +339,12 @@
     idleSince_ = Clock::now();
     // If the response arrived before the request was sent completely, the rest of the request is
     // still being written.
-    reusable_ = sent_ && parser_->response.keep_alive() && !parser_->response.need_eof()
-                && input_.size() == 0;
+    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0;
+    callComplete();
+}
+
+void OutboundConnection::callComplete()
+{
     inCall_ = false;
     CallHandler *handler = std::exchange(handler_, nullptr);
     const auto self = shared_from_this();
@@ -349,6 +393,7 @@
     inCall_ = false;
     handler_ = nullptr;
     connectTimer_.cancel();
+    replacement_.reset();
     ErrorCode ignored;
     socket_.close(ignored);
 }
