Gateway: test that an error of the next server never enters a stream

After a stream has begun and broken off, the next server answers in 14 ways: errors with a length, in chunks, without a length, truncated and reset, rejections, a redirect, a success without the seal or for another request, and bytes that are no response. In each the caller gets the events so far, none of the error, and a stream that is visibly broken off. All hold without a change of the code.

--- a/packages/gateway/tests/streams_test.cpp
+++ b/packages/gateway/tests/streams_test.cpp
@@ -166,6 +166,54 @@
     BOOST_TEST(gateway->requestsInProgress() == 0U);
 }
 
+// Guards against the text or the head of the next server's error in the middle of a stream that
+// has begun, and against such a stream that ends as complete.
+BOOST_AUTO_TEST_CASE(resumable_nextServerRespondsWithAnError_streamIsBrokenOffAfterItsEvents)
+{
+    const std::string marker = "error-text";
+    const std::string unframed = "HTTP/1.1 500 Status\r\nX-Seal: s\r\n\r\n" + marker;
+    const std::string chunkedError = "HTTP/1.1 502 Status\r\nX-Seal: s\r\nTransfer-Encoding: "
+                                     "chunked\r\n\r\n"
+                                     + chunk(marker) + "0\r\n\r\n";
+    const std::string truncated = "HTTP/1.1 500 Status\r\nX-Seal: s\r\nContent-Length: 100\r\n\r\n"
+                                  + marker;
+    const std::vector<ScriptedReply> errors = {
+        { .parts = { { sealed(500, marker) } } },
+        { .parts = { { sealed(404, marker) } } },
+        { .parts = { { sealed(503, marker) } } },
+        { .parts = { { sealed(302, marker, "Location: /x\r\n") } } },
+        { .parts = { { sealed(206, marker) } } },
+        { .parts = { { wholeAnswer(200, {}, marker) } } },
+        { .parts = { { wholeAnswer(429, "X-Not-Executed: 1\r\n", marker) } } },
+        { .parts = { { wholeAnswer(421, {}, marker) } } },
+        { .parts = { { sealed(200, marker, "X-Id: other\r\n") } }, .end = End::Close },
+        { .parts = { { chunkedError } } },
+        { .parts = { { unframed } }, .end = End::Close },
+        { .parts = { { unframed } }, .end = End::Reset },
+        { .parts = { { truncated } }, .end = End::Close },
+        { .parts = { { marker + "\r\n\r\n" } }, .end = End::Close },
+    };
+    std::size_t index = 0;
+    const auto failing = [&](const ScriptedRequest &received) {
+        return received["X-Last"].empty() ? events(1, 2, false, End::Close) : errors[index];
+    };
+    addServer("e1", "engines", failing);
+    addServer("e2", "engines", failing);
+    for (; index < errors.size(); ++index) {
+        BOOST_TEST_CONTEXT("error " << index)
+        {
+            // Equal requests would be rejected after some that crash their server.
+            const std::string response = exchange(
+                    request("POST", "/chat/x", {}, std::to_string(index)));
+            BOOST_TEST(statusOf(response) == 200);
+            BOOST_TEST(!isComplete(response));
+            BOOST_TEST(chunkedBody(response) == eventsUpTo(2));
+            BOOST_TEST(response.find(marker) == std::string::npos);
+            BOOST_TEST(response.find("HTTP/1.1", 1) == std::string::npos);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stream_serverRespondsWithError_isForwarded)
 {
     addServer("e1", "engines", [](const ScriptedRequest &) {
