Gateway: a request keeps the connection that its response goes to

Now a connection is owned by what it waits for: reads, writes, the exchange (a shared pointer in place of a raw one) and the startup queue, whose entries are removed when their wait ends. The rule stands in callerconnection.h.

Two tests, which pipeline 20 requests of 9 KB, failed before (no answer, the connection closed) and pass: each request is answered, in order.

--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -219,11 +219,8 @@
 {
     heldRequest_ = std::move(request);
     startupDeadline_.setAfter(limit);
-    const auto route = [self = weak_from_this()] {
-        if (const auto connection = self.lock())
-            connection->endStartupWait("routable");
-    };
-    context_.startupQueue.add(route, limit);
+    startupEntry_ = context_.startupQueue.add(
+            [self = shared_from_this()] { self->endStartupWait("routable"); });
     read();
 }
 
@@ -232,6 +229,7 @@
 {
     const auto self = shared_from_this();
     startupDeadline_.clear();
+    context_.startupQueue.remove(startupEntry_);
     if (!heldRequest_ || phase_ == Phase::Closed)
         return;
     CallerRequest request = *std::exchange(heldRequest_, std::nullopt);
@@ -267,8 +265,8 @@
             return;
         }
     }
-    exchange_ = std::make_shared<Exchange>(context_, std::move(request),
-                                           static_cast<ResponseWriter *>(this));
+    std::shared_ptr<ResponseWriter> writer(shared_from_this(), this);
+    exchange_ = std::make_shared<Exchange>(context_, std::move(request), std::move(writer));
     const auto exchange = exchange_;
     exchange->start();
     read();
@@ -498,6 +496,7 @@
     readDeadline_.clear();
     writeDeadline_.clear();
     startupDeadline_.clear();
+    context_.startupQueue.remove(startupEntry_);
     ErrorCode ignored;
     socket_.close(ignored);
     if (const auto exchange = std::exchange(exchange_, nullptr))
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -25,6 +25,10 @@
 //
 // Requests on one connection are processed one at a time. The connection keeps reading while a
 // response is in progress, because end of file is how it detects that the caller has disconnected.
+//
+// A connection is owned by what it waits for: each pending read and write, the exchange of its
+// request, and the startup queue while the request waits there. It is closed when it waits for
+// nothing.
 class CallerConnection
     : public std::enable_shared_from_this<CallerConnection>
     , private ResponseWriter
@@ -63,7 +67,7 @@
     void requestComplete();
     // Holds a request for at most the given time, until this daemon can route requests.
     void waitForRouting(CallerRequest request, std::chrono::milliseconds limit);
-    // Routes the held request, if any. The reason is a code for the log.
+    // Ends the wait of the held request, if any, and routes it. The reason is a code for the log.
     void endStartupWait(std::string_view reason);
     void routeRequest(CallerRequest request);
     void parseFailed(ErrorCode error);
@@ -103,6 +107,7 @@
     LazyDeadline startupDeadline_;
     // Set while a request waits in the startup queue.
     std::optional<CallerRequest> heldRequest_;
+    StartupQueue::EntryId startupEntry_ = 0;
     std::shared_ptr<Exchange> exchange_;
     Clock::time_point received_;
     bool keepAlive_ = true;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -57,12 +57,13 @@
 
 } // namespace
 
-Exchange::Exchange(GatewayContext &context, CallerRequest request, ResponseWriter *writer)
+Exchange::Exchange(GatewayContext &context, CallerRequest request,
+                   std::shared_ptr<ResponseWriter> writer)
     : context_(context)
     , request_(std::move(request))
     , fingerprint_(requestFingerprint(request_))
     , sharedParts_(routing::sharedPartIds(request_.prompt))
-    , writer_(writer)
+    , writer_(std::move(writer))
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadlineTimer_(context.io, [this] { deadlinePassed(); })
     , stallTimer_(context.io, [this] { attemptStalled(); })
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -30,9 +30,10 @@
     , private CallHandler
 {
 public:
-    // The writer must stay valid until the response has ended or callerDisconnected() has been
+    // The exchange keeps the writer until the response has ended or callerDisconnected() has been
     // called.
-    Exchange(GatewayContext &context, CallerRequest request, ResponseWriter *writer);
+    Exchange(GatewayContext &context, CallerRequest request,
+             std::shared_ptr<ResponseWriter> writer);
     ~Exchange() override;
 
     void start();
@@ -136,7 +137,7 @@
     // The parts of the prompt that other requests may have as well.
     const std::vector<std::uint64_t> sharedParts_;
     const routing::Service *service_ = nullptr;
-    ResponseWriter *writer_;
+    std::shared_ptr<ResponseWriter> writer_;
     // Keeps the exchange alive until it is finished, because its calls refer to it.
     std::shared_ptr<Exchange> self_;
     std::chrono::steady_clock::time_point startedAt_;
--- a/packages/gateway/src/gatewaycontext.h
+++ b/packages/gateway/src/gatewaycontext.h
@@ -20,7 +20,6 @@
     Gateway::Options options;
     RoutingState &state;
     std::shared_ptr<ConnectionPool> pool;
-    StartupQueue startupQueue;
     // The time at which the gateway started.
     const BootClock::time_point startedAt = BootClock::now();
     bool draining = false;
@@ -29,6 +28,8 @@
     std::chrono::milliseconds drainIdleTime{ 0 };
     std::size_t connections = 0;
     std::size_t requestsInProgress = 0;
+    // Its entries own connections, which refer to the members above.
+    StartupQueue startupQueue;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/startupqueue.cpp
+++ b/packages/gateway/src/startupqueue.cpp
@@ -24,13 +24,15 @@
     return timeLimit ? std::min(*timeLimit / kTimeLimitDivisor, kMaxWait) : milliseconds(0);
 }
 
-// Expired entries are removed, so that the queue stays small while the store is unavailable for
-// long.
-void StartupQueue::add(Handler handler, milliseconds limit)
+StartupQueue::EntryId StartupQueue::add(Handler handler)
 {
-    const auto now = Clock::now();
-    std::erase_if(entries_, [now](const Entry &entry) { return entry.expires <= now; });
-    entries_.push_back({ .handler = std::move(handler), .expires = now + limit });
+    entries_.push_back({ .id = ++lastId_, .handler = std::move(handler) });
+    return lastId_;
+}
+
+void StartupQueue::remove(EntryId id)
+{
+    std::erase_if(entries_, [id](const Entry &entry) { return entry.id == id; });
 }
 
 void StartupQueue::release()
--- a/packages/gateway/src/startupqueue.h
+++ b/packages/gateway/src/startupqueue.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,28 +24,33 @@
     // Routes or rejects the waiting request; it is called at most once.
     using Handler = std::function<void()>;
 
+    // Identifies an entry; 0 identifies none.
+    using EntryId = std::uint64_t;
+
     explicit StartupQueue(boost::asio::io_context &io)
         : io_(io)
     {}
 
-    // Adds a request that waits for at most the given time; the caller ends a longer wait itself.
-    void add(Handler handler, std::chrono::milliseconds limit);
+    // Adds a waiting request. The handler, and what it owns, is kept until it is called or removed.
+    EntryId add(Handler handler);
+    // Removes an entry, for example because its time has passed. Does nothing if it is not in the
+    // queue.
+    void remove(EntryId id);
     // Calls the handlers in the order in which the requests arrived, after the current event has
     // been processed: one response of the store may hold many servers, and the first one must not
     // receive all requests.
     void release();
 
 private:
-    using Clock = std::chrono::steady_clock;
-
     struct Entry
     {
+        EntryId id = 0;
         Handler handler;
-        Clock::time_point expires;
     };
 
     boost::asio::io_context &io_;
     std::vector<Entry> entries_;
+    EntryId lastId_ = 0;
     // A posted call sees that the queue no longer exists.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -306,6 +306,35 @@
     BOOST_TEST(server.closedByPeer() == 0U);
 }
 
+// Guards against a connection that is destroyed under its request because too many pipelined bytes
+// wait for it to be read any further: the response was written to a dangling pointer.
+BOOST_AUTO_TEST_CASE(pipelinedRequests_moreThanTheInputLimit_areAllAnsweredInOrder)
+{
+    constexpr int kRequests = 20;
+    addServer("s1", "desk", [](const ScriptedRequest &received) {
+        const std::string body = sealed(200, "<" + std::string(received["X-Number"]) + ">");
+        return ScriptedReply{ .parts = { { body, milliseconds(10) } } };
+    });
+    ScriptedClient client(io, address);
+    std::string expected;
+    std::string sent;
+    for (int i = 0; i < kRequests; ++i) {
+        const std::string number = std::to_string(i);
+        sent += request("POST", "/order/x", "X-Number: " + number + "\r\n", std::string(9000, 'b'));
+        expected += "<" + number + ">";
+    }
+    client.send(sent);
+    const std::string last = "<" + std::to_string(kRequests - 1) + ">";
+    runUntil(io, [&] {
+        return client.isClosed() || client.received().find(last) != std::string::npos;
+    });
+    std::string bodies;
+    for (std::size_t at = 0; (at = client.received().find('<', at)) != std::string::npos; ++at)
+        bodies += client.received().substr(at, client.received().find('>', at) + 1 - at);
+    BOOST_TEST(bodies == expected);
+    BOOST_TEST(!client.isClosed());
+}
+
 BOOST_AUTO_TEST_CASE(drain_requestOnAKeptConnection_isAnsweredAndClosed)
 {
     addServer("s1", "desk", respondWith(sealed(200, "yes")));
--- a/packages/gateway/tests/startupqueue_test.cpp
+++ b/packages/gateway/tests/startupqueue_test.cpp
@@ -47,6 +47,21 @@
     BOOST_TEST(startupWaitLimit(std::nullopt).count() == 0);
 }
 
+// Guards against a connection that is destroyed under its waiting request because too many
+// pipelined bytes wait for it to be read any further.
+BOOST_AUTO_TEST_CASE(pipelinedRequests_beforeTheConfiguration_areServedWhenItArrives)
+{
+    constexpr std::size_t kRequests = 20;
+    ScriptedServer &desk = addDesk();
+    ScriptedClient client(io, address);
+    for (std::size_t i = 0; i < kRequests; ++i)
+        client.send(request("POST", "/order/x", "X-Deadline: 4000\r\n", std::string(9000, 'b')));
+    runFor(io, milliseconds(50));
+    configurationArrives();
+    BOOST_TEST(runUntil(io, [&] { return desk.requests().size() == kRequests; }));
+    BOOST_TEST(!client.isClosed());
+}
+
 // Guards against callers that use up their only retry while the configuration is missing.
 BOOST_AUTO_TEST_CASE(request_beforeTheConfiguration_isServedWhenItArrives)
 {
