Platform: end requests truthfully at the end of a planned stop

Requests that were accepted in the grace of a stop and outlasted it were cut off without a response when the process ended, unsafe ones too (LOST).

Cause: Drain stopped the event loop with requests in progress, and its serving period did not depend on the grace.

--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -82,6 +82,12 @@
         readDeadline_.setAfter(context_.drainIdleTime);
 }
 
+void CallerConnection::endRequest()
+{
+    if (const auto exchange = exchange_)
+        exchange->endForShutdown();
+}
+
 routing::TrafficLimits CallerConnection::currentLimits() const
 {
     return context_.state.config ? context_.state.config->limits() : routing::TrafficLimits();
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -40,6 +40,8 @@
     void start();
     // Closes the connection after the idle time of the drain unless a request arrives.
     void drain();
+    // Ends the request in progress, if any, because the process is about to end.
+    void endRequest();
 
 private:
     using ErrorCode = boost::system::error_code;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -712,6 +712,16 @@
     finish({ .status = 0, .reason = "caller_gone" });
 }
 
+void Exchange::endForShutdown()
+{
+    if (finished_)
+        return;
+    const auto guard = shared_from_this();
+    recordPossibleExecution();
+    endAttempt(AttemptOutcome::Abandoned, "stopping");
+    refuse("stopping");
+}
+
 void Exchange::callerWritable()
 {
     if (connection_)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -40,6 +40,9 @@
     // Handles the disconnection of the caller. A request of kind Unsafe continues if an attempt is
     // in progress; any other request is cancelled, also a stream that is not resumable.
     void callerDisconnected();
+    // Ends the request truthfully although its attempt is in progress, because the process is about
+    // to end.
+    void endForShutdown();
     // Resumes reading from the backend server once all pending bytes have been sent to the caller.
     void callerWritable();
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -52,6 +52,14 @@
         context_.startupQueue.release();
     }
 
+    void endRequests() override
+    {
+        for (const auto &entry : callerConnections_) {
+            if (const auto connection = entry.lock())
+                connection->endRequest();
+        }
+    }
+
     void routingStateChanged() override
     {
         if (context_.state.canRoute())
