Gateway: limit the bytes that all connections hold of servers' responses

Output to callers that do not read was not bounded either.

The buffers of a large response are freed after it.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -56,6 +56,8 @@
         Metrics *metrics = nullptr;
         // Caller connections beyond this number are closed immediately.
         std::size_t maxConnections = 2000;
+        // Limit of the bytes that all connections hold together. Responses beyond it fail.
+        std::size_t memoryLimit = std::size_t{ 128 } * 1024 * 1024;
         // Called when a request with a large prompt was placed on a backend server, so that other
         // daemons learn of the load before they place more there.
         std::function<void()> largeRequestPlaced;
@@ -88,6 +90,8 @@
     virtual std::size_t connections() const = 0;
     // Number of requests whose response is not complete.
     virtual std::size_t requestsInProgress() const = 0;
+    // Number of bytes that all connections hold, at most Options::memoryLimit.
+    virtual std::size_t heldBytes() const = 0;
     // Closes connections to backend servers that have been idle for too long. Must be called about
     // once a second.
     virtual void closeExpiredConnections() = 0;
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -59,6 +59,7 @@
     , readDeadline_(context.io, [this] { readTimedOut(); })
     , writeDeadline_(context.io, [this] { postClose(); })
     , startupDeadline_(context.io, [this] { endStartupWait("timeout"); })
+    , heldOutput_(context.memory)
 {
     ++context_.connections;
 }
@@ -368,9 +369,9 @@
         keepAlive_ = false;
     std::string text = formatHead(head);
     text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
-    if (!headRequest_)
-        text.append(body);
-    write(text);
+    pendingOutput_.reserve(pendingOutput_.size() + text.size() + body.size());
+    pendingOutput_.append(text);
+    write(headRequest_ ? std::string_view() : body);
     responseComplete();
 }
 
@@ -431,6 +432,7 @@
     outputInFlight_.clear();
     outputInFlight_.swap(pendingOutput_);
     writeInProgress_ = true;
+    updateHeldOutput();
     writeDeadline_.setAfter(kWriteTimeout);
     asio::async_write(socket_, asio::buffer(outputInFlight_),
                       [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
@@ -452,12 +454,22 @@
         flushOutput();
         return;
     }
+    updateHeldOutput();
     if (responseDone_)
         responseWritten();
     else if (exchange_)
         exchange_->callerWritable();
 }
 
+void CallerConnection::updateHeldOutput()
+{
+    if (!writeInProgress_ && outputInFlight_.capacity() > MemoryBudget::kSmallHolderBytes)
+        outputInFlight_ = {};
+    if (pendingOutput_.empty() && pendingOutput_.capacity() > MemoryBudget::kSmallHolderBytes)
+        pendingOutput_ = {};
+    heldOutput_.resize(pendingOutput_.capacity() + outputInFlight_.capacity());
+}
+
 void CallerConnection::responseComplete()
 {
     responseDone_ = true;
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -93,6 +93,8 @@
     // Starts writing the pending output unless a write is in progress.
     void flushOutput();
     void writeFinished(ErrorCode error, std::size_t bytes);
+    // Accounts for the memory of the output, and returns that of a large response.
+    void updateHeldOutput();
     void responseComplete();
     void responseWritten();
     // Closes the connection asynchronously.
@@ -127,6 +129,8 @@
     std::string outputInFlight_;
     std::size_t writtenBytes_ = 0;
     bool writeInProgress_ = false;
+    // The memory of the output.
+    HeldMemory heldOutput_;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/eventsplitter.h
+++ b/packages/gateway/src/eventsplitter.h
@@ -19,6 +19,8 @@
     std::optional<std::string_view> next();
     // The bytes after the last complete event.
     std::string_view remainder() const { return std::string_view(buffer_).substr(begin_); }
+    // Number of bytes of memory that are held.
+    std::size_t heldBytes() const { return buffer_.capacity(); }
     // Discards all buffered bytes.
     void reset();
 
--- a/packages/gateway/src/eventstream.h
+++ b/packages/gateway/src/eventstream.h
@@ -43,6 +43,9 @@
     // The bytes after the last complete event.
     std::string_view remainder() const { return splitter_.remainder(); }
 
+    // Number of bytes of memory that are held.
+    std::size_t heldBytes() const { return splitter_.heldBytes() + newEvents_.capacity(); }
+
     // True if the head of the response has been sent to the caller.
     bool isHeadSent() const { return headSent_; }
     void setHeadSent() { headSent_ = true; }
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -67,6 +67,7 @@
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadlineTimer_(context.io, [this] { deadlinePassed(); })
     , stallTimer_(context.io, [this] { attemptStalled(); })
+    , heldMemory_(context.memory)
     , stream_(request_.lastEventId)
 {
     ++context_.requestsInProgress;
@@ -193,7 +194,7 @@
     notExecuted_ = false;
     isStream_ = false;
     fields_.clear();
-    body_.clear();
+    body_ = {};
     stream_.attemptStarted();
     if (choice.uncachedTokens >= kLargePromptTokens && context_.options.largeRequestPlaced)
         context_.options.largeRequestPlaced();
@@ -425,10 +426,19 @@
     }
     if (isStream_)
         forwardEvents();
-    const bool tooLarge = isStream_ ? stream_.remainder().size() > kMaxEventBytes
-                                    : body_.size() > kMaxResponseBytes;
-    if (tooLarge && attempt_)
-        attemptFailed({ .outcome = CallOutcome::Invalid, .error = "the response is too large" });
+    if (!attempt_)
+        return;
+    if (const char *error = sizeError())
+        attemptFailed({ .outcome = CallOutcome::Invalid, .error = error });
+}
+
+const char *Exchange::sizeError()
+{
+    if (stream_.remainder().size() > kMaxEventBytes || body_.size() > kMaxResponseBytes)
+        return "the response is too large";
+    if (!heldMemory_.tryResize(stream_.heldBytes() + body_.capacity()))
+        return "the responses in progress exceed the memory limit";
+    return nullptr;
 }
 
 void Exchange::forwardEvents()
@@ -535,6 +545,8 @@
     const int status = status_;
     ResponseHead head{ .status = status_, .fields = std::move(fields_) };
     std::string body = std::move(body_);
+    // The writer accounts for the body from now on.
+    heldMemory_.resize(0);
     endAttempt(serverError ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded,
                "server_error");
     if (stream_.isHeadSent()) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -93,6 +93,8 @@
     void obeyServerSignals(const ResponseHeader &header);
     // Reports the first progress of the attempt to the placement source.
     void reportProgress();
+    // Returns why the response is too large to be held, or null if it is not.
+    const char *sizeError();
     void forwardEvents();
     // Sends the head of the response to the caller, once, before the first event.
     void beginStream();
@@ -174,6 +176,8 @@
     bool isStream_ = false;
     std::vector<HeaderField> fields_;
     std::string body_;
+    // The memory of the body, or of the events that are being assembled.
+    HeldMemory heldMemory_;
 
     // The event stream that is sent to the caller.
     EventStream stream_;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -30,6 +30,7 @@
                     .options = std::move(options),
                     .state = *context_.options.state,
                     .pool = std::make_shared<ConnectionPool>(io),
+                    .memory = std::make_shared<MemoryBudget>(context_.options.memoryLimit),
                     .startupQueue = StartupQueue(io) }
         , listener_(io, [this](tcp::socket socket) { connectionAccepted(std::move(socket)); })
     {}
@@ -68,6 +69,7 @@
 
     std::size_t connections() const override { return context_.connections; }
     std::size_t requestsInProgress() const override { return context_.requestsInProgress; }
+    std::size_t heldBytes() const override { return context_.memory->used(); }
 
     void closeExpiredConnections() override
     {
--- a/packages/gateway/src/gatewaycontext.h
+++ b/packages/gateway/src/gatewaycontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "memorybudget.h"
 #include "startupqueue.h"
 
 #include "auburn/core/bootclock.h"
@@ -20,6 +21,7 @@
     Gateway::Options options;
     RoutingState &state;
     std::shared_ptr<ConnectionPool> pool;
+    std::shared_ptr<MemoryBudget> memory;
     // The time at which the gateway started.
     const BootClock::time_point startedAt = BootClock::now();
     bool draining = false;
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -123,7 +123,8 @@
     gateway = Gateway::make(io, { .listenAddress = address,
                                   .headerNames = testHeaderNames(),
                                   .state = &state,
-                                  .placement = &placement });
+                                  .placement = &placement,
+                                  .memoryLimit = memoryLimit });
     BOOST_REQUIRE_MESSAGE(gateway, lastError());
 }
 
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -55,6 +55,8 @@
     std::vector<std::unique_ptr<ScriptedServer>> servers;
     std::unique_ptr<Gateway> gateway;
     std::string address;
+    // The limit of the bytes that the gateway holds, for the next startGateway().
+    std::size_t memoryLimit = std::size_t{ 64 } * 1024 * 1024;
     std::uint64_t logPosition = 0;
 };
 
--- /dev/null
+++ b/packages/gateway/tests/memorybudget_test.cpp
@@ -0,0 +1,163 @@
+// Tests that the bytes held by all connections together stay within the memory of the process,
+// whatever callers and faulty servers send, and that small requests are served meanwhile.
+
+#include "../src/memorybudget.h"
+#include "gatewayfixture.h"
+
+#include "auburn/core/endpoint.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace auburn::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
+constexpr std::size_t kLimit = 4 * kMegabyte;
+
+struct MemoryFixture : GatewayFixture
+{
+    MemoryFixture()
+    {
+        memoryLimit = kLimit;
+        gateway.reset();
+        startGateway(placementSource);
+    }
+
+    // Sends the texts at the same time, each on a connection of its own, and runs the gateway until
+    // each has an end. Records the largest number of bytes that the gateway held meanwhile.
+    std::vector<std::string> exchangeAll(const std::vector<std::string> &texts)
+    {
+        std::vector<ScriptedClient> clients;
+        for (const std::string &text : texts) {
+            clients.emplace_back(io, address);
+            clients.back().send(text);
+        }
+        runUntil(io, [&] {
+            peakBytes = std::max(peakBytes, gateway->heldBytes());
+            return std::all_of(clients.begin(), clients.end(), [](const ScriptedClient &client) {
+                return client.isClosed() || isComplete(client.received());
+            });
+        });
+        std::vector<std::string> responses;
+        for (const ScriptedClient &client : clients)
+            responses.push_back(client.received());
+        return responses;
+    }
+
+    std::size_t peakBytes = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(memoryBudget, MemoryFixture)
+
+BOOST_AUTO_TEST_CASE(holder_growsBeyondTheLimit_keepsItsSize)
+{
+    const auto budget = std::make_shared<MemoryBudget>(kMegabyte);
+    HeldMemory large(budget);
+    BOOST_TEST(large.tryResize(kMegabyte / 2));
+    BOOST_TEST(!large.tryResize(kMegabyte));
+    BOOST_TEST(large.size() == kMegabyte / 2);
+    BOOST_TEST(budget->used() == kMegabyte / 2);
+}
+
+BOOST_AUTO_TEST_CASE(smallHolder_largeOnesUseTheirPart_stillGrows)
+{
+    const auto budget = std::make_shared<MemoryBudget>(kMegabyte);
+    HeldMemory large(budget);
+    BOOST_TEST(large.tryResize(budget->largeHolderLimit()));
+    HeldMemory small(budget);
+    BOOST_TEST(small.tryResize(MemoryBudget::kSmallHolderBytes));
+    BOOST_TEST(!HeldMemory(budget).tryResize(MemoryBudget::kSmallHolderBytes + 1));
+}
+
+BOOST_AUTO_TEST_CASE(holder_isMovedAndDestroyed_itsBytesReturnOnce)
+{
+    const auto budget = std::make_shared<MemoryBudget>(kMegabyte);
+    {
+        HeldMemory first(budget);
+        BOOST_TEST(first.tryResize(1000));
+        const HeldMemory second(std::move(first));
+        BOOST_TEST(budget->used() == 1000U);
+    }
+    BOOST_TEST(budget->used() == 0U);
+}
+
+// Guards against a faulty server that answers many requests with bodies without end: each is
+// bounded, but their sum exceeded the memory of the process.
+BOOST_AUTO_TEST_CASE(bodiesWithoutEnd_manyAtOnce_stayWithinTheLimit)
+{
+    const auto endless = [](const ScriptedRequest &) {
+        ScriptedReply reply{
+            { { "HTTP/1.1 200 OK\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" } }
+        };
+        for (int i = 0; i < 40; ++i)
+            reply.parts.push_back({ chunk(std::string(kMegabyte / 2, 'x')), milliseconds(1) });
+        return reply;
+    };
+    addServer("d1", "desk", endless);
+    std::vector<std::string> texts;
+    for (int i = 0; i < 10; ++i)
+        texts.push_back(request("POST", "/order/x", {}, std::to_string(i)));
+    const auto responses = exchangeAll(texts);
+    BOOST_TEST(peakBytes <= kLimit);
+    BOOST_TEST(peakBytes > kLimit / 4);
+    for (const std::string &response : responses)
+        BOOST_TEST(statusOf(response) == 502);
+    BOOST_TEST(gateway->heldBytes() < kMegabyte / 2);
+}
+
+// Guards against the same sum in the output to callers that do not read.
+BOOST_AUTO_TEST_CASE(largeResponses_callersDoNotRead_stayWithinTheLimit)
+{
+    constexpr int kCallers = 10;
+    addServer("d1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ { { sealed(200, std::string(kMegabyte, 'x')) } } };
+    });
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (int i = 0; i < kCallers; ++i) {
+        callers.emplace_back(io).connect(*parseEndpoint(address));
+        callers.back().set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        const std::string text = request("POST", "/order/x", {}, std::to_string(i));
+        boost::asio::write(callers.back(), boost::asio::buffer(text));
+    }
+    runUntil(
+            io,
+            [&] {
+                peakBytes = std::max(peakBytes, gateway->heldBytes());
+                return false;
+            },
+            milliseconds(500));
+    BOOST_TEST(peakBytes <= kLimit + 2 * kMegabyte);
+    callers.clear();
+    BOOST_TEST(runUntil(io, [&] { return gateway->connections() == 0; }));
+    BOOST_TEST(gateway->heldBytes() == 0U);
+}
+
+// The same for streams, whose events never end.
+BOOST_AUTO_TEST_CASE(eventsWithoutEnd_manyAtOnce_stayWithinTheLimit)
+{
+    addServer("e1", "engines", [](const ScriptedRequest &) {
+        ScriptedReply reply{ { { streamHead() } } };
+        for (int i = 0; i < 30; ++i)
+            reply.parts.push_back({ chunk(std::string(32 * 1024, 'x')), milliseconds(1) });
+        reply.parts.push_back({ "", milliseconds(300) });
+        return reply;
+    });
+    std::vector<std::string> texts;
+    for (int i = 0; i < 20; ++i)
+        texts.push_back(request("POST", "/digest/x", {}, std::to_string(i)));
+    exchangeAll(texts);
+    BOOST_TEST(peakBytes <= kLimit);
+    BOOST_TEST(peakBytes > kLimit / 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::gateway
