Gateway: reject large requests beyond the memory limit of all connections

Each body was within max_body_bytes, but nothing bounded their sum.

The body of a request is accounted for from its header (or as it grows, in chunks) until the last attempt is done with it. An idle connection to a server no longer keeps the body of its last request.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -56,7 +56,8 @@
         Metrics *metrics = nullptr;
         // Caller connections beyond this number are closed immediately.
         std::size_t maxConnections = 2000;
-        // Limit of the bytes that all connections hold together. Responses beyond it fail.
+        // Limit of the bytes that all connections hold together. Requests beyond it are rejected
+        // with status 503, and responses beyond it fail.
         std::size_t memoryLimit = std::size_t{ 128 } * 1024 * 1024;
         // Called when a request with a large prompt was placed on a backend server, so that other
         // daemons learn of the load before they place more there.
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -32,8 +32,9 @@
 constexpr std::size_t kMaxLingerBytes = std::size_t{ 8 } * 1024 * 1024;
 // Reading from the backend server pauses while more bytes than this wait for a slow caller.
 constexpr std::size_t kOutputHighWatermark = std::size_t{ 128 } * 1024;
-// The retry delay sent by a daemon that is shutting down. The retry reaches another daemon.
-constexpr milliseconds kShutdownRetryDelay{ 500 };
+// The retry delay sent by a daemon that is shutting down or short of memory. The retry reaches
+// another daemon.
+constexpr milliseconds kOtherDaemonRetryDelay{ 500 };
 // Added to the idle limit, because callers reuse connections that have been idle for almost that
 // long, and a request must not cross the close of its connection.
 constexpr milliseconds kIdleTimeoutMargin{ 1000 };
@@ -100,6 +101,7 @@
     const milliseconds idle = context_.state.config ? limits.idleTimeout + kIdleTimeoutMargin
                                                     : limits.idleTimeout;
     parser_.emplace();
+    heldBody_.emplace(context_.memory);
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser_->body_limit(limits.bodyBytes);
     keepAlive_ = true;
@@ -182,6 +184,8 @@
         } else if (error == http::error::need_more) {
             break;
         }
+        if (phase_ == Phase::Body && !holdBody(parser_->get().body().capacity()))
+            return;
         if (phase_ == Phase::Body && parser_->is_done()) {
             requestComplete();
             return;
@@ -202,17 +206,31 @@
         reject(400, "ambiguous_framing");
         return false;
     }
+    if (!holdBody(static_cast<std::size_t>(parser_->content_length().value_or(0))))
+        return false;
     const bool expects = boost::beast::iequals(header[http::field::expect], "100-continue");
     if (expects && !parser_->is_done() && !http10_)
         write("HTTP/1.1 100 Continue\r\n\r\n");
     return true;
 }
 
+bool CallerConnection::holdBody(std::size_t bytes)
+{
+    if (bytes <= heldBody_->size() || heldBody_->tryResize(bytes))
+        return true;
+    parser_->get().body() = {};
+    heldBody_->resize(0);
+    reject(503, "memory_limit");
+    return false;
+}
+
 void CallerConnection::requestComplete()
 {
     readDeadline_.clear();
     phase_ = Phase::Responding;
-    CallerRequest request = readCallerRequest(parser_->get(), std::move(parser_->get().body()),
+    HeldString body{ .text = std::move(parser_->get().body()), .memory = std::move(*heldBody_) };
+    heldBody_.reset();
+    CallerRequest request = readCallerRequest(parser_->get(), std::move(body),
                                               context_.options.headerNames);
     request.received = received_;
     const milliseconds wait = startupWaitLimit(request.deadline);
@@ -342,7 +360,7 @@
 milliseconds CallerConnection::rejectionRetryDelay() const
 {
     if (context_.state.config)
-        return kShutdownRetryDelay;
+        return kOtherDaemonRetryDelay;
     return missingConfigurationRetryDelay(
             std::chrono::duration_cast<milliseconds>(Clock::now() - context_.startedAt));
 }
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -66,6 +66,9 @@
     void parseInput();
     // Returns false if the request was rejected on the basis of its header.
     bool headerComplete();
+    // Accounts for the memory of the request's body. Returns false if the request was rejected
+    // because all connections together hold too much.
+    bool holdBody(std::size_t bytes);
     void requestComplete();
     // Holds a request for at most the given time, until this daemon can route requests.
     void waitForRouting(CallerRequest request, std::chrono::milliseconds limit);
@@ -106,6 +109,8 @@
     Phase phase_ = Phase::Idle;
     boost::beast::flat_buffer input_;
     std::optional<Parser> parser_;
+    // The memory of the body that is being read. It passes to the request with the body.
+    std::optional<HeldMemory> heldBody_;
     LazyDeadline readDeadline_;
     LazyDeadline writeDeadline_;
     LazyDeadline startupDeadline_;
--- a/packages/gateway/src/callerrequest.cpp
+++ b/packages/gateway/src/callerrequest.cpp
@@ -128,7 +128,7 @@
     return target.substr(0, target.find('?'));
 }
 
-CallerRequest readCallerRequest(const RequestHeader &header, std::string body,
+CallerRequest readCallerRequest(const RequestHeader &header, HeldString body,
                                 const HeaderNames &headerNames)
 {
     CallerRequest request;
@@ -145,8 +145,10 @@
         if (!setByDaemon && !isReserved(field.name, headerNames))
             request.fields.push_back(std::move(field));
     }
-    if (!body.empty())
-        request.body = std::make_shared<const std::string>(std::move(body));
+    if (!body.text.empty()) {
+        const auto held = std::make_shared<const HeldString>(std::move(body));
+        request.body = std::shared_ptr<const std::string>(held, &held->text);
+    }
     return request;
 }
 
--- a/packages/gateway/src/callerrequest.h
+++ b/packages/gateway/src/callerrequest.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "memorybudget.h"
+
 #include "auburn/core/bootclock.h"
 #include "auburn/core/headerfield.h"
 #include "auburn/gateway/headernames.h"
@@ -51,7 +53,7 @@
 
 // Reads everything that the request itself contains. The reception time, the configuration, the
 // route and the organisation are left empty.
-CallerRequest readCallerRequest(const RequestHeader &header, std::string body,
+CallerRequest readCallerRequest(const RequestHeader &header, HeldString body,
                                 const HeaderNames &headerNames);
 
 // Parses "ID:TOKENS,...". An ID that is not hexadecimal is hashed; entries without a valid token
--- a/packages/gateway/src/memorybudget.h
+++ b/packages/gateway/src/memorybudget.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 
 namespace auburn::gateway {
 
@@ -57,4 +58,11 @@
     std::size_t size_ = 0;
 };
 
+// HeldString is a text whose memory is accounted for as long as it exists.
+struct HeldString
+{
+    std::string text;
+    HeldMemory memory;
+};
+
 } // namespace auburn::gateway
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -346,6 +346,9 @@
 void OutboundConnection::callComplete()
 {
     inCall_ = false;
+    // An idle connection must not hold the body of its last request.
+    if (sent_)
+        request_ = {};
     CallHandler *handler = std::exchange(handler_, nullptr);
     const auto self = shared_from_this();
     if (!reusable_)
--- a/packages/gateway/tests/callerrequest_test.cpp
+++ b/packages/gateway/tests/callerrequest_test.cpp
@@ -29,7 +29,9 @@
     const HeaderNames headerNames{
         .requestId = "X-Id", .deadline = "X-Deadline", .apiKey = "X-Key", .reserved = { "x-secret" }
     };
-    const CallerRequest request = readCallerRequest(header, "body", headerNames);
+    const auto budget = std::make_shared<MemoryBudget>(MemoryBudget::kSmallHolderBytes);
+    const CallerRequest request = readCallerRequest(header, { "body", HeldMemory(budget) },
+                                                    headerNames);
     BOOST_REQUIRE(request.fields.size() == 2U);
     BOOST_TEST(request.fields[0].name == "X-Id");
     BOOST_TEST(request.fields[1].name == "X-Other");
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -11,7 +11,35 @@
 
 namespace {
 
-routing::TrafficConfigData testConfig()
+HeaderNames testHeaderNames()
+{
+    return { .requestId = "X-Id",
+             .deadline = "X-Deadline",
+             .apiKey = "X-Key",
+             .organisation = "X-Org",
+             .expectedServer = "X-Server",
+             .urgency = "X-Urgency",
+             .copySource = "X-Copy-Source",
+             .promptParts = "X-Parts",
+             .lastEventId = "X-Last",
+             .responseSeal = "X-Seal",
+             .notExecuted = "X-Not-Executed",
+             .serverLoad = "X-Load",
+             .serverLeaving = "X-Leaving",
+             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source",
+                           "X-Last" } };
+}
+
+std::uint16_t freePort(boost::asio::io_context &io)
+{
+    using boost::asio::ip::tcp;
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+} // namespace
+
+routing::TrafficConfigData GatewayFixture::testConfig()
 {
     routing::TrafficConfigData data{ .version = 1 };
     data.routes = {
@@ -72,34 +100,6 @@
     return data;
 }
 
-HeaderNames testHeaderNames()
-{
-    return { .requestId = "X-Id",
-             .deadline = "X-Deadline",
-             .apiKey = "X-Key",
-             .organisation = "X-Org",
-             .expectedServer = "X-Server",
-             .urgency = "X-Urgency",
-             .copySource = "X-Copy-Source",
-             .promptParts = "X-Parts",
-             .lastEventId = "X-Last",
-             .responseSeal = "X-Seal",
-             .notExecuted = "X-Not-Executed",
-             .serverLoad = "X-Load",
-             .serverLeaving = "X-Leaving",
-             .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source",
-                           "X-Last" } };
-}
-
-std::uint16_t freePort(boost::asio::io_context &io)
-{
-    using boost::asio::ip::tcp;
-    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
-}
-
-} // namespace
-
 GatewayFixture::GatewayFixture()
     : address("127.0.0.1:" + std::to_string(freePort(io)))
 {
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -16,6 +16,8 @@
 {
     GatewayFixture();
 
+    // The configuration of the fixture, for tests that change a part of it.
+    static routing::TrafficConfigData testConfig();
     // Records requests that earn enough retries for the whole test.
     void fillRetryBudget();
     // Starts the gateway on the fixture's address.
--- a/packages/gateway/tests/memorybudget_test.cpp
+++ b/packages/gateway/tests/memorybudget_test.cpp
@@ -29,6 +29,14 @@
         startGateway(placementSource);
     }
 
+    // Lets callers send bodies of up to this number of bytes.
+    void allowBodies(std::size_t bytes)
+    {
+        routing::TrafficConfigData data = testConfig();
+        data.limits.bodyBytes = bytes;
+        state.config = std::make_shared<const routing::TrafficConfig>(std::move(data));
+    }
+
     // Sends the texts at the same time, each on a connection of its own, and runs the gateway until
     // each has an end. Records the largest number of bytes that the gateway held meanwhile.
     std::vector<std::string> exchangeAll(const std::vector<std::string> &texts)
@@ -89,6 +97,55 @@
     BOOST_TEST(budget->used() == 0U);
 }
 
+// Guards against large requests that exceed the memory of the process together although each is
+// within its limit.
+BOOST_AUTO_TEST_CASE(largeRequests_manyAtOnce_areRefusedBeyondTheLimit)
+{
+    constexpr std::size_t kRequests = 12;
+    allowBodies(kMegabyte);
+    ScriptedServer &desk = addServer("d1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ { { sealed(200, "ok"), milliseconds(100) } } };
+    });
+    std::vector<std::string> texts;
+    for (std::size_t i = 0; i < kRequests; ++i)
+        texts.push_back(request("POST", "/order/x", {}, std::string(kMegabyte - i, 'b')));
+    texts.push_back(request("POST", "/order/small", {}, "small"));
+    const auto responses = exchangeAll(texts);
+    BOOST_TEST(peakBytes <= kLimit);
+    std::size_t served = 0;
+    for (std::size_t i = 0; i < kRequests; ++i) {
+        const int status = statusOf(responses[i]);
+        BOOST_TEST((status == 200 || status == 503));
+        served += status == 200 ? 1 : 0;
+        BOOST_TEST((status == 200) != (responses[i].find("Retry-After: ") != std::string::npos));
+    }
+    BOOST_TEST(served >= 2U);
+    BOOST_TEST(statusOf(responses.back()) == 200);
+    BOOST_TEST(desk.requests().size() == served + 1);
+    BOOST_TEST(gateway->heldBytes() < kMegabyte / 2);
+}
+
+// The same for bodies of unknown length.
+BOOST_AUTO_TEST_CASE(largeChunkedRequests_manyAtOnce_areRefusedBeyondTheLimit)
+{
+    constexpr std::size_t kRequests = 12;
+    allowBodies(kMegabyte);
+    addServer("d1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ { { sealed(200, "ok"), milliseconds(100) } } };
+    });
+    std::vector<std::string> texts;
+    for (std::size_t i = 0; i < kRequests; ++i) {
+        std::string text = request("POST", "/order/x", "Transfer-Encoding: chunked\r\n");
+        for (int part = 0; part < 10; ++part)
+            text += chunk(std::string(100000, 'b'));
+        texts.push_back(text + "0\r\n\r\n");
+    }
+    const auto responses = exchangeAll(texts);
+    BOOST_TEST(peakBytes <= kLimit);
+    for (const std::string &response : responses)
+        BOOST_TEST((statusOf(response) == 200 || statusOf(response) == 503));
+}
+
 // Guards against a faulty server that answers many requests with bodies without end: each is
 // bounded, but their sum exceeded the memory of the process.
 BOOST_AUTO_TEST_CASE(bodiesWithoutEnd_manyAtOnce_stayWithinTheLimit)
