Gateway: count what large requests get, not only what is accounted for

The tests of the memory limit passed with the accounting taken out, because the held bytes that they compare were 0 then. They now also bound the number of requests that are served at the same time; both fail without it.

--- a/packages/gateway/tests/memorybudget_test.cpp
+++ b/packages/gateway/tests/memorybudget_test.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
 constexpr std::size_t kLimit = 4 * kMegabyte;
+// Long enough that all requests of a test are held at the same time.
+constexpr milliseconds kHoldTime{ 1000 };
 
 struct MemoryFixture : GatewayFixture
 {
@@ -104,7 +106,7 @@
     constexpr std::size_t kRequests = 12;
     allowBodies(kMegabyte);
     ScriptedServer &desk = addServer("d1", "desk", [](const ScriptedRequest &) {
-        return ScriptedReply{ { { sealed(200, "ok"), milliseconds(100) } } };
+        return ScriptedReply{ { { sealed(200, "ok"), kHoldTime } } };
     });
     std::vector<std::string> texts;
     for (std::size_t i = 0; i < kRequests; ++i)
@@ -120,6 +122,7 @@
         BOOST_TEST((status == 200) != (responses[i].find("Retry-After: ") != std::string::npos));
     }
     BOOST_TEST(served >= 2U);
+    BOOST_TEST(served * kMegabyte <= kLimit);
     BOOST_TEST(statusOf(responses.back()) == 200);
     BOOST_TEST(desk.requests().size() == served + 1);
     BOOST_TEST(gateway->heldBytes() < kMegabyte / 2);
@@ -131,7 +134,7 @@
     constexpr std::size_t kRequests = 12;
     allowBodies(kMegabyte);
     addServer("d1", "desk", [](const ScriptedRequest &) {
-        return ScriptedReply{ { { sealed(200, "ok"), milliseconds(100) } } };
+        return ScriptedReply{ { { sealed(200, "ok"), kHoldTime } } };
     });
     std::vector<std::string> texts;
     for (std::size_t i = 0; i < kRequests; ++i) {
@@ -142,8 +145,12 @@
     }
     const auto responses = exchangeAll(texts);
     BOOST_TEST(peakBytes <= kLimit);
-    for (const std::string &response : responses)
+    std::size_t served = 0;
+    for (const std::string &response : responses) {
         BOOST_TEST((statusOf(response) == 200 || statusOf(response) == 503));
+        served += statusOf(response) == 200 ? 1 : 0;
+    }
+    BOOST_TEST(served * kMegabyte <= kLimit);
 }
 
 // Guards against a faulty server that answers many requests with bodies without end: each is
