Gateway: do not keep a connection paused after its response

A stream that ended while its caller had over 128 KB unread left its connection paused in the pool. The next response on it was never read, and the close of the idle connection was not seen.

The test pauses in each response of three calls on one connection; the second and third never ended before.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -83,9 +83,9 @@
     virtual void routingStateChanged() = 0;
     // Rejects new requests with status 503. Called in the last phase of a drain.
     virtual void refuseNewRequests() = 0;
-    // Ends all requests in progress: with status 503 if the request certainly did not run, otherwise
-    // with 502, or by breaking off the stream. Called at the end of a drain, shortly before the
-    // process ends.
+    // Ends all requests in progress: with status 503 if the request certainly did not run,
+    // otherwise with 502, or by breaking off the stream. Called at the end of a drain, shortly
+    // before the process ends.
     virtual void endRequests() = 0;
     // Number of open caller connections; 0 once a drain is complete.
     virtual std::size_t connections() const = 0;
--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -157,7 +157,7 @@
     void parseKeepAlive(const ResponseHeader &header);
     // Ends the call with a failure.
     void finishCall(CallOutcome outcome, std::string error);
-    void finishCall(CallResult result);
+    void finishCall(const CallResult &result);
 
     const std::string address_;
     boost::asio::ip::tcp::socket socket_;
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -376,7 +376,7 @@
     finishCall({ .outcome = outcome, .staleConnection = stale, .error = std::move(error) });
 }
 
-void OutboundConnection::finishCall(CallResult result)
+void OutboundConnection::finishCall(const CallResult &result)
 {
     if (closed_)
         return;
@@ -404,6 +404,7 @@
 void OutboundConnection::watchIdle(std::function<void()> onUnusable)
 {
     onUnusable_ = std::move(onUnusable);
+    paused_ = false;
     read();
 }
 
--- a/packages/gateway/tests/memorybudget_test.cpp
+++ b/packages/gateway/tests/memorybudget_test.cpp
@@ -39,11 +39,22 @@
         state.config = std::make_shared<const routing::TrafficConfig>(std::move(data));
     }
 
+    // Equal requests would be rejected after some that crash their server.
+    static std::vector<std::string> differentRequests(const std::string &target, int count)
+    {
+        std::vector<std::string> texts;
+        texts.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i)
+            texts.push_back(request("POST", target, {}, std::to_string(i)));
+        return texts;
+    }
+
     // Sends the texts at the same time, each on a connection of its own, and runs the gateway until
     // each has an end. Records the largest number of bytes that the gateway held meanwhile.
     std::vector<std::string> exchangeAll(const std::vector<std::string> &texts)
     {
         std::vector<ScriptedClient> clients;
+        clients.reserve(texts.size());
         for (const std::string &text : texts) {
             clients.emplace_back(io, address);
             clients.back().send(text);
@@ -55,6 +66,7 @@
             });
         });
         std::vector<std::string> responses;
+        responses.reserve(clients.size());
         for (const ScriptedClient &client : clients)
             responses.push_back(client.received());
         return responses;
@@ -109,6 +121,7 @@
         return ScriptedReply{ { { sealed(200, "ok"), kHoldTime } } };
     });
     std::vector<std::string> texts;
+    texts.reserve(kRequests + 1);
     for (std::size_t i = 0; i < kRequests; ++i)
         texts.push_back(request("POST", "/order/x", {}, std::string(kMegabyte - i, 'b')));
     texts.push_back(request("POST", "/order/small", {}, "small"));
@@ -137,6 +150,7 @@
         return ScriptedReply{ { { sealed(200, "ok"), kHoldTime } } };
     });
     std::vector<std::string> texts;
+    texts.reserve(kRequests + 1);
     for (std::size_t i = 0; i < kRequests; ++i) {
         std::string text = request("POST", "/order/x", "Transfer-Encoding: chunked\r\n");
         for (int part = 0; part < 10; ++part)
@@ -166,10 +180,7 @@
         return reply;
     };
     addServer("d1", "desk", endless);
-    std::vector<std::string> texts;
-    for (int i = 0; i < 10; ++i)
-        texts.push_back(request("POST", "/order/x", {}, std::to_string(i)));
-    const auto responses = exchangeAll(texts);
+    const auto responses = exchangeAll(differentRequests("/order/x", 10));
     BOOST_TEST(peakBytes <= kLimit);
     BOOST_TEST(peakBytes > kLimit / 4);
     for (const std::string &response : responses)
@@ -214,10 +225,7 @@
         reply.parts.push_back({ "", milliseconds(300) });
         return reply;
     });
-    std::vector<std::string> texts;
-    for (int i = 0; i < 20; ++i)
-        texts.push_back(request("POST", "/digest/x", {}, std::to_string(i)));
-    exchangeAll(texts);
+    exchangeAll(differentRequests("/digest/x", 20));
     BOOST_TEST(peakBytes <= kLimit);
     BOOST_TEST(peakBytes > kLimit / 4);
 }
--- a/packages/gateway/tests/serverfaults_test.cpp
+++ b/packages/gateway/tests/serverfaults_test.cpp
@@ -2,6 +2,7 @@
 // send only bytes without progress. Such a request must fail early, use bounded memory and never
 // deliver data to the wrong caller.
 
+#include "auburn/gateway/outboundconnection.h"
 #include "gatewayfixture.h"
 
 #include <boost/asio/write.hpp>
@@ -430,6 +431,44 @@
     BOOST_TEST(chunkedBody(response) == eventsUpTo(2));
 }
 
+// Guards against a connection that stays paused after the end of a response because its caller was
+// slow: the next response on it was never read.
+BOOST_AUTO_TEST_CASE(connection_isPausedAtTheEndOfAResponse_isReadInTheNextCall)
+{
+    struct PausingHandler : CallHandler
+    {
+        ResponseMatch matchResponse(const ResponseHeader & /*header*/) override
+        {
+            return ResponseMatch::Unidentified;
+        }
+        void responseStarted(const ResponseHeader & /*header*/) override {}
+        void responseData(const std::vector<std::string_view> & /*data*/) override
+        {
+            connection->pause();
+        }
+        void callEnded(const CallResult &result) override
+        {
+            completed += result.outcome == CallOutcome::Complete ? 1 : 0;
+        }
+        std::shared_ptr<OutboundConnection> connection;
+        unsigned completed = 0;
+    };
+    const ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
+        return ScriptedReply{ { { sealed(200, "x") } } };
+    });
+    PausingHandler handler;
+    handler.connection = std::make_shared<OutboundConnection>(io, server.address());
+    for (unsigned call = 1; call <= 3; ++call) {
+        handler.connection->call({ .head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n" }, milliseconds(300),
+                                 &handler);
+        BOOST_TEST(runUntil(
+                io, [&] { return handler.completed == call; }, milliseconds(1000)));
+        handler.connection->watchIdle([] {});
+    }
+    BOOST_TEST(server.connections() == 1U);
+    handler.connection->close();
+}
+
 // Guards against a server that writes an earlier rejection once more on a kept connection: the
 // caller would be told that its request has not run while the server runs it, or it would run on a
 // second server.
