Gateway: split the response of an attempt from the exchange

AttemptResponse holds what a backend server has responded so far, in place of seven members of Exchange; readAttemptResponse() and parseLoadReport() read a header. No decision changes; all tests of the gateway pass.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -8,7 +8,6 @@
 #include "auburn/core/log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace auburn::gateway {
@@ -189,12 +188,7 @@
     attempt_ = choice;
     attemptStart_ = Clock::now();
     progressed_ = false;
-    status_ = 0;
-    sealed_ = false;
-    notExecuted_ = false;
-    isStream_ = false;
-    fields_.clear();
-    body_ = {};
+    response_ = {};
     stream_.attemptStarted();
     if (choice.uncachedTokens >= kLargePromptTokens && context_.options.largeRequestPlaced)
         context_.options.largeRequestPlaced();
@@ -303,7 +297,7 @@
 {
     // A faulty server may write the rejection once more. Without an id it would be taken for that
     // of the next request on the connection.
-    if (outcome == AttemptOutcome::Rejected && !identified_)
+    if (outcome == AttemptOutcome::Rejected && !response_.identified)
         return false;
     return outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
            || connection_->isReusable();
@@ -321,7 +315,7 @@
                     .attempt = attempts_,
                     .outcome = outcome,
                     .reason = reason,
-                    .status = status_,
+                    .status = response_.status,
                     .verdict = verdict_,
                     .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_) },
                   context_.options.metrics);
@@ -350,18 +344,10 @@
 
 void Exchange::reportLoad(const ResponseHeader &header)
 {
-    const std::string_view text = toStringView(header[context_.options.headerNames.serverLoad]);
-    routing::LoadReport report;
-    const char *last = text.data() + text.size();
-    auto parsed = std::from_chars(text.data(), last, report.running);
-    if (parsed.ec != std::errc() || parsed.ptr == last)
-        return;
-    parsed = std::from_chars(parsed.ptr + 1, last, report.waiting);
-    if (parsed.ec != std::errc() || parsed.ptr == last)
-        return;
-    parsed = std::from_chars(parsed.ptr + 1, last, report.slots);
-    if (parsed.ec == std::errc())
-        context_.state.placement.recordLoadReport(attempt_->serverId, report,
+    const auto report = parseLoadReport(
+            toStringView(header[context_.options.headerNames.serverLoad]));
+    if (report)
+        context_.state.placement.recordLoadReport(attempt_->serverId, *report,
                                                   std::chrono::steady_clock::now());
 }
 
@@ -390,18 +376,13 @@
 
 void Exchange::responseStarted(const ResponseHeader &header)
 {
-    const HeaderNames &headerNames = context_.options.headerNames;
-    status_ = static_cast<int>(header.result_int());
-    sealed_ = !header[headerNames.responseSeal].empty();
-    identified_ = !header[headerNames.requestId].empty();
-    notExecuted_ = !header[headerNames.notExecuted].empty() || status_ == 421;
-    fields_ = endToEndFields(header);
+    response_ = readAttemptResponse(header, context_.options.headerNames,
+                                    request_.route->kind == RequestKind::Stream);
     reportLoad(header);
     obeyServerSignals(header);
-    if (!notExecuted_)
+    if (!response_.notExecuted)
         verdict_ = Verdict::Ran;
-    isStream_ = request_.route->kind == RequestKind::Stream && status_ == 200 && sealed_;
-    if (!isStream_ && !notExecuted_)
+    if (!response_.isStream && !response_.notExecuted)
         reportProgress();
 }
 
@@ -419,12 +400,12 @@
 void Exchange::responseData(const std::vector<std::string_view> &data)
 {
     for (const std::string_view bytes : data) {
-        if (isStream_)
+        if (response_.isStream)
             stream_.feed(bytes);
         else
-            body_.append(bytes);
+            response_.body.append(bytes);
     }
-    if (isStream_)
+    if (response_.isStream)
         forwardEvents();
     if (!attempt_)
         return;
@@ -434,9 +415,9 @@
 
 const char *Exchange::sizeError()
 {
-    if (stream_.remainder().size() > kMaxEventBytes || body_.size() > kMaxResponseBytes)
+    if (stream_.remainder().size() > kMaxEventBytes || response_.body.size() > kMaxResponseBytes)
         return "the response is too large";
-    if (!heldMemory_.tryResize(stream_.heldBytes() + body_.capacity()))
+    if (!heldMemory_.tryResize(stream_.heldBytes() + response_.body.capacity()))
         return "the responses in progress exceed the memory limit";
     return nullptr;
 }
@@ -464,12 +445,12 @@
     if (stream_.isHeadSent() || !writer_)
         return;
     stream_.setHeadSent();
-    writer_->beginStream({ .status = status_, .fields = fields_ });
+    writer_->beginStream({ .status = response_.status, .fields = response_.fields });
 }
 
 const char *Exchange::incompleteReason() const
 {
-    if (!isStream_)
+    if (!response_.isStream)
         return nullptr;
     if (!stream_.remainder().empty())
         return "the stream ended inside an event";
@@ -486,7 +467,7 @@
         recordUnframedEnd({ .request = request_,
                             .server = attempt_->serverId,
                             .service = service_->name,
-                            .status = status_,
+                            .status = response_.status,
                             .events = stream_.attemptEventCount(),
                             .pendingBytes = stream_.remainder().size(),
                             .complete = result.outcome == CallOutcome::Complete,
@@ -494,7 +475,7 @@
                           context_.options.metrics);
     if (result.outcome != CallOutcome::Complete)
         attemptFailed(result);
-    else if (isStream_)
+    else if (response_.isStream)
         streamComplete();
     else
         responseComplete();
@@ -511,23 +492,24 @@
     endAttempt(AttemptOutcome::Succeeded, {});
     if (writer_)
         writer_->endStream(true);
-    finish({ .status = status_, .reason = "served" });
+    finish({ .status = response_.status, .reason = "served" });
 }
 
 void Exchange::responseComplete()
 {
-    if (notExecuted_) {
+    if (response_.notExecuted) {
         attemptRejected();
         return;
     }
-    if (status_ < 300 && !sealed_) {
+    if (response_.isUnsealedSuccess()) {
         attemptFailed({ .outcome = CallOutcome::Invalid,
                         .error = "successful response without the server's seal" });
         return;
     }
     ++possibleExecutions_;
-    if (status_ >= 500 && isRepeatable() && possibleExecutions_ < request_.route->maxAttempts
-        && writer_ && timeLeft() > kMinStallTimeout && takeRetry("server_error")) {
+    if (response_.isServerError() && isRepeatable()
+        && possibleExecutions_ < request_.route->maxAttempts && writer_
+        && timeLeft() > kMinStallTimeout && takeRetry("server_error")) {
         excluded_.push_back(attempt_->serverId);
         endAttempt(AttemptOutcome::ServerError, "server_error");
         requestPlacement();
@@ -538,13 +520,13 @@
 
 void Exchange::forwardResponse()
 {
-    const bool serverError = status_ >= 500;
+    const bool serverError = response_.isServerError();
     if (!serverError)
         recordSound();
-    const bool statusMeansNotRun = status_ == 503 || status_ == 429 || status_ == 408;
-    const int status = status_;
-    ResponseHead head{ .status = status_, .fields = std::move(fields_) };
-    std::string body = std::move(body_);
+    const bool statusMeansNotRun = response_.statusMeansNotRun();
+    const int status = response_.status;
+    ResponseHead head{ .status = status, .fields = std::move(response_.fields) };
+    std::string body = std::move(response_.body);
     // The writer accounts for the body from now on.
     heldMemory_.resize(0);
     endAttempt(serverError ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded,
@@ -659,7 +641,7 @@
     } else if (writer_) {
         writer_->sendResponse({ .status = kBadGateway }, {});
     }
-    finish({ .status = stream_.isHeadSent() ? status_ : kBadGateway, .reason = reason });
+    finish({ .status = stream_.isHeadSent() ? response_.status : kBadGateway, .reason = reason });
 }
 
 void Exchange::recordPossibleExecution()
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "attemptresponse.h"
 #include "callerrequest.h"
 #include "eventstream.h"
 #include "gatewaycontext.h"
@@ -168,14 +169,7 @@
     bool finished_ = false;
 
     // The response to the current attempt.
-    int status_ = 0;
-    bool sealed_ = false;
-    bool notExecuted_ = false;
-    // The response carries the id of the request.
-    bool identified_ = false;
-    bool isStream_ = false;
-    std::vector<HeaderField> fields_;
-    std::string body_;
+    AttemptResponse response_;
     // The memory of the body, or of the events that are being assembled.
     HeldMemory heldMemory_;
 
