Gateway: build the request to a server outside of the exchange

makeServerRequest() takes what the gateway adds as one options struct; the exchange decides only the values. No decision changes.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,6 +3,7 @@
 #include "beastview.h"
 #include "requestrecord.h"
 #include "retryafter.h"
+#include "serverrequest.h"
 
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
@@ -206,32 +207,15 @@
 
 OutboundRequest Exchange::buildRequest(const routing::PlacementChoice &choice) const
 {
-    const HeaderNames &headerNames = context_.options.headerNames;
-    std::string head;
-    head.reserve(1024);
-    const auto add = [&head](std::string_view name, std::string_view value) {
-        head.append(name).append(": ").append(value).append("\r\n");
-    };
-    head.append(request_.method).append(" ").append(request_.target).append(" HTTP/1.1\r\n");
-    add("Host", request_.host);
-    for (const HeaderField &field : request_.fields)
-        add(field.name, field.value);
-    add(headerNames.deadline, std::to_string(timeLeft().count()));
-    add(headerNames.expectedServer, choice.serverId);
-    if (request_.organisation)
-        add(headerNames.organisation, request_.organisation->name);
+    ServerRequestFields fields{ .deadline = timeLeft(),
+                                .expectedServer = choice.serverId,
+                                .lastEventId = stream_.lastEventId() };
     if (service_->engine)
-        add(headerNames.urgency, std::to_string(choice.urgency));
-    if (context_.state.directory.isAvailable(choice.copySource, std::chrono::steady_clock::now()))
-        add(headerNames.copySource, context_.state.directory.find(choice.copySource)->address);
-    if (!stream_.lastEventId().empty())
-        add(headerNames.lastEventId, stream_.lastEventId());
-    if (request_.body)
-        add("Content-Length", std::to_string(request_.body->size()));
-    else if (request_.method != "GET" && request_.method != "HEAD")
-        add("Content-Length", "0");
-    head.append("\r\n");
-    return { .head = std::move(head), .body = request_.body };
+        fields.urgency = choice.urgency;
+    const routing::ServerDirectory &directory = context_.state.directory;
+    if (directory.isAvailable(choice.copySource, std::chrono::steady_clock::now()))
+        fields.copySource = directory.find(choice.copySource)->address;
+    return makeServerRequest(request_, context_.options.headerNames, fields);
 }
 
 void Exchange::startStallTimer()
--- a/packages/gateway/tests/memorybudget_test.cpp
+++ b/packages/gateway/tests/memorybudget_test.cpp
@@ -221,7 +221,8 @@
     addServer("e1", "engines", [](const ScriptedRequest &) {
         ScriptedReply reply{ { { streamHead() } } };
         for (int i = 0; i < 30; ++i)
-            reply.parts.push_back({ chunk(std::string(std::size_t{ 32 } * 1024, 'x')), milliseconds(1) });
+            reply.parts.push_back(
+                    { chunk(std::string(std::size_t{ 32 } * 1024, 'x')), milliseconds(1) });
         reply.parts.push_back({ "", milliseconds(300) });
         return reply;
     });
