Platform: a held read is no proof that nothing has changed

Cause: the configuration is followed with a read that the store may hold for 20 s, and only the end of that read led to the next one. Its response was lost in the disruption, and relist() waited for it too. The class of fault: silence of a channel that may be broken is taken for the absence of news.

HttpClient can cancel a call.

--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -34,23 +34,29 @@
 {
 public:
     using ResponseHandler = std::function<void(HttpResponse)>;
+    // Identifies a call of this client.
+    using CallId = std::uint64_t;
 
     // The address is IP:PORT.
     HttpClient(boost::asio::io_context &io, std::string address);
     ~HttpClient();
 
     // The timeout covers the entire call, including connecting.
-    void get(const std::string &target, std::chrono::milliseconds timeout, ResponseHandler handler);
+    CallId get(const std::string &target, std::chrono::milliseconds timeout,
+               ResponseHandler handler);
     void post(const std::string &target, const std::string &contentType, std::string body,
               std::chrono::milliseconds timeout, ResponseHandler handler);
+    // Ends a call whose response is no longer awaited. Its handler is called with an error. Does
+    // nothing if the call has ended.
+    void cancel(CallId id);
     // Number of calls made so far.
     std::uint64_t calls() const { return calls_; }
 
 private:
     class Call;
 
-    void start(const std::string &head, std::string body, std::chrono::milliseconds timeout,
-               ResponseHandler handler);
+    CallId start(const std::string &head, std::string body, std::chrono::milliseconds timeout,
+                 ResponseHandler handler);
     void callFinished(Call *call, bool reusable);
 
     boost::asio::io_context &io_;
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -21,8 +21,9 @@
     , public CallHandler
 {
 public:
-    Call(HttpClient &client, ResponseHandler handler)
+    Call(HttpClient &client, CallId id, ResponseHandler handler)
         : client_(client)
+        , id_(id)
         , handler_(std::move(handler))
         , deadline_(client.io_, [this] { fail("no response within the time limit"); })
     {}
@@ -42,6 +43,7 @@
         finish(HttpResponse{ .error = reason });
     }
 
+    CallId id() const { return id_; }
     const std::shared_ptr<OutboundConnection> &connection() const { return connection_; }
 
     ResponseMatch matchResponse(const ResponseHeader & /*header*/) override
@@ -83,6 +85,7 @@
     }
 
     HttpClient &client_;
+    const CallId id_;
     ResponseHandler handler_;
     LazyDeadline deadline_;
     std::shared_ptr<OutboundConnection> connection_;
@@ -100,10 +103,11 @@
         call->connection()->close();
 }
 
-void HttpClient::get(const std::string &target, milliseconds timeout, ResponseHandler handler)
+HttpClient::CallId HttpClient::get(const std::string &target, milliseconds timeout,
+                                   ResponseHandler handler)
 {
-    start("GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n", {}, timeout,
-          std::move(handler));
+    return start("GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n", {}, timeout,
+                 std::move(handler));
 }
 
 void HttpClient::post(const std::string &target, const std::string &contentType, std::string body,
@@ -115,11 +119,21 @@
     start(head, std::move(body), timeout, std::move(handler));
 }
 
-void HttpClient::start(const std::string &head, std::string body, milliseconds timeout,
-                       ResponseHandler handler)
+void HttpClient::cancel(CallId id)
 {
-    ++calls_;
-    const auto call = std::make_shared<Call>(*this, std::move(handler));
+    const auto found = std::find_if(activeCalls_.begin(), activeCalls_.end(),
+                                    [id](const auto &call) { return call->id() == id; });
+    if (found == activeCalls_.end())
+        return;
+    const auto call = *found;
+    call->fail("cancelled");
+}
+
+HttpClient::CallId HttpClient::start(const std::string &head, std::string body,
+                                     milliseconds timeout, ResponseHandler handler)
+{
+    const CallId id = ++calls_;
+    const auto call = std::make_shared<Call>(*this, id, std::move(handler));
     activeCalls_.push_back(call);
     std::shared_ptr<OutboundConnection> connection;
     std::erase_if(idleConnections_, [](const auto &entry) { return entry->isClosed(); });
@@ -133,6 +147,7 @@
     if (!body.empty())
         request.body = std::make_shared<const std::string>(std::move(body));
     call->start(std::move(connection), std::move(request), timeout);
+    return id;
 }
 
 void HttpClient::callFinished(Call *call, bool reusable)
