Routing: blame crashes on the prompt parts that are not known to be sound

Now a part with which a request has succeeded in the last minute, at this daemon or at one that has reported it, is not blamed while another part may be; a part that is blocked already explains the crash alone; and a trial is used only by a request whose single blocked part is on trial. A known success clears the blame of other daemons once, so that a part that begins to crash engines is blocked after a few crashes more.

--- a/packages/routing/include/auburn/routing/promptcrashregistry.h
+++ b/packages/routing/include/auburn/routing/promptcrashregistry.h
@@ -1,9 +1,10 @@
 // PromptCrashRegistry finds the prompt parts that crash the engines that run them, across all
 // daemons, so that requests with such a part are rejected whatever else they contain.
 //
-// A crash is blamed on all shared parts of the requests that it may have been caused by. Sound
-// parts are cleared by the next request that runs with them, on any daemon; a part that crashes
-// every engine is never cleared and is blocked after a few crashes.
+// A crash is blamed on those shared parts of its request that are not known to be sound: with which
+// no request has succeeded lately, and beside which no other part is blocked. Sound parts are
+// cleared by the next request that runs with them, on any daemon; a part that crashes every engine
+// is never cleared and is blocked after a few crashes.
 #pragma once
 
 #include <chrono>
@@ -50,7 +51,7 @@
     // Merges another daemon's report. Reports that repeat an earlier one have no effect.
     void mergePeer(const std::string &peer, const PromptCrashReport &report, TimePoint now);
     // Returns the part because of which a request with these parts is rejected, or nullopt if it
-    // may run. A few requests with a blocked part run as trials, long after it was blocked.
+    // may run. A few requests with a single blocked part run as trials, long after it was blocked.
     std::optional<std::uint64_t> blockedPart(const Parts &parts, TimePoint now);
     // True if one of the parts was blocked after the time, so that a request that waited since then
     // must not run any more.
@@ -67,6 +68,14 @@
         std::uint64_t successes = 0;
     };
 
+    struct Success
+    {
+        TimePoint at;
+        // The success has cleared crashes that another daemon blamed on the part. It does so only
+        // once, so that it cannot hide a part that has begun to crash engines.
+        bool used = false;
+    };
+
     struct Entry
     {
         Counts own;
@@ -84,6 +93,11 @@
         TimePoint nextTrialAt;
     };
 
+    // Returns the parts that may have caused a crash of a request with these parts.
+    Parts suspects(const Parts &parts, TimePoint now) const;
+    bool isKnownSound(std::uint64_t part, TimePoint now) const;
+    // Tells the other daemons that a request has succeeded with the part, which clears it.
+    void reportSuccess(std::uint64_t part, Entry &entry, TimePoint now);
     static bool isBlocked(const Entry &entry) { return entry.crashes >= kPromptCrashLimit; }
     static bool isExpired(const Entry &entry, TimePoint now);
     static bool hasSucceeded(const Entry &entry);
@@ -95,8 +109,10 @@
     void scheduleTrial(Entry &entry, TimePoint now);
 
     std::unordered_map<std::uint64_t, Entry> entries_;
+    // The last known success with each part.
+    std::unordered_map<std::uint64_t, Success> successes_;
     unsigned daemons_ = 1;
-    std::uint64_t successes_ = 0;
+    std::uint64_t successCount_ = 0;
     std::mt19937_64 random_{ std::random_device{}() };
 };
 
--- a/packages/routing/src/promptcrashregistry.cpp
+++ b/packages/routing/src/promptcrashregistry.cpp
@@ -111,9 +111,32 @@
     entry.trials = 0;
 }
 
-void PromptCrashRegistry::recordCrash(const Parts &parts, TimePoint now)
+bool PromptCrashRegistry::isKnownSound(std::uint64_t part, TimePoint now) const
+{
+    const auto found = successes_.find(part);
+    return found != successes_.end() && now - found->second.at <= kEntryLifetime;
+}
+
+PromptCrashRegistry::Parts PromptCrashRegistry::suspects(const Parts &parts, TimePoint now) const
 {
+    Parts unproven;
+    Parts blocked;
     for (const std::uint64_t part : parts) {
+        const auto found = entries_.find(part);
+        if (found != entries_.end() && isBlocked(found->second))
+            blocked.push_back(part);
+        if (!isKnownSound(part, now))
+            unproven.push_back(part);
+    }
+    // A blocked part explains the crash.
+    if (!blocked.empty())
+        return blocked;
+    return unproven.empty() ? parts : unproven;
+}
+
+void PromptCrashRegistry::recordCrash(const Parts &parts, TimePoint now)
+{
+    for (const std::uint64_t part : suspects(parts, now)) {
         Entry &entry = entryOf(part, now);
         if (now - entry.lastCrashAt >= kCrashInterval) {
             ++entry.own.crashes;
@@ -126,20 +149,31 @@
 bool PromptCrashRegistry::recordSuccess(const Parts &parts, TimePoint now)
 {
     bool unblocked = false;
+    if (successes_.size() >= kMaxEntries) {
+        std::erase_if(successes_, [now](const auto &item) {
+            return now - item.second.at > kEntryLifetime / 2;
+        });
+    }
     for (const std::uint64_t part : parts) {
+        successes_[part] = { .at = now };
         Entry *entry = find(part, now);
         // Without crashes there is nothing to clear, here or elsewhere. Reporting each success
         // would keep the entries of all popular parts in the heartbeats.
         if (!entry || (entry->crashes == 0 && entry->own.crashes == 0))
             continue;
         unblocked = unblocked || isBlocked(*entry);
-        entry->own = { .crashes = 0, .successes = ++successes_ };
-        entry->ownChangedAt = now;
-        clear(part, *entry);
+        reportSuccess(part, *entry, now);
     }
     return unblocked;
 }
 
+void PromptCrashRegistry::reportSuccess(std::uint64_t part, Entry &entry, TimePoint now)
+{
+    entry.own = { .crashes = 0, .successes = ++successCount_ };
+    entry.ownChangedAt = now;
+    clear(part, entry);
+}
+
 void PromptCrashRegistry::mergePeer(const std::string &peer, const PromptCrashReport &report,
                                     TimePoint now)
 {
@@ -161,6 +195,7 @@
     if (isNews)
         entry.peers[peer] = { .crashes = report.crashes, .successes = report.successes };
     if (report.successes > previous.successes) {
+        successes_[report.part] = { .at = now, .used = true };
         clear(report.part, entry);
         if (report.crashes > 0)
             addCrashes(report.part, entry, report.crashes, now);
@@ -171,19 +206,31 @@
     // do, unless it knows of a success.
     if (isNewBlock && !isBlocked(entry))
         addCrashes(report.part, entry, kPromptCrashLimit + 1, now);
+    if (entry.crashes > 0 && isKnownSound(report.part, now)
+        && !std::exchange(successes_[report.part].used, true))
+        reportSuccess(report.part, entry, now);
 }
 
 std::optional<std::uint64_t> PromptCrashRegistry::blockedPart(const Parts &parts, TimePoint now)
 {
+    std::optional<std::uint64_t> blocked;
+    Entry *blockedEntry = nullptr;
+    unsigned blockedCount = 0;
     for (const std::uint64_t part : parts) {
         Entry *entry = find(part, now);
         if (!entry || !isBlocked(*entry))
             continue;
         entry->lastUsedAt = now;
-        if (entry->trials >= kMaxTrials || now < entry->nextTrialAt)
-            return part;
-        scheduleTrial(*entry, now);
+        blocked = part;
+        blockedEntry = entry;
+        ++blockedCount;
     }
+    // With several blocked parts the result of a trial would tell nothing about each of them.
+    const bool isTrial = blockedCount == 1 && blockedEntry->trials < kMaxTrials
+                         && now >= blockedEntry->nextTrialAt;
+    if (!isTrial)
+        return blocked;
+    scheduleTrial(*blockedEntry, now);
     return std::nullopt;
 }
 
--- a/packages/routing/tests/promptcrashregistry_test.cpp
+++ b/packages/routing/tests/promptcrashregistry_test.cpp
@@ -112,6 +112,58 @@
 }
 
 // A part that was blocked by mistake must come back, but each trial may end an engine.
+// Guards against a sound part that is blocked together with the crashing one because no request
+// succeeds with it between the crashes.
+BOOST_AUTO_TEST_CASE(crashes_besideAPartThatSucceededBefore_areBlamedOnTheOther)
+{
+    succeed(0, { kCommon });
+    now += seconds(1);
+    for (unsigned i = 0; i < kPromptCrashLimit + 2; ++i)
+        crash((i + 1) % daemons.size());
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+        BOOST_TEST(isBlocked(i, kBad));
+        BOOST_TEST(!isBlocked(i, kCommon));
+    }
+}
+
+// Guards against a part that becomes known as sound and then crashes engines unhindered.
+BOOST_AUTO_TEST_CASE(crashes_ofAPartThatSucceededBefore_blockItAfterAFewMore)
+{
+    for (std::size_t i = 0; i < daemons.size(); ++i)
+        daemons[i].recordSuccess({ kCommon, kBad }, now);
+    now += seconds(1);
+    for (unsigned i = 0; i < 2 * kPromptCrashLimit; ++i)
+        crash(i % daemons.size());
+    for (std::size_t i = 0; i < daemons.size(); ++i)
+        BOOST_TEST(isBlocked(i, kBad));
+}
+
+// Guards against crashes of requests that had been sent before their part was blocked: their other
+// parts must not be blocked for them.
+BOOST_AUTO_TEST_CASE(crashes_besideABlockedPart_areExplainedByIt)
+{
+    blockBadPart();
+    for (unsigned i = 0; i < 2 * kPromptCrashLimit; ++i) {
+        daemons[0].recordCrash({ kOther, kBad }, now);
+        exchangeReports();
+        now += milliseconds(500);
+    }
+    for (std::size_t i = 0; i < daemons.size(); ++i)
+        BOOST_TEST(!isBlocked(i, kOther));
+}
+
+// Guards against a trial of a sound part that is used up by a request that is rejected for another
+// part.
+BOOST_AUTO_TEST_CASE(trial_requestWithTwoBlockedParts_usesNone)
+{
+    for (unsigned i = 0; i < kPromptCrashLimit; ++i)
+        crash(0);
+    now += minutes(1);
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(daemons[0].blockedPart({ kCommon, kBad }, now).has_value());
+    BOOST_TEST(!isBlocked(0, kCommon));
+}
+
 BOOST_AUTO_TEST_CASE(blockedPart_requestsGoOn_isTriedTwiceAtMost)
 {
     blockBadPart();
