--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -195,11 +195,12 @@
         context_.options.largeRequestPlaced();
     connection_ = context_.pool->acquire(choice.address,
                                          isRepeatable() ? kMaxIdle : kUnsafeMaxIdle);
+    reusesConnection_ = connection_->isConnected();
     recordPlacement({ .request = request_,
                       .choice = choice,
                       .service = service_->name,
                       .attempt = attempts_,
-                      .reusesConnection = connection_->isConnected(),
+                      .reusesConnection = reusesConnection_,
                       .timeLeft = timeLeft() });
     startStallTimer();
     connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
@@ -301,7 +302,10 @@
                     .reason = reason,
                     .status = response_.status,
                     .verdict = verdict_,
-                    .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_) },
+                    .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_),
+                    .reusedConnection = reusesConnection_,
+                    .identified = response_.identified,
+                    .joinedHead = response_.joinedHead },
                   context_.options.metrics);
     attempt_.reset();
     if (connection_) {
@@ -580,6 +584,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     context_.state.crashes.addCrash(fingerprint_, now);
+    recordServerCrash(request_, service_->name, context_.state.crashes.crashes(fingerprint_, now));
     if (!progressed_ || Clock::now() - progressedAt_ < kSoundProgress)
         context_.state.promptCrashes.recordCrash(sharedParts_, now);
     if (context_.options.serverDisconnected)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -154,6 +154,8 @@
 
     std::optional<routing::PlacementChoice> attempt_;
     Clock::time_point attemptStart_;
+    // The connection of the attempt had carried other requests.
+    bool reusesConnection_ = false;
     // The time at which a placement was requested.
     Clock::time_point placementRequestedAt_;
     bool progressed_ = false;
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -40,6 +40,32 @@
                 .observe(std::chrono::duration<double>(*firstEventAt - request.received).count());
 }
 
+const char *connectionName(bool reused)
+{
+    return reused ? "reused" : "new";
+}
+
+const char *yesOrNo(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+void updateAttemptMetrics(const AttemptRecord &record, Metrics &metrics)
+{
+    const std::string service(record.service);
+    metrics.counter("auburn_attempts_total", "Attempts at backend servers by end",
+                    { { "service", service },
+                      { "outcome", std::string(routing::attemptOutcomeName(record.outcome)) } })
+            .add();
+    if (record.outcome != routing::AttemptOutcome::Rejected)
+        return;
+    metrics.counter("auburn_rejections_total", "Rejections by backend servers",
+                    { { "service", service },
+                      { "connection", connectionName(record.reusedConnection) },
+                      { "identified", yesOrNo(record.identified) } })
+            .add();
+}
+
 } // namespace
 
 void recordOutdatedChoice(const CallerRequest &request,
@@ -71,18 +97,14 @@
                { "report_age_ms",
                  choice.reportAge ? static_cast<long long>(choice.reportAge->count()) : -1LL },
                { "config", static_cast<long long>(record.request.config->version()) },
-               { "connection", record.reusesConnection ? "reused" : "new" },
+               { "connection", connectionName(record.reusesConnection) },
                { "left_ms", static_cast<long long>(record.timeLeft.count()) } });
 }
 
 void recordAttempt(const AttemptRecord &record, Metrics *metrics)
 {
     if (metrics)
-        metrics->counter(
-                       "auburn_attempts_total", "Attempts at backend servers by end",
-                       { { "service", std::string(record.service) },
-                         { "outcome", std::string(routing::attemptOutcomeName(record.outcome)) } })
-                .add();
+        updateAttemptMetrics(record, *metrics);
     if (record.outcome == routing::AttemptOutcome::Succeeded)
         return;
     logEvent(LogLevel::Info, "attempt_failed",
@@ -93,6 +115,9 @@
                { "status", static_cast<long long>(record.status) },
                { "verdict", verdictName(record.verdict) },
                { "prompt_parts", sharedPartsText(record.request.prompt) },
+               { "connection", connectionName(record.reusedConnection) },
+               { "identified", yesOrNo(record.identified) },
+               { "joined_head", yesOrNo(record.joinedHead) },
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
 
@@ -115,6 +140,14 @@
                { "reason", record.reason } });
 }
 
+void recordServerCrash(const CallerRequest &request, std::string_view service, unsigned crashes)
+{
+    logEvent(LogLevel::Info, "server_crash_recorded",
+             { { "id", request.id },
+               { "service", service },
+               { "crashes", static_cast<long long>(crashes) } });
+}
+
 void recordRetry(const RetryRecord &record, Metrics *metrics)
 {
     if (metrics)
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -41,6 +41,12 @@
     // Whether a server has run the request, over all attempts so far.
     Verdict verdict = Verdict::DidNotRun;
     std::chrono::milliseconds duration{ 0 };
+    // The connection had carried other requests, whose late responses may have arrived on it.
+    bool reusedConnection = false;
+    // The response carried the id of the request.
+    bool identified = false;
+    // The head of the response contained the start of another one.
+    bool joinedHead = false;
 };
 
 // The end of a response that has neither a length nor chunks, so that the end of its connection was
@@ -98,6 +104,9 @@
 void recordAttempt(const AttemptRecord &record, Metrics *metrics);
 // Logs and counts the end of a response without a length. The metrics may be null.
 void recordUnframedEnd(const UnframedEndRecord &record, Metrics *metrics);
+// Logs a crash of a server that is blamed on the request. crashes is the number of crashes that
+// equal requests have caused on all daemons.
+void recordServerCrash(const CallerRequest &request, std::string_view service, unsigned crashes);
 // Logs and counts a decision of the retry budget. The metrics may be null.
 void recordRetry(const RetryRecord &record, Metrics *metrics);
 // Logs and counts the end of a request. The metrics may be null.
