Gateway: a response head that contains the start of another response decides nothing

A server that stops inside the head of a surplus response and then writes the response to the next request produces one joined head: the second status line becomes a part of a field or of the reason, and the id of the real response identifies the whole.

A head that starts whole after bytes that were left behind keeps its status line as text in a field or in the reason; every other join is invalid HTTP (joinedHead tests, each byte). Such a head now fails the call as one whose request may have run: 502, or another server if the request may be repeated. The connection is closed.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -91,6 +91,10 @@
 // requests. A read stays pending while the connection is idle, so that a server that closes the
 // connection or sends unsolicited bytes is detected before the next call.
 //
+// A faulty server may also stop inside the head of such a response. Its start then joins with the
+// head of the response to the next request. Neither the status nor the fields of a joined head can
+// be attributed, so the call fails as one whose request may have run.
+//
 // The kernel closes the connections of a process that crashes, too. So a response without a length
 // that ends with its connection is complete only if the server then accepts another connection,
 // which replaces the closed one.
--- a/packages/gateway/src/attemptresponse.cpp
+++ b/packages/gateway/src/attemptresponse.cpp
@@ -3,8 +3,6 @@
 #include "beastview.h"
 #include "callerrequest.h"
 
-#include "auburn/core/joinedhead.h"
-
 #include <charconv>
 #include <system_error>
 
@@ -22,7 +20,6 @@
              .notExecuted = !header[headerNames.notExecuted].empty()
                             || status == kMisdirectedRequest,
              .identified = !header[headerNames.requestId].empty(),
-             .joinedHead = isJoinedHead(header),
              .isStream = mayStream && status == kOk && sealed,
              .fields = endToEndFields(header) };
 }
--- a/packages/gateway/src/attemptresponse.h
+++ b/packages/gateway/src/attemptresponse.h
@@ -23,8 +23,6 @@
     bool notExecuted = false;
     // The response carries the id of the request.
     bool identified = false;
-    // The head contains the start of another response, so its parts do not belong together.
-    bool joinedHead = false;
     // The body is a stream of events, which EventStream assembles.
     bool isStream = false;
     // The end-to-end header fields.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -304,8 +304,7 @@
                     .verdict = verdict_,
                     .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_),
                     .reusedConnection = reusesConnection_,
-                    .identified = response_.identified,
-                    .joinedHead = response_.joinedHead },
+                    .identified = response_.identified },
                   context_.options.metrics);
     attempt_.reset();
     if (connection_) {
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -5,6 +5,7 @@
 
 #include "auburn/core/datasinkbody.h"
 #include "auburn/core/endpoint.h"
+#include "auburn/core/joinedhead.h"
 #include "auburn/core/lasterror.h"
 
 #include <boost/asio/post.hpp>
@@ -302,6 +303,11 @@
 {
     headerDone_ = true;
     const ResponseHeader &header = parser_->response.get();
+    if (isJoinedHead(header)) {
+        finishCall(CallOutcome::Invalid,
+                   "the response head contains the start of another response");
+        return false;
+    }
     const bool interim = header.result_int() / 100 == 1;
     const ResponseMatch match = interim ? ResponseMatch::Unidentified
                                         : handler_->matchResponse(header);
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -117,7 +117,6 @@
                { "prompt_parts", sharedPartsText(record.request.prompt) },
                { "connection", connectionName(record.reusedConnection) },
                { "identified", yesOrNo(record.identified) },
-               { "joined_head", yesOrNo(record.joinedHead) },
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
 
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -45,8 +45,6 @@
     bool reusedConnection = false;
     // The response carried the id of the request.
     bool identified = false;
-    // The head of the response contained the start of another one.
-    bool joinedHead = false;
 };
 
 // The end of a response that has neither a length nor chunks, so that the end of its connection was
