Gateway: do not reuse a connection after a response without the id of its request

The server of server_lowConnectionLimitWithManyDaemons_fewStayIdle echoes the id now, as servers do; without it the test's connections would all be closed, and the limit that it checks would not be reached. Its checks are unchanged.

A server that never sends ids gets a new connection for each request.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -280,9 +280,9 @@
 
 bool Exchange::canReuseConnection(AttemptOutcome outcome) const
 {
-    // A faulty server may write the rejection once more. Without an id it would be taken for that
-    // of the next request on the connection.
-    if (outcome == AttemptOutcome::Rejected && !response_.identified)
+    // Without ids, a response that the server writes late would be taken for that of the next
+    // request on the connection.
+    if (!response_.identified)
         return false;
     return outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::ServerError
            || connection_->isReusable();
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -167,8 +167,10 @@
 BOOST_AUTO_TEST_CASE(server_lowConnectionLimitWithManyDaemons_fewStayIdle)
 {
     state.liveDaemons = 10;
-    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &) {
-        return ScriptedReply{ .parts = { { sealed(200, "x"), std::chrono::milliseconds(100) } } };
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &received) {
+        const std::string id = "X-Id: " + std::string(received["X-Id"]) + "\r\n";
+        return ScriptedReply{ .parts = {
+                                      { sealed(200, "x", id), std::chrono::milliseconds(100) } } };
     });
     std::vector<std::unique_ptr<ScriptedClient>> clients;
     for (int i = 0; i < 6; ++i) {
