Gateway: look at the socket of an idle connection before it is used again

The pool and the client of the store and of other daemons peek at the socket, as relay did already; the function moves from relay to core and is shared. A connection that is not quiet is closed, and the next one is tried.

--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -57,6 +57,8 @@
 
     CallId start(const std::string &head, std::string body, std::chrono::milliseconds timeout,
                  ResponseHandler handler);
+    // Returns an idle connection that is quiet, or a new one.
+    std::shared_ptr<OutboundConnection> takeConnection();
     void callFinished(Call *call, bool reusable);
 
     boost::asio::io_context &io_;
--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -122,6 +122,9 @@
     // True if the connection can carry another call.
     bool isReusable() const { return reusable_ && !closed_; }
     bool isClosed() const { return closed_; }
+    // True if the server has neither closed the idle connection nor sent bytes on it. This looks at
+    // the socket itself, because the event loop of a process that was stopped reports it late.
+    bool isQuiet();
     // Starts reading on the idle connection. onUnusable is called once if the server closes it or
     // sends bytes.
     void watchIdle(std::function<void()> onUnusable);
--- a/packages/gateway/src/connectionpool.cpp
+++ b/packages/gateway/src/connectionpool.cpp
@@ -41,12 +41,14 @@
                                                             milliseconds maxIdle)
 {
     const auto found = idleByAddress_.find(address);
-    if (found != idleByAddress_.end() && !found->second.empty()) {
+    while (found != idleByAddress_.end() && !found->second.empty()) {
         std::shared_ptr<OutboundConnection> newest = found->second.back();
-        if (newest->isReusable() && isWithinIdleLimit(*newest, maxIdle)) {
-            found->second.pop_back();
+        if (!newest->isReusable() || !isWithinIdleLimit(*newest, maxIdle))
+            break;
+        found->second.pop_back();
+        if (newest->isQuiet())
             return newest;
-        }
+        newest->close();
     }
     return std::make_shared<OutboundConnection>(io_, address);
 }
--- a/packages/gateway/src/connectionpool.h
+++ b/packages/gateway/src/connectionpool.h
@@ -21,8 +21,8 @@
 public:
     explicit ConnectionPool(boost::asio::io_context &io);
 
-    // Returns the most recently used idle connection if it has been idle for at most maxIdle,
-    // otherwise a new one.
+    // Returns the most recently used idle connection that is quiet and has been idle for at most
+    // maxIdle, or a new one if there is none.
     std::shared_ptr<OutboundConnection> acquire(const std::string &address,
                                                 std::chrono::milliseconds maxIdle);
     // Returns a connection to the pool. It is closed if it is not reusable or idleLimit connections
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -135,21 +135,25 @@
     const CallId id = ++calls_;
     const auto call = std::make_shared<Call>(*this, id, std::move(handler));
     activeCalls_.push_back(call);
-    std::shared_ptr<OutboundConnection> connection;
-    std::erase_if(idleConnections_, [](const auto &entry) { return entry->isClosed(); });
-    if (!idleConnections_.empty()) {
-        connection = idleConnections_.back();
-        idleConnections_.pop_back();
-    } else {
-        connection = std::make_shared<OutboundConnection>(io_, address_);
-    }
     OutboundRequest request{ .head = head };
     if (!body.empty())
         request.body = std::make_shared<const std::string>(std::move(body));
-    call->start(std::move(connection), std::move(request), timeout);
+    call->start(takeConnection(), std::move(request), timeout);
     return id;
 }
 
+std::shared_ptr<OutboundConnection> HttpClient::takeConnection()
+{
+    while (!idleConnections_.empty()) {
+        const std::shared_ptr<OutboundConnection> newest = std::move(idleConnections_.back());
+        idleConnections_.pop_back();
+        if (newest->isQuiet())
+            return newest;
+        newest->close();
+    }
+    return std::make_shared<OutboundConnection>(io_, address_);
+}
+
 void HttpClient::callFinished(Call *call, bool reusable)
 {
     const auto found = std::find_if(activeCalls_.begin(), activeCalls_.end(),
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -7,6 +7,7 @@
 #include "auburn/core/endpoint.h"
 #include "auburn/core/joinedhead.h"
 #include "auburn/core/lasterror.h"
+#include "auburn/core/socketstate.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -363,6 +364,11 @@
         handler->callEnded(CallResult{ .endedByClose = parser_->response.need_eof() });
 }
 
+bool OutboundConnection::isQuiet()
+{
+    return !closed_ && isSocketQuiet(socket_);
+}
+
 void OutboundConnection::parseKeepAlive(const ResponseHeader &header)
 {
     constexpr std::string_view kName = "timeout=";
--- a/packages/relay/src/backendserverclient.cpp
+++ b/packages/relay/src/backendserverclient.cpp
@@ -2,24 +2,12 @@
 
 #include "backendservercall.h"
 
+#include "auburn/core/socketstate.h"
+
 #include <utility>
 
 namespace auburn {
 
-namespace {
-
-// True if the peer has neither closed the connection nor sent anything on it.
-bool isQuiet(boost::asio::ip::tcp::socket &socket)
-{
-    char byte = 0;
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
-    return error == boost::asio::error::would_block;
-}
-
-} // namespace
-
 BackendServerClient::BackendServerClient(boost::asio::io_context &context,
                                          BackendServerLimits limits)
     : context_(context)
@@ -63,7 +51,7 @@
     while (!connections.empty()) {
         IdleConnection connection = std::move(connections.back());
         connections.pop_back();
-        if (connection.since > oldest && isQuiet(connection.socket))
+        if (connection.since > oldest && isSocketQuiet(connection.socket))
             return std::make_unique<Socket>(std::move(connection.socket));
     }
     return nullptr;
