Routing: count crashes of equal requests as those of prompt parts

Crashes of equal requests were forgotten 60 s after the last one, so that a blocked request ran again; and a success did not clear them, so that a sound request that met three crashing servers in a minute was rejected.

PromptCrashRegistry knew both already. It becomes CrashRegistry, whose options say how many crashes block and how they are named in the log; one registry counts by the whole request, the other by prompt parts.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -4,7 +4,6 @@
 #include "auburn/gateway/headernames.h"
 #include "auburn/routing/crashregistry.h"
 #include "auburn/routing/placementsource.h"
-#include "auburn/routing/promptcrashregistry.h"
 #include "auburn/routing/retrybudget.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/trafficconfig.h"
@@ -26,8 +25,9 @@
     routing::ServerDirectory directory;
     routing::Placement placement;
     routing::RetryBudget retries;
-    routing::CrashRegistry crashes;
-    routing::PromptCrashRegistry promptCrashes;
+    // Crashes blamed on equal requests, and on parts of prompts.
+    routing::CrashRegistry crashes{ routing::kEqualRequestCrashOptions };
+    routing::CrashRegistry promptCrashes{ routing::kPromptPartCrashOptions };
     // Number of live daemons, including this one.
     unsigned liveDaemons = 1;
     // Null until the first configuration is available.
@@ -65,9 +65,9 @@
         // Called when a backend server closed the connection in the middle of a request. The
         // request may crash other servers as well.
         std::function<void()> serverDisconnected;
-        // Called when a request succeeded whose prompt has a part that this daemon rejected until
-        // now, so that the other daemons no longer reject it either.
-        std::function<void()> promptPartUnblocked;
+        // Called when a request succeeded that this daemon would have rejected until now because of
+        // crashes, so that the other daemons no longer reject it either.
+        std::function<void()> requestUnblocked;
     };
 
     // Starts listening. Returns null and sets lastError() if the options are incomplete or the
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -152,7 +152,7 @@
                              duration_cast<milliseconds>(Clock::now() - placementRequestedAt_),
                              timeLeft());
         requestPlacement();
-    } else if (choice && context_.state.promptCrashes.wasBlockedSince(sharedParts_, startedAt_)) {
+    } else if (choice && wasBlockedMeanwhile()) {
         releasePlacement(*choice);
         refuse("crashes_servers");
     } else if (choice
@@ -575,14 +575,20 @@
 bool Exchange::crashesServers()
 {
     const auto now = std::chrono::steady_clock::now();
-    return context_.state.crashes.isBlocked(fingerprint_, now)
-           || context_.state.promptCrashes.blockedPart(sharedParts_, now);
+    return context_.state.crashes.blockedCause({ fingerprint_ }, now)
+           || context_.state.promptCrashes.blockedCause(sharedParts_, now);
+}
+
+bool Exchange::wasBlockedMeanwhile() const
+{
+    return context_.state.crashes.wasBlockedSince({ fingerprint_ }, startedAt_)
+           || context_.state.promptCrashes.wasBlockedSince(sharedParts_, startedAt_);
 }
 
 void Exchange::recordCrash()
 {
     const auto now = std::chrono::steady_clock::now();
-    context_.state.crashes.addCrash(fingerprint_, now);
+    context_.state.crashes.recordCrash({ fingerprint_ }, now);
     recordServerCrash(request_, service_->name, context_.state.crashes.crashes(fingerprint_, now));
     if (!progressed_ || Clock::now() - progressedAt_ < kSoundProgress)
         context_.state.promptCrashes.recordCrash(sharedParts_, now);
@@ -592,10 +598,11 @@
 
 void Exchange::recordSound()
 {
-    const bool unblocked = context_.state.promptCrashes.recordSuccess(
-            sharedParts_, std::chrono::steady_clock::now());
-    if (unblocked && context_.options.promptPartUnblocked)
-        context_.options.promptPartUnblocked();
+    const auto now = std::chrono::steady_clock::now();
+    const bool requestUnblocked = context_.state.crashes.recordSuccess({ fingerprint_ }, now);
+    const bool partUnblocked = context_.state.promptCrashes.recordSuccess(sharedParts_, now);
+    if ((requestUnblocked || partUnblocked) && context_.options.requestUnblocked)
+        context_.options.requestUnblocked();
 }
 
 milliseconds Exchange::retryAfter() const
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -116,6 +116,8 @@
 
     // True if the request, or another one with a part of its prompt, has crashed too many servers.
     bool crashesServers();
+    // The same, if it has become so since the exchange began.
+    bool wasBlockedMeanwhile() const;
     // Records that a server crashed while it ran the request.
     void recordCrash();
     // Records that a server runs the request without crashing.
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -50,8 +50,6 @@
                         .placement = routing::Placement(
                                 { .failureDomain = "a", .regions = { { "a", "r" } } }),
                         .retries = routing::RetryBudget({ .window = std::chrono::hours(1) }),
-                        .crashes = {},
-                        .promptCrashes = {},
                         .config = nullptr };
     routing::LocalPlacementSource placementSource{ state.directory, state.placement };
     std::vector<std::unique_ptr<ScriptedServer>> servers;
--- a/packages/routing/tests/promptcrashregistry_test.cpp
+++ b/packages/routing/tests/promptcrashregistry_test.cpp
@@ -1,4 +1,4 @@
-#include "auburn/routing/promptcrashregistry.h"
+#include "auburn/routing/crashregistry.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -18,12 +18,12 @@
 constexpr std::uint64_t kOther = 3;
 
 // Daemons that exchange all their reports.
-struct PromptCrashRegistryFixture
+struct CrashRegistryFixture
 {
     void exchangeReports()
     {
         for (std::size_t from = 0; from < daemons.size(); ++from) {
-            for (const PromptCrashReport &report : daemons[from].ownReports(24, now)) {
+            for (const CrashReport &report : daemons[from].ownReports(24, now)) {
                 for (std::size_t to = 0; to < daemons.size(); ++to) {
                     if (to != from)
                         daemons[to].mergePeer(std::to_string(from), report, now);
@@ -32,7 +32,7 @@
         }
     }
 
-    // Lets a daemon record a crash of a request with both parts, then exchanges all reports.
+    // Lets a daemon record a crash of a request with both causes, then exchanges all reports.
     void crash(std::size_t daemon)
     {
         daemons[daemon].recordCrash({ kCommon, kBad }, now);
@@ -40,19 +40,27 @@
         now += milliseconds(500);
     }
 
-    void succeed(std::size_t daemon, const PromptCrashRegistry::Parts &parts)
+    void succeed(std::size_t daemon, const CrashRegistry::Causes &causes)
     {
-        daemons[daemon].recordSuccess(parts, now);
+        daemons[daemon].recordSuccess(causes, now);
         exchangeReports();
     }
 
-    bool isBlocked(std::size_t daemon, std::uint64_t part)
+    static std::vector<CrashRegistry> makeDaemons(std::size_t count)
     {
-        return daemons[daemon].blockedPart({ part }, now).has_value();
+        std::vector<CrashRegistry> made;
+        for (std::size_t i = 0; i < count; ++i)
+            made.emplace_back(kPromptPartCrashOptions);
+        return made;
     }
 
-    // Crashes engines through different daemons until the part is blocked everywhere; the other
-    // part succeeds in between.
+    bool isBlocked(std::size_t daemon, std::uint64_t cause)
+    {
+        return daemons[daemon].blockedCause({ cause }, now).has_value();
+    }
+
+    // Crashes engines through different daemons until the cause is blocked everywhere; the other
+    // cause succeeds in between.
     void blockBadPart()
     {
         for (unsigned i = 0; i < kPromptCrashLimit; ++i) {
@@ -61,13 +69,13 @@
         }
     }
 
-    std::vector<PromptCrashRegistry> daemons = std::vector<PromptCrashRegistry>(3);
-    PromptCrashRegistry::TimePoint now = PromptCrashRegistry::TimePoint() + std::chrono::hours(1);
+    std::vector<CrashRegistry> daemons = makeDaemons(3);
+    CrashRegistry::TimePoint now = CrashRegistry::TimePoint() + std::chrono::hours(1);
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(promptCrashRegistry, PromptCrashRegistryFixture)
+BOOST_FIXTURE_TEST_SUITE(promptCrashRegistry, CrashRegistryFixture)
 
 // Guards against requests that come at a different daemon each time, so that none alone sees enough
 // crashes.
@@ -85,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(daemon_startsAfterTheCrashes_blocksThePartToo)
 {
     blockBadPart();
-    daemons[1] = PromptCrashRegistry();
+    daemons[1] = CrashRegistry(kPromptPartCrashOptions);
     exchangeReports();
     BOOST_TEST(isBlocked(1, kBad));
     BOOST_TEST(!isBlocked(1, kCommon));
@@ -101,8 +109,8 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
-// Guards against a sound part that stays blocked although another daemon runs requests with it.
-BOOST_AUTO_TEST_CASE(blockedPart_succeedsAtAnyDaemon_isUnblockedEverywhere)
+// Guards against a sound cause that stays blocked although another daemon runs requests with it.
+BOOST_AUTO_TEST_CASE(blockedCause_succeedsAtAnyDaemon_isUnblockedEverywhere)
 {
     blockBadPart();
     succeed(2, { kBad });
@@ -111,8 +119,8 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
-// A part that was blocked by mistake must come back, but each trial may end an engine.
-// Guards against a sound part that is blocked together with the crashing one because no request
+// A cause that was blocked by mistake must come back, but each trial may end an engine.
+// Guards against a sound cause that is blocked together with the crashing one because no request
 // succeeds with it between the crashes.
 BOOST_AUTO_TEST_CASE(crashes_besideAPartThatSucceededBefore_areBlamedOnTheOther)
 {
@@ -126,7 +134,7 @@
     }
 }
 
-// Guards against a part that becomes known as sound and then crashes engines unhindered.
+// Guards against a cause that becomes known as sound and then crashes engines unhindered.
 BOOST_AUTO_TEST_CASE(crashes_ofAPartThatSucceededBefore_blockItAfterAFewMore)
 {
     for (std::size_t i = 0; i < daemons.size(); ++i)
@@ -138,8 +146,8 @@
         BOOST_TEST(isBlocked(i, kBad));
 }
 
-// Guards against crashes of requests that had been sent before their part was blocked: their other
-// parts must not be blocked for them.
+// Guards against crashes of requests that had been sent before their cause was blocked: their other
+// causes must not be blocked for them.
 BOOST_AUTO_TEST_CASE(crashes_besideABlockedPart_areExplainedByIt)
 {
     blockBadPart();
@@ -152,19 +160,19 @@
         BOOST_TEST(!isBlocked(i, kOther));
 }
 
-// Guards against a trial of a sound part that is used up by a request that is rejected for another
-// part.
+// Guards against a trial of a sound cause that is used up by a request that is rejected for another
+// cause.
 BOOST_AUTO_TEST_CASE(trial_requestWithTwoBlockedParts_usesNone)
 {
     for (unsigned i = 0; i < kPromptCrashLimit; ++i)
         crash(0);
     now += minutes(1);
     for (int i = 0; i < 10; ++i)
-        BOOST_TEST(daemons[0].blockedPart({ kCommon, kBad }, now).has_value());
+        BOOST_TEST(daemons[0].blockedCause({ kCommon, kBad }, now).has_value());
     BOOST_TEST(!isBlocked(0, kCommon));
 }
 
-BOOST_AUTO_TEST_CASE(blockedPart_requestsGoOn_isTriedTwiceAtMost)
+BOOST_AUTO_TEST_CASE(blockedCause_requestsGoOn_isTriedTwiceAtMost)
 {
     blockBadPart();
     unsigned trials = 0;
@@ -181,7 +189,7 @@
     BOOST_TEST(trials <= 2U);
 }
 
-BOOST_AUTO_TEST_CASE(blockedPart_notUsedForLong_isForgotten)
+BOOST_AUTO_TEST_CASE(blockedCause_notUsedForLong_isForgotten)
 {
     blockBadPart();
     now += minutes(11);
@@ -189,7 +197,7 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
-// Guards against popular parts that stay in all heartbeats because every success is news.
+// Guards against popular causes that stay in all heartbeats because every success is news.
 BOOST_AUTO_TEST_CASE(successes_withoutNewCrashes_areNotReported)
 {
     crash(0);
@@ -198,7 +206,7 @@
             daemons[daemon].recordSuccess({ kCommon, kBad }, now);
         exchangeReports();
     }
-    for (const PromptCrashRegistry &daemon : daemons)
+    for (const CrashRegistry &daemon : daemons)
         BOOST_TEST(daemon.ownReports(24, now).empty());
 }
 
