Gateway: count crashes on reused connections

A connection that had carried a request and broke before any byte of the next response was taken for one that its server closed while idle, which is also how a crash looks there.

The daemon now connects to such a server again, beside the request and without delaying it: a server that refuses, or is silent for 300 ms, has crashed; one that accepts closed an idle connection.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -61,8 +61,9 @@
                    std::shared_ptr<ResponseWriter> writer)
     : context_(context)
     , request_(std::move(request))
-    , fingerprint_(requestFingerprint(request_))
-    , sharedParts_(routing::sharedPartIds(request_.prompt))
+    , crashSuspects_{ .requestId = request_.id,
+                      .fingerprint = requestFingerprint(request_),
+                      .promptParts = routing::sharedPartIds(request_.prompt) }
     , writer_(std::move(writer))
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadlineTimer_(context.io, [this] { deadlinePassed(); })
@@ -89,7 +90,7 @@
         return;
     }
     context_.state.retries.recordRequest(name, startedAt_);
-    if (crashesServers()) {
+    if (context_.crashes->isBlocked(crashSuspects_)) {
         refuse("crashes_servers");
         return;
     }
@@ -152,7 +153,7 @@
                              duration_cast<milliseconds>(Clock::now() - placementRequestedAt_),
                              timeLeft());
         requestPlacement();
-    } else if (choice && wasBlockedMeanwhile()) {
+    } else if (choice && context_.crashes->wasBlockedSince(crashSuspects_, startedAt_)) {
         releasePlacement(*choice);
         refuse("crashes_servers");
     } else if (choice
@@ -417,7 +418,7 @@
     if (stream_.hasNewEvent()) {
         reportProgress();
         if (Clock::now() - progressedAt_ >= kSoundProgress)
-            recordSound();
+            context_.crashes->recordSuccess(crashSuspects_);
         startStallTimer();
     }
     beginStream();
@@ -475,7 +476,7 @@
     // are forwarded as they are.
     if (writer_ && !stream_.remainder().empty())
         writer_->sendStreamData(stream_.remainder());
-    recordSound();
+    context_.crashes->recordSuccess(crashSuspects_);
     endAttempt(AttemptOutcome::Succeeded, {});
     if (writer_)
         writer_->endStream(true);
@@ -509,7 +510,7 @@
 {
     const bool serverError = response_.isServerError();
     if (!serverError)
-        recordSound();
+        context_.crashes->recordSuccess(crashSuspects_);
     const bool statusMeansNotRun = response_.statusMeansNotRun();
     const int status = response_.status;
     ResponseHead head{ .status = status, .fields = std::move(response_.fields) };
@@ -562,47 +563,25 @@
     }
     ++possibleExecutions_;
     verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
-    if (result.outcome == CallOutcome::Broken && !result.staleConnection)
-        recordCrash();
+    if (result.outcome == CallOutcome::Broken)
+        connectionBroke(result.staleConnection);
     endAttempt(AttemptOutcome::Failed, result.error);
-    if (isRepeatable() && !crashesServers() && writer_
+    if (isRepeatable() && !context_.crashes->isBlocked(crashSuspects_) && writer_
         && possibleExecutions_ < request_.route->maxAttempts && takeRetry("server_broke_off"))
         requestPlacement();
     else
         failWithUnknownOutcome("server_broke_off");
 }
 
-bool Exchange::crashesServers()
+void Exchange::connectionBroke(bool wasIdle)
 {
-    const auto now = std::chrono::steady_clock::now();
-    return context_.state.crashes.blockedCause({ fingerprint_ }, now)
-           || context_.state.promptCrashes.blockedCause(sharedParts_, now);
-}
-
-bool Exchange::wasBlockedMeanwhile() const
-{
-    return context_.state.crashes.wasBlockedSince({ fingerprint_ }, startedAt_)
-           || context_.state.promptCrashes.wasBlockedSince(sharedParts_, startedAt_);
-}
-
-void Exchange::recordCrash()
-{
-    const auto now = std::chrono::steady_clock::now();
-    context_.state.crashes.recordCrash({ fingerprint_ }, now);
-    recordServerCrash(request_, service_->name, context_.state.crashes.crashes(fingerprint_, now));
-    if (!progressed_ || Clock::now() - progressedAt_ < kSoundProgress)
-        context_.state.promptCrashes.recordCrash(sharedParts_, now);
-    if (context_.options.serverDisconnected)
-        context_.options.serverDisconnected();
-}
-
-void Exchange::recordSound()
-{
-    const auto now = std::chrono::steady_clock::now();
-    const bool requestUnblocked = context_.state.crashes.recordSuccess({ fingerprint_ }, now);
-    const bool partUnblocked = context_.state.promptCrashes.recordSuccess(sharedParts_, now);
-    if ((requestUnblocked || partUnblocked) && context_.options.requestUnblocked)
-        context_.options.requestUnblocked();
+    CrashSuspects suspects = crashSuspects_;
+    if (progressed_ && Clock::now() - progressedAt_ >= kSoundProgress)
+        suspects.promptParts.clear();
+    if (wasIdle)
+        context_.crashes->recordCrashUnlessAccepting(attempt_->address, suspects);
+    else
+        context_.crashes->recordCrash(suspects);
 }
 
 milliseconds Exchange::retryAfter() const
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -2,6 +2,7 @@
 
 #include "attemptresponse.h"
 #include "callerrequest.h"
+#include "crashguard.h"
 #include "eventstream.h"
 #include "gatewaycontext.h"
 #include "responsewriter.h"
@@ -114,14 +115,9 @@
     // closes it.
     void endAttempt(routing::AttemptOutcome outcome, std::string_view reason);
 
-    // True if the request, or another one with a part of its prompt, has crashed too many servers.
-    bool crashesServers();
-    // The same, if it has become so since the exchange began.
-    bool wasBlockedMeanwhile() const;
-    // Records that a server crashed while it ran the request.
-    void recordCrash();
-    // Records that a server runs the request without crashing.
-    void recordSound();
+    // Handles a connection that broke under the request. wasIdle is true if the server may have
+    // closed it before the request arrived.
+    void connectionBroke(bool wasIdle);
     // True if the request may run more than once.
     bool isRepeatable() const;
     // Takes one retry from the retry budget of this daemon. Returns false if none is left. The
@@ -140,10 +136,7 @@
 
     GatewayContext &context_;
     const CallerRequest request_;
-    // Identifies repetitions of the request, to block one that crashes servers.
-    const std::uint64_t fingerprint_;
-    // The parts of the prompt that other requests may have as well.
-    const std::vector<std::uint64_t> sharedParts_;
+    const CrashSuspects crashSuspects_;
     const routing::Service *service_ = nullptr;
     std::shared_ptr<ResponseWriter> writer_;
     // Keeps the exchange alive until it is finished, because its calls refer to it.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -31,6 +31,12 @@
                     .state = *context_.options.state,
                     .pool = std::make_shared<ConnectionPool>(io),
                     .memory = std::make_shared<MemoryBudget>(context_.options.memoryLimit),
+                    .crashes = std::make_shared<CrashGuard>(
+                            io,
+                            CrashGuard::Options{
+                                    .state = &context_.state,
+                                    .serverDisconnected = context_.options.serverDisconnected,
+                                    .requestUnblocked = context_.options.requestUnblocked }),
                     .startupQueue = StartupQueue(io) }
         , listener_(io, [this](tcp::socket socket) { connectionAccepted(std::move(socket)); })
     {}
--- a/packages/gateway/src/gatewaycontext.h
+++ b/packages/gateway/src/gatewaycontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectionpool.h"
+#include "crashguard.h"
 #include "memorybudget.h"
 #include "startupqueue.h"
 
@@ -22,6 +23,7 @@
     RoutingState &state;
     std::shared_ptr<ConnectionPool> pool;
     std::shared_ptr<MemoryBudget> memory;
+    std::shared_ptr<CrashGuard> crashes;
     // The time at which the gateway started.
     const BootClock::time_point startedAt = BootClock::now();
     bool draining = false;
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -139,14 +139,6 @@
                { "reason", record.reason } });
 }
 
-void recordServerCrash(const CallerRequest &request, std::string_view service, unsigned crashes)
-{
-    logEvent(LogLevel::Info, "server_crash_recorded",
-             { { "id", request.id },
-               { "service", service },
-               { "crashes", static_cast<long long>(crashes) } });
-}
-
 void recordRetry(const RetryRecord &record, Metrics *metrics)
 {
     if (metrics)
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -102,9 +102,6 @@
 void recordAttempt(const AttemptRecord &record, Metrics *metrics);
 // Logs and counts the end of a response without a length. The metrics may be null.
 void recordUnframedEnd(const UnframedEndRecord &record, Metrics *metrics);
-// Logs a crash of a server that is blamed on the request. crashes is the number of crashes that
-// equal requests have caused on all daemons.
-void recordServerCrash(const CallerRequest &request, std::string_view service, unsigned crashes);
 // Logs and counts a decision of the retry budget. The metrics may be null.
 void recordRetry(const RetryRecord &record, Metrics *metrics);
 // Logs and counts the end of a request. The metrics may be null.
