Relay: an answer head that contains the start of another answer is broken

A caller got 404 for a request that was answered with 200.

The call now ends as broken before the head is delivered, as in the gateway (isJoinedHead()).

--- a/packages/relay/src/backendservercall.cpp
+++ b/packages/relay/src/backendservercall.cpp
@@ -1,6 +1,7 @@
 #include "backendservercall.h"
 
 #include "auburn/core/endpoint.h"
+#include "auburn/core/joinedhead.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -189,18 +190,26 @@
 
 void BackendServerCall::deliver()
 {
-    if (!headDelivered_ && parser_.is_header_done()) {
-        headDelivered_ = true;
-        verdict_ = Verdict::Ran;
-        if (events_)
-            events_->callHead(parser_.get());
-    }
+    if (!headDelivered_ && parser_.is_header_done())
+        deliverHead();
     std::vector<std::string_view> &data = parser_.get().body();
     if (events_ && !ended_ && !data.empty())
         events_->callData(data);
     data.clear();
 }
 
+void BackendServerCall::deliverHead()
+{
+    headDelivered_ = true;
+    if (isJoinedHead(parser_.get())) {
+        end(CallEnd::Broken, "the answer's head contains the start of another answer");
+        return;
+    }
+    verdict_ = Verdict::Ran;
+    if (events_)
+        events_->callHead(parser_.get());
+}
+
 void BackendServerCall::answerComplete()
 {
     const bool reusable = sent_ && !dial_.freshConnection && parser_.keep_alive()
--- a/packages/relay/src/backendservercall.h
+++ b/packages/relay/src/backendservercall.h
@@ -45,6 +45,7 @@
     // Parses what is in the buffer; returns false if the call has ended.
     bool parse();
     void deliver();
+    void deliverHead();
     void answerComplete();
     void timedOut();
     void end(CallEnd how, const std::string &error);
