Gateway: progress of a stream does not clear crashes of equal requests

Since crashes of equal requests are cleared by a success, a stream that crashed its engine over 500 ms after its first event was never counted: its progress passed for a success. It shows that the prompt is sound, not that the request is.

--- a/packages/gateway/src/crashguard.cpp
+++ b/packages/gateway/src/crashguard.cpp
@@ -90,12 +90,16 @@
 
 void CrashGuard::recordSuccess(const CrashSuspects &suspects)
 {
-    const auto now = Clock::now();
-    const bool requestUnblocked = options_.state->crashes.recordSuccess({ suspects.fingerprint },
-                                                                        now);
-    const bool partUnblocked = options_.state->promptCrashes.recordSuccess(suspects.promptParts,
-                                                                           now);
-    if ((requestUnblocked || partUnblocked) && options_.requestUnblocked)
+    recordSoundPrompt(suspects);
+    routing::CrashRegistry &crashes = options_.state->crashes;
+    if (crashes.recordSuccess({ suspects.fingerprint }, Clock::now()) && options_.requestUnblocked)
+        options_.requestUnblocked();
+}
+
+void CrashGuard::recordSoundPrompt(const CrashSuspects &suspects)
+{
+    routing::CrashRegistry &crashes = options_.state->promptCrashes;
+    if (crashes.recordSuccess(suspects.promptParts, Clock::now()) && options_.requestUnblocked)
         options_.requestUnblocked();
 }
 
--- a/packages/gateway/src/crashguard.h
+++ b/packages/gateway/src/crashguard.h
@@ -53,8 +53,11 @@
     void recordCrash(const CrashSuspects &suspects);
     // Records a crash if the server at the address does not accept a connection.
     void recordCrashUnlessAccepting(const std::string &address, const CrashSuspects &suspects);
-    // Records that a server ran a request with these suspects without crashing.
+    // Records that a server ran a request with these suspects to its end.
     void recordSuccess(const CrashSuspects &suspects);
+    // Records that the parts of the prompt are sound, because a server that has read them goes on.
+    // The rest of the request may still crash it.
+    void recordSoundPrompt(const CrashSuspects &suspects);
 
 private:
     boost::asio::io_context &io_;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -418,7 +418,7 @@
     if (stream_.hasNewEvent()) {
         reportProgress();
         if (Clock::now() - progressedAt_ >= kSoundProgress)
-            context_.crashes->recordSuccess(crashSuspects_);
+            context_.crashes->recordSoundPrompt(crashSuspects_);
         startStallTimer();
     }
     beginStream();
--- a/packages/gateway/tests/equalrequestcrashes_test.cpp
+++ b/packages/gateway/tests/equalrequestcrashes_test.cpp
@@ -86,6 +86,26 @@
     }
 }
 
+// Guards against a stream that crashes its engine late and is never counted, because its progress
+// passes for a success.
+BOOST_AUTO_TEST_CASE(crashesLateInAStream_areCounted)
+{
+    unsigned streams = 0;
+    for (unsigned i = 0; i < 2 * routing::kCrashLimit; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        addServer(id, "engines", [&streams](const ScriptedRequest &) {
+            ++streams;
+            return ScriptedReply{ .parts = { { streamHead() + chunk(event(1)) },
+                                             { chunk(event(2)), std::chrono::milliseconds(600) } },
+                                  .end = End::Crash };
+        });
+        exchange(request("POST", "/digest/suspect", {}, "same"));
+        state.directory.removeImmediately(id, ++logPosition);
+        state.placement.removeServer(id);
+    }
+    BOOST_TEST(streams == routing::kCrashLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
--- a/packages/routing/src/crashregistry.cpp
+++ b/packages/routing/src/crashregistry.cpp
@@ -201,7 +201,8 @@
     if (isNews)
         entry.peers[peer] = { .crashes = report.crashes, .successes = report.successes };
     if (report.successes > previous.successes) {
-        successes_[report.cause] = { .at = now, .used = true };
+        if (options_.remembersSuccesses)
+            successes_[report.cause] = { .at = now, .used = true };
         clear(report.cause, entry);
         if (report.crashes > 0)
             addCrashes(report.cause, entry, report.crashes, now);
