--- a/packages/routing/tests/promptcrashregistry_test.cpp
+++ b/packages/routing/tests/promptcrashregistry_test.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint64_t kOther = 3;
 
 // Daemons that exchange all their reports.
-struct CrashRegistryFixture
+struct PromptPartCrashFixture
 {
     void exchangeReports()
     {
@@ -32,7 +32,7 @@
         }
     }
 
-    // Lets a daemon record a crash of a request with both causes, then exchanges all reports.
+    // Lets a daemon record a crash of a request with both parts, then exchanges all reports.
     void crash(std::size_t daemon)
     {
         daemons[daemon].recordCrash({ kCommon, kBad }, now);
@@ -40,12 +40,13 @@
         now += milliseconds(500);
     }
 
-    void succeed(std::size_t daemon, const CrashRegistry::Causes &causes)
+    void succeed(std::size_t daemon, const CrashRegistry::Causes &parts)
     {
-        daemons[daemon].recordSuccess(causes, now);
+        daemons[daemon].recordSuccess(parts, now);
         exchangeReports();
     }
 
+    // Copies of one registry would draw the same times of their trials.
     static std::vector<CrashRegistry> makeDaemons(std::size_t count)
     {
         std::vector<CrashRegistry> made;
@@ -54,13 +55,13 @@
         return made;
     }
 
-    bool isBlocked(std::size_t daemon, std::uint64_t cause)
+    bool isBlocked(std::size_t daemon, std::uint64_t part)
     {
-        return daemons[daemon].blockedCause({ cause }, now).has_value();
+        return daemons[daemon].blockedCause({ part }, now).has_value();
     }
 
-    // Crashes engines through different daemons until the cause is blocked everywhere; the other
-    // cause succeeds in between.
+    // Crashes engines through different daemons until the part is blocked everywhere; the other
+    // part succeeds in between.
     void blockBadPart()
     {
         for (unsigned i = 0; i < kPromptCrashLimit; ++i) {
@@ -75,7 +76,7 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(promptCrashRegistry, CrashRegistryFixture)
+BOOST_FIXTURE_TEST_SUITE(promptCrashRegistry, PromptPartCrashFixture)
 
 // Guards against requests that come at a different daemon each time, so that none alone sees enough
 // crashes.
@@ -109,8 +110,8 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
-// Guards against a sound cause that stays blocked although another daemon runs requests with it.
-BOOST_AUTO_TEST_CASE(blockedCause_succeedsAtAnyDaemon_isUnblockedEverywhere)
+// Guards against a sound part that stays blocked although another daemon runs requests with it.
+BOOST_AUTO_TEST_CASE(blockedPart_succeedsAtAnyDaemon_isUnblockedEverywhere)
 {
     blockBadPart();
     succeed(2, { kBad });
@@ -119,8 +120,8 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
-// A cause that was blocked by mistake must come back, but each trial may end an engine.
-// Guards against a sound cause that is blocked together with the crashing one because no request
+// A part that was blocked by mistake must come back, but each trial may end an engine.
+// Guards against a sound part that is blocked together with the crashing one because no request
 // succeeds with it between the crashes.
 BOOST_AUTO_TEST_CASE(crashes_besideAPartThatSucceededBefore_areBlamedOnTheOther)
 {
@@ -134,7 +135,7 @@
     }
 }
 
-// Guards against a cause that becomes known as sound and then crashes engines unhindered.
+// Guards against a part that becomes known as sound and then crashes engines unhindered.
 BOOST_AUTO_TEST_CASE(crashes_ofAPartThatSucceededBefore_blockItAfterAFewMore)
 {
     for (std::size_t i = 0; i < daemons.size(); ++i)
@@ -146,8 +147,8 @@
         BOOST_TEST(isBlocked(i, kBad));
 }
 
-// Guards against crashes of requests that had been sent before their cause was blocked: their other
-// causes must not be blocked for them.
+// Guards against crashes of requests that had been sent before their part was blocked: their other
+// parts must not be blocked for them.
 BOOST_AUTO_TEST_CASE(crashes_besideABlockedPart_areExplainedByIt)
 {
     blockBadPart();
@@ -160,8 +161,8 @@
         BOOST_TEST(!isBlocked(i, kOther));
 }
 
-// Guards against a trial of a sound cause that is used up by a request that is rejected for another
-// cause.
+// Guards against a trial of a sound part that is used up by a request that is rejected for another
+// part.
 BOOST_AUTO_TEST_CASE(trial_requestWithTwoBlockedParts_usesNone)
 {
     for (unsigned i = 0; i < kPromptCrashLimit; ++i)
@@ -172,7 +173,7 @@
     BOOST_TEST(!isBlocked(0, kCommon));
 }
 
-BOOST_AUTO_TEST_CASE(blockedCause_requestsGoOn_isTriedTwiceAtMost)
+BOOST_AUTO_TEST_CASE(blockedPart_requestsGoOn_isTriedTwiceAtMost)
 {
     blockBadPart();
     unsigned trials = 0;
@@ -189,7 +190,7 @@
     BOOST_TEST(trials <= 2U);
 }
 
-BOOST_AUTO_TEST_CASE(blockedCause_notUsedForLong_isForgotten)
+BOOST_AUTO_TEST_CASE(blockedPart_notUsedForLong_isForgotten)
 {
     blockBadPart();
     now += minutes(11);
@@ -197,7 +198,7 @@
         BOOST_TEST(!isBlocked(daemon, kBad));
 }
 
-// Guards against popular causes that stay in all heartbeats because every success is news.
+// Guards against popular parts that stay in all heartbeats because every success is news.
 BOOST_AUTO_TEST_CASE(successes_withoutNewCrashes_areNotReported)
 {
     crash(0);
