--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -145,7 +145,7 @@
 std::shared_ptr<OutboundConnection> HttpClient::takeConnection()
 {
     while (!idleConnections_.empty()) {
-        const std::shared_ptr<OutboundConnection> newest = std::move(idleConnections_.back());
+        std::shared_ptr<OutboundConnection> newest = std::move(idleConnections_.back());
         idleConnections_.pop_back();
         if (newest->isQuiet())
             return newest;
