--- /dev/null
+++ b/packages/duties/include/auburn/duties/conditionallog.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburn::duties {
+
+// The newest record of one key.
+struct LogItem
+{
+    std::string key;
+    std::string value;
+    std::uint64_t offset = 0;
+};
+
+struct LogListing
+{
+    std::vector<LogItem> items;
+    // Offset one past the newest record of the partition.
+    std::uint64_t end = 0;
+};
+
+enum class AppendStatus {
+    Appended,
+    // The partition did not end at the expected offset.
+    Conflict,
+    // The store certainly did not append the record.
+    NotDone,
+    // No response arrived: the record may have been appended, or may still be.
+    Unknown,
+};
+
+struct AppendResult
+{
+    AppendStatus status = AppendStatus::Unknown;
+    // Offset of the record; set if it was appended.
+    std::uint64_t offset = 0;
+    // End of the partition; set after Appended and Conflict.
+    std::uint64_t end = 0;
+};
+
+// ConditionalLog is one partition of a keyed topic in the platform's store.
+//
+// An append succeeds only if the partition ends where the caller expects it to, so of two daemons
+// that append on the basis of the same listing only one succeeds.
+class ConditionalLog
+{
+public:
+    using ListHandler = std::function<void(std::optional<LogListing>)>;
+    using AppendHandler = std::function<void(AppendResult)>;
+
+    virtual ~ConditionalLog() = default;
+
+    // Lists the newest record of every key. Passes nullopt and sets lastError() if that failed.
+    virtual void list(ListHandler handler) = 0;
+    virtual void append(std::string key, std::string value, std::uint64_t expectedEnd,
+                        AppendHandler handler) = 0;
+};
+
+} // namespace auburn::duties
