HttpClient: POST requests with a condition for sending

Cause: a call with a fencing token must not be sent, or transmitted by the kernel, after the permit of its sender has ended. A connection that is closed goes on to transmit what it holds. Change: HttpPost has header fields and a condition that is asked after connecting, directly before the first byte. If it is set, a call that times out resets its connection, and the TCP user timeout is that of the call. HttpResponse says whether no byte was sent.

--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -22,10 +22,27 @@
     std::string body;
     // The reason for the failure if no complete response arrived; empty otherwise.
     std::string error;
+    // True if no byte of the request was sent.
+    bool notSent = false;
 
     bool isSuccess() const { return status == 200; }
 };
 
+// A POST request of HttpClient.
+struct HttpPost
+{
+    std::string target;
+    std::string contentType;
+    std::string body;
+    // Additional header fields; each of them ends with "\r\n".
+    std::string fields;
+    // Covers the entire call, including connecting.
+    std::chrono::milliseconds timeout{ 1000 };
+    // Asked directly before the request is sent. If it is set, nothing of the request is
+    // transmitted after the timeout, even if the network is interrupted until then. May be empty.
+    std::function<bool()> sendCondition = nullptr;
+};
+
 // HttpClient calls another HTTP service, such as the platform's store or another daemon.
 //
 // Each call invokes its handler exactly once, also if the connection fails, unless the client is
@@ -46,6 +63,7 @@
                ResponseHandler handler);
     void post(const std::string &target, const std::string &contentType, std::string body,
               std::chrono::milliseconds timeout, ResponseHandler handler);
+    void post(HttpPost request, ResponseHandler handler);
     // Ends a call whose response is no longer awaited. Its handler is called with an error. Does
     // nothing if the call has ended.
     void cancel(CallId id);
@@ -55,7 +73,7 @@
 private:
     class Call;
 
-    CallId start(const std::string &head, std::string body, std::chrono::milliseconds timeout,
+    CallId start(OutboundRequest request, std::chrono::milliseconds timeout,
                  ResponseHandler handler);
     // Returns an idle connection that is quiet, or a new one.
     std::shared_ptr<OutboundConnection> takeConnection();
--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -27,13 +27,20 @@
     std::string head;
     // Null if the request has no body.
     std::shared_ptr<const std::string> body;
+    // Asked directly before the first byte is sent, after connecting; the call ends with NotSent if
+    // it returns false. May be empty.
+    std::function<bool()> sendCondition = nullptr;
+    // With a condition: time for which the request may stay unacknowledged before the kernel gives
+    // it up.
+    std::chrono::milliseconds transmitLimit{ 0 };
 };
 
 // How a call ended.
 enum class CallOutcome {
     Complete,
     ConnectFailed,
-    // The connection failed before any byte of the request was sent.
+    // The connection failed before any byte of the request was sent, or the request's condition
+    // for sending did not hold.
     NotSent,
     // The connection closed before the response was complete.
     Broken,
@@ -115,6 +122,9 @@
               CallHandler *handler);
     // Aborts the current call, if any, without notifying its handler, and closes the connection.
     void close();
+    // Like close(), but also discards what the kernel has not transmitted yet. After close() it
+    // goes on to retransmit the rest of a request, for minutes if the network is interrupted.
+    void abort();
     // Suspends and resumes reading, to apply backpressure to the server.
     void pause() { paused_ = true; }
     void resume();
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -32,6 +32,7 @@
                milliseconds timeout)
     {
         connection_ = std::move(connection);
+        abortsOnTimeout_ = static_cast<bool>(request.sendCondition);
         deadline_.setAfter(timeout);
         connection_->call(std::move(request), std::min(kConnectTimeout, timeout), this);
     }
@@ -39,8 +40,12 @@
     void fail(const std::string &reason)
     {
         const auto self = shared_from_this();
-        connection_->close();
-        finish(HttpResponse{ .error = reason });
+        const bool notSent = !connection_->isConnected();
+        if (abortsOnTimeout_)
+            connection_->abort();
+        else
+            connection_->close();
+        finish(HttpResponse{ .error = reason, .notSent = notSent });
     }
 
     CallId id() const { return id_; }
@@ -70,7 +75,9 @@
         if (result.outcome == CallOutcome::Complete)
             finish(std::move(response_));
         else
-            finish(HttpResponse{ .error = result.error });
+            finish(HttpResponse{ .error = result.error,
+                                 .notSent = result.outcome == CallOutcome::ConnectFailed
+                                            || result.outcome == CallOutcome::NotSent });
     }
 
 private:
@@ -90,6 +97,7 @@
     LazyDeadline deadline_;
     std::shared_ptr<OutboundConnection> connection_;
     HttpResponse response_;
+    bool abortsOnTimeout_ = false;
 };
 
 HttpClient::HttpClient(boost::asio::io_context &io, std::string address)
@@ -106,17 +114,31 @@
 HttpClient::CallId HttpClient::get(const std::string &target, milliseconds timeout,
                                    ResponseHandler handler)
 {
-    return start("GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n", {}, timeout,
-                 std::move(handler));
+    return start({ .head = "GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n" },
+                 timeout, std::move(handler));
 }
 
 void HttpClient::post(const std::string &target, const std::string &contentType, std::string body,
                       milliseconds timeout, ResponseHandler handler)
 {
-    const std::string head = "POST " + target + " HTTP/1.1\r\nHost: " + address_
-                             + "\r\nContent-Type: " + contentType
-                             + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    start(head, std::move(body), timeout, std::move(handler));
+    post({ .target = target,
+           .contentType = contentType,
+           .body = std::move(body),
+           .timeout = timeout },
+         std::move(handler));
+}
+
+void HttpClient::post(HttpPost request, ResponseHandler handler)
+{
+    OutboundRequest outbound{ .head = "POST " + request.target + " HTTP/1.1\r\nHost: " + address_
+                                      + "\r\nContent-Type: " + request.contentType
+                                      + "\r\nContent-Length: " + std::to_string(request.body.size())
+                                      + "\r\n" + request.fields + "\r\n",
+                              .sendCondition = std::move(request.sendCondition),
+                              .transmitLimit = request.timeout };
+    if (!request.body.empty())
+        outbound.body = std::make_shared<const std::string>(std::move(request.body));
+    start(std::move(outbound), request.timeout, std::move(handler));
 }
 
 void HttpClient::cancel(CallId id)
@@ -129,15 +151,12 @@
     call->fail("cancelled");
 }
 
-HttpClient::CallId HttpClient::start(const std::string &head, std::string body,
-                                     milliseconds timeout, ResponseHandler handler)
+HttpClient::CallId HttpClient::start(OutboundRequest request, milliseconds timeout,
+                                     ResponseHandler handler)
 {
     const CallId id = ++calls_;
     const auto call = std::make_shared<Call>(*this, id, std::move(handler));
     activeCalls_.push_back(call);
-    OutboundRequest request{ .head = head };
-    if (!body.empty())
-        request.body = std::make_shared<const std::string>(std::move(body));
     call->start(takeConnection(), std::move(request), timeout);
     return id;
 }
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -129,6 +129,14 @@
 
 void OutboundConnection::send()
 {
+    if (request_.sendCondition && !request_.sendCondition()) {
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->finishCall(CallOutcome::NotSent, "the condition for sending does not hold");
+        });
+        return;
+    }
+    if (request_.sendCondition)
+        setUserTimeout(socket_, request_.transmitLimit);
     std::array<asio::const_buffer, 2> parts{ asio::buffer(request_.head), asio::const_buffer() };
     if (request_.body)
         parts[1] = asio::buffer(*request_.body);
@@ -413,6 +421,13 @@
     socket_.close(ignored);
 }
 
+void OutboundConnection::abort()
+{
+    ErrorCode ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void OutboundConnection::watchIdle(std::function<void()> onUnusable)
 {
     onUnusable_ = std::move(onUnusable);
--- a/packages/gateway/src/socketoptions.cpp
+++ b/packages/gateway/src/socketoptions.cpp
@@ -30,11 +30,17 @@
 {
     const int descriptor = socket.native_handle();
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kUserTimeout.count()));
+    setUserTimeout(socket, kUserTimeout);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+void setUserTimeout(tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(timeout.count()));
+}
+
 } // namespace auburn::gateway
--- a/packages/gateway/src/socketoptions.h
+++ b/packages/gateway/src/socketoptions.h
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
+
 namespace auburn::gateway {
 
 // Sets the options of every TCP connection of the daemon: disables Nagle's algorithm, and enables
@@ -9,4 +11,8 @@
 // a few seconds.
 void setTcpOptions(boost::asio::ip::tcp::socket &socket);
 
+// Sets how long sent data may stay unacknowledged before the kernel gives up the connection and
+// what it has not transmitted. The kernel does so even while the process is stopped.
+void setUserTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout);
+
 } // namespace auburn::gateway
--- a/packages/gateway/tests/httpclient_test.cpp
+++ b/packages/gateway/tests/httpclient_test.cpp
@@ -163,7 +163,43 @@
 BOOST_AUTO_TEST_CASE(get_noListener_fails)
 {
     HttpClient client(io, "127.0.0.1:1");
-    BOOST_TEST(!get(client).error.empty());
+    const HttpResponse response = get(client);
+    BOOST_TEST(!response.error.empty());
+    BOOST_TEST(response.notSent);
+}
+
+// Guards against a request that is sent although its condition ended while the client connected.
+BOOST_AUTO_TEST_CASE(post_conditionDoesNotHold_isNotSent)
+{
+    ScriptedServer server(io, [](const ScriptedRequest &) { return ScriptedReply{}; });
+    HttpClient client(io, server.address());
+    std::optional<HttpResponse> response;
+    client.post({ .target = "/x", .sendCondition = [] { return false; } },
+                [&](HttpResponse received) { response = std::move(received); });
+    BOOST_REQUIRE(runUntil(io, [&] { return response.has_value(); }));
+    BOOST_TEST(response->notSent);
+    runFor(io, milliseconds(50));
+    BOOST_TEST(server.requests().empty());
+}
+
+// Guards against the rest of a request that the kernel transmits after the timeout: the connection
+// is reset, so a server that had not read the request does not receive it.
+BOOST_AUTO_TEST_CASE(post_withConditionTimesOut_resetsTheConnection)
+{
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    HttpClient client(io, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    std::optional<HttpResponse> response;
+    client.post(
+            { .target = "/x", .timeout = milliseconds(100), .sendCondition = [] { return true; } },
+            [&](HttpResponse received) { response = std::move(received); });
+    tcp::socket accepted = acceptor.accept();
+    BOOST_REQUIRE(runUntil(io, [&] { return response.has_value(); }));
+    BOOST_TEST(!response->notSent);
+    std::array<char, 1024> buffer{};
+    boost::system::error_code error;
+    while (!error)
+        accepted.read_some(asio::buffer(buffer), error);
+    BOOST_TEST((error == asio::error::connection_reset));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
