--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -68,6 +68,12 @@
         // Called when a request succeeded that this daemon would have rejected until now because of
         // crashes, so that the other daemons no longer reject it either.
         std::function<void()> requestUnblocked;
+        // Called once for each request of an organisation that a backend server began to run, or
+        // may have begun to run, with the time that has passed since: for a stream, at its first
+        // event; for another request, when its response arrives or its attempt ends without one,
+        // with the time since the attempt was sent.
+        std::function<void(const std::string &organisation, std::chrono::milliseconds ago)>
+                requestBegan;
     };
 
     // Starts listening. Returns null and sets lastError() if the options are incomplete or the
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -258,7 +258,7 @@
     }
     if (connection_->isConnected()) {
         ++possibleExecutions_;
-        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+        recordUnansweredAttempt();
     }
     endAttempt(AttemptOutcome::Failed, "stalled");
     requestPlacement();
@@ -364,12 +364,15 @@
 
 void Exchange::responseStarted(const ResponseHeader &header)
 {
-    response_ = readAttemptResponse(header, context_.options.headerNames,
-                                    request_.route->kind == RequestKind::Stream);
+    response_ = readAttemptResponse(header, context_.options.headerNames, isStreamRoute());
     reportLoad(header);
     obeyServerSignals(header);
-    if (!response_.notExecuted)
+    if (!response_.notExecuted) {
         verdict_ = Verdict::Ran;
+        // The error of a server that produced no event of a stream does not count.
+        if (!isStreamRoute() || (!response_.isStream && !response_.isServerError()))
+            recordBegin(attemptStart_);
+    }
     if (!response_.isStream && !response_.notExecuted)
         reportProgress();
 }
@@ -417,6 +420,7 @@
         return;
     if (stream_.hasNewEvent()) {
         reportProgress();
+        recordBegin(Clock::now());
         if (Clock::now() - progressedAt_ >= kSoundProgress)
             context_.crashes->recordSoundPrompt(crashSuspects_);
         startStallTimer();
@@ -562,7 +566,7 @@
         return;
     }
     ++possibleExecutions_;
-    verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    recordUnansweredAttempt();
     if (result.outcome == CallOutcome::Broken)
         connectionBroke(result.staleConnection);
     endAttempt(AttemptOutcome::Failed, result.error);
@@ -621,7 +625,29 @@
 void Exchange::recordPossibleExecution()
 {
     if (attempt_ && connection_ && connection_->isConnected())
-        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+        recordUnansweredAttempt();
+}
+
+void Exchange::recordUnansweredAttempt()
+{
+    verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    // A stream begins with its first event, which has not arrived.
+    if (!isStreamRoute())
+        recordBegin(attemptStart_);
+}
+
+void Exchange::recordBegin(Clock::time_point at)
+{
+    if (hasBegun_ || !request_.organisation || !context_.options.requestBegan)
+        return;
+    hasBegun_ = true;
+    context_.options.requestBegan(request_.organisation->name,
+                                  duration_cast<milliseconds>(Clock::now() - at));
+}
+
+bool Exchange::isStreamRoute() const
+{
+    return request_.route->kind == RequestKind::Stream;
 }
 
 void Exchange::deadlinePassed()
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -78,6 +78,11 @@
     void attemptStalled();
     // Records that the server of an attempt that ends without a response may have run the request.
     void recordPossibleExecution();
+    // As above, for an attempt whose request was certainly sent.
+    void recordUnansweredAttempt();
+    // Reports, once, that a server began to run the request at this time.
+    void recordBegin(Clock::time_point at);
+    bool isStreamRoute() const;
     // Responds with status 503 if the request certainly did not run, otherwise with status 504, or
     // truncates the stream if it has begun.
     void deadlinePassed();
@@ -164,6 +169,8 @@
     // Whether a server has run the request, over all attempts.
     Verdict verdict_ = Verdict::DidNotRun;
     bool finished_ = false;
+    // Options::requestBegan has been called.
+    bool hasBegun_ = false;
 
     // The response to the current attempt.
     AttemptResponse response_;
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -120,11 +120,15 @@
 
 void GatewayFixture::startGateway(routing::PlacementSource &placement)
 {
-    gateway = Gateway::make(io, { .listenAddress = address,
-                                  .headerNames = testHeaderNames(),
-                                  .state = &state,
-                                  .placement = &placement,
-                                  .memoryLimit = memoryLimit });
+    gateway = Gateway::make(
+            io, { .listenAddress = address,
+                  .headerNames = testHeaderNames(),
+                  .state = &state,
+                  .placement = &placement,
+                  .memoryLimit = memoryLimit,
+                  .requestBegan = [this](const std::string &organisation, milliseconds ago) {
+                      begunRequests.push_back({ organisation, ago });
+                  } });
     BOOST_REQUIRE_MESSAGE(gateway, lastError());
 }
 
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -5,12 +5,20 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace auburn::gateway {
 
+// A call of Gateway::Options::requestBegan.
+struct BegunRequest
+{
+    std::string organisation;
+    std::chrono::milliseconds ago;
+};
+
 // GatewayFixture runs a gateway on the loopback interface in front of scripted backend servers.
 struct GatewayFixture
 {
@@ -58,6 +66,7 @@
     // The limit of the bytes that the gateway holds, for the next startGateway().
     std::size_t memoryLimit = std::size_t{ 64 } * 1024 * 1024;
     std::uint64_t logPosition = 0;
+    std::vector<BegunRequest> begunRequests;
 };
 
 } // namespace auburn::gateway
--- /dev/null
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -0,0 +1,66 @@
+// UsageCollector produces the usage figures of the deployment while this daemon holds the duties.
+//
+// It merges the reports of all daemons, closes a window once they are complete, commits its figure
+// to the log and sends it to the platform. Two different figures are never sent for one window,
+// whichever daemons hold the duties: only figures that are read from the log, or whose append was
+// confirmed, are sent, and the log holds at most one for each window.
+#pragma once
+
+#include "auburn.pb.h"
+#include "auburn/core/bootclock.h"
+#include "auburn/core/metrics.h"
+#include "auburn/duties/conditionallog.h"
+#include "auburn/duties/dutyapi.h"
+#include "auburn/duties/dutypermit.h"
+#include "auburn/usage/fleetclock.h"
+#include "auburn/usage/usagereporter.h"
+#include "auburn/usage/usagewindow.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace auburn::usage {
+
+class UsageCollector
+{
+public:
+    using TimePoint = BootClock::time_point;
+
+    struct Options
+    {
+        std::chrono::milliseconds windowLength = kDefaultWindowLength;
+        SendDatagram send;
+        // May be null.
+        Metrics *metrics = nullptr;
+    };
+
+    // Everything that is passed by reference must outlive the collector.
+    struct Duties
+    {
+        const FleetClock &clock;
+        duties::ConditionalLog &log;
+        duties::DutyApi &api;
+        const duties::DutyPermit &permit;
+    };
+
+    UsageCollector(Options options, const Duties &duties);
+    ~UsageCollector();
+    UsageCollector(const UsageCollector &) = delete;
+    UsageCollector &operator=(const UsageCollector &) = delete;
+
+    // Merges a report, also while the permit is not held: it may be held again, and the report is
+    // not repeated. The sender (IP:PORT) gets an acknowledgement.
+    void handleReport(const proto::UsageReport &report, const std::string &sender, TimePoint now);
+    // Performs what is due; to be called about every 100 ms on every daemon. The live daemons,
+    // this one included, are those whose reports a window waits for.
+    void tick(TimePoint now, const std::vector<std::string> &liveVms);
+
+private:
+    class State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/include/auburn/usage/usagereporter.h
@@ -0,0 +1,75 @@
+// UsageReporter sends the counts of this daemon to the holder of the duties.
+//
+// Reports are cumulative, so duplicates and losses are harmless. Changes are sent several times a
+// second, because a daemon that is killed loses what it has counted since its last report. Once a
+// second a complete report tells the holder that it has received everything that this daemon
+// counted until then; the holder closes a window based on such reports.
+#pragma once
+
+#include "auburn.pb.h"
+#include "auburn/core/bootclock.h"
+#include "auburn/duties/dutyholder.h"
+#include "auburn/usage/fleetclock.h"
+#include "auburn/usage/usageledger.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace auburn::usage {
+
+// Sends a datagram to a daemon (IP:PORT).
+using SendDatagram =
+        std::function<void(const std::string &udpAddress, const proto::PeerDatagram &datagram)>;
+
+class UsageReporter
+{
+public:
+    using TimePoint = BootClock::time_point;
+
+    struct Options
+    {
+        std::string vm;
+        // Distinguishes processes with the same name.
+        std::uint64_t incarnation = 0;
+        SendDatagram send;
+    };
+
+    // The clock and the ledger must outlive the reporter.
+    UsageReporter(Options options, const FleetClock &clock, UsageLedger &ledger);
+
+    // Takes note of the newest known holder, which may be this daemon. Everything is reported to a
+    // new one with the next tick.
+    void setHolder(const duties::DutyHolder &holder);
+    void handleAck(const proto::UsageAck &ack);
+    // Sends what is due; to be called about every 100 ms. The number of live daemons determines how
+    // often changes are sent.
+    void tick(TimePoint now, std::size_t liveDaemons);
+    // Sends everything at once, before the process ends.
+    void flush(TimePoint now);
+
+private:
+    bool hasHolder() const { return holder_.token > 0 && !holder_.released; }
+    // True once in each second, at a time that differs between the daemons of a large fleet.
+    bool takeCompleteReportDue(std::chrono::milliseconds unixTime, std::size_t liveDaemons);
+    void queueChanges(std::chrono::milliseconds unixTime);
+    void queueCompleteReport(UsageLedger::Scope scope, std::chrono::milliseconds unixTime);
+    std::vector<proto::UsageReport> makeReports(UsageLedger::Scope scope,
+                                                std::chrono::milliseconds unixTime);
+    void sendQueued(std::size_t limit);
+
+    const Options options_;
+    const FleetClock &clock_;
+    UsageLedger &ledger_;
+    duties::DutyHolder holder_;
+    bool isHolderNew_ = false;
+    std::int64_t lastCompleteSecond_ = 0;
+    TimePoint nextChangesAt_;
+    std::deque<proto::UsageReport> queue_;
+};
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/figurelog.cpp
@@ -0,0 +1,124 @@
+#include "figurelog.h"
+
+#include "auburn/core/lasterror.h"
+#include "auburn/core/log.h"
+
+#include <utility>
+
+namespace auburn::usage {
+
+namespace {
+
+constexpr std::size_t kMaxFigures = 32;
+
+} // namespace
+
+FigureLog::FigureLog(duties::ConditionalLog &log)
+    : log_(log)
+{}
+
+template<class Result>
+auto FigureLog::handler(void (FigureLog::*method)(const Result &))
+{
+    return [this, method, alive = std::weak_ptr<int>(generation_)](const Result &result) {
+        if (alive.expired())
+            return;
+        isBusy_ = false;
+        (this->*method)(result);
+    };
+}
+
+void FigureLog::reopen()
+{
+    generation_ = std::make_shared<int>(0);
+    isOpen_ = false;
+    isListed_ = false;
+    isBusy_ = false;
+    committed_.clear();
+    pending_.reset();
+    retry_.reset();
+}
+
+void FigureLog::commit(const duties::UsageFigure &figure, TimePoint now)
+{
+    pending_ = { .figure = figure, .records = encodeFigure(figure) };
+    tick(now);
+}
+
+void FigureLog::tick(TimePoint now)
+{
+    now_ = now;
+    if (isBusy_ || !retry_.isOver(now))
+        return;
+    if (!isListed_)
+        list();
+    else if (pending_)
+        appendNext();
+}
+
+void FigureLog::list()
+{
+    isBusy_ = true;
+    log_.list(handler(&FigureLog::listed));
+}
+
+void FigureLog::listed(const std::optional<duties::LogListing> &listing)
+{
+    if (!listing) {
+        logEvent(LogLevel::Warning, "usage_log_unlisted", { { "reason", lastError() } });
+        retry_.recordFailure(now_);
+        return;
+    }
+    committed_ = decodeFigures(*listing);
+    trim();
+    end_ = listing->end;
+    isOpen_ = true;
+    isListed_ = true;
+    if (!pending_)
+        return;
+    const std::uint64_t window = pending_->figure.window;
+    if (!committed_.empty() && committed_.rbegin()->first >= window)
+        pending_.reset();
+    else
+        pending_->appended = 0;
+}
+
+void FigureLog::appendNext()
+{
+    isBusy_ = true;
+    const FigureRecord &record = pending_->records[pending_->appended];
+    log_.append(record.key, record.value, end_, handler(&FigureLog::appended));
+}
+
+void FigureLog::appended(const duties::AppendResult &result)
+{
+    if (result.status == duties::AppendStatus::Appended) {
+        end_ = result.end;
+        retry_.reset();
+        if (++pending_->appended < pending_->records.size()) {
+            appendNext();
+            return;
+        }
+        const std::uint64_t window = pending_->figure.window;
+        committed_[window] = std::move(pending_->figure);
+        pending_.reset();
+        trim();
+        return;
+    }
+    // Only a record that was certainly not appended leaves the end of the log known.
+    isListed_ = result.status == duties::AppendStatus::NotDone;
+    logEvent(LogLevel::Warning, "usage_commit_unconfirmed",
+             { { "window", static_cast<long long>(pending_->figure.window) },
+               { "result", result.status == duties::AppendStatus::Conflict  ? "conflict"
+                           : result.status == duties::AppendStatus::NotDone ? "not_done"
+                                                                            : "unknown" } });
+    retry_.recordFailure(now_);
+}
+
+void FigureLog::trim()
+{
+    while (committed_.size() > kMaxFigures)
+        committed_.erase(committed_.begin());
+}
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/figurelog.h
@@ -0,0 +1,76 @@
+// FigureLog commits the figure of a window to the log before it is sent.
+//
+// Every append is conditional on the end of the log as it was listed, and a figure is appended only
+// if the listing has none of its window. So the log holds at most one figure for each window, also
+// if an append is executed late, if its response is lost, or if another daemon appends as well.
+#pragma once
+
+#include "figurerecord.h"
+#include "retrydelay.h"
+
+#include "auburn/core/bootclock.h"
+#include "auburn/duties/conditionallog.h"
+#include "auburn/duties/dutyapi.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace auburn::usage {
+
+class FigureLog
+{
+public:
+    using TimePoint = BootClock::time_point;
+
+    // The log must outlive this object.
+    explicit FigureLog(duties::ConditionalLog &log);
+
+    // Forgets everything and lists the log with the next tick.
+    void reopen();
+    // True if the log has been listed since reopen().
+    bool isOpen() const { return isOpen_; }
+    // The figures that are known to be committed, at most those of the newest 32 windows.
+    const Figures &committed() const { return committed_; }
+    // Commits a figure, unless the log turns out to hold one of this window or of a later one;
+    // isCommitting() is true until then. Only while the log is open and nothing is being committed.
+    void commit(const duties::UsageFigure &figure, TimePoint now);
+    bool isCommitting() const { return pending_.has_value(); }
+    // Continues after failures; to be called about every 100 ms.
+    void tick(TimePoint now);
+
+private:
+    struct Pending
+    {
+        duties::UsageFigure figure;
+        std::vector<FigureRecord> records;
+        std::size_t appended = 0;
+    };
+
+    void list();
+    void listed(const std::optional<duties::LogListing> &listing);
+    void appendNext();
+    void appended(const duties::AppendResult &result);
+    void trim();
+    // Wraps a handler so that it does nothing after reopen() or destruction.
+    template<class Result>
+    auto handler(void (FigureLog::*method)(const Result &));
+
+    duties::ConditionalLog &log_;
+    bool isOpen_ = false;
+    // The end of the log is known.
+    bool isListed_ = false;
+    bool isBusy_ = false;
+    std::uint64_t end_ = 0;
+    Figures committed_;
+    std::optional<Pending> pending_;
+    RetryDelay retry_;
+    // Time of the last tick.
+    TimePoint now_;
+    // Replaced by reopen(); handlers of earlier calls see that theirs has expired.
+    std::shared_ptr<int> generation_ = std::make_shared<int>(0);
+};
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/figurerecord.h
@@ -0,0 +1,34 @@
+// Encodes the figures of windows as records of the log.
+//
+// A figure usually is one record with the key "window mod 32". One with 21,000 organisations would
+// exceed the size of a record, and is divided into records with the keys "KEY-PART-PARTS". They are
+// appended directly one after another; the figure is committed once the last of them is appended.
+// Parts that do not have consecutive offsets were not completed by their writer and do not count.
+#pragma once
+
+#include "auburn/duties/conditionallog.h"
+#include "auburn/duties/dutyapi.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace auburn::usage {
+
+// Figures by window.
+using Figures = std::map<std::uint64_t, duties::UsageFigure>;
+
+struct FigureRecord
+{
+    std::string key;
+    std::string value;
+};
+
+// The records of a figure, in the order in which they must be appended.
+std::vector<FigureRecord> encodeFigure(const duties::UsageFigure &figure);
+
+// The committed figures of a listing. Records that cannot be parsed are skipped.
+Figures decodeFigures(const duties::LogListing &listing);
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/figuresender.cpp
@@ -0,0 +1,135 @@
+#include "figuresender.h"
+
+#include "auburn/core/log.h"
+#include "auburn/usage/usagewindow.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+
+namespace auburn::usage {
+
+using duties::CallStatus;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A figure is sent until this time after the end of its window.
+constexpr milliseconds kSendLimit{ 30000 };
+
+std::string_view statusName(CallStatus status)
+{
+    switch (status) {
+    case CallStatus::Accepted:
+        return "accepted";
+    case CallStatus::NoneAvailable:
+        return "none_available";
+    case CallStatus::RateLimited:
+        return "rate_limited";
+    case CallStatus::Rejected:
+        return "rejected";
+    case CallStatus::NotSent:
+        return "not_sent";
+    case CallStatus::Unknown:
+        return "unknown";
+    }
+    return {};
+}
+
+} // namespace
+
+FigureSender::FigureSender(Options options, const FleetClock &clock, duties::DutyApi &api)
+    : options_(options)
+    , clock_(clock)
+    , api_(api)
+{}
+
+void FigureSender::add(const duties::UsageFigure &figure, TimePoint now)
+{
+    if (!isExpired(figure.window, now))
+        queue_[figure.window] = figure;
+}
+
+void FigureSender::tick(TimePoint now)
+{
+    now_ = now;
+    if (isCalling_)
+        return;
+    dropExpired(now);
+    if (!queue_.empty() && retry_.isOver(now))
+        sendFirst();
+}
+
+bool FigureSender::isExpired(std::uint64_t window, TimePoint now) const
+{
+    return clock_.unixTime(now) - windowEnd(window, options_.windowLength) > kSendLimit;
+}
+
+void FigureSender::dropExpired(TimePoint now)
+{
+    while (!queue_.empty() && isExpired(queue_.begin()->first, now)) {
+        logEvent(LogLevel::Error, "usage_window_unreported",
+                 { { "window", static_cast<long long>(queue_.begin()->first) },
+                   { "reason", "the platform accepted no call in time" } });
+        queue_.erase(queue_.begin());
+    }
+}
+
+void FigureSender::sendFirst()
+{
+    isCalling_ = true;
+    // A copy, because the handler removes the figure from the queue.
+    const duties::UsageFigure figure = queue_.begin()->second;
+    api_.reportUsage(figure, [this, window = figure.window,
+                              alive = std::weak_ptr<int>(alive_)](CallStatus status) {
+        if (!alive.expired())
+            callEnded(window, status);
+    });
+}
+
+void FigureSender::callEnded(std::uint64_t window, CallStatus status)
+{
+    isCalling_ = false;
+    if (options_.metrics)
+        options_.metrics
+                ->counter("auburn_usage_calls_total", "Usage reports to the platform by outcome",
+                          { { "outcome", std::string(statusName(status)) } })
+                .add();
+    if (status == CallStatus::Accepted) {
+        recordReported(window);
+        queue_.erase(window);
+        failures_ = 0;
+        retry_.reset();
+        tick(now_);
+        return;
+    }
+    ++failures_;
+    retry_.recordFailure(now_);
+    logEvent(LogLevel::Warning, "usage_call_failed",
+             { { "window", static_cast<long long>(window) },
+               { "result", statusName(status) },
+               { "failures", static_cast<long long>(failures_) } });
+}
+
+void FigureSender::recordReported(std::uint64_t window)
+{
+    const milliseconds end = windowEnd(window, options_.windowLength);
+    newestReported_ = std::max(newestReported_, window);
+    logEvent(LogLevel::Info, "usage_window_reported",
+             { { "window", static_cast<long long>(window) },
+               { "age_ms", static_cast<long long>((clock_.unixTime(now_) - end).count()) },
+               { "failures", static_cast<long long>(failures_) } });
+    if (!options_.metrics)
+        return;
+    options_.metrics
+            ->counter("auburn_usage_windows_reported_total",
+                      "Usage reports that the platform accepted, repetitions included")
+            .add();
+    const std::chrono::duration<double> newest = windowEnd(newestReported_, options_.windowLength);
+    options_.metrics
+            ->gauge("auburn_usage_newest_reported_seconds",
+                    "End of the newest usage window that this daemon reported, since the epoch")
+            .set(newest.count());
+}
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/figuresender.h
@@ -0,0 +1,63 @@
+// FigureSender sends committed figures to the platform: one call at a time, oldest window first,
+// repeated until the platform accepts it or the window is too old.
+//
+// Repeating a call is safe, because the figure of a window never changes and the platform ignores
+// exact duplicates.
+#pragma once
+
+#include "retrydelay.h"
+
+#include "auburn/core/metrics.h"
+#include "auburn/duties/dutyapi.h"
+#include "auburn/usage/fleetclock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace auburn::usage {
+
+class FigureSender
+{
+public:
+    using TimePoint = BootClock::time_point;
+
+    struct Options
+    {
+        std::chrono::milliseconds windowLength{ 0 };
+        // May be null.
+        Metrics *metrics = nullptr;
+    };
+
+    // The clock and the interface must outlive the sender.
+    FigureSender(Options options, const FleetClock &clock, duties::DutyApi &api);
+
+    // Queues the figure of a window; ignored if that window ended too long ago.
+    void add(const duties::UsageFigure &figure, TimePoint now);
+    // Sends what is due; to be called about every 100 ms while the permit is held.
+    void tick(TimePoint now);
+
+private:
+    bool isExpired(std::uint64_t window, TimePoint now) const;
+    void dropExpired(TimePoint now);
+    void sendFirst();
+    void callEnded(std::uint64_t window, duties::CallStatus status);
+    void recordReported(std::uint64_t window);
+
+    const Options options_;
+    const FleetClock &clock_;
+    duties::DutyApi &api_;
+    // By window.
+    std::map<std::uint64_t, duties::UsageFigure> queue_;
+    bool isCalling_ = false;
+    unsigned failures_ = 0;
+    RetryDelay retry_;
+    // Time of the last tick.
+    TimePoint now_;
+    std::uint64_t newestReported_ = 0;
+    // Calls that end after the destruction see that it has expired.
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/usagecollector.cpp
@@ -0,0 +1,280 @@
+#include "auburn/usage/usagecollector.h"
+
+#include "figurelog.h"
+#include "figuresender.h"
+#include "usagemetrics.h"
+#include "usagetable.h"
+
+#include "auburn/core/log.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace auburn::usage {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// A window is closed only after every daemon has reported at this time after its end. A plain
+// request is counted when its response arrives, for the time at which it was sent; nearly all
+// responses have arrived by then.
+constexpr milliseconds kSettleTime{ 1000 };
+// A window is closed at this time after its end although reports are missing, because a daemon that
+// was killed counts as live for about 3 s.
+constexpr milliseconds kMaxWait{ 4000 };
+// A new holder waits at least this long for the reports that daemons send when they learn of it,
+// and up to the second time if some are missing; but once a window ended 8 s ago, only for the
+// first, because its figure must be sent within 10 s.
+constexpr milliseconds kTakeoverWait{ 1500 };
+constexpr milliseconds kMaxTakeoverWait{ 3000 };
+constexpr milliseconds kLatestClose{ 8000 };
+// A new holder sends the committed windows that ended in this time again: its predecessor may have
+// been stopped between the commit and the call.
+constexpr milliseconds kResendTime{ 20000 };
+// A window that ended longer ago is not closed any more, because its figure would not be sent.
+constexpr milliseconds kCloseLimit{ 30000 };
+constexpr std::size_t kMaxNamesInLog = 3;
+
+long long toLogNumber(std::uint64_t number)
+{
+    return static_cast<long long>(number);
+}
+
+std::string joinNames(const std::vector<std::string> &names)
+{
+    std::string text;
+    for (std::size_t i = 0; i < std::min(names.size(), kMaxNamesInLog); ++i)
+        text += (i > 0 ? "," : "") + names[i];
+    return text;
+}
+
+} // namespace
+
+class UsageCollector::State
+{
+public:
+    State(Options options, const Duties &duties)
+        : options_(std::move(options))
+        , clock_(duties.clock)
+        , permit_(duties.permit)
+        , table_(options_.windowLength)
+        , log_(duties.log)
+        , sender_({ .windowLength = options_.windowLength, .metrics = options_.metrics },
+                  duties.clock, duties.api)
+    {
+        if (!options_.metrics)
+            return;
+        lateRequests_ = &lateRequestsCounter(*options_.metrics);
+        closedWindows_ = &options_.metrics->counter("auburn_usage_windows_closed_total",
+                                                    "Usage windows that this daemon closed");
+    }
+
+    void handleReport(const proto::UsageReport &report, const std::string &sender, TimePoint now)
+    {
+        const std::uint64_t late = table_.merge(report, clock_.unixTime(now));
+        if (lateRequests_)
+            lateRequests_->add(late);
+        const bool isLastPart = report.parts() > 0 && report.part() == report.parts();
+        if (!isLastPart || !isOperating() || !permit_.isHeld() || nextWindow_ == 0)
+            return;
+        proto::PeerDatagram datagram;
+        datagram.mutable_usage_ack()->set_token(token_);
+        datagram.mutable_usage_ack()->set_closed_through(nextWindow_ - 1);
+        options_.send(sender, datagram);
+    }
+
+    void tick(TimePoint now, const std::vector<std::string> &liveVms)
+    {
+        table_.dropExpired(clock_.unixTime(now));
+        if (!permit_.isHeld())
+            return;
+        if (permit_.token() != token_)
+            takeOver(now);
+        log_.tick(now);
+        if (!log_.isOpen())
+            return;
+        if (!resumed_)
+            resume(now);
+        adoptCommitted(now);
+        closeDue(now, liveVms);
+        sender_.tick(now);
+    }
+
+private:
+    bool isOperating() const { return token_ > 0 && resumed_; }
+
+    // Starts under a new token. Under the same one nobody else has acted in between.
+    void takeOver(TimePoint now)
+    {
+        token_ = permit_.token();
+        acquiredAt_ = now;
+        acquiredUnixTime_ = clock_.unixTime(now);
+        resumed_ = false;
+        log_.reopen();
+    }
+
+    // Continues where the log ends.
+    void resume(TimePoint now)
+    {
+        resumed_ = true;
+        adopted_.clear();
+        const Figures &committed = log_.committed();
+        const milliseconds unixTime = clock_.unixTime(now);
+        for (const auto &[window, figure] : committed) {
+            if (unixTime - windowEnd(window, options_.windowLength) > kResendTime)
+                adopted_.insert(window);
+        }
+        nextWindow_ = committed.empty() ? 0 : committed.rbegin()->first + 1;
+        logEvent(LogLevel::Info, "usage_taken_over",
+                 { { "token", toLogNumber(token_) },
+                   { "committed", toLogNumber(committed.size()) },
+                   { "next_window", toLogNumber(nextWindow_) } });
+    }
+
+    // Sends the recent figures that are in the log and were not sent under this token: those of
+    // previous holders, those that this daemon has committed, and any whose append was late.
+    void adoptCommitted(TimePoint now)
+    {
+        const Figures &committed = log_.committed();
+        for (const auto &[window, figure] : committed) {
+            if (!adopted_.insert(window).second)
+                continue;
+            sender_.add(figure, now);
+            table_.close(window);
+        }
+        if (!committed.empty()) {
+            nextWindow_ = std::max(nextWindow_, committed.rbegin()->first + 1);
+            adopted_.erase(adopted_.begin(), adopted_.lower_bound(committed.begin()->first));
+        }
+    }
+
+    void skipExpired(milliseconds unixTime)
+    {
+        const std::uint64_t oldest = windowAt(std::max(unixTime - kCloseLimit, milliseconds(0)),
+                                              options_.windowLength);
+        if (nextWindow_ >= oldest)
+            return;
+        if (nextWindow_ > 0)
+            logEvent(
+                    LogLevel::Warning, "usage_windows_skipped",
+                    { { "first", toLogNumber(nextWindow_) }, { "last", toLogNumber(oldest - 1) } });
+        nextWindow_ = oldest;
+    }
+
+    void closeDue(TimePoint now, const std::vector<std::string> &liveVms)
+    {
+        skipExpired(clock_.unixTime(now));
+        while (!log_.isCommitting() && isSettled(now)) {
+            const std::vector<std::string> missing = missingReports(liveVms);
+            if (!missing.empty() && !isWaitOver(now))
+                return;
+            if (isUnknown())
+                ++nextWindow_;
+            else
+                close(now, missing);
+            adoptCommitted(now);
+        }
+    }
+
+    // The daemons whose reports for the next window are not known to be complete: live ones, and
+    // others that have reported some of its requests, because they may be frozen.
+    std::vector<std::string> missingReports(const std::vector<std::string> &liveVms) const
+    {
+        const milliseconds due = windowEnd(nextWindow_, options_.windowLength) + kSettleTime;
+        std::set<std::string> awaited = table_.reporters(nextWindow_);
+        awaited.insert(liveVms.begin(), liveVms.end());
+        std::vector<std::string> missing;
+        std::copy_if(awaited.begin(), awaited.end(), std::back_inserter(missing),
+                     [&](const std::string &vm) { return table_.completeThrough(vm) < due; });
+        return missing;
+    }
+
+    milliseconds ageOfNext(TimePoint now) const
+    {
+        return clock_.unixTime(now) - windowEnd(nextWindow_, options_.windowLength);
+    }
+
+    bool isSettled(TimePoint now) const
+    {
+        return ageOfNext(now) >= kSettleTime && now - acquiredAt_ >= kTakeoverWait;
+    }
+
+    // True if the next window does not wait for missing reports any longer.
+    bool isWaitOver(TimePoint now) const
+    {
+        const milliseconds age = ageOfNext(now);
+        return age >= kMaxWait && (now - acquiredAt_ >= kMaxTakeoverWait || age >= kLatestClose);
+    }
+
+    // True if the next window ended before this daemon held the duties, and nobody has reported
+    // requests for it. An empty figure might be wrong then: the daemons that could report may have
+    // been replaced.
+    bool isUnknown() const
+    {
+        return windowEnd(nextWindow_, options_.windowLength) <= acquiredUnixTime_
+               && table_.reporters(nextWindow_).empty();
+    }
+
+    void close(TimePoint now, const std::vector<std::string> &missing)
+    {
+        const duties::UsageFigure figure{ .window = nextWindow_,
+                                          .requests = table_.totals(nextWindow_) };
+        std::uint64_t requests = 0;
+        for (const auto &[organisation, count] : figure.requests)
+            requests += count;
+        const milliseconds end = windowEnd(nextWindow_, options_.windowLength);
+        logEvent(missing.empty() ? LogLevel::Info : LogLevel::Warning, "usage_window_closed",
+                 { { "window", toLogNumber(nextWindow_) },
+                   { "requests", toLogNumber(requests) },
+                   { "organisations", toLogNumber(figure.requests.size()) },
+                   { "reporters", toLogNumber(table_.reporters(nextWindow_).size()) },
+                   { "missing", toLogNumber(missing.size()) },
+                   { "missing_vms", joinNames(missing) },
+                   { "age_ms", static_cast<long long>((clock_.unixTime(now) - end).count()) } });
+        if (closedWindows_)
+            closedWindows_->add();
+        log_.commit(figure, now);
+    }
+
+    const Options options_;
+    const FleetClock &clock_;
+    const duties::DutyPermit &permit_;
+    UsageTable table_;
+    FigureLog log_;
+    FigureSender sender_;
+    Counter *lateRequests_ = nullptr;
+    Counter *closedWindows_ = nullptr;
+    // The token under which this daemon holds the duties, or last did.
+    std::uint64_t token_ = 0;
+    TimePoint acquiredAt_;
+    milliseconds acquiredUnixTime_{ 0 };
+    // The log has been listed under this token.
+    bool resumed_ = false;
+    // The oldest window that is neither committed nor given up.
+    std::uint64_t nextWindow_ = 0;
+    // Windows of the log whose figures have been sent or are too old to be sent.
+    std::set<std::uint64_t> adopted_;
+};
+
+UsageCollector::UsageCollector(Options options, const Duties &duties)
+    : state_(std::make_unique<State>(std::move(options), duties))
+{}
+
+UsageCollector::~UsageCollector() = default;
+
+void UsageCollector::handleReport(const proto::UsageReport &report, const std::string &sender,
+                                  TimePoint now)
+{
+    state_->handleReport(report, sender, now);
+}
+
+void UsageCollector::tick(TimePoint now, const std::vector<std::string> &liveVms)
+{
+    state_->tick(now, liveVms);
+}
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/src/usagereporter.cpp
@@ -0,0 +1,137 @@
+#include "auburn/usage/usagereporter.h"
+
+#include "reportsplitter.h"
+
+#include "auburn/core/hash.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+namespace auburn::usage {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kCompleteInterval{ 1000 };
+// Time after the full second, and thus after the end of a window, at which complete reports begin:
+// requests that have just begun are counted by then.
+constexpr milliseconds kCompleteDelay{ 100 };
+// The complete reports of a fleet are spread over 1 ms for each daemon, up to this time, so that
+// they do not overflow the holder's receive buffer.
+constexpr milliseconds kMaxSpread{ 800 };
+// Changes are sent at this interval, or less often in fleets so large that the holder would receive
+// more than 800 of these reports a second.
+constexpr milliseconds kChangesInterval{ 100 };
+constexpr microseconds kChangesIntervalPerDaemon{ 1250 };
+// Datagrams sent in one tick, so that they do not overflow the holder's receive buffer. 21,000
+// organisations in one window are about 300 datagrams.
+constexpr std::size_t kMaxDatagramsPerTick = 32;
+
+} // namespace
+
+UsageReporter::UsageReporter(Options options, const FleetClock &clock, UsageLedger &ledger)
+    : options_(std::move(options))
+    , clock_(clock)
+    , ledger_(ledger)
+{}
+
+void UsageReporter::setHolder(const duties::DutyHolder &holder)
+{
+    if (holder.token < holder_.token)
+        return;
+    if (holder.token > holder_.token || holder.udpAddress != holder_.udpAddress) {
+        isHolderNew_ = true;
+        queue_.clear();
+    }
+    holder_ = holder;
+}
+
+void UsageReporter::handleAck(const proto::UsageAck &ack)
+{
+    // The token does not matter: a window that any holder has closed has a final figure.
+    ledger_.closeThrough(ack.closed_through());
+}
+
+void UsageReporter::tick(TimePoint now, std::size_t liveDaemons)
+{
+    const milliseconds unixTime = clock_.unixTime(now);
+    ledger_.dropExpired(unixTime);
+    if (!hasHolder())
+        return;
+    if (queue_.empty()) {
+        const bool isDue = takeCompleteReportDue(unixTime, liveDaemons);
+        if (isHolderNew_)
+            queueCompleteReport(UsageLedger::Scope::Everything, unixTime);
+        else if (isDue)
+            queueCompleteReport(UsageLedger::Scope::EndedWindows, unixTime);
+        else if (now >= nextChangesAt_)
+            queueChanges(unixTime);
+        isHolderNew_ = false;
+        if (!queue_.empty())
+            nextChangesAt_ = now
+                             + std::max<microseconds>(kChangesInterval,
+                                                      kChangesIntervalPerDaemon * liveDaemons);
+    }
+    sendQueued(kMaxDatagramsPerTick);
+}
+
+void UsageReporter::flush(TimePoint now)
+{
+    if (!hasHolder())
+        return;
+    queue_.clear();
+    queueCompleteReport(UsageLedger::Scope::Everything, clock_.unixTime(now));
+    sendQueued(std::numeric_limits<std::size_t>::max());
+}
+
+bool UsageReporter::takeCompleteReportDue(milliseconds unixTime, std::size_t liveDaemons)
+{
+    const milliseconds spread = std::min(kMaxSpread, milliseconds(liveDaemons));
+    const milliseconds share = spread * (stableHash(options_.vm) % 1000) / 1000;
+    const std::int64_t second = (unixTime - kCompleteDelay - share) / kCompleteInterval;
+    return std::exchange(lastCompleteSecond_, second) != second;
+}
+
+std::vector<proto::UsageReport> UsageReporter::makeReports(UsageLedger::Scope scope,
+                                                           milliseconds unixTime)
+{
+    proto::UsageReport header;
+    header.set_vm(options_.vm);
+    header.set_incarnation(options_.incarnation);
+    header.set_fleet_ms(static_cast<std::uint64_t>(unixTime.count()));
+    return splitReport(header, ledger_.takeReport(scope, unixTime));
+}
+
+void UsageReporter::queueChanges(milliseconds unixTime)
+{
+    std::vector<proto::UsageReport> reports = makeReports(UsageLedger::Scope::Changes, unixTime);
+    if (reports.front().windows_size() > 0)
+        std::move(reports.begin(), reports.end(), std::back_inserter(queue_));
+}
+
+void UsageReporter::queueCompleteReport(UsageLedger::Scope scope, milliseconds unixTime)
+{
+    std::vector<proto::UsageReport> reports = makeReports(scope, unixTime);
+    std::uint32_t part = 0;
+    for (proto::UsageReport &report : reports) {
+        report.set_part(++part);
+        report.set_parts(static_cast<std::uint32_t>(reports.size()));
+        queue_.push_back(std::move(report));
+    }
+}
+
+void UsageReporter::sendQueued(std::size_t limit)
+{
+    proto::PeerDatagram datagram;
+    for (; limit > 0 && !queue_.empty(); --limit) {
+        *datagram.mutable_usage_report() = std::move(queue_.front());
+        queue_.pop_front();
+        options_.send(holder_.udpAddress, datagram);
+    }
+}
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -0,0 +1,298 @@
+// Tests what the platform is told about each window when daemons, the log or the network fail.
+
+#include "usagefixture.h"
+
+namespace auburn::usage {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Counts = std::map<std::string, std::uint64_t>;
+
+namespace {
+
+// Three daemons, of which "a" holds the duties, at the beginning of a window.
+struct RunningFixture : UsageFixture
+{
+    RunningFixture()
+    {
+        for (const char *vm : { "a", "b", "c" })
+            start(vm);
+        giveDuties("a");
+        first = window() + 2;
+        runToWindow(first, milliseconds(100));
+    }
+
+    std::uint64_t first = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(usageCollector, RunningFixture)
+
+BOOST_AUTO_TEST_CASE(window_countedByAllDaemons_isReportedOnceWithTheSum)
+{
+    count("a", "x", 2);
+    count("b", "x", 3);
+    count("c", "y");
+    runToWindow(first + 1, seconds(2));
+    BOOST_TEST((reported(first) == Counts{ { "x", 5 }, { "y", 1 } }));
+    const std::size_t calls = api.figures.size();
+    run(seconds(2));
+    BOOST_TEST(api.figures.size() == calls);
+}
+
+BOOST_AUTO_TEST_CASE(window_withoutRequests_isReportedAsEmpty)
+{
+    runToWindow(first + 1, seconds(2));
+    BOOST_REQUIRE(!api.figures.empty());
+    BOOST_TEST(api.figures.back().window == first);
+    BOOST_TEST(api.figures.back().requests.empty());
+}
+
+// Guards against counts of small organisations that move to another window or get lost with a
+// datagram: one of 10 requests is more than 5%.
+BOOST_AUTO_TEST_CASE(smallOrganisation_datagramsLost_isCountedExactly)
+{
+    lossPeriod = 5;
+    for (int i = 0; i < 10; ++i) {
+        count(i % 2 == 0 ? "b" : "c", "small");
+        run(milliseconds(400));
+    }
+    runToWindow(first + 1, seconds(6));
+    BOOST_TEST((reported(first) == Counts{ { "small", 10 } }));
+    BOOST_TEST(reported(first + 1).empty());
+}
+
+// A response that arrives after the end of the window counts for the window of its request.
+BOOST_AUTO_TEST_CASE(plainRequest_respondedToAfterTheWindow_countsForItsWindow)
+{
+    runToWindow(first, milliseconds(4900));
+    const milliseconds sentAt = trueTime();
+    run(milliseconds(700));
+    daemons.at("b")->ledger.count("x", sentAt);
+    runToWindow(first + 1, seconds(3));
+    BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
+}
+
+// Guards against counts for a closed window that change its figure.
+BOOST_AUTO_TEST_CASE(count_afterTheWindowIsClosed_isDropped)
+{
+    count("b", "x");
+    const milliseconds early = trueTime();
+    runToWindow(first + 1, seconds(3));
+    daemons.at("b")->ledger.count("x", early);
+    run(seconds(3));
+    BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
+}
+
+// A killed daemon is in the list of live ones for some time: the window must not wait for it
+// longer than 4 s.
+BOOST_AUTO_TEST_CASE(window_reporterSilent_isClosedAtTheDeadline)
+{
+    count("b", "x");
+    runToWindow(first, seconds(3));
+    daemons.at("b")->reporter.setHolder({ .token = 1000, .udpAddress = "nowhere" });
+    runToWindow(first + 1, milliseconds(3500));
+    BOOST_TEST(reported(first).empty());
+    runToWindow(first + 1, milliseconds(4200));
+    BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
+}
+
+// A restarted daemon counts from 0: its counts must be added to those of its predecessor.
+BOOST_AUTO_TEST_CASE(daemon_restartedInAWindow_countsOfBothAreAdded)
+{
+    count("b", "x", 4);
+    run(milliseconds(300));
+    start("b");
+    count("b", "x", 3);
+    runToWindow(first + 1, seconds(2));
+    BOOST_TEST((reported(first) == Counts{ { "x", 7 } }));
+}
+
+// Guards against a second, different figure by the new holder.
+BOOST_AUTO_TEST_CASE(holder_killedBetweenCommitAndCall_nextOneSendsTheSameFigure)
+{
+    count("b", "x", 4);
+    api.received = false;
+    api.status = duties::CallStatus::Unknown;
+    runToWindow(first + 1, milliseconds(1500));
+    BOOST_REQUIRE(log.items.contains(std::to_string(first % 32)));
+    kill("a");
+    start("d");
+    daemons.at("d")->ledger.count("x", trueTime() - seconds(2));
+    api.received = true;
+    api.status = duties::CallStatus::Accepted;
+    run(seconds(3));
+    giveDuties("d");
+    run(milliseconds(300));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+}
+
+// A call whose response is lost is repeated with the same counts.
+BOOST_AUTO_TEST_CASE(call_responseLost_isRepeatedUnchanged)
+{
+    count("b", "x", 4);
+    runToWindow(first + 1, milliseconds(900));
+    api.figures.clear();
+    api.status = duties::CallStatus::Unknown;
+    run(milliseconds(2600));
+    // At once and after 300, 600 and 1,200 ms.
+    BOOST_TEST(api.figures.size() == 4U);
+    api.status = duties::CallStatus::Accepted;
+    run(seconds(3));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+}
+
+BOOST_AUTO_TEST_CASE(commit_responseLost_isFoundInTheLog)
+{
+    count("b", "x", 4);
+    runToWindow(first + 1, milliseconds(900));
+    log.mode = FakeLog::Mode::LosesResponses;
+    run(milliseconds(600));
+    log.mode = FakeLog::Mode::Works;
+    const std::uint64_t end = log.end;
+    run(seconds(1));
+    BOOST_TEST(log.end == end);
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+}
+
+// The old holder's append is executed after the new one has listed the log, with other counts than
+// the new one knows: the new one's append fails, and it sends what is recorded.
+BOOST_AUTO_TEST_CASE(commit_executedLate_isTheFigureThatTheNextHolderSends)
+{
+    count("c", "x", 4);
+    runToWindow(first, seconds(4));
+    log.mode = FakeLog::Mode::DelaysAppends;
+    runToWindow(first + 1, milliseconds(1300));
+    BOOST_REQUIRE(!log.delayed.empty());
+    log.delayed.resize(1);
+    log.mode = FakeLog::Mode::Works;
+    kill("a");
+    kill("c");
+    start("c");
+    run(seconds(3));
+    giveDuties("b");
+    run(milliseconds(500));
+    log.executeDelayed();
+    run(seconds(4));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+}
+
+// Two daemons that both consider themselves the holder commit one figure.
+BOOST_AUTO_TEST_CASE(holders_twoRace_onlyOneFigureIsSent)
+{
+    count("b", "x", 4);
+    run(seconds(2));
+    FakePermit &second = daemons.at("b")->permit;
+    second.number = holder.token + 1;
+    second.held = true;
+    runToWindow(first + 1, seconds(8));
+    reported(first);
+    reported(first + 1);
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+}
+
+BOOST_AUTO_TEST_CASE(store_downForTwoWindows_allWindowsAreReportedAfterwards)
+{
+    count("b", "x", 4);
+    runToWindow(first, seconds(3));
+    log.mode = FakeLog::Mode::Down;
+    // The holder cannot renew the lease.
+    run(seconds(3));
+    daemons.at("a")->permit.held = false;
+    runToWindow(first + 1, seconds(3));
+    count("c", "x", 2);
+    runToWindow(first + 2, seconds(3));
+    count("a", "y", 1);
+    log.mode = FakeLog::Mode::Works;
+    daemons.at("a")->permit.held = true;
+    runToWindow(first + 3, seconds(2));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+    BOOST_TEST((reported(first + 1) == Counts{ { "x", 2 } }));
+    BOOST_TEST((reported(first + 2) == Counts{ { "y", 1 } }));
+}
+
+// Windows that were open when the holder changed, also when nobody held the duties for a while.
+BOOST_AUTO_TEST_CASE(holder_lost_openWindowsAreReportedByTheNextOne)
+{
+    count("b", "x", 4);
+    count("c", "y", 2);
+    run(seconds(2));
+    kill("a");
+    runToWindow(first + 1, milliseconds(500));
+    count("c", "y", 1);
+    giveDuties("c");
+    runToWindow(first + 1, milliseconds(2500));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 }, { "y", 2 } }));
+    runToWindow(first + 2, milliseconds(2500));
+    BOOST_TEST((reported(first + 1) == Counts{ { "y", 1 } }));
+}
+
+// An empty figure would be wrong if those that could report the window were replaced.
+BOOST_AUTO_TEST_CASE(window_beforeTheHolderThatNobodyReported_isNotReported)
+{
+    for (const char *vm : { "a", "b", "c" })
+        kill(vm);
+    start("d");
+    runToWindow(first + 2, seconds(1));
+    giveDuties("d");
+    runToWindow(first + 3, seconds(3));
+    for (const duties::UsageFigure &figure : api.figures)
+        BOOST_TEST((figure.window < first || figure.window >= first + 2));
+}
+
+BOOST_AUTO_TEST_CASE(clocks_ofAMinorityJump_countsStayInTheirWindows)
+{
+    runToWindow(first, milliseconds(3500));
+    daemons.at("b")->wallError = seconds(2);
+    run(milliseconds(100));
+    count("b", "x", 4);
+    runToWindow(first + 1, milliseconds(1000));
+    daemons.at("b")->wallError = -seconds(2);
+    run(milliseconds(100));
+    count("b", "x", 1);
+    runToWindow(first + 2, seconds(2));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+    BOOST_TEST((reported(first + 1) == Counts{ { "x", 1 } }));
+}
+
+// 21,000 organisations exceed the size of a record; the figure must still be committed as a whole.
+BOOST_AUTO_TEST_CASE(organisations_21000_areReportedCompletely)
+{
+    constexpr unsigned kOrganisations = 21000;
+    for (unsigned i = 0; i < kOrganisations; ++i)
+        count("b", "huka" + std::to_string(i));
+    runToWindow(first + 1, seconds(4));
+    BOOST_TEST(reported(first).size() == kOrganisations);
+    BOOST_TEST(log.items.contains(std::to_string(first % 32) + "-1-2"));
+}
+
+// Guards against a figure that is put together from parts of two holders.
+BOOST_AUTO_TEST_CASE(figureInParts_holderKilledBetweenThem_isReplacedAsAWhole)
+{
+    constexpr unsigned kOrganisations = 21000;
+    for (unsigned i = 0; i < kOrganisations; ++i)
+        count("b", "huka" + std::to_string(i));
+    runToWindow(first, seconds(4));
+    log.mode = FakeLog::Mode::DelaysAppends;
+    runToWindow(first + 1, seconds(3));
+    BOOST_REQUIRE(!log.delayed.empty());
+    log.mode = FakeLog::Mode::Works;
+    log.delayed.resize(1);
+    log.executeDelayed();
+    const std::string firstPart = std::to_string(first % 32) + "-1-2";
+    BOOST_REQUIRE(log.items.contains(firstPart));
+    const std::uint64_t offset = log.items.at(firstPart).offset;
+    kill("a");
+    start("d");
+    daemons.at("d")->ledger.count("huka0", trueTime() - seconds(4));
+    giveDuties("d");
+    run(seconds(4));
+    BOOST_TEST(log.items.at(firstPart).offset > offset);
+    BOOST_TEST(reported(first).size() == kOrganisations);
+    BOOST_TEST(reported(first)["huka0"] == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::usage
--- /dev/null
+++ b/packages/usage/tests/usagefixture.h
@@ -0,0 +1,169 @@
+// UsageFixture runs the usage reporting of several daemons in simulated time, with a log, an
+// interface of the platform and a network that fail as a test asks.
+#pragma once
+
+#include "auburn/duties/conditionallog.h"
+#include "auburn/duties/dutyapi.h"
+#include "auburn/duties/dutypermit.h"
+#include "auburn/usage/fleetclock.h"
+#include "auburn/usage/usagecollector.h"
+#include "auburn/usage/usageledger.h"
+#include "auburn/usage/usagereporter.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace auburn::usage {
+
+// The partition of the log that all daemons share.
+class FakeLog : public duties::ConditionalLog
+{
+public:
+    enum class Mode {
+        Works,
+        // Nothing is done, and the caller learns so.
+        Down,
+        // Appends are executed, but their responses are lost.
+        LosesResponses,
+        // Appends get no response and are executed by executeDelayed().
+        DelaysAppends,
+    };
+
+    void list(ListHandler handler) override
+    {
+        if (mode == Mode::Down) {
+            handler(std::nullopt);
+            return;
+        }
+        duties::LogListing listing{ .end = end };
+        for (const auto &[key, item] : items)
+            listing.items.push_back(item);
+        handler(std::move(listing));
+    }
+
+    void append(std::string key, std::string value, std::uint64_t expectedEnd,
+                AppendHandler handler) override
+    {
+        BOOST_TEST(key.size() + value.size() <= 262144U);
+        if (mode == Mode::Down) {
+            handler({ .status = duties::AppendStatus::NotDone });
+        } else if (mode == Mode::DelaysAppends) {
+            delayed.push_back([=, this] { execute(key, value, expectedEnd); });
+            handler({});
+        } else {
+            const duties::AppendResult result = execute(key, value, expectedEnd);
+            handler(mode == Mode::LosesResponses ? duties::AppendResult{} : result);
+        }
+    }
+
+    void executeDelayed()
+    {
+        for (const auto &append : std::exchange(delayed, {}))
+            append();
+    }
+
+    duties::AppendResult execute(const std::string &key, const std::string &value,
+                                 std::uint64_t expectedEnd)
+    {
+        if (expectedEnd != end)
+            return { .status = duties::AppendStatus::Conflict, .end = end };
+        items[key] = { .key = key, .value = value, .offset = end };
+        ++end;
+        return { .status = duties::AppendStatus::Appended, .offset = end - 1, .end = end };
+    }
+
+    Mode mode = Mode::Works;
+    std::map<std::string, duties::LogItem> items;
+    std::uint64_t end = 7;
+    std::vector<std::function<void()>> delayed;
+};
+
+struct FakePermit : duties::DutyPermit
+{
+    bool isHeld() const override { return held; }
+    std::uint64_t token() const override { return number; }
+
+    bool held = false;
+    std::uint64_t number = 0;
+};
+
+// Collects the figures that the platform received, in the order of the calls.
+struct FakeApi : duties::DutyApi
+{
+    void reportUsage(const duties::UsageFigure &figure, Handler handler) override
+    {
+        if (received)
+            figures.push_back(figure);
+        handler(status);
+    }
+    void orderServers(const duties::ServerOrder & /*order*/, Handler /*handler*/) override {}
+
+    std::vector<duties::UsageFigure> figures;
+    // Whether calls take effect, and what the caller learns.
+    bool received = true;
+    duties::CallStatus status = duties::CallStatus::Accepted;
+};
+
+// One daemon process.
+struct FakeDaemon
+{
+    FakeDaemon(const std::string &name, std::uint64_t incarnation, FakeLog &log, FakeApi &api,
+               const SendDatagram &send)
+        : vm(name)
+        , clock(name)
+        , reporter({ .vm = name, .incarnation = incarnation, .send = send }, clock, ledger)
+        , collector({ .send = send }, { .clock = clock, .log = log, .api = api, .permit = permit })
+    {}
+
+    const std::string vm;
+    FakePermit permit;
+    FleetClock clock;
+    UsageLedger ledger{ {} };
+    UsageReporter reporter;
+    UsageCollector collector;
+    // Error of the wall clock.
+    std::chrono::milliseconds wallError{ 0 };
+};
+
+struct UsageFixture
+{
+    using TimePoint = BootClock::time_point;
+
+    // Starts a daemon, or restarts it.
+    FakeDaemon &start(const std::string &vm);
+    void kill(const std::string &vm) { daemons.erase(vm); }
+    // Lets a daemon hold the duties under the next token; the previous holder stops.
+    void giveDuties(const std::string &vm);
+    void count(const std::string &vm, const std::string &organisation, unsigned requests = 1);
+    // Moves time on in ticks of 100 ms.
+    void run(std::chrono::milliseconds time);
+    // Moves time on to an offset within the next window.
+    void runToWindow(std::uint64_t window, std::chrono::milliseconds offset);
+    void deliver(const std::string &address, const proto::PeerDatagram &datagram);
+    std::chrono::milliseconds trueTime() const;
+    std::uint64_t window() const { return windowAt(trueTime(), kDefaultWindowLength); }
+    // The figure that the platform received for a window; fails if there were different ones.
+    // Empty if it received none.
+    std::map<std::string, std::uint64_t> reported(std::uint64_t window) const;
+
+    // The address of a daemon is its name.
+    std::map<std::string, std::unique_ptr<FakeDaemon>> daemons;
+    FakeLog log;
+    FakeApi api;
+    TimePoint now{ std::chrono::seconds(1000) };
+    duties::DutyHolder holder;
+    std::uint64_t incarnations = 0;
+    // Every n-th datagram is lost; 0 for none.
+    unsigned lossPeriod = 0;
+    unsigned datagrams = 0;
+};
+
+} // namespace auburn::usage
