--- a/packages/routing/include/auburn/routing/attempt.h
+++ b/packages/routing/include/auburn/routing/attempt.h
@@ -60,6 +60,8 @@
     std::uint64_t ownerNumber = 0;
     // Age of the server's last load report; empty if there was none.
     std::optional<std::chrono::milliseconds> reportAge;
+    // Name of the service; set only where the demand of services is measured.
+    std::string service;
 };
 
 // How an attempt ended, as far as the outcome says something about the server.
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,6 +41,10 @@
     std::int64_t startedAtUnixMs = 0;
     // Number of commands or heartbeats since the start.
     std::int64_t sequence = 0;
+    // The platform may reclaim the server at any time, with little notice.
+    bool spot = false;
+    // The time at which the platform takes the server away; empty if it has announced none.
+    std::optional<std::chrono::steady_clock::time_point> leavesAt;
 };
 
 // Result of applying an update or a removal.
@@ -109,6 +114,8 @@
     // Returns null if no entry has the id.
     const BackendServer *find(std::string_view id) const;
     std::vector<std::string> ids() const;
+    // Calls the function for every entry.
+    void visit(const std::function<void(const BackendServer &)> &function) const;
     std::size_t size() const { return entries_.size(); }
 
 private:
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -79,6 +80,20 @@
     unsigned tokensPerEvent = 1;
 };
 
+// The bounds within which the number of a service's backend servers may be changed.
+struct ScalingPolicy
+{
+    // Numbers of servers of both kinds together, for each failure domain.
+    unsigned minPerDomain = 0;
+    unsigned maxPerDomain = 0;
+    // Time after which a new server starts serving.
+    std::chrono::milliseconds bootTime{ 4000 };
+    // Price of a spot server as a fraction of the on-demand price.
+    double spotPrice = 0.18;
+    // Relative prices by failure domain; 1 where none is given.
+    std::map<std::string, double> domainPrices;
+};
+
 // A group of interchangeable backend servers.
 struct Service
 {
@@ -87,6 +102,8 @@
     std::optional<EngineModel> engine;
     // Number of connections that one server accepts from all daemons together; 0 if unknown.
     unsigned maxConnections = 0;
+    // Empty if the number of servers must not be changed.
+    std::optional<ScalingPolicy> scaling;
 };
 
 // Limits that apply to all connections and requests of callers.
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -22,6 +22,20 @@
 // little time, but the copied parts take up memory of a second engine.
 constexpr double kCopyCostShare = 0.5;
 
+// Usual time of a whole request: a stream of an engine, or the response of a plain service.
+// Estimates: a stream lasts several seconds, and a plain response takes about 40 ms (see
+// prediction.cpp) and rarely ten times as long.
+constexpr std::chrono::milliseconds kUsualStreamTime{ 5000 };
+constexpr std::chrono::milliseconds kUsualResponseTime{ 500 };
+
+// Returns true if the platform takes the server away before a request that starts now would
+// usually end.
+bool leavesTooSoon(const BackendServer &server, const Service &service, Placement::TimePoint now)
+{
+    const auto usual = service.engine ? kUsualStreamTime : kUsualResponseTime;
+    return server.leavesAt && *server.leavesAt - now < usual;
+}
+
 // Returns the uncached tokens of a prompt whose shared parts are copied from another engine, as
 // the number of tokens that are as expensive to prefill.
 std::uint64_t uncachedWithCopy(std::uint64_t uncachedTokens, std::uint64_t ownTokens)
@@ -100,6 +114,8 @@
     Candidates candidates;
     candidates.all.reserve(servers.size());
     for (const BackendServer *server : servers) {
+        if (leavesTooSoon(*server, *query.service, now))
+            continue;
         const ServerView &known = view(server->id, *query.service);
         candidates.all.push_back({ .server = server,
                                    .view = &known,
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -1,5 +1,6 @@
 #include "auburn/routing/serverdirectory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburn::routing {
@@ -21,7 +22,17 @@
 {
     return left.service == right.service && left.address == right.address
            && left.failureDomain == right.failureDomain && left.slots == right.slots
-           && left.state == right.state;
+           && left.state == right.state && left.spot == right.spot
+           && left.leavesAt.has_value() == right.leavesAt.has_value();
+}
+
+// Keeps the earlier of two announced times: a copy of an entry that is read late states the time
+// left as of an earlier moment.
+void keepEarlierLeaving(BackendServer &update, const BackendServer &known)
+{
+    const bool sameStart = update.startedAtUnixMs == known.startedAtUnixMs;
+    if (sameStart && update.leavesAt && known.leavesAt)
+        update.leavesAt = std::min(update.leavesAt, known.leavesAt);
 }
 
 } // namespace
@@ -66,6 +77,7 @@
         return DirectoryChange::Stale;
     const bool restarted = server.startedAtUnixMs > entry.server.startedAtUnixMs;
     const bool unchanged = hasSameRouting(server, entry.server) && !entry.removeAt;
+    keepEarlierLeaving(server, entry.server);
     entry.server = std::move(server);
     entry.position = position;
     entry.removeAt.reset();
@@ -220,6 +232,12 @@
     return first;
 }
 
+void ServerDirectory::visit(const std::function<void(const BackendServer &)> &function) const
+{
+    for (const auto &[id, entry] : entries_)
+        function(entry.server);
+}
+
 const BackendServer *ServerDirectory::find(std::string_view id) const
 {
     const auto found = entries_.find(id);
--- /dev/null
+++ b/packages/scaling/src/autoscaler.cpp
@@ -0,0 +1,101 @@
+#include "auburn/scaling/autoscaler.h"
+
+#include "scalingmetrics.h"
+
+#include <utility>
+
+namespace auburn::scaling {
+
+namespace {
+
+// The services that may be scaled, without their servers.
+std::map<std::string, ServiceState> scaledServices(const routing::TrafficConfig &config)
+{
+    std::map<std::string, ServiceState> services;
+    for (const routing::Service &service : config.services()) {
+        if (!service.scaling)
+            continue;
+        ServiceState &state = services[service.name];
+        state.name = service.name;
+        state.policy = *service.scaling;
+    }
+    return services;
+}
+
+void addServer(DomainServers &servers, const routing::BackendServer &server)
+{
+    if (server.leavesAt)
+        servers.spotReclaimed |= server.spot;
+    else if (server.state == routing::ServerState::Ready)
+        ++(server.spot ? servers.spot : servers.onDemand);
+}
+
+} // namespace
+
+Autoscaler::Autoscaler(Options options)
+    : options_(std::move(options))
+    , planner_(options_.planner)
+    , book_({ .api = options_.api, .permit = options_.permit, .metrics = options_.metrics })
+    , metrics_(std::make_unique<ScalingMetrics>(options_.metrics))
+{}
+
+Autoscaler::~Autoscaler() = default;
+
+void Autoscaler::recordReport(const proto::DemandReport &report, TimePoint now)
+{
+    table_.record(report, now);
+}
+
+void Autoscaler::tick(unsigned liveDaemons, TimePoint now)
+{
+    if (!options_.permit->isHeld()) {
+        if (std::exchange(active_, false))
+            stop();
+        return;
+    }
+    active_ = true;
+    table_.update(now);
+    // Without the registry, neither new nor missing servers would be seen.
+    if (!*options_.config || !options_.directory->isRegistryAvailable())
+        return;
+    const FleetState state = observeFleet(liveDaemons, now);
+    const std::vector<PlannedOrder> orders = planner_.plan(state, now);
+    book_.update(orders, now);
+    metrics_->setReportingDaemons(table_.reportingDaemons());
+    metrics_->setServers(state, orders);
+    for (const ServiceState &service : state.services)
+        metrics_->setNeeded(service.name, planner_.neededServers(service.name));
+}
+
+FleetState Autoscaler::observeFleet(unsigned liveDaemons, TimePoint now) const
+{
+    std::map<std::string, ServiceState> services = scaledServices(**options_.config);
+    std::map<std::string, unsigned> listed;
+    options_.directory->visit([&](const routing::BackendServer &server) {
+        const auto found = services.find(server.service);
+        if (found == services.end())
+            return;
+        ServiceState &service = found->second;
+        addServer(service.domains[server.failureDomain], server);
+        const double count = ++listed[server.service];
+        service.slots += (server.slots - service.slots) / count;
+    });
+    FleetState state{ .demandComplete = table_.isComplete(liveDaemons),
+                      .unavailable = book_.unavailable(now),
+                      .unanswered = book_.unanswered(now) };
+    for (auto &[name, service] : services) {
+        service.load = table_.load(name);
+        state.services.push_back(std::move(service));
+    }
+    return state;
+}
+
+void Autoscaler::stop()
+{
+    table_.clear();
+    planner_.reset();
+    book_.reset();
+    metrics_->clear();
+}
+
+} // namespace auburn::scaling
--- /dev/null
+++ b/packages/scaling/src/fleetplanner.cpp
@@ -0,0 +1,85 @@
+#include "auburn/scaling/fleetplanner.h"
+
+#include "serviceplanner.h"
+
+#include <iterator>
+#include <utility>
+
+namespace auburn::scaling {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time for which the demand must have been complete before servers are given back.
+constexpr milliseconds kCompleteTime{ 5000 };
+// Time for which a new holder observes the demand before it gives servers back. It covers a
+// wave with a period of 11 s, and the arrival of what the previous holder ordered.
+constexpr milliseconds kObservationTime{ 12000 };
+// Every daemon reports within this time after it has learned of a new holder. Until then an order
+// could cancel servers that the previous holder ordered and that are not listed yet.
+constexpr milliseconds kFirstReportsTime{ 1500 };
+
+} // namespace
+
+std::string_view orderReasonName(OrderReason reason)
+{
+    switch (reason) {
+    case OrderReason::Shortage:
+        return "shortage";
+    case OrderReason::Replacement:
+        return "replacement";
+    case OrderReason::Surplus:
+        return "surplus";
+    }
+    return "unknown";
+}
+
+FleetPlanner::FleetPlanner(Options options)
+    : options_(options)
+{}
+
+FleetPlanner::~FleetPlanner() = default;
+
+std::vector<PlannedOrder> FleetPlanner::plan(const FleetState &state, TimePoint now)
+{
+    if (!startedAt_)
+        startedAt_ = now;
+    if (!state.demandComplete)
+        completeSince_.reset();
+    else if (!completeSince_)
+        completeSince_ = now;
+    const PlanContext context{ .fleet = state,
+                               .options = options_,
+                               .startedAt = *startedAt_,
+                               .mayGiveBack = completeSince_
+                                              && now - *completeSince_ >= kCompleteTime
+                                              && now - *startedAt_ >= kObservationTime };
+    if (now - *startedAt_ < kFirstReportsTime)
+        return {};
+    std::vector<PlannedOrder> orders;
+    for (const ServiceState &service : state.services) {
+        std::unique_ptr<ServicePlanner> &planner = services_[service.name];
+        if (!planner)
+            planner = std::make_unique<ServicePlanner>();
+        std::vector<PlannedOrder> part = planner->plan(service, context, now);
+        orders.insert(orders.end(), std::make_move_iterator(part.begin()),
+                      std::make_move_iterator(part.end()));
+    }
+    return orders;
+}
+
+unsigned FleetPlanner::neededServers(const std::string &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second->neededServers();
+}
+
+void FleetPlanner::reset()
+{
+    services_.clear();
+    startedAt_.reset();
+    completeSince_.reset();
+}
+
+} // namespace auburn::scaling
--- /dev/null
+++ b/packages/scaling/src/grouptrack.cpp
@@ -0,0 +1,47 @@
+#include "grouptrack.h"
+
+#include <utility>
+
+namespace auburn::scaling {
+
+void GroupTrack::observe(const Observation &observation, TimePoint now)
+{
+    running_ = observation.running;
+    declined_ = observation.declined;
+    unanswered_ = observation.unanswered;
+    const auto age = now - changedAt_;
+    const bool late = inTransit_ && age >= observation.arrivalTime;
+    const bool lost = inTransit_ && age >= 2 * observation.arrivalTime;
+    const bool arrived = reason_ == OrderReason::Surplus ? running_ <= wanted_
+                                                         : running_ >= wanted_;
+    const bool declinedGrowth = declined_ && isGrowing();
+    overdue_ = false;
+    if (!std::exchange(observed_, true) || !inTransit_ || arrived || declinedGrowth || lost) {
+        // Servers that come or go without an order are taken as they are.
+        inTransit_ = false;
+        wanted_ = running_;
+    } else if (late) {
+        // Servers that are late are not counted on. Their order stays for the same time again,
+        // because they may only be slow; an order to give servers back is decided anew.
+        overdue_ = isGrowing();
+        if (!overdue_)
+            wanted_ = running_;
+        inTransit_ = overdue_;
+    }
+    if (declinedGrowth || (!inTransit_ && age >= observation.arrivalTime))
+        isOrdered_ = false;
+}
+
+void GroupTrack::order(unsigned wanted, OrderReason reason, TimePoint now)
+{
+    if (wanted == wanted_)
+        return;
+    wanted_ = wanted;
+    reason_ = reason;
+    changedAt_ = now;
+    inTransit_ = true;
+    ordered_ = wanted;
+    isOrdered_ = true;
+}
+
+} // namespace auburn::scaling
--- /dev/null
+++ b/packages/scaling/src/orderbook.cpp
@@ -0,0 +1,194 @@
+#include "auburn/scaling/orderbook.h"
+
+#include "auburn/core/log.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace auburn::scaling {
+
+using duties::CallStatus;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kMaxCallsPerSecond = 10;
+constexpr milliseconds kSecond{ 1000 };
+// Delay before a failed call is repeated; it doubles with each further failure of the group.
+constexpr milliseconds kInitialRetryDelay{ 500 };
+constexpr milliseconds kMaxRetryDelay{ 4000 };
+// Time for which no servers are ordered where the platform had none left.
+constexpr milliseconds kUnavailableTime{ 5000 };
+// An accepted order that is still in force is repeated after this time, in case it was lost.
+constexpr milliseconds kRepeatTime{ 7000 };
+// An order of spot servers without an answer for this time is not counted on.
+constexpr milliseconds kSlowAnswerTime{ 2000 };
+// A call without an answer for this time counts as lost, whatever becomes of it.
+constexpr milliseconds kLostAnswerTime{ 15000 };
+
+std::string_view statusName(CallStatus status)
+{
+    switch (status) {
+    case CallStatus::Accepted:
+        return "accepted";
+    case CallStatus::NoneAvailable:
+        return "none_available";
+    case CallStatus::RateLimited:
+        return "rate_limited";
+    case CallStatus::Rejected:
+        return "rejected";
+    case CallStatus::NotSent:
+        return "not_sent";
+    case CallStatus::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string_view kindName(bool spot)
+{
+    return spot ? "spot" : "on_demand";
+}
+
+} // namespace
+
+OrderBook::OrderBook(Options options)
+    : options_(options)
+    , answers_(std::make_shared<std::vector<Answer>>())
+{}
+
+void OrderBook::reset()
+{
+    entries_.clear();
+    // Answers to earlier calls no longer matter.
+    answers_ = std::make_shared<std::vector<Answer>>();
+}
+
+void OrderBook::update(std::vector<PlannedOrder> orders, TimePoint now)
+{
+    handleAnswers(now);
+    std::stable_sort(orders.begin(), orders.end(),
+                     [](const PlannedOrder &left, const PlannedOrder &right) {
+                         return left.reason < right.reason;
+                     });
+    for (const PlannedOrder &planned : orders) {
+        const duties::ServerOrder &order = planned.order;
+        const ServerGroup group{ .service = order.service,
+                                 .failureDomain = order.failureDomain,
+                                 .spot = order.spot };
+        Entry &entry = entries_[group];
+        if (!isDue(entry, order.desired, now))
+            continue;
+        if (!options_.permit->isHeld() || !takeCall(now))
+            return;
+        send(planned, group, entry, now);
+    }
+}
+
+bool OrderBook::isDue(const Entry &entry, unsigned desired, TimePoint now) const
+{
+    if (entry.call || now < entry.retryAt || now < entry.unavailableUntil)
+        return false;
+    return entry.accepted != desired || now - entry.acceptedAt >= kRepeatTime;
+}
+
+bool OrderBook::takeCall(TimePoint now)
+{
+    while (!callTimes_.empty() && now - callTimes_.front() >= kSecond)
+        callTimes_.pop_front();
+    if (callTimes_.size() >= kMaxCallsPerSecond)
+        return false;
+    callTimes_.push_back(now);
+    return true;
+}
+
+void OrderBook::send(const PlannedOrder &planned, const ServerGroup &group, Entry &entry,
+                     TimePoint now)
+{
+    const duties::ServerOrder &order = planned.order;
+    entry.call = Call{ .number = nextNumber_++, .desired = order.desired, .sentAt = now };
+    logEvent(LogLevel::Info, "servers_ordered",
+             { { "service", order.service },
+               { "failure_domain", order.failureDomain },
+               { "kind", kindName(order.spot) },
+               { "desired", static_cast<long long>(order.desired) },
+               { "running", static_cast<long long>(planned.running) },
+               { "needed", static_cast<long long>(planned.needed) },
+               { "reason", orderReasonName(planned.reason) } });
+    options_.api->orderServers(order, [answers = answers_, group, number = entry.call->number](
+                                              CallStatus status) {
+        answers->push_back({ .group = group, .number = number, .status = status });
+    });
+}
+
+void OrderBook::handleAnswers(TimePoint now)
+{
+    const std::vector<Answer> answers = std::exchange(*answers_, {});
+    for (const Answer &answer : answers)
+        handleAnswer(answer, now);
+    for (const auto &[group, entry] : entries_) {
+        if (entry.call && now - entry.call->sentAt >= kLostAnswerTime)
+            handleAnswer({ .group = group, .number = entry.call->number }, now);
+    }
+}
+
+void OrderBook::handleAnswer(const Answer &answer, TimePoint now)
+{
+    const auto found = entries_.find(answer.group);
+    const bool awaited = found != entries_.end() && found->second.call
+                         && found->second.call->number == answer.number;
+    if (!awaited)
+        return;
+    Entry &entry = found->second;
+    const Call call = *std::exchange(entry.call, std::nullopt);
+    if (options_.metrics)
+        options_.metrics
+                ->counter("auburn_scaling_orders_total", "Orders of servers by result",
+                          { { "result", std::string(statusName(answer.status)) } })
+                .add();
+    if (answer.status == CallStatus::Accepted) {
+        entry.accepted = call.desired;
+        entry.acceptedAt = now;
+        entry.failures = 0;
+        return;
+    }
+    logEvent(LogLevel::Warning, "server_order_failed",
+             { { "service", answer.group.service },
+               { "failure_domain", answer.group.failureDomain },
+               { "kind", kindName(answer.group.spot) },
+               { "desired", static_cast<long long>(call.desired) },
+               { "result", statusName(answer.status) } });
+    if (answer.status == CallStatus::NoneAvailable) {
+        entry.unavailableUntil = now + kUnavailableTime;
+        entry.failures = 0;
+        return;
+    }
+    // The call may have taken effect, so what was accepted before no longer tells anything.
+    entry.accepted.reset();
+    const unsigned doublings = std::min(entry.failures, 4U);
+    ++entry.failures;
+    entry.retryAt = now + std::min(kInitialRetryDelay * (1U << doublings), kMaxRetryDelay);
+}
+
+std::set<ServerGroup> OrderBook::unavailable(TimePoint now) const
+{
+    std::set<ServerGroup> groups;
+    for (const auto &[group, entry] : entries_) {
+        if (now < entry.unavailableUntil)
+            groups.insert(group);
+    }
+    return groups;
+}
+
+std::set<ServerGroup> OrderBook::unanswered(TimePoint now) const
+{
+    std::set<ServerGroup> groups;
+    for (const auto &[group, entry] : entries_) {
+        if (group.spot && entry.call && now - entry.call->sentAt >= kSlowAnswerTime)
+            groups.insert(group);
+    }
+    return groups;
+}
+
+} // namespace auburn::scaling
--- /dev/null
+++ b/packages/scaling/src/serviceplanner.h
@@ -0,0 +1,97 @@
+// ServicePlanner plans the servers of one service; see FleetPlanner.
+#pragma once
+
+#include "composition.h"
+#include "grouptrack.h"
+
+#include "auburn/scaling/fleetplanner.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburn::scaling {
+
+// What the planner of a service has to know about the holder.
+struct PlanContext
+{
+    const FleetState &fleet;
+    FleetPlanner::Options options;
+    TimePoint startedAt;
+    // Servers may be given back: the demand has been known for long enough.
+    bool mayGiveBack = false;
+};
+
+class ServicePlanner
+{
+public:
+    ServicePlanner();
+
+    std::vector<PlannedOrder> plan(const ServiceState &service, const PlanContext &context,
+                                   TimePoint now);
+    unsigned neededServers() const { return need_.servers; }
+
+private:
+    struct Domain
+    {
+        std::string name;
+        double price = 1;
+        GroupTrack onDemand;
+        GroupTrack spot;
+        // Changes that are still allowed in the current step.
+        unsigned changesLeft = 0;
+
+        unsigned expected() const { return onDemand.expected() + spot.expected(); }
+        unsigned usable() const { return onDemand.usable() + spot.usable(); }
+    };
+    // The group of one kind in one failure domain.
+    struct Group
+    {
+        Domain *domain = nullptr;
+        GroupTrack Domain::*track = nullptr;
+        unsigned target = 0;
+
+        GroupTrack &get() const { return domain->*track; }
+        // Servers that are missing for the target, or are beyond it.
+        unsigned missing() const;
+        unsigned surplus() const;
+    };
+
+    void observe(const ServiceState &service, const PlanContext &context, TimePoint now);
+    void updateNeed(const ServiceState &service, const PlanContext &context, TimePoint now);
+    // Returns all groups with the numbers that they should have.
+    std::vector<Group> makeTargets(const ServiceState &service, const PlanContext &context);
+    // Orders what is needed and neither runs nor starts.
+    void orderShortage(const std::vector<Group> &groups, unsigned maxPerDomain, TimePoint now);
+    // Orders one more server in the group that misses the most; false if no group can take one.
+    static bool orderOneMore(const std::vector<Group> &groups, unsigned maxPerDomain,
+                             OrderReason reason, bool beyondTarget, TimePoint now);
+    // Returns true if a server was given back.
+    bool giveBackSurplus(const std::vector<Group> &groups, unsigned minPerDomain, TimePoint now);
+    // Gives back up to quota servers of one kind and returns how many were given back.
+    unsigned giveBack(const std::vector<Group> &groups, GroupTrack Domain::*kind, unsigned quota,
+                      unsigned minPerDomain, TimePoint now);
+    // Returns true if the servers that would remain after one of the group is given back are still
+    // enough without the spot servers of any one failure domain.
+    bool isLossCovered(const Group &group) const;
+    // Returns true if a server was ordered that is to replace another one.
+    bool orderReplacements(const std::vector<Group> &groups, unsigned maxPerDomain,
+                           const PlanContext &context, TimePoint now);
+    unsigned expectedServers() const;
+    unsigned usableServers() const;
+    std::vector<PlannedOrder> orders(const std::string &service) const;
+
+    std::vector<Domain> domains_;
+    SlidingMaximum recentServers_;
+    SlidingMaximum recentWithoutReserve_;
+    // Need with complete demand; it remains while the demand is incomplete.
+    CompositionNeed completeNeed_;
+    CompositionNeed need_;
+    // Mean number of slots when a server was last listed.
+    double slots_ = 0;
+    // Servers that ran when this daemon became the holder.
+    std::optional<unsigned> serversAtStart_;
+    std::optional<TimePoint> steppedAt_;
+};
+
+} // namespace auburn::scaling
--- /dev/null
+++ b/packages/scaling/tests/autoscaler_test.cpp
@@ -0,0 +1,193 @@
+#include "fleetsimulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <random>
+
+namespace auburn::scaling {
+
+namespace {
+
+// Time within which the simulated fleet reaches the composition for a steady load.
+constexpr double kSettleTime = 120;
+
+struct SettledFleet : FleetSimulation
+{
+    SettledFleet()
+    {
+        run(kSettleTime);
+        calls.clear();
+    }
+
+    bool wasGivenBack(unsigned before) const { return ready() < before; }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(autoscaler)
+
+// Guards against paying for idle on-demand servers, and against a change in one go, after which
+// callers would find cold prefix caches everywhere.
+BOOST_FIXTURE_TEST_CASE(lowLoad_onDemandFleet_becomesMostlySpotInSteps, FleetSimulation)
+{
+    unsigned previous = ready();
+    double smallestShare = 1;
+    run(kSettleTime, [&] {
+        smallestShare = std::min(smallestShare, double(ready()) / previous);
+        previous = ready();
+        BOOST_REQUIRE(ready() >= busyServers());
+    });
+    const unsigned needed = static_cast<unsigned>(std::ceil(busyServers() * 1.5));
+    BOOST_TEST(ready() >= needed);
+    BOOST_TEST(ready() <= needed * 1.1 + 1);
+    BOOST_TEST(ready(false) <= needed * 0.3 + 1);
+    BOOST_TEST(smallestShare >= 0.84);
+    calls.clear();
+    run(60);
+    BOOST_TEST(calls.empty());
+}
+
+// Guards against capacity that arrives step by step while callers wait.
+BOOST_FIXTURE_TEST_CASE(burst_servers_areOrderedAtOnce, SettledFleet)
+{
+    load = [](double) { return 900.0; };
+    run(2.2);
+    run(5);
+    BOOST_TEST(ready() >= static_cast<unsigned>(std::ceil(busyServers() * 1.5)));
+}
+
+// Guards against a fleet that is too small for the second of two bursts.
+BOOST_FIXTURE_TEST_CASE(lull_ofTenSeconds_givesNothingBack, SettledFleet)
+{
+    const unsigned before = ready();
+    load = [](double) { return 50.0; };
+    run(10);
+    load = [](double) { return 300.0; };
+    run(40, [&] { BOOST_REQUIRE(!wasGivenBack(before)); });
+}
+
+// Guards against a fleet that is too small after the platform reclaims the spot servers of a
+// failure domain, and against on-demand servers that stay for good.
+BOOST_FIXTURE_TEST_CASE(spotLoss_duringBurst_isReplacedOnDemandAndGivenBack, SettledFleet)
+{
+    load = [](double) { return 900.0; };
+    run(20);
+    const unsigned onDemand = ready(false);
+    reclaim(mostSpotDomain());
+    run(7, [&] { BOOST_REQUIRE(ready() >= busyServers()); });
+    BOOST_TEST(ready() >= static_cast<unsigned>(std::ceil(busyServers() * 1.5)));
+    BOOST_TEST(ready(false) > onDemand);
+    run(kSettleTime, [&] { BOOST_REQUIRE(ready() >= busyServers()); });
+    BOOST_TEST(ready(false) <= onDemand + 3);
+}
+
+// Guards against a flood of calls that cannot succeed, and against giving up what runs.
+BOOST_FIXTURE_TEST_CASE(noServersAnywhere_burst_keepsFleetAndRetriesRarely, SettledFleet)
+{
+    const unsigned before = ready();
+    noSpot = true;
+    noOnDemand = true;
+    load = [](double) { return 900.0; };
+    run(30, [&] { BOOST_REQUIRE(ready() == before); });
+    // Each of the 12 groups may be tried every 5 s.
+    BOOST_TEST(!calls.empty());
+    BOOST_TEST(calls.size() <= 12U * 7);
+    noOnDemand = false;
+    run(10.2);
+    BOOST_TEST(ready() >= static_cast<unsigned>(std::ceil(busyServers() * 1.5)));
+}
+
+// Guards against servers that are ordered twice, and against an order that is dropped.
+BOOST_FIXTURE_TEST_CASE(lostAnswer_order_isRepeatedWithTheSameNumber, SettledFleet)
+{
+    load = [](double) { return 900.0; };
+    loseAnswer = true;
+    run(4);
+    BOOST_REQUIRE(!loseAnswer);
+    const duties::ServerOrder first = calls.front().order;
+    const auto repeats = std::count_if(calls.begin(), calls.end(), [&](const Call &call) {
+        return call.order == first;
+    });
+    BOOST_TEST(repeats == 2);
+    run(4);
+    BOOST_TEST(ready() <= std::ceil(busyServers() * 1.5) + 1);
+}
+
+// Guards against a new holder that gives servers back before it knows the demand.
+BOOST_FIXTURE_TEST_CASE(newHolder_withoutHistory_givesNothingBackAtFirst, SettledFleet)
+{
+    load = [](double) { return 900.0; };
+    run(20);
+    const unsigned before = ready();
+    load = [](double) { return 100.0; };
+    changeHolder();
+    run(10, [&] { BOOST_REQUIRE(!wasGivenBack(before)); });
+    run(kSettleTime);
+    BOOST_TEST(wasGivenBack(before));
+}
+
+// Guards against a new holder that does not act before it knows everything: callers wait.
+BOOST_FIXTURE_TEST_CASE(newHolder_duringBurst_ordersWithinSeconds, SettledFleet)
+{
+    load = [](double) { return 900.0; };
+    changeHolder();
+    run(8);
+    BOOST_TEST(ready() >= static_cast<unsigned>(std::ceil(busyServers() * 1.5)));
+}
+
+// Guards against taking silence for a lack of demand.
+BOOST_FIXTURE_TEST_CASE(halfOfDaemonsSilent_fleet_isKept, SettledFleet)
+{
+    const unsigned before = ready();
+    reporting = kDaemons / 2;
+    run(90, [&] { BOOST_REQUIRE(!wasGivenBack(before)); });
+    // Servers that are lost meanwhile are replaced.
+    reclaim(mostSpotDomain());
+    run(20);
+    BOOST_TEST(ready() >= static_cast<unsigned>(std::ceil(busyServers() * 1.5)));
+}
+
+// Guards against a fleet that follows short waves of demand up and down.
+BOOST_FIXTURE_TEST_CASE(wave_ofElevenSeconds_isNotFollowed, FleetSimulation)
+{
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> noise(0.97, 1.03);
+    load = [&](double at) {
+        return 500 * (1 + 0.4 * std::sin(at * 2 * std::numbers::pi / 11)) * noise(random);
+    };
+    run(kSettleTime);
+    calls.clear();
+    const unsigned before = ready();
+    unsigned lowest = before;
+    unsigned highest = before;
+    run(120, [&] {
+        lowest = std::min(lowest, ready());
+        highest = std::max(highest, ready());
+    });
+    BOOST_TEST(highest - lowest <= 5U);
+    BOOST_TEST(calls.size() <= 10U);
+}
+
+// Guards against orders of a daemon that no longer holds the duties, and against too many calls.
+BOOST_FIXTURE_TEST_CASE(calls_areBoundedAndEndWithTheDuties, SettledFleet)
+{
+    load = [](double) { return 2000.0; };
+    run(10, [&] {
+        const auto recent = std::count_if(calls.begin(), calls.end(), [&](const Call &call) {
+            return call.at > seconds - 0.99;
+        });
+        BOOST_REQUIRE(recent <= 10);
+    });
+    calls.clear();
+    isHolder = false;
+    load = [](double) { return 100.0; };
+    run(60);
+    BOOST_TEST(calls.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::scaling
