Scaling: send an order anew when its servers have gone

Cause: an order with the number of an earlier accepted one was not sent for up to 7 s, although the servers had been reclaimed in between, and the planner counted on them. Change: orders carry the time of their decision; calls without an answer are given up after 5 s.

--- a/packages/scaling/include/auburn/scaling/fleetstate.h
+++ b/packages/scaling/include/auburn/scaling/fleetstate.h
@@ -4,6 +4,7 @@
 
 #include "auburn/duties/dutyapi.h"
 #include "auburn/routing/trafficconfig.h"
+#include "auburn/scaling/slidingmaximum.h"
 
 #include <compare>
 #include <map>
@@ -77,6 +78,7 @@
 struct PlannedOrder
 {
     duties::ServerOrder order;
+    TimePoint decidedAt;
     OrderReason reason = OrderReason::Shortage;
     // For log lines: servers of the group that run, and servers that the service needs.
     unsigned running = 0;
--- a/packages/scaling/include/auburn/scaling/orderbook.h
+++ b/packages/scaling/include/auburn/scaling/orderbook.h
@@ -55,9 +55,8 @@
     };
     struct Entry
     {
-        // The last number that the platform accepted.
-        std::optional<unsigned> accepted;
-        TimePoint acceptedAt;
+        // The last call that the platform accepted.
+        std::optional<Call> accepted;
         // The call that has not been answered.
         std::optional<Call> call;
         unsigned failures = 0;
@@ -73,7 +72,7 @@
 
     void handleAnswers(TimePoint now);
     void handleAnswer(const Answer &answer, TimePoint now);
-    bool isDue(const Entry &entry, unsigned desired, TimePoint now) const;
+    static bool isDue(const Entry &entry, const PlannedOrder &planned, TimePoint now);
     // Returns false if too many calls were made within the last second.
     bool takeCall(TimePoint now);
     void send(const PlannedOrder &order, const ServerGroup &group, Entry &entry, TimePoint now);
--- a/packages/scaling/src/autoscaler.cpp
+++ b/packages/scaling/src/autoscaler.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 Autoscaler::Autoscaler(Options options)
-    : options_(std::move(options))
+    : options_(options)
     , planner_(options_.planner)
     , book_({ .api = options_.api, .permit = options_.permit, .metrics = options_.metrics })
     , metrics_(std::make_unique<ScalingMetrics>(options_.metrics))
--- a/packages/scaling/src/grouptrack.cpp
+++ b/packages/scaling/src/grouptrack.cpp
@@ -9,7 +9,7 @@
     running_ = observation.running;
     declined_ = observation.declined;
     unanswered_ = observation.unanswered;
-    const auto age = now - changedAt_;
+    const auto age = now - orderedAt_;
     const bool late = inTransit_ && age >= observation.arrivalTime;
     const bool lost = inTransit_ && age >= 2 * observation.arrivalTime;
     const bool arrived = reason_ == OrderReason::Surplus ? running_ <= wanted_
@@ -38,7 +38,7 @@
         return;
     wanted_ = wanted;
     reason_ = reason;
-    changedAt_ = now;
+    orderedAt_ = now;
     inTransit_ = true;
     ordered_ = wanted;
     isOrdered_ = true;
--- a/packages/scaling/src/grouptrack.h
+++ b/packages/scaling/src/grouptrack.h
@@ -35,6 +35,7 @@
     // The number of the last order. Servers that come or go by themselves do not change it.
     unsigned ordered() const { return ordered_; }
     OrderReason reason() const { return reason_; }
+    TimePoint orderedAt() const { return orderedAt_; }
     // Servers that run, or are starting as far as one can expect; those that are to be given back
     // do not count.
     unsigned expected() const { return isBlocked() ? usable() : wanted_; }
@@ -59,7 +60,7 @@
     bool declined_ = false;
     bool unanswered_ = false;
     bool overdue_ = false;
-    TimePoint changedAt_;
+    TimePoint orderedAt_;
 };
 
 } // namespace auburn::scaling
--- a/packages/scaling/src/orderbook.cpp
+++ b/packages/scaling/src/orderbook.cpp
@@ -25,7 +25,7 @@
 // An order of spot servers without an answer for this time is not counted on.
 constexpr milliseconds kSlowAnswerTime{ 2000 };
 // A call without an answer for this time counts as lost, whatever becomes of it.
-constexpr milliseconds kLostAnswerTime{ 15000 };
+constexpr milliseconds kLostAnswerTime{ 5000 };
 
 std::string_view statusName(CallStatus status)
 {
@@ -78,7 +78,7 @@
                                  .failureDomain = order.failureDomain,
                                  .spot = order.spot };
         Entry &entry = entries_[group];
-        if (!isDue(entry, order.desired, now))
+        if (!isDue(entry, planned, now))
             continue;
         if (!options_.permit->isHeld() || !takeCall(now))
             return;
@@ -86,11 +86,14 @@
     }
 }
 
-bool OrderBook::isDue(const Entry &entry, unsigned desired, TimePoint now) const
+bool OrderBook::isDue(const Entry &entry, const PlannedOrder &planned, TimePoint now)
 {
     if (entry.call || now < entry.retryAt || now < entry.unavailableUntil)
         return false;
-    return entry.accepted != desired || now - entry.acceptedAt >= kRepeatTime;
+    // The same number may be ordered anew, after servers have gone.
+    return !entry.accepted || entry.accepted->desired != planned.order.desired
+           || entry.accepted->sentAt < planned.decidedAt
+           || now - entry.accepted->sentAt >= kRepeatTime;
 }
 
 bool OrderBook::takeCall(TimePoint now)
@@ -148,8 +151,7 @@
                           { { "result", std::string(statusName(answer.status)) } })
                 .add();
     if (answer.status == CallStatus::Accepted) {
-        entry.accepted = call.desired;
-        entry.acceptedAt = now;
+        entry.accepted = call;
         entry.failures = 0;
         return;
     }
--- a/packages/scaling/src/serviceplanner.cpp
+++ b/packages/scaling/src/serviceplanner.cpp
@@ -150,7 +150,7 @@
         withoutReserve = std::max<double>(withoutReserve, completeNeed_.withoutReserve);
     }
     if (now - context.startedAt < kTakeoverTime)
-        servers = std::max<double>(servers, (*serversAtStart_ + 1) / 2);
+        servers = std::max(servers, std::ceil(*serversAtStart_ / 2.0));
     const unsigned limit = ceiling(service, context.options, domains);
     const unsigned lowest = std::min(limit, std::max(1U, service.policy.minPerDomain) * domains);
     need_.servers = static_cast<unsigned>(std::clamp<double>(servers, lowest, limit));
@@ -322,6 +322,7 @@
                                       .failureDomain = domain.name,
                                       .desired = track.ordered(),
                                       .spot = spot },
+                           .decidedAt = track.orderedAt(),
                            .reason = track.reason(),
                            .running = track.running(),
                            .needed = need_.servers });
--- a/packages/scaling/tests/orderbook_test.cpp
+++ b/packages/scaling/tests/orderbook_test.cpp
@@ -71,6 +71,18 @@
     BOOST_TEST(sent.size() == 3U);
 }
 
+// Guards against waiting for servers that were never ordered: the number is that of an order from
+// before the servers were lost.
+BOOST_AUTO_TEST_CASE(newOrder_sameNumberAsBefore_isSent)
+{
+    update({ order(5) }, 0);
+    answer(CallStatus::Accepted);
+    PlannedOrder again = order(5);
+    again.decidedAt = now + milliseconds(1000);
+    update({ again }, 1000);
+    BOOST_TEST(sent.size() == 2U);
+}
+
 // Guards against retries without end at full rate while the interface is down.
 BOOST_AUTO_TEST_CASE(failedOrder_isRepeatedAtAFallingRate)
 {
@@ -107,7 +119,7 @@
     update({ order(5) }, 2200);
     BOOST_TEST(book.unanswered(now).size() == 1U);
     const auto late = handlers.back();
-    update({ order(5) }, 13000);
+    update({ order(5) }, 3000);
     BOOST_TEST(book.unanswered(now).empty());
     update({ order(5) }, 600);
     BOOST_TEST(sent.size() == 2U);
@@ -120,6 +132,7 @@
 BOOST_AUTO_TEST_CASE(manyOrders_areLimitedAndShortagesComeFirst)
 {
     std::vector<PlannedOrder> orders;
+    orders.reserve(13);
     for (int i = 0; i < 12; ++i)
         orders.push_back(order(3, ("a" + std::to_string(i)).c_str(), OrderReason::Surplus));
     orders.push_back(order(9, "needed"));
