Scaling: keep the operators' limit also while servers are late

Cause: servers that did not arrive in time were ordered elsewhere in addition, so the sum could exceed the limit. Change: limits apply to all ordered servers; largest changes are sent first; more tests of the planner.

--- a/packages/scaling/src/orderbook.cpp
+++ b/packages/scaling/src/orderbook.cpp
@@ -46,6 +46,21 @@
     return "unknown";
 }
 
+// Number of servers by which the order changes what runs.
+unsigned difference(const PlannedOrder &planned)
+{
+    return std::max(planned.order.desired, planned.running)
+           - std::min(planned.order.desired, planned.running);
+}
+
+// Returns true if the left order is sent first: what callers wait for, then the largest change.
+bool isMoreUrgent(const PlannedOrder &left, const PlannedOrder &right)
+{
+    if (left.reason != right.reason)
+        return left.reason < right.reason;
+    return difference(left) > difference(right);
+}
+
 std::string_view kindName(bool spot)
 {
     return spot ? "spot" : "on_demand";
@@ -68,10 +83,7 @@
 void OrderBook::update(std::vector<PlannedOrder> orders, TimePoint now)
 {
     handleAnswers(now);
-    std::stable_sort(orders.begin(), orders.end(),
-                     [](const PlannedOrder &left, const PlannedOrder &right) {
-                         return left.reason < right.reason;
-                     });
+    std::stable_sort(orders.begin(), orders.end(), isMoreUrgent);
     for (const PlannedOrder &planned : orders) {
         const duties::ServerOrder &order = planned.order;
         const ServerGroup group{ .service = order.service,
--- a/packages/scaling/src/serviceplanner.cpp
+++ b/packages/scaling/src/serviceplanner.cpp
@@ -42,13 +42,6 @@
     return std::max(1U, static_cast<unsigned>(share * servers));
 }
 
-unsigned ceiling(const ServiceState &service, const FleetPlanner::Options &options,
-                 unsigned domains)
-{
-    const unsigned limit = service.policy.maxPerDomain * domains;
-    return std::min(limit, options.maxServers.value_or(limit));
-}
-
 } // namespace
 
 unsigned ServicePlanner::Group::missing() const
@@ -75,14 +68,14 @@
     if (domains_.empty())
         return {};
     updateNeed(service, context, now);
-    const std::vector<Group> groups = makeTargets(service, context);
-    orderShortage(groups, service.policy.maxPerDomain, now);
+    const std::vector<Group> groups = makeTargets();
+    orderShortage(groups, now);
     const bool isStepDue = !steppedAt_ || now - *steppedAt_ >= service.policy.bootTime;
-    if (context.mayGiveBack && isStepDue && expectedServers() >= need_.servers) {
+    if (context.mayGiveBack && isStepDue && total(&GroupTrack::expected) >= need_.servers) {
         for (Domain &domain : domains_)
             domain.changesLeft = shareOf(kMaxChanged, domain.usable());
-        const bool gaveBack = giveBackSurplus(groups, service.policy.minPerDomain, now);
-        const bool replaces = orderReplacements(groups, service.policy.maxPerDomain, context, now);
+        const bool gaveBack = giveBackSurplus(groups, now);
+        const bool replaces = orderReplacements(groups, now);
         if (gaveBack || replaces)
             steppedAt_ = now;
     }
@@ -129,7 +122,7 @@
     if (service.slots > 0)
         slots_ = service.slots;
     if (!serversAtStart_)
-        serversAtStart_ = usableServers();
+        serversAtStart_ = total(&GroupTrack::usable);
 }
 
 void ServicePlanner::updateNeed(const ServiceState &service, const PlanContext &context,
@@ -151,11 +144,11 @@
     }
     if (now - context.startedAt < kTakeoverTime)
         servers = std::max(servers, std::ceil(*serversAtStart_ / 2.0));
-    const unsigned limit = ceiling(service, context.options, domains);
-    const unsigned lowest = std::min(limit, std::max(1U, service.policy.minPerDomain) * domains);
-    need_.servers = static_cast<unsigned>(std::clamp<double>(servers, lowest, limit));
-    need_.withoutReserve = std::min(static_cast<unsigned>(std::min<double>(withoutReserve, limit)),
-                                    need_.servers);
+    limit_ = service.policy.maxPerDomain * domains;
+    limit_ = std::min(limit_, context.options.maxServers.value_or(limit_));
+    const unsigned lowest = std::min(limit_, std::max(1U, service.policy.minPerDomain) * domains);
+    need_.servers = static_cast<unsigned>(std::clamp<double>(servers, lowest, limit_));
+    need_.withoutReserve = static_cast<unsigned>(std::min<double>(withoutReserve, need_.servers));
     need_.spotShare = service.policy.spotPrice < 1 ? context.options.spotShare : 0;
     need_.minPerDomain = service.policy.minPerDomain;
     need_.maxPerDomain = service.policy.maxPerDomain;
@@ -163,10 +156,9 @@
         completeNeed_ = need_;
 }
 
-std::vector<ServicePlanner::Group> ServicePlanner::makeTargets(const ServiceState &service,
-                                                               const PlanContext & /*context*/)
+std::vector<ServicePlanner::Group> ServicePlanner::makeTargets()
 {
-    const unsigned maximum = service.policy.maxPerDomain;
+    const unsigned maximum = need_.maxPerDomain;
     const auto limit = [maximum](const GroupTrack &track) {
         return track.isBlocked() ? track.usable() : maximum;
     };
@@ -187,21 +179,23 @@
     return groups;
 }
 
-bool ServicePlanner::orderOneMore(const std::vector<Group> &groups, unsigned maxPerDomain,
-                                  OrderReason reason, bool beyondTarget, TimePoint now)
+bool ServicePlanner::orderOneMore(const std::vector<Group> &groups, OrderReason reason,
+                                  bool beyondTarget, TimePoint now)
 {
+    if (total(&GroupTrack::wanted) >= limit_)
+        return false;
     const auto isBetter = [](const Group &left, const Group *right) {
         if (!right)
             return true;
         if (left.missing() != right->missing())
             return left.missing() > right->missing();
-        return left.domain->expected() * left.domain->price
-               < right->domain->expected() * right->domain->price;
+        return left.domain->wanted() * left.domain->price
+               < right->domain->wanted() * right->domain->price;
     };
     const Group *best = nullptr;
     for (const Group &group : groups) {
         const bool wanted = beyondTarget ? group.track == &Domain::onDemand : group.missing() > 0;
-        const bool hasRoom = group.domain->expected() < maxPerDomain;
+        const bool hasRoom = group.domain->wanted() < need_.maxPerDomain;
         const bool isAllowed = reason == OrderReason::Shortage || group.domain->changesLeft > 0;
         if (wanted && hasRoom && isAllowed && !group.get().isBlocked() && isBetter(group, best))
             best = &group;
@@ -214,22 +208,20 @@
     return true;
 }
 
-void ServicePlanner::orderShortage(const std::vector<Group> &groups, unsigned maxPerDomain,
-                                   TimePoint now)
+void ServicePlanner::orderShortage(const std::vector<Group> &groups, TimePoint now)
 {
-    unsigned expected = expectedServers();
+    unsigned expected = total(&GroupTrack::expected);
     // If on-demand servers that are to be replaced take up the room of a failure domain, others are
     // ordered elsewhere for the time being.
     while (expected < need_.servers
-           && (orderOneMore(groups, maxPerDomain, OrderReason::Shortage, false, now)
-               || orderOneMore(groups, maxPerDomain, OrderReason::Shortage, true, now)))
+           && (orderOneMore(groups, OrderReason::Shortage, false, now)
+               || orderOneMore(groups, OrderReason::Shortage, true, now)))
         ++expected;
 }
 
-bool ServicePlanner::giveBackSurplus(const std::vector<Group> &groups, unsigned minPerDomain,
-                                     TimePoint now)
+bool ServicePlanner::giveBackSurplus(const std::vector<Group> &groups, TimePoint now)
 {
-    const unsigned usable = usableServers();
+    const unsigned usable = total(&GroupTrack::usable);
     if (usable <= need_.servers)
         return false;
     const unsigned surplus = usable - need_.servers;
@@ -239,15 +231,15 @@
     unsigned quota = std::min(surplus, shareOf(kMaxGivenBack, usable));
     unsigned givenBack = 0;
     if (onDemandSurplus >= shareOf(kIgnoredMoves, need_.servers))
-        givenBack = giveBack(groups, &Domain::onDemand, quota, minPerDomain, now);
+        givenBack = giveBack(groups, &Domain::onDemand, quota, now);
     quota -= givenBack;
     if (surplus > kIgnoredSpotServers && surplus >= shareOf(kIgnoredSurplus, need_.servers))
-        givenBack += giveBack(groups, &Domain::spot, quota, minPerDomain, now);
+        givenBack += giveBack(groups, &Domain::spot, quota, now);
     return givenBack > 0;
 }
 
 unsigned ServicePlanner::giveBack(const std::vector<Group> &groups, GroupTrack Domain::*kind,
-                                  unsigned quota, unsigned minPerDomain, TimePoint now)
+                                  unsigned quota, TimePoint now)
 {
     unsigned givenBack = 0;
     while (givenBack < quota) {
@@ -255,7 +247,8 @@
         for (const Group &group : groups) {
             const bool isAllowed = group.track == kind && group.surplus() > 0
                                    && group.domain->changesLeft > 0
-                                   && group.domain->usable() > minPerDomain && isLossCovered(group);
+                                   && group.domain->usable() > need_.minPerDomain
+                                   && isLossCovered(group);
             if (isAllowed && (!best || group.surplus() > best->surplus()))
                 best = &group;
         }
@@ -275,40 +268,28 @@
         const bool isReduced = &domain == group.domain && group.track == &Domain::spot;
         largestLoss = std::max(largestLoss, domain.spot.usable() - (isReduced ? 1 : 0));
     }
-    return usableServers() - 1 >= need_.withoutReserve + largestLoss;
+    return total(&GroupTrack::usable) - 1 >= need_.withoutReserve + largestLoss;
 }
 
-bool ServicePlanner::orderReplacements(const std::vector<Group> &groups, unsigned maxPerDomain,
-                                       const PlanContext &context, TimePoint now)
+bool ServicePlanner::orderReplacements(const std::vector<Group> &groups, TimePoint now)
 {
     unsigned missing = 0;
     for (const Group &group : groups)
         missing += group.missing();
     if (missing < shareOf(kIgnoredMoves, need_.servers))
         return false;
-    // The operators' limit holds for the servers to be replaced and their replacements together.
-    const unsigned limit = context.options.maxServers.value_or(
-            maxPerDomain * static_cast<unsigned>(domains_.size()));
+    // The limit holds for the servers to be replaced and their replacements together.
     bool ordered = false;
-    while (expectedServers() < limit
-           && orderOneMore(groups, maxPerDomain, OrderReason::Replacement, false, now))
+    while (orderOneMore(groups, OrderReason::Replacement, false, now))
         ordered = true;
     return ordered;
 }
 
-unsigned ServicePlanner::expectedServers() const
-{
-    unsigned servers = 0;
-    for (const Domain &domain : domains_)
-        servers += domain.expected();
-    return servers;
-}
-
-unsigned ServicePlanner::usableServers() const
+unsigned ServicePlanner::total(unsigned (GroupTrack::*number)() const) const
 {
     unsigned servers = 0;
     for (const Domain &domain : domains_)
-        servers += domain.usable();
+        servers += (domain.onDemand.*number)() + (domain.spot.*number)();
     return servers;
 }
 
--- a/packages/scaling/src/serviceplanner.h
+++ b/packages/scaling/src/serviceplanner.h
@@ -41,8 +41,9 @@
         // Changes that are still allowed in the current step.
         unsigned changesLeft = 0;
 
-        unsigned expected() const { return onDemand.expected() + spot.expected(); }
         unsigned usable() const { return onDemand.usable() + spot.usable(); }
+        // What the platform may count: also orders that are late.
+        unsigned wanted() const { return onDemand.wanted() + spot.wanted(); }
     };
     // The group of one kind in one failure domain.
     struct Group
@@ -60,25 +61,24 @@
     void observe(const ServiceState &service, const PlanContext &context, TimePoint now);
     void updateNeed(const ServiceState &service, const PlanContext &context, TimePoint now);
     // Returns all groups with the numbers that they should have.
-    std::vector<Group> makeTargets(const ServiceState &service, const PlanContext &context);
+    std::vector<Group> makeTargets();
     // Orders what is needed and neither runs nor starts.
-    void orderShortage(const std::vector<Group> &groups, unsigned maxPerDomain, TimePoint now);
+    void orderShortage(const std::vector<Group> &groups, TimePoint now);
     // Orders one more server in the group that misses the most; false if no group can take one.
-    static bool orderOneMore(const std::vector<Group> &groups, unsigned maxPerDomain,
-                             OrderReason reason, bool beyondTarget, TimePoint now);
+    bool orderOneMore(const std::vector<Group> &groups, OrderReason reason, bool beyondTarget,
+                      TimePoint now);
     // Returns true if a server was given back.
-    bool giveBackSurplus(const std::vector<Group> &groups, unsigned minPerDomain, TimePoint now);
+    bool giveBackSurplus(const std::vector<Group> &groups, TimePoint now);
     // Gives back up to quota servers of one kind and returns how many were given back.
     unsigned giveBack(const std::vector<Group> &groups, GroupTrack Domain::*kind, unsigned quota,
-                      unsigned minPerDomain, TimePoint now);
+                      TimePoint now);
     // Returns true if the servers that would remain after one of the group is given back are still
     // enough without the spot servers of any one failure domain.
     bool isLossCovered(const Group &group) const;
     // Returns true if a server was ordered that is to replace another one.
-    bool orderReplacements(const std::vector<Group> &groups, unsigned maxPerDomain,
-                           const PlanContext &context, TimePoint now);
-    unsigned expectedServers() const;
-    unsigned usableServers() const;
+    bool orderReplacements(const std::vector<Group> &groups, TimePoint now);
+    // Returns a total over all groups.
+    unsigned total(unsigned (GroupTrack::*number)() const) const;
     std::vector<PlannedOrder> orders(const std::string &service) const;
 
     std::vector<Domain> domains_;
@@ -87,6 +87,8 @@
     // Need with complete demand; it remains while the demand is incomplete.
     CompositionNeed completeNeed_;
     CompositionNeed need_;
+    // Upper limit of the servers in all failure domains.
+    unsigned limit_ = 0;
     // Mean number of slots when a server was last listed.
     double slots_ = 0;
     // Servers that ran when this daemon became the holder.
--- /dev/null
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -0,0 +1,95 @@
+#include "auburn/scaling/fleetplanner.h"
+
+#include "grouptrack.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace auburn::scaling {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+struct PlannerFixture
+{
+    // Plans for 15 s without any change of the servers and returns the last orders.
+    std::vector<PlannedOrder> plan(FleetPlanner::Options options)
+    {
+        FleetPlanner planner(options);
+        std::vector<PlannedOrder> orders;
+        for (int i = 0; i < 75; ++i)
+            orders = planner.plan({ .services = { service }, .demandComplete = true },
+                                  now + i * milliseconds(200));
+        return orders;
+    }
+
+    // One server without reserve takes 6 requests.
+    ServiceState service{ .name = "e",
+                          .policy = { .minPerDomain = 1, .maxPerDomain = 48 },
+                          .load = { .inProgress = 90 },
+                          .slots = 10,
+                          .domains = { { "a", { .spot = 20 } },
+                                       { "b", { .onDemand = 10 } },
+                                       { "c", { .onDemand = 10 } } } };
+    TimePoint now{ milliseconds(100000) };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(fleetPlanner, PlannerFixture)
+
+// Guards against giving on-demand servers back while most servers are spot servers of one failure
+// domain: their loss would leave too few.
+BOOST_AUTO_TEST_CASE(surplus_spotInOneDomain_staysEnoughForItsLoss)
+{
+    unsigned remaining = 20;
+    for (const PlannedOrder &planned : plan({})) {
+        if (!planned.order.spot && planned.order.failureDomain != "a")
+            remaining -= 10 - planned.order.desired;
+    }
+    BOOST_TEST(remaining == 15U);
+}
+
+// Guards against exceeding the operators' limit while callers cause a shortage.
+BOOST_AUTO_TEST_CASE(shortage_operatorsLimit_isKept)
+{
+    service.load.inProgress = 600;
+    unsigned desired = 40;
+    for (const PlannedOrder &planned : plan({ .maxServers = 50 })) {
+        const DomainServers &servers = service.domains.at(planned.order.failureDomain);
+        desired += planned.order.desired - (planned.order.spot ? servers.spot : servers.onDemand);
+    }
+    BOOST_TEST(desired == 50U);
+}
+
+// Guards against counting on servers that do not arrive, and against repeating an order that the
+// platform declined.
+BOOST_AUTO_TEST_CASE(track_orderedServers_countUntilTheyAreLateOrDeclined)
+{
+    const auto observed = [this](bool declined, int ms) {
+        now += milliseconds(ms);
+        return GroupTrack::Observation{ .running = 3,
+                                        .declined = declined,
+                                        .arrivalTime = milliseconds(7000) };
+    };
+    GroupTrack track;
+    track.observe(observed(false, 0), now);
+    track.order(8, OrderReason::Shortage, now);
+    track.observe(observed(false, 6800), now);
+    BOOST_TEST(track.expected() == 8U);
+    track.observe(observed(false, 200), now);
+    BOOST_TEST(track.expected() == 3U);
+    BOOST_TEST(track.isBlocked());
+    BOOST_TEST(track.isOrdered());
+    track.observe(observed(false, 7000), now);
+    BOOST_TEST(!track.isBlocked());
+    BOOST_TEST(!track.isOrdered());
+    track.order(8, OrderReason::Shortage, now);
+    track.observe(observed(true, 200), now);
+    BOOST_TEST(track.wanted() == 3U);
+    BOOST_TEST(!track.isOrdered());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::scaling
