--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -50,6 +50,16 @@
     BOOST_TEST(remaining == 15U);
 }
 
+// Guards against a fleet sized by its slots alone while prompts queue for prefill.
+BOOST_AUTO_TEST_CASE(need_promptTokens_countLikeSlots)
+{
+    FleetPlanner planner({});
+    service.load = { .inProgress = 30, .tokensPerSecond = 550000 };
+    planner.plan({ .services = { service } }, now);
+    planner.plan({ .services = { service } }, now + milliseconds(2000));
+    BOOST_TEST(planner.neededServers("e") == 30U);
+}
+
 // Guards against exceeding the operators' limit while callers cause a shortage.
 BOOST_AUTO_TEST_CASE(shortage_operatorsLimit_isKept)
 {
