Scaling: replace servers before the first request

Cause: a deployment that had not served anything yet gave on-demand servers back, because without requests nothing seemed to be needed, and began to replace them only under load. Change: until the first request, what runs counts as needed; replacements may begin when the orders of a previous holder have had time to arrive, and have a quota of their own in each step.

--- a/packages/scaling/src/fleetplanner.cpp
+++ b/packages/scaling/src/fleetplanner.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-// Time for which the demand must have been complete before servers are given back.
-constexpr milliseconds kCompleteTime{ 5000 };
-// Time for which a new holder observes the demand before it gives servers back. It covers a
-// wave with a period of 11 s, and the arrival of what the previous holder ordered.
-constexpr milliseconds kObservationTime{ 12000 };
 // Every daemon reports within this time after it has learned of a new holder. Until then an order
 // could cancel servers that the previous holder ordered and that are not listed yet.
 constexpr milliseconds kFirstReportsTime{ 1500 };
@@ -49,12 +44,14 @@
         completeSince_.reset();
     else if (!completeSince_)
         completeSince_ = now;
-    const PlanContext context{ .fleet = state,
-                               .options = options_,
-                               .startedAt = *startedAt_,
-                               .mayGiveBack = completeSince_
-                                              && now - *completeSince_ >= kCompleteTime
-                                              && now - *startedAt_ >= kObservationTime };
+    const PlanContext context{
+        .fleet = state,
+        .options = options_,
+        .startedAt = *startedAt_,
+        .completeFor = completeSince_
+                               ? std::chrono::duration_cast<milliseconds>(now - *completeSince_)
+                               : milliseconds(0),
+    };
     if (now - *startedAt_ < kFirstReportsTime)
         return {};
     std::vector<PlannedOrder> orders;
--- a/packages/scaling/src/serviceplanner.cpp
+++ b/packages/scaling/src/serviceplanner.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds kLowerNeedTime{ 10000 };
 // Within this time after the daemon became the holder, the need is at least half of what ran then.
 constexpr milliseconds kTakeoverTime{ 10000 };
+// Time for which the demand must have been complete before servers are given back.
+constexpr milliseconds kCompleteTime{ 5000 };
+// Time for which a new holder observes the demand before it gives servers back. It covers a wave
+// with a period of 11 s.
+constexpr milliseconds kObservationTime{ 12000 };
 // Time from the end of the boot time until a new server is certainly listed and its listing read.
 constexpr milliseconds kListingTime{ 3000 };
 // Largest share of a service's servers that is given back in one step. A step lasts one boot time.
@@ -71,9 +76,11 @@
     const std::vector<Group> groups = makeTargets();
     orderShortage(groups, now);
     const bool isStepDue = !steppedAt_ || now - *steppedAt_ >= service.policy.bootTime;
-    if (context.mayGiveBack && isStepDue && total(&GroupTrack::expected) >= need_.servers) {
-        for (Domain &domain : domains_)
-            domain.changesLeft = shareOf(kMaxChanged, domain.usable());
+    if (mayGiveBack(context, now) && isStepDue && total(&GroupTrack::expected) >= need_.servers) {
+        for (Domain &domain : domains_) {
+            domain.removalsLeft = shareOf(kMaxChanged, domain.usable());
+            domain.replacementsLeft = domain.removalsLeft;
+        }
         const bool gaveBack = giveBackSurplus(groups, now);
         const bool replaces = orderReplacements(groups, now);
         if (gaveBack || replaces)
@@ -82,6 +89,14 @@
     return orders(service.name);
 }
 
+bool ServicePlanner::mayGiveBack(const PlanContext &context, TimePoint now) const
+{
+    // Without demand nothing is lost by a replacement; only what the previous holder ordered has
+    // to arrive before.
+    const milliseconds observation = demandSeen_ ? kObservationTime : arrivalTime_;
+    return context.completeFor >= kCompleteTime && now - context.startedAt >= observation;
+}
+
 void ServicePlanner::observe(const ServiceState &service, const PlanContext &context, TimePoint now)
 {
     // Failure domains stay known when their last server has gone.
@@ -95,7 +110,7 @@
         addDomain(name);
     for (const auto &[name, price] : service.policy.domainPrices)
         addDomain(name);
-    const milliseconds arrivalTime = service.policy.bootTime + kListingTime;
+    arrivalTime_ = service.policy.bootTime + kListingTime;
     for (Domain &domain : domains_) {
         const auto price = service.policy.domainPrices.find(domain.name);
         domain.price = price == service.policy.domainPrices.end()
@@ -109,14 +124,14 @@
         domain.onDemand.observe({ .running = servers.onDemand,
                                   .declined = fleet.unavailable.contains(group),
                                   .unanswered = fleet.unanswered.contains(group),
-                                  .arrivalTime = arrivalTime },
+                                  .arrivalTime = arrivalTime_ },
                                 now);
         group.spot = true;
         domain.spot.observe(
                 { .running = servers.spot,
                   .declined = servers.spotReclaimed || fleet.unavailable.contains(group),
                   .unanswered = fleet.unanswered.contains(group),
-                  .arrivalTime = arrivalTime },
+                  .arrivalTime = arrivalTime_ },
                 now);
     }
     if (service.slots > 0)
@@ -132,8 +147,11 @@
     const double byPrefill = service.load.tokensPerSecond
                              / (kPrefillTokensPerSecond * kPrefillUtilisation);
     const double load = std::max(bySlots, byPrefill);
-    recentServers_.add(std::ceil(load * kReserve), now);
-    recentWithoutReserve_.add(std::ceil(load), now);
+    demandSeen_ = demandSeen_ || load > 0;
+    // Before the first request, what the operators provided is taken for the need.
+    const double withoutReserveNow = demandSeen_ ? load : *serversAtStart_ / kReserve;
+    recentServers_.add(std::ceil(withoutReserveNow * kReserve), now);
+    recentWithoutReserve_.add(std::ceil(withoutReserveNow), now);
 
     const auto domains = static_cast<unsigned>(domains_.size());
     double servers = recentServers_.value();
@@ -196,7 +214,8 @@
     for (const Group &group : groups) {
         const bool wanted = beyondTarget ? group.track == &Domain::onDemand : group.missing() > 0;
         const bool hasRoom = group.domain->wanted() < need_.maxPerDomain;
-        const bool isAllowed = reason == OrderReason::Shortage || group.domain->changesLeft > 0;
+        const bool isAllowed = reason == OrderReason::Shortage
+                               || group.domain->replacementsLeft > 0;
         if (wanted && hasRoom && isAllowed && !group.get().isBlocked() && isBetter(group, best))
             best = &group;
     }
@@ -204,7 +223,7 @@
         return false;
     best->get().order(best->get().expected() + 1, reason, now);
     if (reason != OrderReason::Shortage)
-        --best->domain->changesLeft;
+        --best->domain->replacementsLeft;
     return true;
 }
 
@@ -246,7 +265,7 @@
         const Group *best = nullptr;
         for (const Group &group : groups) {
             const bool isAllowed = group.track == kind && group.surplus() > 0
-                                   && group.domain->changesLeft > 0
+                                   && group.domain->removalsLeft > 0
                                    && group.domain->usable() > need_.minPerDomain
                                    && isLossCovered(group);
             if (isAllowed && (!best || group.surplus() > best->surplus()))
@@ -255,7 +274,7 @@
         if (!best)
             return givenBack;
         best->get().order(best->get().usable() - 1, OrderReason::Surplus, now);
-        --best->domain->changesLeft;
+        --best->domain->removalsLeft;
         ++givenBack;
     }
     return givenBack;
--- a/packages/scaling/src/serviceplanner.h
+++ b/packages/scaling/src/serviceplanner.h
@@ -18,8 +18,8 @@
     const FleetState &fleet;
     FleetPlanner::Options options;
     TimePoint startedAt;
-    // Servers may be given back: the demand has been known for long enough.
-    bool mayGiveBack = false;
+    // Time for which the demand of nearly all daemons has been known.
+    std::chrono::milliseconds completeFor{ 0 };
 };
 
 class ServicePlanner
@@ -39,7 +39,8 @@
         GroupTrack onDemand;
         GroupTrack spot;
         // Changes that are still allowed in the current step.
-        unsigned changesLeft = 0;
+        unsigned removalsLeft = 0;
+        unsigned replacementsLeft = 0;
 
         unsigned usable() const { return onDemand.usable() + spot.usable(); }
         // What the platform may count: also orders that are late.
@@ -60,6 +61,8 @@
 
     void observe(const ServiceState &service, const PlanContext &context, TimePoint now);
     void updateNeed(const ServiceState &service, const PlanContext &context, TimePoint now);
+    // Returns true if the demand has been observed long enough to give servers back.
+    bool mayGiveBack(const PlanContext &context, TimePoint now) const;
     // Returns all groups with the numbers that they should have.
     std::vector<Group> makeTargets();
     // Orders what is needed and neither runs nor starts.
@@ -93,6 +96,10 @@
     double slots_ = 0;
     // Servers that ran when this daemon became the holder.
     std::optional<unsigned> serversAtStart_;
+    // A request was in progress since this daemon became the holder.
+    bool demandSeen_ = false;
+    // Time after which an ordered server is certainly listed.
+    std::chrono::milliseconds arrivalTime_{ 0 };
     std::optional<TimePoint> steppedAt_;
 };
 
