Duties: end calls before the lease is released

Cause: a call in progress at SIGTERM could arrive after the first call of the successor, which may begin as soon as the lease is released; a call in progress when a VM was suspended could arrive after it was resumed, because its timeout does not include suspended time.

--- a/packages/duties/include/auburn/duties/lease.h
+++ b/packages/duties/include/auburn/duties/lease.h
@@ -61,7 +61,10 @@
 
     // Takes the next step if one is due: expiry, renewal, takeover or release.
     void tick();
-    // Ends the permit at once and gives the lease up. The lease is never acquired again.
+    // Ends the permit for good; the lease is neither renewed nor acquired again.
+    void stop();
+    // Stops, and gives the lease up so that another daemon can acquire it. Calls to the cloud API
+    // must have ended, because the successor may begin at once.
     void release();
     // Processes the holder that another daemon knows.
     void recordPeer(const DutyHolder &holder);
@@ -111,6 +114,7 @@
     const Options options_;
     // This daemon's record is the newest one, as far as it knows.
     bool isHolder_ = false;
+    bool stopped_ = false;
     bool releasing_ = false;
     // A call to the log is in progress.
     bool busy_ = false;
--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -50,7 +50,7 @@
 
 bool Lease::isHeld() const
 {
-    return isHolder_ && !releasing_ && options_.now() < permitEnd_;
+    return isHolder_ && !stopped_ && options_.now() < permitEnd_;
 }
 
 milliseconds Lease::timeLeft() const
@@ -74,11 +74,17 @@
         stepAsFollower();
 }
 
+void Lease::stop()
+{
+    stopped_ = true;
+    reportHeld();
+}
+
 void Lease::release()
 {
     if (std::exchange(releasing_, true))
         return;
-    reportHeld();
+    stop();
     nextCallAt_ = options_.now();
     tick();
 }
@@ -96,13 +102,13 @@
 {
     if (releasing_)
         append(end_, true);
-    else if (options_.now() >= renewAt_)
+    else if (!stopped_ && options_.now() >= renewAt_)
         append(end_, false);
 }
 
 void Lease::stepAsFollower()
 {
-    if (releasing_ || !options_.isCandidate()) {
+    if (stopped_ || !options_.isCandidate()) {
         candidateSince_.reset();
         return;
     }
@@ -131,7 +137,7 @@
 
 bool Lease::isTakeoverDue() const
 {
-    return !isHolder_ && !releasing_ && candidateSince_ && options_.isCandidate()
+    return !isHolder_ && !stopped_ && candidateSince_ && options_.isCandidate()
            && options_.now() >= takeoverTime();
 }
 
@@ -303,7 +309,7 @@
     reportedHeld_ = held;
     if (held)
         logEvent(LogLevel::Info, "lease_acquired", { tokenField(token_), { "vm", options_.vm } });
-    else if (isHolder_ && !releasing_)
+    else if (isHolder_ && !stopped_)
         logEvent(LogLevel::Warning, "lease_expired", { tokenField(token_) });
     options_.onHeldChanged(held);
 }
--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -39,7 +39,7 @@
     // Covers the entire call, including connecting.
     std::chrono::milliseconds timeout{ 1000 };
     // Asked directly before the request is sent. If it is set, nothing of the request is
-    // transmitted after the timeout, even if the network is interrupted until then. May be empty.
+    // transmitted after the timeout or cancel(), even if the network is interrupted until then. May be empty.
     std::function<bool()> sendCondition = nullptr;
 };
 
@@ -63,7 +63,7 @@
                ResponseHandler handler);
     void post(const std::string &target, const std::string &contentType, std::string body,
               std::chrono::milliseconds timeout, ResponseHandler handler);
-    void post(HttpPost request, ResponseHandler handler);
+    CallId post(HttpPost request, ResponseHandler handler);
     // Ends a call whose response is no longer awaited. Its handler is called with an error. Does
     // nothing if the call has ended.
     void cancel(CallId id);
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -128,7 +128,7 @@
          std::move(handler));
 }
 
-void HttpClient::post(HttpPost request, ResponseHandler handler)
+HttpClient::CallId HttpClient::post(HttpPost request, ResponseHandler handler)
 {
     OutboundRequest outbound{ .head = "POST " + request.target + " HTTP/1.1\r\nHost: " + address_
                                       + "\r\nContent-Type: " + request.contentType
@@ -138,7 +138,7 @@
                               .transmitLimit = request.timeout };
     if (!request.body.empty())
         outbound.body = std::make_shared<const std::string>(std::move(request.body));
-    start(std::move(outbound), request.timeout, std::move(handler));
+    return start(std::move(outbound), request.timeout, std::move(handler));
 }
 
 void HttpClient::cancel(CallId id)
