--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -20,8 +20,9 @@
 // Candidates call the store at different times after a holder has failed.
 constexpr unsigned kTakeoverSteps = 8;
 constexpr milliseconds kTakeoverStep{ 150 };
-// A daemon that knows no holder usually learns of one by heartbeats within this time.
-constexpr milliseconds kFirstListingDelay{ 500 };
+// A daemon that knows no holder usually learns of one by heartbeats within this time, and one of a
+// large fleet that it does not have to read the store.
+constexpr milliseconds kFirstListingDelay{ 1000 };
 constexpr milliseconds kRetryDelay{ 300 };
 constexpr milliseconds kMaxRetryDelay{ 2400 };
 constexpr unsigned kMaxDoublings = 3;
