--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -20,8 +20,9 @@
 // Candidates call the store at different times after a holder has failed.
 constexpr unsigned kTakeoverSteps = 8;
 constexpr milliseconds kTakeoverStep{ 150 };
-// A daemon that knows no holder usually learns of one by heartbeats within this time.
-constexpr milliseconds kFirstListingDelay{ 500 };
+// A daemon that knows no holder usually learns of one by heartbeats within this time, and one of a
+// large fleet that it does not have to read the store.
+constexpr milliseconds kFirstListingDelay{ 1000 };
 constexpr milliseconds kRetryDelay{ 300 };
 constexpr milliseconds kMaxRetryDelay{ 2400 };
 constexpr unsigned kMaxDoublings = 3;
@@ -50,7 +51,7 @@
 
 bool Lease::isHeld() const
 {
-    return isHolder_ && !releasing_ && options_.now() < permitEnd_;
+    return isHolder_ && !stopped_ && options_.now() < permitEnd_;
 }
 
 milliseconds Lease::timeLeft() const
@@ -74,11 +75,17 @@
         stepAsFollower();
 }
 
+void Lease::stop()
+{
+    stopped_ = true;
+    reportHeld();
+}
+
 void Lease::release()
 {
     if (std::exchange(releasing_, true))
         return;
-    reportHeld();
+    stop();
     nextCallAt_ = options_.now();
     tick();
 }
@@ -96,13 +103,13 @@
 {
     if (releasing_)
         append(end_, true);
-    else if (options_.now() >= renewAt_)
+    else if (!stopped_ && options_.now() >= renewAt_)
         append(end_, false);
 }
 
 void Lease::stepAsFollower()
 {
-    if (releasing_ || !options_.isCandidate()) {
+    if (stopped_ || !options_.isCandidate()) {
         candidateSince_.reset();
         return;
     }
@@ -131,7 +138,7 @@
 
 bool Lease::isTakeoverDue() const
 {
-    return !isHolder_ && !releasing_ && candidateSince_ && options_.isCandidate()
+    return !isHolder_ && !stopped_ && candidateSince_ && options_.isCandidate()
            && options_.now() >= takeoverTime();
 }
 
@@ -303,7 +310,7 @@
     reportedHeld_ = held;
     if (held)
         logEvent(LogLevel::Info, "lease_acquired", { tokenField(token_), { "vm", options_.vm } });
-    else if (isHolder_ && !releasing_)
+    else if (isHolder_ && !stopped_)
         logEvent(LogLevel::Warning, "lease_expired", { tokenField(token_) });
     options_.onHeldChanged(held);
 }
