Usage reports: mirrors keep the counts of killed daemons

Cause: if the holder and other daemons are killed together, what the others had reported to it is lost with it: up to a whole window of their requests.

Change: reports also go to mirrors: all daemons of a fleet of up to 13, two of other failure domains in a larger one. Mirrors pass the counts of daemons that are no longer live on to a new holder. tick() takes the live daemons.

--- a/packages/usage/include/auburn/usage/usagecollector.h
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -11,8 +11,10 @@
 #include "auburn/core/metrics.h"
 #include "auburn/duties/conditionallog.h"
 #include "auburn/duties/dutyapi.h"
+#include "auburn/duties/dutyholder.h"
 #include "auburn/duties/dutypermit.h"
 #include "auburn/usage/fleetclock.h"
+#include "auburn/usage/livedaemon.h"
 #include "auburn/usage/usagereporter.h"
 #include "auburn/usage/usagewindow.h"
 
@@ -51,12 +53,16 @@
     UsageCollector(const UsageCollector &) = delete;
     UsageCollector &operator=(const UsageCollector &) = delete;
 
-    // Merges a report, also while the permit is not held: it may be held again, and the report is
-    // not repeated. The sender (IP:PORT) gets an acknowledgement.
+    // Takes note of the newest known holder. A new one gets the counts that this daemon has
+    // received from daemons that are no longer live.
+    void setHolder(const duties::DutyHolder &holder, TimePoint now);
+    // Merges a report, also while the permit is not held: this daemon may be a mirror of the
+    // sender, or hold the permit again later. The sender (IP:PORT) gets an acknowledgement from the
+    // holder.
     void handleReport(const proto::UsageReport &report, const std::string &sender, TimePoint now);
     // Performs what is due; to be called about every 100 ms on every daemon. The live daemons,
     // this one included, are those whose reports a window waits for.
-    void tick(TimePoint now, const std::vector<std::string> &liveVms);
+    void tick(TimePoint now, const std::vector<LiveDaemon> &live);
 
 private:
     class State;
--- a/packages/usage/include/auburn/usage/usagereporter.h
+++ b/packages/usage/include/auburn/usage/usagereporter.h
@@ -1,4 +1,9 @@
-// UsageReporter sends the counts of this daemon to the holder of the duties.
+// UsageReporter sends the counts of this daemon to the holder of the duties, and to mirrors.
+//
+// The mirrors are other daemons that keep the counts in case this daemon and the holder are killed
+// at about the same time. In a small fleet these are all daemons, so a new holder knows all counts
+// at once; in a large one two daemons of other failure domains, which pass the counts of a silent
+// daemon on to the new holder (UsageCollector).
 //
 // Reports are cumulative, so duplicates and losses are harmless. Changes are sent several times a
 // second, because a daemon that is killed loses what it has counted since its last report. Once a
@@ -10,6 +15,7 @@
 #include "auburn/core/bootclock.h"
 #include "auburn/duties/dutyholder.h"
 #include "auburn/usage/fleetclock.h"
+#include "auburn/usage/livedaemon.h"
 #include "auburn/usage/usageledger.h"
 
 #include <chrono>
@@ -36,6 +42,7 @@
         std::string vm;
         // Distinguishes processes with the same name.
         std::uint64_t incarnation = 0;
+        std::string failureDomain;
         SendDatagram send;
     };
 
@@ -46,9 +53,9 @@
     // new one with the next tick.
     void setHolder(const duties::DutyHolder &holder);
     void handleAck(const proto::UsageAck &ack);
-    // Sends what is due; to be called about every 100 ms. The number of live daemons determines how
-    // often changes are sent.
-    void tick(TimePoint now, std::size_t liveDaemons);
+    // Sends what is due; to be called about every 100 ms with all live daemons, this one included.
+    // Their number determines how often changes are sent.
+    void tick(TimePoint now, const std::vector<LiveDaemon> &live);
     // Sends everything at once, before the process ends.
     void flush(TimePoint now);
 
@@ -56,6 +63,8 @@
     bool hasHolder() const { return holder_.token > 0 && !holder_.released; }
     // True once in each second, at a time that differs between the daemons of a large fleet.
     bool takeCompleteReportDue(std::chrono::milliseconds unixTime, std::size_t liveDaemons);
+    // Returns true if the mirrors have changed.
+    bool chooseMirrors(const std::vector<LiveDaemon> &live);
     void queueChanges(std::chrono::milliseconds unixTime);
     void queueCompleteReport(UsageLedger::Scope scope, std::chrono::milliseconds unixTime);
     std::vector<proto::UsageReport> makeReports(UsageLedger::Scope scope,
@@ -66,7 +75,10 @@
     const FleetClock &clock_;
     UsageLedger &ledger_;
     duties::DutyHolder holder_;
-    bool isHolderNew_ = false;
+    // A receiver is new, so it needs everything.
+    bool isReceiverNew_ = false;
+    // Addresses.
+    std::vector<std::string> mirrors_;
     std::int64_t lastCompleteSecond_ = 0;
     TimePoint nextChangesAt_;
     std::deque<proto::UsageReport> queue_;
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -2,6 +2,7 @@
 
 #include "figurelog.h"
 #include "figuresender.h"
+#include "silentforwarder.h"
 #include "usagemetrics.h"
 #include "usagetable.h"
 
@@ -37,6 +38,7 @@
 constexpr milliseconds kResendTime{ 20000 };
 // A window that ended longer ago is not closed any more, because its figure would not be sent.
 constexpr milliseconds kCloseLimit{ 30000 };
+constexpr std::uint64_t kClosedWindowsKept = 2;
 constexpr std::size_t kMaxNamesInLog = 3;
 
 long long toLogNumber(std::uint64_t number)
@@ -65,6 +67,7 @@
         , log_(duties.log)
         , sender_({ .windowLength = options_.windowLength, .metrics = options_.metrics },
                   duties.clock, duties.api)
+        , forwarder_(options_.send)
     {
         if (!options_.metrics)
             return;
@@ -87,11 +90,26 @@
         options_.send(sender, datagram);
     }
 
-    void tick(TimePoint now, const std::vector<std::string> &liveVms)
+    void setHolder(const duties::DutyHolder &holder, TimePoint now)
     {
+        forwarder_.setHolder(holder, now);
+    }
+
+    void tick(TimePoint now, const std::vector<LiveDaemon> &live)
+    {
+        std::set<std::string> liveVms;
+        for (const LiveDaemon &daemon : live)
+            liveVms.insert(daemon.vm);
         table_.dropExpired(clock_.unixTime(now));
-        if (!permit_.isHeld())
-            return;
+        if (permit_.isHeld())
+            performDuty(now, liveVms);
+        else
+            forwarder_.tick(table_, liveVms, now);
+    }
+
+private:
+    void performDuty(TimePoint now, const std::set<std::string> &liveVms)
+    {
         if (permit_.token() != token_)
             takeOver(now);
         log_.tick(now);
@@ -102,9 +120,11 @@
         adoptCommitted(now);
         closeDue(now, liveVms);
         sender_.tick(now);
+        // Late reports about the last closed windows are still counted as such.
+        if (nextWindow_ > kClosedWindowsKept)
+            table_.dropWindowsBefore(nextWindow_ - kClosedWindowsKept);
     }
 
-private:
     bool isOperating() const { return token_ > 0 && resumed_; }
 
     // Starts under a new token. Under the same one nobody else has acted in between.
@@ -165,7 +185,7 @@
         nextWindow_ = oldest;
     }
 
-    void closeDue(TimePoint now, const std::vector<std::string> &liveVms)
+    void closeDue(TimePoint now, const std::set<std::string> &liveVms)
     {
         skipExpired(clock_.unixTime(now));
         while (!log_.isCommitting() && isSettled(now)) {
@@ -182,7 +202,7 @@
 
     // The daemons whose reports for the next window are not known to be complete: live ones, and
     // others that have reported some of its requests, because they may be frozen.
-    std::vector<std::string> missingReports(const std::vector<std::string> &liveVms) const
+    std::vector<std::string> missingReports(const std::set<std::string> &liveVms) const
     {
         const milliseconds due = windowEnd(nextWindow_, options_.windowLength) + kSettleTime;
         std::set<std::string> awaited = table_.reporters(nextWindow_);
@@ -246,6 +266,7 @@
     UsageTable table_;
     FigureLog log_;
     FigureSender sender_;
+    SilentForwarder forwarder_;
     Counter *lateRequests_ = nullptr;
     Counter *closedWindows_ = nullptr;
     // The token under which this daemon holds the duties, or last did.
@@ -272,9 +293,14 @@
     state_->handleReport(report, sender, now);
 }
 
-void UsageCollector::tick(TimePoint now, const std::vector<std::string> &liveVms)
+void UsageCollector::setHolder(const duties::DutyHolder &holder, TimePoint now)
+{
+    state_->setHolder(holder, now);
+}
+
+void UsageCollector::tick(TimePoint now, const std::vector<LiveDaemon> &live)
 {
-    state_->tick(now, liveVms);
+    state_->tick(now, live);
 }
 
 } // namespace auburn::usage
--- a/packages/usage/src/usagereporter.cpp
+++ b/packages/usage/src/usagereporter.cpp
@@ -30,6 +30,10 @@
 // Datagrams sent in one tick, so that they do not overflow the holder's receive buffer. 21,000
 // organisations in one window are about 300 datagrams.
 constexpr std::size_t kMaxDatagramsPerTick = 32;
+// Up to this number of other daemons, all of them are mirrors. Beyond it, the reports to more than
+// two would exceed the bandwidth of 14 KB/s that a daemon may use.
+constexpr std::size_t kMaxMeshPeers = 12;
+constexpr std::size_t kMirrors = 2;
 
 } // namespace
 
@@ -44,7 +48,7 @@
     if (holder.token < holder_.token)
         return;
     if (holder.token > holder_.token || holder.udpAddress != holder_.udpAddress) {
-        isHolderNew_ = true;
+        isReceiverNew_ = true;
         queue_.clear();
     }
     holder_ = holder;
@@ -56,33 +60,30 @@
     ledger_.closeThrough(ack.closed_through());
 }
 
-void UsageReporter::tick(TimePoint now, std::size_t liveDaemons)
+void UsageReporter::tick(TimePoint now, const std::vector<LiveDaemon> &live)
 {
     const milliseconds unixTime = clock_.unixTime(now);
     ledger_.dropExpired(unixTime);
-    if (!hasHolder())
-        return;
     if (queue_.empty()) {
-        const bool isDue = takeCompleteReportDue(unixTime, liveDaemons);
-        if (isHolderNew_)
+        const bool isDue = takeCompleteReportDue(unixTime, live.size());
+        if (isDue && chooseMirrors(live))
+            isReceiverNew_ = true;
+        if (std::exchange(isReceiverNew_, false))
             queueCompleteReport(UsageLedger::Scope::Everything, unixTime);
         else if (isDue)
             queueCompleteReport(UsageLedger::Scope::EndedWindows, unixTime);
         else if (now >= nextChangesAt_)
             queueChanges(unixTime);
-        isHolderNew_ = false;
         if (!queue_.empty())
             nextChangesAt_ = now
                              + std::max<microseconds>(kChangesInterval,
-                                                      kChangesIntervalPerDaemon * liveDaemons);
+                                                      kChangesIntervalPerDaemon * live.size());
     }
     sendQueued(kMaxDatagramsPerTick);
 }
 
 void UsageReporter::flush(TimePoint now)
 {
-    if (!hasHolder())
-        return;
     queue_.clear();
     queueCompleteReport(UsageLedger::Scope::Everything, clock_.unixTime(now));
     sendQueued(std::numeric_limits<std::size_t>::max());
@@ -96,6 +97,32 @@
     return std::exchange(lastCompleteSecond_, second) != second;
 }
 
+bool UsageReporter::chooseMirrors(const std::vector<LiveDaemon> &live)
+{
+    std::vector<const LiveDaemon *> others;
+    for (const LiveDaemon &daemon : live) {
+        if (daemon.vm != options_.vm)
+            others.push_back(&daemon);
+    }
+    if (others.size() > kMaxMeshPeers) {
+        // Rendezvous hashing, so that few daemons change their mirrors when one comes or goes.
+        const auto rank = [this, seed = stableHash(options_.vm)](const LiveDaemon *daemon) {
+            return std::pair(daemon->failureDomain == options_.failureDomain,
+                             stableHash(daemon->vm, seed));
+        };
+        std::partial_sort(others.begin(), others.begin() + kMirrors, others.end(),
+                          [&rank](const LiveDaemon *left, const LiveDaemon *right) {
+                              return rank(left) < rank(right);
+                          });
+        others.resize(kMirrors);
+    }
+    std::vector<std::string> mirrors;
+    for (const LiveDaemon *daemon : others)
+        mirrors.push_back(daemon->udpAddress);
+    std::sort(mirrors.begin(), mirrors.end());
+    return std::exchange(mirrors_, mirrors) != mirrors;
+}
+
 std::vector<proto::UsageReport> UsageReporter::makeReports(UsageLedger::Scope scope,
                                                            milliseconds unixTime)
 {
@@ -130,7 +157,12 @@
     for (; limit > 0 && !queue_.empty(); --limit) {
         *datagram.mutable_usage_report() = std::move(queue_.front());
         queue_.pop_front();
-        options_.send(holder_.udpAddress, datagram);
+        if (hasHolder())
+            options_.send(holder_.udpAddress, datagram);
+        for (const std::string &mirror : mirrors_) {
+            if (!hasHolder() || mirror != holder_.udpAddress)
+                options_.send(mirror, datagram);
+        }
     }
 }
 
--- a/packages/usage/src/usagetable.cpp
+++ b/packages/usage/src/usagetable.cpp
@@ -16,6 +16,8 @@
 // A window that begins more than this later than this daemon's time is not accepted. The clocks of
 // the daemons differ by less.
 constexpr milliseconds kMaxClockDifference{ 10000 };
+// Position of the process in the keys of counts.
+constexpr unsigned kProcessShift = 32;
 
 } // namespace
 
@@ -65,13 +67,14 @@
 std::uint64_t UsageTable::mergeWindow(Window &window, const proto::UsageWindow &report,
                                       std::uint32_t process)
 {
-    constexpr unsigned kProcessShift = 32;
     std::uint64_t added = 0;
     for (const proto::UsageCount &count : report.counts()) {
         const auto [organisation, isNew] = window.organisations.try_emplace(
                 count.organisation(), static_cast<std::uint32_t>(window.totals.size()));
-        if (isNew)
+        if (isNew) {
+            window.names.push_back(&organisation->first);
             window.totals.push_back(0);
+        }
         const std::uint32_t number = organisation->second;
         std::uint64_t &known =
                 window.counts[(static_cast<std::uint64_t>(process) << kProcessShift) | number];
@@ -138,7 +141,7 @@
 {
     const milliseconds oldest = unixTime - kWindowRetention;
     const std::uint64_t firstKept = windowAt(oldest, windowLength_);
-    windows_.erase(windows_.begin(), windows_.lower_bound(firstKept));
+    dropWindowsBefore(firstKept);
     // A process is kept for longer than any window that it reported.
     std::erase_if(processes_, [&](const auto &item) {
         return item.second.lastReport < oldest - kWindowRetention;
@@ -148,4 +151,39 @@
     });
 }
 
+void UsageTable::dropWindowsBefore(std::uint64_t window)
+{
+    windows_.erase(windows_.begin(), windows_.lower_bound(window));
+}
+
+std::vector<UsageTable::Process> UsageTable::processes() const
+{
+    std::vector<Process> result;
+    for (const auto &[process, state] : processes_)
+        result.push_back(process);
+    return result;
+}
+
+std::vector<proto::UsageWindow> UsageTable::countsOf(const Process &process) const
+{
+    std::vector<proto::UsageWindow> result;
+    const auto state = processes_.find(process);
+    if (state == processes_.end())
+        return result;
+    for (const auto &[number, window] : windows_) {
+        proto::UsageWindow counts;
+        counts.set_window(number);
+        for (const auto &[key, requests] : window.counts) {
+            if (key >> kProcessShift != state->second.number)
+                continue;
+            proto::UsageCount &count = *counts.add_counts();
+            count.set_organisation(*window.names[static_cast<std::uint32_t>(key)]);
+            count.set_requests(requests);
+        }
+        if (counts.counts_size() > 0)
+            result.push_back(std::move(counts));
+    }
+    return result;
+}
+
 } // namespace auburn::usage
--- a/packages/usage/src/usagetable.h
+++ b/packages/usage/src/usagetable.h
@@ -38,11 +38,18 @@
     void close(std::uint64_t window);
     // Forgets windows and processes that are too old to matter.
     void dropExpired(std::chrono::milliseconds unixTime);
+    // Forgets the windows before this one.
+    void dropWindowsBefore(std::uint64_t window);
 
-private:
     // A daemon process: its VM's name and its incarnation.
     using Process = std::pair<std::string, std::uint64_t>;
 
+    // The processes that have reported something.
+    std::vector<Process> processes() const;
+    // All counts that a process has reported.
+    std::vector<proto::UsageWindow> countsOf(const Process &process) const;
+
+private:
     struct ProcessState
     {
         std::uint32_t number = 0;
@@ -59,7 +66,8 @@
     {
         bool closed = false;
         std::unordered_map<std::string, std::uint32_t> organisations;
-        // By the number of the organisation.
+        // By the number of the organisation; the names are the keys of the map above.
+        std::vector<const std::string *> names;
         std::vector<std::uint64_t> totals;
         // By the number of the process (upper 32 bits) and of the organisation.
         std::unordered_map<std::uint64_t, std::uint64_t> counts;
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -91,7 +91,7 @@
 {
     count("b", "x");
     runToWindow(first, seconds(3));
-    daemons.at("b")->reporter.setHolder({ .token = 1000, .udpAddress = "nowhere" });
+    silenced = "b";
     runToWindow(first + 1, milliseconds(3500));
     BOOST_TEST(reported(first).empty());
     runToWindow(first + 1, milliseconds(4200));
@@ -228,6 +228,41 @@
     BOOST_TEST((reported(first + 1) == Counts{ { "y", 1 } }));
 }
 
+// The killed daemons cannot report to the new holder, and the old one cannot pass on what it knew.
+BOOST_AUTO_TEST_CASE(holderAndAnotherDaemon_killed_theirCountsAreReported)
+{
+    count("a", "x", 1);
+    count("b", "x", 2);
+    count("c", "x", 4);
+    run(milliseconds(200));
+    kill("a");
+    kill("b");
+    run(seconds(4));
+    giveDuties("c");
+    runToWindow(first + 1, seconds(7));
+    BOOST_TEST((reported(first) == Counts{ { "x", 7 } }));
+}
+
+// In a large fleet not every daemon knows all counts: the mirrors in the other failure domain must
+// pass them on.
+BOOST_AUTO_TEST_CASE(largeFleet_failureDomainOfTheHolderKilled_itsCountsAreReported)
+{
+    for (unsigned i = 0; i < 20; ++i) {
+        start("a" + std::to_string(i));
+        start("z" + std::to_string(i));
+    }
+    runToWindow(first + 1, milliseconds(100));
+    for (const auto &[vm, daemon] : daemons)
+        count(vm, "x");
+    const std::size_t requests = daemons.size();
+    run(milliseconds(500));
+    std::erase_if(daemons, [](const auto &item) { return item.first[0] == 'a'; });
+    run(seconds(4));
+    giveDuties("z7");
+    runToWindow(first + 2, seconds(5));
+    BOOST_TEST((reported(first + 1) == Counts{ { "x", requests } }));
+}
+
 // An empty figure would be wrong if those that could report the window were replaced.
 BOOST_AUTO_TEST_CASE(window_beforeTheHolderThatNobodyReported_isNotReported)
 {
--- a/packages/usage/tests/usagefixture.cpp
+++ b/packages/usage/tests/usagefixture.cpp
@@ -23,7 +23,7 @@
     daemons[vm] = std::make_unique<FakeDaemon>(vm, ++incarnations, log, api, send);
     FakeDaemon &daemon = *daemons[vm];
     daemon.clock.recordPeer(vm, trueTime(), now);
-    daemon.reporter.setHolder(holder);
+    tellHolder(daemon);
     return daemon;
 }
 
@@ -35,7 +35,13 @@
     daemons.at(vm)->permit.number = holder.token;
     daemons.at(vm)->permit.held = true;
     for (const auto &[name, daemon] : daemons)
-        daemon->reporter.setHolder(holder);
+        tellHolder(*daemon);
+}
+
+void UsageFixture::tellHolder(FakeDaemon &daemon)
+{
+    daemon.reporter.setHolder(holder);
+    daemon.collector.setHolder(holder, now);
 }
 
 void UsageFixture::count(const std::string &vm, const std::string &organisation, unsigned requests)
@@ -49,13 +55,13 @@
 {
     for (const TimePoint end = now + time; now < end;) {
         now += kTick;
-        std::vector<std::string> live;
+        std::vector<LiveDaemon> live;
         for (const auto &[vm, daemon] : daemons)
-            live.push_back(vm);
+            live.push_back({ .vm = vm, .udpAddress = vm, .failureDomain = vm.substr(0, 1) });
         for (const auto &[vm, daemon] : daemons) {
             for (const auto &[peer, other] : daemons)
                 daemon->clock.recordPeer(peer, trueTime() + other->wallError, now);
-            daemon->reporter.tick(now, live.size());
+            daemon->reporter.tick(now, live);
             daemon->collector.tick(now, live);
         }
     }
@@ -71,7 +77,9 @@
     BOOST_TEST(datagram.ByteSizeLong() <= 1200U);
     ++datagrams;
     const auto receiver = daemons.find(address);
-    if (receiver == daemons.end() || (lossPeriod > 0 && datagrams % lossPeriod == 0))
+    if (receiver == daemons.end()
+        || (datagram.has_usage_report() && datagram.usage_report().vm() == silenced)
+        || (lossPeriod > 0 && datagrams % lossPeriod == 0))
         return;
     if (datagram.has_usage_report())
         receiver->second->collector.handleReport(datagram.usage_report(),
--- a/packages/usage/tests/usagefixture.h
+++ b/packages/usage/tests/usagefixture.h
@@ -119,7 +119,11 @@
                const SendDatagram &send)
         : vm(name)
         , clock(name)
-        , reporter({ .vm = name, .incarnation = incarnation, .send = send }, clock, ledger)
+        , reporter({ .vm = name,
+                     .incarnation = incarnation,
+                     .failureDomain = name.substr(0, 1),
+                     .send = send },
+                   clock, ledger)
         , collector({ .send = send }, { .clock = clock, .log = log, .api = api, .permit = permit })
     {}
 
@@ -142,6 +146,7 @@
     void kill(const std::string &vm) { daemons.erase(vm); }
     // Lets a daemon hold the duties under the next token; the previous holder stops.
     void giveDuties(const std::string &vm);
+    void tellHolder(FakeDaemon &daemon);
     void count(const std::string &vm, const std::string &organisation, unsigned requests = 1);
     // Moves time on in ticks of 100 ms.
     void run(std::chrono::milliseconds time);
@@ -154,7 +159,7 @@
     // Empty if it received none.
     std::map<std::string, std::uint64_t> reported(std::uint64_t window) const;
 
-    // The address of a daemon is its name.
+    // The address of a daemon is its name, and its failure domain is the first character.
     std::map<std::string, std::unique_ptr<FakeDaemon>> daemons;
     FakeLog log;
     FakeApi api;
@@ -164,6 +169,8 @@
     // Every n-th datagram is lost; 0 for none.
     unsigned lossPeriod = 0;
     unsigned datagrams = 0;
+    // The reports of this daemon are lost.
+    std::string silenced;
 };
 
 } // namespace auburn::usage
