Usage reports: UsageMetering wires the classes of one daemon

Cause: the daemon would have to connect four classes and to deliver datagrams to itself over the network, which may lose them.

Change: UsageMetering owns clock, ledger, reporter and collector and delivers datagrams to this daemon directly. PeerExchange::livePeers() lists the live daemons of all failure domains.

--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -82,6 +82,7 @@
     // Returns the number of live peers: other daemons of which a recent heartbeat arrived, directly
     // or relayed.
     virtual unsigned livePeerCount() const = 0;
+    virtual std::vector<PeerInfo> livePeers() const = 0;
     // Returns the live peers of a failure domain.
     virtual std::vector<PeerInfo> livePeersIn(const std::string &failureDomain) const = 0;
     // Returns the live peers of this failure domain that recently announced that they read the
--- a/packages/peers/include/auburn/peers/peertable.h
+++ b/packages/peers/include/auburn/peers/peertable.h
@@ -77,6 +77,7 @@
     std::size_t size() const { return peers_.size(); }
     unsigned livePeerCount(TimePoint now) const;
     bool isLargeFleet(TimePoint now) const { return livePeerCount(now) > kFullMeshPeers; }
+    std::vector<PeerInfo> livePeers(TimePoint now) const;
     std::vector<PeerInfo> livePeersIn(const std::string &failureDomain, TimePoint now) const;
 
     // Returns the daemons of this failure domain that recently announced, in their own heartbeats,
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -142,6 +142,8 @@
     bool isLargeFleet() const override { return table_.isLargeFleet(Clock::now()); }
     unsigned livePeerCount() const override { return table_.livePeerCount(Clock::now()); }
 
+    std::vector<PeerInfo> livePeers() const override { return table_.livePeers(Clock::now()); }
+
     std::vector<PeerInfo> livePeersIn(const std::string &failureDomain) const override
     {
         return table_.livePeersIn(failureDomain, Clock::now());
--- a/packages/peers/src/peertable.cpp
+++ b/packages/peers/src/peertable.cpp
@@ -128,6 +128,16 @@
                           [&](const auto &entry) { return isLive(entry.second, now); }));
 }
 
+std::vector<PeerInfo> PeerTable::livePeers(TimePoint now) const
+{
+    std::vector<PeerInfo> result;
+    for (const auto &[address, peer] : peers_) {
+        if (isLive(peer, now))
+            result.push_back(peer.info);
+    }
+    return result;
+}
+
 std::vector<PeerInfo> PeerTable::livePeersIn(const std::string &failureDomain, TimePoint now) const
 {
     std::vector<PeerInfo> result;
--- a/packages/peers/tests/peerexchange_test.cpp
+++ b/packages/peers/tests/peerexchange_test.cpp
@@ -59,6 +59,7 @@
         return a->livePeerCount() == 2 && b->livePeerCount() == 2 && c->livePeerCount() == 2;
     }));
     BOOST_TEST(b->livePeersIn("a").size() == 2U);
+    BOOST_TEST(b->livePeers().size() == 2U);
     BOOST_TEST(b->livePeersIn("other").empty());
 }
 
--- a/packages/usage/src/silentforwarder.cpp
+++ b/packages/usage/src/silentforwarder.cpp
@@ -30,7 +30,7 @@
 void SilentForwarder::tick(const UsageTable &table, const std::set<std::string> &liveVms,
                            TimePoint now)
 {
-    if (now >= endsAt_ || holder_.released)
+    if (!isActive(now))
         return;
     for (const UsageTable::Process &process : table.processes()) {
         if (!liveVms.contains(process.first) && forwarded_.insert(process).second) {
--- a/packages/usage/src/silentforwarder.h
+++ b/packages/usage/src/silentforwarder.h
@@ -25,6 +25,8 @@
 
     // Starts forwarding to a holder with a newer token.
     void setHolder(const duties::DutyHolder &holder, TimePoint now);
+    // True while the counts of silent processes have to be forwarded.
+    bool isActive(TimePoint now) const { return now < endsAt_ && !holder_.released; }
     // Forwards the counts of at most one silent process.
     void tick(const UsageTable &table, const std::set<std::string> &liveVms, TimePoint now);
 
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -97,11 +97,14 @@
 
     void tick(TimePoint now, const std::vector<LiveDaemon> &live)
     {
+        table_.dropExpired(clock_.unixTime(now));
+        const bool isHeld = permit_.isHeld();
+        if (!isHeld && !forwarder_.isActive(now))
+            return;
         std::set<std::string> liveVms;
         for (const LiveDaemon &daemon : live)
             liveVms.insert(daemon.vm);
-        table_.dropExpired(clock_.unixTime(now));
-        if (permit_.isHeld())
+        if (isHeld)
             performDuty(now, liveVms);
         else
             forwarder_.tick(table_, liveVms, now);
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -67,9 +67,8 @@
 BOOST_AUTO_TEST_CASE(plainRequest_respondedToAfterTheWindow_countsForItsWindow)
 {
     runToWindow(first, milliseconds(4900));
-    const milliseconds sentAt = trueTime();
     run(milliseconds(700));
-    daemons.at("b")->ledger.count("x", sentAt);
+    count("b", "x", 1, milliseconds(700));
     runToWindow(first + 1, seconds(3));
     BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
 }
@@ -78,11 +77,11 @@
 BOOST_AUTO_TEST_CASE(count_afterTheWindowIsClosed_isDropped)
 {
     count("b", "x");
-    const milliseconds early = trueTime();
     runToWindow(first + 1, seconds(3));
-    daemons.at("b")->ledger.count("x", early);
+    count("b", "x", 1, seconds(5));
     run(seconds(3));
     BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
+    BOOST_TEST(metrics.counter("auburn_usage_late_requests_total", "").value() == 1U);
 }
 
 // A killed daemon is in the list of live ones for some time: the window must not wait for it
@@ -119,7 +118,7 @@
     BOOST_REQUIRE(log.items.contains(std::to_string(first % 32)));
     kill("a");
     start("d");
-    daemons.at("d")->ledger.count("x", trueTime() - seconds(2));
+    count("d", "x", 1, seconds(2));
     api.received = true;
     api.status = duties::CallStatus::Accepted;
     run(seconds(3));
@@ -320,7 +319,7 @@
     const std::uint64_t offset = log.items.at(firstPart).offset;
     kill("a");
     start("d");
-    daemons.at("d")->ledger.count("huka0", trueTime() - seconds(4));
+    count("d", "huka0", 1, seconds(4));
     giveDuties("d");
     run(seconds(4));
     BOOST_TEST(log.items.at(firstPart).offset > offset);
--- a/packages/usage/tests/usagefixture.cpp
+++ b/packages/usage/tests/usagefixture.cpp
@@ -16,15 +16,17 @@
 
 FakeDaemon &UsageFixture::start(const std::string &vm)
 {
-    const SendDatagram send = [this](const std::string &address,
-                                     const proto::PeerDatagram &datagram) {
-        deliver(address, datagram);
+    const UsageMetering::Options options{
+        .self = { .vm = vm, .udpAddress = vm, .failureDomain = vm.substr(0, 1) },
+        .incarnation = ++incarnations,
+        .send = [this, vm](const std::string &address,
+                           const proto::PeerDatagram &datagram) { deliver(vm, address, datagram); },
+        .livePeers = [this, vm] { return livePeersOf(vm); },
+        .metrics = &metrics,
     };
-    daemons[vm] = std::make_unique<FakeDaemon>(vm, ++incarnations, log, api, send);
-    FakeDaemon &daemon = *daemons[vm];
-    daemon.clock.recordPeer(vm, trueTime(), now);
-    tellHolder(daemon);
-    return daemon;
+    daemons[vm] = std::make_unique<FakeDaemon>(options, log, api, trueTime(), now);
+    daemons[vm]->metering.setHolder(holder, now);
+    return *daemons[vm];
 }
 
 void UsageFixture::giveDuties(const std::string &vm)
@@ -35,36 +37,39 @@
     daemons.at(vm)->permit.number = holder.token;
     daemons.at(vm)->permit.held = true;
     for (const auto &[name, daemon] : daemons)
-        tellHolder(*daemon);
+        daemon->metering.setHolder(holder, now);
 }
 
-void UsageFixture::tellHolder(FakeDaemon &daemon)
+void UsageFixture::count(const std::string &vm, const std::string &organisation, unsigned requests,
+                         milliseconds ago)
 {
-    daemon.reporter.setHolder(holder);
-    daemon.collector.setHolder(holder, now);
-}
-
-void UsageFixture::count(const std::string &vm, const std::string &organisation, unsigned requests)
-{
-    FakeDaemon &daemon = *daemons.at(vm);
     for (unsigned i = 0; i < requests; ++i)
-        daemon.ledger.count(organisation, daemon.clock.unixTime(now));
+        daemons.at(vm)->metering.requestBegan(organisation, ago, now);
 }
 
 void UsageFixture::run(milliseconds time)
 {
     for (const TimePoint end = now + time; now < end;) {
         now += kTick;
-        std::vector<LiveDaemon> live;
-        for (const auto &[vm, daemon] : daemons)
-            live.push_back({ .vm = vm, .udpAddress = vm, .failureDomain = vm.substr(0, 1) });
         for (const auto &[vm, daemon] : daemons) {
-            for (const auto &[peer, other] : daemons)
-                daemon->clock.recordPeer(peer, trueTime() + other->wallError, now);
-            daemon->reporter.tick(now, live);
-            daemon->collector.tick(now, live);
+            for (const auto &[peer, other] : daemons) {
+                if (peer != vm)
+                    daemon->metering.recordPeerClock(peer, trueTime() + other->wallError, now);
+            }
         }
+        for (const auto &[vm, daemon] : daemons)
+            daemon->metering.tick(trueTime() + daemon->wallError, now);
+    }
+}
+
+std::vector<LiveDaemon> UsageFixture::livePeersOf(const std::string &vm) const
+{
+    std::vector<LiveDaemon> live;
+    for (const auto &[peer, daemon] : daemons) {
+        if (peer != vm)
+            live.push_back({ .vm = peer, .udpAddress = peer, .failureDomain = peer.substr(0, 1) });
     }
+    return live;
 }
 
 void UsageFixture::runToWindow(std::uint64_t window, milliseconds offset)
@@ -72,20 +77,15 @@
     run(windowEnd(window, kDefaultWindowLength) - kDefaultWindowLength + offset - trueTime());
 }
 
-void UsageFixture::deliver(const std::string &address, const proto::PeerDatagram &datagram)
+void UsageFixture::deliver(const std::string &sender, const std::string &address,
+                           const proto::PeerDatagram &datagram)
 {
     BOOST_TEST(datagram.ByteSizeLong() <= 1200U);
     ++datagrams;
     const auto receiver = daemons.find(address);
-    if (receiver == daemons.end()
-        || (datagram.has_usage_report() && datagram.usage_report().vm() == silenced)
-        || (lossPeriod > 0 && datagrams % lossPeriod == 0))
-        return;
-    if (datagram.has_usage_report())
-        receiver->second->collector.handleReport(datagram.usage_report(),
-                                                 datagram.usage_report().vm(), now);
-    else
-        receiver->second->reporter.handleAck(datagram.usage_ack());
+    const bool isLost = sender == silenced || (lossPeriod > 0 && datagrams % lossPeriod == 0);
+    if (receiver != daemons.end() && !isLost)
+        receiver->second->metering.handleDatagram(datagram, sender, now);
 }
 
 milliseconds UsageFixture::trueTime() const
--- a/packages/usage/tests/usagefixture.h
+++ b/packages/usage/tests/usagefixture.h
@@ -5,10 +5,7 @@
 #include "auburn/duties/conditionallog.h"
 #include "auburn/duties/dutyapi.h"
 #include "auburn/duties/dutypermit.h"
-#include "auburn/usage/fleetclock.h"
-#include "auburn/usage/usagecollector.h"
-#include "auburn/usage/usageledger.h"
-#include "auburn/usage/usagereporter.h"
+#include "auburn/usage/usagemetering.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -115,24 +112,13 @@
 // One daemon process.
 struct FakeDaemon
 {
-    FakeDaemon(const std::string &name, std::uint64_t incarnation, FakeLog &log, FakeApi &api,
-               const SendDatagram &send)
-        : vm(name)
-        , clock(name)
-        , reporter({ .vm = name,
-                     .incarnation = incarnation,
-                     .failureDomain = name.substr(0, 1),
-                     .send = send },
-                   clock, ledger)
-        , collector({ .send = send }, { .clock = clock, .log = log, .api = api, .permit = permit })
+    FakeDaemon(const UsageMetering::Options &options, FakeLog &log, FakeApi &api,
+               std::chrono::milliseconds wallClock, BootClock::time_point now)
+        : metering(options, { .log = log, .api = api, .permit = permit }, wallClock, now)
     {}
 
-    const std::string vm;
     FakePermit permit;
-    FleetClock clock;
-    UsageLedger ledger{ {} };
-    UsageReporter reporter;
-    UsageCollector collector;
+    UsageMetering metering;
     // Error of the wall clock.
     std::chrono::milliseconds wallError{ 0 };
 };
@@ -146,30 +132,33 @@
     void kill(const std::string &vm) { daemons.erase(vm); }
     // Lets a daemon hold the duties under the next token; the previous holder stops.
     void giveDuties(const std::string &vm);
-    void tellHolder(FakeDaemon &daemon);
-    void count(const std::string &vm, const std::string &organisation, unsigned requests = 1);
+    void count(const std::string &vm, const std::string &organisation, unsigned requests = 1,
+               std::chrono::milliseconds ago = std::chrono::milliseconds(0));
     // Moves time on in ticks of 100 ms.
     void run(std::chrono::milliseconds time);
     // Moves time on to an offset within the next window.
     void runToWindow(std::uint64_t window, std::chrono::milliseconds offset);
-    void deliver(const std::string &address, const proto::PeerDatagram &datagram);
+    void deliver(const std::string &sender, const std::string &address,
+                 const proto::PeerDatagram &datagram);
+    std::vector<LiveDaemon> livePeersOf(const std::string &vm) const;
     std::chrono::milliseconds trueTime() const;
     std::uint64_t window() const { return windowAt(trueTime(), kDefaultWindowLength); }
     // The figure that the platform received for a window; fails if there were different ones.
     // Empty if it received none.
     std::map<std::string, std::uint64_t> reported(std::uint64_t window) const;
 
-    // The address of a daemon is its name, and its failure domain is the first character.
-    std::map<std::string, std::unique_ptr<FakeDaemon>> daemons;
+    Metrics metrics;
     FakeLog log;
     FakeApi api;
+    // The address of a daemon is its name, and its failure domain is the first character.
+    std::map<std::string, std::unique_ptr<FakeDaemon>> daemons;
     TimePoint now{ std::chrono::seconds(1000) };
     duties::DutyHolder holder;
     std::uint64_t incarnations = 0;
     // Every n-th datagram is lost; 0 for none.
     unsigned lossPeriod = 0;
     unsigned datagrams = 0;
-    // The reports of this daemon are lost.
+    // The datagrams of this daemon are lost.
     std::string silenced;
 };
 
