--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -67,9 +67,8 @@
 BOOST_AUTO_TEST_CASE(plainRequest_respondedToAfterTheWindow_countsForItsWindow)
 {
     runToWindow(first, milliseconds(4900));
-    const milliseconds sentAt = trueTime();
     run(milliseconds(700));
-    daemons.at("b")->ledger.count("x", sentAt);
+    count("b", "x", 1, milliseconds(700));
     runToWindow(first + 1, seconds(3));
     BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
 }
@@ -78,11 +77,11 @@
 BOOST_AUTO_TEST_CASE(count_afterTheWindowIsClosed_isDropped)
 {
     count("b", "x");
-    const milliseconds early = trueTime();
     runToWindow(first + 1, seconds(3));
-    daemons.at("b")->ledger.count("x", early);
+    count("b", "x", 1, seconds(5));
     run(seconds(3));
     BOOST_TEST((reported(first) == Counts{ { "x", 1 } }));
+    BOOST_TEST(metrics.counter("auburn_usage_late_requests_total", "").value() == 1U);
 }
 
 // A killed daemon is in the list of live ones for some time: the window must not wait for it
@@ -91,7 +90,7 @@
 {
     count("b", "x");
     runToWindow(first, seconds(3));
-    daemons.at("b")->reporter.setHolder({ .token = 1000, .udpAddress = "nowhere" });
+    silenced = "b";
     runToWindow(first + 1, milliseconds(3500));
     BOOST_TEST(reported(first).empty());
     runToWindow(first + 1, milliseconds(4200));
@@ -119,7 +118,7 @@
     BOOST_REQUIRE(log.items.contains(std::to_string(first % 32)));
     kill("a");
     start("d");
-    daemons.at("d")->ledger.count("x", trueTime() - seconds(2));
+    count("d", "x", 1, seconds(2));
     api.received = true;
     api.status = duties::CallStatus::Accepted;
     run(seconds(3));
@@ -228,6 +227,41 @@
     BOOST_TEST((reported(first + 1) == Counts{ { "y", 1 } }));
 }
 
+// The killed daemons cannot report to the new holder, and the old one cannot pass on what it knew.
+BOOST_AUTO_TEST_CASE(holderAndAnotherDaemon_killed_theirCountsAreReported)
+{
+    count("a", "x", 1);
+    count("b", "x", 2);
+    count("c", "x", 4);
+    run(milliseconds(200));
+    kill("a");
+    kill("b");
+    run(seconds(4));
+    giveDuties("c");
+    runToWindow(first + 1, seconds(7));
+    BOOST_TEST((reported(first) == Counts{ { "x", 7 } }));
+}
+
+// In a large fleet not every daemon knows all counts: the mirrors in the other failure domain must
+// pass them on.
+BOOST_AUTO_TEST_CASE(largeFleet_failureDomainOfTheHolderKilled_itsCountsAreReported)
+{
+    for (unsigned i = 0; i < 20; ++i) {
+        start("a" + std::to_string(i));
+        start("z" + std::to_string(i));
+    }
+    runToWindow(first + 1, milliseconds(100));
+    for (const auto &[vm, daemon] : daemons)
+        count(vm, "x");
+    const std::size_t requests = daemons.size();
+    run(milliseconds(500));
+    std::erase_if(daemons, [](const auto &item) { return item.first[0] == 'a'; });
+    run(seconds(4));
+    giveDuties("z7");
+    runToWindow(first + 2, seconds(5));
+    BOOST_TEST((reported(first + 1) == Counts{ { "x", requests } }));
+}
+
 // An empty figure would be wrong if those that could report the window were replaced.
 BOOST_AUTO_TEST_CASE(window_beforeTheHolderThatNobodyReported_isNotReported)
 {
@@ -285,7 +319,7 @@
     const std::uint64_t offset = log.items.at(firstPart).offset;
     kill("a");
     start("d");
-    daemons.at("d")->ledger.count("huka0", trueTime() - seconds(4));
+    count("d", "huka0", 1, seconds(4));
     giveDuties("d");
     run(seconds(4));
     BOOST_TEST(log.items.at(firstPart).offset > offset);
