--- a/packages/scaling/include/auburn/scaling/autoscaler.h
+++ b/packages/scaling/include/auburn/scaling/autoscaler.h
@@ -3,7 +3,8 @@
 //
 // Every daemon may have one; it acts only while the permit of the duties is held. All state is
 // derived from the demand reports and the list of servers, so a new holder needs nothing from its
-// predecessor.
+// predecessor. A holder whose permit lapses and returns under the same token keeps its state, as
+// nobody else can have acted in between.
 #pragma once
 
 #include "auburn.pb.h"
@@ -16,7 +17,9 @@
 #include "auburn/scaling/fleetplanner.h"
 #include "auburn/scaling/orderbook.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace auburn::scaling {
 
@@ -48,15 +51,19 @@
 
 private:
     FleetState observeFleet(unsigned liveDaemons, TimePoint now) const;
-    void stop();
+    // Forgets what an earlier holder, which may have been this daemon, planned and ordered.
+    void start(std::uint64_t token);
+    void pause();
 
     const Options options_;
     DemandTable table_;
     FleetPlanner planner_;
     OrderBook book_;
     std::unique_ptr<ScalingMetrics> metrics_;
-    // This daemon held the duties at the last tick.
+    // This daemon held the permit at the last tick.
     bool active_ = false;
+    // Token of the duties when this daemon last held them.
+    std::optional<std::uint64_t> token_;
 };
 
 } // namespace auburn::scaling
--- a/packages/scaling/include/auburn/scaling/demandtable.h
+++ b/packages/scaling/include/auburn/scaling/demandtable.h
@@ -28,7 +28,6 @@
     unsigned reportingDaemons() const { return static_cast<unsigned>(reports_.size()); }
     // Returns true if nearly all of the live daemons have reported recently.
     bool isComplete(unsigned liveDaemons) const;
-    void clear();
 
 private:
     struct Entry
--- a/packages/scaling/src/autoscaler.cpp
+++ b/packages/scaling/src/autoscaler.cpp
@@ -48,13 +48,12 @@
 
 void Autoscaler::tick(unsigned liveDaemons, TimePoint now)
 {
+    table_.update(now);
     if (!options_.permit->isHeld()) {
-        if (std::exchange(active_, false))
-            stop();
+        pause();
         return;
     }
-    active_ = true;
-    table_.update(now);
+    start(options_.permit->token());
     // Without the registry, neither new nor missing servers would be seen.
     if (!*options_.config || !options_.directory->isRegistryAvailable())
         return;
@@ -90,12 +89,19 @@
     return state;
 }
 
-void Autoscaler::stop()
+void Autoscaler::start(std::uint64_t token)
 {
-    table_.clear();
+    active_ = true;
+    if (std::exchange(token_, token) == token)
+        return;
     planner_.reset();
     book_.reset();
-    metrics_->clear();
+}
+
+void Autoscaler::pause()
+{
+    if (std::exchange(active_, false))
+        metrics_->clear();
 }
 
 } // namespace auburn::scaling
--- a/packages/scaling/src/demandtable.cpp
+++ b/packages/scaling/src/demandtable.cpp
@@ -79,10 +79,4 @@
     return reportingDaemons() > 0 && reportingDaemons() >= kCompleteShare * liveDaemons;
 }
 
-void DemandTable::clear()
-{
-    reports_.clear();
-    peaks_.clear();
-}
-
 } // namespace auburn::scaling
--- a/packages/scaling/tests/autoscaler_test.cpp
+++ b/packages/scaling/tests/autoscaler_test.cpp
@@ -167,6 +167,20 @@
     BOOST_TEST(calls.size() <= 2U);
 }
 
+// Guards against a holder that stops giving servers back because the store fails it now and then.
+BOOST_FIXTURE_TEST_CASE(lapsedPermit_sameToken_keepsItsState, SettledFleet)
+{
+    const unsigned before = ready();
+    load = [](double) { return 100.0; };
+    run(22);
+    BOOST_REQUIRE(ready() == before);
+    isHolder = false;
+    run(2);
+    isHolder = true;
+    run(6);
+    BOOST_TEST(wasGivenBack(before));
+}
+
 // Guards against orders of a daemon that no longer holds the duties, and against too many calls.
 BOOST_FIXTURE_TEST_CASE(calls_areBoundedAndEndWithTheDuties, SettledFleet)
 {
--- a/packages/scaling/tests/fleetsimulation.cpp
+++ b/packages/scaling/tests/fleetsimulation.cpp
@@ -60,9 +60,7 @@
 
 void FleetSimulation::changeHolder()
 {
-    isHolder = false;
-    autoscaler_.tick(kDaemons, now());
-    isHolder = true;
+    ++token_;
 }
 
 void FleetSimulation::report()
--- a/packages/scaling/tests/fleetsimulation.h
+++ b/packages/scaling/tests/fleetsimulation.h
@@ -31,7 +31,7 @@
 
     // Runs the simulation; the function is called after each tick of 200 ms.
     void run(double seconds, const std::function<void()> &afterTick = {});
-    // Makes this daemon lose the duties and acquire them again, as a new holder without a history.
+    // Makes this daemon a new holder, which does not know what the last one planned and ordered.
     void changeHolder();
     // Takes away all spot servers of the failure domain after a notice of 2.5 s. No spot server can
     // be had for 10 s.
@@ -73,7 +73,7 @@
     void orderServers(const duties::ServerOrder &order, Handler handler) override;
     void reportUsage(const duties::UsageFigure & /*figure*/, Handler /*handler*/) override {}
     bool isHeld() const override { return isHolder; }
-    std::uint64_t token() const override { return 1; }
+    std::uint64_t token() const override { return token_; }
 
     unsigned requestsPerDaemon() const;
     unsigned serversFor(double reserve) const;
@@ -89,6 +89,7 @@
     std::map<std::string, Server> servers_;
     Autoscaler autoscaler_;
     double spotDryUntil_ = 0;
+    std::uint64_t token_ = 1;
     std::uint64_t position_ = 0;
     std::uint64_t reportNumber_ = 0;
     unsigned created_ = 0;
