--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -308,6 +308,34 @@
     BOOST_TEST(server.closedByPeer() == 0U);
 }
 
+// Guards against a request that is parsed from the input while a read into the same buffer is
+// pending: the bytes of the next request were taken from a wrong position, and the previous request
+// ran again in its place.
+BOOST_AUTO_TEST_CASE(pipelinedRequests_arriveDuringResponses_eachRunsOnce)
+{
+    ScriptedServer &server = addServer("s1", "desk", [](const ScriptedRequest &received) {
+        const std::string body = sealed(200, "<" + std::string(received["X-Number"]) + ">");
+        return ScriptedReply{ .parts = { { body, milliseconds(100) } } };
+    });
+    ScriptedClient client(io, address);
+    const auto send = [&client](const std::string &number) {
+        client.send(request("POST", "/order/x", "X-Number: " + number + "\r\n"));
+    };
+    send("1");
+    runUntil(io, [&] { return server.requests().size() == 1; });
+    send("2");
+    runUntil(io, [&] { return server.requests().size() == 2; });
+    send("3");
+    runUntil(
+            io, [&] { return client.received().find("<3>") != std::string::npos; },
+            milliseconds(1500));
+    std::string numbers;
+    for (const ScriptedRequest &received : server.requests())
+        numbers += std::string(received["X-Number"]);
+    BOOST_TEST(numbers == "123");
+    BOOST_TEST(client.received().find("<3>") != std::string::npos);
+}
+
 // Guards against a connection that is destroyed under its request because too many pipelined bytes
 // wait for it to be read any further: the response was written to a dangling pointer.
 BOOST_AUTO_TEST_CASE(pipelinedRequests_moreThanTheInputLimit_areAllAnsweredInOrder)
