Gateway: bound what untrusted callers hold

Cause: only bodies and output were counted. The input that the parser cannot consume yet (trailers, a line with the size of a chunk) had no limit, header fields of four bytes took thirty times their size, pipelined input took up to 128 KiB a connection, and a chunked body grew before it was counted. Nothing was closed while memory or descriptors were used up, and an idle connection could keep an ordinary caller out. A read was pending on the input buffer while the parser consumed it, so that a pipelined request could run twice and the next one never.

Change: - One accounting: object, input, header lines, trailers, bodies, output, and the connection to the server (24 KiB an exchange) are charged to MemoryBudget, bodies before they grow. - Trailers and chunk lines count as header bytes (431). Input that is read ahead is limited to 16 KiB, and not read at all while memory is short.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -189,6 +189,8 @@
     // True if a response on this connection carried the id of its request.
     bool echoesRequestId_ = false;
     std::size_t headerBytes_ = 0;
+    // Lines received of the current response head.
+    std::size_t headerLines_ = 0;
     std::size_t discardedBytes_ = 0;
     unsigned responseCount_ = 0;
     Clock::time_point idleSince_;
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -6,6 +6,7 @@
 
 #include "auburn/core/log.h"
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -26,6 +27,20 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{ 8 } * 1024;
+// Input that is read ahead while a response is in progress. It only has to show that the caller has
+// disconnected; the rest of it waits in the socket.
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 16 } * 1024;
+// Limit of the line with the size of a chunk, beyond the limit of the header.
+constexpr std::size_t kMaxChunkLineBytes = 256;
+// Memory of a connection without its buffers: the object, its timers, and its socket.
+constexpr std::size_t kConnectionBytes = std::size_t{ 2 } * 1024;
+// Memory for each byte and each line of the header, in the parser and in the request made from it.
+// Without the overhead of a line, a header of 16 KiB in fields of four bytes would be counted as a
+// thirtieth of the memory that it takes.
+constexpr std::size_t kBytesPerHeaderByte = 3;
+constexpr std::size_t kBytesPerHeaderLine = 192;
+// A connection that moves fewer bytes in a round is stalled.
+constexpr std::size_t kProgressBytes = 1024;
 constexpr milliseconds kBodyTimeout{ 20000 };
 constexpr milliseconds kWriteTimeout{ 10000 };
 constexpr milliseconds kLingerTimeout{ 1500 };
@@ -52,6 +67,18 @@
     return header.count(http::field::host) <= 1;
 }
 
+// Identifies the source of a connection. A caller with an IPv6 address has a whole /64 network.
+std::uint64_t sourceOf(const asio::ip::address &address)
+{
+    if (address.is_v4())
+        return address.to_v4().to_uint();
+    std::uint64_t network = 0;
+    const auto bytes = address.to_v6().to_bytes();
+    for (std::size_t i = 0; i < sizeof(network); ++i)
+        network = network << 8 | bytes[i];
+    return network;
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(GatewayContext &context, tcp::socket socket)
@@ -60,7 +87,7 @@
     , readDeadline_(context.io, [this] { readTimedOut(); })
     , writeDeadline_(context.io, [this] { postClose(); })
     , startupDeadline_(context.io, [this] { endStartupWait("timeout"); })
-    , heldOutput_(context.memory)
+    , held_(context.memory)
 {
     ++context_.connections;
 }
@@ -75,6 +102,9 @@
     ErrorCode ignored;
     socket_.non_blocking(true, ignored);
     setTcpOptions(socket_);
+    const tcp::endpoint remote = socket_.remote_endpoint(ignored);
+    source_ = ignored ? 0 : sourceOf(remote.address());
+    context_.callers.add(*this);
     beginRequest();
 }
 
@@ -110,30 +140,45 @@
     responseDone_ = false;
     abortResponse_ = false;
     headerBytes_ = 0;
+    headerLines_ = 0;
     phase_ = Phase::Idle;
+    held_.resize(heldBytes());
+    context_.callers.addIdle(*this);
     readDeadline_.setAfter(context_.draining ? context_.drainIdleTime : idle);
     parseInput();
 }
 
 void CallerConnection::read()
 {
-    constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } * 1024;
     if (reading_ || phase_ == Phase::Closed)
         return;
-    if (phase_ == Phase::Responding && input_.size() > kMaxPipelinedBytes)
+    const std::size_t maxPipelined = context_.callers.isUnderPressure() ? 0 : kMaxPipelinedBytes;
+    if (phase_ == Phase::Responding && input_.size() > maxPipelined)
         return;
     reading_ = true;
-    socket_.async_read_some(input_.prepare(kReadBytes),
-                            [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                                self->reading_ = false;
-                                self->received(error, bytes);
-                            });
+    // No part of the input buffer is in use while the connection waits: an idle connection needs
+    // none, and the parser may consume what has been read ahead.
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+        self->reading_ = false;
+        self->readable(error);
+    });
 }
 
-void CallerConnection::received(ErrorCode error, std::size_t bytes)
+void CallerConnection::readable(ErrorCode error)
 {
     if (phase_ == Phase::Closed)
         return;
+    std::size_t bytes = 0;
+    if (!error)
+        bytes = socket_.read_some(input_.prepare(kReadBytes), error);
+    if (error == asio::error::would_block)
+        read();
+    else
+        received(error, bytes);
+}
+
+void CallerConnection::received(ErrorCode error, std::size_t bytes)
+{
     if (error) {
         close();
         return;
@@ -147,10 +192,13 @@
         return;
     }
     input_.commit(bytes);
-    if (phase_ == Phase::Responding)
+    movedBytes_ += bytes;
+    if (phase_ == Phase::Responding) {
+        held_.resize(heldBytes());
         read();
-    else
+    } else {
         parseInput();
+    }
 }
 
 void CallerConnection::parseInput()
@@ -158,20 +206,19 @@
     while (phase_ == Phase::Idle || phase_ == Phase::Header || phase_ == Phase::Body) {
         if (phase_ == Phase::Idle && input_.size() > 0) {
             phase_ = Phase::Header;
+            IdleConnectionHook::unlink();
             received_ = Clock::now();
             readDeadline_.setAfter(currentLimits().headerTimeout);
         }
         ErrorCode error = http::error::need_more;
+        if (phase_ == Phase::Body && !reserveBody())
+            return;
         if (input_.size() > 0) {
             const std::size_t used = parser_->put(input_.data(), error);
+            countHeader(used);
             input_.consume(used);
-            // The parser applies its limit to each call of put() only, so many short fields would
-            // pass it.
-            if (phase_ == Phase::Header)
-                headerBytes_ += used;
-            const bool tooLong = context_.state.config
-                                 && headerBytes_ > context_.state.config->limits().headerBytes;
-            if (tooLong)
+            const bool waits = error == http::error::need_more;
+            if ((!error || waits) && exceedsHeaderLimit(waits ? input_.size() : 0))
                 error = http::error::header_limit;
         }
         if (error && error != http::error::need_more) {
@@ -187,11 +234,35 @@
         if (phase_ == Phase::Body && !holdBody(parser_->get().body().capacity()))
             return;
         if (phase_ == Phase::Body && parser_->is_done()) {
-            requestComplete();
+            if (holdRequest())
+                requestComplete();
             return;
         }
     }
-    read();
+    if (holdRequest())
+        read();
+}
+
+// The parser applies its own limit to each call of put() only, so many short fields would pass it.
+// It consumes the trailers in one call, once they are complete.
+void CallerConnection::countHeader(std::size_t bytes)
+{
+    const bool isTrailer = phase_ == Phase::Body && parser_->is_done() && parser_->chunked();
+    if (phase_ != Phase::Header && !isTrailer)
+        return;
+    const char *data = static_cast<const char *>(input_.data().data());
+    headerBytes_ += bytes;
+    headerLines_ += static_cast<std::size_t>(std::count(data, data + bytes, '\n'));
+}
+
+// Trailers count as header. Until they are complete they wait in the input, as does a line with the
+// size of a chunk. The start of a header that waits is limited by the parser.
+bool CallerConnection::exceedsHeaderLimit(std::size_t waitingBytes) const
+{
+    const std::size_t limit = currentLimits().headerBytes;
+    if (phase_ != Phase::Body)
+        return headerBytes_ > limit;
+    return headerBytes_ + waitingBytes > limit + kMaxChunkLineBytes;
 }
 
 bool CallerConnection::headerComplete()
@@ -218,16 +289,64 @@
 {
     if (bytes <= heldBody_->size() || heldBody_->tryResize(bytes))
         return true;
-    parser_->get().body() = {};
-    heldBody_->resize(0);
     reject(503, "memory_limit");
     return false;
 }
 
+// Without this, the body would grow to its new size before it is known whether memory is left.
+bool CallerConnection::reserveBody()
+{
+    if (!parser_->chunked())
+        return true;
+    std::string &body = parser_->get().body();
+    const std::size_t needed = body.size() + input_.size();
+    if (needed <= body.capacity())
+        return true;
+    const std::size_t grown = std::max(needed, 2 * body.capacity());
+    if (!holdBody(grown))
+        return false;
+    body.reserve(grown);
+    return true;
+}
+
+bool CallerConnection::holdRequest()
+{
+    if (held_.tryResize(heldBytes()))
+        return true;
+    if (phase_ == Phase::Idle) {
+        // No request has begun, so that there is nothing to reject.
+        held_.resize(heldBytes());
+        return true;
+    }
+    reject(503, "memory_limit");
+    return false;
+}
+
+std::size_t CallerConnection::heldBytes() const
+{
+    return kConnectionBytes + input_.capacity() + pendingOutput_.capacity()
+           + outputInFlight_.capacity() + headerBytes_ * kBytesPerHeaderByte
+           + headerLines_ * kBytesPerHeaderLine;
+}
+
+void CallerConnection::releaseRequest()
+{
+    parser_->get().body() = {};
+    heldBody_->resize(0);
+    parser_->get().clear();
+    headerBytes_ = 0;
+    headerLines_ = 0;
+    input_.clear();
+    input_.shrink_to_fit();
+    held_.resize(heldBytes());
+}
+
 void CallerConnection::requestComplete()
 {
     readDeadline_.clear();
     phase_ = Phase::Responding;
+    if (input_.size() == 0)
+        input_.shrink_to_fit();
     HeldString body{ .text = std::move(parser_->get().body()), .memory = std::move(*heldBody_) };
     heldBody_.reset();
     CallerRequest request = readCallerRequest(parser_->get(), std::move(body),
@@ -293,6 +412,8 @@
     std::shared_ptr<ResponseWriter> writer(shared_from_this(), this);
     exchange_ = std::make_shared<Exchange>(context_, std::move(request), std::move(writer));
     const auto exchange = exchange_;
+    // The fields have been copied into the request.
+    parser_.reset();
     exchange->start();
     read();
 }
@@ -350,6 +471,8 @@
                 ->counter("auburn_rejected_total", "Requests rejected before routing",
                           { { "reason", reason } })
                 .add();
+    if (!parser_->is_done())
+        releaseRequest();
     ResponseHead head{ .status = status };
     if (status == 503)
         head.fields.push_back(retryAfterField(rejectionRetryDelay()));
@@ -357,6 +480,34 @@
     read();
 }
 
+bool CallerConnection::closeIfIdle()
+{
+    if (phase_ != Phase::Idle || hasUnreadInput())
+        return false;
+    close();
+    return true;
+}
+
+ConnectionLoad CallerConnection::nextRound()
+{
+    const bool moved = std::exchange(movedBytes_, 0) >= kProgressBytes;
+    stalledRounds_ = moved ? 0 : stalledRounds_ + 1;
+    const bool isIncomplete = phase_ == Phase::Header || phase_ == Phase::Body;
+    const bool isUnread = phase_ == Phase::Responding && writeInProgress_ && stalledRounds_ > 0;
+    return { .heldBytes = held_.size() + (heldBody_ ? heldBody_->size() : 0),
+             .source = source_,
+             .stalledRounds = stalledRounds_,
+             .isDispensable = isIncomplete || isUnread };
+}
+
+void CallerConnection::shed()
+{
+    if (phase_ == Phase::Header || phase_ == Phase::Body)
+        reject(503, "memory_limit");
+    else if (phase_ == Phase::Responding && writeInProgress_)
+        close();
+}
+
 milliseconds CallerConnection::rejectionRetryDelay() const
 {
     if (context_.state.config)
@@ -450,9 +601,14 @@
     outputInFlight_.clear();
     outputInFlight_.swap(pendingOutput_);
     writeInProgress_ = true;
+    writtenBytes_ = 0;
     updateHeldOutput();
     writeDeadline_.setAfter(kWriteTimeout);
-    asio::async_write(socket_, asio::buffer(outputInFlight_),
+    const auto countWritten = [this](ErrorCode error, std::size_t bytes) {
+        movedBytes_ += bytes - std::exchange(writtenBytes_, bytes);
+        return asio::transfer_all()(error, bytes);
+    };
+    asio::async_write(socket_, asio::buffer(outputInFlight_), countWritten,
                       [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
                           self->writeFinished(error, bytes);
                       });
@@ -485,7 +641,7 @@
         outputInFlight_ = {};
     if (pendingOutput_.empty() && pendingOutput_.capacity() > MemoryBudget::kSmallHolderBytes)
         pendingOutput_ = {};
-    heldOutput_.resize(pendingOutput_.capacity() + outputInFlight_.capacity());
+    held_.resize(heldBytes());
 }
 
 void CallerConnection::responseComplete()
@@ -514,6 +670,7 @@
     ErrorCode ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     phase_ = Phase::Lingering;
+    parser_.reset();
     readDeadline_.setAfter(kLingerTimeout);
     read();
 }
@@ -529,6 +686,7 @@
         return;
     const auto self = shared_from_this();
     phase_ = Phase::Closed;
+    IdleConnectionHook::unlink();
     readDeadline_.clear();
     writeDeadline_.clear();
     startupDeadline_.clear();
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
 // nothing.
 class CallerConnection
     : public std::enable_shared_from_this<CallerConnection>
+    , public ConnectionHook
+    , public IdleConnectionHook
     , private ResponseWriter
 {
 public:
@@ -43,6 +46,16 @@
     // Ends the request in progress, if any, because the process is about to end.
     void endRequest();
 
+    // Closes the connection if it waits for a request and has received none. Returns false if not.
+    bool closeIfIdle();
+    // Starts a round of the timer that looks for connections to close, and returns what this one
+    // held and moved in the last round.
+    ConnectionLoad nextRound();
+    // Frees what the connection holds because memory or descriptors are short. A request that is
+    // incomplete is rejected, since it certainly did not run; a response that is not read is broken
+    // off.
+    void shed();
+
 private:
     using ErrorCode = boost::system::error_code;
     using Clock = BootClock;
@@ -62,13 +75,27 @@
     routing::TrafficLimits currentLimits() const;
     void beginRequest();
     void read();
+    void readable(ErrorCode error);
     void received(ErrorCode error, std::size_t bytes);
     void parseInput();
     // Returns false if the request was rejected on the basis of its header.
     bool headerComplete();
+    // Counts the bytes that the parser has just consumed as header or trailers, if they are.
+    void countHeader(std::size_t bytes);
+    // waitingBytes is the input that the parser cannot consume yet.
+    bool exceedsHeaderLimit(std::size_t waitingBytes) const;
     // Accounts for the memory of the request's body. Returns false if the request was rejected
     // because all connections together hold too much.
     bool holdBody(std::size_t bytes);
+    // Accounts for the growth of the body by the buffered input before the parser appends it.
+    bool reserveBody();
+    // Accounts for everything else that the connection holds. Returns false if the request was
+    // rejected because all connections together hold too much.
+    bool holdRequest();
+    // Bytes of memory of the connection, its buffers and its header.
+    std::size_t heldBytes() const;
+    // Frees the memory of a request that has been rejected before it was complete.
+    void releaseRequest();
     void requestComplete();
     // Holds a request for at most the given time, until this daemon can route requests.
     void waitForRouting(CallerRequest request, std::chrono::milliseconds limit);
@@ -96,7 +123,7 @@
     // Starts writing the pending output unless a write is in progress.
     void flushOutput();
     void writeFinished(ErrorCode error, std::size_t bytes);
-    // Accounts for the memory of the output, and returns that of a large response.
+    // Accounts for the memory of the buffers, and returns that of a large response.
     void updateHeldOutput();
     void responseComplete();
     void responseWritten();
@@ -127,15 +154,23 @@
     bool responseDone_ = false;
     bool abortResponse_ = false;
     bool congested_ = false;
+    // Bytes and lines of the header and the trailers.
     std::size_t headerBytes_ = 0;
+    std::size_t headerLines_ = 0;
     std::size_t lingerBytes_ = 0;
     // Bytes that wait to be written, and the ones that are being written.
     std::string pendingOutput_;
     std::string outputInFlight_;
+    // Number of bytes of the current write that the socket has taken.
     std::size_t writtenBytes_ = 0;
     bool writeInProgress_ = false;
-    // The memory of the output.
-    HeldMemory heldOutput_;
+    // The memory of everything but bodies that belong to the request.
+    HeldMemory held_;
+    // Identifies the caller's address.
+    std::uint64_t source_ = 0;
+    // Bytes received or written since the last round, and the rounds without enough of them.
+    std::size_t movedBytes_ = 0;
+    unsigned stalledRounds_ = 0;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/callerrequest.cpp
+++ b/packages/gateway/src/callerrequest.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace auburn::gateway {
@@ -98,6 +99,7 @@
 {
     std::vector<HeaderField> result;
     const auto connection = fields[http::field::connection];
+    result.reserve(static_cast<std::size_t>(std::distance(fields.begin(), fields.end())));
     for (const auto &field : fields) {
         if (isHopByHopField(field.name()))
             continue;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t kLargePromptTokens = 1000;
 constexpr unsigned kMaxConnectFailures = 3;
 constexpr std::size_t kMaxResponseBytes = std::size_t{ 16 } * 1024 * 1024;
+// Memory of an exchange: its own, the read buffer of its connection to a server and the parser.
+constexpr std::size_t kAttemptBytes = std::size_t{ 24 } * 1024;
 constexpr milliseconds kMinRetryAfter{ 100 };
 constexpr milliseconds kMaxRetryAfter{ 1000 };
 constexpr milliseconds kMinStallTimeout{ 150 };
@@ -68,6 +70,7 @@
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadlineTimer_(context.io, [this] { deadlinePassed(); })
     , stallTimer_(context.io, [this] { attemptStalled(); })
+    , attemptMemory_(context.memory)
     , heldMemory_(context.memory)
     , stream_(request_.lastEventId)
 {
@@ -94,6 +97,10 @@
         refuse("crashes_servers");
         return;
     }
+    if (!attemptMemory_.tryResize(kAttemptBytes)) {
+        refuse("memory_limit");
+        return;
+    }
     deadlineTimer_.setAfter(timeLeft());
     requestPlacement();
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -167,6 +167,8 @@
 
     // The response to the current attempt.
     AttemptResponse response_;
+    // The memory of the exchange itself and its connection to a server.
+    HeldMemory attemptMemory_;
     // The memory of the body, or of the events that are being assembled.
     HeldMemory heldMemory_;
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace auburn::gateway {
 
@@ -31,6 +30,11 @@
                     .state = *context_.options.state,
                     .pool = std::make_shared<ConnectionPool>(io),
                     .memory = std::make_shared<MemoryBudget>(context_.options.memoryLimit),
+                    .callers = CallerConnections(
+                            io, { .memory = context_.memory,
+                                  .maxConnections = context_.options.maxConnections,
+                                  .connections = &context_.connections,
+                                  .metrics = context_.options.metrics }),
                     .crashes = std::make_shared<CrashGuard>(
                             io,
                             CrashGuard::Options{
@@ -47,10 +51,7 @@
     {
         context_.draining = true;
         context_.drainIdleTime = idleTime;
-        for (const auto &entry : callerConnections_) {
-            if (const auto connection = entry.lock())
-                connection->drain();
-        }
+        context_.callers.forEach([](CallerConnection &connection) { connection.drain(); });
     }
 
     void refuseNewRequests() override
@@ -61,10 +62,7 @@
 
     void endRequests() override
     {
-        for (const auto &entry : callerConnections_) {
-            if (const auto connection = entry.lock())
-                connection->endRequest();
-        }
+        context_.callers.forEach([](CallerConnection &connection) { connection.endRequest(); });
     }
 
     void routingStateChanged() override
@@ -77,11 +75,7 @@
     std::size_t requestsInProgress() const override { return context_.requestsInProgress; }
     std::size_t heldBytes() const override { return context_.memory->used(); }
 
-    void closeExpiredConnections() override
-    {
-        context_.pool->closeExpired();
-        std::erase_if(callerConnections_, [](const auto &entry) { return entry.expired(); });
-    }
+    void closeExpiredConnections() override { context_.pool->closeExpired(); }
 
     void closeIdleConnectionsTo(const std::string &address) override
     {
@@ -91,19 +85,19 @@
 private:
     void connectionAccepted(tcp::socket socket)
     {
-        if (context_.connections >= context_.options.maxConnections) {
+        // An idle connection can be opened again; a caller that is refused has nothing.
+        const bool isFull = context_.connections >= context_.options.maxConnections;
+        if (isFull && !context_.callers.closeLongestIdle()) {
             logEvent(LogLevel::Warning, "connection_refused",
                      { { "connections", static_cast<long long>(context_.connections) } });
             return;
         }
         const auto connection = std::make_shared<CallerConnection>(context_, std::move(socket));
-        callerConnections_.push_back(connection);
         connection->start();
     }
 
     GatewayContext context_;
     Listener listener_;
-    std::vector<std::weak_ptr<CallerConnection>> callerConnections_;
 };
 
 } // namespace
--- a/packages/gateway/src/gatewaycontext.h
+++ b/packages/gateway/src/gatewaycontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callerconnections.h"
 #include "connectionpool.h"
 #include "crashguard.h"
 #include "memorybudget.h"
@@ -23,6 +24,7 @@
     RoutingState &state;
     std::shared_ptr<ConnectionPool> pool;
     std::shared_ptr<MemoryBudget> memory;
+    CallerConnections callers;
     std::shared_ptr<CrashGuard> crashes;
     // The time at which the gateway started.
     const BootClock::time_point startedAt = BootClock::now();
--- a/packages/gateway/src/memorybudget.h
+++ b/packages/gateway/src/memorybudget.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace auburn::gateway {
 
@@ -25,12 +27,26 @@
     std::size_t used() const { return used_; }
     // The part of the limit that large holders may use, in bytes.
     std::size_t largeHolderLimit() const { return limit_ / 4 * 3; }
+    // A share of the limit, in bytes.
+    std::size_t percent(unsigned percent) const { return limit_ / 100 * percent; }
+
+    // The handler is called each time a holder grows while more than the threshold is used. It must
+    // not change the holders itself.
+    void setPressureHandler(std::size_t threshold, std::function<void()> handler)
+    {
+        pressureThreshold_ = threshold;
+        pressureHandler_ = std::move(handler);
+    }
 
 private:
     friend class HeldMemory;
 
+    void reportPressure() const;
+
     const std::size_t limit_;
     std::size_t used_ = 0;
+    std::size_t pressureThreshold_ = 0;
+    std::function<void()> pressureHandler_;
 };
 
 // HeldMemory is the share of one holder, such as a request body, in the budget. It is returned when
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
@@ -31,6 +32,8 @@
 // Limit of the header bytes of all responses in one call, including interim ones. It also limits
 // the input that the parser cannot consume yet, such as an unterminated line.
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+// Limit of the lines of one response head. Many short fields take far more memory than their bytes.
+constexpr std::size_t kMaxHeaderLines = 1000;
 constexpr std::chrono::milliseconds kReconnectTimeout{ 300 };
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
@@ -87,6 +90,7 @@
     headerDone_ = false;
     discarding_ = false;
     headerBytes_ = 0;
+    headerLines_ = 0;
     discardedBytes_ = 0;
     parser_ = std::make_unique<Parser>();
     if (connected_)
@@ -186,6 +190,10 @@
     }
     bytesReceived_ = true;
     input_.commit(bytes);
+    if (!headerDone_) {
+        const char *end = static_cast<const char *>(input_.data().data()) + input_.size();
+        headerLines_ += static_cast<std::size_t>(std::count(end - bytes, end, '\n'));
+    }
     if (parse())
         read();
 }
@@ -290,7 +298,8 @@
 
 bool OutboundConnection::exceedsLimits() const
 {
-    return headerBytes_ > kMaxHeaderBytes || input_.size() > kMaxHeaderBytes
+    const bool hasTooManyLines = !headerDone_ && headerLines_ > kMaxHeaderLines;
+    return hasTooManyLines || headerBytes_ > kMaxHeaderBytes || input_.size() > kMaxHeaderBytes
            || discardedBytes_ > kMaxDiscardedBytes;
 }
 
@@ -303,6 +312,7 @@
 bool OutboundConnection::processHeader()
 {
     headerDone_ = true;
+    headerLines_ = 0;
     const ResponseHeader &header = parser_->response.get();
     if (isJoinedHead(header)) {
         finishCall(CallOutcome::Invalid,
@@ -356,6 +366,8 @@
     // An idle connection must not hold the body of its last request.
     if (sent_)
         request_ = {};
+    if (input_.size() == 0 && input_.capacity() > 2 * kReadBytes)
+        input_.shrink_to_fit();
     CallHandler *handler = std::exchange(handler_, nullptr);
     const auto self = shared_from_this();
     if (!reusable_)
--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -10,11 +10,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/intrusive/list.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -30,40 +32,88 @@
 
 constexpr std::chrono::seconds kIdleTimeout{ 20 };
 constexpr int kBacklog = 64;
-constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
-
-class Session : public std::enable_shared_from_this<Session>
+constexpr std::uint32_t kMaxRequestBytes = 8 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 2 } * 1024;
+// A connection beyond this number displaces the one that was opened first among those without a
+// complete request. The daemons of a failure domain share two readers, so at most about 80 of them
+// read the documents from one daemon.
+constexpr std::size_t kMaxSessions = 96;
+
+using SessionHook = boost::intrusive::list_base_hook<
+        boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+class Session
+    : public std::enable_shared_from_this<Session>
+    , public SessionHook
 {
 public:
     Session(asio::io_context &io, tcp::socket socket,
             std::shared_ptr<StatusEndpoint::Handler> handler)
         : socket_(std::move(socket))
-        , idleTimer_(io, [this] { closeIdle(); })
+        , idleTimer_(io, [this] { close(); })
         , handler_(std::move(handler))
     {}
 
     void start()
     {
         setTcpOptions(socket_);
-        read();
+        beginRequest();
+    }
+
+    bool isResponding() const { return responding_; }
+
+    void close()
+    {
+        unlink();
+        ErrorCode ignored;
+        socket_.close(ignored);
     }
 
 private:
-    void read()
+    void beginRequest()
     {
         parser_.emplace();
-        parser_->header_limit(kMaxHeaderBytes);
+        parser_->header_limit(kMaxRequestBytes);
         parser_->body_limit(0);
+        requestBytes_ = 0;
         idleTimer_.setAfter(kIdleTimeout);
-        http::async_read(socket_, buffer_, *parser_,
-                         [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
-                             if (!error)
-                                 self->respond();
-                         });
+        parse();
+    }
+
+    // Ends the session if the request is invalid or too long. The parser itself bounds neither the
+    // sum of many short fields nor the trailers.
+    void parse()
+    {
+        ErrorCode error = http::error::need_more;
+        while (buffer_.size() > 0 && !parser_->is_done()) {
+            const std::size_t used = parser_->put(buffer_.data(), error);
+            buffer_.consume(used);
+            requestBytes_ += used;
+            if (error)
+                break;
+        }
+        const bool isInvalid = error && error != http::error::need_more;
+        if (isInvalid || requestBytes_ > kMaxRequestBytes || buffer_.size() > kMaxRequestBytes)
+            return;
+        if (parser_->is_done())
+            respond();
+        else
+            read();
+    }
+
+    void read()
+    {
+        socket_.async_read_some(buffer_.prepare(kReadBytes),
+                                [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                                    self->buffer_.commit(bytes);
+                                    if (!error)
+                                        self->parse();
+                                });
     }
 
     void respond()
     {
+        responding_ = true;
         const auto &request = parser_->get();
         const std::string path(pathOf(toStringView(request.target())));
         StatusResponse response{ .status = 405 };
@@ -78,23 +128,24 @@
         response_.prepare_payload();
         http::async_write(socket_, response_,
                           [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
-                              if (!error && self->response_.keep_alive())
-                                  self->read();
+                              const bool continues = !error && self->response_.keep_alive();
+                              // The body may be large; an idle session must not hold it.
+                              self->response_ = {};
+                              self->responding_ = false;
+                              if (continues)
+                                  self->beginRequest();
                           });
     }
 
-    void closeIdle()
-    {
-        ErrorCode ignored;
-        socket_.close(ignored);
-    }
-
     tcp::socket socket_;
     LazyDeadline idleTimer_;
     std::shared_ptr<StatusEndpoint::Handler> handler_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::empty_body>> parser_;
     http::response<http::string_body> response_;
+    // Bytes of the current request that have been parsed.
+    std::size_t requestBytes_ = 0;
+    bool responding_ = false;
 };
 
 class StatusEndpointImpl : public StatusEndpoint
@@ -103,16 +154,31 @@
     StatusEndpointImpl(asio::io_context &io, Handler handler)
         : io_(io)
         , handler_(std::make_shared<Handler>(std::move(handler)))
-        , listener_(io, [this](tcp::socket socket) {
-            std::make_shared<Session>(io_, std::move(socket), handler_)->start();
-        })
+        , listener_(io, [this](tcp::socket socket) { accepted(std::move(socket)); })
     {}
 
     bool listen(const std::string &address) { return listener_.listen(address, kBacklog); }
 
 private:
+    void accepted(tcp::socket socket)
+    {
+        if (sessions_.size() >= kMaxSessions) {
+            const auto waiting = std::find_if(
+                    sessions_.begin(), sessions_.end(),
+                    [](const Session &session) { return !session.isResponding(); });
+            if (waiting == sessions_.end())
+                return;
+            waiting->close();
+        }
+        const auto session = std::make_shared<Session>(io_, std::move(socket), handler_);
+        sessions_.push_back(*session);
+        session->start();
+    }
+
     asio::io_context &io_;
     std::shared_ptr<Handler> handler_;
+    // A session leaves the list when it is destroyed.
+    boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>> sessions_;
     Listener listener_;
 };
 
