Relay test: pipelined requests that arrive during answers

Fails on the code as it stands: the third request is answered with 402 tokens instead of 403, that is, the second request ran again in its place.

--- a/packages/relay/tests/streaming_test.cpp
+++ b/packages/relay/tests/streaming_test.cpp
@@ -193,6 +193,24 @@
     BOOST_TEST(client.receive().body.find("\"id\":\"m\"") != std::string::npos);
 }
 
+// Guards against a request that is parsed from the input while a read into the same buffer is
+// pending: the previous request ran again in the place of the next one.
+BOOST_AUTO_TEST_CASE(pipelining_requestsArriveDuringAnswers_eachRunsOnce)
+{
+    addEngine("r1");
+    serve();
+    Client client(server->port());
+    client.send(chatRequest("same", false, 401));
+    BOOST_TEST(waitFor([&] { return slots.granted() == 1; }));
+    client.send(chatRequest("same", false, 402));
+    BOOST_TEST(waitFor([&] { return slots.granted() == 2; }));
+    client.send(chatRequest("same", false, 403));
+    for (const int tokens : { 401, 402, 403 })
+        BOOST_TEST(
+                client.receive().json().value("usage").toObject().value("completion_tokens").toInt()
+                == tokens);
+}
+
 // Guards against clients that wait for the go-ahead before they send a body.
 BOOST_AUTO_TEST_CASE(expectContinue_bodyFollows_answered)
 {
