Relay: read into the input buffer only when bytes have arrived

Cause: a read was pending on the input buffer while the parser consumed what had been read ahead. Consuming everything moves the buffer's write position to its start, so the next read was committed from the wrong position and the previous pipelined request ran again.

Change: the connection waits for the socket to become readable and reads then, as in the gateway.

--- a/packages/relay/src/callerconnection.cpp
+++ b/packages/relay/src/callerconnection.cpp
@@ -129,17 +129,29 @@
     if (input_.size() + kReadSize > input_.max_size())
         return;
     reading_ = true;
-    socket_.async_read_some(input_.prepare(kReadSize),
-                            [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                                self->reading_ = false;
-                                self->received(error, bytes);
-                            });
+    // No part of the input buffer is in use while the connection waits, so the parser may consume
+    // what has been read ahead.
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+        self->reading_ = false;
+        self->readable(error);
+    });
 }
 
-void CallerConnection::received(ErrorCode error, std::size_t bytes)
+void CallerConnection::readable(ErrorCode error)
 {
     if (phase_ == Phase::Closed)
         return;
+    std::size_t bytes = 0;
+    if (!error)
+        bytes = socket_.read_some(input_.prepare(kReadSize), error);
+    if (error == asio::error::would_block)
+        read();
+    else
+        received(error, bytes);
+}
+
+void CallerConnection::received(ErrorCode error, std::size_t bytes)
+{
     if (error) {
         inputEnded_ = true;
         close();
--- a/packages/relay/src/callerconnection.h
+++ b/packages/relay/src/callerconnection.h
@@ -58,6 +58,7 @@
 
     void beginRequest();
     void read();
+    void readable(ErrorCode error);
     void received(ErrorCode error, std::size_t bytes);
     void parseInput();
     void headerComplete();
