--- a/packages/gateway/include/auburn/gateway/statusendpoint.h
+++ b/packages/gateway/include/auburn/gateway/statusendpoint.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +30,8 @@
     static std::unique_ptr<StatusEndpoint> make(boost::asio::io_context &io,
                                                 const std::string &listenAddress, Handler handler);
     virtual ~StatusEndpoint() = default;
+    // Number of connections that were closed because others needed their place.
+    virtual std::uint64_t displacedConnections() const = 0;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -500,10 +500,10 @@
              .isDispensable = isIncomplete || isUnread };
 }
 
-void CallerConnection::shed()
+void CallerConnection::shed(const char *reason)
 {
     if (phase_ == Phase::Header || phase_ == Phase::Body)
-        reject(503, "memory_limit");
+        reject(503, reason);
     else if (phase_ == Phase::Responding && writeInProgress_)
         close();
 }
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -53,8 +53,8 @@
     ConnectionLoad nextRound();
     // Frees what the connection holds because memory or descriptors are short. A request that is
     // incomplete is rejected, since it certainly did not run; a response that is not read is broken
-    // off.
-    void shed();
+    // off. The reason is a code for logs and metrics.
+    void shed(const char *reason);
 
 private:
     using ErrorCode = boost::system::error_code;
--- a/packages/gateway/src/callerconnections.cpp
+++ b/packages/gateway/src/callerconnections.cpp
@@ -82,7 +82,7 @@
 
 bool CallerConnections::isCrowded() const
 {
-    return *options_.connections > options_.maxConnections / 100 * kCrowdedPercent;
+    return *options_.connections > options_.maxConnections * kCrowdedPercent / 100;
 }
 
 void CallerConnections::scheduleRound()
@@ -119,10 +119,10 @@
         goal.excessBytes = memory.used() - memory.percent(kRelievedPercent);
     if (isCrowded())
         goal.excessConnections = *options_.connections
-                                 - options_.maxConnections / 100 * kUncrowdedPercent;
+                                 - options_.maxConnections * kUncrowdedPercent / 100;
     const std::vector<std::size_t> chosen = selectConnectionsToShed(loads, goal);
     for (const std::size_t index : chosen)
-        connections[index]->shed();
+        connections[index]->shed(underPressure ? "memory_pressure" : "connection_limit");
     if (!chosen.empty())
         recordShed(underPressure ? "memory" : "descriptors", chosen.size());
     scheduleRound();
--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -6,6 +6,7 @@
 #include "socketoptions.h"
 
 #include "auburn/core/lazydeadline.h"
+#include "auburn/core/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -38,6 +39,7 @@
 // complete request. The daemons of a failure domain share two readers, so at most about 80 of them
 // read the documents from one daemon.
 constexpr std::size_t kMaxSessions = 96;
+constexpr std::chrono::seconds kLogInterval{ 1 };
 
 using SessionHook = boost::intrusive::list_base_hook<
         boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
@@ -157,6 +159,8 @@
         , listener_(io, [this](tcp::socket socket) { accepted(std::move(socket)); })
     {}
 
+    std::uint64_t displacedConnections() const override { return displaced_; }
+
     bool listen(const std::string &address) { return listener_.listen(address, kBacklog); }
 
 private:
@@ -166,6 +170,7 @@
             const auto waiting = std::find_if(
                     sessions_.begin(), sessions_.end(),
                     [](const Session &session) { return !session.isResponding(); });
+            recordDisplaced();
             if (waiting == sessions_.end())
                 return;
             waiting->close();
@@ -175,8 +180,22 @@
         session->start();
     }
 
+    // Writes at most one line in an interval, however many connections arrive.
+    void recordDisplaced()
+    {
+        ++displaced_;
+        const auto now = std::chrono::steady_clock::now();
+        if (now < nextLogAt_)
+            return;
+        nextLogAt_ = now + kLogInterval;
+        logEvent(LogLevel::Warning, "status_connections_displaced",
+                 { { "connections", static_cast<long long>(displaced_) } });
+    }
+
     asio::io_context &io_;
     std::shared_ptr<Handler> handler_;
+    std::uint64_t displaced_ = 0;
+    std::chrono::steady_clock::time_point nextLogAt_;
     // A session leaves the list when it is destroyed.
     boost::intrusive::list<Session, boost::intrusive::constant_time_size<false>> sessions_;
     Listener listener_;
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -124,6 +124,7 @@
                                   .headerNames = testHeaderNames(),
                                   .state = &state,
                                   .placement = &placement,
+                                  .maxConnections = maxConnections,
                                   .memoryLimit = memoryLimit });
     BOOST_REQUIRE_MESSAGE(gateway, lastError());
 }
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -57,6 +57,8 @@
     std::string address;
     // The limit of the bytes that the gateway holds, for the next startGateway().
     std::size_t memoryLimit = std::size_t{ 64 } * 1024 * 1024;
+    // The limit of caller connections, for the next startGateway().
+    std::size_t maxConnections = 2000;
     std::uint64_t logPosition = 0;
 };
 
