--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -125,6 +125,7 @@
                   .headerNames = testHeaderNames(),
                   .state = &state,
                   .placement = &placement,
+                  .maxConnections = maxConnections,
                   .memoryLimit = memoryLimit,
                   .requestBegan = [this](const std::string &organisation, milliseconds ago) {
                       begunRequests.push_back({ organisation, ago });
