--- a/packages/duties/tests/lease_test.cpp
+++ b/packages/duties/tests/lease_test.cpp
@@ -203,11 +203,16 @@
 {
     for (const char *vm : { "a", "b", "c", "d" })
         add(vm);
+    // Does not read the store, and hears of no holder.
+    Daemon &other = add("e");
+    other.candidate = false;
+    other.connected = false;
     run(kDelays);
     BOOST_TEST(highestToken == 1U);
     run(milliseconds(20000));
     BOOST_TEST(highestToken == 1U);
     BOOST_TEST(store.records.size() >= 20U);
+    BOOST_TEST(other.log.calls == 0U);
 }
 
 // Guards against two holders after a race: both have read the same end.
