Usage reports: keep only recent figures of the log

Cause: the figures of 32 windows with 21,000 organisations need more than 50 MB, and a VM may have 110 MB.

Change: figures are read from the log from 20 s before the takeover on, and handed to the sender instead of being kept.

Result: usage_test passes.

--- a/packages/usage/src/figurelog.cpp
+++ b/packages/usage/src/figurelog.cpp
@@ -3,13 +3,15 @@
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburn::usage {
 
 namespace {
 
-constexpr std::size_t kMaxFigures = 32;
+// Windows that are remembered, as many as the log has keys.
+constexpr std::size_t kMaxWindows = 32;
 
 } // namespace
 
@@ -28,8 +30,11 @@
     };
 }
 
-void FigureLog::reopen()
+void FigureLog::reopen(std::uint64_t firstWindow)
 {
+    firstWindow_ = firstWindow;
+    nextWindow_ = 0;
+    found_.clear();
     generation_ = std::make_shared<int>(0);
     isOpen_ = false;
     isListed_ = false;
@@ -39,9 +44,11 @@
     retry_.reset();
 }
 
-void FigureLog::commit(const duties::UsageFigure &figure, TimePoint now)
+void FigureLog::commit(duties::UsageFigure figure, TimePoint now)
 {
-    pending_ = { .figure = figure, .records = encodeFigure(figure) };
+    pending_.emplace();
+    pending_->records = encodeFigure(figure);
+    pending_->figure = std::move(figure);
     tick(now);
 }
 
@@ -69,15 +76,16 @@
         retry_.recordFailure(now_);
         return;
     }
-    committed_ = decodeFigures(*listing);
-    trim();
+    CommittedFigures listed = decodeFigures(*listing, firstWindow_);
+    for (auto &[window, figure] : listed.figures)
+        addCommitted(std::move(figure));
+    nextWindow_ = std::max(nextWindow_, listed.nextWindow);
     end_ = listing->end;
     isOpen_ = true;
     isListed_ = true;
     if (!pending_)
         return;
-    const std::uint64_t window = pending_->figure.window;
-    if (!committed_.empty() && committed_.rbegin()->first >= window)
+    if (nextWindow_ > pending_->figure.window)
         pending_.reset();
     else
         pending_->appended = 0;
@@ -99,10 +107,8 @@
             appendNext();
             return;
         }
-        const std::uint64_t window = pending_->figure.window;
-        committed_[window] = std::move(pending_->figure);
+        addCommitted(std::move(pending_->figure));
         pending_.reset();
-        trim();
         return;
     }
     // Only a record that was certainly not appended leaves the end of the log known.
@@ -115,10 +121,14 @@
     retry_.recordFailure(now_);
 }
 
-void FigureLog::trim()
+void FigureLog::addCommitted(duties::UsageFigure figure)
 {
-    while (committed_.size() > kMaxFigures)
-        committed_.erase(committed_.begin());
+    const std::uint64_t window = figure.window;
+    nextWindow_ = std::max(nextWindow_, window + 1);
+    if (found_.insert(window).second)
+        committed_[window] = std::move(figure);
+    if (found_.size() > kMaxWindows)
+        found_.erase(found_.begin());
 }
 
 } // namespace auburn::usage
--- a/packages/usage/src/figurelog.h
+++ b/packages/usage/src/figurelog.h
@@ -16,6 +16,8 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace auburn::usage {
@@ -28,15 +30,18 @@
     // The log must outlive this object.
     explicit FigureLog(duties::ConditionalLog &log);
 
-    // Forgets everything and lists the log with the next tick.
-    void reopen();
+    // Forgets everything and lists the log with the next tick. Figures are read from this window
+    // on.
+    void reopen(std::uint64_t firstWindow);
     // True if the log has been listed since reopen().
     bool isOpen() const { return isOpen_; }
-    // The figures that are known to be committed, at most those of the newest 32 windows.
-    const Figures &committed() const { return committed_; }
+    // One past the newest window whose figure is known to be committed; 0 if there is none.
+    std::uint64_t nextWindow() const { return nextWindow_; }
+    // The figures that have been found or committed since the last call.
+    Figures takeCommitted() { return std::exchange(committed_, {}); }
     // Commits a figure, unless the log turns out to hold one of this window or of a later one;
     // isCommitting() is true until then. Only while the log is open and nothing is being committed.
-    void commit(const duties::UsageFigure &figure, TimePoint now);
+    void commit(duties::UsageFigure figure, TimePoint now);
     bool isCommitting() const { return pending_.has_value(); }
     // Continues after failures; to be called about every 100 ms.
     void tick(TimePoint now);
@@ -53,7 +58,7 @@
     void listed(const std::optional<duties::LogListing> &listing);
     void appendNext();
     void appended(const duties::AppendResult &result);
-    void trim();
+    void addCommitted(duties::UsageFigure figure);
     // Wraps a handler so that it does nothing after reopen() or destruction.
     template<class Result>
     auto handler(void (FigureLog::*method)(const Result &));
@@ -64,7 +69,11 @@
     bool isListed_ = false;
     bool isBusy_ = false;
     std::uint64_t end_ = 0;
+    std::uint64_t firstWindow_ = 0;
+    std::uint64_t nextWindow_ = 0;
     Figures committed_;
+    // The windows whose figures have been in committed_.
+    std::set<std::uint64_t> found_;
     std::optional<Pending> pending_;
     RetryDelay retry_;
     // Time of the last tick.
--- a/packages/usage/src/figurerecord.cpp
+++ b/packages/usage/src/figurerecord.cpp
@@ -92,27 +92,34 @@
     return result;
 }
 
-Figures decodeFigures(const duties::LogListing &listing)
+CommittedFigures decodeFigures(const duties::LogListing &listing, std::uint64_t firstWindow)
 {
     Parts found;
     for (const duties::LogItem &item : listing.items) {
         const auto number = parseKey(item.key);
         Part part{ .offset = item.offset };
-        if (number && part.record.ParseFromString(item.value))
-            found[{ part.record.window(), number->parts }][number->part] = std::move(part);
+        if (!number || !part.record.ParseFromString(item.value))
+            continue;
+        const std::uint64_t window = part.record.window();
+        if (window < firstWindow)
+            part.record = {};
+        found[{ window, number->parts }][number->part] = std::move(part);
     }
-    Figures figures;
+    CommittedFigures result;
     for (const auto &[id, parts] : found) {
         if (!isComplete(parts, id.second))
             continue;
-        duties::UsageFigure &figure = figures[id.first];
+        result.nextWindow = id.first + 1;
+        if (id.first < firstWindow)
+            continue;
+        duties::UsageFigure &figure = result.figures[id.first];
         figure.window = id.first;
         for (const auto &[number, part] : parts) {
             for (const proto::UsageCount &count : part.record.counts())
                 figure.requests[count.organisation()] = count.requests();
         }
     }
-    return figures;
+    return result;
 }
 
 } // namespace auburn::usage
--- a/packages/usage/src/figurerecord.h
+++ b/packages/usage/src/figurerecord.h
@@ -28,7 +28,15 @@
 // The records of a figure, in the order in which they must be appended.
 std::vector<FigureRecord> encodeFigure(const duties::UsageFigure &figure);
 
-// The committed figures of a listing. Records that cannot be parsed are skipped.
-Figures decodeFigures(const duties::LogListing &listing);
+struct CommittedFigures
+{
+    // One past the newest window with a figure; 0 if there is none.
+    std::uint64_t nextWindow = 0;
+    Figures figures;
+};
+
+// The committed figures of a listing, from a window on: those of 32 windows with 21,000
+// organisations each would need more than 50 MB. Records that cannot be parsed are skipped.
+CommittedFigures decodeFigures(const duties::LogListing &listing, std::uint64_t firstWindow);
 
 } // namespace auburn::usage
--- a/packages/usage/src/figuresender.cpp
+++ b/packages/usage/src/figuresender.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace auburn::usage {
 
@@ -44,10 +45,11 @@
     , api_(api)
 {}
 
-void FigureSender::add(const duties::UsageFigure &figure, TimePoint now)
+void FigureSender::add(duties::UsageFigure figure, TimePoint now)
 {
-    if (!isExpired(figure.window, now))
-        queue_[figure.window] = figure;
+    const std::uint64_t window = figure.window;
+    if (!isExpired(window, now))
+        queue_[window] = std::make_shared<const duties::UsageFigure>(std::move(figure));
 }
 
 void FigureSender::tick(TimePoint now)
@@ -78,10 +80,10 @@
 void FigureSender::sendFirst()
 {
     isCalling_ = true;
-    // A copy, because the handler removes the figure from the queue.
-    const duties::UsageFigure figure = queue_.begin()->second;
-    api_.reportUsage(figure, [this, window = figure.window,
-                              alive = std::weak_ptr<int>(alive_)](CallStatus status) {
+    // The handler removes the figure from the queue.
+    const std::shared_ptr<const duties::UsageFigure> figure = queue_.begin()->second;
+    api_.reportUsage(*figure, [this, window = figure->window,
+                               alive = std::weak_ptr<int>(alive_)](CallStatus status) {
         if (!alive.expired())
             callEnded(window, status);
     });
--- a/packages/usage/src/figuresender.h
+++ b/packages/usage/src/figuresender.h
@@ -34,7 +34,7 @@
     FigureSender(Options options, const FleetClock &clock, duties::DutyApi &api);
 
     // Queues the figure of a window; ignored if that window ended too long ago.
-    void add(const duties::UsageFigure &figure, TimePoint now);
+    void add(duties::UsageFigure figure, TimePoint now);
     // Sends what is due; to be called about every 100 ms while the permit is held.
     void tick(TimePoint now);
 
@@ -49,7 +49,7 @@
     const FleetClock &clock_;
     duties::DutyApi &api_;
     // By window.
-    std::map<std::uint64_t, duties::UsageFigure> queue_;
+    std::map<std::uint64_t, std::shared_ptr<const duties::UsageFigure>> queue_;
     bool isCalling_ = false;
     unsigned failures_ = 0;
     RetryDelay retry_;
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
-#include <set>
 #include <unordered_set>
 #include <utility>
 
@@ -117,8 +116,8 @@
         if (!log_.isOpen())
             return;
         if (!resumed_)
-            resume(now);
-        adoptCommitted(now);
+            resume();
+        sendCommitted(now);
         closeDue(now, live);
         sender_.tick(now);
     }
@@ -132,42 +131,27 @@
         acquiredAt_ = now;
         acquiredUnixTime_ = clock_.unixTime(now);
         resumed_ = false;
-        log_.reopen();
+        log_.reopen(windowAt(acquiredUnixTime_ - kResendTime, options_.windowLength));
     }
 
     // Continues where the log ends.
-    void resume(TimePoint now)
+    void resume()
     {
         resumed_ = true;
-        adopted_.clear();
-        const Figures &committed = log_.committed();
-        const milliseconds unixTime = clock_.unixTime(now);
-        for (const auto &[window, figure] : committed) {
-            if (unixTime - windowEnd(window, options_.windowLength) > kResendTime)
-                adopted_.insert(window);
-        }
-        nextWindow_ = committed.empty() ? 0 : committed.rbegin()->first + 1;
+        nextWindow_ = log_.nextWindow();
         logEvent(LogLevel::Info, "usage_taken_over",
-                 { { "token", toLogNumber(token_) },
-                   { "committed", toLogNumber(committed.size()) },
-                   { "next_window", toLogNumber(nextWindow_) } });
+                 { { "token", toLogNumber(token_) }, { "next_window", toLogNumber(nextWindow_) } });
     }
 
-    // Sends the recent figures that are in the log and were not sent under this token: those of
-    // previous holders, those that this daemon has committed, and any whose append was late.
-    void adoptCommitted(TimePoint now)
+    // Sends the figures that were found in the log or committed: those of previous holders, those
+    // of this daemon, and any whose append was executed late.
+    void sendCommitted(TimePoint now)
     {
-        const Figures &committed = log_.committed();
-        for (const auto &[window, figure] : committed) {
-            if (!adopted_.insert(window).second)
-                continue;
-            sender_.add(figure, now);
+        for (auto &[window, figure] : log_.takeCommitted()) {
+            sender_.add(std::move(figure), now);
             table_.close(window);
         }
-        if (!committed.empty()) {
-            nextWindow_ = std::max(nextWindow_, committed.rbegin()->first + 1);
-            adopted_.erase(adopted_.begin(), adopted_.lower_bound(committed.begin()->first));
-        }
+        nextWindow_ = std::max(nextWindow_, log_.nextWindow());
     }
 
     void skipExpired(milliseconds unixTime)
@@ -194,7 +178,7 @@
                 ++nextWindow_;
             else
                 close(now, missing);
-            adoptCommitted(now);
+            sendCommitted(now);
         }
     }
 
@@ -240,8 +224,7 @@
 
     void close(TimePoint now, const std::vector<std::string> &missing)
     {
-        const duties::UsageFigure figure{ .window = nextWindow_,
-                                          .requests = table_.totals(nextWindow_) };
+        duties::UsageFigure figure{ .window = nextWindow_, .requests = table_.totals(nextWindow_) };
         std::uint64_t requests = 0;
         for (const auto &[organisation, count] : figure.requests)
             requests += count;
@@ -256,7 +239,7 @@
                    { "age_ms", static_cast<long long>((clock_.unixTime(now) - end).count()) } });
         if (closedWindows_)
             closedWindows_->add();
-        log_.commit(figure, now);
+        log_.commit(std::move(figure), now);
     }
 
     const Options options_;
@@ -276,8 +259,6 @@
     bool resumed_ = false;
     // The oldest window that is neither committed nor given up.
     std::uint64_t nextWindow_ = 0;
-    // Windows of the log whose figures have been sent or are too old to be sent.
-    std::set<std::uint64_t> adopted_;
 };
 
 UsageCollector::UsageCollector(Options options, const Duties &duties)
