--- a/packages/usage/src/figurelog.cpp
+++ b/packages/usage/src/figurelog.cpp
@@ -46,9 +46,10 @@
 
 void FigureLog::commit(duties::UsageFigure figure, TimePoint now)
 {
-    pending_.emplace();
-    pending_->records = encodeFigure(figure);
-    pending_->figure = std::move(figure);
+    Pending pending;
+    pending.records = encodeFigure(figure);
+    pending.figure = std::move(figure);
+    pending_ = std::move(pending);
     tick(now);
 }
 
