--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -11,7 +11,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
-#include <set>
+#include <unordered_set>
 #include <utility>
 
 namespace auburn::usage {
@@ -20,10 +20,6 @@
 
 namespace {
 
-// A window is closed only after every daemon has reported at this time after its end. A plain
-// request is counted when its response arrives, for the time at which it was sent; nearly all
-// responses have arrived by then.
-constexpr milliseconds kSettleTime{ 1000 };
 // A window is closed at this time after its end although reports are missing, because a daemon that
 // was killed counts as live for about 3 s.
 constexpr milliseconds kMaxWait{ 4000 };
@@ -38,7 +34,8 @@
 constexpr milliseconds kResendTime{ 20000 };
 // A window that ended longer ago is not closed any more, because its figure would not be sent.
 constexpr milliseconds kCloseLimit{ 30000 };
-constexpr std::uint64_t kClosedWindowsKept = 2;
+// Late reports about the newest closed windows are still recognised as such.
+constexpr std::uint64_t kClosedWindowsKept = 1;
 constexpr std::size_t kMaxNamesInLog = 3;
 
 long long toLogNumber(std::uint64_t number)
@@ -95,23 +92,23 @@
         forwarder_.setHolder(holder, now);
     }
 
+    void handleAck(const proto::UsageAck &ack)
+    {
+        if (ack.closed_through() > kClosedWindowsKept)
+            table_.dropWindowsBefore(ack.closed_through() - kClosedWindowsKept);
+    }
+
     void tick(TimePoint now, const std::vector<LiveDaemon> &live)
     {
         table_.dropExpired(clock_.unixTime(now));
-        const bool isHeld = permit_.isHeld();
-        if (!isHeld && !forwarder_.isActive(now))
-            return;
-        std::set<std::string> liveVms;
-        for (const LiveDaemon &daemon : live)
-            liveVms.insert(daemon.vm);
-        if (isHeld)
-            performDuty(now, liveVms);
+        if (permit_.isHeld())
+            performDuty(now, live);
         else
-            forwarder_.tick(table_, liveVms, now);
+            forwarder_.tick(table_, live, now);
     }
 
 private:
-    void performDuty(TimePoint now, const std::set<std::string> &liveVms)
+    void performDuty(TimePoint now, const std::vector<LiveDaemon> &live)
     {
         if (permit_.token() != token_)
             takeOver(now);
@@ -119,13 +116,10 @@
         if (!log_.isOpen())
             return;
         if (!resumed_)
-            resume(now);
-        adoptCommitted(now);
-        closeDue(now, liveVms);
+            resume();
+        sendCommitted(now);
+        closeDue(now, live);
         sender_.tick(now);
-        // Late reports about the last closed windows are still counted as such.
-        if (nextWindow_ > kClosedWindowsKept)
-            table_.dropWindowsBefore(nextWindow_ - kClosedWindowsKept);
     }
 
     bool isOperating() const { return token_ > 0 && resumed_; }
@@ -137,42 +131,27 @@
         acquiredAt_ = now;
         acquiredUnixTime_ = clock_.unixTime(now);
         resumed_ = false;
-        log_.reopen();
+        log_.reopen(windowAt(acquiredUnixTime_ - kResendTime, options_.windowLength));
     }
 
     // Continues where the log ends.
-    void resume(TimePoint now)
+    void resume()
     {
         resumed_ = true;
-        adopted_.clear();
-        const Figures &committed = log_.committed();
-        const milliseconds unixTime = clock_.unixTime(now);
-        for (const auto &[window, figure] : committed) {
-            if (unixTime - windowEnd(window, options_.windowLength) > kResendTime)
-                adopted_.insert(window);
-        }
-        nextWindow_ = committed.empty() ? 0 : committed.rbegin()->first + 1;
+        nextWindow_ = log_.nextWindow();
         logEvent(LogLevel::Info, "usage_taken_over",
-                 { { "token", toLogNumber(token_) },
-                   { "committed", toLogNumber(committed.size()) },
-                   { "next_window", toLogNumber(nextWindow_) } });
+                 { { "token", toLogNumber(token_) }, { "next_window", toLogNumber(nextWindow_) } });
     }
 
-    // Sends the recent figures that are in the log and were not sent under this token: those of
-    // previous holders, those that this daemon has committed, and any whose append was late.
-    void adoptCommitted(TimePoint now)
+    // Sends the figures that were found in the log or committed: those of previous holders, those
+    // of this daemon, and any whose append was executed late.
+    void sendCommitted(TimePoint now)
     {
-        const Figures &committed = log_.committed();
-        for (const auto &[window, figure] : committed) {
-            if (!adopted_.insert(window).second)
-                continue;
-            sender_.add(figure, now);
+        for (auto &[window, figure] : log_.takeCommitted()) {
+            sender_.add(std::move(figure), now);
             table_.close(window);
         }
-        if (!committed.empty()) {
-            nextWindow_ = std::max(nextWindow_, committed.rbegin()->first + 1);
-            adopted_.erase(adopted_.begin(), adopted_.lower_bound(committed.begin()->first));
-        }
+        nextWindow_ = std::max(nextWindow_, log_.nextWindow());
     }
 
     void skipExpired(milliseconds unixTime)
@@ -188,28 +167,29 @@
         nextWindow_ = oldest;
     }
 
-    void closeDue(TimePoint now, const std::set<std::string> &liveVms)
+    void closeDue(TimePoint now, const std::vector<LiveDaemon> &live)
     {
         skipExpired(clock_.unixTime(now));
         while (!log_.isCommitting() && isSettled(now)) {
-            const std::vector<std::string> missing = missingReports(liveVms);
+            const std::vector<std::string> missing = missingReports(live);
             if (!missing.empty() && !isWaitOver(now))
                 return;
             if (isUnknown())
                 ++nextWindow_;
             else
                 close(now, missing);
-            adoptCommitted(now);
+            sendCommitted(now);
         }
     }
 
     // The daemons whose reports for the next window are not known to be complete: live ones, and
     // others that have reported some of its requests, because they may be frozen.
-    std::vector<std::string> missingReports(const std::set<std::string> &liveVms) const
+    std::vector<std::string> missingReports(const std::vector<LiveDaemon> &live) const
     {
         const milliseconds due = windowEnd(nextWindow_, options_.windowLength) + kSettleTime;
-        std::set<std::string> awaited = table_.reporters(nextWindow_);
-        awaited.insert(liveVms.begin(), liveVms.end());
+        std::unordered_set<std::string> awaited = table_.reporters(nextWindow_);
+        for (const LiveDaemon &daemon : live)
+            awaited.insert(daemon.vm);
         std::vector<std::string> missing;
         std::copy_if(awaited.begin(), awaited.end(), std::back_inserter(missing),
                      [&](const std::string &vm) { return table_.completeThrough(vm) < due; });
@@ -244,8 +224,7 @@
 
     void close(TimePoint now, const std::vector<std::string> &missing)
     {
-        const duties::UsageFigure figure{ .window = nextWindow_,
-                                          .requests = table_.totals(nextWindow_) };
+        duties::UsageFigure figure{ .window = nextWindow_, .requests = table_.totals(nextWindow_) };
         std::uint64_t requests = 0;
         for (const auto &[organisation, count] : figure.requests)
             requests += count;
@@ -260,7 +239,7 @@
                    { "age_ms", static_cast<long long>((clock_.unixTime(now) - end).count()) } });
         if (closedWindows_)
             closedWindows_->add();
-        log_.commit(figure, now);
+        log_.commit(std::move(figure), now);
     }
 
     const Options options_;
@@ -280,8 +259,6 @@
     bool resumed_ = false;
     // The oldest window that is neither committed nor given up.
     std::uint64_t nextWindow_ = 0;
-    // Windows of the log whose figures have been sent or are too old to be sent.
-    std::set<std::uint64_t> adopted_;
 };
 
 UsageCollector::UsageCollector(Options options, const Duties &duties)
@@ -301,6 +278,11 @@
     state_->setHolder(holder, now);
 }
 
+void UsageCollector::handleAck(const proto::UsageAck &ack)
+{
+    state_->handleAck(ack);
+}
+
 void UsageCollector::tick(TimePoint now, const std::vector<LiveDaemon> &live)
 {
     state_->tick(now, live);
