Routing: learn the speeds of servers from their load header

Cause: servers of one service differ in speed, some share their machine and some slow down from half of their slots. Runner-Load states in a fourth value how long work takes there at the moment; it was not read, and first-token times show a change only after seconds.

Change: parseLoadReport() reads the fourth value; one that is missing, zero, negative, above 10,000 or unreadable is ignored. SpeedEstimator (one per server) predicts the work time from the newest report, whose weight falls to 0 within 600 ms, and from a mean that rises slowly and falls fast. ConcurrencyCurve learns beyond which occupancy no more work is completed; a rejection limits a server for some seconds. OutsideLoad estimates the requests of all daemons at a plain service from the reported and the own ones. Predictions relate the work time to the mean speed of the candidates, so nothing changes if all are slower at once. Servers that were slow and of which there is no report for 1 s are probed with at most one request at a time and one in 50 requests.

--- a/packages/gateway/src/attemptresponse.cpp
+++ b/packages/gateway/src/attemptresponse.cpp
@@ -24,6 +24,25 @@
              .fields = endToEndFields(header) };
 }
 
+namespace {
+
+// A server that takes 100 times as long as usual does not work; a larger figure is a fault.
+constexpr unsigned kMaxWorkTimePercent = 10000;
+
+// Returns nullopt unless the text, up to the next separator, is a usable figure.
+std::optional<unsigned> parseWorkTime(std::string_view text)
+{
+    unsigned percent = 0;
+    const char *last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), last, percent);
+    const bool complete = parsed.ptr == last || *parsed.ptr == ',';
+    if (parsed.ec != std::errc() || !complete || percent == 0 || percent > kMaxWorkTimePercent)
+        return std::nullopt;
+    return percent;
+}
+
+} // namespace
+
 std::optional<routing::LoadReport> parseLoadReport(std::string_view text)
 {
     routing::LoadReport report;
@@ -37,6 +56,8 @@
     parsed = std::from_chars(parsed.ptr + 1, last, report.slots);
     if (parsed.ec != std::errc())
         return std::nullopt;
+    if (parsed.ptr != last)
+        report.workTimePercent = parseWorkTime({ parsed.ptr + 1, last });
     return report;
 }
 
--- a/packages/gateway/src/attemptresponse.h
+++ b/packages/gateway/src/attemptresponse.h
@@ -40,8 +40,10 @@
 AttemptResponse readAttemptResponse(const ResponseHeader &header, const HeaderNames &headerNames,
                                     bool mayStream);
 
-// Parses "RUNNING,WAITING,SLOTS", the load that a server states in its response. Returns nullopt if
-// the text has another form.
+// Parses "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,WORKTIME", the load that a server states
+// in its response; the work time is in hundredths of the usual time. Returns nullopt if the first
+// three values have another form. A work time that is zero, negative, above 10,000 or unreadable is
+// ignored.
 std::optional<routing::LoadReport> parseLoadReport(std::string_view text);
 
 } // namespace auburn::gateway
--- a/packages/peers/include/auburn/peers/cellplacement.h
+++ b/packages/peers/include/auburn/peers/cellplacement.h
@@ -43,6 +43,8 @@
         const std::shared_ptr<const routing::TrafficConfig> *config = nullptr;
         // This daemon's own view, used in fleets without cells and as the fallback.
         routing::Placement *localPlacement = nullptr;
+        // Use the work time that servers report; see routing::SpeedEstimator.
+        bool learnedSpeeds = true;
     };
 
     CellPlacement(boost::asio::io_context &io, Options options);
@@ -108,6 +110,9 @@
     void recordTimeout(const std::string &owner);
     void handlePlaceUpdate(const proto::PlaceUpdate &update, const std::string &sender);
     void applyUpdate(const std::string &key, const proto::PlaceUpdate &update);
+    void addSpeed(const std::string &serverId, proto::PlaceUpdate &update) const;
+    void recordSpeed(const std::string &serverId, const proto::PlaceUpdate &update,
+                     Clock::time_point now);
     void sendUpdate(const routing::PlacementChoice &choice, proto::PlaceUpdate update);
 
     boost::asio::io_context &io_;
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -60,6 +60,19 @@
     return proto::PLACE_OUTCOME_ABANDONED;
 }
 
+// Returns the report that an owner received, or nullopt if it cannot be one.
+std::optional<routing::SpeedEstimator::Report> decodeSpeed(
+        const proto::PlaceSpeed &speed, std::chrono::steady_clock::time_point now)
+{
+    const milliseconds age(speed.age_ms());
+    if (speed.work_time_percent() == 0 || age > routing::kSpeedReportLifetime)
+        return std::nullopt;
+    return routing::SpeedEstimator::Report{ .workTimePercent = speed.work_time_percent(),
+                                            .running = speed.running(),
+                                            .slots = speed.slots(),
+                                            .measuredAt = now - age };
+}
+
 proto::PlaceUpdate abandonedUpdate()
 {
     proto::PlaceUpdate message;
@@ -85,7 +98,8 @@
     , localSource_(*options_.directory, *options_.localPlacement)
     , ownerPlacement_({ .vm = options_.vm,
                         .failureDomain = options_.failureDomain,
-                        .regions = options_.regions })
+                        .regions = options_.regions,
+                        .learnedSpeeds = options_.learnedSpeeds })
 {}
 
 bool CellPlacement::isInBackoff(const std::string &owner, Clock::time_point now) const
@@ -320,6 +334,7 @@
         return;
     const auto now = Clock::now();
     OwnedAttempt &attempt = found->second;
+    recordSpeed(attempt.choice.serverId, update, now);
     if (update.outcome() == proto::PLACE_OUTCOME_PROGRESSED) {
         if (!std::exchange(attempt.progressed, true))
             ownerPlacement_.attemptProgressed(
@@ -331,6 +346,17 @@
     ownedAttempts_.erase(found);
 }
 
+// The load header of a response reaches only the requester, which forwards the newest work time.
+// The time that the datagram takes is not counted; it is short against the lifetime of a report.
+void CellPlacement::recordSpeed(const std::string &serverId, const proto::PlaceUpdate &update,
+                                Clock::time_point now)
+{
+    if (!update.has_speed())
+        return;
+    if (const auto report = decodeSpeed(update.speed(), now))
+        ownerPlacement_.recordSpeedReport(serverId, *report);
+}
+
 void CellPlacement::handlePlaceUpdate(const proto::PlaceUpdate &message, const std::string &sender)
 {
     applyUpdate(attemptKey(sender, message.number()), message);
@@ -372,11 +398,27 @@
 
 // The following functions run on the daemon that requested the placement.
 
+void CellPlacement::addSpeed(const std::string &serverId, proto::PlaceUpdate &update) const
+{
+    const auto report = options_.localPlacement->speedReport(serverId);
+    if (!report)
+        return;
+    const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - report->measuredAt);
+    if (age > routing::kSpeedReportLifetime)
+        return;
+    proto::PlaceSpeed &speed = *update.mutable_speed();
+    speed.set_work_time_percent(report->workTimePercent);
+    speed.set_running(report->running);
+    speed.set_slots(report->slots);
+    speed.set_age_ms(static_cast<std::uint32_t>(age.count()));
+}
+
 void CellPlacement::sendUpdate(const PlacementChoice &choice, proto::PlaceUpdate message)
 {
     if (choice.ownerNumber == 0)
         return;
     message.set_number(choice.ownerNumber);
+    addSpeed(choice.serverId, message);
     if (choice.owner.empty()) {
         applyUpdate(attemptKey({}, choice.ownerNumber), message);
         return;
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -135,6 +135,15 @@
                                   .serving = true });
     }
 
+    // Lets the requester measure a response with a load header and reports its first token.
+    void progress(const std::string &daemon, const PlacementChoice &choice, unsigned workTime)
+    {
+        views[daemon == "a1" ? 0 : 1]->recordLoadReport(
+                choice.serverId, { .running = 1, .slots = 32, .workTimePercent = workTime },
+                CellPlacement::Clock::now());
+        daemons[daemon]->attemptProgressed(choice, choice.predicted);
+    }
+
     PlacementQuery prompt(std::uint64_t session)
     {
         return { .service = config->findService("engines"),
@@ -246,6 +255,16 @@
     BOOST_TEST(place("a2", prompt(9)).predicted < milliseconds(300));
 }
 
+// Guards against an owner that never learns that an engine is slow, since the load header of a
+// response reaches only the requester.
+BOOST_AUTO_TEST_CASE(engine_reportsLongWorkTime_ownerMovesItsSession)
+{
+    const PlacementChoice first = place("a2", prompt(9));
+    BOOST_REQUIRE(!first.owner.empty());
+    progress("a2", first, 800);
+    BOOST_TEST(place("a2", prompt(9)).serverId != first.serverId);
+}
+
 // Guards against prompt tokens that stay in the owner's view forever because the datagram that
 // reports the first token is lost.
 BOOST_AUTO_TEST_CASE(attempts_firstTokenReportLost_areRemovedFromTheOwnersView)
--- a/packages/routing/include/auburn/routing/attempt.h
+++ b/packages/routing/include/auburn/routing/attempt.h
@@ -58,6 +58,8 @@
     // tracks the attempt.
     std::string owner;
     std::uint64_t ownerNumber = 0;
+    // The attempt also shows whether the server, which was slow, still is.
+    bool isProbe = false;
     // Age of the server's last load report; empty if there was none.
     std::optional<std::chrono::milliseconds> reportAge;
 };
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -17,6 +17,7 @@
 #include "auburn/routing/attempt.h"
 #include "auburn/routing/candidate.h"
 #include "auburn/routing/distance.h"
+#include "auburn/routing/probebudget.h"
 #include "auburn/routing/promptaffinity.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/serverload.h"
@@ -48,6 +49,8 @@
         std::string failureDomain;
         // Maps each failure domain to its region.
         std::map<std::string, std::string> regions;
+        // Use the work time that servers report; see SpeedEstimator.
+        bool learnedSpeeds = true;
     };
 
     explicit Placement(Options options);
@@ -71,6 +74,10 @@
 
     // Stores the load that the server itself reported.
     void recordLoadReport(const std::string &serverId, LoadReport report, TimePoint now);
+    // Stores a report of the work time that another daemon forwarded.
+    void recordSpeedReport(const std::string &serverId, const SpeedEstimator::Report &report);
+    // Returns the newest report of the server's work time; empty if there is none.
+    std::optional<SpeedEstimator::Report> speedReport(const std::string &serverId) const;
     // Replaces the loads that another daemon reported; servers missing from loads have no requests
     // of that daemon.
     void recordPeerLoads(const std::string &peer, const std::map<std::string, PeerLoad> &loads,
@@ -96,6 +103,8 @@
         std::vector<Candidate> all;
         std::size_t poolSize = 0;
         double slownessSum = 0;
+        // Sum of the reciprocals of the slownesses.
+        double speedSum = 0;
     };
 
     // Where the shared parts of the query's prompt are expected.
@@ -119,6 +128,9 @@
     ServerView &view(const std::string &serverId, const Service &service);
     std::optional<PlacementChoice> chooseAmong(const std::vector<const BackendServer *> &servers,
                                                const PlacementQuery &query, TimePoint now);
+    Candidate makeCandidate(const BackendServer &server, const Service &service, bool allowsProbe,
+                            TimePoint now);
+    static double slownessAmong(const Candidates &candidates, const Candidate &candidate);
     Candidates makeCandidates(const std::vector<const BackendServer *> &servers,
                               const PlacementQuery &query, TimePoint now);
     std::optional<PlacementChoice> chooseLowestCost(const Candidates &candidates,
@@ -139,6 +151,7 @@
     std::map<std::string, ServerView> views_;
     // By service.
     std::map<std::string, StreamPool> pools_;
+    std::map<std::string, ProbeBudget> probes_;
 };
 
 } // namespace auburn::routing
--- a/packages/routing/include/auburn/routing/serverload.h
+++ b/packages/routing/include/auburn/routing/serverload.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 namespace auburn::routing {
 
@@ -14,6 +15,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    // Time that work takes on the server at the moment, in hundredths of the usual time; empty if
+    // the server does not state it.
+    std::optional<unsigned> workTimePercent;
 };
 
 // Uncached prompt tokens of requests that have not produced their first token, indexed by urgency.
--- a/packages/routing/include/auburn/routing/serverview.h
+++ b/packages/routing/include/auburn/routing/serverview.h
@@ -4,7 +4,9 @@
 
 #include "auburn/routing/attempt.h"
 #include "auburn/routing/enginecache.h"
+#include "auburn/routing/outsideload.h"
 #include "auburn/routing/serverload.h"
+#include "auburn/routing/speedestimator.h"
 
 #include <chrono>
 #include <cstdint>
@@ -44,6 +46,15 @@
     std::optional<std::chrono::milliseconds> reportAge(TimePoint now) const;
     // Ratio of measured to predicted time; 1 for a server that behaves as predicted.
     double slowness(TimePoint now) const;
+    // What the server's reports of its work time say.
+    const SpeedEstimator &speed() const { return speed_; }
+    // Records a report of the work time that another daemon forwarded.
+    void recordSpeedReport(const SpeedEstimator::Report &report) { speed_.recordReport(report); }
+    // Estimates the requests of all daemons in progress there, given the number known from them.
+    double estimatedRunning(unsigned known, TimePoint now) const
+    {
+        return outside_.estimate(ownLoad_.running, known, now);
+    }
     // Exponentially decaying share of recent attempts with an outcome other than Succeeded;
     // Abandoned attempts are not counted.
     double failureShare(TimePoint now) const;
@@ -65,6 +76,8 @@
     std::map<std::string, PeerEntry> peers_;
     LoadReport report_;
     std::optional<TimePoint> reportedAt_;
+    SpeedEstimator speed_;
+    OutsideLoad outside_;
     double slowness_ = 1;
     TimePoint slownessAt_;
     double failureShare_ = 0;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -99,17 +99,46 @@
 {
     Candidates candidates;
     candidates.all.reserve(servers.size());
+    const auto budget = probes_.find(query.service->name);
+    const bool allowsProbe = budget == probes_.end() || budget->second.allowsProbe();
     for (const BackendServer *server : servers) {
-        const ServerView &known = view(server->id, *query.service);
-        candidates.all.push_back({ .server = server,
-                                   .view = &known,
-                                   .load = known.totalLoad(now),
-                                   .slowness = known.slowness(now) });
+        candidates.all.push_back(makeCandidate(*server, *query.service, allowsProbe, now));
         candidates.slownessSum += candidates.all.back().slowness;
+        candidates.speedSum += 1 / candidates.all.back().slowness;
     }
     return candidates;
 }
 
+Candidate Placement::makeCandidate(const BackendServer &server, const Service &service,
+                                   bool allowsProbe, TimePoint now)
+{
+    const ServerView &known = view(server.id, service);
+    Candidate candidate{ .server = &server, .view = &known, .load = known.totalLoad(now) };
+    const SpeedEstimator &speed = known.speed();
+    if (!speed.isKnown()) {
+        candidate.slowness = known.slowness(now);
+        return candidate;
+    }
+    const bool isProbed = allowsProbe && known.ownLoad().running == 0 && speed.needsProbe(now);
+    candidate.slowness = isProbed ? 1 : speed.workTime(now);
+    candidate.learned = LearnedState{
+        .running = known.estimatedRunning(candidate.load.running, now),
+        .usefulConcurrency = speed.usefulConcurrency(server.slots, now),
+        .isProbed = isProbed
+    };
+    return candidate;
+}
+
+// A reported work time is exact, so servers faster than the others count as well. It is related to
+// the mean speed of all servers: if all of them are slower at once, no prediction changes.
+double Placement::slownessAmong(const Candidates &candidates, const Candidate &candidate)
+{
+    const std::size_t servers = candidates.all.size();
+    if (!candidate.learned)
+        return relativeSlowness(candidate.slowness, candidates.slownessSum, servers);
+    return candidate.slowness * candidates.speedSum / static_cast<double>(servers);
+}
+
 void Placement::arrangeStreamPool(Candidates &candidates, const PlacementQuery &query,
                                   TimePoint now)
 {
@@ -172,7 +201,8 @@
 {
     const microseconds predicted = predictPlain(candidate, slowness, now);
     return { .predicted = predicted,
-             .cost = predicted + spreadCost(*candidate.server, options_.vm) };
+             .cost = predicted + crowdingTime(candidate, slowness, now)
+                     + spreadCost(*candidate.server, options_.vm) };
 }
 
 std::optional<PlacementChoice> Placement::chooseLowestCost(const Candidates &candidates,
@@ -186,8 +216,7 @@
         const Candidate &candidate = candidates.all[i];
         if (isExcluded(query, candidate.server->id))
             continue;
-        const double slowness = relativeSlowness(candidate.slowness, candidates.slownessSum,
-                                                 candidates.all.size());
+        const double slowness = slownessAmong(candidates, candidate);
         const bool inPool = i < candidates.poolSize;
         Assessment assessment = query.service->engine ? assessEngine(candidate, inPool, slowness,
                                                                      location, query, urgency, now)
@@ -211,12 +240,20 @@
                             .gapSensitiveStream = query.gapSensitiveStream,
                             .copySource = source ? source->id : std::string(),
                             .urgency = urgency,
+                            .isProbe = best->learned && best->learned->isProbed,
                             .reportAge = best->view->reportAge(now) };
 }
 
 void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query)
 {
-    view(choice.serverId, *query.service).attemptStarted(choice, query.prompt);
+    ServerView &server = view(choice.serverId, *query.service);
+    server.attemptStarted(choice, query.prompt);
+    if (!server.speed().isKnown())
+        return;
+    ProbeBudget &budget = probes_[query.service->name];
+    budget.addRequest();
+    if (choice.isProbe)
+        budget.spend();
 }
 
 void Placement::attemptProgressed(const PlacementChoice &choice, microseconds sinceStart,
@@ -238,8 +275,24 @@
 void Placement::recordLoadReport(const std::string &serverId, LoadReport report, TimePoint now)
 {
     const auto found = views_.find(serverId);
-    if (found != views_.end())
-        found->second.recordLoadReport(report, now);
+    if (found == views_.end())
+        return;
+    if (!options_.learnedSpeeds)
+        report.workTimePercent.reset();
+    found->second.recordLoadReport(report, now);
+}
+
+void Placement::recordSpeedReport(const std::string &serverId, const SpeedEstimator::Report &report)
+{
+    const auto found = views_.find(serverId);
+    if (found != views_.end() && options_.learnedSpeeds)
+        found->second.recordSpeedReport(report);
+}
+
+std::optional<SpeedEstimator::Report> Placement::speedReport(const std::string &serverId) const
+{
+    const auto found = views_.find(serverId);
+    return found == views_.end() ? std::nullopt : found->second.speed().newestReport();
 }
 
 void Placement::recordPeerLoads(const std::string &peer,
--- a/packages/routing/src/prediction.cpp
+++ b/packages/routing/src/prediction.cpp
@@ -21,6 +21,12 @@
 // Processing time of one request at a plain service, and its increase for each other request there.
 constexpr double kPlainWorkMs = 40.0;
 constexpr double kPlainMsPerRequest = 0.5;
+// A server is never idle while it fails requests, but one that fails them fast looks so: the share
+// of failed attempts counts as this many times its share of use.
+constexpr double kFailureCrowding = 8.0;
+// Expected delay at a plain service whose useful concurrency is in use. More than the round trip to
+// another region, so that requests go there shortly before a queue begins.
+constexpr double kCrowdedMs = 60.0;
 
 // Returns the number of tokens that the engine prefills before those of a new request: the more
 // urgent ones, and the rest of the prompt in progress, which a more urgent request does not
@@ -33,6 +39,11 @@
     return urgent + std::min(all - urgent, meanPrompt);
 }
 
+double usableSlots(const Candidate &candidate)
+{
+    return candidate.learned ? candidate.learned->usefulConcurrency : candidate.server->slots;
+}
+
 } // namespace
 
 microseconds prefillTime(std::uint64_t tokens)
@@ -43,7 +54,7 @@
 microseconds predictEngine(const Candidate &candidate, std::uint64_t uncachedTokens,
                            double slowness, int urgency, TimePoint now)
 {
-    const unsigned slots = candidate.server->slots;
+    const double slots = usableSlots(candidate);
     unsigned running = candidate.load.running;
     if (const auto report = candidate.view->recentReport(now))
         running = std::max(running, report->running);
@@ -58,12 +69,15 @@
 
 microseconds predictPlain(const Candidate &candidate, double slowness, TimePoint now)
 {
-    const unsigned slots = candidate.server->slots;
-    unsigned busy = candidate.load.running;
-    if (const auto report = candidate.view->recentReport(now))
-        busy = std::max(busy, report->running + report->waiting);
+    const double slots = usableSlots(candidate);
+    double busy = candidate.load.running;
+    if (candidate.learned)
+        busy = candidate.learned->running;
+    else if (const auto report = candidate.view->recentReport(now))
+        busy = std::max(candidate.load.running, report->running + report->waiting);
     const double queued = busy >= slots ? busy - slots + 1.0 : 0.0;
-    const double ms = kPlainWorkMs * (1 + queued / std::max(1U, slots)) + busy * kPlainMsPerRequest;
+    const double ms = kPlainWorkMs * (1 + queued / std::max(1.0, slots))
+                      + busy * kPlainMsPerRequest;
     return fromMs(ms * slowness);
 }
 
@@ -75,4 +89,14 @@
     return std::max(1.0, own / std::max(1.0, others));
 }
 
+microseconds crowdingTime(const Candidate &candidate, double slowness, TimePoint now)
+{
+    if (!candidate.learned)
+        return microseconds(0);
+    const double used = candidate.learned->running / candidate.learned->usefulConcurrency;
+    const double failures = std::min(1.0, candidate.view->failureShare(now) * kFailureCrowding);
+    const double share = std::max(used, failures);
+    return fromMs(kCrowdedMs * slowness * share * share);
+}
+
 } // namespace auburn::routing
--- a/packages/routing/src/prediction.h
+++ b/packages/routing/src/prediction.h
@@ -25,4 +25,10 @@
 // all servers do not make any of them slow. The sum is that of all servers.
 double relativeSlowness(double own, double sum, std::size_t servers);
 
+// Returns the time by which a request at a plain service that reports its work time is expected to
+// be delayed by requests that this daemon does not know of; rises with the share of the server's
+// useful concurrency in use, so that faster servers are filled more than slower ones but not at
+// once.
+std::chrono::microseconds crowdingTime(const Candidate &candidate, double slowness, TimePoint now);
+
 } // namespace auburn::routing
--- a/packages/routing/src/serverview.cpp
+++ b/packages/routing/src/serverview.cpp
@@ -90,6 +90,8 @@
     }
     const unsigned doublings = std::min(failuresInRow_, 3U);
     ++failuresInRow_;
+    if (outcome == AttemptOutcome::Rejected)
+        speed_.recordRejection(estimatedRunning(totalLoad(now).running, now), now);
     avoidUntil_ = now + std::min(kInitialAvoidTime * (1U << doublings), kMaxAvoidTime);
     if (outcome == AttemptOutcome::Failed && failuresInRow_ >= 2)
         cache_.clear();
@@ -99,6 +101,13 @@
 {
     report_ = report;
     reportedAt_ = now;
+    if (!report.workTimePercent)
+        return;
+    speed_.recordReport({ .workTimePercent = *report.workTimePercent,
+                          .running = report.running,
+                          .slots = report.slots,
+                          .measuredAt = now });
+    outside_.recordReport(report.running + report.waiting, ownLoad_.running, now);
 }
 
 void ServerView::recordPeerLoad(const std::string &peer, const PeerLoad &load, TimePoint now)
