--- a/packages/routing/bench/placementbench.cpp
+++ b/packages/routing/bench/placementbench.cpp
@@ -4,6 +4,10 @@
 // Prints CSV: number of engines in the cell, number of placements, and the p50 and p99 cost of one
 // placement in microseconds of CPU time. CPU time excludes the time spent waiting for a core on a
 // shared machine.
+//
+// A second table compares placements with and without learned speeds at servers that report their
+// work time: the p50 costs and their ratio. Both take turns in one run, because the speed of a
+// shared machine changes between runs.
 #include "auburn/routing/cell.h"
 #include "auburn/routing/placement.h"
 
@@ -12,6 +16,7 @@
 #include <ctime>
 #include <deque>
 #include <random>
+#include <vector>
 
 namespace {
 
@@ -32,9 +37,11 @@
 class PlacementBench
 {
 public:
-    explicit PlacementBench(unsigned engines)
+    PlacementBench(unsigned engines, bool learnedSpeeds)
         : engines_(engines)
-        , placement_({ .failureDomain = kDomain, .regions = { { kDomain, "r" } } })
+        , placement_({ .failureDomain = kDomain,
+                       .regions = { { kDomain, "r" } },
+                       .learnedSpeeds = learnedSpeeds })
     {
         for (unsigned i = 0; i < engines; ++i) {
             const std::string id = "i-" + std::to_string(i);
@@ -47,20 +54,22 @@
         }
     }
 
-    void run()
+    void placeMany(unsigned placements)
     {
-        std::vector<double> costs;
-        costs.reserve(kPlacements);
-        for (unsigned i = 0; i < kPlacements; ++i) {
+        for (unsigned n = 0; n < placements; ++n) {
             const PlacementQuery query = nextQuery();
             now_ += std::chrono::microseconds(500);
             const double begin = cpuMicroseconds();
             place(query);
-            costs.push_back(cpuMicroseconds() - begin);
+            costs_.push_back(cpuMicroseconds() - begin);
         }
-        std::sort(costs.begin(), costs.end());
-        std::printf("%u,%u,%.1f,%.1f\n", engines_, kPlacements, costs[costs.size() / 2],
-                    costs[costs.size() * 99 / 100]);
+    }
+
+    // Returns the cost that the given share of the placements does not exceed.
+    double percentile(double share)
+    {
+        std::sort(costs_.begin(), costs_.end());
+        return costs_[static_cast<std::size_t>(share * static_cast<double>(costs_.size() - 1))];
     }
 
 private:
@@ -87,6 +96,11 @@
             return;
         const PlacementChoice oldest = inProgress_.front();
         inProgress_.pop_front();
+        const unsigned workTime = 100 + static_cast<unsigned>(random_() % 30);
+        placement_.recordLoadReport(
+                oldest.serverId,
+                { .running = kInProgressPerEngine, .slots = 32, .workTimePercent = workTime },
+                now_);
         placement_.attemptProgressed(oldest, oldest.predicted, now_);
         placement_.attemptEnded(oldest, true, AttemptOutcome::Succeeded, now_);
     }
@@ -100,13 +114,39 @@
     std::mt19937_64 random_{ 7 };
     std::uint64_t lastPart_ = 1000000;
     std::deque<PlacementChoice> inProgress_;
+    std::vector<double> costs_;
 };
 
+void printCosts(unsigned engines)
+{
+    PlacementBench bench(engines, true);
+    bench.placeMany(kPlacements);
+    std::printf("%u,%u,%.1f,%.1f\n", engines, kPlacements, bench.percentile(0.5),
+                bench.percentile(0.99));
+}
+
+void printRatio(unsigned servers)
+{
+    constexpr unsigned kTurn = 500;
+    PlacementBench without(servers, false);
+    PlacementBench with(servers, true);
+    for (unsigned n = 0; n < kPlacements; n += kTurn) {
+        without.placeMany(kTurn);
+        with.placeMany(kTurn);
+    }
+    const double base = without.percentile(0.5);
+    const double learned = with.percentile(0.5);
+    std::printf("%u,%.2f,%.2f,%.3f\n", servers, base, learned, learned / base);
+}
+
 } // namespace
 
 int main()
 {
     std::puts("engines,placements,p50_us,p99_us");
     for (const unsigned engines : { 15U, 60U, 110U, 330U })
-        PlacementBench(engines).run();
+        printCosts(engines);
+    std::puts("\nservers,without_p50_us,with_p50_us,ratio");
+    for (const unsigned servers : { 18U, 60U, 330U })
+        printRatio(servers);
 }
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -78,6 +78,17 @@
     void recordSpeedReport(const std::string &serverId, const SpeedEstimator::Report &report);
     // Returns the newest report of the server's work time; empty if there is none.
     std::optional<SpeedEstimator::Report> speedReport(const std::string &serverId) const;
+    // What is learned about one server.
+    struct LearnedSpeed
+    {
+        std::string serverId;
+        // As a multiple of the usual one.
+        double workTime = 1;
+        double usefulConcurrency = 1;
+    };
+    // Returns the servers that report their work time, at most the given number.
+    std::vector<LearnedSpeed> learnedSpeeds(const ServerDirectory &directory, std::size_t limit,
+                                            TimePoint now) const;
     // Replaces the loads that another daemon reported; servers missing from loads have no requests
     // of that daemon.
     void recordPeerLoads(const std::string &peer, const std::map<std::string, PeerLoad> &loads,
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -295,6 +295,23 @@
     return found == views_.end() ? std::nullopt : found->second.speed().newestReport();
 }
 
+std::vector<Placement::LearnedSpeed> Placement::learnedSpeeds(const ServerDirectory &directory,
+                                                              std::size_t limit,
+                                                              TimePoint now) const
+{
+    std::vector<LearnedSpeed> speeds;
+    for (const auto &[id, known] : views_) {
+        const BackendServer *server = directory.find(id);
+        if (speeds.size() >= limit || !server || !known.speed().isKnown())
+            continue;
+        const SpeedEstimator &speed = known.speed();
+        speeds.push_back({ .serverId = id,
+                           .workTime = speed.workTime(now),
+                           .usefulConcurrency = speed.usefulConcurrency(server->slots, now) });
+    }
+    return speeds;
+}
+
 void Placement::recordPeerLoads(const std::string &peer,
                                 const std::map<std::string, PeerLoad> &loads, TimePoint now)
 {
