Routing: explain a placement without sending the request

Cause: operators ask where a given request would go now, and why; the answer was only in the log of requests that were sent.

Change: Placement::explain() returns the choice and, for each server of the service, the parts of its cost or the reason why it is no candidate.

Result: routing_test (60 placements whose explanation names the chosen server, equal to a second placement that is never explained) and platform_test pass.

--- a/packages/gateway/include/auburn/gateway/statusendpoint.h
+++ b/packages/gateway/include/auburn/gateway/statusendpoint.h
@@ -22,8 +22,8 @@
 class StatusEndpoint
 {
 public:
-    // Handles a GET request for the path, without its query. Other methods get status 405.
-    using Handler = std::function<StatusResponse(std::string_view path)>;
+    // Handles a GET request for the target, a path with its query. Other methods get status 405.
+    using Handler = std::function<StatusResponse(std::string_view target)>;
 
     // Starts listening. Returns null and sets lastError() if the address cannot be used.
     static std::unique_ptr<StatusEndpoint> make(boost::asio::io_context &io,
--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -65,10 +65,10 @@
     void respond()
     {
         const auto &request = parser_->get();
-        const std::string path(pathOf(toStringView(request.target())));
+        const std::string target(toStringView(request.target()));
         StatusResponse response{ .status = 405 };
         if (request.method() == http::verb::get)
-            response = (*handler_)(path);
+            response = (*handler_)(target);
         response_ = {};
         response_.result(static_cast<unsigned>(response.status));
         response_.version(11);
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -17,6 +17,7 @@
 #include "auburn/routing/attempt.h"
 #include "auburn/routing/candidate.h"
 #include "auburn/routing/distance.h"
+#include "auburn/routing/explanation.h"
 #include "auburn/routing/probebudget.h"
 #include "auburn/routing/promptaffinity.h"
 #include "auburn/routing/serverdirectory.h"
@@ -64,6 +65,11 @@
     std::optional<PlacementChoice> chooseInCell(const ServerDirectory &directory, const Cell &cell,
                                                 const PlacementQuery &query, TimePoint now);
 
+    // Returns what choose() would return, with the cost of each server or the reason why it is no
+    // candidate. Changes nothing.
+    Explanation explain(const ServerDirectory &directory, const PlacementQuery &query,
+                        TimePoint now) const;
+
     // Track one attempt; called in this order. attemptProgressed() is skipped if the attempt ends
     // before its first token or response.
     void attemptStarted(const PlacementChoice &choice, const PlacementQuery &query);
@@ -125,25 +131,32 @@
         // Null if there is no engine to copy the parts from.
         const BackendServer *copySource = nullptr;
     };
-    // The consequences of placing the query at one candidate. The cost includes the prediction.
+    // The consequences of placing the query at one candidate.
     struct Assessment
     {
-        std::chrono::microseconds predicted{ 0 };
-        std::chrono::microseconds cost{ 0 };
+        CostParts cost;
         std::uint64_t uncachedTokens = 0;
+        double slowness = 1;
         // Null if the candidate copies nothing.
         const BackendServer *copySource = nullptr;
     };
 
     Distance distanceTo(const BackendServer &server) const;
     ServerView &view(const std::string &serverId, const Service &service);
+    // Returns the view of a server, or an empty one if nothing is known of it.
+    const ServerView &findView(const std::string &serverId) const;
     std::optional<PlacementChoice> chooseAmong(const std::vector<const BackendServer *> &servers,
                                                const PlacementQuery &query, TimePoint now);
-    Candidate makeCandidate(const BackendServer &server, const Service &service, bool allowsProbe,
-                            TimePoint now);
+    // Selects a candidate with the urgency that the query gets.
+    std::optional<PlacementChoice> decide(const Candidates &candidates, const PlacementQuery &query,
+                                          TimePoint now) const;
+    Assessment assess(const Candidates &candidates, std::size_t index,
+                      const PromptLocation &location, const PlacementQuery &query, int urgency,
+                      TimePoint now) const;
+    Candidate makeCandidate(const BackendServer &server, bool allowsProbe, TimePoint now) const;
     static double slownessAmong(const Candidates &candidates, const Candidate &candidate);
     Candidates makeCandidates(const std::vector<const BackendServer *> &servers,
-                              const PlacementQuery &query, TimePoint now);
+                              const PlacementQuery &query, TimePoint now) const;
     std::optional<PlacementChoice> chooseLowestCost(const Candidates &candidates,
                                                     const PlacementQuery &query, int urgency,
                                                     TimePoint now) const;
@@ -154,7 +167,9 @@
                                    int urgency, TimePoint now);
     Assessment assessPlain(const Candidate &candidate, double slowness, TimePoint now) const;
     // Reserves engines for gap-sensitive streams and sorts them to the front.
-    void arrangeStreamPool(Candidates &candidates, const PlacementQuery &query, TimePoint now);
+    static void arrangeStreamPool(Candidates &candidates, StreamPool &pool,
+                                  const PlacementQuery &query, TimePoint now);
+    bool usesStreamPool(const PlacementQuery &query) const;
     static bool shouldUseLateUrgency(const PlacementQuery &query, const PlacementChoice &choice);
 
     const Options options_;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -52,6 +52,13 @@
     return views_.emplace(serverId, ServerView(static_cast<std::uint64_t>(capacity))).first->second;
 }
 
+const ServerView &Placement::findView(const std::string &serverId) const
+{
+    static const ServerView empty(0);
+    const auto found = views_.find(serverId);
+    return found == views_.end() ? empty : found->second;
+}
+
 bool Placement::isInOwnRegion(const std::string &failureDomain) const
 {
     const auto found = options_.regions.find(failureDomain);
@@ -86,33 +93,77 @@
         const std::vector<const BackendServer *> &servers, const PlacementQuery &query,
         TimePoint now)
 {
+    for (const BackendServer *server : servers)
+        view(server->id, *query.service);
     Candidates candidates = makeCandidates(servers, query, now);
-    arrangeStreamPool(candidates, query, now);
+    if (usesStreamPool(query) && !servers.empty())
+        arrangeStreamPool(candidates, pools_[query.service->name], query, now);
+    return decide(candidates, query, now);
+}
+
+std::optional<PlacementChoice> Placement::decide(const Candidates &candidates,
+                                                 const PlacementQuery &query, TimePoint now) const
+{
     auto onTime = chooseLowestCost(candidates, query, query.urgency.onTime, now);
     if (!onTime || !shouldUseLateUrgency(query, *onTime))
         return onTime;
     return chooseLowestCost(candidates, query, query.urgency.late, now);
 }
 
+Explanation Placement::explain(const ServerDirectory &directory, const PlacementQuery &query,
+                               TimePoint now) const
+{
+    Explanation result;
+    const std::string &service = query.service->name;
+    Candidates candidates = makeCandidates(directory.availableServers(service, now), query, now);
+    const auto pool = pools_.find(service);
+    StreamPool poolCopy = pool == pools_.end() ? StreamPool() : pool->second;
+    if (usesStreamPool(query) && !candidates.all.empty())
+        arrangeStreamPool(candidates, poolCopy, query, now);
+    result.choice = decide(candidates, query, now);
+    const PromptLocation location = locatePrompt(candidates, query, now);
+    const int urgency = result.choice ? result.choice->urgency : query.urgency.onTime;
+    for (std::size_t i = 0; i < candidates.all.size(); ++i) {
+        const Assessment assessment = assess(candidates, i, location, query, urgency, now);
+        const std::string &id = candidates.all[i].server->id;
+        result.servers.push_back({ .serverId = id,
+                                   .excluded = isExcluded(query, id) ? "excluded" : "",
+                                   .cost = assessment.cost,
+                                   .uncachedTokens = assessment.uncachedTokens,
+                                   .slowness = assessment.slowness });
+    }
+    for (const std::string &id : directory.ids()) {
+        const BackendServer *server = directory.find(id);
+        if (server->service != service || directory.isAvailable(id, now))
+            continue;
+        const bool waits =
+                directory.availability().returnTime(id, server->startedAtUnixMs, now).has_value();
+        const std::string_view gone = server->state == ServerState::Draining ? "draining"
+                                                                             : "withdrawn";
+        result.servers.push_back({ .serverId = id, .excluded = waits ? "backing_off" : gone });
+    }
+    return result;
+}
+
 Placement::Candidates Placement::makeCandidates(const std::vector<const BackendServer *> &servers,
-                                                const PlacementQuery &query, TimePoint now)
+                                                const PlacementQuery &query, TimePoint now) const
 {
     Candidates candidates;
     candidates.all.reserve(servers.size());
     const auto budget = probes_.find(query.service->name);
     const bool allowsProbe = budget == probes_.end() || budget->second.allowsProbe();
     for (const BackendServer *server : servers) {
-        candidates.all.push_back(makeCandidate(*server, *query.service, allowsProbe, now));
+        candidates.all.push_back(makeCandidate(*server, allowsProbe, now));
         candidates.slownessSum += candidates.all.back().slowness;
         candidates.speedSum += 1 / candidates.all.back().slowness;
     }
     return candidates;
 }
 
-Candidate Placement::makeCandidate(const BackendServer &server, const Service &service,
-                                   bool allowsProbe, TimePoint now)
+Candidate Placement::makeCandidate(const BackendServer &server, bool allowsProbe,
+                                   TimePoint now) const
 {
-    const ServerView &known = view(server.id, service);
+    const ServerView &known = findView(server.id);
     Candidate candidate{ .server = &server, .view = &known, .load = known.totalLoad(now) };
     const SpeedEstimator &speed = known.speed();
     if (!speed.isKnown()) {
@@ -139,13 +190,14 @@
     return candidate.slowness * candidates.speedSum / static_cast<double>(servers);
 }
 
-void Placement::arrangeStreamPool(Candidates &candidates, const PlacementQuery &query,
-                                  TimePoint now)
+bool Placement::usesStreamPool(const PlacementQuery &query) const
+{
+    return query.gapSensitiveStream || pools_.contains(query.service->name);
+}
+
+void Placement::arrangeStreamPool(Candidates &candidates, StreamPool &pool,
+                                  const PlacementQuery &query, TimePoint now)
 {
-    const bool hasPool = query.gapSensitiveStream || pools_.contains(query.service->name);
-    if (candidates.all.empty() || !hasPool)
-        return;
-    StreamPool &pool = pools_[query.service->name];
     candidates.poolSize = pool.resize(candidates.all, query.gapSensitiveStream, now);
     if (candidates.poolSize > 0)
         StreamPool::sortCandidates(candidates.all);
@@ -188,21 +240,38 @@
         result.uncachedTokens = uncachedWithCopy(result.uncachedTokens, ownTokens);
     const std::uint64_t repeatedTokens = result.uncachedTokens
                                          - std::min(result.uncachedTokens, ownTokens);
-    result.predicted = predictEngine(candidate, result.uncachedTokens, slowness, urgency, now);
-    result.cost = result.predicted + repeatedPrefillCost(repeatedTokens)
-                  + neighbourCost(candidate.load, result.uncachedTokens)
-                  + StreamPool::cost(candidate, inPool, query.gapSensitiveStream,
-                                     result.uncachedTokens);
+    result.cost = { .predicted = predictEngine(candidate, result.uncachedTokens, slowness, urgency,
+                                               now),
+                    .repeatedPrefill = repeatedPrefillCost(repeatedTokens),
+                    .neighbours = neighbourCost(candidate.load, result.uncachedTokens),
+                    .streamPool = StreamPool::cost(candidate, inPool, query.gapSensitiveStream,
+                                                   result.uncachedTokens) };
     return result;
 }
 
 Placement::Assessment Placement::assessPlain(const Candidate &candidate, double slowness,
                                              TimePoint now) const
 {
-    const microseconds predicted = predictPlain(candidate, slowness, now);
-    return { .predicted = predicted,
-             .cost = predicted + crowdingTime(candidate, slowness, now)
-                     + spreadCost(*candidate.server, options_.vm) };
+    return { .cost = { .predicted = predictPlain(candidate, slowness, now),
+                       .crowding = crowdingTime(candidate, slowness, now),
+                       .spread = spreadCost(*candidate.server, options_.vm) } };
+}
+
+Placement::Assessment Placement::assess(const Candidates &candidates, std::size_t index,
+                                        const PromptLocation &location, const PlacementQuery &query,
+                                        int urgency, TimePoint now) const
+{
+    const Candidate &candidate = candidates.all[index];
+    const double slowness = slownessAmong(candidates, candidate);
+    const bool inPool = index < candidates.poolSize;
+    Assessment result = query.service->engine ? assessEngine(candidate, inPool, slowness, location,
+                                                             query, urgency, now)
+                                              : assessPlain(candidate, slowness, now);
+    result.slowness = slowness;
+    result.cost.distance = distanceCost(distanceTo(*candidate.server), query.prompt);
+    result.cost.straggler = stragglerCost(slowness);
+    result.cost.failures = failureCost(*candidate.view, query.repeatable, now);
+    return result;
 }
 
 std::optional<PlacementChoice> Placement::chooseLowestCost(const Candidates &candidates,
@@ -212,21 +281,17 @@
     const PromptLocation location = locatePrompt(candidates, query, now);
     const Candidate *best = nullptr;
     Assessment bestAssessment;
+    microseconds lowest{ 0 };
     for (std::size_t i = 0; i < candidates.all.size(); ++i) {
         const Candidate &candidate = candidates.all[i];
         if (isExcluded(query, candidate.server->id))
             continue;
-        const double slowness = slownessAmong(candidates, candidate);
-        const bool inPool = i < candidates.poolSize;
-        Assessment assessment = query.service->engine ? assessEngine(candidate, inPool, slowness,
-                                                                     location, query, urgency, now)
-                                                      : assessPlain(candidate, slowness, now);
-        assessment.cost += distanceCost(distanceTo(*candidate.server), query.prompt)
-                           + stragglerCost(slowness)
-                           + failureCost(*candidate.view, query.repeatable, now);
-        if (best && assessment.cost >= bestAssessment.cost)
+        const Assessment assessment = assess(candidates, i, location, query, urgency, now);
+        const microseconds cost = assessment.cost.sum();
+        if (best && cost >= lowest)
             continue;
         best = &candidate;
+        lowest = cost;
         bestAssessment = assessment;
     }
     if (!best)
@@ -234,7 +299,7 @@
     const BackendServer *source = bestAssessment.copySource;
     return PlacementChoice{ .serverId = best->server->id,
                             .address = best->server->address,
-                            .predicted = bestAssessment.predicted,
+                            .predicted = bestAssessment.cost.predicted,
                             .uncachedTokens = bestAssessment.uncachedTokens,
                             .inFlight = best->view->ownLoad().running,
                             .gapSensitiveStream = query.gapSensitiveStream,
--- a/packages/routing/src/speedestimator.cpp
+++ b/packages/routing/src/speedestimator.cpp
@@ -3,6 +3,7 @@
 #include "durations.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburn::routing {
 
@@ -41,7 +42,7 @@
     mean_ += (measured - mean_) * (1 - exponentialDecay(covered, halfLife));
     curve_.record(report.running, report.slots, measured, report.measuredAt);
     newest_ = report;
-    newest_->workTimePercent = static_cast<unsigned>(measured * 100 + 0.5);
+    newest_->workTimePercent = static_cast<unsigned>(std::lround(measured * 100));
 }
 
 void SpeedEstimator::recordRejection(double running, TimePoint now)
--- a/packages/routing/tests/learnedspeeds_test.cpp
+++ b/packages/routing/tests/learnedspeeds_test.cpp
@@ -229,7 +229,7 @@
 
 Result simulate(Mode mode, const Scenario &scenario)
 {
-    const Result result = Simulation(mode, scenario).run();
+    Result result = Simulation(mode, scenario).run();
     BOOST_TEST_MESSAGE("mode " << static_cast<int>(mode) << ": p95 " << result.p95
                                << " ms, completed " << result.completed << ", failed "
                                << result.failed << ", most at once " << result.mostAtOnce);
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace auburn::routing {
 
@@ -352,6 +354,31 @@
         BOOST_TEST(requests <= 3 * 3 * kDaemons / kServers, server << " has " << requests);
 }
 
+// Guards against an explanation that differs from the decision or that changes the next one.
+BOOST_AUTO_TEST_CASE(explanation_namesTheChosenServerAndChangesNothing)
+{
+    directory.backOff("engine-3", now + milliseconds(900), now);
+    Placement unexplained = makePlacement();
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        PlacementQuery query = prompt(i % 7);
+        query.gapSensitiveStream = i % 5 == 0;
+        const Explanation explanation = placement.explain(directory, query, now);
+        const PlacementChoice chosen = start(placement, query);
+        BOOST_REQUIRE(explanation.choice);
+        BOOST_TEST(explanation.choice->serverId == chosen.serverId);
+        BOOST_TEST(explanation.servers.size() == 12U);
+        BOOST_TEST(start(unexplained, query).serverId == chosen.serverId);
+        const auto lowest = std::min_element(
+                explanation.servers.begin(), explanation.servers.end(),
+                [](const auto &left, const auto &right) {
+                    return std::pair(!left.excluded.empty(), left.cost.sum())
+                           < std::pair(!right.excluded.empty(), right.cost.sum());
+                });
+        BOOST_TEST(lowest->serverId == chosen.serverId);
+        BOOST_TEST(explanation.servers.back().excluded == "backing_off");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
