--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -17,6 +17,8 @@
 #include "auburn/routing/attempt.h"
 #include "auburn/routing/candidate.h"
 #include "auburn/routing/distance.h"
+#include "auburn/routing/explanation.h"
+#include "auburn/routing/probebudget.h"
 #include "auburn/routing/promptaffinity.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/serverload.h"
@@ -48,6 +50,8 @@
         std::string failureDomain;
         // Maps each failure domain to its region.
         std::map<std::string, std::string> regions;
+        // Use the work time that servers report; see SpeedEstimator.
+        bool learnedSpeeds = true;
     };
 
     explicit Placement(Options options);
@@ -61,6 +65,11 @@
     std::optional<PlacementChoice> chooseInCell(const ServerDirectory &directory, const Cell &cell,
                                                 const PlacementQuery &query, TimePoint now);
 
+    // Returns what choose() would return, with the cost of each server or the reason why it is no
+    // candidate. Changes nothing.
+    Explanation explain(const ServerDirectory &directory, const PlacementQuery &query,
+                        TimePoint now) const;
+
     // Track one attempt; called in this order. attemptProgressed() is skipped if the attempt ends
     // before its first token or response.
     void attemptStarted(const PlacementChoice &choice, const PlacementQuery &query);
@@ -71,6 +80,21 @@
 
     // Stores the load that the server itself reported.
     void recordLoadReport(const std::string &serverId, LoadReport report, TimePoint now);
+    // Stores a report of the work time that another daemon forwarded.
+    void recordSpeedReport(const std::string &serverId, const SpeedEstimator::Report &report);
+    // Returns the newest report of the server's work time; empty if there is none.
+    std::optional<SpeedEstimator::Report> speedReport(const std::string &serverId) const;
+    // What is learned about one server.
+    struct LearnedSpeed
+    {
+        std::string serverId;
+        // As a multiple of the usual one.
+        double workTime = 1;
+        double usefulConcurrency = 1;
+    };
+    // Returns the servers that report their work time, at most the given number.
+    std::vector<LearnedSpeed> learnedSpeeds(const ServerDirectory &directory, std::size_t limit,
+                                            TimePoint now) const;
     // Replaces the loads that another daemon reported; servers missing from loads have no requests
     // of that daemon.
     void recordPeerLoads(const std::string &peer, const std::map<std::string, PeerLoad> &loads,
@@ -96,6 +120,8 @@
         std::vector<Candidate> all;
         std::size_t poolSize = 0;
         double slownessSum = 0;
+        // Sum of the reciprocals of the slownesses.
+        double speedSum = 0;
     };
 
     // Where the shared parts of the query's prompt are expected.
@@ -105,22 +131,32 @@
         // Null if there is no engine to copy the parts from.
         const BackendServer *copySource = nullptr;
     };
-    // The consequences of placing the query at one candidate. The cost includes the prediction.
+    // The consequences of placing the query at one candidate.
     struct Assessment
     {
-        std::chrono::microseconds predicted{ 0 };
-        std::chrono::microseconds cost{ 0 };
+        CostParts cost;
         std::uint64_t uncachedTokens = 0;
+        double slowness = 1;
         // Null if the candidate copies nothing.
         const BackendServer *copySource = nullptr;
     };
 
     Distance distanceTo(const BackendServer &server) const;
     ServerView &view(const std::string &serverId, const Service &service);
+    // Returns the view of a server, or an empty one if nothing is known of it.
+    const ServerView &findView(const std::string &serverId) const;
     std::optional<PlacementChoice> chooseAmong(const std::vector<const BackendServer *> &servers,
                                                const PlacementQuery &query, TimePoint now);
+    // Selects a candidate with the urgency that the query gets.
+    std::optional<PlacementChoice> decide(const Candidates &candidates, const PlacementQuery &query,
+                                          TimePoint now) const;
+    Assessment assess(const Candidates &candidates, std::size_t index,
+                      const PromptLocation &location, const PlacementQuery &query, int urgency,
+                      TimePoint now) const;
+    Candidate makeCandidate(const BackendServer &server, bool allowsProbe, TimePoint now) const;
+    static double slownessAmong(const Candidates &candidates, const Candidate &candidate);
     Candidates makeCandidates(const std::vector<const BackendServer *> &servers,
-                              const PlacementQuery &query, TimePoint now);
+                              const PlacementQuery &query, TimePoint now) const;
     std::optional<PlacementChoice> chooseLowestCost(const Candidates &candidates,
                                                     const PlacementQuery &query, int urgency,
                                                     TimePoint now) const;
@@ -131,7 +167,9 @@
                                    int urgency, TimePoint now);
     Assessment assessPlain(const Candidate &candidate, double slowness, TimePoint now) const;
     // Reserves engines for gap-sensitive streams and sorts them to the front.
-    void arrangeStreamPool(Candidates &candidates, const PlacementQuery &query, TimePoint now);
+    static void arrangeStreamPool(Candidates &candidates, StreamPool &pool,
+                                  const PlacementQuery &query, TimePoint now);
+    bool usesStreamPool(const PlacementQuery &query) const;
     static bool shouldUseLateUrgency(const PlacementQuery &query, const PlacementChoice &choice);
 
     const Options options_;
@@ -139,6 +177,7 @@
     std::map<std::string, ServerView> views_;
     // By service.
     std::map<std::string, StreamPool> pools_;
+    std::map<std::string, ProbeBudget> probes_;
 };
 
 } // namespace auburn::routing
