Placement: no stream pool without candidates

Cause: a gap-sensitive stream sized the stream pool also if every engine was about to be taken away, and the pool read the first of no candidates. Change: the pool is arranged only for candidates; explain() lists such servers as leaving.

--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -110,7 +110,7 @@
     for (const BackendServer *server : servers)
         view(server->id, *query.service);
     Candidates candidates = makeCandidates(servers, query, now);
-    if (usesStreamPool(query) && !servers.empty())
+    if (usesStreamPool(query) && !candidates.all.empty())
         arrangeStreamPool(candidates, pools_[query.service->name], query, now);
     return decide(candidates, query, now);
 }
@@ -148,8 +148,13 @@
     }
     for (const std::string &id : directory.ids()) {
         const BackendServer *server = directory.find(id);
-        if (server->service != service || directory.isAvailable(id, now))
+        if (server->service != service)
+            continue;
+        if (directory.isAvailable(id, now)) {
+            if (leavesTooSoon(*server, *query.service, now))
+                result.servers.push_back({ .serverId = id, .excluded = "leaving" });
             continue;
+        }
         const bool waits =
                 directory.availability().returnTime(id, server->startedAtUnixMs, now).has_value();
         const std::string_view gone = server->state == ServerState::Draining ? "draining"
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -102,6 +102,26 @@
         BOOST_TEST(start(placement, prompt(1)).serverId == primary.serverId);
 }
 
+// Guards against sizing the pool of gap-sensitive streams without any server, because all engines
+// are about to be taken away.
+BOOST_AUTO_TEST_CASE(gapSensitiveStream_allEnginesLeaveSoon_isNotPlaced)
+{
+    ServerDirectory leaving;
+    leaving.update({ .id = "engine-0",
+                     .service = "engines",
+                     .address = "engine-0:80",
+                     .failureDomain = "a",
+                     .slots = 128,
+                     .leavesAt = now + milliseconds(1000) },
+                   1);
+    PlacementQuery query = prompt(1);
+    query.gapSensitiveStream = true;
+    BOOST_TEST(!placement.choose(leaving, query, now).has_value());
+    const Explanation explanation = placement.explain(leaving, query, now);
+    BOOST_REQUIRE(explanation.servers.size() == 1U);
+    BOOST_TEST(explanation.servers[0].excluded == "leaving");
+}
+
 // Guards against requests at a server that is taken away before they end.
 BOOST_AUTO_TEST_CASE(leavingServer_tooLittleTimeLeft_getsNoRequest)
 {
