Scaling: tests of a takeover

Cause: no test failed without the 1.5 s and the half of the servers that a new holder keeps. Change: a test of both; a new holder in the simulation is a daemon without any history.

--- a/packages/scaling/tests/demand_test.cpp
+++ b/packages/scaling/tests/demand_test.cpp
@@ -89,7 +89,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(demand, DemandFixture)
 
-// Guards against attempts that are counted twice or for ever.
+// Guards against attempts that are counted twice or for ever, and against messages in deployments
+// that scale nothing.
 BOOST_AUTO_TEST_CASE(report_attempts_areCountedFromPlacementToEnd)
 {
     const auto first = place();
@@ -113,14 +114,8 @@
     BOOST_TEST(source.progressed == 1U);
     BOOST_TEST(source.ended == 2U);
     BOOST_TEST(!meter.makeReport(config, now));
-}
-
-// Guards against messages in deployments that do not use scaling.
-BOOST_AUTO_TEST_CASE(report_noScaledService_isNotMade)
-{
     const routing::TrafficConfig unscaled({ .services = { { .name = "e" } } });
-    place();
-    BOOST_TEST(!meter.makeReport(unscaled, now));
+    BOOST_TEST(!meter.makeReport(unscaled, now + milliseconds(1000)));
 }
 
 // Guards against a delayed or repeated report that replaces a newer one, and against the load of a
--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -60,6 +60,25 @@
     BOOST_TEST(planner.neededServers("e") == 30U);
 }
 
+// Guards against a new holder that orders what it derives from the first few reports, and against
+// one that takes the loss of most servers for a lack of demand.
+BOOST_AUTO_TEST_CASE(takeover_halfOfTheServers_isKeptForSomeTime)
+{
+    FleetPlanner planner({});
+    service.load.inProgress = 600;
+    BOOST_TEST(planner.plan({ .services = { service } }, now).empty());
+    planner.reset();
+    service.load = {};
+    planner.plan({ .services = { service } }, now);
+    planner.plan({ .services = { service } }, now + milliseconds(2000));
+    service.domains = { { "a", { .spot = 5 } } };
+    unsigned servers = 5;
+    for (const PlannedOrder &planned :
+         planner.plan({ .services = { service } }, now + milliseconds(2200)))
+        servers += planned.order.desired - planned.running;
+    BOOST_TEST(servers == 20U);
+}
+
 // Guards against exceeding the operators' limit while callers cause a shortage.
 BOOST_AUTO_TEST_CASE(shortage_operatorsLimit_isKept)
 {
--- a/packages/scaling/tests/fleetsimulation.h
+++ b/packages/scaling/tests/fleetsimulation.h
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,14 +38,18 @@
             updateListing();
             if (std::fmod(seconds + kTick / 2, 1.0) < kTick)
                 report();
-            autoscaler_.tick(kDaemons, now());
+            autoscaler_->tick(kDaemons, now());
             if (afterTick)
                 afterTick();
         }
     }
 
-    // Makes this daemon a new holder, which does not know what the last one planned and ordered.
-    void changeHolder() { ++token_; }
+    // Makes a daemon without any history the new holder.
+    void changeHolder()
+    {
+        ++token_;
+        autoscaler_ = makeAutoscaler();
+    }
 
     // Takes away all spot servers of the failure domain that has the most of them, after a notice.
     // No spot server can be had anywhere for 10 s.
@@ -118,6 +123,12 @@
                 .services = { { .name = kService, .scaling = policy } } });
     }
 
+    std::unique_ptr<Autoscaler> makeAutoscaler()
+    {
+        return std::make_unique<Autoscaler>(Autoscaler::Options{
+                .api = this, .permit = this, .directory = &directory_, .config = &config_ });
+    }
+
     bool isHeld() const override { return isHolder; }
     std::uint64_t token() const override { return token_; }
     void reportUsage(const duties::UsageFigure & /*figure*/, Handler /*handler*/) override {}
@@ -188,7 +199,7 @@
             proto::ServiceDemand &demand = *report.add_services();
             demand.set_service(kService);
             demand.set_in_progress(requestsPerDaemon());
-            autoscaler_.recordReport(report, now());
+            autoscaler_->recordReport(report, now());
         }
     }
 
@@ -209,9 +220,7 @@
     routing::ServerDirectory directory_;
     std::shared_ptr<const routing::TrafficConfig> config_ = makeConfig();
     std::map<std::string, Server> servers_;
-    Autoscaler autoscaler_{
-        { .api = this, .permit = this, .directory = &directory_, .config = &config_ }
-    };
+    std::unique_ptr<Autoscaler> autoscaler_ = makeAutoscaler();
     double spotDryUntil_ = 0;
     std::uint64_t token_ = 1;
     std::uint64_t position_ = 0;
