Gateway: give freed memory back while connections are shed, not in calm

Cause: blocks from 128 KiB with mappings of their own cost 0.4 ms of processor time for each body of 400 KB (700 us a request instead of 290), also in calm.

Change: malloc_trim() after a round that has closed connections; bodies from 32 KiB are read in larger parts, because the wait before each read costs a system call.

--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{ 8 } * 1024;
+// The same once a body has reached this size: the wait before each read costs a system call.
+constexpr std::size_t kLargeReadBytes = std::size_t{ 32 } * 1024;
 // Input that is read ahead while a response is in progress. It only has to show that the caller has
 // disconnected; the rest of it waits in the socket.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 16 } * 1024;
@@ -170,13 +172,19 @@
         return;
     std::size_t bytes = 0;
     if (!error)
-        bytes = socket_.read_some(input_.prepare(kReadBytes), error);
+        bytes = socket_.read_some(input_.prepare(readSize()), error);
     if (error == asio::error::would_block)
         read();
     else
         received(error, bytes);
 }
 
+std::size_t CallerConnection::readSize() const
+{
+    const bool isLarge = phase_ == Phase::Body && parser_->get().body().size() >= kLargeReadBytes;
+    return isLarge ? kLargeReadBytes : kReadBytes;
+}
+
 void CallerConnection::received(ErrorCode error, std::size_t bytes)
 {
     if (error) {
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -76,6 +76,7 @@
     void beginRequest();
     void read();
     void readable(ErrorCode error);
+    std::size_t readSize() const;
     void received(ErrorCode error, std::size_t bytes);
     void parseInput();
     // Returns false if the request was rejected on the basis of its header.
--- a/packages/gateway/src/callerconnections.cpp
+++ b/packages/gateway/src/callerconnections.cpp
@@ -5,6 +5,7 @@
 #include "auburn/core/log.h"
 
 #include <chrono>
+#include <malloc.h>
 #include <utility>
 #include <vector>
 
@@ -123,8 +124,12 @@
     const std::vector<std::size_t> chosen = selectConnectionsToShed(loads, goal);
     for (const std::size_t index : chosen)
         connections[index]->shed(underPressure ? "memory_pressure" : "connection_limit");
-    if (!chosen.empty())
+    if (!chosen.empty()) {
         recordShed(underPressure ? "memory" : "descriptors", chosen.size());
+        // The C library keeps freed blocks for later ones of the same size. Mapping large blocks
+        // one by one instead costs 0.4 ms for each body of 400 KB, also in calm.
+        ::malloc_trim(0);
+    }
     scheduleRound();
 }
 
