--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -39,7 +39,8 @@
     // Covers the entire call, including connecting.
     std::chrono::milliseconds timeout{ 1000 };
     // Asked directly before the request is sent. If it is set, nothing of the request is
-    // transmitted after the timeout or cancel(), even if the network is interrupted until then. May be empty.
+    // transmitted after the timeout or cancel(), even if the network is interrupted until then. May
+    // be empty.
     std::function<bool()> sendCondition = nullptr;
 };
 
