Usage reports: forward the counts of a process whose VM is live again

Cause: a random test (seeded) found figures without the counts of a daemon that was killed together with the holder and restarted within 4 s: its mirrors considered it live and did not pass the counts of the old process on.

Change: mirrors forward the counts of processes that have not reported for 2.5 s. request_ended names the organisation, so that an operator can count.

--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -166,6 +166,7 @@
     logEvent(failed ? LogLevel::Warning : LogLevel::Info, "request_ended",
              { { "id", request.id },
                { "route", request.route->name },
+               { "organisation", request.organisation ? request.organisation->name : "" },
                { "kind", routing::requestKindName(request.route->kind) },
                { "status", static_cast<long long>(record.status) },
                { "reason", record.reason },
--- a/packages/usage/include/auburn/usage/usagecollector.h
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -54,7 +54,7 @@
     UsageCollector &operator=(const UsageCollector &) = delete;
 
     // Takes note of the newest known holder. A new one gets the counts that this daemon has
-    // received from daemons that are no longer live.
+    // received from daemon processes that are silent.
     void setHolder(const duties::DutyHolder &holder, TimePoint now);
     // Merges a report, also while the permit is not held: this daemon may be a mirror of the
     // sender, or hold the permit again later. The sender (IP:PORT) gets an acknowledgement from the
--- a/packages/usage/src/silentforwarder.cpp
+++ b/packages/usage/src/silentforwarder.cpp
@@ -2,10 +2,8 @@
 
 #include "reportsplitter.h"
 
-#include <chrono>
-#include <string>
-#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace auburn::usage {
 
@@ -13,6 +11,9 @@
 
 // A holder closes the windows that were open when it took over within about 3 s.
 constexpr std::chrono::seconds kForwardTime{ 5 };
+// A process that has not reported for this time has ended, because it reports once a second. Its
+// VM may be live again with another process.
+constexpr std::chrono::milliseconds kSilence{ 2500 };
 
 } // namespace
 
@@ -29,16 +30,13 @@
     forwarded_.clear();
 }
 
-void SilentForwarder::tick(const UsageTable &table, const std::vector<LiveDaemon> &live,
+void SilentForwarder::tick(const UsageTable &table, std::chrono::milliseconds unixTime,
                            TimePoint now)
 {
     if (now >= endsAt_ || holder_.released)
         return;
-    std::unordered_set<std::string> liveVms;
-    for (const LiveDaemon &daemon : live)
-        liveVms.insert(daemon.vm);
-    for (const UsageTable::Process &process : table.processes()) {
-        if (!liveVms.contains(process.first) && forwarded_.insert(process).second) {
+    for (const UsageTable::Process &process : table.processesSilentSince(unixTime - kSilence)) {
+        if (forwarded_.insert(process).second) {
             forward(table, process);
             return;
         }
@@ -47,11 +45,14 @@
 
 void SilentForwarder::forward(const UsageTable &table, const UsageTable::Process &process) const
 {
+    const std::vector<proto::UsageWindow> counts = table.countsOf(process);
+    if (counts.empty())
+        return;
     proto::UsageReport header;
     header.set_vm(process.first);
     header.set_incarnation(process.second);
     proto::PeerDatagram datagram;
-    for (proto::UsageReport &report : splitReport(header, table.countsOf(process))) {
+    for (proto::UsageReport &report : splitReport(header, counts)) {
         *datagram.mutable_usage_report() = std::move(report);
         send_(holder_.udpAddress, datagram);
     }
--- a/packages/usage/src/silentforwarder.h
+++ b/packages/usage/src/silentforwarder.h
@@ -1,4 +1,4 @@
-// SilentForwarder passes the counts of daemons that are no longer live on to a new holder.
+// SilentForwarder passes the counts of silent daemon processes on to a new holder.
 //
 // A daemon that was killed together with the holder cannot report its counts again; its mirrors
 // can.
@@ -8,12 +8,10 @@
 
 #include "auburn/core/bootclock.h"
 #include "auburn/duties/dutyholder.h"
-#include "auburn/usage/livedaemon.h"
 #include "auburn/usage/usagereporter.h"
 
-#include <cstdint>
+#include <chrono>
 #include <set>
-#include <vector>
 
 namespace auburn::usage {
 
@@ -27,7 +25,7 @@
     // Starts forwarding to a holder with a newer token.
     void setHolder(const duties::DutyHolder &holder, TimePoint now);
     // Forwards the counts of at most one silent process.
-    void tick(const UsageTable &table, const std::vector<LiveDaemon> &live, TimePoint now);
+    void tick(const UsageTable &table, std::chrono::milliseconds unixTime, TimePoint now);
 
 private:
     void forward(const UsageTable &table, const UsageTable::Process &process) const;
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -104,7 +104,7 @@
         if (permit_.isHeld())
             performDuty(now, live);
         else
-            forwarder_.tick(table_, live, now);
+            forwarder_.tick(table_, clock_.unixTime(now), now);
     }
 
 private:
--- a/packages/usage/src/usagetable.cpp
+++ b/packages/usage/src/usagetable.cpp
@@ -156,11 +156,13 @@
     windows_.erase(windows_.begin(), windows_.lower_bound(window));
 }
 
-std::vector<UsageTable::Process> UsageTable::processes() const
+std::vector<UsageTable::Process> UsageTable::processesSilentSince(milliseconds unixTime) const
 {
     std::vector<Process> result;
-    for (const auto &[process, state] : processes_)
-        result.push_back(process);
+    for (const auto &[process, state] : processes_) {
+        if (state.lastReport < unixTime)
+            result.push_back(process);
+    }
     return result;
 }
 
--- a/packages/usage/src/usagetable.h
+++ b/packages/usage/src/usagetable.h
@@ -44,8 +44,8 @@
     // A daemon process: its VM's name and its incarnation.
     using Process = std::pair<std::string, std::uint64_t>;
 
-    // The processes that have reported something.
-    std::vector<Process> processes() const;
+    // The processes that have not reported since a time.
+    std::vector<Process> processesSilentSince(std::chrono::milliseconds unixTime) const;
     // All counts that a process has reported.
     std::vector<proto::UsageWindow> countsOf(const Process &process) const;
 
