--- a/packages/usage/src/silentforwarder.cpp
+++ b/packages/usage/src/silentforwarder.cpp
@@ -11,9 +11,10 @@
 
 // A holder closes the windows that were open when it took over within about 3 s.
 constexpr std::chrono::seconds kForwardTime{ 5 };
-// A process that has not reported for this time has ended, because it reports once a second. Its
-// VM may be live again with another process.
-constexpr std::chrono::milliseconds kSilence{ 2500 };
+// A process that has not reported for this time has probably ended, because it reports once a
+// second; its VM may be live again with another process. A new holder closes windows 1.5 s after it
+// took over, so the counts of a process that was killed just before must be forwarded until then.
+constexpr std::chrono::milliseconds kSilence{ 1300 };
 
 } // namespace
 
