Usage reports: repeated reports after a takeover are not late

Cause: a new holder counted what daemons reported again for windows that its predecessor had closed as late requests, although it is in their figures.

Change: only windows that this daemon closed itself count late requests.

Result: usage_test passes, with a check of the counter after a takeover.

--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -147,10 +147,8 @@
     // of this daemon, and any whose append was executed late.
     void sendCommitted(TimePoint now)
     {
-        for (auto &[window, figure] : log_.takeCommitted()) {
+        for (auto &[window, figure] : log_.takeCommitted())
             sender_.add(std::move(figure), now);
-            table_.close(window);
-        }
         nextWindow_ = std::max(nextWindow_, log_.nextWindow());
     }
 
@@ -237,6 +235,7 @@
                    { "missing", toLogNumber(missing.size()) },
                    { "missing_vms", joinNames(missing) },
                    { "age_ms", static_cast<long long>((clock_.unixTime(now) - end).count()) } });
+        table_.close(nextWindow_);
         if (closedWindows_)
             closedWindows_->add();
         log_.commit(std::move(figure), now);
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -125,6 +125,8 @@
     giveDuties("d");
     run(milliseconds(300));
     BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+    // What the daemons report to the new holder again is in the figure, so it is not late.
+    BOOST_TEST(metrics.counter("auburn_usage_late_requests_total", "").value() == 0U);
 }
 
 // A call whose response is lost is repeated with the same counts.
