--- a/packages/gateway/src/statusendpoint.cpp
+++ b/packages/gateway/src/statusendpoint.cpp
@@ -1,7 +1,6 @@
 #include "auburn/gateway/statusendpoint.h"
 
 #include "beastview.h"
-#include "callerrequest.h"
 #include "listener.h"
 #include "socketoptions.h"
 
