--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -68,7 +68,8 @@
     service.load.inProgress = 600;
     BOOST_TEST(planner.plan({ .services = { service } }, now).empty());
     planner.reset();
-    service.load = {};
+    // Without any request, all of them would be kept.
+    service.load = { .inProgress = 1 };
     planner.plan({ .services = { service } }, now);
     planner.plan({ .services = { service } }, now + milliseconds(2000));
     service.domains = { { "a", { .spot = 5 } } };
@@ -79,6 +80,22 @@
     BOOST_TEST(servers == 20U);
 }
 
+// Guards against a fleet that is given back between the start of a deployment and its first
+// request.
+BOOST_AUTO_TEST_CASE(noRequestYet_whatRuns_isNeeded)
+{
+    FleetPlanner planner({});
+    service.load = {};
+    FleetState state{ .services = { service }, .demandComplete = true };
+    for (int second = 0; second <= 60; ++second)
+        planner.plan(state, now + std::chrono::seconds(second));
+    BOOST_TEST(planner.neededServers("e") == 40U);
+    state.services[0].load.inProgress = 1;
+    for (int second = 61; second <= 80; ++second)
+        planner.plan(state, now + std::chrono::seconds(second));
+    BOOST_TEST(planner.neededServers("e") < 40U);
+}
+
 // Guards against exceeding the operators' limit while callers cause a shortage.
 BOOST_AUTO_TEST_CASE(shortage_operatorsLimit_isKept)
 {
