--- a/packages/gateway/include/auburn/gateway/statusendpoint.h
+++ b/packages/gateway/include/auburn/gateway/statusendpoint.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,13 +23,15 @@
 class StatusEndpoint
 {
 public:
-    // Handles a GET request for the path, without its query. Other methods get status 405.
-    using Handler = std::function<StatusResponse(std::string_view path)>;
+    // Handles a GET request for the target, a path with its query. Other methods get status 405.
+    using Handler = std::function<StatusResponse(std::string_view target)>;
 
     // Starts listening. Returns null and sets lastError() if the address cannot be used.
     static std::unique_ptr<StatusEndpoint> make(boost::asio::io_context &io,
                                                 const std::string &listenAddress, Handler handler);
     virtual ~StatusEndpoint() = default;
+    // Number of connections that were closed because others needed their place.
+    virtual std::uint64_t displacedConnections() const = 0;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t kLargePromptTokens = 1000;
 constexpr unsigned kMaxConnectFailures = 3;
 constexpr std::size_t kMaxResponseBytes = std::size_t{ 16 } * 1024 * 1024;
+// Memory of an exchange: its own, the read buffer of its connection to a server and the parser.
+constexpr std::size_t kAttemptBytes = std::size_t{ 24 } * 1024;
 constexpr milliseconds kMinRetryAfter{ 100 };
 constexpr milliseconds kMaxRetryAfter{ 1000 };
 constexpr milliseconds kMinStallTimeout{ 150 };
@@ -68,6 +70,7 @@
     , deadlineAt_(request_.received + timeLimit(request_))
     , deadlineTimer_(context.io, [this] { deadlinePassed(); })
     , stallTimer_(context.io, [this] { attemptStalled(); })
+    , attemptMemory_(context.memory)
     , heldMemory_(context.memory)
     , stream_(request_.lastEventId)
 {
@@ -94,6 +97,10 @@
         refuse("crashes_servers");
         return;
     }
+    if (!attemptMemory_.tryResize(kAttemptBytes)) {
+        refuse("memory_limit");
+        return;
+    }
     deadlineTimer_.setAfter(timeLeft());
     requestPlacement();
 }
@@ -259,7 +266,7 @@
     }
     if (connection_->isConnected()) {
         ++possibleExecutions_;
-        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+        recordUnansweredAttempt();
     }
     endAttempt(AttemptOutcome::Failed, "stalled");
     requestPlacement();
@@ -365,12 +372,15 @@
 
 void Exchange::responseStarted(const ResponseHeader &header)
 {
-    response_ = readAttemptResponse(header, context_.options.headerNames,
-                                    request_.route->kind == RequestKind::Stream);
+    response_ = readAttemptResponse(header, context_.options.headerNames, isStreamRoute());
     reportLoad(header);
     obeyServerSignals(header);
-    if (!response_.notExecuted)
+    if (!response_.notExecuted) {
         verdict_ = Verdict::Ran;
+        // The error of a server that produced no event of a stream does not count.
+        if (!isStreamRoute() || (!response_.isStream && !response_.isServerError()))
+            recordBegin(attemptStart_);
+    }
     if (!response_.isStream && !response_.notExecuted)
         reportProgress();
 }
@@ -418,6 +428,7 @@
         return;
     if (stream_.hasNewEvent()) {
         reportProgress();
+        recordBegin(Clock::now());
         if (Clock::now() - progressedAt_ >= kSoundProgress)
             context_.crashes->recordSoundPrompt(crashSuspects_);
         startStallTimer();
@@ -563,7 +574,7 @@
         return;
     }
     ++possibleExecutions_;
-    verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    recordUnansweredAttempt();
     if (result.outcome == CallOutcome::Broken)
         connectionBroke(result.staleConnection);
     endAttempt(AttemptOutcome::Failed, result.error);
@@ -622,7 +633,29 @@
 void Exchange::recordPossibleExecution()
 {
     if (attempt_ && connection_ && connection_->isConnected())
-        verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+        recordUnansweredAttempt();
+}
+
+void Exchange::recordUnansweredAttempt()
+{
+    verdict_ = mergeVerdicts(verdict_, Verdict::MayHaveRun);
+    // A stream begins with its first event, which has not arrived.
+    if (!isStreamRoute())
+        recordBegin(attemptStart_);
+}
+
+void Exchange::recordBegin(Clock::time_point at)
+{
+    if (hasBegun_ || !request_.organisation || !context_.options.requestBegan)
+        return;
+    hasBegun_ = true;
+    context_.options.requestBegan(request_.organisation->name,
+                                  duration_cast<milliseconds>(Clock::now() - at));
+}
+
+bool Exchange::isStreamRoute() const
+{
+    return request_.route->kind == RequestKind::Stream;
 }
 
 void Exchange::deadlinePassed()
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -5,12 +5,20 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace auburn::gateway {
 
+// A call of Gateway::Options::requestBegan.
+struct BegunRequest
+{
+    std::string organisation;
+    std::chrono::milliseconds ago;
+};
+
 // GatewayFixture runs a gateway on the loopback interface in front of scripted backend servers.
 struct GatewayFixture
 {
@@ -57,7 +65,10 @@
     std::string address;
     // The limit of the bytes that the gateway holds, for the next startGateway().
     std::size_t memoryLimit = std::size_t{ 64 } * 1024 * 1024;
+    // The limit of caller connections, for the next startGateway().
+    std::size_t maxConnections = 2000;
     std::uint64_t logPosition = 0;
+    std::vector<BegunRequest> begunRequests;
 };
 
 } // namespace auburn::gateway
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -22,6 +22,20 @@
 // little time, but the copied parts take up memory of a second engine.
 constexpr double kCopyCostShare = 0.5;
 
+// Usual time of a whole request: a stream of an engine, or the response of a plain service.
+// Estimates: a stream lasts several seconds, and a plain response takes about 40 ms (see
+// prediction.cpp) and rarely ten times as long.
+constexpr std::chrono::milliseconds kUsualStreamTime{ 5000 };
+constexpr std::chrono::milliseconds kUsualResponseTime{ 500 };
+
+// Returns true if the platform takes the server away before a request that starts now would
+// usually end.
+bool leavesTooSoon(const BackendServer &server, const Service &service, Placement::TimePoint now)
+{
+    const auto usual = service.engine ? kUsualStreamTime : kUsualResponseTime;
+    return server.leavesAt && *server.leavesAt - now < usual;
+}
+
 // Returns the uncached tokens of a prompt whose shared parts are copied from another engine, as
 // the number of tokens that are as expensive to prefill.
 std::uint64_t uncachedWithCopy(std::uint64_t uncachedTokens, std::uint64_t ownTokens)
@@ -52,6 +66,13 @@
     return views_.emplace(serverId, ServerView(static_cast<std::uint64_t>(capacity))).first->second;
 }
 
+const ServerView &Placement::findView(const std::string &serverId) const
+{
+    static const ServerView empty(0);
+    const auto found = views_.find(serverId);
+    return found == views_.end() ? empty : found->second;
+}
+
 bool Placement::isInOwnRegion(const std::string &failureDomain) const
 {
     const auto found = options_.regions.find(failureDomain);
@@ -86,37 +107,118 @@
         const std::vector<const BackendServer *> &servers, const PlacementQuery &query,
         TimePoint now)
 {
+    for (const BackendServer *server : servers)
+        view(server->id, *query.service);
     Candidates candidates = makeCandidates(servers, query, now);
-    arrangeStreamPool(candidates, query, now);
+    if (usesStreamPool(query) && !candidates.all.empty())
+        arrangeStreamPool(candidates, pools_[query.service->name], query, now);
+    return decide(candidates, query, now);
+}
+
+std::optional<PlacementChoice> Placement::decide(const Candidates &candidates,
+                                                 const PlacementQuery &query, TimePoint now) const
+{
     auto onTime = chooseLowestCost(candidates, query, query.urgency.onTime, now);
     if (!onTime || !shouldUseLateUrgency(query, *onTime))
         return onTime;
     return chooseLowestCost(candidates, query, query.urgency.late, now);
 }
 
+Explanation Placement::explain(const ServerDirectory &directory, const PlacementQuery &query,
+                               TimePoint now) const
+{
+    Explanation result;
+    const std::string &service = query.service->name;
+    Candidates candidates = makeCandidates(directory.availableServers(service, now), query, now);
+    const auto pool = pools_.find(service);
+    StreamPool poolCopy = pool == pools_.end() ? StreamPool() : pool->second;
+    if (usesStreamPool(query) && !candidates.all.empty())
+        arrangeStreamPool(candidates, poolCopy, query, now);
+    result.choice = decide(candidates, query, now);
+    const PromptLocation location = locatePrompt(candidates, query, now);
+    const int urgency = result.choice ? result.choice->urgency : query.urgency.onTime;
+    for (std::size_t i = 0; i < candidates.all.size(); ++i) {
+        const Assessment assessment = assess(candidates, i, location, query, urgency, now);
+        const std::string &id = candidates.all[i].server->id;
+        result.servers.push_back({ .serverId = id,
+                                   .excluded = isExcluded(query, id) ? "excluded" : "",
+                                   .cost = assessment.cost,
+                                   .uncachedTokens = assessment.uncachedTokens,
+                                   .slowness = assessment.slowness });
+    }
+    for (const std::string &id : directory.ids()) {
+        const BackendServer *server = directory.find(id);
+        if (server->service != service)
+            continue;
+        if (directory.isAvailable(id, now)) {
+            if (leavesTooSoon(*server, *query.service, now))
+                result.servers.push_back({ .serverId = id, .excluded = "leaving" });
+            continue;
+        }
+        const bool waits =
+                directory.availability().returnTime(id, server->startedAtUnixMs, now).has_value();
+        const std::string_view gone = server->state == ServerState::Draining ? "draining"
+                                                                             : "withdrawn";
+        result.servers.push_back({ .serverId = id, .excluded = waits ? "backing_off" : gone });
+    }
+    return result;
+}
+
 Placement::Candidates Placement::makeCandidates(const std::vector<const BackendServer *> &servers,
-                                                const PlacementQuery &query, TimePoint now)
+                                                const PlacementQuery &query, TimePoint now) const
 {
     Candidates candidates;
     candidates.all.reserve(servers.size());
+    const auto budget = probes_.find(query.service->name);
+    const bool allowsProbe = budget == probes_.end() || budget->second.allowsProbe();
     for (const BackendServer *server : servers) {
-        const ServerView &known = view(server->id, *query.service);
-        candidates.all.push_back({ .server = server,
-                                   .view = &known,
-                                   .load = known.totalLoad(now),
-                                   .slowness = known.slowness(now) });
+        if (leavesTooSoon(*server, *query.service, now))
+            continue;
+        candidates.all.push_back(makeCandidate(*server, allowsProbe, now));
         candidates.slownessSum += candidates.all.back().slowness;
+        candidates.speedSum += 1 / candidates.all.back().slowness;
     }
     return candidates;
 }
 
-void Placement::arrangeStreamPool(Candidates &candidates, const PlacementQuery &query,
-                                  TimePoint now)
+Candidate Placement::makeCandidate(const BackendServer &server, bool allowsProbe,
+                                   TimePoint now) const
+{
+    const ServerView &known = findView(server.id);
+    Candidate candidate{ .server = &server, .view = &known, .load = known.totalLoad(now) };
+    const SpeedEstimator &speed = known.speed();
+    if (!speed.isKnown()) {
+        candidate.slowness = known.slowness(now);
+        return candidate;
+    }
+    const bool isProbed = allowsProbe && known.ownLoad().running == 0 && speed.needsProbe(now);
+    candidate.slowness = isProbed ? 1 : speed.workTime(now);
+    candidate.learned = LearnedState{
+        .running = known.estimatedRunning(candidate.load.running, now),
+        .usefulConcurrency = speed.usefulConcurrency(server.slots, now),
+        .isProbed = isProbed
+    };
+    return candidate;
+}
+
+// A reported work time is exact, so servers faster than the others count as well. It is related to
+// the mean speed of all servers: if all of them are slower at once, no prediction changes.
+double Placement::slownessAmong(const Candidates &candidates, const Candidate &candidate)
+{
+    const std::size_t servers = candidates.all.size();
+    if (!candidate.learned)
+        return relativeSlowness(candidate.slowness, candidates.slownessSum, servers);
+    return candidate.slowness * candidates.speedSum / static_cast<double>(servers);
+}
+
+bool Placement::usesStreamPool(const PlacementQuery &query) const
+{
+    return query.gapSensitiveStream || pools_.contains(query.service->name);
+}
+
+void Placement::arrangeStreamPool(Candidates &candidates, StreamPool &pool,
+                                  const PlacementQuery &query, TimePoint now)
 {
-    const bool hasPool = query.gapSensitiveStream || pools_.contains(query.service->name);
-    if (candidates.all.empty() || !hasPool)
-        return;
-    StreamPool &pool = pools_[query.service->name];
     candidates.poolSize = pool.resize(candidates.all, query.gapSensitiveStream, now);
     if (candidates.poolSize > 0)
         StreamPool::sortCandidates(candidates.all);
@@ -159,20 +261,38 @@
         result.uncachedTokens = uncachedWithCopy(result.uncachedTokens, ownTokens);
     const std::uint64_t repeatedTokens = result.uncachedTokens
                                          - std::min(result.uncachedTokens, ownTokens);
-    result.predicted = predictEngine(candidate, result.uncachedTokens, slowness, urgency, now);
-    result.cost = result.predicted + repeatedPrefillCost(repeatedTokens)
-                  + neighbourCost(candidate.load, result.uncachedTokens)
-                  + StreamPool::cost(candidate, inPool, query.gapSensitiveStream,
-                                     result.uncachedTokens);
+    result.cost = { .predicted = predictEngine(candidate, result.uncachedTokens, slowness, urgency,
+                                               now),
+                    .repeatedPrefill = repeatedPrefillCost(repeatedTokens),
+                    .neighbours = neighbourCost(candidate.load, result.uncachedTokens),
+                    .streamPool = StreamPool::cost(candidate, inPool, query.gapSensitiveStream,
+                                                   result.uncachedTokens) };
     return result;
 }
 
 Placement::Assessment Placement::assessPlain(const Candidate &candidate, double slowness,
                                              TimePoint now) const
 {
-    const microseconds predicted = predictPlain(candidate, slowness, now);
-    return { .predicted = predicted,
-             .cost = predicted + spreadCost(*candidate.server, options_.vm) };
+    return { .cost = { .predicted = predictPlain(candidate, slowness, now),
+                       .crowding = crowdingTime(candidate, slowness, now),
+                       .spread = spreadCost(*candidate.server, options_.vm) } };
+}
+
+Placement::Assessment Placement::assess(const Candidates &candidates, std::size_t index,
+                                        const PromptLocation &location, const PlacementQuery &query,
+                                        int urgency, TimePoint now) const
+{
+    const Candidate &candidate = candidates.all[index];
+    const double slowness = slownessAmong(candidates, candidate);
+    const bool inPool = index < candidates.poolSize;
+    Assessment result = query.service->engine ? assessEngine(candidate, inPool, slowness, location,
+                                                             query, urgency, now)
+                                              : assessPlain(candidate, slowness, now);
+    result.slowness = slowness;
+    result.cost.distance = distanceCost(distanceTo(*candidate.server), query.prompt);
+    result.cost.straggler = stragglerCost(slowness);
+    result.cost.failures = failureCost(*candidate.view, query.repeatable, now);
+    return result;
 }
 
 std::optional<PlacementChoice> Placement::chooseLowestCost(const Candidates &candidates,
@@ -182,22 +302,17 @@
     const PromptLocation location = locatePrompt(candidates, query, now);
     const Candidate *best = nullptr;
     Assessment bestAssessment;
+    microseconds lowest{ 0 };
     for (std::size_t i = 0; i < candidates.all.size(); ++i) {
         const Candidate &candidate = candidates.all[i];
         if (isExcluded(query, candidate.server->id))
             continue;
-        const double slowness = relativeSlowness(candidate.slowness, candidates.slownessSum,
-                                                 candidates.all.size());
-        const bool inPool = i < candidates.poolSize;
-        Assessment assessment = query.service->engine ? assessEngine(candidate, inPool, slowness,
-                                                                     location, query, urgency, now)
-                                                      : assessPlain(candidate, slowness, now);
-        assessment.cost += distanceCost(distanceTo(*candidate.server), query.prompt)
-                           + stragglerCost(slowness)
-                           + failureCost(*candidate.view, query.repeatable, now);
-        if (best && assessment.cost >= bestAssessment.cost)
+        const Assessment assessment = assess(candidates, i, location, query, urgency, now);
+        const microseconds cost = assessment.cost.sum();
+        if (best && cost >= lowest)
             continue;
         best = &candidate;
+        lowest = cost;
         bestAssessment = assessment;
     }
     if (!best)
@@ -205,18 +320,26 @@
     const BackendServer *source = bestAssessment.copySource;
     return PlacementChoice{ .serverId = best->server->id,
                             .address = best->server->address,
-                            .predicted = bestAssessment.predicted,
+                            .predicted = bestAssessment.cost.predicted,
                             .uncachedTokens = bestAssessment.uncachedTokens,
                             .inFlight = best->view->ownLoad().running,
                             .gapSensitiveStream = query.gapSensitiveStream,
                             .copySource = source ? source->id : std::string(),
                             .urgency = urgency,
+                            .isProbe = best->learned && best->learned->isProbed,
                             .reportAge = best->view->reportAge(now) };
 }
 
 void Placement::attemptStarted(const PlacementChoice &choice, const PlacementQuery &query)
 {
-    view(choice.serverId, *query.service).attemptStarted(choice, query.prompt);
+    ServerView &server = view(choice.serverId, *query.service);
+    server.attemptStarted(choice, query.prompt);
+    if (!server.speed().isKnown())
+        return;
+    ProbeBudget &budget = probes_[query.service->name];
+    budget.addRequest();
+    if (choice.isProbe)
+        budget.spend();
 }
 
 void Placement::attemptProgressed(const PlacementChoice &choice, microseconds sinceStart,
@@ -238,8 +361,41 @@
 void Placement::recordLoadReport(const std::string &serverId, LoadReport report, TimePoint now)
 {
     const auto found = views_.find(serverId);
-    if (found != views_.end())
-        found->second.recordLoadReport(report, now);
+    if (found == views_.end())
+        return;
+    if (!options_.learnedSpeeds)
+        report.workTimePercent.reset();
+    found->second.recordLoadReport(report, now);
+}
+
+void Placement::recordSpeedReport(const std::string &serverId, const SpeedEstimator::Report &report)
+{
+    const auto found = views_.find(serverId);
+    if (found != views_.end() && options_.learnedSpeeds)
+        found->second.recordSpeedReport(report);
+}
+
+std::optional<SpeedEstimator::Report> Placement::speedReport(const std::string &serverId) const
+{
+    const auto found = views_.find(serverId);
+    return found == views_.end() ? std::nullopt : found->second.speed().newestReport();
+}
+
+std::vector<Placement::LearnedSpeed> Placement::learnedSpeeds(const ServerDirectory &directory,
+                                                              std::size_t limit,
+                                                              TimePoint now) const
+{
+    std::vector<LearnedSpeed> speeds;
+    for (const auto &[id, known] : views_) {
+        const BackendServer *server = directory.find(id);
+        if (speeds.size() >= limit || !server || !known.speed().isKnown())
+            continue;
+        const SpeedEstimator &speed = known.speed();
+        speeds.push_back({ .serverId = id,
+                           .workTime = speed.workTime(now),
+                           .usefulConcurrency = speed.usefulConcurrency(server->slots, now) });
+    }
+    return speeds;
 }
 
 void Placement::recordPeerLoads(const std::string &peer,
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace auburn::routing {
 
@@ -100,6 +102,51 @@
         BOOST_TEST(start(placement, prompt(1)).serverId == primary.serverId);
 }
 
+// Guards against sizing the pool of gap-sensitive streams without any server, because all engines
+// are about to be taken away.
+BOOST_AUTO_TEST_CASE(gapSensitiveStream_allEnginesLeaveSoon_isNotPlaced)
+{
+    ServerDirectory leaving;
+    leaving.update({ .id = "engine-0",
+                     .service = "engines",
+                     .address = "engine-0:80",
+                     .failureDomain = "a",
+                     .slots = 128,
+                     .leavesAt = now + milliseconds(1000) },
+                   1);
+    PlacementQuery query = prompt(1);
+    query.gapSensitiveStream = true;
+    BOOST_TEST(!placement.choose(leaving, query, now).has_value());
+    const Explanation explanation = placement.explain(leaving, query, now);
+    BOOST_REQUIRE(explanation.servers.size() == 1U);
+    BOOST_TEST(explanation.servers[0].excluded == "leaving");
+}
+
+// Guards against requests at a server that is taken away before they end.
+BOOST_AUTO_TEST_CASE(leavingServer_tooLittleTimeLeft_getsNoRequest)
+{
+    const auto leaveIn = [this](const std::string &id, const std::string &service,
+                                milliseconds timeLeft) {
+        directory.update({ .id = id,
+                           .service = service,
+                           .address = id + ":80",
+                           .failureDomain = "a",
+                           .slots = 128,
+                           .leavesAt = now + timeLeft },
+                         ++position);
+    };
+    leaveIn("desk-0", "desk", milliseconds(400));
+    for (int i = 0; i < 30; ++i)
+        BOOST_TEST(start(placement, order()).serverId != "desk-0");
+    leaveIn("desk-1", "desk", milliseconds(800));
+    PlacementQuery query = order();
+    query.excluded = { "desk-2" };
+    BOOST_TEST(start(placement, query).serverId == "desk-1");
+    const PlacementChoice engine = start(placement, prompt(1));
+    leaveIn(engine.serverId, "engines", milliseconds(2500));
+    BOOST_TEST(start(placement, prompt(1)).serverId != engine.serverId);
+}
+
 // Guards against an engine that is assumed to cache nothing after its restart, because a response
 // from before the restart arrived first.
 BOOST_AUTO_TEST_CASE(removedServer_lateAnswer_cachesAgain)
@@ -352,6 +399,31 @@
         BOOST_TEST(requests <= 3 * 3 * kDaemons / kServers, server << " has " << requests);
 }
 
+// Guards against an explanation that differs from the decision or that changes the next one.
+BOOST_AUTO_TEST_CASE(explanation_namesTheChosenServerAndChangesNothing)
+{
+    directory.backOff("engine-3", now + milliseconds(900), now);
+    Placement unexplained = makePlacement();
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        PlacementQuery query = prompt(i % 7);
+        query.gapSensitiveStream = i % 5 == 0;
+        const Explanation explanation = placement.explain(directory, query, now);
+        const PlacementChoice chosen = start(placement, query);
+        BOOST_REQUIRE(explanation.choice);
+        BOOST_TEST(explanation.choice->serverId == chosen.serverId);
+        BOOST_TEST(explanation.servers.size() == 12U);
+        BOOST_TEST(start(unexplained, query).serverId == chosen.serverId);
+        const auto lowest = std::min_element(
+                explanation.servers.begin(), explanation.servers.end(),
+                [](const auto &left, const auto &right) {
+                    return std::pair(!left.excluded.empty(), left.cost.sum())
+                           < std::pair(!right.excluded.empty(), right.cost.sum());
+                });
+        BOOST_TEST(lowest->serverId == chosen.serverId);
+        BOOST_TEST(explanation.servers.back().excluded == "backing_off");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
