--- a/packages/duties/include/auburn/duties/dutyapi.h
+++ b/packages/duties/include/auburn/duties/dutyapi.h
@@ -14,7 +14,7 @@
     RateLimited,
     // Another response that says that nothing was done.
     Rejected,
-    // The permit had ended, so nothing was sent.
+    // Nothing was sent: the permit had ended, or no connection was made.
     NotSent,
     // No response arrived: the call may have taken effect.
     Unknown,
--- a/packages/gateway/src/attemptresponse.cpp
+++ b/packages/gateway/src/attemptresponse.cpp
@@ -56,7 +56,7 @@
     parsed = std::from_chars(parsed.ptr + 1, last, report.slots);
     if (parsed.ec != std::errc())
         return std::nullopt;
-    if (parsed.ptr != last)
+    if (parsed.ptr != last && *parsed.ptr == ',')
         report.workTimePercent = parseWorkTime({ parsed.ptr + 1, last });
     return report;
 }
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -499,8 +499,10 @@
 ConnectionLoad CallerConnection::nextRound()
 {
     const bool moved = std::exchange(movedBytes_, 0) >= kProgressBytes;
-    stalledRounds_ = moved ? 0 : stalledRounds_ + 1;
     const bool isIncomplete = phase_ == Phase::Header || phase_ == Phase::Body;
+    // A connection that waits for a request or for a server is not stalled.
+    const bool mayStall = isIncomplete || writeInProgress_;
+    stalledRounds_ = moved || !mayStall ? 0 : stalledRounds_ + 1;
     const bool isUnread = phase_ == Phase::Responding && writeInProgress_ && stalledRounds_ > 0;
     return { .heldBytes = held_.size() + (heldBody_ ? heldBody_->size() : 0),
              .source = source_,
--- a/packages/gateway/src/callerconnections.cpp
+++ b/packages/gateway/src/callerconnections.cpp
@@ -101,8 +101,7 @@
 
 void CallerConnections::runRound()
 {
-    // One line for each round, whatever the number of connections, so that the log stays bounded
-    // during the abuse.
+    // One line for each round, whatever the number of connections, so that the log stays bounded.
     if (const std::size_t closed = std::exchange(unloggedIdle_, 0); closed > 0)
         recordShed("descriptors", closed);
     const std::vector<std::shared_ptr<CallerConnection>> connections = owners();
@@ -144,9 +143,11 @@
                { "limit_bytes", static_cast<long long>(memory.limit()) } });
     if (options_.metrics)
         options_.metrics
-                ->counter("auburn_connections_shed_total",
-                          "Caller connections closed because memory or descriptors were short",
-                          { { "reason", reason } })
+                ->counter(
+                        "auburn_connections_shed_total",
+                        "Caller connections closed, or their requests rejected, because memory or "
+                        "descriptors were short",
+                        { { "reason", reason } })
                 .add(static_cast<double>(connections));
 }
 
--- a/packages/gateway/src/callerconnections.h
+++ b/packages/gateway/src/callerconnections.h
@@ -45,7 +45,8 @@
     static constexpr unsigned kRelievedPercent = 50;
     // Above this share, incomplete requests are rejected even if they make progress.
     static constexpr unsigned kEmergencyPercent = 90;
-    // The same shares of the number of connections.
+    // Shares of the connection limit in percent: above the first, stalled connections are closed
+    // until the second is reached.
     static constexpr unsigned kCrowdedPercent = 90;
     static constexpr unsigned kUncrowdedPercent = 80;
 
@@ -65,7 +66,8 @@
 
     // The connection leaves the list when it is destroyed.
     void add(CallerConnection &connection);
-    // The connection waits for a request from now on. It calls stopIdling() when one begins.
+    // Adds the connection to the idle ones. It unlinks its IdleConnectionHook when a request
+    // begins.
     void addIdle(CallerConnection &connection);
     void forEach(const std::function<void(CallerConnection &)> &action);
     // Closes the connection that has waited longest for a request. Returns false if there is none.
--- a/packages/scaling/include/auburn/scaling/fleetplanner.h
+++ b/packages/scaling/include/auburn/scaling/fleetplanner.h
@@ -49,7 +49,7 @@
     std::vector<PlannedOrder> plan(const FleetState &state, TimePoint now);
     // Returns the servers that the service needs, as of the last plan; 0 if it is unknown.
     unsigned neededServers(const std::string &service) const;
-    // Forgets everything, because this daemon no longer holds the duties.
+    // Forgets everything; called when this daemon holds the duties under a new token.
     void reset();
 
 private:
@@ -57,6 +57,8 @@
     std::map<std::string, std::unique_ptr<ServicePlanner>> services_;
     // Time of the first plan since the daemon became the holder.
     std::optional<TimePoint> startedAt_;
+    // Time of the last plan.
+    std::optional<TimePoint> plannedAt_;
     // Time since which the demand has been complete.
     std::optional<TimePoint> completeSince_;
 };
--- a/packages/scaling/include/auburn/scaling/orderbook.h
+++ b/packages/scaling/include/auburn/scaling/orderbook.h
@@ -43,7 +43,7 @@
     std::set<ServerGroup> unavailable(TimePoint now) const;
     // Returns the groups of spot servers with an order that has waited long for its answer.
     std::set<ServerGroup> unanswered(TimePoint now) const;
-    // Forgets everything, because this daemon no longer holds the duties.
+    // Forgets everything; called when this daemon holds the duties under a new token.
     void reset();
 
 private:
--- a/packages/scaling/src/fleetplanner.cpp
+++ b/packages/scaling/src/fleetplanner.cpp
@@ -11,9 +11,12 @@
 
 namespace {
 
-// Every daemon reports within this time after it has learned of a new holder. Until then an order
-// could cancel servers that the previous holder ordered and that are not listed yet.
+// Within this time, every daemon has learned of a new holder and reported to it. Until then an
+// order could cancel servers that the previous holder ordered and that are not listed yet.
 constexpr milliseconds kFirstReportsTime{ 1500 };
+// Plans follow each other several times a second; after a longer gap the daemon was suspended, did
+// not hold the duties or did not know the servers.
+constexpr milliseconds kMaxPlanGap{ 3000 };
 
 } // namespace
 
@@ -40,6 +43,10 @@
 {
     if (!startedAt_)
         startedAt_ = now;
+    // What was observed before a gap says nothing about the demand now.
+    if (plannedAt_ && now - *plannedAt_ > kMaxPlanGap)
+        completeSince_.reset();
+    plannedAt_ = now;
     if (!state.demandComplete)
         completeSince_.reset();
     else if (!completeSince_)
@@ -76,6 +83,7 @@
 {
     services_.clear();
     startedAt_.reset();
+    plannedAt_.reset();
     completeSince_.reset();
 }
 
--- a/packages/scaling/src/serviceplanner.cpp
+++ b/packages/scaling/src/serviceplanner.cpp
@@ -33,8 +33,8 @@
 constexpr double kMaxGivenBack = 0.15;
 // Largest share of a failure domain's servers that changes in one step.
 constexpr double kMaxChanged = 1.0 / 3;
-// Smaller differences from the target are left alone: small changes of the need would move servers
-// to and fro. Spot servers are cheap, so a larger surplus of them may stay.
+// Smaller differences from the target are left alone: small changes of the need would cause
+// servers to be replaced repeatedly. Spot servers are cheap, so a larger surplus of them may stay.
 constexpr double kIgnoredMoves = 0.05;
 constexpr double kIgnoredSurplus = 0.10;
 constexpr unsigned kIgnoredSpotServers = 1;
--- a/packages/usage/src/figuresender.cpp
+++ b/packages/usage/src/figuresender.cpp
@@ -62,6 +62,13 @@
         sendFirst();
 }
 
+void FigureSender::clear()
+{
+    queue_.clear();
+    failures_ = 0;
+    retry_.reset();
+}
+
 bool FigureSender::isExpired(std::uint64_t window, TimePoint now) const
 {
     return clock_.unixTime(now) - windowEnd(window, options_.windowLength) > kSendLimit;
--- a/packages/usage/src/figuresender.h
+++ b/packages/usage/src/figuresender.h
@@ -35,6 +35,8 @@
 
     // Queues the figure of a window; ignored if that window ended too long ago.
     void add(duties::UsageFigure figure, TimePoint now);
+    // Drops all queued figures. A call in progress still ends.
+    void clear();
     // Sends what is due; to be called about every 100 ms while the permit is held.
     void tick(TimePoint now);
 
--- a/packages/usage/src/silentforwarder.cpp
+++ b/packages/usage/src/silentforwarder.cpp
@@ -37,18 +37,17 @@
     if (now >= endsAt_ || holder_.released)
         return;
     for (const UsageTable::Process &process : table.processesSilentSince(unixTime - kSilence)) {
-        if (forwarded_.insert(process).second) {
-            forward(table, process);
+        // One process a tick bounds the datagrams that are sent at once.
+        if (forwarded_.insert(process).second && forward(table, process))
             return;
-        }
     }
 }
 
-void SilentForwarder::forward(const UsageTable &table, const UsageTable::Process &process) const
+bool SilentForwarder::forward(const UsageTable &table, const UsageTable::Process &process) const
 {
     const std::vector<proto::UsageWindow> counts = table.countsOf(process);
     if (counts.empty())
-        return;
+        return false;
     proto::UsageReport header;
     header.set_vm(process.first);
     header.set_incarnation(process.second);
@@ -57,6 +56,7 @@
         *datagram.mutable_usage_report() = std::move(report);
         send_(holder_.udpAddress, datagram);
     }
+    return true;
 }
 
 } // namespace auburn::usage
--- a/packages/usage/src/silentforwarder.h
+++ b/packages/usage/src/silentforwarder.h
@@ -28,7 +28,8 @@
     void tick(const UsageTable &table, std::chrono::milliseconds unixTime, TimePoint now);
 
 private:
-    void forward(const UsageTable &table, const UsageTable::Process &process) const;
+    // Returns false if there is nothing to forward.
+    bool forward(const UsageTable &table, const UsageTable::Process &process) const;
 
     const SendDatagram send_;
     duties::DutyHolder holder_;
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -131,6 +131,8 @@
         acquiredAt_ = now;
         acquiredUnixTime_ = clock_.unixTime(now);
         resumed_ = false;
+        // Another holder may have sent these; the log holds the recent ones.
+        sender_.clear();
         log_.reopen(windowAt(acquiredUnixTime_ - kResendTime, options_.windowLength));
     }
 
