--- a/packages/duties/include/auburn/duties/dutyapi.h
+++ b/packages/duties/include/auburn/duties/dutyapi.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace auburn::duties {
 
@@ -20,6 +21,9 @@
     Unknown,
 };
 
+// Returns the name of the status for logs and metrics.
+std::string_view callStatusName(CallStatus status);
+
 // Number of requests of each organisation that backend servers began to run in one window.
 struct UsageFigure
 {
--- a/packages/duties/include/auburn/duties/lease.h
+++ b/packages/duties/include/auburn/duties/lease.h
@@ -37,7 +37,7 @@
 public:
     using TimePoint = BootClock::time_point;
 
-    // All functions are required.
+    // All values are required.
     struct Options
     {
         std::string vm;
@@ -53,7 +53,7 @@
         // A newer holder is known: its token, address or release has changed.
         std::function<void(const DutyHolder &holder)> onHolderChanged;
         // The permit of this daemon has begun or ended. tick() reports an expiry late; isHeld()
-        // always tells the truth.
+        // is always exact.
         std::function<void(bool held)> onHeldChanged;
     };
 
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -141,7 +141,7 @@
         const Assessment assessment = assess(candidates, i, location, query, urgency, now);
         const std::string &id = candidates.all[i].server->id;
         result.servers.push_back({ .serverId = id,
-                                   .excluded = isExcluded(query, id) ? "excluded" : "",
+                                   .excluded = isExcluded(query, id) ? "excluded_by_query" : "",
                                    .cost = assessment.cost,
                                    .uncachedTokens = assessment.uncachedTokens,
                                    .slowness = assessment.slowness });
--- a/packages/scaling/src/orderbook.cpp
+++ b/packages/scaling/src/orderbook.cpp
@@ -27,25 +27,6 @@
 // A call without an answer for this time counts as lost, whatever becomes of it.
 constexpr milliseconds kLostAnswerTime{ 5000 };
 
-std::string_view statusName(CallStatus status)
-{
-    switch (status) {
-    case CallStatus::Accepted:
-        return "accepted";
-    case CallStatus::NoneAvailable:
-        return "none_available";
-    case CallStatus::RateLimited:
-        return "rate_limited";
-    case CallStatus::Rejected:
-        return "rejected";
-    case CallStatus::NotSent:
-        return "not_sent";
-    case CallStatus::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 // Number of servers by which the order changes what runs.
 unsigned difference(const PlannedOrder &planned)
 {
@@ -160,7 +141,7 @@
     if (options_.metrics)
         options_.metrics
                 ->counter("auburn_scaling_orders_total", "Orders of servers by result",
-                          { { "result", std::string(statusName(answer.status)) } })
+                          { { "result", std::string(duties::callStatusName(answer.status)) } })
                 .add();
     if (answer.status == CallStatus::Accepted) {
         entry.accepted = call;
@@ -172,7 +153,7 @@
                { "failure_domain", answer.group.failureDomain },
                { "kind", kindName(answer.group.spot) },
                { "desired", static_cast<long long>(call.desired) },
-               { "result", statusName(answer.status) } });
+               { "result", duties::callStatusName(answer.status) } });
     if (answer.status == CallStatus::NoneAvailable) {
         entry.unavailableUntil = now + kUnavailableTime;
         entry.failures = 0;
--- a/packages/usage/src/figurelog.cpp
+++ b/packages/usage/src/figurelog.cpp
@@ -73,7 +73,7 @@
 void FigureLog::listed(const std::optional<duties::LogListing> &listing)
 {
     if (!listing) {
-        logEvent(LogLevel::Warning, "usage_log_unlisted", { { "reason", lastError() } });
+        logEvent(LogLevel::Warning, "usage_log_list_failed", { { "reason", lastError() } });
         retry_.recordFailure(now_);
         return;
     }
--- a/packages/usage/src/figuresender.cpp
+++ b/packages/usage/src/figuresender.cpp
@@ -18,25 +18,6 @@
 // A figure is sent until this time after the end of its window.
 constexpr milliseconds kSendLimit{ 30000 };
 
-std::string_view statusName(CallStatus status)
-{
-    switch (status) {
-    case CallStatus::Accepted:
-        return "accepted";
-    case CallStatus::NoneAvailable:
-        return "none_available";
-    case CallStatus::RateLimited:
-        return "rate_limited";
-    case CallStatus::Rejected:
-        return "rejected";
-    case CallStatus::NotSent:
-        return "not_sent";
-    case CallStatus::Unknown:
-        return "unknown";
-    }
-    return {};
-}
-
 } // namespace
 
 FigureSender::FigureSender(Options options, const FleetClock &clock, duties::DutyApi &api)
@@ -102,7 +83,7 @@
     if (options_.metrics)
         options_.metrics
                 ->counter("auburn_usage_calls_total", "Usage reports to the platform by outcome",
-                          { { "outcome", std::string(statusName(status)) } })
+                          { { "outcome", std::string(duties::callStatusName(status)) } })
                 .add();
     if (status == CallStatus::Accepted) {
         recordReported(window);
@@ -116,7 +97,7 @@
     retry_.recordFailure(now_);
     logEvent(LogLevel::Warning, "usage_call_failed",
              { { "window", static_cast<long long>(window) },
-               { "result", statusName(status) },
+               { "result", duties::callStatusName(status) },
                { "failures", static_cast<long long>(failures_) } });
 }
 
