Log stand-in: a read that times out while an append wakes it no longer crashes

Cause: an append that answered a waiting read destroyed the read's timer. If the timer had already expired, its handler was queued with success and used the destroyed waiter. Change: the handler holds a weak pointer to the waiter and does nothing once the waiter is gone.

--- a/tests/standins/streamtable.cpp
+++ b/tests/standins/streamtable.cpp
@@ -60,15 +60,15 @@
     target.records.push_back(Record{
             .offset = offset, .time = std::chrono::system_clock::now(), .data = std::move(data) });
     removeExpired(target);
-    std::list<Waiter> woken;
+    std::list<std::shared_ptr<Waiter>> woken;
     for (auto waiter = target.waiters.begin(); waiter != target.waiters.end();) {
         const auto following = std::next(waiter);
-        if (waiter->from <= offset)
+        if ((*waiter)->from <= offset)
             woken.splice(woken.end(), target.waiters, waiter);
         waiter = following;
     }
-    for (const Waiter &waiter : woken)
-        answer(target, waiter.from, waiter.max, waiter.responder);
+    for (const auto &waiter : woken)
+        answer(target, waiter->from, waiter->max, waiter->responder);
     return offset;
 }
 
@@ -84,17 +84,20 @@
         answer(source, from, max, responder);
         return;
     }
-    source.waiters.push_back(
+    const auto waiter = std::make_shared<Waiter>(
             Waiter{ from, max, responder, boost::asio::steady_timer(context_, wait) });
-    const auto waiter = std::prev(source.waiters.end());
-    waiter->timer.async_wait([&source, waiter, this](boost::system::error_code error) {
-        // The waiter is gone if it was woken by an append, which cancels the timer.
-        if (error)
-            return;
-        removeExpired(source);
-        answer(source, waiter->from, waiter->max, waiter->responder);
-        source.waiters.erase(waiter);
-    });
+    source.waiters.push_back(waiter);
+    // An append may wake the waiter when this handler is already queued; the cancellation of the
+    // timer then comes too late, and only the expired pointer shows it.
+    waiter->timer.async_wait(
+            [&source, weak = std::weak_ptr(waiter), this](boost::system::error_code error) {
+                const auto expired = weak.lock();
+                if (error || !expired)
+                    return;
+                source.waiters.remove(expired);
+                removeExpired(source);
+                answer(source, expired->from, expired->max, expired->responder);
+            });
 }
 
 void StreamTable::answer(const Stream &stream, std::uint64_t from, std::uint64_t max,
--- a/tests/standins/streamtable.h
+++ b/tests/standins/streamtable.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace auburn::standins {
@@ -64,7 +65,7 @@
         std::uint64_t appends = 0;
         std::uint64_t reads = 0;
         std::deque<Record> records;
-        std::list<Waiter> waiters;
+        std::list<std::shared_ptr<Waiter>> waiters;
 
         std::uint64_t earliest() const { return records.empty() ? next : records.front().offset; }
     };
