Usage and scaling: acknowledged reports, smaller usage log, late orders, many services

Cause: in the largest fleet the collector of the usage reports merged each count about three times and its log kept 32 windows, a listing above the 8 MB of one response; a figure that the platform rejects was retried before newer ones; orders that are raised each second were never seen as late; a demand report held at most 20 services; gauges kept their value when a group's last server went. Change: complete usage reports hold what the holder has not acknowledged; the log keeps the windows that may still be sent; the figure with the fewest failures is sent next; the oldest order without its servers shows lateness; demand reports are divided into parts; groups without servers show 0. UsageMetering::Duties is Dependencies, FleetClock::recordPeer is recordClock, Lease::recordPeer is recordPeerHolder, AppendStatus::NotDone is NotAppended.

--- a/packages/duties/include/auburn/duties/conditionallog.h
+++ b/packages/duties/include/auburn/duties/conditionallog.h
@@ -28,7 +28,7 @@
     // The partition did not end at the expected offset.
     Conflict,
     // The store certainly did not append the record.
-    NotDone,
+    NotAppended,
     // No response arrived: the record may have been appended, or may still be.
     Unknown,
 };
--- a/packages/duties/include/auburn/duties/lease.h
+++ b/packages/duties/include/auburn/duties/lease.h
@@ -67,7 +67,7 @@
     // must have ended, because the successor may begin at once.
     void release();
     // Processes the holder that another daemon knows.
-    void recordPeer(const DutyHolder &holder);
+    void recordPeerHolder(const DutyHolder &holder);
 
     bool isHeld() const override;
     // 0 if this daemon has not held the lease.
--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -90,7 +90,7 @@
     tick();
 }
 
-void Lease::recordPeer(const DutyHolder &holder)
+void Lease::recordPeerHolder(const DutyHolder &holder)
 {
     if (!learn(holder))
         return;
@@ -247,7 +247,7 @@
         needsListing_ = true;
         retryAfter(kFirstRetryDelay);
         break;
-    case AppendStatus::NotDone:
+    case AppendStatus::NotAppended:
         pendingAppends_.erase(holder.renewal);
         retryAfterFailure();
         break;
--- a/packages/duties/tests/lease_test.cpp
+++ b/packages/duties/tests/lease_test.cpp
@@ -68,7 +68,7 @@
         const auto execute = [=, this] { return store_.append(key, value, expectedEnd); };
         AppendResult result{ .status = AppendStatus::Unknown };
         if (link == Link::Refusing)
-            result.status = AppendStatus::NotDone;
+            result.status = AppendStatus::NotAppended;
         else if (link == Link::Sound)
             result = execute();
         else if (link == Link::AnswersLost)
@@ -131,7 +131,7 @@
                 daemon->lease.tick();
                 for (const auto &other : daemons) {
                     if (daemon->connected && other->connected && !other->frozen)
-                        other->lease.recordPeer(daemon->lease.newestHolder());
+                        other->lease.recordPeerHolder(daemon->lease.newestHolder());
                 }
             }
             checkHolders();
--- a/packages/scaling/include/auburn/scaling/demandmeter.h
+++ b/packages/scaling/include/auburn/scaling/demandmeter.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace auburn::scaling {
 
@@ -29,10 +30,10 @@
     // A request was rejected for lack of capacity before any attempt started.
     void requestRejected(const std::string &service);
 
-    // Returns a report if the last one was made at least a second ago and a service of the
-    // configuration may be scaled.
-    std::optional<proto::DemandReport> makeReport(const routing::TrafficConfig &config,
-                                                  TimePoint now);
+    // Returns the parts of a report if the last one was made at least a second ago and a service of
+    // the configuration may be scaled.
+    std::vector<proto::DemandReport> makeReports(const routing::TrafficConfig &config,
+                                                 TimePoint now);
 
 private:
     struct Counts
@@ -44,6 +45,8 @@
         std::uint32_t rejected = 0;
     };
 
+    static proto::ServiceDemand toDemand(const std::string &service, const Counts &counts);
+
     const std::string vm_;
     const std::uint64_t incarnation_;
     std::map<std::string, Counts> services_;
--- a/packages/scaling/include/auburn/scaling/demandtable.h
+++ b/packages/scaling/include/auburn/scaling/demandtable.h
@@ -11,13 +11,14 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace auburn::scaling {
 
 class DemandTable
 {
 public:
-    // Stores the report if it is newer than the stored one of its daemon.
+    // Stores the report if it is newer than the stored one of its daemon and part.
     void record(const proto::DemandReport &report, TimePoint now);
     // Drops old reports and adds the current sums to the observed loads. To be called several times
     // a second.
@@ -25,7 +26,7 @@
 
     ServiceLoad load(const std::string &service) const;
     // Number of daemons with a recent report, as of the last update.
-    unsigned reportingDaemons() const { return static_cast<unsigned>(reports_.size()); }
+    unsigned reportingDaemons() const { return reportingDaemons_; }
     // Returns true if nearly all of the live daemons have reported recently.
     bool isComplete(unsigned liveDaemons) const;
 
@@ -41,8 +42,9 @@
         SlidingMaximum tokensPerSecond;
     };
 
-    // By VM.
-    std::map<std::string, Entry> reports_;
+    // By VM and part.
+    std::map<std::pair<std::string, std::uint32_t>, Entry> reports_;
+    unsigned reportingDaemons_ = 0;
     // By service.
     std::map<std::string, Peak> peaks_;
 };
--- a/packages/scaling/src/demandmeter.cpp
+++ b/packages/scaling/src/demandmeter.cpp
@@ -50,41 +50,48 @@
     ++services_[service].rejected;
 }
 
-std::optional<proto::DemandReport> DemandMeter::makeReport(const routing::TrafficConfig &config,
-                                                           TimePoint now)
+std::vector<proto::DemandReport> DemandMeter::makeReports(const routing::TrafficConfig &config,
+                                                          TimePoint now)
 {
     if (reportedAt_ && now - *reportedAt_ < kReportInterval)
-        return std::nullopt;
+        return {};
     const auto interval = reportedAt_ ? std::chrono::duration_cast<milliseconds>(now - *reportedAt_)
                                       : kReportInterval;
-    proto::DemandReport report;
-    bool hasScaledService = false;
+    reportedAt_ = now;
+    proto::DemandReport header;
+    header.set_vm(vm_);
+    header.set_incarnation(incarnation_);
+    header.set_number(++number_);
+    header.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
+    std::vector<proto::DemandReport> reports;
     for (const routing::Service &service : config.services()) {
-        const auto found = services_.find(service.name);
-        if (service.scaling)
-            hasScaledService = true;
-        if (!service.scaling || found == services_.end() || report.services_size() == kMaxServices)
+        if (!service.scaling)
             continue;
-        const Counts &counts = found->second;
-        proto::ServiceDemand &demand = *report.add_services();
-        demand.set_service(service.name);
-        demand.set_in_progress(counts.inProgress);
-        demand.set_waiting(counts.waiting);
-        demand.set_uncached_tokens(counts.uncachedTokens);
-        demand.set_rejected(counts.rejected);
+        // The first part is sent without any demand as well: the holder counts reporting daemons.
+        if (reports.empty() || reports.back().services_size() == kMaxServices) {
+            reports.push_back(header);
+            reports.back().set_part(static_cast<std::uint32_t>(reports.size() - 1));
+        }
+        const auto found = services_.find(service.name);
+        if (found != services_.end())
+            *reports.back().add_services() = toDemand(service.name, found->second);
     }
-    reportedAt_ = now;
     for (auto &[name, counts] : services_) {
         counts.uncachedTokens = 0;
         counts.rejected = 0;
     }
-    if (!hasScaledService)
-        return std::nullopt;
-    report.set_vm(vm_);
-    report.set_incarnation(incarnation_);
-    report.set_number(++number_);
-    report.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
-    return report;
+    return reports;
+}
+
+proto::ServiceDemand DemandMeter::toDemand(const std::string &service, const Counts &counts)
+{
+    proto::ServiceDemand demand;
+    demand.set_service(service);
+    demand.set_in_progress(counts.inProgress);
+    demand.set_waiting(counts.waiting);
+    demand.set_uncached_tokens(counts.uncachedTokens);
+    demand.set_rejected(counts.rejected);
+    return demand;
 }
 
 } // namespace auburn::scaling
--- a/packages/scaling/src/demandtable.cpp
+++ b/packages/scaling/src/demandtable.cpp
@@ -18,8 +18,10 @@
 // plain request and the several seconds of a stream.
 constexpr double kRejectedSeconds = 1.0;
 constexpr std::uint32_t kMinIntervalMs = 100;
-// Bound of the services with an observed load; reports come from the network.
+// Bounds of the services with an observed load, and of the parts of a report with 20 services each;
+// reports come from the network.
 constexpr std::size_t kMaxServices = 1000;
+constexpr std::uint32_t kMaxParts = 50;
 
 // Returns what the daemon's part adds to the load of the service.
 ServiceLoad loadOf(const proto::ServiceDemand &demand, std::uint32_t intervalMs)
@@ -33,7 +35,9 @@
 
 void DemandTable::record(const proto::DemandReport &report, TimePoint now)
 {
-    Entry &entry = reports_[report.vm()];
+    if (report.part() >= kMaxParts)
+        return;
+    Entry &entry = reports_[{ report.vm(), report.part() }];
     const bool sameProcess = entry.report.incarnation() == report.incarnation();
     if (sameProcess && report.number() <= entry.report.number())
         return;
@@ -45,7 +49,9 @@
     std::erase_if(reports_,
                   [now](const auto &item) { return item.second.at + kReportLifetime < now; });
     std::map<std::string, ServiceLoad> sums;
-    for (const auto &[vm, entry] : reports_) {
+    reportingDaemons_ = 0;
+    for (const auto &[id, entry] : reports_) {
+        reportingDaemons_ += id.second == 0 ? 1 : 0;
         for (const proto::ServiceDemand &demand : entry.report.services()) {
             const ServiceLoad part = loadOf(demand, entry.report.interval_ms());
             ServiceLoad &sum = sums[demand.service()];
--- a/packages/scaling/src/grouptrack.cpp
+++ b/packages/scaling/src/grouptrack.cpp
@@ -9,7 +9,9 @@
     running_ = observation.running;
     declined_ = observation.declined;
     unanswered_ = observation.unanswered;
-    const auto age = now - orderedAt_;
+    while (!growth_.empty() && growth_.front().wanted <= running_)
+        growth_.pop_front();
+    const auto age = now - oldestOrderAt();
     const bool late = inTransit_ && age >= observation.arrivalTime;
     const bool lost = inTransit_ && age >= 2 * observation.arrivalTime;
     const bool arrived = reason_ == OrderReason::Surplus ? running_ <= wanted_
@@ -20,6 +22,7 @@
         // Servers that come or go without an order are taken as they are.
         inTransit_ = false;
         wanted_ = running_;
+        growth_.clear();
     } else if (late) {
         // Servers that are late are not counted on. Their order stays for the same time again,
         // because they may only be slow; an order to give servers back is decided anew.
@@ -36,6 +39,10 @@
 {
     if (wanted == wanted_)
         return;
+    if (wanted < wanted_)
+        growth_.clear();
+    if (wanted > running_)
+        growth_.push_back({ .wanted = wanted, .at = now });
     wanted_ = wanted;
     reason_ = reason;
     orderedAt_ = now;
@@ -44,4 +51,9 @@
     isOrdered_ = true;
 }
 
+TimePoint GroupTrack::oldestOrderAt() const
+{
+    return growth_.empty() ? orderedAt_ : growth_.front().at;
+}
+
 } // namespace auburn::scaling
--- a/packages/scaling/src/grouptrack.h
+++ b/packages/scaling/src/grouptrack.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <deque>
 
 namespace auburn::scaling {
 
@@ -49,6 +50,16 @@
     bool isOrdered() const { return isOrdered_; }
 
 private:
+    // An order that raised the number, and its time.
+    struct Growth
+    {
+        unsigned wanted = 0;
+        TimePoint at;
+    };
+
+    // Time of the oldest order whose servers have not all come or gone.
+    TimePoint oldestOrderAt() const;
+
     unsigned running_ = 0;
     unsigned wanted_ = 0;
     unsigned ordered_ = 0;
@@ -61,6 +72,9 @@
     bool unanswered_ = false;
     bool overdue_ = false;
     TimePoint orderedAt_;
+    // Orders whose servers have not all arrived, with rising numbers. While the number is raised
+    // again and again, only the oldest one shows that servers are late.
+    std::deque<Growth> growth_;
 };
 
 } // namespace auburn::scaling
--- a/packages/scaling/src/scalingmetrics.cpp
+++ b/packages/scaling/src/scalingmetrics.cpp
@@ -35,16 +35,23 @@
                   .failureDomain = order.failureDomain,
                   .spot = order.spot }] = order.desired;
     }
-    const auto show = [&](const ServerGroup &group, unsigned listed) {
-        const auto found = ordered.find(group);
-        setGroup(group, listed, found == ordered.end() ? listed : found->second);
-    };
+    std::map<ServerGroup, unsigned> listed;
     for (const ServiceState &service : state.services) {
         for (const auto &[domain, servers] : service.domains) {
-            show({ .service = service.name, .failureDomain = domain }, servers.onDemand);
-            show({ .service = service.name, .failureDomain = domain, .spot = true }, servers.spot);
+            listed[{ .service = service.name, .failureDomain = domain }] = servers.onDemand;
+            listed[{ .service = service.name, .failureDomain = domain, .spot = true }] =
+                    servers.spot;
         }
     }
+    // Groups whose last server has gone are shown with 0.
+    for (const auto &[group, servers] : listed)
+        groups_.insert(group);
+    for (const auto &[group, desired] : ordered)
+        groups_.insert(group);
+    for (const ServerGroup &group : groups_) {
+        const auto order = ordered.find(group);
+        setGroup(group, listed[group], order == ordered.end() ? listed[group] : order->second);
+    }
 }
 
 void ScalingMetrics::setGroup(const ServerGroup &group, unsigned listed, unsigned wanted)
--- a/packages/scaling/src/scalingmetrics.h
+++ b/packages/scaling/src/scalingmetrics.h
@@ -33,6 +33,8 @@
 
     Metrics *metrics_;
     std::set<Gauge *> gauges_;
+    // The groups that were shown.
+    std::set<ServerGroup> groups_;
 };
 
 } // namespace auburn::scaling
--- a/packages/scaling/tests/demand_test.cpp
+++ b/packages/scaling/tests/demand_test.cpp
@@ -60,7 +60,7 @@
     proto::DemandReport report()
     {
         now += milliseconds(1000);
-        return meter.makeReport(config, now).value();
+        return meter.makeReports(config, now).at(0);
     }
 
     // A report of another daemon.
@@ -113,9 +113,9 @@
     BOOST_TEST(made.services(0).rejected() == 2U);
     BOOST_TEST(source.progressed == 1U);
     BOOST_TEST(source.ended == 2U);
-    BOOST_TEST(!meter.makeReport(config, now));
+    BOOST_TEST(meter.makeReports(config, now).empty());
     const routing::TrafficConfig unscaled({ .services = { { .name = "e" } } });
-    BOOST_TEST(!meter.makeReport(unscaled, now + milliseconds(1000)));
+    BOOST_TEST(meter.makeReports(unscaled, now + milliseconds(1000)).empty());
 }
 
 // Guards against a delayed or repeated report that replaces a newer one, and against the load of a
@@ -140,6 +140,26 @@
     BOOST_TEST(table.load("e").inProgress == 0);
 }
 
+// Guards against services whose demand is never seen because a report holds only the first ones.
+BOOST_AUTO_TEST_CASE(report_fiftyServices_allAreCounted)
+{
+    routing::TrafficConfigData many;
+    for (int i = 0; i < 50; ++i)
+        many.services.push_back(
+                { .name = "e" + std::to_string(i), .scaling = routing::ScalingPolicy{} });
+    for (int i = 0; i < 50; ++i)
+        meter.attemptStarted("e" + std::to_string(i), 0);
+    const routing::TrafficConfig manyServices(many);
+    for (const proto::DemandReport &part : meter.makeReports(manyServices, now)) {
+        BOOST_TEST(part.ByteSizeLong() <= 1200U);
+        table.record(part, now);
+    }
+    table.update(now);
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(table.load("e" + std::to_string(i)).inProgress == 1);
+    BOOST_TEST(table.reportingDaemons() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::scaling
--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace auburn::scaling {
 
 using std::chrono::milliseconds;
@@ -136,6 +138,38 @@
     BOOST_TEST(!track.isOrdered());
 }
 
+// Guards against counting on servers that never arrive because the number is raised each second
+// while the load rises.
+BOOST_AUTO_TEST_CASE(track_ordersRiseWhileNoneArrives_areNoticedAsLate)
+{
+    GroupTrack track;
+    const GroupTrack::Observation observation{ .running = 3, .arrivalTime = milliseconds(7000) };
+    track.observe(observation, now);
+    for (unsigned wanted = 4; wanted <= 10; ++wanted) {
+        track.order(wanted, OrderReason::Shortage, now);
+        BOOST_TEST(track.expected() == wanted);
+        now += milliseconds(1000);
+        track.observe(observation, now);
+    }
+    BOOST_TEST(track.expected() == 3U);
+    BOOST_TEST(track.isBlocked());
+}
+
+// Guards against taking an order for late because an earlier one, which has arrived, is old.
+BOOST_AUTO_TEST_CASE(track_ordersRiseAndArriveInTime_areCounted)
+{
+    GroupTrack track;
+    GroupTrack::Observation observation{ .running = 3, .arrivalTime = milliseconds(7000) };
+    track.observe(observation, now);
+    for (unsigned wanted = 4; wanted <= 24; ++wanted) {
+        track.order(wanted, OrderReason::Shortage, now);
+        now += milliseconds(1000);
+        observation.running = std::max(8U, wanted) - 5;
+        track.observe(observation, now);
+        BOOST_TEST(track.expected() == wanted);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::scaling
--- a/packages/usage/include/auburn/usage/fleetclock.h
+++ b/packages/usage/include/auburn/usage/fleetclock.h
@@ -24,7 +24,7 @@
     // Records the wall clock of a daemon, this one included. Times of 0 are ignored: they come from
     // daemons that do not state their clock. The own wall clock must be recorded before the first
     // use and then about every 100 ms; the estimate takes account of all records only then.
-    void recordPeer(const std::string &vm, std::chrono::milliseconds unixTime, TimePoint now);
+    void recordClock(const std::string &vm, std::chrono::milliseconds unixTime, TimePoint now);
     // The estimate of the true time since the Unix epoch; 0 if no clock has been recorded.
     std::chrono::milliseconds unixTime(TimePoint now) const;
 
--- a/packages/usage/include/auburn/usage/usagecollector.h
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -40,7 +40,7 @@
     };
 
     // Everything that is passed by reference must outlive the collector.
-    struct Duties
+    struct Dependencies
     {
         const FleetClock &clock;
         duties::ConditionalLog &log;
@@ -48,7 +48,7 @@
         const duties::DutyPermit &permit;
     };
 
-    UsageCollector(Options options, const Duties &duties);
+    UsageCollector(Options options, const Dependencies &dependencies);
     ~UsageCollector();
     UsageCollector(const UsageCollector &) = delete;
     UsageCollector &operator=(const UsageCollector &) = delete;
--- a/packages/usage/include/auburn/usage/usagemetering.h
+++ b/packages/usage/include/auburn/usage/usagemetering.h
@@ -47,7 +47,7 @@
     };
 
     // Everything that is passed by reference must outlive this object.
-    struct Duties
+    struct Dependencies
     {
         duties::ConditionalLog &log;
         duties::DutyApi &api;
@@ -55,12 +55,12 @@
     };
 
     // The wall clock is this VM's time since the Unix epoch.
-    UsageMetering(Options options, const Duties &duties, std::chrono::milliseconds wallClock,
-                  TimePoint now);
+    UsageMetering(Options options, const Dependencies &dependencies,
+                  std::chrono::milliseconds wallClock, TimePoint now);
 
     // Counts a request that a backend server began to run (Gateway::Options::requestBegan).
-    void requestBegan(const std::string &organisation, std::chrono::milliseconds ago,
-                      TimePoint now);
+    void recordRequest(const std::string &organisation, std::chrono::milliseconds ago,
+                       TimePoint now);
     // Records the wall clock that another daemon states in its heartbeat.
     void recordPeerClock(const std::string &vm, std::chrono::milliseconds wallClock, TimePoint now);
     // Takes note of the newest known holder of the duties, which may be this daemon.
--- a/packages/usage/include/auburn/usage/usagereporter.h
+++ b/packages/usage/include/auburn/usage/usagereporter.h
@@ -6,8 +6,8 @@
 //
 // Reports are cumulative, so duplicates and losses are harmless. Changes are sent several times a
 // second, because a daemon that is killed loses what it has counted since its last report. Once a
-// second a complete report tells the holder that it has received everything that this daemon
-// counted until then; the holder closes a window based on such reports.
+// second a complete report holds what the holder has not acknowledged, so that with it the holder
+// knows everything that this daemon has counted; it closes a window based on such reports.
 #pragma once
 
 #include "auburn.pb.h"
--- a/packages/usage/include/auburn/usage/usagewindow.h
+++ b/packages/usage/include/auburn/usage/usagewindow.h
@@ -12,6 +12,9 @@
 // Counts and figures of windows that ended longer ago than this are dropped.
 inline constexpr std::chrono::milliseconds kWindowRetention{ 60000 };
 
+// A figure is sent until this time after the end of its window.
+inline constexpr std::chrono::milliseconds kReportLimit{ 30000 };
+
 // A window is closed only after every daemon has reported at this time after its end. A plain
 // request is counted when its response arrives, for the time at which it was sent; nearly all
 // responses have arrived by then.
--- a/packages/usage/src/figurelog.cpp
+++ b/packages/usage/src/figurelog.cpp
@@ -8,15 +8,9 @@
 
 namespace auburn::usage {
 
-namespace {
-
-// Windows that are remembered, as many as the log has keys.
-constexpr std::size_t kMaxWindows = 32;
-
-} // namespace
-
-FigureLog::FigureLog(duties::ConditionalLog &log)
+FigureLog::FigureLog(duties::ConditionalLog &log, std::chrono::milliseconds windowLength)
     : log_(log)
+    , keyCount_(figureKeyCount(windowLength))
 {}
 
 template<class Result>
@@ -47,7 +41,7 @@
 void FigureLog::commit(duties::UsageFigure figure, TimePoint now)
 {
     Pending pending;
-    pending.records = encodeFigure(figure);
+    pending.records = encodeFigure(figure, keyCount_);
     pending.figure = std::move(figure);
     pending_ = std::move(pending);
     tick(now);
@@ -113,12 +107,12 @@
         return;
     }
     // Only a record that was certainly not appended leaves the end of the log known.
-    isListed_ = result.status == duties::AppendStatus::NotDone;
+    isListed_ = result.status == duties::AppendStatus::NotAppended;
     logEvent(LogLevel::Warning, "usage_commit_unconfirmed",
              { { "window", static_cast<long long>(pending_->figure.window) },
-               { "result", result.status == duties::AppendStatus::Conflict  ? "conflict"
-                           : result.status == duties::AppendStatus::NotDone ? "not_done"
-                                                                            : "unknown" } });
+               { "result", result.status == duties::AppendStatus::Conflict      ? "conflict"
+                           : result.status == duties::AppendStatus::NotAppended ? "not_appended"
+                                                                                : "unknown" } });
     retry_.recordFailure(now_);
 }
 
@@ -128,7 +122,8 @@
     nextWindow_ = std::max(nextWindow_, window + 1);
     if (found_.insert(window).second)
         committed_[window] = std::move(figure);
-    if (found_.size() > kMaxWindows)
+    // The log does not hold older ones either.
+    if (found_.size() > keyCount_)
         found_.erase(found_.begin());
 }
 
--- a/packages/usage/src/figurelog.h
+++ b/packages/usage/src/figurelog.h
@@ -12,6 +12,7 @@
 #include "auburn/duties/conditionallog.h"
 #include "auburn/duties/dutyapi.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -28,7 +29,7 @@
     using TimePoint = BootClock::time_point;
 
     // The log must outlive this object.
-    explicit FigureLog(duties::ConditionalLog &log);
+    FigureLog(duties::ConditionalLog &log, std::chrono::milliseconds windowLength);
 
     // Forgets everything and lists the log with the next tick. Figures are read from this window
     // on.
@@ -64,6 +65,7 @@
     auto handler(void (FigureLog::*method)(const Result &));
 
     duties::ConditionalLog &log_;
+    const std::uint64_t keyCount_;
     bool isOpen_ = false;
     // The end of the log is known.
     bool isListed_ = false;
--- a/packages/usage/src/figurerecord.cpp
+++ b/packages/usage/src/figurerecord.cpp
@@ -1,6 +1,7 @@
 #include "figurerecord.h"
 
 #include "auburn.pb.h"
+#include "auburn/usage/usagewindow.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,7 +14,6 @@
 
 namespace {
 
-constexpr std::uint64_t kKeys = 32;
 // The store accepts records of up to 262,144 bytes; the rest is for the key and for framing.
 constexpr std::size_t kMaxValueBytes = 250000;
 // Upper bounds of the encoded sizes of the tag and length of a count, and of the window's number.
@@ -65,7 +65,12 @@
 
 } // namespace
 
-std::vector<FigureRecord> encodeFigure(const duties::UsageFigure &figure)
+std::uint64_t figureKeyCount(std::chrono::milliseconds windowLength)
+{
+    return static_cast<std::uint64_t>(kReportLimit / windowLength) + 2;
+}
+
+std::vector<FigureRecord> encodeFigure(const duties::UsageFigure &figure, std::uint64_t keyCount)
 {
     std::vector<proto::UsageRecord> records(1);
     std::size_t bytes = kWindowBytes;
@@ -81,7 +86,7 @@
         bytes += size;
         *records.back().add_counts() = std::move(count);
     }
-    const std::string key = std::to_string(figure.window % kKeys);
+    const std::string key = std::to_string(figure.window % keyCount);
     std::vector<FigureRecord> result;
     for (std::size_t i = 0; i < records.size(); ++i) {
         records[i].set_window(figure.window);
--- a/packages/usage/src/figurerecord.h
+++ b/packages/usage/src/figurerecord.h
@@ -1,14 +1,16 @@
 // Encodes the figures of windows as records of the log.
 //
-// A figure usually is one record with the key "window mod 32". One with 21,000 organisations would
-// exceed the size of a record, and is divided into records with the keys "KEY-PART-PARTS". They are
-// appended directly one after another; the figure is committed once the last of them is appended.
-// Parts that do not have consecutive offsets were not completed by their writer and do not count.
+// A figure usually is one record, whose key is the window's number modulo figureKeyCount(). One
+// with 21,000 organisations would exceed the size of a record, and is divided into records with the
+// keys "KEY-PART-PARTS". They are appended directly one after another; the figure is committed once
+// the last of them is appended. Parts that do not have consecutive offsets were not completed by
+// their writer and do not count.
 #pragma once
 
 #include "auburn/duties/conditionallog.h"
 #include "auburn/duties/dutyapi.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,8 +27,12 @@
     std::string value;
 };
 
+// Number of windows whose figures the log keeps: those that may still be sent, the current one, and
+// one to spare. More would make a listing too large: a figure of 21,000 organisations has 400 KB.
+std::uint64_t figureKeyCount(std::chrono::milliseconds windowLength);
+
 // The records of a figure, in the order in which they must be appended.
-std::vector<FigureRecord> encodeFigure(const duties::UsageFigure &figure);
+std::vector<FigureRecord> encodeFigure(const duties::UsageFigure &figure, std::uint64_t keyCount);
 
 struct CommittedFigures
 {
@@ -35,8 +41,9 @@
     Figures figures;
 };
 
-// The committed figures of a listing, from a window on: those of 32 windows with 21,000
-// organisations each would need more than 50 MB. Records that cannot be parsed are skipped.
+// The committed figures of a listing, from a window on. Earlier ones are left out, because the
+// figures of 21,000 organisations need about 2 MB for each window. Records that cannot be parsed
+// are skipped.
 CommittedFigures decodeFigures(const duties::LogListing &listing, std::uint64_t firstWindow);
 
 } // namespace auburn::usage
--- a/packages/usage/src/figuresender.cpp
+++ b/packages/usage/src/figuresender.cpp
@@ -13,13 +13,6 @@
 using duties::CallStatus;
 using std::chrono::milliseconds;
 
-namespace {
-
-// A figure is sent until this time after the end of its window.
-constexpr milliseconds kSendLimit{ 30000 };
-
-} // namespace
-
 FigureSender::FigureSender(Options options, const FleetClock &clock, duties::DutyApi &api)
     : options_(options)
     , clock_(clock)
@@ -30,7 +23,8 @@
 {
     const std::uint64_t window = figure.window;
     if (!isExpired(window, now))
-        queue_[window] = std::make_shared<const duties::UsageFigure>(std::move(figure));
+        queue_[window] = { .figure = std::make_shared<const duties::UsageFigure>(
+                                   std::move(figure)) };
 }
 
 void FigureSender::tick(TimePoint now)
@@ -40,19 +34,18 @@
         return;
     dropExpired(now);
     if (!queue_.empty() && retry_.isOver(now))
-        sendFirst();
+        sendNext();
 }
 
 void FigureSender::clear()
 {
     queue_.clear();
-    failures_ = 0;
     retry_.reset();
 }
 
 bool FigureSender::isExpired(std::uint64_t window, TimePoint now) const
 {
-    return clock_.unixTime(now) - windowEnd(window, options_.windowLength) > kSendLimit;
+    return clock_.unixTime(now) - windowEnd(window, options_.windowLength) > kReportLimit;
 }
 
 void FigureSender::dropExpired(TimePoint now)
@@ -65,11 +58,15 @@
     }
 }
 
-void FigureSender::sendFirst()
+void FigureSender::sendNext()
 {
     isCalling_ = true;
+    const auto next = std::min_element(queue_.begin(), queue_.end(),
+                                       [](const auto &first, const auto &second) {
+                                           return first.second.failures < second.second.failures;
+                                       });
     // The handler removes the figure from the queue.
-    const std::shared_ptr<const duties::UsageFigure> figure = queue_.begin()->second;
+    const std::shared_ptr<const duties::UsageFigure> figure = next->second.figure;
     api_.reportUsage(*figure, [this, window = figure->window,
                                alive = std::weak_ptr<int>(alive_)](CallStatus status) {
         if (!alive.expired())
@@ -85,30 +82,33 @@
                 ->counter("auburn_usage_calls_total", "Usage reports to the platform by outcome",
                           { { "outcome", std::string(duties::callStatusName(status)) } })
                 .add();
+    const auto queued = queue_.find(window);
+    unsigned failures = queued == queue_.end() ? 0 : queued->second.failures;
     if (status == CallStatus::Accepted) {
-        recordReported(window);
+        recordReported(window, failures);
         queue_.erase(window);
-        failures_ = 0;
         retry_.reset();
         tick(now_);
         return;
     }
-    ++failures_;
+    ++failures;
+    if (queued != queue_.end())
+        queued->second.failures = failures;
     retry_.recordFailure(now_);
     logEvent(LogLevel::Warning, "usage_call_failed",
              { { "window", static_cast<long long>(window) },
                { "result", duties::callStatusName(status) },
-               { "failures", static_cast<long long>(failures_) } });
+               { "failures", static_cast<long long>(failures) } });
 }
 
-void FigureSender::recordReported(std::uint64_t window)
+void FigureSender::recordReported(std::uint64_t window, unsigned failures)
 {
     const milliseconds end = windowEnd(window, options_.windowLength);
     newestReported_ = std::max(newestReported_, window);
     logEvent(LogLevel::Info, "usage_window_reported",
              { { "window", static_cast<long long>(window) },
                { "age_ms", static_cast<long long>((clock_.unixTime(now_) - end).count()) },
-               { "failures", static_cast<long long>(failures_) } });
+               { "failures", static_cast<long long>(failures) } });
     if (!options_.metrics)
         return;
     options_.metrics
--- a/packages/usage/src/figuresender.h
+++ b/packages/usage/src/figuresender.h
@@ -1,5 +1,6 @@
-// FigureSender sends committed figures to the platform: one call at a time, oldest window first,
-// repeated until the platform accepts it or the window is too old.
+// FigureSender sends committed figures to the platform: one call at a time, repeated until the
+// platform accepts it or the window is too old. The figure with the fewest failures is sent first,
+// the oldest of several: one that the platform keeps rejecting does not delay the others.
 //
 // Repeating a call is safe, because the figure of a window never changes and the platform ignores
 // exact duplicates.
@@ -41,19 +42,24 @@
     void tick(TimePoint now);
 
 private:
+    struct QueuedFigure
+    {
+        std::shared_ptr<const duties::UsageFigure> figure;
+        unsigned failures = 0;
+    };
+
     bool isExpired(std::uint64_t window, TimePoint now) const;
     void dropExpired(TimePoint now);
-    void sendFirst();
+    void sendNext();
     void callEnded(std::uint64_t window, duties::CallStatus status);
-    void recordReported(std::uint64_t window);
+    void recordReported(std::uint64_t window, unsigned failures);
 
     const Options options_;
     const FleetClock &clock_;
     duties::DutyApi &api_;
     // By window.
-    std::map<std::uint64_t, std::shared_ptr<const duties::UsageFigure>> queue_;
+    std::map<std::uint64_t, QueuedFigure> queue_;
     bool isCalling_ = false;
-    unsigned failures_ = 0;
     RetryDelay retry_;
     // Time of the last tick.
     TimePoint now_;
--- a/packages/usage/src/fleetclock.cpp
+++ b/packages/usage/src/fleetclock.cpp
@@ -34,7 +34,7 @@
     : ownVm_(std::move(ownVm))
 {}
 
-void FleetClock::recordPeer(const std::string &vm, milliseconds unixTime, TimePoint now)
+void FleetClock::recordClock(const std::string &vm, milliseconds unixTime, TimePoint now)
 {
     if (unixTime <= milliseconds(0) || (clocks_.size() >= kMaxClocks && !clocks_.contains(vm)))
         return;
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -32,8 +32,6 @@
 // A new holder sends the committed windows that ended in this time again: its predecessor may have
 // been stopped between the commit and the call.
 constexpr milliseconds kResendTime{ 20000 };
-// A window that ended longer ago is not closed any more, because its figure would not be sent.
-constexpr milliseconds kCloseLimit{ 30000 };
 // Late reports about the newest closed windows are still recognised as such.
 constexpr std::uint64_t kClosedWindowsKept = 1;
 constexpr std::size_t kMaxNamesInLog = 3;
@@ -56,14 +54,14 @@
 class UsageCollector::State
 {
 public:
-    State(Options options, const Duties &duties)
+    State(Options options, const Dependencies &dependencies)
         : options_(std::move(options))
-        , clock_(duties.clock)
-        , permit_(duties.permit)
+        , clock_(dependencies.clock)
+        , permit_(dependencies.permit)
         , table_(options_.windowLength)
-        , log_(duties.log)
+        , log_(dependencies.log, options_.windowLength)
         , sender_({ .windowLength = options_.windowLength, .metrics = options_.metrics },
-                  duties.clock, duties.api)
+                  dependencies.clock, dependencies.api)
         , forwarder_(options_.send)
     {
         if (!options_.metrics)
@@ -78,12 +76,14 @@
         const std::uint64_t late = table_.merge(report, clock_.unixTime(now));
         if (lateRequests_)
             lateRequests_->add(late);
-        const bool isLastPart = report.parts() > 0 && report.part() == report.parts();
-        if (!isLastPart || !isOperating() || !permit_.isHeld() || nextWindow_ == 0)
+        if (!table_.hasAllParts(report) || !isOperating() || !permit_.isHeld())
             return;
         proto::PeerDatagram datagram;
-        datagram.mutable_usage_ack()->set_token(token_);
-        datagram.mutable_usage_ack()->set_closed_through(nextWindow_ - 1);
+        proto::UsageAck &ack = *datagram.mutable_usage_ack();
+        ack.set_token(token_);
+        ack.set_closed_through(nextWindow_ > 0 ? nextWindow_ - 1 : 0);
+        ack.set_incarnation(report.incarnation());
+        ack.set_number(report.number());
         options_.send(sender, datagram);
     }
 
@@ -154,9 +154,10 @@
         nextWindow_ = std::max(nextWindow_, log_.nextWindow());
     }
 
+    // Windows whose figures would not be sent any more are not closed.
     void skipExpired(milliseconds unixTime)
     {
-        const std::uint64_t oldest = windowAt(std::max(unixTime - kCloseLimit, milliseconds(0)),
+        const std::uint64_t oldest = windowAt(std::max(unixTime - kReportLimit, milliseconds(0)),
                                               options_.windowLength);
         if (nextWindow_ >= oldest)
             return;
@@ -262,8 +263,8 @@
     std::uint64_t nextWindow_ = 0;
 };
 
-UsageCollector::UsageCollector(Options options, const Duties &duties)
-    : state_(std::make_unique<State>(std::move(options), duties))
+UsageCollector::UsageCollector(Options options, const Dependencies &dependencies)
+    : state_(std::make_unique<State>(std::move(options), dependencies))
 {}
 
 UsageCollector::~UsageCollector() = default;
--- a/packages/usage/src/usageledger.cpp
+++ b/packages/usage/src/usageledger.cpp
@@ -2,6 +2,7 @@
 
 #include "usagemetrics.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburn::usage {
@@ -49,17 +50,21 @@
     }
 }
 
-std::vector<proto::UsageWindow> UsageLedger::takeReport(Scope scope, milliseconds unixTime)
+UsageLedger::Report UsageLedger::takeReport(Scope scope)
 {
-    std::vector<proto::UsageWindow> report;
-    const std::uint64_t firstUnsettled = windowAt(unixTime - kSettleTime, options_.windowLength);
+    Report report;
+    if (scope != Scope::Changes)
+        report.number = ++completeReports_;
+    if (scope == Scope::Everything)
+        acknowledgedReport_ = 0;
     for (auto &[number, window] : windows_) {
-        const bool whole = scope == Scope::Everything
-                           || (scope == Scope::SettledWindows && number < firstUnsettled);
         proto::UsageWindow counts;
         counts.set_window(number);
         for (auto &[organisation, entry] : window) {
-            if (whole || entry.requests > entry.reportedBefore) {
+            const bool isIncluded = scope == Scope::Changes
+                                            ? entry.requests > entry.reportedBefore
+                                            : takeUnacknowledged(entry, report.number);
+            if (isIncluded) {
                 proto::UsageCount &count = *counts.add_counts();
                 count.set_organisation(organisation);
                 count.set_requests(entry.requests);
@@ -67,9 +72,22 @@
             entry.reportedBefore = std::exchange(entry.reported, entry.requests);
         }
         if (counts.counts_size() > 0)
-            report.push_back(std::move(counts));
+            report.windows.push_back(std::move(counts));
     }
     return report;
 }
 
+bool UsageLedger::takeUnacknowledged(Entry &entry, std::uint64_t number) const
+{
+    if (entry.requests > entry.completeReported)
+        entry.firstCompleteReport = number;
+    entry.completeReported = entry.requests;
+    return entry.firstCompleteReport > acknowledgedReport_;
+}
+
+void UsageLedger::acknowledge(std::uint64_t number)
+{
+    acknowledgedReport_ = std::max(acknowledgedReport_, number);
+}
+
 } // namespace auburn::usage
--- a/packages/usage/src/usagemetering.cpp
+++ b/packages/usage/src/usagemetering.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-UsageMetering::UsageMetering(Options options, const Duties &duties, milliseconds wallClock,
-                             TimePoint now)
+UsageMetering::UsageMetering(Options options, const Dependencies &dependencies,
+                             milliseconds wallClock, TimePoint now)
     : options_(std::move(options))
     , clock_(options_.self.vm)
     , ledger_({ .windowLength = options_.windowLength, .metrics = options_.metrics })
@@ -28,20 +28,23 @@
                    .send = [this](const std::string &address,
                                   const proto::PeerDatagram &datagram) { send(address, datagram); },
                    .metrics = options_.metrics },
-                 { .clock = clock_, .log = duties.log, .api = duties.api, .permit = duties.permit })
+                 { .clock = clock_,
+                   .log = dependencies.log,
+                   .api = dependencies.api,
+                   .permit = dependencies.permit })
     , now_(now)
 {
-    clock_.recordPeer(options_.self.vm, wallClock, now);
+    clock_.recordClock(options_.self.vm, wallClock, now);
 }
 
-void UsageMetering::requestBegan(const std::string &organisation, milliseconds ago, TimePoint now)
+void UsageMetering::recordRequest(const std::string &organisation, milliseconds ago, TimePoint now)
 {
     ledger_.count(organisation, clock_.unixTime(now) - ago);
 }
 
 void UsageMetering::recordPeerClock(const std::string &vm, milliseconds wallClock, TimePoint now)
 {
-    clock_.recordPeer(vm, wallClock, now);
+    clock_.recordClock(vm, wallClock, now);
 }
 
 void UsageMetering::setHolder(const duties::DutyHolder &holder, TimePoint now)
@@ -65,7 +68,7 @@
 void UsageMetering::tick(milliseconds wallClock, TimePoint now)
 {
     now_ = now;
-    clock_.recordPeer(options_.self.vm, wallClock, now);
+    clock_.recordClock(options_.self.vm, wallClock, now);
     refreshLiveDaemons(now);
     reporter_.tick(now, live_);
     collector_.tick(now, live_);
--- a/packages/usage/src/usagereporter.cpp
+++ b/packages/usage/src/usagereporter.cpp
@@ -57,8 +57,10 @@
 
 void UsageReporter::handleAck(const proto::UsageAck &ack)
 {
-    // The token does not matter: a window that any holder has closed has a final figure.
+    // A window that any holder has closed has a final figure, whatever the token of that holder.
     ledger_.closeThrough(ack.closed_through());
+    if (ack.token() == holder_.token && ack.incarnation() == options_.incarnation)
+        ledger_.acknowledge(ack.number());
 }
 
 void UsageReporter::tick(TimePoint now, const std::vector<LiveDaemon> &live)
@@ -72,7 +74,7 @@
         if (std::exchange(isReceiverNew_, false))
             queueCompleteReport(UsageLedger::Scope::Everything, unixTime);
         else if (isDue)
-            queueCompleteReport(UsageLedger::Scope::SettledWindows, unixTime);
+            queueCompleteReport(UsageLedger::Scope::Unacknowledged, unixTime);
         else if (now >= nextChangesAt_)
             queueChanges(unixTime);
         if (!queue_.empty())
@@ -129,7 +131,9 @@
     header.set_vm(options_.vm);
     header.set_incarnation(options_.incarnation);
     header.set_fleet_ms(static_cast<std::uint64_t>(unixTime.count()));
-    return splitReport(header, ledger_.takeReport(scope, unixTime));
+    const UsageLedger::Report report = ledger_.takeReport(scope);
+    header.set_number(report.number);
+    return splitReport(header, report.windows);
 }
 
 void UsageReporter::queueChanges(milliseconds unixTime)
--- a/packages/usage/src/usagetable.cpp
+++ b/packages/usage/src/usagetable.cpp
@@ -91,10 +91,10 @@
 {
     const bool isPart = report.part() >= 1 && report.part() <= report.parts()
                         && report.parts() <= kMaxParts;
-    if (!isPart || report.fleet_ms() < state.completeMs)
+    if (!isPart || report.number() < state.report)
         return;
-    if (report.fleet_ms() > state.completeMs || state.parts.size() != report.parts()) {
-        state.completeMs = report.fleet_ms();
+    if (report.number() > state.report || state.parts.size() != report.parts()) {
+        state.report = report.number();
         state.parts.assign(report.parts(), false);
         state.partsMissing = report.parts();
     }
@@ -132,6 +132,13 @@
     return milliseconds(it == completeThrough_.end() ? 0 : it->second);
 }
 
+bool UsageTable::hasAllParts(const proto::UsageReport &report) const
+{
+    const auto it = processes_.find(Process(report.vm(), report.incarnation()));
+    return it != processes_.end() && report.number() > 0 && it->second.report == report.number()
+           && it->second.partsMissing == 0;
+}
+
 void UsageTable::close(std::uint64_t window)
 {
     windows_[window].closed = true;
--- a/packages/usage/src/usagetable.h
+++ b/packages/usage/src/usagetable.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory_resource>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -34,6 +35,8 @@
     std::unordered_set<std::string> reporters(std::uint64_t window) const;
     // The time up to which a daemon has reported everything; 0 if it has reported nothing.
     std::chrono::milliseconds completeThrough(const std::string &vm) const;
+    // True if this is a part of its process's newest complete report and every part has arrived.
+    bool hasAllParts(const proto::UsageReport &report) const;
     // Requests that are reported for the window later are late.
     void close(std::uint64_t window);
     // Forgets windows and processes that are too old to matter.
@@ -54,8 +57,8 @@
     {
         std::uint32_t number = 0;
         std::chrono::milliseconds lastReport{ 0 };
-        // The newest complete report: its time, and which of its parts have arrived.
-        std::uint64_t completeMs = 0;
+        // The number of the newest complete report, and which of its parts have arrived.
+        std::uint64_t report = 0;
         std::vector<bool> parts;
         std::uint32_t partsMissing = 0;
     };
@@ -64,13 +67,16 @@
     // organisations each would need too much memory for the names.
     struct Window
     {
+        // Of the maps below. A window is filled once and dropped as a whole, so its memory need not
+        // be reused; single allocations would take a fifth of the collector's time.
+        std::pmr::monotonic_buffer_resource memory;
         bool closed = false;
-        std::unordered_map<std::string, std::uint32_t> organisations;
+        std::pmr::unordered_map<std::string, std::uint32_t> organisations{ &memory };
         // By the number of the organisation; the names are the keys of the map above.
         std::vector<const std::string *> names;
         std::vector<std::uint64_t> totals;
         // By the number of the process (upper 32 bits) and of the organisation.
-        std::unordered_map<std::uint64_t, std::uint64_t> counts;
+        std::pmr::unordered_map<std::uint64_t, std::uint64_t> counts{ &memory };
         // VMs.
         std::unordered_set<std::string> reporters;
     };
--- a/packages/usage/tests/fleetclock_test.cpp
+++ b/packages/usage/tests/fleetclock_test.cpp
@@ -18,7 +18,7 @@
     {
         for (const auto end = now + time; now < end; now += milliseconds(250)) {
             for (std::size_t i = errors.size(); i > 0; --i)
-                clock.recordPeer("vm" + std::to_string(i - 1), trueTime() + errors[i - 1], now);
+                clock.recordClock("vm" + std::to_string(i - 1), trueTime() + errors[i - 1], now);
         }
     }
 
@@ -78,8 +78,8 @@
     run({ kNone, kNone, kNone, kNone }, seconds(5));
     now += seconds(4);
     for (int vm = 1; vm <= 3; ++vm)
-        clock.recordPeer("vm" + std::to_string(vm), trueTime() - seconds(4), now);
-    clock.recordPeer("vm0", trueTime(), now);
+        clock.recordClock("vm" + std::to_string(vm), trueTime() - seconds(4), now);
+    clock.recordClock("vm0", trueTime(), now);
     BOOST_TEST(error() == 0);
     now += milliseconds(250);
     run({ kNone, kNone, kNone, kNone }, seconds(2));
@@ -89,8 +89,8 @@
 BOOST_AUTO_TEST_CASE(peer_withoutClock_isIgnored)
 {
     run({ kNone }, seconds(3));
-    clock.recordPeer("old1", kNone, now);
-    clock.recordPeer("old2", kNone, now);
+    clock.recordClock("old1", kNone, now);
+    clock.recordClock("old2", kNone, now);
     run({ kNone }, seconds(3));
     BOOST_TEST(error() == 0);
 }
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -1,5 +1,6 @@
 // Tests what the platform is told about each window when daemons, the log or the network fail.
 
+#include "figurerecord.h"
 #include "usagefixture.h"
 
 namespace auburn::usage {
@@ -25,6 +26,12 @@
     std::uint64_t first = 0;
 };
 
+// Key of the log records of a window.
+std::string keyOf(std::uint64_t window)
+{
+    return std::to_string(window % figureKeyCount(kDefaultWindowLength));
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(usageCollector, RunningFixture)
@@ -115,7 +122,7 @@
     api.received = false;
     api.status = duties::CallStatus::Unknown;
     runToWindow(first + 1, milliseconds(1500));
-    BOOST_REQUIRE(log.items.contains(std::to_string(first % 32)));
+    BOOST_REQUIRE(log.items.contains(keyOf(first)));
     kill("a");
     start("d");
     count("d", "x", 1, seconds(2));
@@ -144,6 +151,44 @@
     BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
 }
 
+// Guards against a figure that the platform rejects every time and that delays the newer ones
+// beyond their deadline of 10 s.
+BOOST_AUTO_TEST_CASE(figure_alwaysRejected_newerOnesAreSentInTime)
+{
+    api.rejected = { first };
+    runToWindow(first + 1, milliseconds(100));
+    count("b", "x", 4);
+    runToWindow(first + 2, seconds(4));
+    BOOST_TEST((reported(first + 1) == Counts{ { "x", 4 } }));
+}
+
+// Guards against reports that repeat all counts each second while a window cannot be closed: with
+// many daemons the holder would spend most of its time on merging them.
+BOOST_AUTO_TEST_CASE(window_notClosedForLong_acknowledgedCountsAreNotRepeated)
+{
+    constexpr unsigned kOrganisations = 50;
+    for (unsigned i = 0; i < kOrganisations; ++i)
+        count("b", "huka" + std::to_string(i));
+    log.mode = FakeLog::Mode::Down;
+    run(seconds(20));
+    // At most two reports of changes and one complete report.
+    BOOST_TEST(countsReceived <= 3U * kOrganisations);
+    log.mode = FakeLog::Mode::Works;
+    run(seconds(5));
+    BOOST_TEST(reported(first).size() == kOrganisations);
+}
+
+// Guards against counts that are taken for acknowledged although the report was lost.
+BOOST_AUTO_TEST_CASE(completeReports_allLostForSomeTime_areRepeated)
+{
+    silenced = "b";
+    count("b", "x", 4);
+    run(milliseconds(2500));
+    silenced.clear();
+    runToWindow(first + 1, seconds(3));
+    BOOST_TEST((reported(first) == Counts{ { "x", 4 } }));
+}
+
 BOOST_AUTO_TEST_CASE(commit_responseLost_isFoundInTheLog)
 {
     count("b", "x", 4);
@@ -300,7 +345,7 @@
         count("b", "huka" + std::to_string(i));
     runToWindow(first + 1, seconds(4));
     BOOST_TEST(reported(first).size() == kOrganisations);
-    BOOST_TEST(log.items.contains(std::to_string(first % 32) + "-1-2"));
+    BOOST_TEST(log.items.contains(keyOf(first) + "-1-2"));
 }
 
 // Guards against a figure that is put together from parts of two holders.
@@ -316,7 +361,7 @@
     log.mode = FakeLog::Mode::Works;
     log.delayed.resize(1);
     log.executeDelayed();
-    const std::string firstPart = std::to_string(first % 32) + "-1-2";
+    const std::string firstPart = keyOf(first) + "-1-2";
     BOOST_REQUIRE(log.items.contains(firstPart));
     const std::uint64_t offset = log.items.at(firstPart).offset;
     kill("a");
--- a/packages/usage/tests/usagefixture.cpp
+++ b/packages/usage/tests/usagefixture.cpp
@@ -44,7 +44,7 @@
                          milliseconds ago)
 {
     for (unsigned i = 0; i < requests; ++i)
-        daemons.at(vm)->metering.requestBegan(organisation, ago, now);
+        daemons.at(vm)->metering.recordRequest(organisation, ago, now);
 }
 
 void UsageFixture::run(milliseconds time)
@@ -84,8 +84,13 @@
     ++datagrams;
     const auto receiver = daemons.find(address);
     const bool isLost = sender == silenced || (lossPeriod > 0 && datagrams % lossPeriod == 0);
-    if (receiver != daemons.end() && !isLost)
-        receiver->second->metering.handleDatagram(datagram, sender, now);
+    if (receiver == daemons.end() || isLost)
+        return;
+    if (address == holder.udpAddress) {
+        for (const proto::UsageWindow &counts : datagram.usage_report().windows())
+            countsReceived += static_cast<std::uint64_t>(counts.counts_size());
+    }
+    receiver->second->metering.handleDatagram(datagram, sender, now);
 }
 
 milliseconds UsageFixture::trueTime() const
--- a/packages/usage/tests/usagefixture.h
+++ b/packages/usage/tests/usagefixture.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,7 +52,7 @@
     {
         BOOST_TEST(key.size() + value.size() <= 262144U);
         if (mode == Mode::Down) {
-            handler({ .status = duties::AppendStatus::NotDone });
+            handler({ .status = duties::AppendStatus::NotAppended });
         } else if (mode == Mode::DelaysAppends) {
             delayed.push_back([=, this] { execute(key, value, expectedEnd); });
             handler({});
@@ -99,7 +100,7 @@
     {
         if (received)
             figures.push_back(figure);
-        handler(status);
+        handler(rejected.contains(figure.window) ? duties::CallStatus::Rejected : status);
     }
     void orderServers(const duties::ServerOrder & /*order*/, Handler /*handler*/) override {}
 
@@ -107,6 +108,8 @@
     // Whether calls take effect, and what the caller learns.
     bool received = true;
     duties::CallStatus status = duties::CallStatus::Accepted;
+    // Windows whose figures are never accepted.
+    std::set<std::uint64_t> rejected;
 };
 
 // One daemon process.
@@ -158,6 +161,8 @@
     // Every n-th datagram is lost; 0 for none.
     unsigned lossPeriod = 0;
     unsigned datagrams = 0;
+    // Counts in the reports that the holder received from other daemons.
+    std::uint64_t countsReceived = 0;
     // The datagrams of this daemon are lost.
     std::string silenced;
 };
