Routing: relate reported work times to what all servers have in common

Cause: with many daemons each sees a server rarely. When all servers became slower at once, those that a daemon had seen since looked worse than the others, which got its requests. Change: CommonSpeed follows the median change of the servers that reported last, and reports are related to it from the first one on that shows the change.

--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -153,7 +153,10 @@
     Assessment assess(const Candidates &candidates, std::size_t index,
                       const PromptLocation &location, const PlacementQuery &query, int urgency,
                       TimePoint now) const;
-    Candidate makeCandidate(const BackendServer &server, bool allowsProbe, TimePoint now) const;
+    // Returns the usual speed if nothing is known of the service's servers.
+    const CommonSpeed &commonSpeedOf(const std::string &service) const;
+    Candidate makeCandidate(const BackendServer &server, bool allowsProbe,
+                            const CommonSpeed &common, TimePoint now) const;
     static double slownessAmong(const Candidates &candidates, const Candidate &candidate);
     Candidates makeCandidates(const std::vector<const BackendServer *> &servers,
                               const PlacementQuery &query, TimePoint now) const;
@@ -178,6 +181,7 @@
     // By service.
     std::map<std::string, StreamPool> pools_;
     std::map<std::string, ProbeBudget> probes_;
+    std::map<std::string, CommonSpeed> commonSpeeds_;
 };
 
 } // namespace auburn::routing
--- a/packages/routing/include/auburn/routing/serverview.h
+++ b/packages/routing/include/auburn/routing/serverview.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "auburn/routing/attempt.h"
+#include "auburn/routing/commonspeed.h"
 #include "auburn/routing/enginecache.h"
 #include "auburn/routing/outsideload.h"
 #include "auburn/routing/serverload.h"
@@ -22,7 +23,7 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     // The capacity of the engine's prefix cache is in tokens; 0 for a plain service.
-    explicit ServerView(std::uint64_t cacheTokens);
+    ServerView(std::string service, std::uint64_t cacheTokens);
 
     // Track one attempt; see Placement.
     void attemptStarted(const PlacementChoice &choice, const PromptParts &prompt);
@@ -31,11 +32,13 @@
     void attemptEnded(const PlacementChoice &choice, bool progressed, AttemptOutcome outcome,
                       TimePoint now);
 
-    void recordLoadReport(LoadReport report, TimePoint now);
+    // The common speed is that of the service.
+    void recordLoadReport(LoadReport report, CommonSpeed &common, TimePoint now);
     // Replaces the load that another daemon reported.
     void recordPeerLoad(const std::string &peer, const PeerLoad &load, TimePoint now);
     void removePeerLoad(const std::string &peer) { peers_.erase(peer); }
 
+    const std::string &service() const { return service_; }
     const EngineCache &cache() const { return cache_; }
     const PeerLoad &ownLoad() const { return ownLoad_; }
     // Returns the load of this daemon and of all others that reported recently.
@@ -49,7 +52,7 @@
     // What the server's reports of its work time say.
     const SpeedEstimator &speed() const { return speed_; }
     // Records a report of the work time that another daemon forwarded.
-    void recordSpeedReport(const SpeedEstimator::Report &report) { speed_.recordReport(report); }
+    void recordSpeedReport(const SpeedEstimator::Report &report, CommonSpeed &common);
     // Estimates the requests of all daemons in progress there, given the number known from them.
     double estimatedRunning(unsigned known, TimePoint now) const
     {
@@ -71,6 +74,7 @@
 
     void recordOutcome(AttemptOutcome outcome, TimePoint now);
 
+    const std::string service_;
     EngineCache cache_;
     PeerLoad ownLoad_;
     std::map<std::string, PeerEntry> peers_;
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -63,12 +63,13 @@
     const double capacity = service.engine
                                     ? static_cast<double>(service.engine->cacheTokens) * kCacheShare
                                     : 0;
-    return views_.emplace(serverId, ServerView(static_cast<std::uint64_t>(capacity))).first->second;
+    return views_.emplace(serverId, ServerView(service.name, static_cast<std::uint64_t>(capacity)))
+            .first->second;
 }
 
 const ServerView &Placement::findView(const std::string &serverId) const
 {
-    static const ServerView empty(0);
+    static const ServerView empty("", 0);
     const auto found = views_.find(serverId);
     return found == views_.end() ? empty : found->second;
 }
@@ -171,18 +172,26 @@
     candidates.all.reserve(servers.size());
     const auto budget = probes_.find(query.service->name);
     const bool allowsProbe = budget == probes_.end() || budget->second.allowsProbe();
+    const CommonSpeed &common = commonSpeedOf(query.service->name);
     for (const BackendServer *server : servers) {
         if (leavesTooSoon(*server, *query.service, now))
             continue;
-        candidates.all.push_back(makeCandidate(*server, allowsProbe, now));
+        candidates.all.push_back(makeCandidate(*server, allowsProbe, common, now));
         candidates.slownessSum += candidates.all.back().slowness;
         candidates.speedSum += 1 / candidates.all.back().slowness;
     }
     return candidates;
 }
 
+const CommonSpeed &Placement::commonSpeedOf(const std::string &service) const
+{
+    static const CommonSpeed usual;
+    const auto found = commonSpeeds_.find(service);
+    return found == commonSpeeds_.end() ? usual : found->second;
+}
+
 Candidate Placement::makeCandidate(const BackendServer &server, bool allowsProbe,
-                                   TimePoint now) const
+                                   const CommonSpeed &common, TimePoint now) const
 {
     const ServerView &known = findView(server.id);
     Candidate candidate{ .server = &server, .view = &known, .load = known.totalLoad(now) };
@@ -192,7 +201,7 @@
         return candidate;
     }
     const bool isProbed = allowsProbe && known.ownLoad().running == 0 && speed.needsProbe(now);
-    candidate.slowness = isProbed ? 1 : speed.workTime(now);
+    candidate.slowness = isProbed ? 1 : speed.workTime(now, common);
     candidate.learned = LearnedState{
         .running = known.estimatedRunning(candidate.load.running, now),
         .usefulConcurrency = speed.usefulConcurrency(server.slots, now),
@@ -365,14 +374,15 @@
         return;
     if (!options_.learnedSpeeds)
         report.workTimePercent.reset();
-    found->second.recordLoadReport(report, now);
+    ServerView &server = found->second;
+    server.recordLoadReport(report, commonSpeeds_[server.service()], now);
 }
 
 void Placement::recordSpeedReport(const std::string &serverId, const SpeedEstimator::Report &report)
 {
     const auto found = views_.find(serverId);
     if (found != views_.end() && options_.learnedSpeeds)
-        found->second.recordSpeedReport(report);
+        found->second.recordSpeedReport(report, commonSpeeds_[found->second.service()]);
 }
 
 std::optional<SpeedEstimator::Report> Placement::speedReport(const std::string &serverId) const
@@ -391,8 +401,9 @@
         if (speeds.size() >= limit || !server || !known.speed().isKnown())
             continue;
         const SpeedEstimator &speed = known.speed();
+        const CommonSpeed &common = commonSpeedOf(known.service());
         speeds.push_back({ .serverId = id,
-                           .workTime = speed.workTime(now),
+                           .workTime = speed.workTime(now, common) * common.workTime(),
                            .usefulConcurrency = speed.usefulConcurrency(server->slots, now) });
     }
     return speeds;
--- a/packages/routing/src/serverview.cpp
+++ b/packages/routing/src/serverview.cpp
@@ -38,8 +38,9 @@
 
 } // namespace
 
-ServerView::ServerView(std::uint64_t cacheTokens)
-    : cache_(cacheTokens)
+ServerView::ServerView(std::string service, std::uint64_t cacheTokens)
+    : service_(std::move(service))
+    , cache_(cacheTokens)
 {}
 
 void ServerView::attemptStarted(const PlacementChoice &choice, const PromptParts &prompt)
@@ -97,19 +98,27 @@
         cache_.clear();
 }
 
-void ServerView::recordLoadReport(LoadReport report, TimePoint now)
+void ServerView::recordLoadReport(LoadReport report, CommonSpeed &common, TimePoint now)
 {
     report_ = report;
     reportedAt_ = now;
     if (!report.workTimePercent)
         return;
-    speed_.recordReport({ .workTimePercent = *report.workTimePercent,
-                          .running = report.running,
-                          .slots = report.slots,
-                          .measuredAt = now });
+    recordSpeedReport({ .workTimePercent = *report.workTimePercent,
+                        .running = report.running,
+                        .slots = report.slots,
+                        .measuredAt = now },
+                      common);
     outside_.recordReport(report.running + report.waiting, ownLoad_.running, now);
 }
 
+void ServerView::recordSpeedReport(const SpeedEstimator::Report &report, CommonSpeed &common)
+{
+    const double expected = speed_.meanWorkTime() * common.workTime();
+    speed_.recordReport(report, common.workTime());
+    common.record(this, SpeedEstimator::workTimeOf(report) / expected, report.measuredAt);
+}
+
 void ServerView::recordPeerLoad(const std::string &peer, const PeerLoad &load, TimePoint now)
 {
     peers_.insert_or_assign(peer, PeerEntry{ .load = load, .at = now });
--- a/packages/routing/src/speedestimator.cpp
+++ b/packages/routing/src/speedestimator.cpp
@@ -29,17 +29,23 @@
 
 } // namespace
 
-void SpeedEstimator::recordReport(const Report &report)
+double SpeedEstimator::workTimeOf(const Report &report)
+{
+    return std::clamp(report.workTimePercent / 100.0, kMinWorkTime, kMaxWorkTime);
+}
+
+void SpeedEstimator::recordReport(const Report &report, double commonWorkTime)
 {
     if (newest_ && report.measuredAt < newest_->measuredAt)
         return;
-    const double measured = std::clamp(report.workTimePercent / 100.0, kMinWorkTime, kMaxWorkTime);
+    const double measured = workTimeOf(report);
+    const double relative = measured / commonWorkTime;
     // A report counts for the time since the previous one, up to the time for which it can stand.
     const auto covered = newest_ ? std::min<TimePoint::duration>(
                                  report.measuredAt - newest_->measuredAt, kSpeedReportLifetime)
                                  : kSpeedReportLifetime;
-    const milliseconds halfLife = measured > mean_ ? kRisingHalfLife : kFallingHalfLife;
-    mean_ += (measured - mean_) * (1 - exponentialDecay(covered, halfLife));
+    const milliseconds halfLife = relative > mean_ ? kRisingHalfLife : kFallingHalfLife;
+    mean_ += (relative - mean_) * (1 - exponentialDecay(covered, halfLife));
     curve_.record(report.running, report.slots, measured, report.measuredAt);
     newest_ = report;
     newest_->workTimePercent = static_cast<unsigned>(std::lround(measured * 100));
@@ -56,14 +62,15 @@
     return newest_ && mean_ > kSlowWorkTime && now - newest_->measuredAt > kProbeInterval;
 }
 
-double SpeedEstimator::workTime(TimePoint now) const
+double SpeedEstimator::workTime(TimePoint now, const CommonSpeed &common) const
 {
     if (!newest_)
         return 1;
+    const double newest = newest_->workTimePercent / 100.0 / common.workTimeAt(newest_->measuredAt);
     const double ageMs = std::max(0.0, toMs(now - newest_->measuredAt));
     const double mean = 1 + (mean_ - 1) / (1 + ageMs / toMs(kForgetTime));
     const double weight = std::max(0.0, 1 - ageMs / toMs(kSpeedReportLifetime));
-    return mean + (newest_->workTimePercent / 100.0 - mean) * weight;
+    return mean + (newest - mean) * weight;
 }
 
 double SpeedEstimator::usefulConcurrency(unsigned slots, TimePoint now) const
--- a/packages/routing/tests/learnedspeeds_test.cpp
+++ b/packages/routing/tests/learnedspeeds_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr int kServers = 18;
-constexpr int kDaemons = 8;
 constexpr unsigned kSlots = 6;
 constexpr double kWorkMs = 40;
 constexpr double kNetworkMs = 1;
@@ -38,6 +38,7 @@
     double lengthMs = 12000;
     // Responds with an error after 1 ms; -1 for none.
     int failing = -1;
+    int daemons = 8;
 };
 
 struct Result
@@ -79,7 +80,7 @@
                                 .failureDomain = "a",
                                 .slots = kSlots },
                               static_cast<std::uint64_t>(i) + 1);
-        for (int i = 0; i < kDaemons; ++i)
+        for (int i = 0; i < scenario_.daemons; ++i)
             daemons_.emplace_back(Placement::Options{ .vm = "vm-" + std::to_string(i),
                                                       .failureDomain = "a",
                                                       .regions = { { "a", "r" } },
@@ -134,9 +135,9 @@
 
     void exchangeLoads(double ms)
     {
-        for (int from = 0; from < kDaemons; ++from) {
+        for (int from = 0; from < scenario_.daemons; ++from) {
             const auto loads = daemons_[from].ownLoads();
-            for (int to = 0; to < kDaemons; ++to) {
+            for (int to = 0; to < scenario_.daemons; ++to) {
                 if (to != from)
                     daemons_[to].recordPeerLoads(std::to_string(from), loads, time(ms));
             }
@@ -151,7 +152,8 @@
         const double next = ms + std::exponential_distribution<double>(perMs)(random_);
         if (next < scenario_.lengthMs)
             at(next, [this](double then) { arrive(then); });
-        Request request{ .daemon = static_cast<int>(random_() % kDaemons), .arrivedMs = ms };
+        Request request{ .daemon = static_cast<int>(random_() % scenario_.daemons),
+                         .arrivedMs = ms };
         Placement &daemon = daemons_[request.daemon];
         const PlacementQuery query{ .service = &service_, .repeatable = true };
         request.choice = *daemon.choose(directory_, query, time(ms));
@@ -356,6 +358,14 @@
         BOOST_TEST(std::abs(runs.on.share(server, 5000, 9000) - 1) < 0.3);
 }
 
+// Guards against a rush to the servers of which a daemon does not know yet that they are slower:
+// with 40 daemons each sees a server only once in about 500 ms.
+BOOST_AUTO_TEST_CASE(allServers_slowerAtOnce_manyDaemons_isNoWorseThanWithEqualWeights)
+{
+    const Comparison runs({ .workTime = allSlowForAWhile, .load = 0.55, .daemons = 40 });
+    BOOST_TEST(runs.on.p95 < 1.02 * runs.equalWeights.p95);
+}
+
 BOOST_AUTO_TEST_CASE(slowFailureDomain_isNotStarved)
 {
     const Result run = simulate(Mode::On, { .workTime = slowDomain, .load = 0.7 });
@@ -378,6 +388,53 @@
     BOOST_TEST(estimator.workTime(end) == 3.0);
 }
 
+namespace {
+
+struct CommonSpeedFixture
+{
+    // All servers report in turn, each 10 ms after the one before. The first ones have changed.
+    void reportRound(int changed, double change)
+    {
+        for (int server = 0; server < kServers; ++server) {
+            now += std::chrono::milliseconds(10);
+            const double expected = common.workTime();
+            common.record(&servers[server], (server < changed ? change : 1) / expected, now);
+        }
+    }
+
+    CommonSpeed common;
+    std::array<char, kServers> servers{};
+    Placement::TimePoint now = Placement::TimePoint() + std::chrono::hours(1);
+};
+
+} // namespace
+
+// Guards against single slow servers that are taken for a slowdown of the service.
+BOOST_FIXTURE_TEST_CASE(commonSpeed_aThirdOfTheServersSlower_isUsual, CommonSpeedFixture)
+{
+    for (int round = 0; round < 5; ++round) {
+        for (int server = 0; server < kServers; ++server) {
+            now += std::chrono::milliseconds(10);
+            common.record(&servers[server], server % 3 == 0 ? 2.5 : 1, now);
+        }
+    }
+    BOOST_TEST(common.workTime() == 1);
+}
+
+// Guards against servers that look slower than the others only because they have reported a common
+// slowdown first.
+BOOST_FIXTURE_TEST_CASE(commonSpeed_allServersSlower_appliesFromTheFirstReportOn,
+                        CommonSpeedFixture)
+{
+    reportRound(0, 1);
+    const Placement::TimePoint before = now;
+    for (int round = 0; round < 4; ++round)
+        reportRound(kServers, 1.6);
+    BOOST_TEST(std::abs(common.workTime() / 1.6 - 1) < 0.05);
+    BOOST_TEST(common.workTimeAt(before) == 1);
+    BOOST_TEST(common.workTimeAt(before + std::chrono::milliseconds(10)) == common.workTime());
+}
+
 BOOST_AUTO_TEST_CASE(server_rejects_limitHoldsForAWhile)
 {
     const auto start = Placement::TimePoint() + std::chrono::hours(1);
