Usage: a stream that its server fails counts as begun

Cause: a stream answered with the server's own error was not counted, but the server ran it. With 124 servers failing requests for 4 s, the figures of two windows were 11% too low (360 of 3,313 and 403 of 3,534 requests), 333 and 376 of them such streams. Change: it counts like a plain response; only a 504 does not, with which the server gave up before the first event. The test stream_withoutAnEvent_isNotReported asserted the opposite for a 500; it now covers the 504, and stream_serverErrors_isReportedOnce the 500.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -50,6 +50,7 @@
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
 constexpr unsigned kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 milliseconds timeLimit(const CallerRequest &request)
 {
@@ -377,8 +378,9 @@
     obeyServerSignals(header);
     if (!response_.notExecuted) {
         verdict_ = Verdict::Ran;
-        // The error of a server that produced no event of a stream does not count.
-        if (!isStreamRoute() || (!response_.isStream && !response_.isServerError()))
+        // A server that gave up a stream at its deadline had produced no event of it, so the
+        // request has not begun. Any other error of its own says that it ran the request.
+        if (!isStreamRoute() || (!response_.isStream && response_.status != kGatewayTimeout))
             recordBegin(attemptStart_);
     }
     if (!response_.isStream && !response_.notExecuted)
@@ -663,7 +665,6 @@
     if (finished_)
         return;
     const auto guard = shared_from_this();
-    constexpr int kGatewayTimeout = 504;
     recordPossibleExecution();
     endAttempt(isRepeatable() || progressed_ ? AttemptOutcome::Abandoned : AttemptOutcome::Failed,
                "deadline");
--- a/packages/gateway/tests/requestbegan_test.cpp
+++ b/packages/gateway/tests/requestbegan_test.cpp
@@ -93,17 +93,27 @@
     BOOST_TEST(begunRequests[0].ago.count() == 0);
 }
 
-// A server that was lost or failed before the first token has produced nothing to bill.
+// A server that was lost or gave up before the first token has produced nothing to bill.
 BOOST_AUTO_TEST_CASE(stream_withoutAnEvent_isNotReported)
 {
     ScriptedReply comment{ .parts = { { streamHead() }, { chunk(": wait\n\n") } },
                            .end = End::Reset };
     serve("engines", std::move(comment));
-    serve("engines", { .parts = { { sealed(500, "bad") } } });
+    serve("engines", { .parts = { { sealed(504, "late") } } });
     exchange(request("POST", "/chat/x", {}, "b"));
     BOOST_TEST(begunRequests.empty());
 }
 
+// Guards against figures that are too low while servers fail streams: a server's own error says
+// that it ran the request.
+BOOST_AUTO_TEST_CASE(stream_serverErrors_isReportedOnce)
+{
+    serve("engines", { .parts = { { sealed(500, "bad") } } });
+    serve("engines", { .parts = { { sealed(500, "bad") } } });
+    BOOST_TEST(statusOf(exchange(request("POST", "/chat/x", {}, "b"))) == 500);
+    BOOST_TEST(begunRequests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
