Explanation of a placement: outcome, urgency of an organisation, state of each server

Cause: /explain named the chosen server and its cost, but neither the version of the configuration, nor whether a request would be rejected and with which Retry-After, nor the age of the load reports, nor the requests that the cost is based on. Change: Placement::explain() adds each server's slots, requests, report age and state. gateway::predictOutcome() says whether a request is forwarded, waits or is rejected. The functions with which Exchange decides (time left, Retry-After) and the look-up of blocked causes have been divided into a part without side effects, which both use, and the rest; Retry-After is drawn from the same values as before.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -7,6 +7,7 @@
 
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
+#include "auburn/gateway/requestoutlook.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,8 +26,6 @@
 // the server may be closing.
 constexpr milliseconds kUnsafeMaxIdle{ 700 };
 constexpr milliseconds kMaxIdle{ 60000 };
-// A request is not sent to a server if it has less time left than this.
-constexpr milliseconds kMinTimeLeft{ 15 };
 constexpr unsigned kMaxRejections = 2;
 // A request with at least this many uncached prompt tokens, about 15 ms of an engine's time, is
 // reported to the other daemons at once.
@@ -35,8 +34,6 @@
 constexpr std::size_t kMaxResponseBytes = std::size_t{ 16 } * 1024 * 1024;
 // Memory of an exchange: its own, the read buffer of its connection to a server and the parser.
 constexpr std::size_t kAttemptBytes = std::size_t{ 24 } * 1024;
-constexpr milliseconds kMinRetryAfter{ 100 };
-constexpr milliseconds kMaxRetryAfter{ 1000 };
 constexpr milliseconds kMinStallTimeout{ 150 };
 constexpr milliseconds kMinStreamStallTimeout{ 600 };
 // If no other server can take over a stalled attempt, it is checked again after this time.
@@ -136,7 +133,7 @@
 
 void Exchange::requestPlacement()
 {
-    if (timeLeft() < kMinTimeLeft) {
+    if (!hasTimeForAttempt(timeLeft())) {
         deadlinePassed();
         return;
     }
@@ -184,7 +181,7 @@
 
 bool Exchange::isChoiceOutdated() const
 {
-    return Clock::now() - placementRequestedAt_ > kMaxChoiceAge || timeLeft() < kMinTimeLeft;
+    return Clock::now() - placementRequestedAt_ > kMaxChoiceAge || !hasTimeForAttempt(timeLeft());
 }
 
 void Exchange::releasePlacement(const routing::PlacementChoice &choice)
@@ -598,13 +595,8 @@
 
 milliseconds Exchange::retryAfter() const
 {
-    const auto now = std::chrono::steady_clock::now();
-    const routing::ServerDirectory &directory = context_.state.directory;
-    const bool isAvailable = !service_ || !directory.availableServers(service_->name, now).empty();
-    const auto returnAt = isAvailable ? std::nullopt : directory.firstReturn(service_->name, now);
-    if (returnAt)
-        return serviceRetryDelay(std::chrono::ceil<milliseconds>(*returnAt - now), timeLeft());
-    return std::clamp(timeLeft() / 4, kMinRetryAfter, kMaxRetryAfter);
+    return drawRetryDelay(refusalRetryDelays(context_.state.directory, service_, timeLeft(),
+                                             std::chrono::steady_clock::now()));
 }
 
 void Exchange::refuse(const char *reason)
--- a/packages/gateway/src/retryafter.cpp
+++ b/packages/gateway/src/retryafter.cpp
@@ -37,13 +37,18 @@
     return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(limited));
 }
 
-milliseconds serviceRetryDelay(milliseconds untilReturn, milliseconds timeLeft)
+RetryDelays serviceRetryDelays(milliseconds untilReturn, milliseconds timeLeft)
 {
-    thread_local std::minstd_rand random{ std::random_device{}() };
     const milliseconds earliest = std::max(untilReturn, kMinServiceRetryDelay);
-    std::uniform_int_distribution<milliseconds::rep> spread(0, (earliest / 2).count());
-    return std::min(earliest + milliseconds(spread(random)),
-                    std::max(timeLeft / 3, kMinServiceRetryDelay));
+    const milliseconds limit = std::max(timeLeft / 3, kMinServiceRetryDelay);
+    return { .earliest = earliest, .spread = earliest / 2, .limit = limit };
+}
+
+milliseconds drawRetryDelay(const RetryDelays &delays)
+{
+    thread_local std::minstd_rand random{ std::random_device{}() };
+    std::uniform_int_distribution<milliseconds::rep> spread(0, delays.spread.count());
+    return std::min(delays.earliest + milliseconds(spread(random)), delays.limit);
 }
 
 HeaderField retryAfterField(milliseconds delay)
--- a/packages/gateway/src/retryafter.h
+++ b/packages/gateway/src/retryafter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "auburn/core/headerfield.h"
+#include "auburn/gateway/requestoutlook.h"
 
 #include <chrono>
 #include <optional>
@@ -18,11 +19,13 @@
 // nullopt for a date, a negative number and anything else that is no number of seconds.
 std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view text);
 
-// Returns the retry delay for a caller when all servers of its service accept requests again after
+// Returns the retry delays for a caller when all servers of its service accept requests again after
 // the given time. The delays of callers are spread over half of that time, so that they do not all
 // return at the same moment, and end within the third of the caller's time that callers wait.
-std::chrono::milliseconds serviceRetryDelay(std::chrono::milliseconds untilReturn,
-                                            std::chrono::milliseconds timeLeft);
+RetryDelays serviceRetryDelays(std::chrono::milliseconds untilReturn,
+                               std::chrono::milliseconds timeLeft);
+// Draws one of the delays at random.
+std::chrono::milliseconds drawRetryDelay(const RetryDelays &delays);
 
 // Returns a Retry-After field with the delay in seconds, with two decimals.
 HeaderField retryAfterField(std::chrono::milliseconds delay);
--- a/packages/routing/include/auburn/routing/crashregistry.h
+++ b/packages/routing/include/auburn/routing/crashregistry.h
@@ -74,6 +74,8 @@
     // Returns the cause because of which a request with these causes is rejected, or nullopt if it
     // may run. A few requests with a single blocked cause run as trials, long after it was blocked.
     std::optional<std::uint64_t> blockedCause(const Causes &causes, TimePoint now);
+    // Returns what blockedCause() would return, and changes nothing.
+    std::optional<std::uint64_t> findBlockedCause(const Causes &causes, TimePoint now) const;
     // True if one of the causes was blocked after the time, so that a request that waited since
     // then must not run any more.
     bool wasBlockedSince(const Causes &causes, TimePoint since) const;
@@ -116,6 +118,15 @@
         TimePoint nextTrialAt;
     };
 
+    // What is blocked of the causes of one request.
+    struct Blocking
+    {
+        Causes causes;
+        // The request may run nevertheless, as a trial.
+        bool allowsTrial = false;
+    };
+
+    Blocking findBlocking(const Causes &causes, TimePoint now) const;
     // Returns the causes that may have caused a crash of a request with these causes.
     Causes suspects(const Causes &causes, TimePoint now) const;
     bool isKnownSound(std::uint64_t cause, TimePoint now) const;
@@ -127,6 +138,7 @@
     static bool hasSucceeded(const Entry &entry);
     // Returns null if there is no entry or it has expired.
     Entry *find(std::uint64_t cause, TimePoint now);
+    const Entry *find(std::uint64_t cause, TimePoint now) const;
     Entry &entryOf(std::uint64_t cause, TimePoint now);
     void addCrashes(std::uint64_t cause, Entry &entry, unsigned crashes, TimePoint now);
     void clear(std::uint64_t cause, Entry &entry);
--- a/packages/routing/include/auburn/routing/explanation.h
+++ b/packages/routing/include/auburn/routing/explanation.h
@@ -38,6 +38,18 @@
     std::string serverId;
     // Why the server is no candidate; empty if it is one.
     std::string_view excluded;
+    // The time until the server accepts requests again; empty unless it is backing off.
+    std::optional<std::chrono::milliseconds> returnsIn;
+    // An attempt there failed or was rejected a moment ago: a candidate at a very high cost.
+    bool isAvoided = false;
+    // As many requests are known there as it has slots: a candidate at the cost of its queue.
+    bool isFull = false;
+    // Age of the server's own load report; empty if there was none.
+    std::optional<std::chrono::milliseconds> reportAge;
+    unsigned slots = 0;
+    // Requests of this daemon, and of all daemons as far as this one knows.
+    unsigned ownRequests = 0;
+    unsigned knownRequests = 0;
     CostParts cost;
     std::uint64_t uncachedTokens = 0;
     // Work time in relation to that of the other servers.
@@ -47,6 +59,7 @@
 struct Explanation
 {
     std::optional<PlacementChoice> choice;
+    // The candidates, then the other servers.
     std::vector<ExplainedServer> servers;
 };
 
--- a/packages/routing/include/auburn/routing/placement.h
+++ b/packages/routing/include/auburn/routing/placement.h
@@ -32,6 +32,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburn::routing {
@@ -142,6 +143,11 @@
     };
 
     Distance distanceTo(const BackendServer &server) const;
+    // Returns what the daemon knows of the server, without the cost.
+    ExplainedServer describe(const BackendServer &server, TimePoint now) const;
+    // Returns why the server is no candidate whatever the request; empty if it is one.
+    static std::string_view exclusion(const ServerDirectory &directory, const BackendServer &server,
+                                      const Service &service, TimePoint now);
     ServerView &view(const std::string &serverId, const Service &service);
     // Returns the view of a server, or an empty one if nothing is known of it.
     const ServerView &findView(const std::string &serverId) const;
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -146,6 +146,8 @@
     std::uint64_t version() const { return data_.version; }
     const TrafficLimits &limits() const { return data_.limits; }
     const std::vector<Service> &services() const { return data_.services; }
+    const std::vector<Route> &routes() const { return data_.routes; }
+    const std::vector<Organisation> &organisations() const { return data_.organisations; }
     // Returns false if there are no organisations.
     bool requiresApiKeys() const { return !data_.organisations.empty(); }
 
--- a/packages/routing/src/crashregistry.cpp
+++ b/packages/routing/src/crashregistry.cpp
@@ -56,6 +56,12 @@
     return found == entries_.end() || isExpired(found->second, now) ? nullptr : &found->second;
 }
 
+const CrashRegistry::Entry *CrashRegistry::find(std::uint64_t cause, TimePoint now) const
+{
+    const auto found = entries_.find(cause);
+    return found == entries_.end() || isExpired(found->second, now) ? nullptr : &found->second;
+}
+
 CrashRegistry::Entry &CrashRegistry::entryOf(std::uint64_t cause, TimePoint now)
 {
     if (entries_.size() >= kMaxEntries) {
@@ -218,27 +224,42 @@
         reportSuccess(report.cause, entry, now);
 }
 
-std::optional<std::uint64_t> CrashRegistry::blockedCause(const Causes &causes, TimePoint now)
+CrashRegistry::Blocking CrashRegistry::findBlocking(const Causes &causes, TimePoint now) const
 {
-    std::optional<std::uint64_t> blocked;
-    Entry *blockedEntry = nullptr;
-    unsigned blockedCount = 0;
+    Blocking blocking;
+    const Entry *last = nullptr;
     for (const std::uint64_t cause : causes) {
-        Entry *entry = find(cause, now);
+        const Entry *entry = find(cause, now);
         if (!entry || !isBlocked(*entry))
             continue;
-        entry->lastUsedAt = now;
-        blocked = cause;
-        blockedEntry = entry;
-        ++blockedCount;
+        blocking.causes.push_back(cause);
+        last = entry;
     }
     // With several blocked causes the result of a trial would tell nothing about each of them.
-    const bool isTrial = blockedCount == 1 && blockedEntry->trials < kMaxTrials
-                         && now >= blockedEntry->nextTrialAt;
-    if (!isTrial)
-        return blocked;
-    scheduleTrial(*blockedEntry, now);
-    return std::nullopt;
+    blocking.allowsTrial = blocking.causes.size() == 1 && last->trials < kMaxTrials
+                           && now >= last->nextTrialAt;
+    return blocking;
+}
+
+std::optional<std::uint64_t> CrashRegistry::findBlockedCause(const Causes &causes,
+                                                             TimePoint now) const
+{
+    const Blocking blocking = findBlocking(causes, now);
+    if (blocking.causes.empty() || blocking.allowsTrial)
+        return std::nullopt;
+    return blocking.causes.back();
+}
+
+std::optional<std::uint64_t> CrashRegistry::blockedCause(const Causes &causes, TimePoint now)
+{
+    const Blocking blocking = findBlocking(causes, now);
+    for (const std::uint64_t cause : blocking.causes)
+        entries_.at(cause).lastUsedAt = now;
+    if (blocking.allowsTrial)
+        scheduleTrial(entries_.at(blocking.causes.front()), now);
+    if (blocking.causes.empty() || blocking.allowsTrial)
+        return std::nullopt;
+    return blocking.causes.back();
 }
 
 bool CrashRegistry::wasBlockedSince(const Causes &causes, TimePoint since) const
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -139,31 +139,54 @@
     const int urgency = result.choice ? result.choice->urgency : query.urgency.onTime;
     for (std::size_t i = 0; i < candidates.all.size(); ++i) {
         const Assessment assessment = assess(candidates, i, location, query, urgency, now);
-        const std::string &id = candidates.all[i].server->id;
-        result.servers.push_back({ .serverId = id,
-                                   .excluded = isExcluded(query, id) ? "excluded_by_query" : "",
-                                   .cost = assessment.cost,
-                                   .uncachedTokens = assessment.uncachedTokens,
-                                   .slowness = assessment.slowness });
-    }
-    for (const std::string &id : directory.ids()) {
-        const BackendServer *server = directory.find(id);
-        if (server->service != service)
-            continue;
-        if (directory.isAvailable(id, now)) {
-            if (leavesTooSoon(*server, *query.service, now))
-                result.servers.push_back({ .serverId = id, .excluded = "leaving" });
-            continue;
-        }
-        const bool waits =
-                directory.availability().returnTime(id, server->startedAtUnixMs, now).has_value();
-        const std::string_view gone = server->state == ServerState::Draining ? "draining"
-                                                                             : "withdrawn";
-        result.servers.push_back({ .serverId = id, .excluded = waits ? "backing_off" : gone });
+        const BackendServer &server = *candidates.all[i].server;
+        ExplainedServer explained = describe(server, now);
+        explained.excluded = isExcluded(query, server.id) ? "excluded_by_query" : "";
+        explained.cost = assessment.cost;
+        explained.uncachedTokens = assessment.uncachedTokens;
+        explained.slowness = assessment.slowness;
+        result.servers.push_back(std::move(explained));
     }
+    directory.visit([&](const BackendServer &server) {
+        const std::string_view reason = server.service == service
+                                                ? exclusion(directory, server, *query.service, now)
+                                                : std::string_view();
+        if (reason.empty())
+            return;
+        ExplainedServer explained = describe(server, now);
+        explained.excluded = reason;
+        const auto returnAt = directory.availability().returnTime(server.id, server.startedAtUnixMs,
+                                                                  now);
+        if (returnAt)
+            explained.returnsIn = std::chrono::ceil<std::chrono::milliseconds>(*returnAt - now);
+        result.servers.push_back(std::move(explained));
+    });
     return result;
 }
 
+ExplainedServer Placement::describe(const BackendServer &server, TimePoint now) const
+{
+    const ServerView &known = findView(server.id);
+    const unsigned knownRequests = known.totalLoad(now).running;
+    return { .serverId = server.id,
+             .isAvoided = known.isAvoided(now),
+             .isFull = knownRequests >= server.slots,
+             .reportAge = known.reportAge(now),
+             .slots = server.slots,
+             .ownRequests = known.ownLoad().running,
+             .knownRequests = knownRequests };
+}
+
+std::string_view Placement::exclusion(const ServerDirectory &directory, const BackendServer &server,
+                                      const Service &service, TimePoint now)
+{
+    if (directory.isAvailable(server.id, now))
+        return leavesTooSoon(server, service, now) ? "leaving" : "";
+    if (directory.availability().returnTime(server.id, server.startedAtUnixMs, now))
+        return "backing_off";
+    return server.state == ServerState::Draining ? "draining" : "withdrawn";
+}
+
 Placement::Candidates Placement::makeCandidates(const std::vector<const BackendServer *> &servers,
                                                 const PlacementQuery &query, TimePoint now) const
 {
--- a/packages/routing/tests/crashregistry_test.cpp
+++ b/packages/routing/tests/crashregistry_test.cpp
@@ -100,6 +100,28 @@
     BOOST_TEST(!isBlocked(7));
 }
 
+// Guards against a query of operators that uses up the trial of a blocked cause or keeps the cause
+// blocked, and against an answer that differs from that for a request.
+BOOST_AUTO_TEST_CASE(findBlockedCause_anyNumberOfTimes_leavesTheTrialToARequest)
+{
+    for (unsigned i = 0; i < kCrashLimit; ++i)
+        registry.recordCrash({ 7 }, now);
+    const CrashRegistry &constRegistry = registry;
+    BOOST_TEST((constRegistry.findBlockedCause({ 8, 7 }, now) == std::optional<std::uint64_t>(7)));
+    BOOST_TEST(isBlocked(7));
+    now += seconds(60);
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(!constRegistry.findBlockedCause({ 7 }, now).has_value());
+    BOOST_TEST(!isBlocked(7));
+    BOOST_TEST(constRegistry.findBlockedCause({ 7 }, now).has_value());
+    // Queries do not count as uses, which would keep the entry for longer.
+    now += minutes(9);
+    BOOST_TEST(!constRegistry.findBlockedCause({ 7 }, now).has_value());
+    BOOST_TEST(registry.crashes(7, now) == kCrashLimit);
+    now += minutes(2);
+    BOOST_TEST(registry.crashes(7, now) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -424,6 +424,49 @@
     }
 }
 
+// Guards against a server that gets no requests, or fewer, for a reason that operators are not
+// told.
+BOOST_AUTO_TEST_CASE(explanation_serversInEachState_namesTheReason)
+{
+    for (int i = 3; i < 7; ++i)
+        add("desk-" + std::to_string(i), "desk", "a", 2);
+    BackendServer draining = *directory.find("desk-1");
+    draining.state = ServerState::Draining;
+    directory.update(draining, ++position);
+    directory.withdraw("desk-2");
+    directory.backOff("desk-3", now + milliseconds(900), now);
+    BackendServer leaving = *directory.find("desk-4");
+    leaving.leavesAt = now + milliseconds(100);
+    directory.update(leaving, ++position);
+    std::set<std::string> used;
+    for (int i = 0; i < 7; ++i)
+        used.insert(start(placement, order()).serverId);
+    const std::set<std::string> usable{ "desk-0", "desk-5", "desk-6" };
+    BOOST_TEST(used == usable, boost::test_tools::per_element());
+    const PlacementChoice rejecting{ .serverId = "desk-5", .address = "desk-5:80" };
+    placement.attemptEnded(rejecting, false, AttemptOutcome::Rejected, now);
+    placement.recordLoadReport("desk-6", { .running = 2, .slots = 2 }, now);
+    std::map<std::string, ExplainedServer> servers;
+    for (const ExplainedServer &server :
+         placement.explain(directory, order(), now + milliseconds(30)).servers)
+        servers[server.serverId] = server;
+    BOOST_REQUIRE(servers.size() == 7U);
+    BOOST_TEST(servers["desk-1"].excluded == "draining");
+    BOOST_TEST(servers["desk-2"].excluded == "withdrawn");
+    BOOST_TEST(servers["desk-3"].excluded == "backing_off");
+    BOOST_TEST(servers["desk-3"].returnsIn->count() == 870);
+    BOOST_TEST(servers["desk-4"].excluded == "leaving");
+    BOOST_TEST(servers["desk-5"].isAvoided);
+    BOOST_TEST(!servers["desk-6"].isAvoided);
+    BOOST_TEST(servers["desk-6"].reportAge->count() == 30);
+    BOOST_TEST(!servers["desk-0"].reportAge.has_value());
+    for (const std::string &id : usable) {
+        BOOST_TEST(servers[id].excluded.empty());
+        BOOST_TEST(servers[id].ownRequests == placement.ownLoads()[id].running);
+        BOOST_TEST(servers[id].isFull == (servers[id].knownRequests >= servers[id].slots));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
