--- a/packages/duties/include/auburn/duties/lease.h
+++ b/packages/duties/include/auburn/duties/lease.h
@@ -76,6 +76,9 @@
     std::chrono::milliseconds timeLeft() const;
     // The newest holder that this daemon knows; its token is 0 if it knows none.
     const DutyHolder &newestHolder() const { return newest_; }
+    // Time since this daemon learned of the newest renewal, its own included; empty if it knows no
+    // holder.
+    std::optional<std::chrono::milliseconds> newestAge() const;
     // Number of renewals that succeeded since the start.
     std::uint64_t renewals() const { return renewals_; }
 
--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -288,6 +288,13 @@
     reportHeld();
 }
 
+std::optional<milliseconds> Lease::newestAge() const
+{
+    if (newest_.token == 0)
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(options_.now() - learnedAt_);
+}
+
 bool Lease::learn(const DutyHolder &holder)
 {
     if (!isNewer(holder, newest_))
--- a/packages/scaling/include/auburn/scaling/autoscaler.h
+++ b/packages/scaling/include/auburn/scaling/autoscaler.h
@@ -15,11 +15,13 @@
 #include "auburn/routing/trafficconfig.h"
 #include "auburn/scaling/demandtable.h"
 #include "auburn/scaling/fleetplanner.h"
+#include "auburn/scaling/groupstatus.h"
 #include "auburn/scaling/orderbook.h"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace auburn::scaling {
 
@@ -48,6 +50,8 @@
     void recordReport(const proto::DemandReport &report, TimePoint now);
     // Plans and orders. To be called about every 200 ms; liveDaemons includes this daemon.
     void tick(unsigned liveDaemons, TimePoint now);
+    // Returns all groups that have servers or orders; only meaningful while the permit is held.
+    std::vector<GroupStatus> groups(TimePoint now) const;
 
 private:
     FleetState observeFleet(unsigned liveDaemons, TimePoint now) const;
--- a/packages/scaling/include/auburn/scaling/fleetstate.h
+++ b/packages/scaling/include/auburn/scaling/fleetstate.h
@@ -64,6 +64,9 @@
     std::set<ServerGroup> unanswered;
 };
 
+// Returns the listed servers of each group.
+std::map<ServerGroup, unsigned> listedServers(const FleetState &state);
+
 enum class OrderReason {
     // Fewer servers run, or are starting, than are needed.
     Shortage,
--- a/packages/scaling/include/auburn/scaling/orderbook.h
+++ b/packages/scaling/include/auburn/scaling/orderbook.h
@@ -11,6 +11,7 @@
 #include "auburn/duties/dutyapi.h"
 #include "auburn/duties/dutypermit.h"
 #include "auburn/scaling/fleetstate.h"
+#include "auburn/scaling/groupstatus.h"
 #include "auburn/scaling/slidingmaximum.h"
 
 #include <cstdint>
@@ -43,6 +44,8 @@
     std::set<ServerGroup> unavailable(TimePoint now) const;
     // Returns the groups of spot servers with an order that has waited long for its answer.
     std::set<ServerGroup> unanswered(TimePoint now) const;
+    // Returns the last order of each group for which one was sent.
+    std::map<ServerGroup, LastOrder> lastOrders(TimePoint now) const;
     // Forgets everything; called when this daemon holds the duties under a new token.
     void reset();
 
@@ -53,12 +56,20 @@
         unsigned desired = 0;
         TimePoint sentAt;
     };
+    struct SentOrder
+    {
+        // Its age is not kept.
+        LastOrder order;
+        TimePoint sentAt;
+    };
     struct Entry
     {
         // The last call that the platform accepted.
         std::optional<Call> accepted;
         // The call that has not been answered.
         std::optional<Call> call;
+        // For operators; not needed for any decision.
+        std::optional<SentOrder> lastSent;
         unsigned failures = 0;
         TimePoint retryAt;
         TimePoint unavailableUntil;
--- a/packages/scaling/src/autoscaler.cpp
+++ b/packages/scaling/src/autoscaler.cpp
@@ -32,6 +32,19 @@
 
 } // namespace
 
+std::map<ServerGroup, unsigned> listedServers(const FleetState &state)
+{
+    std::map<ServerGroup, unsigned> listed;
+    for (const ServiceState &service : state.services) {
+        for (const auto &[domain, servers] : service.domains) {
+            listed[{ .service = service.name, .failureDomain = domain }] = servers.onDemand;
+            listed[{ .service = service.name, .failureDomain = domain, .spot = true }] =
+                    servers.spot;
+        }
+    }
+    return listed;
+}
+
 Autoscaler::Autoscaler(Options options)
     : options_(options)
     , planner_(options_.planner)
@@ -66,6 +79,24 @@
         metrics_->setNeeded(service.name, planner_.neededServers(service.name));
 }
 
+std::vector<GroupStatus> Autoscaler::groups(TimePoint now) const
+{
+    if (!*options_.config)
+        return {};
+    std::map<ServerGroup, GroupStatus> groups;
+    // Whether the demand is known completely does not matter for what is listed.
+    for (const auto &[group, servers] : listedServers(observeFleet(1, now)))
+        groups[group].listed = servers;
+    for (const auto &[group, order] : book_.lastOrders(now))
+        groups[group].order = order;
+    std::vector<GroupStatus> result;
+    for (auto &[group, status] : groups) {
+        status.group = group;
+        result.push_back(std::move(status));
+    }
+    return result;
+}
+
 FleetState Autoscaler::observeFleet(unsigned liveDaemons, TimePoint now) const
 {
     std::map<std::string, ServiceState> services = scaledServices(**options_.config);
--- a/packages/scaling/src/orderbook.cpp
+++ b/packages/scaling/src/orderbook.cpp
@@ -42,6 +42,13 @@
     return difference(left) > difference(right);
 }
 
+OrderResult orderResult(CallStatus status)
+{
+    if (status == CallStatus::Accepted)
+        return OrderResult::Accepted;
+    return status == CallStatus::NoneAvailable ? OrderResult::NoneAvailable : OrderResult::Failed;
+}
+
 std::string_view kindName(bool spot)
 {
     return spot ? "spot" : "on_demand";
@@ -49,6 +56,21 @@
 
 } // namespace
 
+std::string_view orderResultName(OrderResult result)
+{
+    switch (result) {
+    case OrderResult::Unanswered:
+        return "unanswered";
+    case OrderResult::Accepted:
+        return "accepted";
+    case OrderResult::NoneAvailable:
+        return "none_available";
+    case OrderResult::Failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 OrderBook::OrderBook(Options options)
     : options_(options)
     , answers_(std::make_shared<std::vector<Answer>>())
@@ -104,6 +126,8 @@
 {
     const duties::ServerOrder &order = planned.order;
     entry.call = Call{ .number = nextNumber_++, .desired = order.desired, .sentAt = now };
+    entry.lastSent = SentOrder{ .order = { .desired = order.desired, .reason = planned.reason },
+                                .sentAt = now };
     logEvent(LogLevel::Info, "servers_ordered",
              { { "service", order.service },
                { "failure_domain", order.failureDomain },
@@ -138,6 +162,7 @@
         return;
     Entry &entry = found->second;
     const Call call = *std::exchange(entry.call, std::nullopt);
+    entry.lastSent->order.result = orderResult(answer.status);
     if (options_.metrics)
         options_.metrics
                 ->counter("auburn_scaling_orders_total", "Orders of servers by result",
@@ -186,4 +211,16 @@
     return groups;
 }
 
+std::map<ServerGroup, LastOrder> OrderBook::lastOrders(TimePoint now) const
+{
+    std::map<ServerGroup, LastOrder> orders;
+    for (const auto &[group, entry] : entries_) {
+        if (!entry.lastSent)
+            continue;
+        LastOrder &order = orders.emplace(group, entry.lastSent->order).first->second;
+        order.age = std::chrono::duration_cast<milliseconds>(now - entry.lastSent->sentAt);
+    }
+    return orders;
+}
+
 } // namespace auburn::scaling
--- a/packages/scaling/src/scalingmetrics.cpp
+++ b/packages/scaling/src/scalingmetrics.cpp
@@ -35,14 +35,7 @@
                   .failureDomain = order.failureDomain,
                   .spot = order.spot }] = order.desired;
     }
-    std::map<ServerGroup, unsigned> listed;
-    for (const ServiceState &service : state.services) {
-        for (const auto &[domain, servers] : service.domains) {
-            listed[{ .service = service.name, .failureDomain = domain }] = servers.onDemand;
-            listed[{ .service = service.name, .failureDomain = domain, .spot = true }] =
-                    servers.spot;
-        }
-    }
+    std::map<ServerGroup, unsigned> listed = listedServers(state);
     // Groups whose last server has gone are shown with 0.
     for (const auto &[group, servers] : listed)
         groups_.insert(group);
--- a/packages/scaling/tests/orderbook_test.cpp
+++ b/packages/scaling/tests/orderbook_test.cpp
@@ -144,6 +144,34 @@
     BOOST_TEST(sent.size() == 13U);
 }
 
+// Guards against an order that operators are shown as accepted although the platform refused it, or
+// with the reason of another one.
+BOOST_AUTO_TEST_CASE(lastOrders_eachAnswer_showsWhatBecameOfTheOrder)
+{
+    const ServerGroup group{ .service = "e", .failureDomain = "d", .spot = true };
+    BOOST_TEST(book.lastOrders(now).empty());
+    update({ order(5) }, 0);
+    update({ order(5) }, 200);
+    LastOrder last = book.lastOrders(now).at(group);
+    BOOST_TEST(last.desired == 5U);
+    BOOST_TEST(last.age.count() == 200);
+    BOOST_CHECK(last.reason == OrderReason::Shortage);
+    BOOST_CHECK(last.result == OrderResult::Unanswered);
+    answer(CallStatus::NoneAvailable);
+    update({}, 200);
+    BOOST_CHECK(book.lastOrders(now).at(group).result == OrderResult::NoneAvailable);
+    update({ order(3, "d", OrderReason::Surplus) }, 6000);
+    answer(CallStatus::Accepted);
+    update({}, 300);
+    last = book.lastOrders(now).at(group);
+    BOOST_TEST(last.desired == 3U);
+    BOOST_TEST(last.age.count() == 300);
+    BOOST_CHECK(last.reason == OrderReason::Surplus);
+    BOOST_CHECK(last.result == OrderResult::Accepted);
+    book.reset();
+    BOOST_TEST(book.lastOrders(now).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::scaling
--- a/packages/usage/include/auburn/usage/usagecollector.h
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -15,6 +15,7 @@
 #include "auburn/duties/dutypermit.h"
 #include "auburn/usage/fleetclock.h"
 #include "auburn/usage/livedaemon.h"
+#include "auburn/usage/reportstatus.h"
 #include "auburn/usage/usagereporter.h"
 #include "auburn/usage/usagewindow.h"
 
@@ -65,6 +66,8 @@
     // Performs what is due; to be called about every 100 ms on every daemon. The live daemons,
     // this one included, are those whose reports a window waits for.
     void tick(TimePoint now, const std::vector<LiveDaemon> &live);
+    // Returns what this daemon has reported; only meaningful while it holds the duties.
+    ReportStatus status(TimePoint now) const;
 
 private:
     class State;
--- a/packages/usage/include/auburn/usage/usagemetering.h
+++ b/packages/usage/include/auburn/usage/usagemetering.h
@@ -13,6 +13,7 @@
 #include "auburn/duties/dutypermit.h"
 #include "auburn/usage/fleetclock.h"
 #include "auburn/usage/livedaemon.h"
+#include "auburn/usage/reportstatus.h"
 #include "auburn/usage/usagecollector.h"
 #include "auburn/usage/usageledger.h"
 #include "auburn/usage/usagereporter.h"
@@ -70,6 +71,8 @@
     void handleDatagram(const proto::PeerDatagram &datagram, const std::string &sender,
                         TimePoint now);
     void tick(std::chrono::milliseconds wallClock, TimePoint now);
+    // Returns what this daemon has reported; only meaningful while it holds the duties.
+    ReportStatus reportStatus(TimePoint now) const { return collector_.status(now); }
     // Reports everything at once, before the process ends.
     void flush(TimePoint now);
 
--- a/packages/usage/src/figuresender.cpp
+++ b/packages/usage/src/figuresender.cpp
@@ -43,6 +43,17 @@
     retry_.reset();
 }
 
+ReportStatus FigureSender::status(TimePoint now) const
+{
+    ReportStatus status{ .newest = newestReported_, .waitingWindows = queue_.size() };
+    if (status.newest)
+        status.newest->age = clock_.unixTime(now)
+                             - windowEnd(status.newest->window, options_.windowLength);
+    for (const auto &[window, queued] : queue_)
+        status.waitingFailures += queued.failures;
+    return status;
+}
+
 bool FigureSender::isExpired(std::uint64_t window, TimePoint now) const
 {
     return clock_.unixTime(now) - windowEnd(window, options_.windowLength) > kReportLimit;
@@ -104,7 +115,8 @@
 void FigureSender::recordReported(std::uint64_t window, unsigned failures)
 {
     const milliseconds end = windowEnd(window, options_.windowLength);
-    newestReported_ = std::max(newestReported_, window);
+    if (!newestReported_ || window >= newestReported_->window)
+        newestReported_ = ReportedWindow{ .window = window, .failures = failures };
     logEvent(LogLevel::Info, "usage_window_reported",
              { { "window", static_cast<long long>(window) },
                { "age_ms", static_cast<long long>((clock_.unixTime(now_) - end).count()) },
@@ -115,7 +127,8 @@
             ->counter("auburn_usage_windows_reported_total",
                       "Usage reports that the platform accepted, repetitions included")
             .add();
-    const std::chrono::duration<double> newest = windowEnd(newestReported_, options_.windowLength);
+    const std::chrono::duration<double> newest = windowEnd(newestReported_->window,
+                                                           options_.windowLength);
     options_.metrics
             ->gauge("auburn_usage_newest_reported_seconds",
                     "End of the newest usage window that this daemon reported, since the epoch")
--- a/packages/usage/src/figuresender.h
+++ b/packages/usage/src/figuresender.h
@@ -11,11 +11,13 @@
 #include "auburn/core/metrics.h"
 #include "auburn/duties/dutyapi.h"
 #include "auburn/usage/fleetclock.h"
+#include "auburn/usage/reportstatus.h"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace auburn::usage {
 
@@ -40,6 +42,7 @@
     void clear();
     // Sends what is due; to be called about every 100 ms while the permit is held.
     void tick(TimePoint now);
+    ReportStatus status(TimePoint now) const;
 
 private:
     struct QueuedFigure
@@ -63,7 +66,8 @@
     RetryDelay retry_;
     // Time of the last tick.
     TimePoint now_;
-    std::uint64_t newestReported_ = 0;
+    // The newest window that the platform accepted; its age is not kept. Empty if there was none.
+    std::optional<ReportedWindow> newestReported_;
     // Calls that end after the destruction see that it has expired.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -87,6 +87,8 @@
         options_.send(sender, datagram);
     }
 
+    ReportStatus status(TimePoint now) const { return sender_.status(now); }
+
     void setHolder(const duties::DutyHolder &holder, TimePoint now)
     {
         forwarder_.setHolder(holder, now);
@@ -290,4 +292,9 @@
     state_->tick(now, live);
 }
 
+ReportStatus UsageCollector::status(TimePoint now) const
+{
+    return state_->status(now);
+}
+
 } // namespace auburn::usage
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -374,6 +374,30 @@
     BOOST_TEST(reported(first)["huka0"] == 2U);
 }
 
+// Guards against operators who are shown an old window, or none, or no failures.
+BOOST_AUTO_TEST_CASE(reportStatus_platformRejectsCalls_showsTheNewestWindowAndTheFailures)
+{
+    const auto status = [this] { return daemons.at("a")->metering.reportStatus(now); };
+    BOOST_TEST(!daemons.at("b")->metering.reportStatus(now).newest.has_value());
+    runToWindow(first + 1, seconds(2));
+    BOOST_REQUIRE(status().newest.has_value());
+    BOOST_TEST(status().newest->window == first);
+    BOOST_TEST(status().newest->age.count() == 2000);
+    BOOST_TEST(status().newest->failures == 0U);
+    BOOST_TEST(status().waitingWindows == 0U);
+    api.status = duties::CallStatus::RateLimited;
+    runToWindow(first + 2, seconds(3));
+    BOOST_TEST(status().newest->window == first);
+    BOOST_TEST(status().waitingWindows == 1U);
+    BOOST_TEST(status().waitingFailures >= 2U);
+    const unsigned failures = status().waitingFailures;
+    api.status = duties::CallStatus::Accepted;
+    run(seconds(3));
+    BOOST_TEST(status().newest->window == first + 1);
+    BOOST_TEST(status().newest->failures >= failures);
+    BOOST_TEST(status().waitingWindows == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::usage
