auburnctl: commands duties and explain

Cause: operators had to read /explain with curl, and auburnctl could not talk to the metrics port. HttpClient limits the body of a response to a given size and tells a malformed or too large response from one that did not arrive, for the exit codes.

--- a/packages/ctl/src/ctlprogram.cpp
+++ b/packages/ctl/src/ctlprogram.cpp
@@ -1,11 +1,14 @@
 #include "auburn/ctl/ctlprogram.h"
 
+#include "statusprogram.h"
+
 #include "auburn/core/hash.h"
 #include "auburn/ctl/commandparser.h"
 #include "auburn/ctl/duration.h"
 #include "auburn/ctl/operatorclient.h"
 #include "auburn/ctl/options.h"
 #include "auburn/ctl/replyformat.h"
+#include "auburn/ctl/statuscommand.h"
 
 #include <array>
 #include <iostream>
@@ -22,6 +25,8 @@
 struct Options
 {
     OperatorClientOptions client;
+    // IP:PORT of a daemon's metrics port.
+    std::string status;
     bool json = false;
     bool wait = false;
     std::vector<std::string> words;
@@ -39,12 +44,20 @@
         : environment_(environment)
         , commandLine_(
                   "Operators' tool of auburnworks. Commands: show, set, unset, drain, undrain, "
-                  "keygen, hash-token. Every option can also be set by an environment "
-                  "variable: AUBURN_CTL_ and the option's name, for example "
-                  "AUBURN_CTL_SERVER_KEY.",
+                  "keygen, hash-token; duties and explain, which need only --status. Every option "
+                  "can also be set by an environment variable: AUBURN_CTL_ and the option's name, "
+                  "for "
+                  "example AUBURN_CTL_SERVER_KEY.\n"
+                  "duties: who performs the duties, and on that daemon the usage reports and the "
+                  "ordered servers.\n"
+                  "explain SERVICE [prompt ID:TOKENS,...] [urgency N] [stream] [deadline MS] "
+                  "[organisation NAME]: where the daemon would send a request now, and why. Ids "
+                  "are decimal, or hexadecimal with the prefix 0x.",
                   ' ', kVersion)
         , endpoint_("e", "endpoint", "Operators' endpoint of a daemon.", false, "", "tcp://IP:PORT",
                     commandLine_)
+        , status_("s", "status", "Metrics port of a daemon, for duties and explain.", false, "",
+                  "IP:PORT", commandLine_)
         , serverKey_("", "server-key", "The fleet's public key.", false, "", "Z85", commandLine_)
         , publicKey_("", "public-key", "The operator's public key.", false, "", "Z85", commandLine_)
         , secretKey_("", "secret-key",
@@ -63,7 +76,7 @@
     Options parse(std::vector<std::string> arguments)
     {
         arguments = splitAssignments(arguments, { "endpoint", "server-key", "public-key",
-                                                  "secret-key", "output", "timeout" });
+                                                  "secret-key", "output", "timeout", "status" });
         arguments.insert(arguments.begin(), "auburnctl");
         commandLine_.parse(arguments);
         Options options;
@@ -72,6 +85,7 @@
         options.client.publicKey = value(publicKey_, "PUBLIC_KEY");
         options.client.secretKey = value(secretKey_, "SECRET_KEY");
         options.client.timeout = timeout(value(timeout_, "TIMEOUT"));
+        options.status = value(status_, "STATUS");
         options.json = isJson(value(output_, "OUTPUT"));
         options.wait = wait_.getValue() || isTrue(environment_.variable("AUBURN_CTL_WAIT"));
         options.words = words_.getValue();
@@ -111,6 +125,7 @@
     const CtlEnvironment &environment_;
     TCLAP::CmdLine commandLine_;
     TCLAP::ValueArg<std::string> endpoint_;
+    TCLAP::ValueArg<std::string> status_;
     TCLAP::ValueArg<std::string> serverKey_;
     TCLAP::ValueArg<std::string> publicKey_;
     TCLAP::ValueArg<std::string> secretKey_;
@@ -288,6 +303,11 @@
         return generateKeys(environment);
     if (single && options.words.front() == "hash-token")
         return hashToken(environment);
+    if (isStatusCommand(options.words))
+        return runStatusCommand(environment, { .address = options.status,
+                                               .timeout = options.client.timeout,
+                                               .json = options.json,
+                                               .words = options.words });
     return CommandRun(environment, std::move(options)).run();
 }
 
--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -24,6 +25,8 @@
     std::string error;
     // True if no byte of the request was sent.
     bool notSent = false;
+    // True if a response arrived that is malformed or too large.
+    bool isInvalid = false;
 
     bool isSuccess() const { return status == 200; }
 };
@@ -55,8 +58,12 @@
     // Identifies a call of this client.
     using CallId = std::uint64_t;
 
+    // Longer bodies of responses than this are not read.
+    static constexpr std::size_t kDefaultMaxResponseBytes = std::size_t{ 8 } * 1024 * 1024;
+
     // The address is IP:PORT.
-    HttpClient(boost::asio::io_context &io, std::string address);
+    HttpClient(boost::asio::io_context &io, std::string address,
+               std::size_t maxResponseBytes = kDefaultMaxResponseBytes);
     ~HttpClient();
 
     // The timeout covers the entire call, including connecting.
@@ -82,6 +89,7 @@
 
     boost::asio::io_context &io_;
     const std::string address_;
+    const std::size_t maxResponseBytes_;
     std::uint64_t calls_ = 0;
     std::vector<std::shared_ptr<Call>> activeCalls_;
     std::vector<std::shared_ptr<OutboundConnection>> idleConnections_;
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr milliseconds kConnectTimeout{ 1000 };
-constexpr std::size_t kMaxResponseBytes = std::size_t{ 8 } * 1024 * 1024;
 
 } // namespace
 
@@ -45,7 +44,7 @@
             connection_->abort();
         else
             connection_->close();
-        finish(HttpResponse{ .error = reason, .notSent = notSent });
+        finish(HttpResponse{ .error = reason, .notSent = notSent, .isInvalid = isTooLarge_ });
     }
 
     CallId id() const { return id_; }
@@ -65,8 +64,10 @@
     {
         for (const std::string_view bytes : data)
             response_.body.append(bytes);
-        if (response_.body.size() > kMaxResponseBytes)
+        if (response_.body.size() > client_.maxResponseBytes_) {
+            isTooLarge_ = true;
             fail("the response is too large");
+        }
     }
 
     void callEnded(const CallResult &result) override
@@ -77,7 +78,8 @@
         else
             finish(HttpResponse{ .error = result.error,
                                  .notSent = result.outcome == CallOutcome::ConnectFailed
-                                            || result.outcome == CallOutcome::NotSent });
+                                            || result.outcome == CallOutcome::NotSent,
+                                 .isInvalid = result.outcome == CallOutcome::Invalid });
     }
 
 private:
@@ -98,11 +100,14 @@
     std::shared_ptr<OutboundConnection> connection_;
     HttpResponse response_;
     bool abortsOnTimeout_ = false;
+    bool isTooLarge_ = false;
 };
 
-HttpClient::HttpClient(boost::asio::io_context &io, std::string address)
+HttpClient::HttpClient(boost::asio::io_context &io, std::string address,
+                       std::size_t maxResponseBytes)
     : io_(io)
     , address_(std::move(address))
+    , maxResponseBytes_(maxResponseBytes)
 {}
 
 HttpClient::~HttpClient()
