--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -467,6 +467,34 @@
     }
 }
 
+// Guards against an explanation that uses up the probes of a slow server, or that judges speeds
+// differently from the decision.
+BOOST_AUTO_TEST_CASE(explanation_serversWithLearnedSpeeds_namesTheChoiceAndChangesNothing)
+{
+    Placement unexplained = makePlacement();
+    unsigned probes = 0;
+    for (unsigned i = 0; i < 200; ++i) {
+        const Explanation explanation = placement.explain(directory, order(), now);
+        const PlacementChoice chosen = start(placement, order());
+        BOOST_REQUIRE(explanation.choice);
+        BOOST_TEST(explanation.choice->serverId == chosen.serverId);
+        BOOST_TEST(explanation.choice->isProbe == chosen.isProbe);
+        probes += chosen.isProbe ? 1 : 0;
+        const PlacementChoice other = start(unexplained, order());
+        BOOST_TEST(other.serverId == chosen.serverId);
+        BOOST_TEST(other.isProbe == chosen.isProbe);
+        now += milliseconds(40);
+        const bool isSlow = chosen.serverId == "desk-0";
+        for (Placement *daemon : { &placement, &unexplained }) {
+            daemon->recordLoadReport(
+                    chosen.serverId,
+                    { .running = 1, .slots = 6, .workTimePercent = isSlow ? 400U : 100U }, now);
+            daemon->attemptEnded(chosen, false, AttemptOutcome::Succeeded, now);
+        }
+    }
+    BOOST_TEST(probes > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
