Explanation: the test also compares the urgency of the choice

Cause: an explanation that always takes the late urgency passed the test. Change: the test compares the urgency as well; it is otherwise as before.

--- a/packages/routing/tests/placement_test.cpp
+++ b/packages/routing/tests/placement_test.cpp
@@ -411,6 +411,7 @@
         const PlacementChoice chosen = start(placement, query);
         BOOST_REQUIRE(explanation.choice);
         BOOST_TEST(explanation.choice->serverId == chosen.serverId);
+        BOOST_TEST(explanation.choice->urgency == chosen.urgency);
         BOOST_TEST(explanation.servers.size() == 12U);
         BOOST_TEST(start(unexplained, query).serverId == chosen.serverId);
         const auto lowest = std::min_element(
