--- a/tests/standins/faultproxy/route.cpp
+++ b/tests/standins/faultproxy/route.cpp
@@ -75,7 +75,7 @@
 std::shared_ptr<Route> Route::make(boost::asio::io_context &context, RouteOptions options)
 {
     std::shared_ptr<Route> route(new Route(context, std::move(options)));
-    if (!route->listen())
+    if (!route->bind(route->options_.listen) || !route->listen())
         return nullptr;
     route->accept();
     return route;
@@ -88,25 +88,50 @@
     state_->target = options_.target;
 }
 
-bool Route::listen()
+bool Route::bind(const Tcp::endpoint &endpoint)
 {
     Error error;
-    acceptor_.open(options_.listen.protocol(), error);
+    acceptor_.open(endpoint.protocol(), error);
     if (!error)
         acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
     if (!error)
-        acceptor_.bind(options_.listen, error);
-    if (!error)
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+        acceptor_.bind(endpoint, error);
     if (error)
-        setLastError("cannot listen on " + endpointText(options_.listen) + ": " + error.message());
+        setLastError("cannot listen on " + endpointText(endpoint) + ": " + error.message());
     return !error;
 }
 
+bool Route::listen()
+{
+    Error error;
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        setLastError("cannot listen on " + endpointText(options_.listen) + ": " + error.message());
+    listening_ = !error;
+    return listening_;
+}
+
+bool Route::setListening(bool listening)
+{
+    if (listening == listening_)
+        return true;
+    if (listening) {
+        if (!listen())
+            return false;
+        accept();
+        return true;
+    }
+    listening_ = false;
+    const Tcp::endpoint endpoint = acceptor_.local_endpoint();
+    Error ignored;
+    acceptor_.close(ignored);
+    return bind(endpoint);
+}
+
 void Route::accept()
 {
     acceptor_.async_accept([self = shared_from_this()](const Error &error, Tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
+        if (error == boost::asio::error::operation_aborted || !self->listening_)
             return;
         if (!error)
             self->add(std::move(socket));
--- a/tests/standins/faultproxy/route.h
+++ b/tests/standins/faultproxy/route.h
@@ -44,6 +44,9 @@
     void setFaults(const Faults &faults);
     const RouteState &state() const { return *state_; }
     void closeConnections(bool reset);
+    // Stops or resumes listening. Meanwhile the kernel refuses connections, and the port stays
+    // bound. False with lastError() set on failure.
+    bool setListening(bool listening);
     // Existing connections become silent for good; new ones work.
     void silenceConnections();
     std::size_t openConnections();
@@ -53,12 +56,15 @@
     Route(boost::asio::io_context &context, RouteOptions options);
 
     bool listen();
+    // Binds the address without listening.
+    bool bind(const Tcp::endpoint &endpoint);
     void accept();
     void add(Tcp::socket socket);
     void forgetClosed();
 
     RouteOptions options_;
     Tcp::acceptor acceptor_;
+    bool listening_ = false;
     std::shared_ptr<RouteState> state_ = std::make_shared<RouteState>();
     std::vector<std::shared_ptr<Connection>> connections_;
 };
