--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -7,6 +7,8 @@
 
 #include <csignal>
 #include <fstream>
+#include <limits>
+#include <linux/close_range.h>
 #include <sstream>
 #include <sys/prctl.h>
 #include <thread>
@@ -50,6 +52,12 @@
     return lines;
 }
 
+// Only marks the descriptors, because Boost.Process needs some of them until exec.
+void closeOnExec()
+{
+    close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), CLOSE_RANGE_CLOEXEC);
+}
+
 } // namespace
 
 struct ChildProcess::Impl
@@ -69,7 +77,11 @@
     process->impl_->child = bp::child(
             bp::exe = programFolder() + "/" + o.program, bp::args = o.arguments, environment,
             bp::std_in<bp::null, (bp::std_out & bp::std_err)> process->logPath_, error,
-            bp::extend::on_exec_setup = [](auto &) { prctl(PR_SET_PDEATHSIG, SIGKILL); });
+            bp::extend::on_exec_setup = [inherits = o.inheritsDescriptors](auto &) {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                if (!inherits)
+                    closeOnExec();
+            });
     if (error) {
         setLastError("cannot start " + o.program + ": " + error.message());
         return nullptr;
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -24,6 +24,9 @@
         std::map<std::string, std::string> environment;
         // Folder for NAME.log, which gets standard output and standard error.
         std::string logFolder;
+        // False closes the sockets and files of the starting process in the child. Otherwise a
+        // connection that the starting process closes stays open until the child ends.
+        bool inheritsDescriptors = true;
     };
 
     // Null with lastError() set if the program cannot be started. Call it from the main thread
