--- a/tests/standins/faultproxy/faultproxy_test.cpp
+++ b/tests/standins/faultproxy/faultproxy_test.cpp
@@ -274,6 +274,25 @@
     BOOST_TEST(other->state().faults.refuse);
 }
 
+// Guards against a proxy that accepts connections while it should refuse them, or never listens
+// again.
+BOOST_AUTO_TEST_CASE(setListening_offAndOn_refusesAndServes)
+{
+    const auto client = connect();
+    BOOST_TEST(echoes(*client, "x"));
+    const Tcp::endpoint endpoint = route->listenEndpoint();
+    BOOST_TEST(route->setListening(false));
+    boost::system::error_code error;
+    Tcp::socket socket(context);
+    socket.connect(endpoint, error);
+    BOOST_TEST((error == asio::error::connection_refused));
+    BOOST_TEST(echoes(*client, "y"));
+    BOOST_TEST(route->setListening(true));
+    BOOST_TEST((route->listenEndpoint() == endpoint));
+    const auto next = connect();
+    BOOST_TEST(echoes(*next, "z"));
+}
+
 // Guards against a bandwidth limit that passes a burst at once.
 BOOST_AUTO_TEST_CASE(bandwidth_low_holdsBytesBack)
 {
