--- a/packages/gateway/tests/attemptresponse_test.cpp
+++ b/packages/gateway/tests/attemptresponse_test.cpp
@@ -29,6 +29,17 @@
     }
 }
 
+// Guards against a server that counts as idle, or as fast, because its load cannot be read.
+BOOST_AUTO_TEST_CASE(loadReport_unparsable_isIgnored)
+{
+    for (const char *text : { "", "x", "3", "3,1", "3,1,", "x,1,8", "3,x,8", "3,1,x", ",1,8",
+                              "3,,8", "-3,1,8", "3,-1,8", "3,1,-8", "3,1,99999999999" })
+        BOOST_TEST(!parseLoadReport(text), text);
+    const auto report = parseLoadReport("3,1,8;250");
+    BOOST_REQUIRE(report);
+    BOOST_TEST(!report->workTimePercent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
--- a/packages/gateway/tests/untrustedcallers_test.cpp
+++ b/packages/gateway/tests/untrustedcallers_test.cpp
@@ -148,6 +148,31 @@
     BOOST_TEST(statusOf(exchange(request("POST", "/order/x", {}, body))) == 200);
 }
 
+// Guards against callers that keep the memory of their bodies by sending a few bytes each round.
+BOOST_AUTO_TEST_CASE(bodiesInSingleBytes_underMemoryPressure_countAsStalled)
+{
+    restart(2 * kMegabyte);
+    setLimits(16384, kMegabyte);
+    ScriptedServer &desk = addServer("d1", "desk", echoLength);
+    std::vector<ScriptedClient> trickling;
+    for (int i = 0; i < 12; ++i) {
+        trickling.emplace_back(io, address);
+        trickling.back().send(chunkedRequest() + chunk(std::string(100000, 'b')));
+    }
+    wait(milliseconds(200));
+    BOOST_TEST(gateway->heldBytes() > memoryLimit / 100 * 60);
+    const auto relieved = [this] { return gateway->heldBytes() <= memoryLimit / 100 * 60; };
+    for (int i = 0; i < 60 && !relieved(); ++i) {
+        for (ScriptedClient &client : trickling) {
+            if (!client.isClosed() && client.received().empty())
+                client.send(chunk("b"));
+        }
+        wait(milliseconds(50));
+    }
+    BOOST_TEST(relieved());
+    BOOST_TEST(desk.requests().empty());
+}
+
 // Guards against a crowd of idle connections that keeps a new caller out.
 BOOST_AUTO_TEST_CASE(newCaller_allConnectionsIdle_displacesTheOldest)
 {
--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -110,6 +110,28 @@
     BOOST_TEST(desired == 50U);
 }
 
+// Guards against a daemon that was suspended and gives servers back because of the demand that it
+// saw before.
+BOOST_AUTO_TEST_CASE(demand_gapBetweenPlans_isNotComplete)
+{
+    FleetPlanner planner({ .spotShare = 0 });
+    service.load.inProgress = 160;
+    service.domains = { { "a", { .onDemand = 14 } },
+                        { "b", { .onDemand = 13 } },
+                        { "c", { .onDemand = 13 } } };
+    FleetState state{ .services = { service }, .demandComplete = true };
+    const TimePoint suspended = now + milliseconds(14000);
+    for (; now < suspended; now += milliseconds(200))
+        BOOST_TEST(planner.plan(state, now).empty());
+    // Long enough that the higher need of before the gap has lapsed.
+    now += milliseconds(11000);
+    state.services[0].load.inProgress = 30;
+    const TimePoint resumed = now;
+    for (; now < resumed + milliseconds(5000); now += milliseconds(200))
+        BOOST_TEST(planner.plan(state, now).empty());
+    BOOST_TEST(!planner.plan(state, now).empty());
+}
+
 // Guards against counting on servers that do not arrive, and against repeating an order that the
 // platform declined.
 BOOST_AUTO_TEST_CASE(track_orderedServers_countUntilTheyAreLateOrDeclined)
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -3,6 +3,8 @@
 #include "figurerecord.h"
 #include "usagefixture.h"
 
+#include <algorithm>
+
 namespace auburn::usage {
 
 using std::chrono::milliseconds;
@@ -374,6 +376,28 @@
     BOOST_TEST(reported(first)["huka0"] == 2U);
 }
 
+// Guards against a daemon that holds the duties again and sends figures from its previous turn,
+// which another holder has reported since.
+BOOST_AUTO_TEST_CASE(figureQueuedUnderAnOldToken_dutiesReturn_isNotSentAgain)
+{
+    api.rejected = { first };
+    runToWindow(first + 1, seconds(2));
+    giveDuties("b");
+    api.rejected.clear();
+    // A new holder sends committed figures of the last 20 s again; older ones only come from the
+    // queue, which keeps them for 30 s.
+    run(seconds(22));
+    BOOST_TEST(reported(first).empty());
+    BOOST_TEST(std::any_of(api.figures.begin(), api.figures.end(),
+                           [this](const auto &figure) { return figure.window == first; }));
+    api.figures.clear();
+    giveDuties("a");
+    run(seconds(3));
+    BOOST_TEST(!api.figures.empty());
+    for (const duties::UsageFigure &figure : api.figures)
+        BOOST_TEST(figure.window != first);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::usage
