Relay: an event that arrives in many parts is scanned once

Cause: SseScanner copied and scanned the whole partial event again for each part, and kept the copies until the end of the read. A backend server that sends an event in small chunks made 54 KB of input take 11 MB of memory, and 64 KB 1.7 s of CPU time (with the sanitizers). Change: the text of an incomplete event is only appended to; it is scanned once it holds an empty line. Result: both inputs failed in decoders_test before and pass now.

--- a/packages/relay/src/ssescanner.cpp
+++ b/packages/relay/src/ssescanner.cpp
@@ -1,5 +1,6 @@
 #include "ssescanner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburn {
@@ -26,6 +27,23 @@
     }
 }
 
+// True if a line that is empty ends at or after the position. The text begins at the start of a
+// line.
+bool hasEmptyLine(std::string_view text, std::size_t from)
+{
+    const auto beginsWithLineEnd = [](std::string_view rest) {
+        return rest.starts_with('\n') || rest.starts_with("\r\n");
+    };
+    if (beginsWithLineEnd(text))
+        return true;
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (beginsWithLineEnd(text.substr(at + 1)))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 std::size_t SseScanner::scan(std::string_view bytes, const Visitor &visit)
@@ -59,7 +77,12 @@
         partial_.assign(bytes.substr(used));
         return;
     }
+    // An event that arrives in many parts is scanned, and its text moved, once it is complete: the
+    // chunks of a body may hold a single byte each. "\n" or "\n\r" may have arrived before.
+    const std::size_t scanned = partial_.size() - std::min<std::size_t>(partial_.size(), 2);
     partial_.append(bytes);
+    if (!hasEmptyLine(partial_, scanned))
+        return;
     // Moving the text first keeps the views that visit gets valid.
     assembled_.push_back(std::move(partial_));
     const std::string_view text = assembled_.back();
