Usage: records of windows that no time can have are ignored

Cause: the end of a window beyond 2^63 / 5000 overflowed, and a holder that read such a record would have waited for that window instead of reporting the current ones. Change: decodeFigures ignores windows above 2^40. Result: the input failed in decoders_test before and passes now; usage_test passes.

--- a/packages/usage/src/figurerecord.cpp
+++ b/packages/usage/src/figurerecord.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kCountBytes = 6;
 constexpr std::size_t kWindowBytes = 11;
 
+// Later windows are not the time of any daemon, and their ends would exceed the range of times.
+constexpr std::uint64_t kLatestWindow = std::uint64_t{ 1 } << 40;
+
 // One part of a figure, as found in a listing.
 struct Part
 {
@@ -106,6 +109,8 @@
         if (!number || !part.record.ParseFromString(item.value))
             continue;
         const std::uint64_t window = part.record.window();
+        if (window > kLatestWindow)
+            continue;
         if (window < firstWindow)
             part.record = {};
         found[{ window, number->parts }][number->part] = std::move(part);
