Usage: clocks that state a time after 2096 are ignored

Cause: the time in a heartbeat is converted to nanoseconds, which overflowed for times beyond 2^63 ns; the sum of two offsets overflowed earlier. Change: FleetClock ignores times above 4,000,000,000,000 ms.

--- a/packages/usage/src/fleetclock.cpp
+++ b/packages/usage/src/fleetclock.cpp
@@ -25,6 +25,9 @@
 // Until this time after the start, changes take effect at once, because the first estimate is based
 // only on the own wall clock.
 constexpr seconds kStartTime{ 2 };
+// A clock that is further ahead is ignored. Sums of two offsets must stay in the range of their
+// type, which counts nanoseconds.
+constexpr milliseconds kLatestTime{ 4'000'000'000'000 };
 // Bounds the memory that forged names could use; far above the number of daemons of a fleet.
 constexpr std::size_t kMaxClocks = 4096;
 
@@ -36,7 +39,9 @@
 
 void FleetClock::recordClock(const std::string &vm, milliseconds unixTime, TimePoint now)
 {
-    if (unixTime <= milliseconds(0) || (clocks_.size() >= kMaxClocks && !clocks_.contains(vm)))
+    if (unixTime <= milliseconds(0) || unixTime > kLatestTime)
+        return;
+    if (clocks_.size() >= kMaxClocks && !clocks_.contains(vm))
         return;
     clocks_[vm] = { .offset = unixTime - now.time_since_epoch(), .recordedAt = now };
     // Once for each own record, because the median of 790 clocks takes about 0.2 ms.
