Lease: a token beyond the offset of its record counts as unreadable

Cause: a damaged record with a very high token made every later token look outdated, so no daemon acquired the lease any more. Change: a token is used only if an earlier record can have given it; otherwise the record counts as one of an unknown holder.

--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -173,7 +173,10 @@
     // An unreadable record counts as one of an unknown holder.
     if (!record.ParseFromString(item.value))
         record.Clear();
-    const DutyHolder holder{ .token = record.token() > 0 ? record.token() : item.offset + 1,
+    // The token is the offset of an earlier record plus 1. A higher one would make all that follow
+    // look outdated.
+    const bool hasToken = record.token() > 0 && record.token() <= item.offset;
+    const DutyHolder holder{ .token = hasToken ? record.token() : item.offset + 1,
                              .renewal = record.renewal(),
                              .udpAddress = record.udp_address(),
                              .released = record.released() };
--- a/packages/duties/tests/lease_test.cpp
+++ b/packages/duties/tests/lease_test.cpp
@@ -215,6 +215,20 @@
     BOOST_TEST(other.log.calls == 0U);
 }
 
+// Guards against a damaged record that keeps every daemon from acquiring the lease, because its
+// token is higher than any that follows.
+BOOST_AUTO_TEST_CASE(start_tokenBeyondTheOffset_isTakenOver)
+{
+    proto::LeaseRecord record;
+    record.set_vm("x");
+    record.set_token(std::uint64_t{ 1 } << 63);
+    store.append("duties", record.SerializeAsString(), 0);
+    const Daemon &daemon = add("a");
+    run(2 * kTakeoverTime + kDelays);
+    BOOST_TEST(daemon.lease.isHeld());
+    BOOST_TEST(daemon.lease.token() == 2U);
+}
+
 // Guards against two holders after a race: both have read the same end.
 BOOST_AUTO_TEST_CASE(race_ofTwo_oneConflictsAndFollows)
 {
