Gateway and relay: a body takes memory only as it arrives

Cause: the string body of Beast reserves the whole Content-Length with the first byte of the body, so a caller got 4 MB reserved for a header of 90 bytes. The fuzz test's own sockets also used a port of the machine for each input, until no port was left. Change: GradualBody in packages/core grows with the bytes that arrive, up to the Content-Length. The inputs of the fuzz test share one server and one io_context, and its callers reset their connections.

--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -5,12 +5,12 @@
 #include "responsewriter.h"
 
 #include "auburn/core/bootclock.h"
+#include "auburn/core/gradualbody.h"
 #include "auburn/core/lazydeadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -59,7 +59,7 @@
 private:
     using ErrorCode = boost::system::error_code;
     using Clock = BootClock;
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<GradualBody>;
 
     enum class Phase {
         Idle,
--- a/packages/relay/src/callerconnection.h
+++ b/packages/relay/src/callerconnection.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "answerwriter.h"
+#include "auburn/core/gradualbody.h"
 #include "auburn/core/lazydeadline.h"
 #include "relaysession.h"
 #include "requestreader.h"
@@ -16,7 +17,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -42,7 +42,7 @@
 
 private:
     using ErrorCode = boost::system::error_code;
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<GradualBody>;
 
     enum class Phase {
         // Between requests.
--- a/tests/fuzz/gatewaydecoders.cpp
+++ b/tests/fuzz/gatewaydecoders.cpp
@@ -14,7 +14,8 @@
 
 #include <boost/asio/write.hpp>
 
-#include <stdexcept>
+#include <array>
+#include <memory>
 #include <utility>
 
 namespace auburn::fuzz {
@@ -75,28 +76,36 @@
     return data;
 }
 
+std::string freeAddress(asio::io_context &io)
+{
+    const tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
 // A gateway in front of a server that answers every request with the same bytes.
 class GatewayHarness
 {
 public:
-    explicit GatewayHarness(std::vector<std::string_view> answer)
-        : server_(io_, std::move(answer))
+    explicit GatewayHarness(const std::vector<std::string_view> &answer)
     {
+        sharedServer().setAnswer(answer);
         state_.config = std::make_shared<const routing::TrafficConfig>(trafficConfig());
         for (const char *service : { "desk", "engines" })
             state_.directory.update({ .id = service,
                                       .service = service,
-                                      .address = server_.address(),
+                                      .address = sharedServer().address(),
                                       .failureDomain = "a",
                                       .slots = 8 },
                                     1);
-        const std::string address = "127.0.0.1:" + std::to_string(freePort());
-        gateway_ = gateway::Gateway::make(io_, { .listenAddress = address,
-                                                 .headerNames = headerNames(),
-                                                 .state = &state_,
-                                                 .placement = &source_ });
-        if (!gateway_)
-            throw std::runtime_error("cannot listen on " + address);
+        // Another process may take the port before the gateway does.
+        std::string address;
+        while (!gateway_) {
+            address = freeAddress(io_);
+            gateway_ = gateway::Gateway::make(io_, { .listenAddress = address,
+                                                     .headerNames = headerNames(),
+                                                     .state = &state_,
+                                                     .placement = &source_ });
+        }
         caller_.connect(*parseEndpoint(address));
         runUntil([this] { return gateway_->connections() > 0; });
     }
@@ -104,8 +113,7 @@
     // The connections refer to the gateway.
     ~GatewayHarness()
     {
-        ErrorCode ignored;
-        caller_.close(ignored);
+        closeCaller();
         while (gateway_->connections() > 0)
             io_.run_one_for(milliseconds(1));
     }
@@ -126,19 +134,12 @@
                 io_.poll();
             }
         }
-        ErrorCode ignored;
         if (endInput)
-            caller_.shutdown(tcp::socket::shutdown_send, ignored);
+            closeCaller();
         runUntil([this] { return readResponse() || gateway_->connections() == 0; });
     }
 
 private:
-    std::uint16_t freePort()
-    {
-        tcp::acceptor acceptor(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        return acceptor.local_endpoint().port();
-    }
-
     template<typename Condition>
     void runUntil(const Condition &condition)
     {
@@ -147,6 +148,14 @@
             io_.run_one_for(milliseconds(1));
     }
 
+    // A reset leaves no port in use; the gateway still reads what was sent before.
+    void closeCaller()
+    {
+        ErrorCode ignored;
+        caller_.set_option(asio::socket_base::linger(true, 0), ignored);
+        caller_.close(ignored);
+    }
+
     // Returns true if the gateway has ended the connection.
     bool readResponse()
     {
@@ -157,8 +166,7 @@
         return error && error != asio::error::would_block;
     }
 
-    asio::io_context io_;
-    ByteServer server_;
+    asio::io_context &io_ = sharedContext();
     gateway::RoutingState state_{ .directory = {},
                                   .placement = routing::Placement(
                                           { .failureDomain = "a", .regions = { { "a", "r" } } }),
@@ -196,9 +204,9 @@
 // Responses of the store and of other daemons.
 void decodeClientResponse(std::string_view input)
 {
-    asio::io_context io;
-    ByteServer server(io, dividedInput(input));
-    gateway::HttpClient client(io, server.address());
+    asio::io_context &io = sharedContext();
+    sharedServer().setAnswer(dividedInput(input));
+    gateway::HttpClient client(io, sharedServer().address());
     bool ended = false;
     client.get("/x", kMaxTime, [&ended](const gateway::HttpResponse &) { ended = true; });
     while (!ended)
@@ -208,12 +216,15 @@
 // Requests for metrics and documents.
 void decodeStatusRequest(std::string_view input)
 {
-    asio::io_context io;
-    tcp::acceptor probe(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    const std::string address = "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-    probe.close();
-    const auto endpoint = gateway::StatusEndpoint::make(
-            io, address, [](std::string_view) { return gateway::StatusResponse{ .body = "ok" }; });
+    asio::io_context &io = sharedContext();
+    std::string address;
+    std::unique_ptr<gateway::StatusEndpoint> endpoint;
+    while (!endpoint) {
+        address = freeAddress(io);
+        endpoint = gateway::StatusEndpoint::make(io, address, [](std::string_view) {
+            return gateway::StatusResponse{ .body = "ok" };
+        });
+    }
     tcp::socket caller(io);
     caller.connect(*parseEndpoint(address));
     io.run_one_for(kMaxTime);
@@ -222,8 +233,8 @@
         asio::write(caller, asio::buffer(piece.data(), piece.size()), error);
         io.poll();
     }
-    ErrorCode ignored;
-    caller.shutdown(tcp::socket::shutdown_send, ignored);
+    caller.set_option(asio::socket_base::linger(true, 0));
+    caller.close();
     for (int i = 0; i < 8; ++i)
         io.poll();
 }
--- a/tests/fuzz/relaydecoders.cpp
+++ b/tests/fuzz/relaydecoders.cpp
@@ -9,10 +9,10 @@
 #include "requestreader.h"
 #include "ssescanner.h"
 
+#include "auburn/core/gradualbody.h"
 #include "auburn/core/hash.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <utility>
 
@@ -58,7 +58,7 @@
 {
     static const std::shared_ptr<const ConfigState> config = makeConfig();
     const RelayLimits limits;
-    http::request_parser<http::string_body> parser;
+    http::request_parser<GradualBody> parser;
     parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
@@ -122,11 +122,11 @@
 
 void decodeResponse(std::string_view input)
 {
-    boost::asio::io_context io;
-    ByteServer server(io, dividedInput(input));
+    boost::asio::io_context &io = sharedContext();
+    sharedServer().setAnswer(dividedInput(input));
     BackendServerClient client(io, {});
     EventReader events;
-    const auto call = client.call({ .address = server.address(),
+    const auto call = client.call({ .address = sharedServer().address(),
                                     .message = { .method = "GET", .target = "/x" },
                                     .idleTimeout = milliseconds(400) },
                                   events);
