--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -6,6 +6,7 @@
 #include <boost/process/extend.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <sys/prctl.h>
@@ -170,4 +171,23 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::optional<std::size_t> peakResidentBytes(int pid)
+{
+    std::istringstream status(readFile("/proc/" + std::to_string(pid) + "/status"));
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (status >> word) {
+        if (word == "VmHWM:" && status >> kilobytes)
+            return kilobytes * 1024;
+    }
+    return std::nullopt;
+}
+
+std::size_t openDescriptors(int pid)
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(pid) + "/fd", error);
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 } // namespace auburn::testing
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -69,4 +69,10 @@
 // Resident memory of a process in bytes; empty if it is gone.
 std::optional<std::size_t> residentBytes(int pid);
 
+// The largest resident memory of a process so far, in bytes; empty if it is gone.
+std::optional<std::size_t> peakResidentBytes(int pid);
+
+// Number of open file descriptors of a process; 0 if it is gone.
+std::size_t openDescriptors(int pid);
+
 } // namespace auburn::testing
