Core: memory budget and load shedding for both paths

MemoryBudget, the choice of connections to close and its thresholds were in packages/gateway, and the relay needs the same. They move to packages/core, with the counting of header memory (HeaderSize), of stalled rounds (ConnectionProgress) and of source addresses, and with the log line and the counter (SheddingPolicy). The budget counts atomically, because the relay has several worker threads; the gateway behaves as before.

--- a/packages/gateway/src/memorybudget.h
+++ b/packages/core/include/auburn/core/memorybudget.h
@@ -1,19 +1,20 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 
-namespace auburn::gateway {
+namespace auburn {
 
 // MemoryBudget limits the bytes that all connections of a daemon hold together. Each holder is
 // bounded by itself, but their sum is not: one faulty backend server, or a few callers with large
 // requests, could otherwise use up the memory of the process.
 //
 // Holders larger than kSmallHolderBytes may use only a part of the limit, so that small requests
-// and responses are served while large ones are rejected.
+// and responses are served while large ones are rejected. Holders may belong to different threads.
 class MemoryBudget
 {
 public:
@@ -24,14 +25,15 @@
     {}
 
     std::size_t limit() const { return limit_; }
-    std::size_t used() const { return used_; }
+    std::size_t used() const { return used_.load(std::memory_order_relaxed); }
     // The part of the limit that large holders may use, in bytes.
     std::size_t largeHolderLimit() const { return limit_ / 4 * 3; }
     // A share of the limit, in bytes.
     std::size_t percent(unsigned percent) const { return limit_ / 100 * percent; }
 
-    // The handler is called each time a holder grows while more than the threshold is used. It must
-    // not change the holders itself.
+    // The handler is called, on the thread of the holder, each time a holder grows while more than
+    // the threshold is used. It must not change the holders itself. Not to be called while holders
+    // on other threads may grow.
     void setPressureHandler(std::size_t threshold, std::function<void()> handler)
     {
         pressureThreshold_ = threshold;
@@ -41,10 +43,12 @@
 private:
     friend class HeldMemory;
 
+    // Adds to the used bytes unless they would exceed the limit.
+    bool tryAdd(std::size_t bytes, std::size_t limit);
     void reportPressure() const;
 
     const std::size_t limit_;
-    std::size_t used_ = 0;
+    std::atomic<std::size_t> used_{ 0 };
     std::size_t pressureThreshold_ = 0;
     std::function<void()> pressureHandler_;
 };
@@ -70,6 +74,8 @@
     std::size_t size() const { return size_; }
 
 private:
+    void reportGrowth() const;
+
     std::shared_ptr<MemoryBudget> budget_;
     std::size_t size_ = 0;
 };
@@ -81,4 +87,4 @@
     HeldMemory memory;
 };
 
-} // namespace auburn::gateway
+} // namespace auburn
--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -36,13 +36,6 @@
 constexpr std::size_t kMaxChunkLineBytes = 256;
 // Memory of a connection without its buffers: the object, its timers, and its socket.
 constexpr std::size_t kConnectionBytes = std::size_t{ 2 } * 1024;
-// Memory for each byte and each line of the header, in the parser and in the request made from it.
-// Without the overhead of a line, a header of 16 KiB in fields of four bytes would be counted as a
-// thirtieth of the memory that it takes.
-constexpr std::size_t kBytesPerHeaderByte = 3;
-constexpr std::size_t kBytesPerHeaderLine = 192;
-// A connection that moves fewer bytes in a round is stalled.
-constexpr std::size_t kProgressBytes = 1024;
 constexpr milliseconds kBodyTimeout{ 20000 };
 constexpr milliseconds kWriteTimeout{ 10000 };
 constexpr milliseconds kLingerTimeout{ 1500 };
@@ -69,18 +62,6 @@
     return header.count(http::field::host) <= 1;
 }
 
-// Identifies the source of a connection. A caller with an IPv6 address has a whole /64 network.
-std::uint64_t sourceOf(const asio::ip::address &address)
-{
-    if (address.is_v4())
-        return address.to_v4().to_uint();
-    std::uint64_t network = 0;
-    const auto bytes = address.to_v6().to_bytes();
-    for (std::size_t i = 0; i < sizeof(network); ++i)
-        network = network << 8 | bytes[i];
-    return network;
-}
-
 } // namespace
 
 CallerConnection::CallerConnection(GatewayContext &context, tcp::socket socket)
@@ -105,7 +86,7 @@
     socket_.non_blocking(true, ignored);
     setTcpOptions(socket_);
     const tcp::endpoint remote = socket_.remote_endpoint(ignored);
-    source_ = ignored ? 0 : sourceOf(remote.address());
+    source_ = ignored ? 0 : connectionSource(remote.address());
     context_.callers.add(*this);
     beginRequest();
 }
@@ -141,8 +122,7 @@
     headRequest_ = false;
     responseDone_ = false;
     abortResponse_ = false;
-    headerBytes_ = 0;
-    headerLines_ = 0;
+    headerSize_ = {};
     phase_ = Phase::Idle;
     held_.resize(heldBytes());
     context_.callers.addIdle(*this);
@@ -200,7 +180,7 @@
         return;
     }
     input_.commit(bytes);
-    movedBytes_ += bytes;
+    progress_.addBytes(bytes);
     if (phase_ == Phase::Responding) {
         held_.resize(heldBytes());
         read();
@@ -258,9 +238,7 @@
     const bool isTrailer = phase_ == Phase::Body && parser_->is_done() && parser_->chunked();
     if (phase_ != Phase::Header && !isTrailer)
         return;
-    const char *data = static_cast<const char *>(input_.data().data());
-    headerBytes_ += bytes;
-    headerLines_ += static_cast<std::size_t>(std::count(data, data + bytes, '\n'));
+    headerSize_.add(static_cast<const char *>(input_.data().data()), bytes);
 }
 
 // Trailers count as header. Until they are complete they wait in the input, as does a line with the
@@ -269,8 +247,8 @@
 {
     const std::size_t limit = currentLimits().headerBytes;
     if (phase_ != Phase::Body)
-        return headerBytes_ > limit;
-    return headerBytes_ + waitingBytes > limit + kMaxChunkLineBytes;
+        return headerSize_.bytes > limit;
+    return headerSize_.bytes + waitingBytes > limit + kMaxChunkLineBytes;
 }
 
 bool CallerConnection::headerComplete()
@@ -333,8 +311,7 @@
 std::size_t CallerConnection::heldBytes() const
 {
     return kConnectionBytes + input_.capacity() + pendingOutput_.capacity()
-           + outputInFlight_.capacity() + headerBytes_ * kBytesPerHeaderByte
-           + headerLines_ * kBytesPerHeaderLine;
+           + outputInFlight_.capacity() + headerSize_.heldBytes();
 }
 
 void CallerConnection::releaseRequest()
@@ -342,8 +319,7 @@
     parser_->get().body() = {};
     heldBody_->resize(0);
     parser_->get().clear();
-    headerBytes_ = 0;
-    headerLines_ = 0;
+    headerSize_ = {};
     input_.clear();
     input_.shrink_to_fit();
     held_.resize(heldBytes());
@@ -498,15 +474,13 @@
 
 ConnectionLoad CallerConnection::nextRound()
 {
-    const bool moved = std::exchange(movedBytes_, 0) >= kProgressBytes;
     const bool isIncomplete = phase_ == Phase::Header || phase_ == Phase::Body;
     // A connection that waits for a request or for a server is not stalled.
-    const bool mayStall = isIncomplete || writeInProgress_;
-    stalledRounds_ = moved || !mayStall ? 0 : stalledRounds_ + 1;
-    const bool isUnread = phase_ == Phase::Responding && writeInProgress_ && stalledRounds_ > 0;
+    const unsigned stalledRounds = progress_.nextRound(isIncomplete || writeInProgress_);
+    const bool isUnread = phase_ == Phase::Responding && writeInProgress_ && stalledRounds > 0;
     return { .heldBytes = held_.size() + (heldBody_ ? heldBody_->size() : 0),
              .source = source_,
-             .stalledRounds = stalledRounds_,
+             .stalledRounds = stalledRounds,
              .isDispensable = isIncomplete || isUnread };
 }
 
@@ -615,7 +589,7 @@
     updateHeldOutput();
     writeDeadline_.setAfter(kWriteTimeout);
     const auto countWritten = [this](ErrorCode error, std::size_t bytes) {
-        movedBytes_ += bytes - std::exchange(writtenBytes_, bytes);
+        progress_.addBytes(bytes - std::exchange(writtenBytes_, bytes));
         return asio::transfer_all()(error, bytes);
     };
     asio::async_write(socket_, asio::buffer(outputInFlight_), countWritten,
--- a/packages/gateway/src/callerconnection.h
+++ b/packages/gateway/src/callerconnection.h
@@ -5,6 +5,7 @@
 #include "responsewriter.h"
 
 #include "auburn/core/bootclock.h"
+#include "auburn/core/headersize.h"
 #include "auburn/core/lazydeadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -155,9 +156,8 @@
     bool responseDone_ = false;
     bool abortResponse_ = false;
     bool congested_ = false;
-    // Bytes and lines of the header and the trailers.
-    std::size_t headerBytes_ = 0;
-    std::size_t headerLines_ = 0;
+    // The header and the trailers.
+    HeaderSize headerSize_;
     std::size_t lingerBytes_ = 0;
     // Bytes that wait to be written, and the ones that are being written.
     std::string pendingOutput_;
@@ -169,9 +169,7 @@
     HeldMemory held_;
     // Identifies the caller's address.
     std::uint64_t source_ = 0;
-    // Bytes received or written since the last round, and the rounds without enough of them.
-    std::size_t movedBytes_ = 0;
-    unsigned stalledRounds_ = 0;
+    ConnectionProgress progress_;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/callerconnections.h
+++ b/packages/gateway/src/callerconnections.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "loadshedding.h"
-#include "memorybudget.h"
-
+#include "auburn/core/loadshedding.h"
+#include "auburn/core/memorybudget.h"
 #include "auburn/core/metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -29,27 +28,10 @@
         boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
 // CallerConnections knows the open caller connections and closes some when memory or descriptors
-// are short.
-//
-// While the connections hold more than kPressurePercent of the memory budget, a timer looks at them
-// in rounds and closes those that hold the most and move the least. Rounds are counted instead of
-// time: a process that was suspended, or that gets no CPU, must not mistake its own delay for a
-// stalled caller.
+// are short, as SheddingPolicy decides.
 class CallerConnections
 {
 public:
-    // Shares of the memory limit in percent. Above the first, connections that are stalled are
-    // closed until the second is reached. The first lies below the share that large requests may
-    // use, so that stalled ones make room for others.
-    static constexpr unsigned kPressurePercent = 60;
-    static constexpr unsigned kRelievedPercent = 50;
-    // Above this share, incomplete requests are rejected even if they make progress.
-    static constexpr unsigned kEmergencyPercent = 90;
-    // Shares of the connection limit in percent: above the first, stalled connections are closed
-    // until the second is reached.
-    static constexpr unsigned kCrowdedPercent = 90;
-    static constexpr unsigned kUncrowdedPercent = 80;
-
     struct Options
     {
         std::shared_ptr<MemoryBudget> memory;
@@ -73,17 +55,17 @@
     // Closes the connection that has waited longest for a request. Returns false if there is none.
     bool closeLongestIdle();
     // True while the connections hold more than the pressure share.
-    bool isUnderPressure() const;
+    bool isUnderPressure() const { return policy_.isUnderPressure(); }
 
 private:
     std::vector<std::shared_ptr<CallerConnection>> owners();
     void scheduleRound();
     void runRound();
-    bool isCrowded() const;
-    void recordShed(const char *reason, std::size_t connections);
+    bool isCrowded() const { return policy_.isCrowded(*options_.connections); }
 
     boost::asio::steady_timer timer_;
     const Options options_;
+    const SheddingPolicy policy_;
     boost::intrusive::list<CallerConnection, boost::intrusive::base_hook<ConnectionHook>,
                            boost::intrusive::constant_time_size<false>>
             connections_;
--- a/packages/gateway/src/callerrequest.h
+++ b/packages/gateway/src/callerrequest.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "memorybudget.h"
-
 #include "auburn/core/bootclock.h"
 #include "auburn/core/headerfield.h"
+#include "auburn/core/memorybudget.h"
 #include "auburn/gateway/headernames.h"
 #include "auburn/routing/promptpart.h"
 #include "auburn/routing/trafficconfig.h"
--- a/packages/gateway/src/gatewaycontext.h
+++ b/packages/gateway/src/gatewaycontext.h
@@ -3,10 +3,10 @@
 #include "callerconnections.h"
 #include "connectionpool.h"
 #include "crashguard.h"
-#include "memorybudget.h"
 #include "startupqueue.h"
 
 #include "auburn/core/bootclock.h"
+#include "auburn/core/memorybudget.h"
 #include "auburn/gateway/gateway.h"
 
 #include <boost/asio/io_context.hpp>
--- a/packages/gateway/tests/memorybudget_test.cpp
+++ b/packages/gateway/tests/memorybudget_test.cpp
@@ -1,10 +1,10 @@
 // Tests that the bytes held by all connections together stay within the memory of the process,
 // whatever callers and faulty servers send, and that small requests are served meanwhile.
 
-#include "../src/memorybudget.h"
 #include "gatewayfixture.h"
 
 #include "auburn/core/endpoint.h"
+#include "auburn/core/memorybudget.h"
 
 #include <boost/asio/write.hpp>
 
--- a/packages/gateway/tests/untrustedcallers_test.cpp
+++ b/packages/gateway/tests/untrustedcallers_test.cpp
@@ -1,7 +1,7 @@
 // Tests of what the gateway does with callers that send too much or stop sending: whom it closes
 // first, what its refusals promise, and that requests inside the limits are served as before.
 
-#include "../src/loadshedding.h"
+#include "auburn/core/loadshedding.h"
 #include "gatewayfixture.h"
 
 #include <algorithm>
