Relay: one memory budget and a connection limit for all callers

Each connection was bounded, but not the sum over all connections, the memory of short header fields, or the number of connections that a caller without requests could keep.

All worker threads charge one budget with connections, buffers, header lines, bodies, copies for attempts, and answers. A request that does not fit is refused with 503 memory_shortage before anything of it is sent, an answer that does not fit with 502 and the verdict ran. Above 60% of the budget, or 90% of the connections, rounds of 250 ms close the connections that hold the most and move the least. A new connection beyond the limit displaces the one that has been idle longest. Trailers and chunk lines that fill the input buffer are refused at once instead of after the body time. Settings: memory-limit (40% of the VM's memory by default) and connection-limit.

--- a/packages/core/include/auburn/core/refusal.h
+++ b/packages/core/include/auburn/core/refusal.h
@@ -42,6 +42,8 @@
     AlreadyCompleted,
     LogUnavailable,
     BackendServerFailed,
+    // The connections hold all of the memory that they may use.
+    MemoryShortage,
     NotReady,
 };
 
--- a/packages/core/src/refusal.cpp
+++ b/packages/core/src/refusal.cpp
@@ -38,6 +38,7 @@
     CodeInfo{ RefusalCode::AlreadyCompleted, "already_completed", 409 },
     CodeInfo{ RefusalCode::LogUnavailable, "log_unavailable", 503 },
     CodeInfo{ RefusalCode::BackendServerFailed, "backend_server_failed", 502 },
+    CodeInfo{ RefusalCode::MemoryShortage, "memory_shortage", 503 },
     CodeInfo{ RefusalCode::NotReady, "not_ready", 503 },
 };
 
--- a/packages/daemon/include/auburn/daemon/settings.h
+++ b/packages/daemon/include/auburn/daemon/settings.h
@@ -66,6 +66,11 @@
     double traceSampling = 0.01;
     // Maximum size of a request body, in bytes.
     std::size_t bodyLimit = 0;
+    // Bytes that all connections and requests of callers may hold together; 0 for a share of the
+    // memory of the VM.
+    std::size_t memoryLimit = 0;
+    // Maximum number of callers' connections.
+    std::size_t connectionLimit = 0;
     // Time for which a stopping daemon still accepts connections, until the load balancer has
     // removed it.
     std::chrono::milliseconds balancerDelay{ 0 };
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -31,7 +31,9 @@
 #include <QObject>
 #include <QTimer>
 
+#include <algorithm>
 #include <atomic>
+#include <unistd.h>
 #include <utility>
 
 namespace auburn {
@@ -51,6 +53,17 @@
 // before it becomes ready. Without other members in its view it would consider itself the owner of
 // every cell. The wait is limited because a failure domain may have only one daemon.
 constexpr std::chrono::seconds kJoinTimeout{ 3 };
+// Default share of the VM's memory that callers' connections may hold, in percent. The heap takes
+// up to twice of what is accounted for.
+constexpr std::size_t kMemoryPercent = 40;
+
+std::size_t memoryLimit(const Settings &settings)
+{
+    if (settings.memoryLimit > 0)
+        return settings.memoryLimit;
+    const auto pages = static_cast<std::size_t>(std::max(sysconf(_SC_PHYS_PAGES), 1L));
+    return pages / 100 * kMemoryPercent * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
 
 } // namespace
 
@@ -221,11 +234,14 @@
         callerServer_ = CallerServer::make({ .address = settings_.callerListen.host,
                                              .port = settings_.callerListen.port,
                                              .threads = settings_.threads,
-                                             .limits = { .bodyBytes = settings_.bodyLimit },
+                                             .limits = { .bodyBytes = settings_.bodyLimit,
+                                                         .connections = settings_.connectionLimit,
+                                                         .memoryBytes = memoryLimit(settings_) },
                                              .config = [this] { return store_.current(); },
                                              .slots = slotClient_.get(),
                                              .claims = claimClient_.get(),
-                                             .observer = telemetry_.get() });
+                                             .observer = telemetry_.get(),
+                                             .metrics = &metrics_ });
         if (!callerServer_)
             return false;
         operatorBackend_ = std::make_unique<DaemonBackend>(store_, *follower_, *publisher_,
@@ -329,6 +345,11 @@
     {
         metrics_.gauge("auburn_requests_in_flight", "Requests whose response is not complete.")
                 .set(static_cast<double>(callerServer_->inFlight()));
+        metrics_.gauge("auburn_caller_connections", "Open connections of callers.")
+                .set(static_cast<double>(callerServer_->connections()));
+        metrics_.gauge("auburn_held_bytes",
+                       "Memory that the connections and requests of callers hold.")
+                .set(static_cast<double>(callerServer_->heldBytes()));
         metrics_.gauge("auburn_slots_pending", "Slot requests without a grant or refusal.")
                 .set(static_cast<double>(slotClient_->pendingCount()));
         metrics_.gauge("auburn_slots_held", "Slots held for requests of this daemon.")
--- a/packages/daemon/src/requesttelemetry.cpp
+++ b/packages/daemon/src/requesttelemetry.cpp
@@ -182,6 +182,9 @@
     metrics_.counter("auburn_rejected_total", "Requests refused before routing, by code.",
                      { { "code", code } })
             .add();
+    // Refusals for lack of memory may be many; the relay logs their number at intervals.
+    if (refusal.code == RefusalCode::MemoryShortage)
+        return;
     logEvent(LogLevel::Info, "request_rejected",
              { { "code", code }, { "reason", refusal.message } });
 }
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -8,6 +8,7 @@
 #include <QHostAddress>
 #include <QUrl>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdlib>
@@ -24,6 +25,8 @@
 constexpr std::size_t kZ85KeyLength = 40;
 constexpr std::size_t kCurveKeyBytes = 32;
 constexpr std::size_t kMaxNameLength = 64;
+// Smallest memory limit as a multiple of the body limit.
+constexpr std::size_t kMemoryBodyRatio = 12;
 constexpr std::string_view kEndpointPrefix = "tcp://";
 
 bool isValidName(std::string_view text)
@@ -131,6 +134,8 @@
         settings.traceTarget = traceTarget();
         settings.traceSampling = number<double>("trace-sampling", 0, 1);
         settings.bodyLimit = number<std::size_t>("body-limit", 1024, std::size_t{ 64 } << 20U);
+        settings.memoryLimit = memoryLimit(settings.bodyLimit);
+        settings.connectionLimit = number<std::size_t>("connection-limit", 16, 1U << 20U);
         settings.balancerDelay = duration("balancer-delay", milliseconds(0),
                                           std::chrono::minutes(5));
         checkListenerConflicts(settings);
@@ -289,6 +294,17 @@
         return parsed.value_or(minimum);
     }
 
+    // A request may take its body twice, and large requests at most three quarters of the limit, so
+    // a smaller limit could reject single requests.
+    std::size_t memoryLimit(std::size_t bodyLimit)
+    {
+        if (text("memory-limit") == "0")
+            return 0;
+        constexpr std::size_t kMinimum = std::size_t{ 16 } << 20U;
+        return number<std::size_t>("memory-limit", std::max(kMinimum, kMemoryBodyRatio * bodyLimit),
+                                   std::size_t{ 1 } << 40U);
+    }
+
     milliseconds duration(const std::string &setting, milliseconds minimum, milliseconds maximum)
     {
         const auto parsed = parseDuration(text(setting));
--- a/packages/daemon/src/settingtable.cpp
+++ b/packages/daemon/src/settingtable.cpp
@@ -55,6 +55,10 @@
     { "trace-sampling", "SHARE", "0.01",
       "Share of new traces that are recorded, 0 to 1; a caller's traceparent takes precedence." },
     { "body-limit", "BYTES", "4194304", "Largest request body, 1 KiB to 64 MiB." },
+    { "memory-limit", "BYTES", "0",
+      "Memory of all callers' connections and requests, 16 MiB to 1 TiB and at least 12 times the "
+      "body limit; 0 selects 40% of the VM's memory." },
+    { "connection-limit", "COUNT", "8192", "Connections of callers, 16 to 1048576." },
     { "balancer-delay", "DURATION", "3s",
       "Time for which a stopping daemon still accepts connections, up to 5m." },
 };
--- a/packages/daemon/tests/settings_test.cpp
+++ b/packages/daemon/tests/settings_test.cpp
@@ -120,6 +120,20 @@
         BOOST_TEST(exit.text.find(part) != std::string::npos, part);
 }
 
+// Guards against a memory limit that rejects single requests within the body limit.
+BOOST_AUTO_TEST_CASE(read_memoryLimitBelowBodies_isRejected)
+{
+    environment["AUBURN_CONNECTION_LIMIT"] = "300";
+    const auto accepted = read({ "--memory-limit", "50331648" });
+    BOOST_REQUIRE(std::holds_alternative<Settings>(accepted));
+    BOOST_TEST(std::get<Settings>(accepted).memoryLimit == 50331648U);
+    BOOST_TEST(std::get<Settings>(accepted).connectionLimit == 300U);
+    const SettingsExit exit = readExit({ "--memory-limit", "50331647", "--connection-limit", "0" });
+    BOOST_TEST(exit.text.find("--memory-limit '50331647':") != std::string::npos);
+    BOOST_TEST(exit.text.find("--connection-limit '0':") != std::string::npos);
+    BOOST_TEST(std::get<Settings>(read({})).memoryLimit == 0U);
+}
+
 // Guards against secret keys in the output, including one that is given in place of a public key.
 BOOST_AUTO_TEST_CASE(read_invalidKeys_doesNotPrintKeys)
 {
--- a/packages/relay/include/auburn/relay/callerserver.h
+++ b/packages/relay/include/auburn/relay/callerserver.h
@@ -6,6 +6,7 @@
 
 #include "auburn/claims/claimservice.h"
 #include "auburn/config/configstate.h"
+#include "auburn/core/metrics.h"
 #include "auburn/relay/relaylimits.h"
 #include "auburn/relay/requestobserver.h"
 #include "auburn/schedule/slotsource.h"
@@ -42,6 +43,8 @@
         ClaimService *claims = nullptr;
         // May be null.
         RequestObserver *observer = nullptr;
+        // Counts connections that are closed for lack of memory; may be null.
+        Metrics *metrics = nullptr;
     };
 
     // A listening server with running threads; null with lastError() set if an option is missing
@@ -61,6 +64,10 @@
     virtual void drain(std::function<void()> drained) = 0;
     // Requests whose answer is not complete yet.
     virtual std::size_t inFlight() const = 0;
+    // Open connections of callers.
+    virtual std::size_t connections() const = 0;
+    // Bytes that all connections and requests hold, out of RelayLimits::memoryBytes.
+    virtual std::size_t heldBytes() const = 0;
     // CPU time that each worker thread has used so far.
     virtual std::vector<std::chrono::microseconds> cpuTimes() const = 0;
 };
--- a/packages/relay/include/auburn/relay/relaylimits.h
+++ b/packages/relay/include/auburn/relay/relaylimits.h
@@ -23,8 +23,10 @@
     // During a drain, idle connections stay open this long, so that a request that is on its way
     // is still answered.
     std::chrono::milliseconds drainIdleTime{ 1000 };
-    // Connections over this number are closed at once.
+    // Over this number, a new connection displaces the one that has been idle longest.
     std::size_t connections = 8192;
+    // Memory of all connections together: buffers, headers, bodies and unsent output.
+    std::size_t memoryBytes = std::size_t{ 1024 } * 1024 * 1024;
 };
 
 struct BackendServerLimits
--- a/packages/relay/src/callerconnection.cpp
+++ b/packages/relay/src/callerconnection.cpp
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr std::size_t kReadSize = std::size_t{ 16 } * 1024;
+// Memory of a connection without its buffers: the object, its timers, and its socket.
+constexpr std::size_t kConnectionBytes = std::size_t{ 4 } * 1024;
 // How long and how much input is discarded after a refusal, so that the caller can read the answer
 // before its connection is reset.
 constexpr std::chrono::milliseconds kLingerTime{ 2000 };
@@ -68,9 +70,9 @@
     , input_(worker.shared.options.limits.headerBytes + kReadSize)
     , readDeadline_(worker.io, [this] { readDeadlinePassed(); })
     , writeDeadline_(worker.io, [this] { writeFailed(); })
-{
-    ++worker_.shared.connections;
-}
+    , held_(worker.shared.memory)
+    , idleEntry_(worker.idle, this)
+{}
 
 CallerConnection::~CallerConnection()
 {
@@ -82,6 +84,8 @@
     ErrorCode ignored;
     socket_.non_blocking(true, ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
+    const tcp::endpoint remote = socket_.remote_endpoint(ignored);
+    source_ = ignored ? 0 : connectionSource(remote.address());
     beginRequest();
     if (worker_.shared.draining)
         drain();
@@ -105,6 +109,7 @@
 {
     const RelayLimits &limits = worker_.shared.options.limits;
     parser_.emplace();
+    heldBody_.emplace(worker_.shared.memory);
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser_->body_limit(limits.bodyBytes);
     identity_.reset();
@@ -115,8 +120,13 @@
     answerDone_ = false;
     callerBehind_ = false;
     answerBytes_ = 0;
-    headerBytes_ = 0;
+    headerSize_ = {};
     phase_ = Phase::Idle;
+    idleEntry_.enter();
+    // An idle connection holds no buffer.
+    if (input_.size() == 0)
+        input_.shrink_to_fit();
+    held_.resize(heldBytes());
     readDeadline_.setAfter(worker_.shared.draining ? limits.drainIdleTime : limits.keepAliveTime);
     parseInput();
 }
@@ -128,6 +138,10 @@
         return;
     if (input_.size() + kReadSize > input_.max_size())
         return;
+    // Pipelined requests wait in the socket while memory is short.
+    if (phase_ == Phase::Answering && input_.size() > 0
+        && worker_.shared.shedding.isUnderPressure())
+        return;
     reading_ = true;
     // No part of the input buffer is in use while the connection waits, so the parser may consume
     // what has been read ahead.
@@ -166,10 +180,13 @@
         return;
     }
     input_.commit(bytes);
-    if (phase_ == Phase::Answering)
+    progress_.addBytes(bytes);
+    if (phase_ == Phase::Answering) {
+        held_.resize(heldBytes());
         read();
-    else
+    } else {
         parseInput();
+    }
 }
 
 void CallerConnection::parseInput()
@@ -177,18 +194,12 @@
     while (phase_ == Phase::Idle || phase_ == Phase::Header || phase_ == Phase::Body) {
         if (phase_ == Phase::Idle && input_.size() > 0) {
             phase_ = Phase::Header;
+            idleEntry_.leave();
             readDeadline_.setAfter(worker_.shared.options.limits.headerTime);
         }
-        ErrorCode error = http::error::need_more;
-        if (input_.size() > 0) {
-            const std::size_t used = parser_->put(input_.data(), error);
-            input_.consume(used);
-            // The parser's own limit applies to each part that arrives; many short fields pass it.
-            if (phase_ == Phase::Header)
-                headerBytes_ += used;
-            if (headerBytes_ > worker_.shared.options.limits.headerBytes)
-                error = http::error::header_limit;
-        }
+        if (phase_ == Phase::Body && !reserveBody())
+            return;
+        const ErrorCode error = parseBuffered();
         if (error && error != http::error::need_more) {
             parseFailed(error);
             return;
@@ -197,10 +208,94 @@
             headerComplete();
         else if (error == http::error::need_more)
             break;
-        if (phase_ == Phase::Body && parser_->is_done())
+        const bool isBody = phase_ == Phase::Body;
+        if (isBody && (!holdBody(parser_->get().body().capacity()) || !holdRequest()))
+            return;
+        if (isBody && parser_->is_done())
             requestComplete();
     }
-    read();
+    if (holdRequest())
+        read();
+}
+
+CallerConnection::ErrorCode CallerConnection::parseBuffered()
+{
+    ErrorCode error = http::error::need_more;
+    if (input_.size() == 0)
+        return error;
+    const auto data = input_.data();
+    const std::size_t used = parser_->put(data, error);
+    // Trailers are consumed in one call, once they are complete.
+    const bool isTrailer = phase_ == Phase::Body && parser_->is_done() && parser_->chunked();
+    if (phase_ == Phase::Header || isTrailer)
+        headerSize_.add(static_cast<const char *>(data.data()), used);
+    input_.consume(used);
+    // The parser's own limit applies to each part that arrives; many short fields pass it.
+    if (phase_ == Phase::Header && headerSize_.bytes > worker_.shared.options.limits.headerBytes)
+        return http::error::header_limit;
+    // Trailers or a chunk line that fill the buffer can never be consumed.
+    const bool isStuck = phase_ == Phase::Body && error == http::error::need_more
+                         && input_.size() + kReadSize > input_.max_size();
+    return isStuck ? ErrorCode(http::error::header_limit) : error;
+}
+
+bool CallerConnection::holdBody(std::size_t bytes)
+{
+    if (bytes <= heldBody_->size() || heldBody_->tryResize(bytes))
+        return true;
+    rejectForMemory("the daemon has no memory left for the body");
+    return false;
+}
+
+// Without this, the body would grow to its new size before it is known whether memory is left.
+bool CallerConnection::reserveBody()
+{
+    if (!parser_->chunked())
+        return true;
+    std::string &body = parser_->get().body();
+    const std::size_t needed = body.size() + input_.size();
+    if (needed <= body.capacity())
+        return true;
+    const std::size_t grown = std::max(needed, 2 * body.capacity());
+    if (!holdBody(grown))
+        return false;
+    body.reserve(grown);
+    return true;
+}
+
+bool CallerConnection::holdRequest()
+{
+    const bool isIncomplete = phase_ == Phase::Header || phase_ == Phase::Body;
+    if (isIncomplete && !held_.tryResize(heldBytes())) {
+        rejectForMemory("the daemon has no memory left for the request");
+        return false;
+    }
+    if (!isIncomplete)
+        held_.resize(heldBytes());
+    return true;
+}
+
+std::size_t CallerConnection::heldBytes() const
+{
+    return kConnectionBytes + input_.capacity() + output_.capacity() + headerSize_.heldBytes();
+}
+
+void CallerConnection::rejectForMemory(const char *message)
+{
+    reject({ .code = RefusalCode::MemoryShortage,
+             .message = message,
+             .retryAfter = std::chrono::seconds(1) });
+}
+
+void CallerConnection::releaseRequest()
+{
+    parser_->get().body() = {};
+    heldBody_->resize(0);
+    parser_->get().clear();
+    headerSize_ = {};
+    input_.clear();
+    input_.shrink_to_fit();
+    held_.resize(heldBytes());
 }
 
 void CallerConnection::headerComplete()
@@ -229,6 +324,8 @@
         return;
     }
     identity_ = std::get<CallerIdentity>(std::move(identity));
+    if (!holdBody(static_cast<std::size_t>(parser_->content_length().value_or(0))))
+        return;
     const bool expects = boost::beast::iequals(header[http::field::expect], "100-continue");
     if (expects && !parser_->is_done() && httpVersion_ >= 11) {
         constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -264,6 +361,12 @@
     auto &request = std::get<RelayRequest>(read);
     request.id = requestId_;
     const Organisation &organisation = *identity_->organisation;
+    HeldMemory memory = std::move(*heldBody_);
+    heldBody_.reset();
+    if (!memory.tryResize(RelaySession::heldBytes(request))) {
+        rejectForMemory("the daemon has no memory left for the request");
+        return;
+    }
     auto ticket = worker_.shared.organisations.enter(organisation.name, organisation.maxConcurrent);
     if (!ticket) {
         reject({ .code = RefusalCode::OrganisationLimit,
@@ -273,7 +376,13 @@
     }
     phase_ = Phase::Answering;
     identity_.reset();
-    auto session = std::make_shared<RelaySession>(worker_, std::move(request), std::move(*ticket),
+    // The fields have been copied into the request.
+    parser_.reset();
+    headerSize_ = {};
+    if (input_.size() == 0)
+        input_.shrink_to_fit();
+    auto session = std::make_shared<RelaySession>(worker_, std::move(request), std::move(memory),
+                                                  std::move(*ticket),
                                                   static_cast<AnswerWriter &>(*this));
     session_ = session;
     session->start();
@@ -309,13 +418,49 @@
     readDeadline_.clear();
     phase_ = Phase::Answering;
     // Input after a request that was not read to its end cannot be interpreted.
-    if (!parser_->is_done())
+    if (!parser_->is_done()) {
         keepAlive_ = false;
+        releaseRequest();
+    }
     if (RequestObserver *observer = worker_.shared.options.observer)
         observer->rejected(refusal);
     refuse(refusal);
 }
 
+// ---- Shedding --------------------------------------------------------------
+
+bool CallerConnection::closeIfIdle()
+{
+    ErrorCode error;
+    const bool hasUnreadInput = socket_.available(error) > 0 && !error;
+    if (phase_ != Phase::Idle || hasUnreadInput)
+        return false;
+    close();
+    return true;
+}
+
+ConnectionLoad CallerConnection::nextRound()
+{
+    const bool isIncomplete = phase_ == Phase::Header || phase_ == Phase::Body;
+    // A connection that waits for a request or for a backend server is not stalled.
+    const unsigned stalledRounds = progress_.nextRound(isIncomplete || writing_);
+    const bool isUnread = phase_ == Phase::Answering && writing_ && stalledRounds > 0;
+    return { .heldBytes = held_.size() + (heldBody_ ? heldBody_->size() : 0)
+                          + (session_ ? session_->heldBytes() : 0),
+             .source = source_,
+             .stalledRounds = stalledRounds,
+             .isDispensable = isIncomplete || isUnread };
+}
+
+void CallerConnection::shed()
+{
+    const auto self = shared_from_this();
+    if (phase_ == Phase::Header || phase_ == Phase::Body)
+        rejectForMemory("the request arrives slowly and the daemon is short of memory");
+    else if (phase_ == Phase::Answering && writing_)
+        close();
+}
+
 // ---- Answers ---------------------------------------------------------------
 
 void CallerConnection::refuse(const Refusal &refusal)
@@ -432,6 +577,7 @@
             writeFailed();
             return;
         }
+        progress_.addBytes(sent);
     }
     for (const asio::const_buffer &part : parts) {
         answerBytes_ += part.size();
@@ -439,8 +585,17 @@
         sent -= skipped;
         output_.append(static_cast<const char *>(part.data()) + skipped, part.size() - skipped);
     }
-    if (!output_.empty())
-        writeRest();
+    if (output_.empty())
+        return;
+    updateHeldOutput();
+    writeRest();
+}
+
+void CallerConnection::updateHeldOutput()
+{
+    if (output_.empty() && output_.capacity() > MemoryBudget::kSmallHolderBytes)
+        output_ = {};
+    held_.resize(heldBytes());
 }
 
 void CallerConnection::writeRest()
@@ -470,6 +625,7 @@
         return;
     }
     outputSent_ += bytes;
+    progress_.addBytes(bytes);
     if (outputSent_ < output_.size()) {
         // Bytes that were sent are dropped when they are the larger part, which keeps both the
         // memory and the copying bounded.
@@ -483,6 +639,7 @@
         outputSent_ = 0;
         writeDeadline_.clear();
     }
+    updateHeldOutput();
     const std::size_t waiting = output_.size() - outputSent_;
     if (callerBehind_ && waiting <= worker_.shared.options.limits.relayBufferBytes / 2) {
         callerBehind_ = false;
@@ -530,6 +687,9 @@
     ErrorCode ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     input_.clear();
+    parser_.reset();
+    heldBody_.reset();
+    held_.resize(heldBytes());
     readDeadline_.setAfter(kLingerTime);
     read();
 }
@@ -539,6 +699,7 @@
     if (phase_ == Phase::Closed)
         return;
     phase_ = Phase::Closed;
+    idleEntry_.leave();
     readDeadline_.clear();
     writeDeadline_.clear();
     ErrorCode ignored;
--- a/packages/relay/src/callerconnection.h
+++ b/packages/relay/src/callerconnection.h
@@ -8,7 +8,10 @@
 #pragma once
 
 #include "answerwriter.h"
+#include "auburn/core/headersize.h"
 #include "auburn/core/lazydeadline.h"
+#include "auburn/core/loadshedding.h"
+#include "auburn/core/memorybudget.h"
 #include "relaysession.h"
 #include "requestreader.h"
 #include "workercontext.h"
@@ -18,6 +21,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +45,16 @@
     // Ends the connection at once.
     void abort();
 
+    // Closes the connection if it waits for a request and has received none. Returns false if not.
+    bool closeIfIdle();
+    // Starts a round of the timer that looks for connections to close, and returns what this one
+    // held and moved in the last round.
+    ConnectionLoad nextRound();
+    // Frees what the connection holds because memory or connections are short. A request that is
+    // incomplete is refused, since it certainly did not run; an answer that is not read is broken
+    // off.
+    void shed();
+
 private:
     using ErrorCode = boost::system::error_code;
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -61,6 +76,21 @@
     void readable(ErrorCode error);
     void received(ErrorCode error, std::size_t bytes);
     void parseInput();
+    // Consumes buffered input as part of the header, the body or the trailers.
+    ErrorCode parseBuffered();
+    // Accounts for the memory of the body. False if all connections together hold too much.
+    bool holdBody(std::size_t bytes);
+    // Accounts for the growth of the body by the buffered input before the parser appends it.
+    bool reserveBody();
+    // Accounts for everything else that the connection holds. False if all connections together
+    // hold too much.
+    bool holdRequest();
+    // Bytes of memory of the connection, its buffers and its header.
+    std::size_t heldBytes() const;
+    // Refuses a request for lack of memory. It must not have been given to a session.
+    void rejectForMemory(const char *message);
+    // Frees the memory of a request that was refused before it was complete.
+    void releaseRequest();
     void headerComplete();
     void requestComplete();
     void startSession();
@@ -82,6 +112,8 @@
     void write(const std::vector<boost::asio::const_buffer> &parts);
     void writeRest();
     void restWritten(ErrorCode error, std::size_t bytes);
+    // Accounts for the memory of the output, and returns that of a large answer.
+    void updateHeldOutput();
     // The answer is complete, apart from bytes that wait for the caller.
     void answerComplete();
     void answerWritten();
@@ -110,13 +142,23 @@
     bool broken_ = false;
     bool answerDone_ = false;
     bool callerBehind_ = false;
-    std::size_t headerBytes_ = 0;
+    // The header and the trailers.
+    HeaderSize headerSize_;
     std::size_t lingerBytes_ = 0;
     std::uint64_t answerBytes_ = 0;
     std::string output_;
     std::size_t outputSent_ = 0;
     bool writing_ = false;
     std::vector<boost::asio::const_buffer> parts_;
+
+    // The memory of everything but bodies that belong to a session.
+    HeldMemory held_;
+    // The memory of the body that is being read. It passes to the session with the body.
+    std::optional<HeldMemory> heldBody_;
+    IdleConnections::Entry idleEntry_;
+    // Identifies the caller's address.
+    std::uint64_t source_ = 0;
+    ConnectionProgress progress_;
 };
 
 } // namespace auburn
--- a/packages/relay/src/callerserver.cpp
+++ b/packages/relay/src/callerserver.cpp
@@ -1,20 +1,23 @@
 #include "auburn/relay/callerserver.h"
 
-#include "callerconnection.h"
-#include "workercontext.h"
+#include "sheddingrounds.h"
+#include "worker.h"
 
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <ctime>
+#include <optional>
 #include <pthread.h>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace auburn {
 
@@ -30,42 +33,7 @@
 constexpr std::chrono::milliseconds kStopTime{ 5000 };
 // After an error such as "too many open files" accepting pauses, or the loop would spin.
 constexpr std::chrono::milliseconds kAcceptPause{ 50 };
-
-// One thread with its context and connections.
-struct Worker
-{
-    explicit Worker(RelayShared &shared)
-        : context(shared)
-        , work(asio::make_work_guard(context.io))
-    {}
-
-    void add(tcp::socket socket)
-    {
-        auto connection = std::make_shared<CallerConnection>(context, std::move(socket));
-        if (connections.size() >= sweepSize) {
-            std::erase_if(connections, [](const auto &entry) { return entry.expired(); });
-            sweepSize = 2 * connections.size() + 64;
-        }
-        connections.push_back(connection);
-        connection->start();
-    }
-
-    template<typename Action>
-    void forEachConnection(Action action)
-    {
-        for (const auto &entry : connections) {
-            if (const auto connection = entry.lock())
-                action(*connection);
-        }
-    }
-
-    WorkerContext context;
-    asio::executor_work_guard<asio::io_context::executor_type> work;
-    std::vector<std::weak_ptr<CallerConnection>> connections;
-    // Number of entries at which expired ones are removed.
-    std::size_t sweepSize = 64;
-    std::thread thread;
-};
+constexpr std::chrono::seconds kAcceptLogInterval{ 1 };
 
 class CallerServerImpl final : public CallerServer
 {
@@ -78,6 +46,10 @@
             workers_.push_back(std::make_unique<Worker>(shared_));
         acceptor_ = std::make_unique<tcp::acceptor>(workers_.front()->context.io);
         timer_ = std::make_unique<asio::steady_timer>(workers_.front()->context.io);
+        rounds_ = std::make_unique<SheddingRounds>(shared_, workers_);
+        shared_.memory->setPressureHandler(
+                shared_.memory->percent(SheddingPolicy::kPressurePercent),
+                [rounds = rounds_.get()] { rounds->schedule(); });
     }
 
     ~CallerServerImpl() override
@@ -99,6 +71,9 @@
             worker->context.io.stop();
         for (const auto &worker : workers_)
             worker->thread.join();
+        shared_.memory->setPressureHandler(0, nullptr);
+        rounds_.reset();
+        waitingSocket_.reset();
         timer_.reset();
         acceptor_.reset();
     }
@@ -136,6 +111,10 @@
 
     std::size_t inFlight() const override { return shared_.inFlight; }
 
+    std::size_t connections() const override { return shared_.connections; }
+
+    std::size_t heldBytes() const override { return shared_.memory->used(); }
+
     void drain(std::function<void()> drained) override
     {
         post(0, [this, drained = std::move(drained)]() mutable { beginDrain(std::move(drained)); });
@@ -153,7 +132,7 @@
     template<typename Task>
     void post(std::size_t index, Task task)
     {
-        asio::post(workers_[index]->context.io, std::move(task));
+        workers_[index]->post(std::move(task));
     }
 
     static std::chrono::microseconds cpuTime(const Worker &worker)
@@ -180,30 +159,103 @@
 
     void accepted(std::size_t index, ErrorCode error, tcp::socket socket)
     {
-        // A connection that was accepted just before the acceptor was closed is still served.
-        if (!error)
+        if (error) {
+            acceptFailed(error);
+            return;
+        }
+        if (!isFull()) {
+            // A connection that was accepted just before the acceptor was closed is still served.
             give(index, std::move(socket));
+            acceptNext();
+            return;
+        }
+        // Accepting goes on after the displacement, so that only one new connection waits for it.
+        waitingSocket_.emplace(std::move(socket));
+        displace(workersByOldestIdle(), [this, index](bool closed) {
+            tcp::socket waiting = std::move(*waitingSocket_);
+            waitingSocket_.reset();
+            if (closed)
+                give(index, std::move(waiting));
+            else
+                rounds_->recordRefused();
+            acceptNext();
+        });
+    }
+
+    void acceptNext()
+    {
+        if (acceptor_->is_open())
+            accept();
+    }
+
+    void acceptFailed(ErrorCode error)
+    {
         if (!acceptor_->is_open())
             return;
-        if (error) {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= nextAcceptLogAt_) {
+            nextAcceptLogAt_ = now + kAcceptLogInterval;
             logEvent(LogLevel::Warning, "accept_failed", { { "error", error.message() } });
-            timer_->expires_after(kAcceptPause);
-            timer_->async_wait([this](ErrorCode waitError) {
-                if (!waitError && acceptor_->is_open())
-                    accept();
-            });
-            return;
         }
-        accept();
+        if (error == asio::error::no_descriptors)
+            displace(workersByOldestIdle(), [](bool /*closed*/) {});
+        timer_->expires_after(kAcceptPause);
+        timer_->async_wait([this](ErrorCode waitError) {
+            if (!waitError)
+                acceptNext();
+        });
     }
 
+    bool isFull() const { return shared_.connections >= shared_.options.limits.connections; }
+
     void give(std::size_t index, tcp::socket socket)
     {
-        if (shared_.connections >= shared_.options.limits.connections)
-            return;
+        // Counted here, because a worker that is busy adds the connection later.
+        ++shared_.connections;
         post(index, [worker = workers_[index].get(), socket = std::move(socket)]() mutable {
             worker->add(std::move(socket));
         });
+        if (shared_.shedding.isCrowded(shared_.connections))
+            rounds_->schedule();
+    }
+
+    // Indexes of the workers, the one whose connection has been idle longest last.
+    std::vector<std::size_t> workersByOldestIdle() const
+    {
+        std::vector<std::pair<std::int64_t, std::size_t>> idle;
+        for (std::size_t i = 0; i < workers_.size(); ++i)
+            idle.emplace_back(workers_[i]->context.idle.oldestSince(), i);
+        std::sort(idle.rbegin(), idle.rend());
+        std::vector<std::size_t> indexes;
+        for (const auto &[since, index] : idle) {
+            if (since != IdleConnections::kNone)
+                indexes.push_back(index);
+        }
+        return indexes;
+    }
+
+    // Closes the connection that has been idle longest, of the last worker that has one that can be
+    // closed. Calls done on the first worker, with false if there is none.
+    template<typename Done>
+    void displace(std::vector<std::size_t> indexes, Done done)
+    {
+        if (indexes.empty()) {
+            done(false);
+            return;
+        }
+        const std::size_t index = indexes.back();
+        indexes.pop_back();
+        post(index, [this, index, indexes = std::move(indexes), done = std::move(done)]() mutable {
+            const bool closed = workers_[index]->closeLongestIdle();
+            post(0, [this, closed, indexes = std::move(indexes), done = std::move(done)]() mutable {
+                if (!closed) {
+                    displace(std::move(indexes), std::move(done));
+                    return;
+                }
+                rounds_->recordDisplaced();
+                done(true);
+            });
+        });
     }
 
     void closeAcceptor()
@@ -223,7 +275,7 @@
             const std::size_t index = next_++ % workers_.size();
             tcp::socket socket(workers_[index]->context.io);
             acceptor_->accept(socket, error);
-            if (!error)
+            if (!error && !isFull())
                 give(index, std::move(socket));
         }
     }
@@ -240,7 +292,6 @@
                 workers_[i]->forEachConnection([](CallerConnection &entry) { entry.drain(); });
             });
         }
-        // Posted sockets become connections before the first check counts them.
         checkDrained();
     }
 
@@ -265,6 +316,10 @@
     std::unique_ptr<tcp::acceptor> acceptor_;
     // Pauses accepting after errors, then paces the checks of a drain.
     std::unique_ptr<asio::steady_timer> timer_;
+    std::unique_ptr<SheddingRounds> rounds_;
+    // A new connection for which an idle one is being closed.
+    std::optional<tcp::socket> waitingSocket_;
+    std::chrono::steady_clock::time_point nextAcceptLogAt_;
     std::function<void()> drained_;
     std::size_t next_ = 0;
     std::uint16_t port_ = 0;
--- a/packages/relay/src/relaysession.cpp
+++ b/packages/relay/src/relaysession.cpp
@@ -21,6 +21,8 @@
 // A grant that arrives after its time is given back; an owner that only sends such grants is
 // treated as one without backend servers.
 constexpr unsigned kMaxLapsedGrants = 3;
+// Memory of a session and its connection to a backend server, with the input buffer of 16 KiB.
+constexpr std::size_t kSessionBytes = std::size_t{ 24 } * 1024;
 // Resumes of one stream that bring no new event before the stream is given up.
 constexpr unsigned kMaxIdleResumes = 2;
 
@@ -86,15 +88,17 @@
 
 } // namespace
 
-RelaySession::RelaySession(WorkerContext &worker, RelayRequest request,
+RelaySession::RelaySession(WorkerContext &worker, RelayRequest request, HeldMemory memory,
                            OrganisationLimiter::Ticket ticket, AnswerWriter &writer)
     : inFlight_(worker.shared.inFlight)
     , worker_(worker)
     , request_(std::move(request))
+    , memory_(std::move(memory))
     , ticket_(std::move(ticket))
     , writer_(&writer)
     , kind_(BackendServerKindRegistry::make(kindName(request_.service.kind)))
     , deadline_(worker.io, [this] { deadlinePassed(); })
+    , answerMemory_(worker.shared.memory)
 {}
 
 RelaySession::~RelaySession()
@@ -103,6 +107,15 @@
         call_->close();
 }
 
+std::size_t RelaySession::heldBytes(const RelayRequest &request)
+{
+    // The attempt has a copy of the body and the fields.
+    std::size_t bytes = kSessionBytes + request.body.capacity() + request.body.size();
+    for (const HeaderField &field : request.fields)
+        bytes += 2 * (sizeof(HeaderField) + field.name.size() + field.value.size());
+    return bytes;
+}
+
 void RelaySession::start()
 {
     if (RequestObserver *observer = worker_.shared.options.observer)
@@ -275,6 +288,7 @@
 {
     body_.clear();
     bodyTooLarge_ = false;
+    answerMemory_.resize(body_.capacity());
     headIsStream_ = false;
     scanner_.reset();
     call_ = worker_.backendServers.call(
@@ -315,6 +329,7 @@
         scanner_.feed(view, [this](const SseEvent &event) { acceptEvent(event); });
     if (scanner_.pendingBytes() > worker_.shared.options.limits.relayBufferBytes)
         sequenceBroken_ = true;
+    answerMemory_.resize(body_.capacity() + scanner_.pendingBytes());
     if (newTokens_ > 0)
         countTokens(newTokens_);
     sendPieces();
@@ -418,16 +433,42 @@
 
 void RelaySession::collectBody(const std::vector<std::string_view> &data)
 {
+    std::size_t bytes = 0;
     for (const std::string_view view : data)
-        body_.append(view);
-    bodyTooLarge_ = body_.size() > worker_.shared.options.backendServers.answerBytes;
-    if (!bodyTooLarge_)
+        bytes += view.size();
+    bodyTooLarge_ = body_.size() + bytes > worker_.shared.options.backendServers.answerBytes;
+    if (!bodyTooLarge_) {
+        if (!reserveAnswer(bytes))
+            return;
+        for (const std::string_view view : data)
+            body_.append(view);
         return;
+    }
     attemptFailed({ .end = CallEnd::Broken,
                     .verdict = Verdict::Ran,
                     .error = "the backend server's answer is too large" });
 }
 
+bool RelaySession::reserveAnswer(std::size_t bytes)
+{
+    const std::size_t needed = body_.size() + bytes;
+    if (needed <= body_.capacity())
+        return true;
+    const std::size_t grown = std::max(needed, 2 * body_.capacity());
+    if (answerMemory_.tryResize(grown)) {
+        body_.reserve(grown);
+        return true;
+    }
+    // Another attempt would meet the same shortage, and the backend server is not at fault. The
+    // verdict says that the request has run.
+    memoryShort_ = true;
+    verdict_ = mergeVerdicts(verdict_, Verdict::Ran);
+    fail({ .code = RefusalCode::BackendServerFailed,
+           .verdict = verdict_,
+           .message = "the daemon has no memory left for the answer" });
+    return false;
+}
+
 void RelaySession::callEnded(const CallResult &result)
 {
     const auto self = shared_from_this();
@@ -469,6 +510,7 @@
     head.fields.push_back({ "Auburn-Verdict", std::string(verdictName(verdict_)) });
     httpStatus_ = head.status;
     writer->sendWhole(std::move(head), std::move(body));
+    answerMemory_.resize(0);
     bytesSent_ = writer->bytesSent();
     finish(std::nullopt, !serverError);
 }
@@ -564,6 +606,13 @@
             .verdict = verdict_, .complete = complete, .error = error, .tokens = attemptTokens_ });
 }
 
+const char *RelaySession::cancelReason() const
+{
+    if (callerGone_)
+        return "the caller has gone";
+    return memoryShort_ ? "no memory left for the answer" : "deadline exceeded";
+}
+
 void RelaySession::deadlinePassed()
 {
     if (finished_)
@@ -633,7 +682,7 @@
         call_.reset();
         if (verdict_ != Verdict::DidNotRun)
             cancelAttempt();
-        endAttemptTrace(false, callerGone_ ? "the caller has gone" : "deadline exceeded");
+        endAttemptTrace(false, cancelReason());
         wastedTokens_ += attemptTokens_;
     }
     releaseSlot(SlotOutcome::Cancelled);
--- a/packages/relay/src/relaysession.h
+++ b/packages/relay/src/relaysession.h
@@ -15,6 +15,7 @@
 #include "workercontext.h"
 
 #include "auburn/claims/claimservice.h"
+#include "auburn/core/memorybudget.h"
 #include "auburn/relay/requestobserver.h"
 #include "auburn/schedule/slotsource.h"
 
@@ -33,11 +34,17 @@
     , private CallEvents
 {
 public:
-    // The writer must live until it was told the end of the answer, or until callerGone().
-    RelaySession(WorkerContext &worker, RelayRequest request, OrganisationLimiter::Ticket ticket,
-                 AnswerWriter &writer);
+    // The memory is that of the request, see heldBytes(). The writer must live until it was told
+    // the end of the answer, or until callerGone().
+    RelaySession(WorkerContext &worker, RelayRequest request, HeldMemory memory,
+                 OrganisationLimiter::Ticket ticket, AnswerWriter &writer);
     ~RelaySession() override;
 
+    // Bytes of memory that a session for the request takes, apart from the answer.
+    static std::size_t heldBytes(const RelayRequest &request);
+    // Bytes that this session holds.
+    std::size_t heldBytes() const { return memory_.size() + answerMemory_.size(); }
+
     void start();
     // The caller disconnected: withdraws or cancels whatever is under way.
     void callerGone();
@@ -68,6 +75,8 @@
     void countTokens(unsigned count);
     void streamDone();
     void collectBody(const std::vector<std::string_view> &data);
+    // Makes room for more bytes of a plain answer. False if all connections together hold too much.
+    bool reserveAnswer(std::size_t bytes);
     void wholeAnswerComplete();
 
     void attemptFailed(const CallResult &result);
@@ -75,6 +84,8 @@
     bool tryResume();
     void cancelAttempt();
     void endAttemptTrace(bool complete, const std::string &error);
+    // Why an attempt is cancelled, for its span.
+    const char *cancelReason() const;
 
     void deadlinePassed();
     void fail(Refusal refusal);
@@ -86,6 +97,7 @@
     InFlightCount inFlight_;
     WorkerContext &worker_;
     const RelayRequest request_;
+    const HeldMemory memory_;
     OrganisationLimiter::Ticket ticket_;
     // Null once the answer is complete or the caller has gone.
     AnswerWriter *writer_;
@@ -129,7 +141,10 @@
     bool resuming_ = false;
     unsigned resumesWithoutProgress_ = 0;
     std::string lastEventId_;
+    // A plain answer, and its memory or that of an incomplete event.
     std::string body_;
+    HeldMemory answerMemory_;
+    bool memoryShort_ = false;
     bool bodyTooLarge_ = false;
     SseScanner scanner_;
     std::vector<std::string_view> pieces_;
--- a/packages/relay/src/workercontext.h
+++ b/packages/relay/src/workercontext.h
@@ -2,15 +2,20 @@
 #pragma once
 
 #include "backendserverclient.h"
+#include "idleconnections.h"
 #include "organisationlimiter.h"
 #include "retrybudget.h"
 
+#include "auburn/core/loadshedding.h"
+#include "auburn/core/memorybudget.h"
 #include "auburn/relay/callerserver.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace auburn {
 
@@ -20,11 +25,16 @@
     explicit RelayShared(CallerServer::Options serverOptions)
         : options(std::move(serverOptions))
         , retryBudget(options.backendServers.retryShare, options.backendServers.retryBurst)
+        , memory(std::make_shared<MemoryBudget>(options.limits.memoryBytes))
+        , shedding(memory, options.limits.connections, options.metrics)
     {}
 
     const CallerServer::Options options;
     OrganisationLimiter organisations;
     RetryBudget retryBudget;
+    // What all connections and requests hold together.
+    const std::shared_ptr<MemoryBudget> memory;
+    const SheddingPolicy shedding;
     std::atomic<std::size_t> inFlight{ 0 };
     std::atomic<std::size_t> connections{ 0 };
     std::atomic<bool> draining{ false };
@@ -55,6 +65,8 @@
         , shared(relayShared)
     {}
 
+    // Before the context, whose handlers own the connections.
+    IdleConnections idle;
     boost::asio::io_context io;
     BackendServerClient backendServers;
     RelayShared &shared;
