Daemon: bounded log of rejected requests, connections within the memory

Every rejected request wrote a line, so a caller without credentials could fill the log. RequestTelemetry writes at most 50 such lines a second, with the number of those dropped; the counter counts all.

Idle connections are not closed for lack of memory, so a connection limit that is large for the memory limit could use it up. At most one connection is accepted for each 16 KiB of the memory limit.

--- a/packages/core/tests/log_test.cpp
+++ b/packages/core/tests/log_test.cpp
@@ -1,4 +1,5 @@
 #include "auburn/core/log.h"
+#include "auburn/core/loglimit.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,6 +14,20 @@
     BOOST_TEST(line == "event=refused organisation=\"a b\\x0aevent=forged\"");
 }
 
+// Guards against a log that grows with the number of bad requests, and against lines that are
+// dropped without a trace.
+BOOST_AUTO_TEST_CASE(limit_manyLinesInASecond_dropsAndCountsThem)
+{
+    LogLimit limit(2);
+    const LogLimit::Clock::time_point start = LogLimit::Clock::now();
+    BOOST_CHECK(limit.takeLine(start) == 0U);
+    BOOST_CHECK(limit.takeLine(start) == 0U);
+    for (int i = 0; i < 5; ++i)
+        BOOST_CHECK(!limit.takeLine(start + std::chrono::milliseconds(999)));
+    BOOST_CHECK(limit.takeLine(start + std::chrono::milliseconds(1000)) == 5U);
+    BOOST_CHECK(limit.takeLine(start + std::chrono::milliseconds(1000)) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -65,6 +65,14 @@
     return pages / 100 * kMemoryPercent * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+// Idle connections are not closed for lack of memory, so their number is limited to what takes a
+// quarter of it.
+std::size_t connectionLimit(const Settings &settings)
+{
+    constexpr std::size_t kBytesPerConnection = std::size_t{ 16 } * 1024;
+    return std::min(settings.connectionLimit, memoryLimit(settings) / kBytesPerConnection);
+}
+
 } // namespace
 
 class Daemon::Impl
@@ -235,7 +243,7 @@
                                              .port = settings_.callerListen.port,
                                              .threads = settings_.threads,
                                              .limits = { .bodyBytes = settings_.bodyLimit,
-                                                         .connections = settings_.connectionLimit,
+                                                         .connections = connectionLimit(settings_),
                                                          .memoryBytes = memoryLimit(settings_) },
                                              .config = [this] { return store_.current(); },
                                              .slots = slotClient_.get(),
--- a/packages/daemon/src/requesttelemetry.h
+++ b/packages/daemon/src/requesttelemetry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "auburn/core/loglimit.h"
 #include "auburn/core/metrics.h"
 #include "auburn/core/tracer.h"
 #include "auburn/relay/requestobserver.h"
@@ -21,6 +22,8 @@
 private:
     Tracer &tracer_;
     Metrics &metrics_;
+    // Requests that are rejected cost their sender nothing, so their lines are limited.
+    LogLimit rejectionLines_{ 50 };
 };
 
 } // namespace auburn
--- a/packages/daemon/src/settingtable.cpp
+++ b/packages/daemon/src/settingtable.cpp
@@ -58,7 +58,8 @@
     { "memory-limit", "BYTES", "0",
       "Memory of all callers' connections and requests, 16 MiB to 1 TiB and at least 12 times the "
       "body limit; 0 selects 40% of the VM's memory." },
-    { "connection-limit", "COUNT", "8192", "Connections of callers, 16 to 1048576." },
+    { "connection-limit", "COUNT", "8192",
+      "Connections of callers, 16 to 1048576; at most one for each 16 KiB of the memory limit." },
     { "balancer-delay", "DURATION", "3s",
       "Time for which a stopping daemon still accepts connections, up to 5m." },
 };
