Scaling: before the first request, replace the fleet in one step and count the whole list

Change: the limits apply from the first request on; until the first order, the highest number that was listed counts.

--- a/packages/scaling/src/serviceplanner.cpp
+++ b/packages/scaling/src/serviceplanner.cpp
@@ -30,6 +30,8 @@
 // Time from the end of the boot time until a new server is certainly listed and its listing read.
 constexpr milliseconds kListingTime{ 3000 };
 // Largest share of a service's servers that is given back in one step. A step lasts one boot time.
+// The limits of a step keep callers from finding cold prefix caches everywhere; before the first
+// request they do not apply.
 constexpr double kMaxGivenBack = 0.15;
 // Largest share of a failure domain's servers that changes in one step.
 constexpr double kMaxChanged = 1.0 / 3;
@@ -78,7 +80,8 @@
     const bool isStepDue = !steppedAt_ || now - *steppedAt_ >= service.policy.bootTime;
     if (mayGiveBack(context, now) && isStepDue && total(&GroupTrack::expected) >= need_.servers) {
         for (Domain &domain : domains_) {
-            domain.removalsLeft = shareOf(kMaxChanged, domain.usable());
+            domain.removalsLeft = demandSeen_ ? shareOf(kMaxChanged, domain.usable())
+                                              : domain.usable();
             domain.replacementsLeft = domain.removalsLeft;
         }
         const bool gaveBack = giveBackSurplus(groups, now);
@@ -136,8 +139,9 @@
     }
     if (service.slots > 0)
         slots_ = service.slots;
-    if (!serversAtStart_)
-        serversAtStart_ = total(&GroupTrack::usable);
+    // A holder that has just started may not have read the whole list of servers yet.
+    if (!demandSeen_ && !hasOrdered_)
+        serversAtStart_ = std::max(serversAtStart_, total(&GroupTrack::usable));
 }
 
 void ServicePlanner::updateNeed(const ServiceState &service, const PlanContext &context,
@@ -149,7 +153,7 @@
     const double load = std::max(bySlots, byPrefill);
     demandSeen_ = demandSeen_ || load > 0;
     // Before the first request, what the operators provided is taken for the need.
-    const double withoutReserveNow = demandSeen_ ? load : *serversAtStart_ / kReserve;
+    const double withoutReserveNow = demandSeen_ ? load : serversAtStart_ / kReserve;
     recentServers_.add(std::ceil(withoutReserveNow * kReserve), now);
     recentWithoutReserve_.add(std::ceil(withoutReserveNow), now);
 
@@ -161,7 +165,7 @@
         withoutReserve = std::max<double>(withoutReserve, completeNeed_.withoutReserve);
     }
     if (now - context.startedAt < kTakeoverTime)
-        servers = std::max(servers, std::ceil(*serversAtStart_ / 2.0));
+        servers = std::max(servers, std::ceil(serversAtStart_ / 2.0));
     limit_ = service.policy.maxPerDomain * domains;
     limit_ = std::min(limit_, context.options.maxServers.value_or(limit_));
     const unsigned lowest = std::min(limit_, std::max(1U, service.policy.minPerDomain) * domains);
@@ -222,6 +226,7 @@
     if (!best)
         return false;
     best->get().order(best->get().expected() + 1, reason, now);
+    hasOrdered_ = true;
     if (reason != OrderReason::Shortage)
         --best->domain->replacementsLeft;
     return true;
@@ -247,7 +252,7 @@
     unsigned onDemandSurplus = 0;
     for (const Group &group : groups)
         onDemandSurplus += group.track == &Domain::onDemand ? group.surplus() : 0;
-    unsigned quota = std::min(surplus, shareOf(kMaxGivenBack, usable));
+    unsigned quota = demandSeen_ ? std::min(surplus, shareOf(kMaxGivenBack, usable)) : surplus;
     unsigned givenBack = 0;
     if (onDemandSurplus >= shareOf(kIgnoredMoves, need_.servers))
         givenBack = giveBack(groups, &Domain::onDemand, quota, now);
@@ -274,6 +279,7 @@
         if (!best)
             return givenBack;
         best->get().order(best->get().usable() - 1, OrderReason::Surplus, now);
+        hasOrdered_ = true;
         --best->domain->removalsLeft;
         ++givenBack;
     }
--- a/packages/scaling/src/serviceplanner.h
+++ b/packages/scaling/src/serviceplanner.h
@@ -94,8 +94,9 @@
     unsigned limit_ = 0;
     // Mean number of slots when a server was last listed.
     double slots_ = 0;
-    // Servers that ran when this daemon became the holder.
-    std::optional<unsigned> serversAtStart_;
+    // Servers that ran when this daemon became the holder, and whether it has ordered any since.
+    unsigned serversAtStart_ = 0;
+    bool hasOrdered_ = false;
     // A request was in progress since this daemon became the holder.
     bool demandSeen_ = false;
     // Time after which an ordered server is certainly listed.
--- a/packages/scaling/tests/autoscaler_test.cpp
+++ b/packages/scaling/tests/autoscaler_test.cpp
@@ -50,6 +50,20 @@
     BOOST_TEST(calls.empty());
 }
 
+// Guards against servers that are replaced in small steps while nobody waits, so that the callers
+// who come afterwards find their prefix caches lost.
+BOOST_FIXTURE_TEST_CASE(noRequestYet_onDemandFleet_isReplacedInOneStep, FleetSimulation)
+{
+    load = [](double) { return 0.0; };
+    const unsigned provided = ready();
+    // What a previous holder ordered has arrived after 7 s; replacements take 4 s to start.
+    run(14, [&] { BOOST_REQUIRE(ready() >= provided * 2 / 3); });
+    BOOST_TEST(ready(false) <= provided * 0.3);
+    calls.clear();
+    run(30);
+    BOOST_TEST(calls.size() <= 2U);
+}
+
 // Guards against capacity that arrives step by step while callers wait.
 BOOST_FIXTURE_TEST_CASE(burst_servers_areOrderedAtOnce, SettledFleet)
 {
--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(planner.neededServers("e") < 40U);
 }
 
+// Guards against a fleet that shrinks before the first request, because the holder had read only a
+// part of the list of servers when it began.
+BOOST_AUTO_TEST_CASE(noRequestYet_listIsReadInParts_allThatRunIsNeeded)
+{
+    FleetPlanner planner({});
+    service.load = {};
+    FleetState state{ .services = { service }, .demandComplete = true };
+    state.services[0].domains.erase("c");
+    planner.plan(state, now);
+    planner.plan(state, now + std::chrono::seconds(2));
+    state.services[0].domains = service.domains;
+    planner.plan(state, now + std::chrono::seconds(3));
+    BOOST_TEST(planner.neededServers("e") == 40U);
+}
+
 // Guards against exceeding the operators' limit while callers cause a shortage.
 BOOST_AUTO_TEST_CASE(shortage_operatorsLimit_isKept)
 {
