--- a/packages/ctl/src/statusformat.cpp
+++ b/packages/ctl/src/statusformat.cpp
@@ -81,7 +81,8 @@
 std::string table(const Row &columns, const QJsonValue &array, const MakeRow &makeRow)
 {
     std::vector<Row> rows;
-    for (const QJsonValue &entry : array.toArray())
+    const QJsonArray entries = array.toArray();
+    for (const auto &entry : entries)
         rows.push_back(makeRow(entry.toObject()));
     return table(columns, rows);
 }
