Relay: a new caller displaces refused ones

A refused connection stays open for up to 2 s so that its caller can read the refusal. Such connections count as idle now.

newCaller_allConnectionsRefused_displacesTheOldest failed before: "check exchange(...).status == 200 has failed [0 != 200]". It passed wrongly at first, because the fixture's client reported a connection closed without a byte as status 200; it reports 0 now, and all of relay_test passes with that.

--- a/packages/relay/src/callerconnection.cpp
+++ b/packages/relay/src/callerconnection.cpp
@@ -433,7 +433,8 @@
 {
     ErrorCode error;
     const bool hasUnreadInput = socket_.available(error) > 0 && !error;
-    if (phase_ != Phase::Idle || hasUnreadInput)
+    const bool isIdle = phase_ == Phase::Idle && !hasUnreadInput;
+    if (!isIdle && phase_ != Phase::Lingering)
         return false;
     close();
     return true;
@@ -684,6 +685,8 @@
 void CallerConnection::linger()
 {
     phase_ = Phase::Lingering;
+    // It may be closed early: a new caller is worth more than the time to read a refusal.
+    idleEntry_.enter();
     ErrorCode ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     input_.clear();
--- a/packages/relay/src/callerconnection.h
+++ b/packages/relay/src/callerconnection.h
@@ -45,7 +45,8 @@
     // Ends the connection at once.
     void abort();
 
-    // Closes the connection if it waits for a request and has received none. Returns false if not.
+    // Closes the connection if it waits for a request and has received none, or if its last answer
+    // is written. Returns false if not.
     bool closeIfIdle();
     // Starts a round of the timer that looks for connections to close, and returns what this one
     // held and moved in the last round.
--- a/packages/relay/src/idleconnections.h
+++ b/packages/relay/src/idleconnections.h
@@ -1,5 +1,5 @@
-// IdleConnections: the caller connections of one worker thread that wait for a request, the one
-// that has waited longest first.
+// IdleConnections: the caller connections of one worker thread that wait for a request, or whose
+// last answer is written, the one that has waited longest first.
 #pragma once
 
 #include <atomic>
--- a/packages/relay/tests/callerlimits_test.cpp
+++ b/packages/relay/tests/callerlimits_test.cpp
@@ -172,6 +172,23 @@
     BOOST_TEST(server->connections() <= 10U);
 }
 
+// Guards against refused callers that keep their connections for the time to read the refusal, so
+// that a new caller is closed.
+BOOST_AUTO_TEST_CASE(newCaller_allConnectionsRefused_displacesTheOldest)
+{
+    options.limits.connections = 4;
+    addEngine("r1");
+    serve();
+    std::vector<std::unique_ptr<Client>> refused;
+    for (std::size_t i = 0; i < 4; ++i) {
+        refused.push_back(std::make_unique<Client>(server->port()));
+        refused.back()->send("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+        BOOST_TEST(refused.back()->receive().status == 401);
+    }
+    BOOST_TEST(server->connections() == 4U);
+    BOOST_TEST(exchange(chatRequest("p", false, 1)).status == 200);
+}
+
 // Guards against a new connection that displaces one with a request in progress.
 BOOST_AUTO_TEST_CASE(newCaller_allConnectionsBusy_isClosed)
 {
--- a/packages/relay/tests/relayfixture.cpp
+++ b/packages/relay/tests/relayfixture.cpp
@@ -310,6 +310,9 @@
         }
         const std::string more = receiveSome();
         if (more.empty()) {
+            // The parser would take the end of an empty input for a complete response.
+            if (!parser.got_some())
+                return {};
             parser.put_eof(error);
             break;
         }
