Messages of others: lengths are checked before the protobuf library parses

Cause: the library does not compare the length of a message with the one that contains it, and reserves up to 50 MB for a string in it before it finds that the bytes are missing. A gossip frame of 1.3 KB reserved 11 MB. Change: proto::parseMessage checks the lengths of all nested messages first.

--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -3,6 +3,7 @@
 #include "auburn.pb.h"
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
+#include "auburn/proto/parsemessage.h"
 
 #include <algorithm>
 #include <tuple>
@@ -171,7 +172,7 @@
 {
     proto::LeaseRecord record;
     // An unreadable record counts as one of an unknown holder.
-    if (!record.ParseFromString(item.value))
+    if (!proto::parseMessage(item.value, record))
         record.Clear();
     // The token is the offset of an earlier record plus 1. A higher one would make all that follow
     // look outdated.
--- a/packages/mesh/src/zmqbus.cpp
+++ b/packages/mesh/src/zmqbus.cpp
@@ -2,6 +2,7 @@
 
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
+#include "auburn/proto/parsemessage.h"
 
 #include <algorithm>
 #include <array>
@@ -527,8 +528,8 @@
         return;
     }
     proto::Envelope envelope;
-    if (!envelope.ParseFromArray(payload.data(), static_cast<int>(payload.size()))
-        || envelope.sender().empty() || envelope.body_case() == proto::Envelope::BODY_NOT_SET) {
+    if (!proto::parseMessage(payload.to_string_view(), envelope) || envelope.sender().empty()
+        || envelope.body_case() == proto::Envelope::BODY_NOT_SET) {
         ++droppedUnparsable_;
         return;
     }
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -3,6 +3,7 @@
 #include "auburn/core/endpoint.h"
 #include "auburn/core/lasterror.h"
 #include "auburn/core/log.h"
+#include "auburn/proto/parsemessage.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
@@ -273,7 +274,7 @@
     void handleDatagram(std::size_t bytes)
     {
         proto::PeerDatagram datagram;
-        if (!datagram.ParseFromArray(buffer_.data(), static_cast<int>(bytes))) {
+        if (!proto::parseMessage({ buffer_.data(), bytes }, datagram)) {
             logEvent(LogLevel::Warning, "datagram_unreadable",
                      { { "bytes", static_cast<long long>(bytes) } });
             return;
--- a/packages/usage/src/figurerecord.cpp
+++ b/packages/usage/src/figurerecord.cpp
@@ -1,6 +1,7 @@
 #include "figurerecord.h"
 
 #include "auburn.pb.h"
+#include "auburn/proto/parsemessage.h"
 #include "auburn/usage/usagewindow.h"
 
 #include <algorithm>
@@ -106,7 +107,7 @@
     for (const duties::LogItem &item : listing.items) {
         const auto number = parseKey(item.key);
         Part part{ .offset = item.offset };
-        if (!number || !part.record.ParseFromString(item.value))
+        if (!number || !proto::parseMessage(item.value, part.record))
             continue;
         const std::uint64_t window = part.record.window();
         if (window > kLatestWindow)
--- a/tests/fuzz/peerdecoders.cpp
+++ b/tests/fuzz/peerdecoders.cpp
@@ -8,6 +8,7 @@
 #include "auburn/core/endpoint.h"
 #include "auburn/mesh/gossipcore.h"
 #include "auburn/peers/peertable.h"
+#include "auburn/proto/parsemessage.h"
 #include "auburn/scaling/demandtable.h"
 #include "auburn/usage/usagemetering.h"
 #include "platform/heartbeatfields.h"
@@ -151,7 +152,7 @@
 void decodeDatagram(std::string_view input)
 {
     proto::PeerDatagram datagram;
-    if (!datagram.ParseFromArray(input.data(), static_cast<int>(input.size())))
+    if (!proto::parseMessage(input, datagram))
         return;
     for (const bool holdsDuties : { true, false }) {
         DatagramReader reader(holdsDuties);
@@ -292,7 +293,7 @@
 void decodeGossip(std::string_view input)
 {
     proto::Envelope envelope;
-    if (!envelope.ParseFromArray(input.data(), static_cast<int>(input.size())))
+    if (!proto::parseMessage(input, envelope))
         return;
     GossipTime now{ .monotonic = milliseconds(1000), .wall = kUnixTime };
     GossipCore core(gossipOptions("d1"), now);
