--- a/tests/fuzz/allocations.cpp
+++ b/tests/fuzz/allocations.cpp
@@ -4,11 +4,13 @@
 #include <cstdint>
 
 // GCC installs no header for these functions of its sanitizer library.
+// NOLINTBEGIN(bugprone-reserved-identifier)
 extern "C" {
 std::size_t __sanitizer_get_allocated_size(const volatile void *block);
 int __sanitizer_install_malloc_and_free_hooks(void (*allocated)(const volatile void *, std::size_t),
                                               void (*freed)(const volatile void *));
 }
+// NOLINTEND(bugprone-reserved-identifier)
 
 namespace auburn::fuzz {
 
