Fuzz test: start from commands that the operators' language has

Cause: the commands that decoders_test started from were no valid ones, so few mutations got far. Change: commands as in commandparser_test.

--- a/tests/fuzz/commanddecoders.cpp
+++ b/tests/fuzz/commanddecoders.cpp
@@ -28,10 +28,11 @@
     constexpr std::size_t kMaxArguments = std::size_t{ 8 } * 1024;
     return {
         { .name = "operator-command",
-          .corpus = { "show services where name = \"a b\" and kind != engine sort by name limit 5",
-                      "set service chat kind engine request_timeout 90s if revision 17",
-                      "unset organisation org max_concurrent", "drain server e-1",
-                      "show servers where free_slots >= 3 or not draining" },
+          .corpus = { "show backend_servers where region = a and slots >= 4 sort slots desc limit "
+                      "9",
+                      "show history", "set class gold tier=0 first_token=1.8s if revision 12",
+                      "set backend_server \"r \\\"1\" address=127.0.0.1:8000 draining=false",
+                      "unset caller web if revision 7", "undrain backend_server r1 if revision 3" },
           .decode = [](std::string_view input) { CommandParser::parse(input); } },
         { .name = "startup-settings",
           .corpus = { "--id\nd1\n--failure-domain\na\n--region=r\n--caller-listen\n127.0.0.1:8080\n"
