Settings: at most 20 unknown arguments are listed

Cause: each unknown argument added a line to the errors, so 8 KB of arguments took 1.67 MB. Change: 20 are listed and the others counted.

--- a/packages/daemon/src/settingvalues.cpp
+++ b/packages/daemon/src/settingvalues.cpp
@@ -2,6 +2,8 @@
 
 #include "auburn/ctl/options.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <tclap/CmdLine.h>
 
@@ -9,6 +11,9 @@
 
 namespace {
 
+// Bounds the text of the errors.
+constexpr std::size_t kMaxListedArguments = 20;
+
 using ValueFlag = TCLAP::MultiArg<std::string>;
 
 // Parses the command line with TCLAP. Every flag is a MultiArg, and a trailing unlabelled argument
@@ -41,8 +46,13 @@
         values.version = version_.isSet();
         for (const SettingInfo &info : settingTable())
             storeFlag(values, info);
-        for (const std::string &argument : unmatchedArguments_->getValue())
-            values.errors.push_back("unknown argument '" + withoutValue(argument) + "'");
+        const std::vector<std::string> &unknown = unmatchedArguments_->getValue();
+        const std::size_t listed = std::min(unknown.size(), kMaxListedArguments);
+        for (std::size_t i = 0; i < listed; ++i)
+            values.errors.push_back("unknown argument '" + withoutValue(unknown[i]) + "'");
+        if (unknown.size() > listed)
+            values.errors.push_back(std::to_string(unknown.size() - listed)
+                                    + " more unknown arguments");
     }
 
 private:
