--- a/packages/scaling/tests/scalingmetrics_test.cpp
+++ b/packages/scaling/tests/scalingmetrics_test.cpp
@@ -14,11 +14,15 @@
     const Gauge &listed = metrics.gauge(
             "auburn_scaling_listed_servers", "",
             { { "service", "e" }, { "failure_domain", "a" }, { "kind", "spot" } });
-    ServiceState service{ .name = "e", .domains = { { "a", { .spot = 3 } } } };
-    scaling.setServers({ .services = { service } }, {});
+    FleetState state;
+    ServiceState &service = state.services.emplace_back();
+    service.name = "e";
+    service.domains["a"].spot = 3;
+    scaling.setServers(state, {});
     BOOST_TEST(listed.value() == 3);
-    service.domains = { { "b", { .spot = 1 } } };
-    scaling.setServers({ .services = { service } }, {});
+    service.domains.clear();
+    service.domains["b"].spot = 1;
+    scaling.setServers(state, {});
     BOOST_TEST(listed.value() == 0);
 }
 
