--- a/packages/core/include/auburn/core/gradualbody.h
+++ b/packages/core/include/auburn/core/gradualbody.h
@@ -42,7 +42,7 @@
             const std::size_t size = boost::asio::buffer_size(buffers);
             const std::size_t needed = body_.size() + size;
             if (needed > body_.capacity())
-                body_.reserve(std::max(needed, std::min(length_, grownCapacity())));
+                grow(std::max(needed, std::min(length_, grownCapacity())));
             for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers))
                 body_.append(static_cast<const char *>(buffer.data()), buffer.size());
             return size;
@@ -51,6 +51,16 @@
         void finish(boost::beast::error_code &error) { error = {}; }
 
     private:
+        // A string that already holds text at least doubles its capacity with reserve(), and would
+        // take up to twice the Content-Length.
+        void grow(std::size_t capacity)
+        {
+            value_type grown;
+            grown.reserve(capacity);
+            grown.append(body_);
+            body_.swap(grown);
+        }
+
         std::size_t grownCapacity() const
         {
             // Most bodies are smaller and need one allocation.
