Gateway: the end of an event is searched for once

Cause: EventSplitter looked for both kinds of empty line in the whole rest of the text for each event. 64 KB of five-byte events with carriage returns took 1.5 s of CPU time (with the sanitizers). Change: each line end is looked at once. Result: the input failed in decoders_test before and passes now; gateway_test passes.

--- a/packages/gateway/src/eventsplitter.cpp
+++ b/packages/gateway/src/eventsplitter.cpp
@@ -14,13 +14,19 @@
     std::size_t size = 0;
 };
 
+// Looks at each line end once: a search for both kinds of boundary would scan the whole rest of the
+// text for the kind that a server does not use, for each event.
 Boundary findBoundary(std::string_view text, std::size_t from)
 {
-    const std::size_t plain = text.find("\n\n", from);
-    const std::size_t withReturns = text.find("\r\n\r\n", from);
-    if (withReturns != std::string_view::npos && withReturns < plain)
-        return { .position = withReturns, .size = 4 };
-    return { .position = plain, .size = 2 };
+    constexpr std::string_view kWithReturns = "\r\n\r\n";
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (text.substr(at + 1, 1) == "\n")
+            return { .position = at, .size = 2 };
+        if (at > from && text.substr(at - 1, kWithReturns.size()) == kWithReturns)
+            return { .position = at - 1, .size = kWithReturns.size() };
+    }
+    return {};
 }
 
 } // namespace
