--- a/packages/core/tests/memorybudget_test.cpp
+++ b/packages/core/tests/memorybudget_test.cpp
@@ -1,3 +1,4 @@
+#include "auburn/core/loadshedding.h"
 #include "auburn/core/memorybudget.h"
 
 #include <boost/test/unit_test.hpp>
@@ -53,6 +54,18 @@
     BOOST_TEST(reports == 3U);
 }
 
+// Guards against all IPv4 callers of a listener for both families counting as one source.
+BOOST_AUTO_TEST_CASE(source_ofMappedAddresses_isThatOfTheIpv4Address)
+{
+    using boost::asio::ip::make_address;
+    BOOST_TEST(connectionSource(make_address("::ffff:10.0.0.1"))
+               == connectionSource(make_address("10.0.0.1")));
+    BOOST_TEST(connectionSource(make_address("::ffff:10.0.0.1"))
+               != connectionSource(make_address("::ffff:10.0.0.2")));
+    BOOST_TEST(connectionSource(make_address("2001:db8::1"))
+               == connectionSource(make_address("2001:db8::2")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
--- a/packages/routing/include/auburn/routing/serverview.h
+++ b/packages/routing/include/auburn/routing/serverview.h
@@ -32,7 +32,7 @@
     void attemptEnded(const PlacementChoice &choice, bool progressed, AttemptOutcome outcome,
                       TimePoint now);
 
-    // The common speed is that of the service.
+    // The common work time is that of the service.
     void recordLoadReport(LoadReport report, CommonWorkTime &common, TimePoint now);
     // Replaces the load that another daemon reported.
     void recordPeerLoad(const std::string &peer, const PeerLoad &load, TimePoint now);
--- a/packages/scaling/tests/demand_test.cpp
+++ b/packages/scaling/tests/demand_test.cpp
@@ -160,6 +160,30 @@
     BOOST_TEST(table.reportingDaemons() == 1U);
 }
 
+// Guards against a service that is counted twice, because its demand moved to another part of the
+// report and a part was lost.
+BOOST_AUTO_TEST_CASE(report_firstUseOfAService_othersStayInTheirParts)
+{
+    routing::TrafficConfigData many;
+    for (int i = 0; i < 30; ++i)
+        many.services.push_back(
+                { .name = "e" + std::to_string(i), .scaling = routing::ScalingPolicy{} });
+    const routing::TrafficConfig manyServices(many);
+    for (int i = 1; i < 30; ++i)
+        meter.attemptStarted("e" + std::to_string(i), 0);
+    for (const proto::DemandReport &part : meter.makeReports(manyServices, now))
+        table.record(part, now);
+    meter.attemptStarted("e0", 0);
+    now += milliseconds(1000);
+    const auto parts = meter.makeReports(manyServices, now);
+    BOOST_REQUIRE(parts.size() == 2U);
+    // The first part is lost.
+    table.record(parts[1], now);
+    table.update(now);
+    for (int i = 1; i < 30; ++i)
+        BOOST_TEST(table.load("e" + std::to_string(i)).inProgress == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::scaling
--- a/packages/scaling/tests/fleetplanner_test.cpp
+++ b/packages/scaling/tests/fleetplanner_test.cpp
@@ -192,6 +192,21 @@
     BOOST_TEST(track.isBlocked());
 }
 
+// Guards against counting on servers that never arrive because the number is lowered and raised in
+// turn.
+BOOST_AUTO_TEST_CASE(track_smallerOrder_missingServersKeepTheirAge)
+{
+    GroupTrack track;
+    const GroupTrack::Observation observation{ .running = 5, .arrivalTime = milliseconds(7000) };
+    track.observe(observation, now);
+    track.order(10, OrderReason::Shortage, now);
+    track.observe(observation, now + milliseconds(4000));
+    track.order(8, OrderReason::Surplus, now + milliseconds(4000));
+    track.order(9, OrderReason::Shortage, now + milliseconds(5000));
+    track.observe(observation, now + milliseconds(7000));
+    BOOST_TEST(track.isBlocked());
+}
+
 // Guards against taking an order for late because an earlier one, which has arrived, is old.
 BOOST_AUTO_TEST_CASE(track_ordersRiseAndArriveInTime_areCounted)
 {
