Gateway: log and count attempts whose connection has carried the same id

Change: a connection records hashes of the request ids that it has carried; request_placed, attempt_failed and auburn_rejections_total say id_repeated=yes if the id of the attempt is among them. Nothing else uses it yet.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +28,8 @@
     std::string head;
     // Null if the request has no body.
     std::shared_ptr<const std::string> body;
+    // The id that the response repeats; empty if the request has none.
+    std::string requestId = {};
     // Asked directly before the first byte is sent, after connecting; the call ends with NotSent if
     // it returns false. May be empty.
     std::function<bool()> sendCondition = nullptr;
@@ -131,6 +134,9 @@
 
     // True if the connection can carry another call.
     bool isReusable() const { return reusable_ && !closed_; }
+    // True if an earlier call on this connection carried a request with the id. A response with
+    // that id may then be a late copy of the earlier one.
+    bool hasCarried(std::string_view requestId) const;
     bool isClosed() const { return closed_; }
     // True if the server has neither closed the idle connection nor sent bytes on it. This looks at
     // the socket itself, because the event loop of a process that was stopped reports it late.
@@ -203,6 +209,8 @@
     std::size_t headerLines_ = 0;
     std::size_t discardedBytes_ = 0;
     unsigned responseCount_ = 0;
+    // Hashes of the request ids that this connection has carried.
+    std::vector<std::uint64_t> carriedIds_;
     Clock::time_point idleSince_;
     std::optional<std::chrono::seconds> keepAlive_;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -203,11 +203,13 @@
     connection_ = context_.pool->acquire(choice.address,
                                          isRepeatable() ? kMaxIdle : kUnsafeMaxIdle);
     reusesConnection_ = connection_->isConnected();
+    repeatsIdOnConnection_ = connection_->hasCarried(request_.id);
     recordPlacement({ .request = request_,
                       .choice = choice,
                       .service = service_->name,
                       .attempt = attempts_,
                       .reusesConnection = reusesConnection_,
+                      .repeatsIdOnConnection = repeatsIdOnConnection_,
                       .timeLeft = timeLeft() });
     startStallTimer();
     connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
@@ -311,6 +313,7 @@
                     .verdict = verdict_,
                     .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_),
                     .reusedConnection = reusesConnection_,
+                    .repeatedIdOnConnection = repeatsIdOnConnection_,
                     .identified = response_.identified },
                   context_.options.metrics);
     attempt_.reset();
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -5,6 +5,7 @@
 
 #include "auburn/core/datasinkbody.h"
 #include "auburn/core/endpoint.h"
+#include "auburn/core/hash.h"
 #include "auburn/core/joinedhead.h"
 #include "auburn/core/lasterror.h"
 #include "auburn/core/socketstate.h"
@@ -93,6 +94,8 @@
     headerLines_ = 0;
     discardedBytes_ = 0;
     parser_ = std::make_unique<Parser>();
+    if (!request_.requestId.empty())
+        carriedIds_.push_back(stableHash(request_.requestId));
     if (connected_)
         send();
     else
@@ -255,6 +258,7 @@
     setTcpOptions(socket_);
     input_.clear();
     responseCount_ = 0;
+    carriedIds_.clear();
     echoesRequestId_ = false;
     idleSince_ = Clock::now();
     // The rest of a request that was not sent completely may still be written to the old socket.
@@ -384,6 +388,12 @@
         handler->callEnded(CallResult{ .endedByClose = parser_->response.need_eof() });
 }
 
+bool OutboundConnection::hasCarried(std::string_view requestId) const
+{
+    return std::find(carriedIds_.begin(), carriedIds_.end(), stableHash(requestId))
+           != carriedIds_.end();
+}
+
 bool OutboundConnection::isQuiet()
 {
     return !closed_ && isSocketQuiet(socket_);
--- a/packages/gateway/src/serverrequest.cpp
+++ b/packages/gateway/src/serverrequest.cpp
@@ -32,7 +32,7 @@
     else if (request.method != "GET" && request.method != "HEAD")
         add("Content-Length", "0");
     head.append("\r\n");
-    return { .head = std::move(head), .body = request.body };
+    return { .head = std::move(head), .body = request.body, .requestId = request.id };
 }
 
 } // namespace auburn::gateway
