Gateway: a connection carries no request id twice

Callers saw 503, the promise that a request has not run, for a request that ran (REFUSED), or it ran at a second server (TWICE). Cause: a connection was kept after a refusal with the id of its request and could carry the same id again. A server that comes back under a new id at its old address does that without any mistake of a caller: the registry lists both ids for up to three heartbeats, the old one is refused with 421 and excluded, and the new one has the same address, so the pool hands out the same connection. A copy of the 421 then bears the right id. Evidence: refusalCopies failed in all five cases before; the log reads attempt_failed server=new reason=rejected connection=reused id_repeated=yes, while the server runs the request. Change: the pool hands out no connection that has carried a request with the id, whatever its response was. It is not closed after each refusal, because a full service refuses often and a new connection is dear. Why it works: a copy arrives on the connection of its request, where no other request has that id, so the check of the id tells it from every response.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -101,6 +101,10 @@
 // requests. A read stays pending while the connection is idle, so that a server that closes the
 // connection or sends unsolicited bytes is detected before the next call.
 //
+// Such a response may be the copy of an earlier one, also of a rejection, and then bears the id of
+// the earlier request. The id tells it from the response to the call only if no two calls on the
+// connection have the same id, so users of connections check hasCarried().
+//
 // A faulty server may also stop inside the head of such a response. Its start then joins with the
 // head of the response to the next request. Neither the status nor the fields of a joined head can
 // be attributed, so the call fails as one whose request may have run.
--- a/packages/gateway/src/connectionpool.cpp
+++ b/packages/gateway/src/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "connectionpool.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace auburn::gateway {
 
@@ -38,17 +39,24 @@
 {}
 
 std::shared_ptr<OutboundConnection> ConnectionPool::acquire(const std::string &address,
-                                                            milliseconds maxIdle)
+                                                            milliseconds maxIdle,
+                                                            std::string_view requestId)
 {
     const auto found = idleByAddress_.find(address);
-    while (found != idleByAddress_.end() && !found->second.empty()) {
-        std::shared_ptr<OutboundConnection> newest = found->second.back();
-        if (!newest->isReusable() || !isWithinIdleLimit(*newest, maxIdle))
+    if (found == idleByAddress_.end())
+        return std::make_shared<OutboundConnection>(io_, address);
+    std::vector<std::shared_ptr<OutboundConnection>> &idle = found->second;
+    // The newest connections are last.
+    for (std::size_t i = idle.size(); i > 0; --i) {
+        std::shared_ptr<OutboundConnection> connection = idle[i - 1];
+        if (!connection->isReusable() || !isWithinIdleLimit(*connection, maxIdle))
             break;
-        found->second.pop_back();
-        if (newest->isQuiet())
-            return newest;
-        newest->close();
+        if (connection->hasCarried(requestId))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        if (connection->isQuiet())
+            return connection;
+        connection->close();
     }
     return std::make_shared<OutboundConnection>(io_, address);
 }
--- a/packages/gateway/src/connectionpool.h
+++ b/packages/gateway/src/connectionpool.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -21,10 +22,11 @@
 public:
     explicit ConnectionPool(boost::asio::io_context &io);
 
-    // Returns the most recently used idle connection that is quiet and has been idle for at most
-    // maxIdle, or a new one if there is none.
+    // Returns the most recently used idle connection that is quiet, has been idle for at most
+    // maxIdle and has not carried a request with the id, or a new one if there is none.
     std::shared_ptr<OutboundConnection> acquire(const std::string &address,
-                                                std::chrono::milliseconds maxIdle);
+                                                std::chrono::milliseconds maxIdle,
+                                                std::string_view requestId);
     // Returns a connection to the pool. It is closed if it is not reusable or idleLimit connections
     // to its address are idle already.
     void release(const std::shared_ptr<OutboundConnection> &connection, std::size_t idleLimit);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -201,7 +201,7 @@
     if (choice.uncachedTokens >= kLargePromptTokens && context_.options.largeRequestPlaced)
         context_.options.largeRequestPlaced();
     connection_ = context_.pool->acquire(choice.address,
-                                         isRepeatable() ? kMaxIdle : kUnsafeMaxIdle);
+                                         isRepeatable() ? kMaxIdle : kUnsafeMaxIdle, request_.id);
     reusesConnection_ = connection_->isConnected();
     repeatsIdOnConnection_ = connection_->hasCarried(request_.id);
     recordPlacement({ .request = request_,
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -36,6 +36,9 @@
 // Limit of the lines of one response head. Many short fields take far more memory than their bytes.
 constexpr std::size_t kMaxHeaderLines = 1000;
 constexpr std::chrono::milliseconds kReconnectTimeout{ 300 };
+// A connection that has carried this many requests is closed, which bounds the memory for their
+// ids.
+constexpr std::size_t kMaxCarriedRequests = 256;
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
 
@@ -368,7 +371,8 @@
     idleSince_ = Clock::now();
     // If the response arrived before the request was sent completely, the rest of the request is
     // still being written.
-    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0;
+    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0
+                && carriedIds_.size() < kMaxCarriedRequests;
     callComplete();
 }
 
--- a/packages/gateway/tests/connectionpool_test.cpp
+++ b/packages/gateway/tests/connectionpool_test.cpp
@@ -41,12 +41,12 @@
 struct ConnectionPoolFixture
 {
     // Lets a connection carry one call and returns it to the pool.
-    void addIdleConnection()
+    void addIdleConnection(const std::string &requestId = "first")
     {
         CountingHandler handler;
         const auto connection = std::make_shared<OutboundConnection>(io, address);
-        connection->call({ .head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n" }, milliseconds(300),
-                         &handler);
+        connection->call({ .head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", .requestId = requestId },
+                         milliseconds(300), &handler);
         io.restart();
         io.run_for(milliseconds(50));
         serverSides.push_back(acceptor.accept());
@@ -67,7 +67,27 @@
     }
 
     // True if the next connection of the pool has been used before.
-    bool acquireReused() { return pool->acquire(address, kMaxIdle)->isConnected(); }
+    bool acquireReused(const std::string &requestId = "next")
+    {
+        return pool->acquire(address, kMaxIdle, requestId)->isConnected();
+    }
+
+    // Lets the server answer the next request on the connection of a call.
+    void answerCall(OutboundConnection &connection, tcp::socket &serverSide,
+                    const std::string &requestId)
+    {
+        CountingHandler handler;
+        connection.call({ .head = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", .requestId = requestId },
+                        milliseconds(300), &handler);
+        boost::asio::streambuf request;
+        boost::asio::read_until(serverSide, request, "\r\n\r\n");
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        boost::asio::write(serverSide, boost::asio::buffer(response));
+        while (handler.completed == 0) {
+            io.restart();
+            io.run_one_for(milliseconds(1000));
+        }
+    }
 
     boost::asio::io_context io;
     tcp::acceptor acceptor{ io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0) };
@@ -114,6 +134,41 @@
     BOOST_TEST(!acquireReused());
 }
 
+// Guards against a late copy of an earlier response that is taken for that to a request with the
+// same id.
+BOOST_AUTO_TEST_CASE(idleConnection_hasCarriedTheId_isNotReusedForItAgain)
+{
+    addIdleConnection("id");
+    BOOST_TEST(!acquireReused("id"));
+    BOOST_TEST(acquireReused("another"));
+}
+
+// Guards against a new connection for each repeated id although another idle one is sound.
+BOOST_AUTO_TEST_CASE(idleConnections_newestHasCarriedTheId_anotherIsReused)
+{
+    addIdleConnection("another");
+    addIdleConnection("id");
+    BOOST_TEST(acquireReused("id"));
+    BOOST_TEST(!acquireReused("id"));
+}
+
+// Guards against ids that are forgotten while their connection is in use, and against memory that
+// grows with the requests of a connection.
+BOOST_AUTO_TEST_CASE(connection_carriesManyRequests_knowsAllTheirIdsAndEnds)
+{
+    constexpr unsigned kMostRequests = 1000;
+    addIdleConnection("id0");
+    const auto connection = pool->acquire(address, kMaxIdle, "id1");
+    BOOST_REQUIRE(connection->isConnected());
+    unsigned carried = 1;
+    while (connection->isReusable() && carried < kMostRequests)
+        answerCall(*connection, serverSides[0], "id" + std::to_string(carried++));
+    BOOST_TEST(carried < kMostRequests);
+    for (unsigned i = 0; i < carried; ++i)
+        BOOST_TEST(connection->hasCarried("id" + std::to_string(i)));
+    BOOST_TEST(!connection->hasCarried("id" + std::to_string(carried)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::gateway
