Peers: a late reply of an owner does not name a server that the request excludes

A request could be sent again to a server that had refused it or might have run it. Cause: a requester numbers its placement requests from 1 after each start. An owner that was frozen answers a request of the requester's earlier process, and the reply is taken for that to the new process's request with the same number, whose exclusions the owner did not know. Evidence: reply_isForTheProcessBefore_excludedServerIsNotTaken failed before (placed on the excluded e10). Change: the requester checks the reply against its own exclusions and places the request itself if they are violated.

--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -248,7 +248,8 @@
     backoffs_.erase(pending.owner);
     const BackendServer *server = options_.directory->find(reply.server());
     const bool usable = server && options_.directory->isAvailable(server->id, Clock::now())
-                        && server->service == pending.query.service->name;
+                        && server->service == pending.query.service->name
+                        && !isExcluded(pending.query, server->id);
     PlacementChoice choice{ .serverId = reply.server(),
                             .predicted = std::chrono::microseconds(reply.predicted_us()),
                             .uncachedTokens = reply.uncached_tokens(),
@@ -260,7 +261,7 @@
                             .ownerNumber = reply.number() };
     if (!usable) {
         // The owner knows a server that this daemon does not know, or has not yet learned that the
-        // server left.
+        // server left, or its reply is to an earlier process of this daemon with the same number.
         if (!reply.server().empty())
             attemptEnded(choice, false, AttemptOutcome::Abandoned);
         localSource_.place(pending.query, pending.timeLeft, pending.handler);
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -115,6 +115,17 @@
     }
 
     void addDaemon(const std::string &name, const std::string &domain)
+    {
+        startDaemon(name, domain);
+        network.peers.push_back({ .vm = name,
+                                  .udpAddress = name,
+                                  .failureDomain = domain,
+                                  .cpuMillis = name == "a1" || name == "b1" ? 500U : 100U,
+                                  .serving = true });
+    }
+
+    // Starts a daemon, or a new process in place of one that was killed.
+    void startDaemon(const std::string &name, const std::string &domain)
     {
         const std::map<std::string, std::string> regions{ { "a", "r" }, { "b", "r" } };
         views.push_back(std::make_unique<routing::Placement>(
@@ -129,11 +140,6 @@
                                             .localPlacement = views.back().get() });
         daemons[name]->setExchange(exchanges.back().get());
         network.daemons[name] = daemons[name].get();
-        network.peers.push_back({ .vm = name,
-                                  .udpAddress = name,
-                                  .failureDomain = domain,
-                                  .cpuMillis = name == "a1" || name == "b1" ? 500U : 100U,
-                                  .serving = true });
     }
 
     // Lets the requester measure a response with a load header and reports its first token.
@@ -314,6 +320,28 @@
     BOOST_TEST(abandoned == 1U);
 }
 
+// Guards against a second attempt at a server that has refused the request: an owner that was
+// frozen replies to a request of the requester's earlier process, whose numbers the new process
+// uses again.
+BOOST_AUTO_TEST_CASE(reply_isForTheProcessBefore_excludedServerIsNotTaken)
+{
+    network.isHolding = true;
+    daemons["a2"]->place(prompt(9), milliseconds(5000), [](const auto &) {});
+    network.daemons.erase("a2");
+    startDaemon("a2", "a");
+    PlacementQuery query = prompt(9);
+    for (int i = 0; i < 12; i += 2)
+        query.excluded.push_back("e" + std::to_string(i));
+    std::optional<PlacementChoice> result;
+    daemons["a2"]->place(query, milliseconds(5000), [&](std::optional<PlacementChoice> choice) {
+        result = std::move(choice);
+    });
+    network.deliverHeld();
+    BOOST_REQUIRE(runUntil(
+            io, [&] { return result.has_value(); }, milliseconds(1000)));
+    BOOST_TEST(!routing::isExcluded(query, result->serverId), result->serverId);
+}
+
 // Guards against prompts that are sent to a restarted engine because of parts that it no longer
 // caches.
 BOOST_AUTO_TEST_CASE(server_restarted_ownerDropsItsCache)
