--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -5,6 +5,7 @@
 
 #include "auburn/core/datasinkbody.h"
 #include "auburn/core/endpoint.h"
+#include "auburn/core/hash.h"
 #include "auburn/core/joinedhead.h"
 #include "auburn/core/lasterror.h"
 #include "auburn/core/socketstate.h"
@@ -35,6 +36,9 @@
 // Limit of the lines of one response head. Many short fields take far more memory than their bytes.
 constexpr std::size_t kMaxHeaderLines = 1000;
 constexpr std::chrono::milliseconds kReconnectTimeout{ 300 };
+// A connection that has carried this many requests is closed, which bounds the memory for their
+// ids.
+constexpr std::size_t kMaxCarriedRequests = 256;
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
 
@@ -93,6 +97,8 @@
     headerLines_ = 0;
     discardedBytes_ = 0;
     parser_ = std::make_unique<Parser>();
+    if (!request_.requestId.empty())
+        carriedIds_.push_back(stableHash(request_.requestId));
     if (connected_)
         send();
     else
@@ -255,6 +261,7 @@
     setTcpOptions(socket_);
     input_.clear();
     responseCount_ = 0;
+    carriedIds_.clear();
     echoesRequestId_ = false;
     idleSince_ = Clock::now();
     // The rest of a request that was not sent completely may still be written to the old socket.
@@ -364,7 +371,8 @@
     idleSince_ = Clock::now();
     // If the response arrived before the request was sent completely, the rest of the request is
     // still being written.
-    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0;
+    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0
+                && carriedIds_.size() < kMaxCarriedRequests;
     callComplete();
 }
 
@@ -384,6 +392,12 @@
         handler->callEnded(CallResult{ .endedByClose = parser_->response.need_eof() });
 }
 
+bool OutboundConnection::hasCarried(std::string_view requestId) const
+{
+    return std::find(carriedIds_.begin(), carriedIds_.end(), stableHash(requestId))
+           != carriedIds_.end();
+}
+
 bool OutboundConnection::isQuiet()
 {
     return !closed_ && isSocketQuiet(socket_);
