--- a/packages/gateway/tests/httpclient_test.cpp
+++ b/packages/gateway/tests/httpclient_test.cpp
@@ -160,6 +160,29 @@
     BOOST_TEST(!response.error.empty());
 }
 
+// Guards against a late copy of an earlier response that is taken for that to the next request.
+// These responses carry no request id, so nothing else tells them apart.
+BOOST_AUTO_TEST_CASE(get_copyOfAnEarlierResponseComesLate_isNotBelieved)
+{
+    for (const int status : { 200, 404, 409, 503 }) {
+        const std::string first = wholeAnswer(status, "", "first");
+        unsigned calls = 0;
+        const ScriptedServer *server = nullptr;
+        ScriptedServer scripted(io, [&](const ScriptedRequest &) {
+            if (++calls == 1)
+                return ScriptedReply{ { { first } } };
+            const std::string second = wholeAnswer(200, "", "second");
+            if (server->connections() > 1)
+                return ScriptedReply{ { { second } } };
+            return ScriptedReply{ { { first }, { second, milliseconds(20) } } };
+        });
+        server = &scripted;
+        HttpClient client(io, scripted.address());
+        BOOST_TEST(get(client).status == status);
+        BOOST_TEST(get(client).body == "second", "after status " << status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(get_noListener_fails)
 {
     HttpClient client(io, "127.0.0.1:1");
