HttpClient: a connection carries one call

A call to the store, another daemon or the cloud API could get the response to an earlier call: the content of an old document, a 409, or a 503 ("nothing was done") for an append that was done. Cause: connections were kept and the responses carry no request id, so a whole copy of an earlier response that arrives late, after the next request was sent, is taken for the response to it. Looking at the idle socket cannot see it. Change: each call uses a connection of its own, announced with "Connection: close" and closed at the end of the call; the list of idle connections is gone. get_twice_usesOneConnection asserted the reuse that is the fault. It is replaced by calls_oneAfterAnother_eachUsesItsOwnConnectionAndClosesIt, which counts the connections and that each is closed. Between regions a call takes a second round trip (40 ms at 20 ms one way), which the limit for a slow response of the store, 150 ms, still covers. A lost SYN costs a whole second, the time limit for connecting, so that such a call fails and is repeated by its user.

--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -51,6 +51,10 @@
 //
 // Each call invokes its handler exactly once, also if the connection fails, unless the client is
 // destroyed first. The service may have executed a call that failed, so the client never retries.
+//
+// Each call uses a connection of its own. The services repeat no request id in their responses, so
+// on a connection that has carried another call a late copy of an earlier response could not be
+// told from the response to this one.
 class HttpClient
 {
 public:
@@ -83,16 +87,13 @@
 
     CallId start(OutboundRequest request, std::chrono::milliseconds timeout,
                  ResponseHandler handler);
-    // Returns an idle connection that is quiet, or a new one.
-    std::shared_ptr<OutboundConnection> takeConnection();
-    void callFinished(Call *call, bool reusable);
+    void callFinished(Call *call);
 
     boost::asio::io_context &io_;
     const std::string address_;
     const std::size_t maxResponseBytes_;
     std::uint64_t calls_ = 0;
     std::vector<std::shared_ptr<Call>> activeCalls_;
-    std::vector<std::shared_ptr<OutboundConnection>> idleConnections_;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds kConnectTimeout{ 1000 };
+// Announces that the connection carries no other request.
+constexpr const char *kCloseField = "Connection: close\r\n";
 
 } // namespace
 
@@ -89,7 +91,8 @@
             return;
         deadline_.clear();
         const ResponseHandler handler = std::exchange(handler_, nullptr);
-        client_.callFinished(this, connection_->isReusable());
+        connection_->close();
+        client_.callFinished(this);
         handler(std::move(response));
     }
 
@@ -119,7 +122,8 @@
 HttpClient::CallId HttpClient::get(const std::string &target, milliseconds timeout,
                                    ResponseHandler handler)
 {
-    return start({ .head = "GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n" },
+    return start({ .head = "GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n" + kCloseField
+                           + "\r\n" },
                  timeout, std::move(handler));
 }
 
@@ -136,7 +140,8 @@
 HttpClient::CallId HttpClient::post(HttpPost request, ResponseHandler handler)
 {
     OutboundRequest outbound{ .head = "POST " + request.target + " HTTP/1.1\r\nHost: " + address_
-                                      + "\r\nContent-Type: " + request.contentType
+                                      + "\r\n" + kCloseField
+                                      + "Content-Type: " + request.contentType
                                       + "\r\nContent-Length: " + std::to_string(request.body.size())
                                       + "\r\n" + request.fields + "\r\n",
                               .sendCondition = std::move(request.sendCondition),
@@ -162,34 +167,13 @@
     const CallId id = ++calls_;
     const auto call = std::make_shared<Call>(*this, id, std::move(handler));
     activeCalls_.push_back(call);
-    call->start(takeConnection(), std::move(request), timeout);
+    call->start(std::make_shared<OutboundConnection>(io_, address_), std::move(request), timeout);
     return id;
 }
 
-std::shared_ptr<OutboundConnection> HttpClient::takeConnection()
+void HttpClient::callFinished(Call *call)
 {
-    while (!idleConnections_.empty()) {
-        std::shared_ptr<OutboundConnection> newest = std::move(idleConnections_.back());
-        idleConnections_.pop_back();
-        if (newest->isQuiet())
-            return newest;
-        newest->close();
-    }
-    return std::make_shared<OutboundConnection>(io_, address_);
-}
-
-void HttpClient::callFinished(Call *call, bool reusable)
-{
-    const auto found = std::find_if(activeCalls_.begin(), activeCalls_.end(),
-                                    [call](const auto &entry) { return entry.get() == call; });
-    if (found == activeCalls_.end())
-        return;
-    const auto connection = (*found)->connection();
-    activeCalls_.erase(found);
-    if (!reusable)
-        return;
-    idleConnections_.push_back(connection);
-    connection->watchIdle([] {});
+    std::erase_if(activeCalls_, [call](const auto &entry) { return entry.get() == call; });
 }
 
 } // namespace auburn::gateway
--- a/packages/gateway/tests/httpclient_test.cpp
+++ b/packages/gateway/tests/httpclient_test.cpp
@@ -78,15 +78,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(httpClient, HttpClientFixture)
 
-BOOST_AUTO_TEST_CASE(get_twice_usesOneConnection)
+// Guards against a call on a connection that has carried another one, and against connections that
+// stay open after their calls.
+BOOST_AUTO_TEST_CASE(calls_oneAfterAnother_eachUsesItsOwnConnectionAndClosesIt)
 {
     ScriptedServer server(io, [](const ScriptedRequest &) {
         return ScriptedReply{ .parts = { { wholeAnswer(200, "", "yes") } } };
     });
     HttpClient client(io, server.address());
-    BOOST_TEST(get(client).body == "yes");
-    BOOST_TEST(get(client).isSuccess());
-    BOOST_TEST(server.connections() == 1U);
+    for (unsigned calls = 1; calls <= 3; ++calls) {
+        BOOST_TEST(get(client).body == "yes");
+        BOOST_TEST(!server.requests().back().keep_alive());
+        BOOST_TEST(server.connections() == calls);
+        BOOST_TEST(server.closedByPeer() == calls);
+    }
 }
 
 // A call is never sent twice, even if the server closes the connection without a response.
