--- a/packages/gateway/tests/copyingservers_test.cpp
+++ b/packages/gateway/tests/copyingservers_test.cpp
@@ -233,6 +233,14 @@
                                    ++logPosition);
     }
 
+    std::string requestText(const std::string &target, const std::string &tryId)
+    {
+        std::string text = "POST ";
+        text.append(target).append(" HTTP/1.1\r\nHost: h\r\nX-Key: key\r\nX-Try: ").append(tryId);
+        text.append("\r\nX-Id: c").append(std::to_string(script.draw(kIds)));
+        return text.append("\r\nContent-Length: 0\r\n\r\n");
+    }
+
     // Sends some requests at once and waits for their responses.
     void runRound()
     {
@@ -243,9 +251,7 @@
             const std::string tryId = std::to_string(outcomes.size());
             outcomes.push_back({ .tryId = tryId, .isRepeatable = target == kRepeatableTarget });
             clients.emplace_back(io, address);
-            clients.back().send("POST " + target + " HTTP/1.1\r\nHost: h\r\nX-Key: key\r\nX-Try: "
-                                + tryId + "\r\nX-Id: c" + std::to_string(script.draw(kIds))
-                                + "\r\nContent-Length: 0\r\n\r\n");
+            clients.back().send(requestText(target, tryId));
         }
         runUntil(io, [&clients] {
             return std::all_of(clients.begin(), clients.end(), [](const auto &client) {
