Gateway: a response to HEAD has no body

A caller of HEAD got 504 at its deadline, and a refusal lost its promise, if the server stated a length. Cause: the parser waited for a body of that length, which never comes. Change: the parser of a HEAD request skips the body, as in the relay.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -159,6 +159,7 @@
     using ErrorCode = boost::system::error_code;
     struct Parser;
 
+    bool isHeadRequest() const;
     void connect(std::chrono::milliseconds timeout);
     void connected(ErrorCode error);
     void send();
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -46,8 +46,10 @@
 
 struct OutboundConnection::Parser
 {
-    Parser()
+    // A response to a HEAD request has no body, whatever its length says.
+    explicit Parser(bool isForHead)
     {
+        response.skip(isForHead);
         response.eager(true);
         response.header_limit(kMaxHeaderBytes);
         response.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -96,7 +98,7 @@
     headerBytes_ = 0;
     headerLines_ = 0;
     discardedBytes_ = 0;
-    parser_ = std::make_unique<Parser>();
+    parser_ = std::make_unique<Parser>(isHeadRequest());
     if (!request_.requestId.empty())
         carriedIds_.push_back(stableHash(request_.requestId));
     if (connected_)
@@ -105,6 +107,11 @@
         connect(connectTimeout);
 }
 
+bool OutboundConnection::isHeadRequest() const
+{
+    return request_.head.starts_with("HEAD ");
+}
+
 void OutboundConnection::connect(std::chrono::milliseconds timeout)
 {
     const auto endpoint = parseEndpoint(address_);
@@ -300,7 +307,7 @@
                 responseComplete();
                 return false;
             }
-            parser_ = std::make_unique<Parser>();
+            parser_ = std::make_unique<Parser>(isHeadRequest());
             headerDone_ = false;
             discarding_ = false;
             continue;
