Gateway: watch idle connections without taking bytes out of their sockets

A surplus response could count as that to the next call, or the start of one make it fail. Cause: the read that watches an idle connection takes bytes that are already there at once, and its handler runs later. If the connection is taken before, isQuiet() finds the socket empty. Change: idle connections are watched with a wait for readiness, which leaves the bytes in the socket.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -98,8 +98,10 @@
 //
 // It carries one call at a time. Responses that the call's handler does not recognise as its own
 // are read and discarded, because a faulty server may send more responses than it received
-// requests. A read stays pending while the connection is idle, so that a server that closes the
-// connection or sends unsolicited bytes is detected before the next call.
+// requests. While the connection is idle, its socket is watched, so that a server that closes the
+// connection or sends unsolicited bytes is detected before the next call. The bytes stay in the
+// socket: a pending read would take them out of it before its handler runs, and isQuiet() would not
+// see them.
 //
 // Such a response may be the copy of an earlier one, also of a rejection, and then bears the id of
 // the earlier request. The id tells it from the response to the call only if no two calls on the
@@ -145,7 +147,7 @@
     // True if the server has neither closed the idle connection nor sent bytes on it. This looks at
     // the socket itself, because the event loop of a process that was stopped reports it late.
     bool isQuiet();
-    // Starts reading on the idle connection. onUnusable is called once if the server closes it or
+    // Starts watching the idle connection. onUnusable is called once if the server closes it or
     // sends bytes.
     void watchIdle(std::function<void()> onUnusable);
     const std::string &address() const { return address_; }
@@ -164,6 +166,8 @@
     void connected(ErrorCode error);
     void send();
     void read();
+    // Handles bytes or the close of an idle connection.
+    void becameReadable();
     void received(ErrorCode error, std::size_t bytes);
     // Parses the buffered input. Returns false once the call has ended.
     bool parse();
@@ -214,6 +218,8 @@
     std::size_t headerLines_ = 0;
     std::size_t discardedBytes_ = 0;
     unsigned responseCount_ = 0;
+    // Tells a wait on the idle connection from the calls that follow it.
+    unsigned callCount_ = 0;
     // Hashes of the request ids that this connection has carried.
     std::vector<std::uint64_t> carriedIds_;
     Clock::time_point idleSince_;
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -90,6 +90,7 @@
     handler_ = handler;
     onUnusable_ = nullptr;
     inCall_ = true;
+    ++callCount_;
     reusable_ = false;
     sent_ = false;
     bytesReceived_ = false;
@@ -197,12 +198,7 @@
     if (closed_)
         return;
     if (!inCall_) {
-        // The server closed the idle connection or sent unsolicited bytes.
-        reusable_ = false;
-        const auto onUnusable = std::exchange(onUnusable_, nullptr);
-        close();
-        if (onUnusable)
-            onUnusable();
+        becameReadable();
         return;
     }
     if (error) {
@@ -219,6 +215,15 @@
         read();
 }
 
+void OutboundConnection::becameReadable()
+{
+    reusable_ = false;
+    const auto onUnusable = std::exchange(onUnusable_, nullptr);
+    close();
+    if (onUnusable)
+        onUnusable();
+}
+
 void OutboundConnection::readFailed(ErrorCode error)
 {
     const bool closed = error == asio::error::eof;
@@ -465,7 +470,12 @@
 {
     onUnusable_ = std::move(onUnusable);
     paused_ = false;
-    read();
+    const unsigned calls = callCount_;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), calls](ErrorCode) {
+        // The wait ends with the first bytes of the next response if the connection was used.
+        if (!self->closed_ && self->callCount_ == calls)
+            self->becameReadable();
+    });
 }
 
 } // namespace auburn::gateway
