Gateway: a repeated id replaces a connection, and many requests do not end one

A request got 502 with an unknown outcome where the server resets connections beyond those that it has, and the reset counted as a crash. Cause: a connection ended after 256 requests, and a repeated id took a further connection beside the idle one. Change: a connection remembers its last 512 ids and does not end; one that has carried the id is closed before the new one is opened, if no other is idle. id_repeated in logs and metrics now says that this happened; it could not become yes since. What remains: a copy that comes more than 512 requests late is believed if its id is in progress again.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -140,8 +140,8 @@
 
     // True if the connection can carry another call.
     bool isReusable() const { return reusable_ && !closed_; }
-    // True if an earlier call on this connection carried a request with the id. A response with
-    // that id may then be a late copy of the earlier one.
+    // True if one of the last 512 calls on this connection carried a request with the id. A
+    // response with that id may then be a late copy of the earlier one.
     bool hasCarried(std::string_view requestId) const;
     bool isClosed() const { return closed_; }
     // True if the server has neither closed the idle connection nor sent bytes on it. This looks at
@@ -162,6 +162,7 @@
     struct Parser;
 
     bool isHeadRequest() const;
+    void recordCarriedId();
     void connect(std::chrono::milliseconds timeout);
     void connected(ErrorCode error);
     void send();
@@ -220,8 +221,10 @@
     unsigned responseCount_ = 0;
     // Tells a wait on the idle connection from the calls that follow it.
     unsigned callCount_ = 0;
-    // Hashes of the request ids that this connection has carried.
+    // Hashes of the request ids that this connection has carried, the oldest at oldestCarriedId_
+    // modulo their number once the vector is full.
     std::vector<std::uint64_t> carriedIds_;
+    std::size_t oldestCarriedId_ = 0;
     Clock::time_point idleSince_;
     std::optional<std::chrono::seconds> keepAlive_;
 };
--- a/packages/gateway/src/connectionpool.cpp
+++ b/packages/gateway/src/connectionpool.cpp
@@ -38,27 +38,37 @@
     : io_(io)
 {}
 
-std::shared_ptr<OutboundConnection> ConnectionPool::acquire(const std::string &address,
-                                                            milliseconds maxIdle,
-                                                            std::string_view requestId)
+ConnectionPool::Acquired ConnectionPool::acquire(const std::string &address, milliseconds maxIdle,
+                                                 std::string_view requestId)
 {
+    Acquired result{ .connection = std::make_shared<OutboundConnection>(io_, address) };
     const auto found = idleByAddress_.find(address);
     if (found == idleByAddress_.end())
-        return std::make_shared<OutboundConnection>(io_, address);
+        return result;
     std::vector<std::shared_ptr<OutboundConnection>> &idle = found->second;
+    std::shared_ptr<OutboundConnection> carrier;
     // The newest connections are last.
     for (std::size_t i = idle.size(); i > 0; --i) {
         std::shared_ptr<OutboundConnection> connection = idle[i - 1];
         if (!connection->isReusable() || !isWithinIdleLimit(*connection, maxIdle))
             break;
-        if (connection->hasCarried(requestId))
+        if (connection->hasCarried(requestId)) {
+            result.repeatsId = true;
+            carrier = connection;
             continue;
+        }
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
-        if (connection->isQuiet())
-            return connection;
+        if (connection->isQuiet()) {
+            result.connection = std::move(connection);
+            return result;
+        }
         connection->close();
     }
-    return std::make_shared<OutboundConnection>(io_, address);
+    if (carrier) {
+        std::erase(idle, carrier);
+        carrier->close();
+    }
+    return result;
 }
 
 std::size_t idleConnectionLimit(unsigned acceptedConnections, unsigned liveDaemons)
--- a/packages/gateway/src/connectionpool.h
+++ b/packages/gateway/src/connectionpool.h
@@ -22,11 +22,19 @@
 public:
     explicit ConnectionPool(boost::asio::io_context &io);
 
+    // A connection for one call.
+    struct Acquired
+    {
+        std::shared_ptr<OutboundConnection> connection;
+        // An idle connection was passed over because it had carried a request with the same id.
+        bool repeatsId = false;
+    };
     // Returns the most recently used idle connection that is quiet, has been idle for at most
-    // maxIdle and has not carried a request with the id, or a new one if there is none.
-    std::shared_ptr<OutboundConnection> acquire(const std::string &address,
-                                                std::chrono::milliseconds maxIdle,
-                                                std::string_view requestId);
+    // maxIdle and has not carried a request with the id, or a new one if there is none. A new one
+    // replaces a connection that has carried the id, because a server may reset connections beyond
+    // those that it has.
+    Acquired acquire(const std::string &address, std::chrono::milliseconds maxIdle,
+                     std::string_view requestId);
     // Returns a connection to the pool. It is closed if it is not reusable or idleLimit connections
     // to its address are idle already.
     void release(const std::shared_ptr<OutboundConnection> &connection, std::size_t idleLimit);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -200,16 +200,17 @@
     stream_.attemptStarted();
     if (choice.uncachedTokens >= kLargePromptTokens && context_.options.largeRequestPlaced)
         context_.options.largeRequestPlaced();
-    connection_ = context_.pool->acquire(choice.address,
-                                         isRepeatable() ? kMaxIdle : kUnsafeMaxIdle, request_.id);
+    const ConnectionPool::Acquired acquired = context_.pool->acquire(
+            choice.address, isRepeatable() ? kMaxIdle : kUnsafeMaxIdle, request_.id);
+    connection_ = acquired.connection;
     reusesConnection_ = connection_->isConnected();
-    repeatsIdOnConnection_ = connection_->hasCarried(request_.id);
+    repeatsId_ = acquired.repeatsId;
     recordPlacement({ .request = request_,
                       .choice = choice,
                       .service = service_->name,
                       .attempt = attempts_,
                       .reusesConnection = reusesConnection_,
-                      .repeatsIdOnConnection = repeatsIdOnConnection_,
+                      .repeatsId = repeatsId_,
                       .timeLeft = timeLeft() });
     startStallTimer();
     connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
@@ -313,7 +314,7 @@
                     .verdict = verdict_,
                     .duration = duration_cast<milliseconds>(Clock::now() - attemptStart_),
                     .reusedConnection = reusesConnection_,
-                    .repeatedIdOnConnection = repeatsIdOnConnection_,
+                    .repeatsId = repeatsId_,
                     .identified = response_.identified },
                   context_.options.metrics);
     attempt_.reset();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -156,8 +156,8 @@
     Clock::time_point attemptStart_;
     // The connection of the attempt had carried other requests.
     bool reusesConnection_ = false;
-    // One of them had the id of this request, so a response with the id may be a copy.
-    bool repeatsIdOnConnection_ = false;
+    // An idle connection to the server had carried a request with the same id and was not used.
+    bool repeatsId_ = false;
     // The time at which a placement was requested.
     Clock::time_point placementRequestedAt_;
     bool progressed_ = false;
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -36,9 +36,9 @@
 // Limit of the lines of one response head. Many short fields take far more memory than their bytes.
 constexpr std::size_t kMaxHeaderLines = 1000;
 constexpr std::chrono::milliseconds kReconnectTimeout{ 300 };
-// A connection that has carried this many requests is closed, which bounds the memory for their
-// ids.
-constexpr std::size_t kMaxCarriedRequests = 256;
+// Bounds the memory for the ids of a connection. A copy comes where one of the next responses is
+// due.
+constexpr std::size_t kMaxCarriedIds = 512;
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
 
@@ -100,8 +100,7 @@
     headerLines_ = 0;
     discardedBytes_ = 0;
     parser_ = std::make_unique<Parser>(isHeadRequest());
-    if (!request_.requestId.empty())
-        carriedIds_.push_back(stableHash(request_.requestId));
+    recordCarriedId();
     if (connected_)
         send();
     else
@@ -383,8 +382,7 @@
     idleSince_ = Clock::now();
     // If the response arrived before the request was sent completely, the rest of the request is
     // still being written.
-    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0
-                && carriedIds_.size() < kMaxCarriedRequests;
+    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0;
     callComplete();
 }
 
@@ -404,6 +402,17 @@
         handler->callEnded(CallResult{ .endedByClose = parser_->response.need_eof() });
 }
 
+void OutboundConnection::recordCarriedId()
+{
+    if (request_.requestId.empty())
+        return;
+    const std::uint64_t hash = stableHash(request_.requestId);
+    if (carriedIds_.size() < kMaxCarriedIds)
+        carriedIds_.push_back(hash);
+    else
+        carriedIds_[oldestCarriedId_++ % kMaxCarriedIds] = hash;
+}
+
 bool OutboundConnection::hasCarried(std::string_view requestId) const
 {
     return std::find(carriedIds_.begin(), carriedIds_.end(), stableHash(requestId))
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -62,7 +62,7 @@
     metrics.counter("auburn_rejections_total", "Rejections by backend servers",
                     { { "service", service },
                       { "connection", connectionName(record.reusedConnection) },
-                      { "id_repeated", yesOrNo(record.repeatedIdOnConnection) },
+                      { "id_repeated", yesOrNo(record.repeatsId) },
                       { "identified", yesOrNo(record.identified) } })
             .add();
 }
@@ -99,7 +99,7 @@
                  choice.reportAge ? static_cast<long long>(choice.reportAge->count()) : -1LL },
                { "config", static_cast<long long>(record.request.config->version()) },
                { "connection", connectionName(record.reusesConnection) },
-               { "id_repeated", yesOrNo(record.repeatsIdOnConnection) },
+               { "id_repeated", yesOrNo(record.repeatsId) },
                { "left_ms", static_cast<long long>(record.timeLeft.count()) } });
 }
 
@@ -118,7 +118,7 @@
                { "verdict", verdictName(record.verdict) },
                { "prompt_parts", sharedPartsText(record.request.prompt) },
                { "connection", connectionName(record.reusedConnection) },
-               { "id_repeated", yesOrNo(record.repeatedIdOnConnection) },
+               { "id_repeated", yesOrNo(record.repeatsId) },
                { "identified", yesOrNo(record.identified) },
                { "ms", static_cast<long long>(record.duration.count()) } });
 }
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -24,8 +24,8 @@
     std::string_view service;
     unsigned attempt = 0;
     bool reusesConnection = false;
-    // The connection had carried a request with the same id.
-    bool repeatsIdOnConnection = false;
+    // An idle connection to the server had carried a request with the same id and was not used.
+    bool repeatsId = false;
     std::chrono::milliseconds timeLeft{ 0 };
 };
 
@@ -45,8 +45,8 @@
     std::chrono::milliseconds duration{ 0 };
     // The connection had carried other requests, whose late responses may have arrived on it.
     bool reusedConnection = false;
-    // One of those requests had the same id, so the response may be a copy of an earlier one.
-    bool repeatedIdOnConnection = false;
+    // See PlacementRecord.
+    bool repeatsId = false;
     // The response carried the id of the request.
     bool identified = false;
 };
