Tests: relay believes a late copy of an answer for the next request (known red)

Relay sends requests that may repeat on kept connections and believes any answer that arrives there after the request was sent, although each attempt sends an X-Request-Id.

--- a/packages/relay/tests/serverfaults_test.cpp
+++ b/packages/relay/tests/serverfaults_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -23,7 +24,8 @@
         options.backendServers.attempts = 1;
         server_ = standins.run([this] {
             return std::make_unique<ScriptedServer>(
-                    standins.context(), [this](const ScriptedRequest &) { return reply(); });
+                    standins.context(),
+                    [this](const ScriptedRequest &received) { return handler_(received); });
         });
         slots.addBackendServer("s1", server_->address());
     }
@@ -40,18 +42,56 @@
     // Sets what the server replies with from now on.
     void setReply(const ScriptedReply &reply)
     {
-        standins.run([&] { reply_ = reply; });
+        setHandler([reply](const ScriptedRequest &) { return reply; });
+    }
+
+    void setHandler(const ScriptedServer::Handler &handler)
+    {
+        standins.run([&] { handler_ = handler; });
+    }
+
+    // Makes the server write its first answer again before that to the next request on the
+    // connection. Answers are made by the function, from a text and the request.
+    void copyFirstAnswer(
+            const std::function<std::string(const char *, const ScriptedRequest &)> &answer)
+    {
+        setHandler([this, answer, first = std::string()](const ScriptedRequest &received) mutable {
+            if (first.empty()) {
+                first = answer("first", received);
+                return ScriptedReply{ { { first } } };
+            }
+            const std::string second = answer("second", received);
+            if (server_->connections() > 1)
+                return ScriptedReply{ { { second } } };
+            return ScriptedReply{ { { first }, { second, milliseconds(20) } } };
+        });
+    }
+
+    unsigned connections()
+    {
+        return standins.run([this] { return server_->connections(); });
     }
 
     Response send() { return exchange(httpRequest("POST", "/v1/services/svc/x", "", "1")); }
 
 private:
-    ScriptedReply reply() const { return reply_; }
-
-    ScriptedReply reply_;
+    ScriptedServer::Handler handler_;
     std::unique_ptr<ScriptedServer> server_;
 };
 
+// A field that repeats the id of the request.
+std::string idField(const ScriptedRequest &received)
+{
+    return "X-Request-Id: " + std::string(received["X-Request-Id"]) + "\r\n";
+}
+
+std::string eventsOf(const std::string &text, const ScriptedRequest &received)
+{
+    const std::string events = "data: {\"id\":\"" + text + R"(","choices":[]})"
+                               + "\n\ndata: [DONE]\n\n";
+    return wholeAnswer(200, "Content-Type: text/event-stream\r\n" + idField(received), events);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(relayServerFaults, ServerFaultFixture)
@@ -81,6 +121,39 @@
     BOOST_TEST(send().status == 502);
 }
 
+// Guards against a late copy of an earlier answer that is taken for that to the next request, from
+// servers that repeat the id of the request and from those that do not.
+BOOST_AUTO_TEST_CASE(service_copyOfAnEarlierAnswerComesLate_isNotBelieved)
+{
+    options.backendServers.attempts = 2;
+    serve();
+    copyFirstAnswer([](const char *text, const ScriptedRequest &received) {
+        return wholeAnswer(200, idField(received), text);
+    });
+    BOOST_TEST(send().body == "first");
+    BOOST_TEST(send().body == "second");
+}
+
+BOOST_AUTO_TEST_CASE(service_copyOfAnEarlierAnswerWithoutIdComesLate_isNotBelieved)
+{
+    serve();
+    copyFirstAnswer(
+            [](const char *text, const ScriptedRequest &) { return wholeAnswer(404, "", text); });
+    BOOST_TEST(send().body == "first");
+    BOOST_TEST(send().body == "second");
+}
+
+// Guards against a caller that receives the stream of another one.
+BOOST_AUTO_TEST_CASE(stream_copyOfAnEarlierStreamComesLate_isNotBelieved)
+{
+    options.backendServers.attempts = 2;
+    serve();
+    copyFirstAnswer(eventsOf);
+    const std::string request = chatRequest("hello", true, 1);
+    BOOST_TEST(parseStream(exchange(request).body).engineRequestId == "first");
+    BOOST_TEST(parseStream(exchange(request).body).engineRequestId == "second");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
