Relay: a connection is reused only after an answer with the request's id

A caller could get the answer, or the whole stream, that belongs to another caller. Cause: requests that may repeat used kept connections, and the first answer that arrived after the request was sent was believed. A server that writes an earlier answer again, where the next one is due, decides for the next request. Each attempt sent an X-Request-Id, but nothing compared it with the answer's. Change: the id belongs to the message, and the client sends and compares it. A connection is pooled only after an answer with exactly that id; on a reused connection another answer, or one without an id, fails the attempt as one that may have run (CallEnd::Unidentified, which is no sign of a crash). On a new connection any answer is accepted, as some servers write an id of their own. A resume and a cancellation have none and use new connections, as before. The stand-ins repeat the id. service_startOfAnotherAnswerComesFirst_... now repeats the id in its first answer and checks that the connection is reused, since it would otherwise no longer test a kept connection. Cost: servers that do not repeat the id get a new connection for each request.

--- a/packages/relay/include/auburn/relay/backendserverkind.h
+++ b/packages/relay/include/auburn/relay/backendserverkind.h
@@ -12,12 +12,15 @@
 
 namespace auburn {
 
-// One HTTP request to a backend server. Host, Connection and Content-Length are added by the
-// client.
+// One HTTP request to a backend server. Host, Connection, Content-Length and X-Request-Id are added
+// by the client.
 struct BackendServerMessage
 {
     std::string method;
     std::string target;
+    // Sent as X-Request-Id; no two messages have the same. Without an id, or if the answer does not
+    // repeat it, the connection carries no other message.
+    std::string requestId = {};
     std::vector<HeaderField> fields;
     std::shared_ptr<const std::string> body;
 };
@@ -27,7 +30,7 @@
 public:
     virtual ~BackendServerKind() = default;
 
-    // The request of one attempt; attemptId goes to the backend server as X-Request-Id.
+    // The request of one attempt, with attemptId as its request id.
     virtual BackendServerMessage message(const RelayRequest &request, const std::string &attemptId,
                                          const std::string &traceparent) const = 0;
     // Asks for the rest of a broken stream; nothing if the kind cannot resume.
--- a/packages/relay/src/backendservercall.cpp
+++ b/packages/relay/src/backendservercall.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kReadSize = std::size_t{ 16 } * 1024;
 // Larger than any head that a backend server sends in practice.
 constexpr std::uint32_t kAnswerHeadLimit = 64 * 1024;
+constexpr const char *kRequestIdField = "X-Request-Id";
 
 std::string requestHead(const BackendServerDial &dial)
 {
@@ -29,6 +30,8 @@
     head.reserve(512);
     head.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
     head.append("Host: ").append(dial.address).append("\r\n");
+    if (!message.requestId.empty())
+        head.append(kRequestIdField).append(": ").append(message.requestId).append("\r\n");
     for (const HeaderField &field : message.fields)
         head.append(field.name).append(": ").append(field.value).append("\r\n");
     const bool hasBody = message.body && !message.body->empty();
@@ -51,6 +54,8 @@
     , events_(events)
     , deadline_(client.context_, [this] { timedOut(); })
 {
+    // The answer to a request without an id could not be told from an earlier one.
+    dial_.freshConnection = dial_.freshConnection || dial_.message.requestId.empty();
     parser_.eager(true);
     parser_.header_limit(kAnswerHeadLimit);
     parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -205,14 +210,26 @@
         end(CallEnd::Broken, "the answer's head contains the start of another answer");
         return;
     }
+    identified_ = isIdentified();
+    if (reused_ && !identified_) {
+        end(CallEnd::Unidentified, "the answer on a reused connection is not to this request");
+        return;
+    }
     verdict_ = Verdict::Ran;
     if (events_)
         events_->callHead(parser_.get());
 }
 
+bool BackendServerCall::isIdentified() const
+{
+    const std::string &id = dial_.message.requestId;
+    const auto &header = parser_.get();
+    return !id.empty() && header.count(kRequestIdField) == 1 && header[kRequestIdField] == id;
+}
+
 void BackendServerCall::answerComplete()
 {
-    const bool reusable = sent_ && !dial_.freshConnection && parser_.keep_alive()
+    const bool reusable = sent_ && identified_ && !dial_.freshConnection && parser_.keep_alive()
                           && buffer_.size() == 0;
     if (reusable)
         client_.putIdle(dial_.address, std::move(*socket_));
--- a/packages/relay/src/backendservercall.h
+++ b/packages/relay/src/backendservercall.h
@@ -46,6 +46,8 @@
     bool parse();
     void deliver();
     void deliverHead();
+    // True if the answer repeats the id of the request.
+    bool isIdentified() const;
     void answerComplete();
     void timedOut();
     void end(CallEnd how, const std::string &error);
@@ -64,6 +66,7 @@
     bool connecting_ = true;
     bool receivedBytes_ = false;
     bool headDelivered_ = false;
+    bool identified_ = false;
     bool sent_ = false;
     bool reading_ = false;
     bool paused_ = false;
--- a/packages/relay/src/backendserverclient.h
+++ b/packages/relay/src/backendserverclient.h
@@ -1,6 +1,10 @@
 // BackendServerClient: HTTP calls to backend servers from one worker thread, with a pool of idle
 // connections for each backend server.
 //
+// A faulty backend server may write a copy of an earlier answer where the next one is expected. So
+// a connection carries another request only after an answer that repeats the id of its request, and
+// then only such an answer is accepted. On a new connection any answer belongs to its only request.
+//
 // The client never repeats a request: a repeat is a decision of the session, which knows whether
 // the request may run twice. The verdict of a call is exact in one direction: DidNotRun means that
 // the operating system took no byte of the request.
@@ -49,6 +53,8 @@
     Broken,
     // The backend server was silent for the idle timeout.
     Silent,
+    // The answer on a reused connection does not carry the id of the request.
+    Unidentified,
 };
 
 struct CallResult
--- a/packages/relay/src/kinds/openaikind.cpp
+++ b/packages/relay/src/kinds/openaikind.cpp
@@ -17,8 +17,8 @@
     {
         BackendServerMessage message{ .method = request.method,
                                       .target = request.target,
-                                      .fields = { { "Content-Type", "application/json" },
-                                                  { "X-Request-Id", attemptId } } };
+                                      .requestId = attemptId,
+                                      .fields = { { "Content-Type", "application/json" } } };
         if (request.stream)
             message.fields.push_back({ "Accept", "text/event-stream" });
         if (!traceparent.empty())
--- a/packages/relay/src/kinds/plainkind.cpp
+++ b/packages/relay/src/kinds/plainkind.cpp
@@ -13,8 +13,8 @@
     {
         BackendServerMessage message{ .method = request.method,
                                       .target = request.target,
+                                      .requestId = attemptId,
                                       .fields = request.fields };
-        message.fields.push_back({ "X-Request-Id", attemptId });
         if (!traceparent.empty())
             message.fields.push_back({ "traceparent", traceparent });
         if (!request.idempotencyKey.empty())
--- a/packages/relay/tests/serverfaults_test.cpp
+++ b/packages/relay/tests/serverfaults_test.cpp
@@ -114,11 +114,14 @@
 BOOST_AUTO_TEST_CASE(service_startOfAnotherAnswerComesFirst_isNotTakenForTheAnswer)
 {
     serve();
-    setReply({ .parts = { { wholeAnswer(200, "", "body") } } });
+    setHandler([](const ScriptedRequest &received) {
+        return ScriptedReply{ { { wholeAnswer(200, idField(received), "body") } } };
+    });
     BOOST_TEST(send().status == 200);
     setReply({ .parts = { { "HTTP/1.1 404 Not Found\r\nX-Note: cu" },
                           { wholeAnswer(200, "", "body"), milliseconds(5) } } });
     BOOST_TEST(send().status == 502);
+    BOOST_TEST(connections() == 1U);
 }
 
 // Guards against a late copy of an earlier answer that is taken for that to the next request, from
@@ -154,6 +157,56 @@
     BOOST_TEST(parseStream(exchange(request).body).engineRequestId == "second");
 }
 
+// Guards against a reuse of connections that never happens.
+BOOST_AUTO_TEST_CASE(answers_repeatTheId_connectionIsReused)
+{
+    serve();
+    setHandler([](const ScriptedRequest &received) {
+        return ScriptedReply{ { { wholeAnswer(200, idField(received), "body") } } };
+    });
+    BOOST_TEST(send().status == 200);
+    BOOST_TEST(send().status == 200);
+    setHandler([](const ScriptedRequest &received) {
+        return ScriptedReply{ { { eventsOf("stream", received) } } };
+    });
+    const std::string request = chatRequest("hello", true, 1);
+    BOOST_TEST(parseStream(exchange(request).body).done);
+    BOOST_TEST(parseStream(exchange(request).body).done);
+    BOOST_TEST(connections() == 1U);
+}
+
+// Guards against a connection whose answers cannot be told apart carrying another request, and
+// against servers that write an id of their own being taken for faulty.
+BOOST_AUTO_TEST_CASE(answer_hasNoIdOrAnother_connectionIsNotReused)
+{
+    serve();
+    for (const char *fields : { "", "X-Request-Id: own\r\n" }) {
+        const unsigned before = connections();
+        setReply({ .parts = { { wholeAnswer(200, fields, "body") } } });
+        BOOST_TEST(send().status == 200);
+        BOOST_TEST(send().status == 200);
+        BOOST_TEST(connections() == before + 2);
+    }
+}
+
+// Guards against an answer without the id on a reused connection: another server may answer at the
+// address, or the answer is left over. It is no evidence of a crash.
+BOOST_AUTO_TEST_CASE(answer_hasNoIdOrAnotherOnAReusedConnection_isNotBelieved)
+{
+    serve();
+    for (const char *fields : { "", "X-Request-Id: own\r\n" }) {
+        setHandler([](const ScriptedRequest &received) {
+            return ScriptedReply{ { { wholeAnswer(200, idField(received), "body") } } };
+        });
+        BOOST_TEST(send().status == 200);
+        setReply({ .parts = { { wholeAnswer(200, fields, "body") } } });
+        const Response response = send();
+        BOOST_TEST(response.status == 502);
+        BOOST_TEST(response.fields.at("Auburn-Verdict") == "may-have-run");
+        BOOST_TEST(!slots.released().back().report.crashed);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn
--- a/tests/standins/standinhttp.cpp
+++ b/tests/standins/standinhttp.cpp
@@ -248,9 +248,15 @@
     return {};
 }
 
+std::string Exchange::requestIdField() const
+{
+    const std::string id = field("X-Request-Id");
+    return id.empty() ? id : "X-Request-Id: " + id + "\r\n";
+}
+
 void Exchange::respond(int status, std::string_view body)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " \r\n"
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " \r\n" + requestIdField()
                        + "Content-Type: application/json\r\nContent-Length: "
                        + std::to_string(body.size()) + "\r\n\r\n";
     if (request_.method() != http::verb::head)
@@ -261,8 +267,8 @@
 
 void Exchange::beginEvents()
 {
-    connection_->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                       "Transfer-Encoding: chunked\r\n\r\n");
+    connection_->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + requestIdField()
+                       + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 void Exchange::writeEvents(std::string_view text)
--- a/tests/standins/standinhttp.h
+++ b/tests/standins/standinhttp.h
@@ -31,8 +31,9 @@
     // Value of a query parameter; empty if absent.
     std::string parameter(const std::string &name) const;
 
+    // The answer repeats the request's X-Request-Id.
     void respond(int status, std::string_view body);
-    // Chunked answer with server-sent events.
+    // Chunked answer with server-sent events, which repeats the request's X-Request-Id too.
     void beginEvents();
     void writeEvents(std::string_view text);
     // Writes the text and ends the answer.
@@ -43,6 +44,9 @@
     void onClosed(std::function<void()> closed);
 
 private:
+    // Field that repeats the id of the request; empty if it has none.
+    std::string requestIdField() const;
+
     std::shared_ptr<HttpConnection> connection_;
     Request request_;
 };
