--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -27,6 +27,7 @@
         : socket_(std::move(socket))
         , timer_(io)
         , state_(std::move(state))
+        , number_(state_->connections)
     {}
 
     void read()
@@ -46,7 +47,7 @@
     void answer()
     {
         state_->requests.push_back(parser_->get());
-        reply_ = state_->handler(parser_->get());
+        reply_ = state_->handler(parser_->get(), number_);
         next_ = 0;
         nextPart();
     }
@@ -90,6 +91,7 @@
     tcp::socket socket_;
     asio::steady_timer timer_;
     std::shared_ptr<State> state_;
+    const unsigned number_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     ScriptedReply reply_;
@@ -97,6 +99,13 @@
 };
 
 ScriptedServer::ScriptedServer(asio::io_context &io, Handler handler)
+    : ScriptedServer(io, ConnectionHandler([handler = std::move(handler)](
+                                                   const ScriptedRequest &request, unsigned) {
+                         return handler(request);
+                     }))
+{}
+
+ScriptedServer::ScriptedServer(asio::io_context &io, ConnectionHandler handler)
     : io_(io)
     , state_(std::make_shared<State>(io))
     , address_("127.0.0.1:" + std::to_string(state_->acceptor.local_endpoint().port()))
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -42,9 +42,13 @@
 {
 public:
     using Handler = std::function<ScriptedReply(const ScriptedRequest &)>;
+    // The connections are numbered from 1, in the order in which they were accepted.
+    using ConnectionHandler =
+            std::function<ScriptedReply(const ScriptedRequest &, unsigned connection)>;
 
     // Listens on a free port of 127.0.0.1.
     ScriptedServer(boost::asio::io_context &io, Handler handler);
+    ScriptedServer(boost::asio::io_context &io, ConnectionHandler handler);
     ~ScriptedServer();
 
     const std::string &address() const { return address_; }
@@ -61,7 +65,7 @@
             : acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
         {}
         boost::asio::ip::tcp::acceptor acceptor;
-        Handler handler;
+        ConnectionHandler handler;
         std::vector<ScriptedRequest> requests;
         unsigned connections = 0;
         unsigned closedByPeer = 0;
