--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -98,8 +98,10 @@
 //
 // It carries one call at a time. Responses that the call's handler does not recognise as its own
 // are read and discarded, because a faulty server may send more responses than it received
-// requests. A read stays pending while the connection is idle, so that a server that closes the
-// connection or sends unsolicited bytes is detected before the next call.
+// requests. While the connection is idle, its socket is watched, so that a server that closes the
+// connection or sends unsolicited bytes is detected before the next call. The bytes stay in the
+// socket: a pending read would take them out of it before its handler runs, and isQuiet() would not
+// see them.
 //
 // Such a response may be the copy of an earlier one, also of a rejection, and then bears the id of
 // the earlier request. The id tells it from the response to the call only if no two calls on the
@@ -138,14 +140,14 @@
 
     // True if the connection can carry another call.
     bool isReusable() const { return reusable_ && !closed_; }
-    // True if an earlier call on this connection carried a request with the id. A response with
-    // that id may then be a late copy of the earlier one.
+    // True if one of the last 512 calls on this connection carried a request with the id. A
+    // response with that id may then be a late copy of the earlier one.
     bool hasCarried(std::string_view requestId) const;
     bool isClosed() const { return closed_; }
     // True if the server has neither closed the idle connection nor sent bytes on it. This looks at
     // the socket itself, because the event loop of a process that was stopped reports it late.
     bool isQuiet();
-    // Starts reading on the idle connection. onUnusable is called once if the server closes it or
+    // Starts watching the idle connection. onUnusable is called once if the server closes it or
     // sends bytes.
     void watchIdle(std::function<void()> onUnusable);
     const std::string &address() const { return address_; }
@@ -159,10 +161,14 @@
     using ErrorCode = boost::system::error_code;
     struct Parser;
 
+    bool isHeadRequest() const;
+    void recordCarriedId();
     void connect(std::chrono::milliseconds timeout);
     void connected(ErrorCode error);
     void send();
     void read();
+    // Handles bytes or the close of an idle connection.
+    void becameReadable();
     void received(ErrorCode error, std::size_t bytes);
     // Parses the buffered input. Returns false once the call has ended.
     bool parse();
@@ -213,8 +219,12 @@
     std::size_t headerLines_ = 0;
     std::size_t discardedBytes_ = 0;
     unsigned responseCount_ = 0;
-    // Hashes of the request ids that this connection has carried.
+    // Tells a wait on the idle connection from the calls that follow it.
+    unsigned callCount_ = 0;
+    // Hashes of the request ids that this connection has carried, the oldest at oldestCarriedId_
+    // modulo their number once the vector is full.
     std::vector<std::uint64_t> carriedIds_;
+    std::size_t oldestCarriedId_ = 0;
     Clock::time_point idleSince_;
     std::optional<std::chrono::seconds> keepAlive_;
 };
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -36,9 +36,9 @@
 // Limit of the lines of one response head. Many short fields take far more memory than their bytes.
 constexpr std::size_t kMaxHeaderLines = 1000;
 constexpr std::chrono::milliseconds kReconnectTimeout{ 300 };
-// A connection that has carried this many requests is closed, which bounds the memory for their
-// ids.
-constexpr std::size_t kMaxCarriedRequests = 256;
+// Bounds the memory for the ids of a connection. A copy comes where one of the next responses is
+// due.
+constexpr std::size_t kMaxCarriedIds = 512;
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
 
@@ -46,8 +46,10 @@
 
 struct OutboundConnection::Parser
 {
-    Parser()
+    // A response to a HEAD request has no body, whatever its length says.
+    explicit Parser(bool isForHead)
     {
+        response.skip(isForHead);
         response.eager(true);
         response.header_limit(kMaxHeaderBytes);
         response.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -88,6 +90,7 @@
     handler_ = handler;
     onUnusable_ = nullptr;
     inCall_ = true;
+    ++callCount_;
     reusable_ = false;
     sent_ = false;
     bytesReceived_ = false;
@@ -96,15 +99,19 @@
     headerBytes_ = 0;
     headerLines_ = 0;
     discardedBytes_ = 0;
-    parser_ = std::make_unique<Parser>();
-    if (!request_.requestId.empty())
-        carriedIds_.push_back(stableHash(request_.requestId));
+    parser_ = std::make_unique<Parser>(isHeadRequest());
+    recordCarriedId();
     if (connected_)
         send();
     else
         connect(connectTimeout);
 }
 
+bool OutboundConnection::isHeadRequest() const
+{
+    return request_.head.starts_with("HEAD ");
+}
+
 void OutboundConnection::connect(std::chrono::milliseconds timeout)
 {
     const auto endpoint = parseEndpoint(address_);
@@ -190,12 +197,7 @@
     if (closed_)
         return;
     if (!inCall_) {
-        // The server closed the idle connection or sent unsolicited bytes.
-        reusable_ = false;
-        const auto onUnusable = std::exchange(onUnusable_, nullptr);
-        close();
-        if (onUnusable)
-            onUnusable();
+        becameReadable();
         return;
     }
     if (error) {
@@ -212,6 +214,15 @@
         read();
 }
 
+void OutboundConnection::becameReadable()
+{
+    reusable_ = false;
+    const auto onUnusable = std::exchange(onUnusable_, nullptr);
+    close();
+    if (onUnusable)
+        onUnusable();
+}
+
 void OutboundConnection::readFailed(ErrorCode error)
 {
     const bool closed = error == asio::error::eof;
@@ -300,7 +311,7 @@
                 responseComplete();
                 return false;
             }
-            parser_ = std::make_unique<Parser>();
+            parser_ = std::make_unique<Parser>(isHeadRequest());
             headerDone_ = false;
             discarding_ = false;
             continue;
@@ -371,8 +382,7 @@
     idleSince_ = Clock::now();
     // If the response arrived before the request was sent completely, the rest of the request is
     // still being written.
-    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0
-                && carriedIds_.size() < kMaxCarriedRequests;
+    reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0;
     callComplete();
 }
 
@@ -392,6 +402,17 @@
         handler->callEnded(CallResult{ .endedByClose = parser_->response.need_eof() });
 }
 
+void OutboundConnection::recordCarriedId()
+{
+    if (request_.requestId.empty())
+        return;
+    const std::uint64_t hash = stableHash(request_.requestId);
+    if (carriedIds_.size() < kMaxCarriedIds)
+        carriedIds_.push_back(hash);
+    else
+        carriedIds_[oldestCarriedId_++ % kMaxCarriedIds] = hash;
+}
+
 bool OutboundConnection::hasCarried(std::string_view requestId) const
 {
     return std::find(carriedIds_.begin(), carriedIds_.end(), stableHash(requestId))
@@ -458,7 +479,12 @@
 {
     onUnusable_ = std::move(onUnusable);
     paused_ = false;
-    read();
+    const unsigned calls = callCount_;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), calls](ErrorCode) {
+        // The wait ends with the first bytes of the next response if the connection was used.
+        if (!self->closed_ && self->callCount_ == calls)
+            self->becameReadable();
+    });
 }
 
 } // namespace auburn::gateway
