--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "auburn/routing/placementsource.h"
 #include "auburn/routing/retrybudget.h"
 #include "auburn/routing/serverdirectory.h"
+#include "auburn/routing/serverlimits.h"
 #include "auburn/routing/trafficconfig.h"
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,8 @@
     routing::ServerDirectory directory;
     routing::Placement placement;
     routing::RetryBudget retries;
+    // The limits on requests that backend servers have named.
+    routing::ServerLimits limits = {};
     // Crashes blamed on equal requests, and on parts of prompts.
     routing::CrashRegistry crashes{ routing::kEqualRequestCrashOptions };
     routing::CrashRegistry promptCrashes{ routing::kPromptPartCrashOptions };
--- a/packages/gateway/include/auburn/gateway/headernames.h
+++ b/packages/gateway/include/auburn/gateway/headernames.h
@@ -35,6 +35,8 @@
     std::string serverLoad;
     // Present in every response of a backend server that is leaving.
     std::string serverLeaving;
+    // The requests a second that the responding backend server takes from all daemons together.
+    std::string serverLimit;
     // Headers that callers must not set; they are removed from requests.
     std::vector<std::string> reserved;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -46,6 +46,7 @@
 // A stream with an incomplete event larger than this is aborted.
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
+constexpr unsigned kMisdirectedRequest = 421;
 constexpr unsigned kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
@@ -195,13 +196,14 @@
     ++attempts_;
     attempt_ = choice;
     attemptStart_ = Clock::now();
+    attemptSentAt_ = std::chrono::steady_clock::now();
     progressed_ = false;
     response_ = {};
     stream_.attemptStarted();
     if (choice.uncachedTokens >= kLargePromptTokens && context_.options.largeRequestPlaced)
         context_.options.largeRequestPlaced();
-    connection_ = context_.pool->acquire(choice.address,
-                                         isRepeatable() ? kMaxIdle : kUnsafeMaxIdle, request_.id);
+    connection_ = context_.pool->acquire(choice.address, isRepeatable() ? kMaxIdle : kUnsafeMaxIdle,
+                                         request_.id);
     reusesConnection_ = connection_->isConnected();
     repeatsIdOnConnection_ = connection_->hasCarried(request_.id);
     recordPlacement({ .request = request_,
@@ -371,10 +373,35 @@
                { "ms", static_cast<long long>(wait->count()) } });
 }
 
+void Exchange::recordServerLimit(const ResponseHeader &header)
+{
+    // Another server responds at the address.
+    if (header.result_int() == kMisdirectedRequest)
+        return;
+    const std::string &server = attempt_->serverId;
+    routing::ServerLimits &limits = context_.state.limits;
+    const auto text = toStringView(header[context_.options.headerNames.serverLimit]);
+    const auto limit = routing::parseServerLimit(text);
+    // A field that cannot be read says neither that there is a limit nor that there is none.
+    if (!limit && !text.empty())
+        return;
+    const auto before = limits.limitOf(server);
+    const bool changed = limit ? limits.recordLimit(server, *limit,
+                                                    std::chrono::steady_clock::now())
+                               : limits.recordNoLimit(server, attemptSentAt_);
+    if (changed)
+        recordLimitChange({ .server = server,
+                            .service = service_->name,
+                            .requestId = request_.id,
+                            .before = before,
+                            .now = limits.limitOf(server) });
+}
+
 void Exchange::responseStarted(const ResponseHeader &header)
 {
     response_ = readAttemptResponse(header, context_.options.headerNames, isStreamRoute());
     reportLoad(header);
+    recordServerLimit(header);
     obeyServerSignals(header);
     if (!response_.notExecuted) {
         verdict_ = Verdict::Ran;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -98,6 +98,8 @@
     // Stops sending requests to the server if its response says that it is leaving, or for as long
     // as it asks for.
     void obeyServerSignals(const ResponseHeader &header);
+    // Records the limit on requests that the server names in its response, or that it names none.
+    void recordServerLimit(const ResponseHeader &header);
     // Reports the first progress of the attempt to the placement source.
     void reportProgress();
     // Returns why the response is too large to be held, or null if it is not.
@@ -154,6 +156,8 @@
 
     std::optional<routing::PlacementChoice> attempt_;
     Clock::time_point attemptStart_;
+    // The start of the attempt on the clock of the routing state.
+    std::chrono::steady_clock::time_point attemptSentAt_;
     // The connection of the attempt had carried other requests.
     bool reusesConnection_ = false;
     // One of them had the id of this request, so a response with the id may be a copy.
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -2,6 +2,7 @@
 
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
+#include "auburn/routing/serverlimits.h"
 
 #include <string>
 
@@ -157,6 +158,16 @@
                { "daemons", static_cast<long long>(record.daemons.value_or(0)) } });
 }
 
+void recordLimitChange(const LimitChangeRecord &record)
+{
+    logEvent(LogLevel::Info, "server_limit_changed",
+             { { "server", record.server },
+               { "service", record.service },
+               { "id", record.requestId },
+               { "before", routing::limitText(record.before) },
+               { "per_second", routing::limitText(record.now) } });
+}
+
 void recordRequestEnd(const RequestEndRecord &record, Metrics *metrics)
 {
     const CallerRequest &request = record.request;
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -84,6 +84,17 @@
     std::optional<unsigned> daemons;
 };
 
+// A limit on requests that a server has named in a response, or the end of one.
+struct LimitChangeRecord
+{
+    std::string_view server;
+    std::string_view service;
+    std::string_view requestId;
+    // Requests a second; empty for no limit.
+    std::optional<double> before;
+    std::optional<double> now;
+};
+
 // The end of a request.
 struct RequestEndRecord
 {
@@ -108,6 +119,8 @@
 void recordUnframedEnd(const UnframedEndRecord &record, Metrics *metrics);
 // Logs and counts a decision of the retry budget. The metrics may be null.
 void recordRetry(const RetryRecord &record, Metrics *metrics);
+// Logs a changed limit.
+void recordLimitChange(const LimitChangeRecord &record);
 // Logs and counts the end of a request. The metrics may be null.
 void recordRequestEnd(const RequestEndRecord &record, Metrics *metrics);
 
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -26,6 +26,7 @@
              .notExecuted = "X-Not-Executed",
              .serverLoad = "X-Load",
              .serverLeaving = "X-Leaving",
+             .serverLimit = "X-Limit",
              .reserved = { "X-Deadline", "X-Key", "X-Org", "X-Server", "X-Urgency", "X-Copy-Source",
                            "X-Last" } };
 }
