--- a/packages/routing/include/auburn/routing/serverlimits.h
+++ b/packages/routing/include/auburn/routing/serverlimits.h
@@ -16,6 +16,11 @@
 
 namespace auburn::routing {
 
+// Time after which a limit is forgotten unless a response has confirmed it. A server that takes
+// only a few requests confirms it far more often, and one that nobody needs to send requests to is
+// not harmed.
+inline constexpr std::chrono::seconds kLimitLifetime{ 60 };
+
 // Parses the limit of a response: a decimal number of requests a second. Returns nullopt for a
 // negative number, one that is not finite and anything else that is no number.
 std::optional<double> parseServerLimit(std::string_view text);
@@ -47,12 +52,15 @@
     bool merge(const ServerLimitReport &report);
     // Drops what is known of a server that restarted or was removed.
     void remove(const std::string &serverId);
+    // Drops what no response has confirmed for kLimitLifetime, so that daemons do not tell each
+    // other forever of servers that are gone.
+    void removeExpired(TimePoint now);
 
     // Returns the limit in force; nullopt if the server names none.
     std::optional<double> limitOf(std::string_view serverId) const;
-    // Returns the newest reports, at most count, those of ended limits included while other daemons
+    // Returns the newest reports, at most count. Ended limits are included, because other daemons
     // may still report them as in force.
-    std::vector<ServerLimitReport> newestReports(std::size_t count, TimePoint now) const;
+    std::vector<ServerLimitReport> newestReports(std::size_t count) const;
     // Returns what is known of the server; a report of no limit if nothing is.
     ServerLimitReport reportOf(const std::string &serverId) const;
     // Returns the servers with a limit in force.
@@ -67,7 +75,6 @@
     };
 
     bool update(const std::string &serverId, const Entry &entry);
-    void removeEnded(TimePoint now);
 
     std::map<std::string, Entry, std::less<>> entries_;
 };
--- a/packages/routing/src/serverlimits.cpp
+++ b/packages/routing/src/serverlimits.cpp
@@ -12,8 +12,6 @@
 
 // A higher limit is above what any server runs and counts as none.
 constexpr double kMaxUsefulLimit = 10000;
-// Longer than a report takes to reach all daemons.
-constexpr std::chrono::seconds kEndedLifetime{ 30 };
 // Bounds the memory for servers that are gone; the registry removes them, and with them their
 // limits.
 constexpr std::size_t kMaxServers = 10000;
@@ -74,14 +72,13 @@
     // An ended limit keeps the time of its end, so that it is forgotten after a while.
     if (changed || entry.requestsPerSecond)
         found->second = entry;
-    removeEnded(entry.observedAt);
     return changed;
 }
 
-void ServerLimits::removeEnded(TimePoint now)
+void ServerLimits::removeExpired(TimePoint now)
 {
     std::erase_if(entries_, [now](const auto &entry) {
-        return !entry.second.requestsPerSecond && now - entry.second.observedAt > kEndedLifetime;
+        return now - entry.second.observedAt > kLimitLifetime;
     });
 }
 
@@ -96,15 +93,13 @@
     return found == entries_.end() ? std::nullopt : found->second.requestsPerSecond;
 }
 
-std::vector<ServerLimitReport> ServerLimits::newestReports(std::size_t count, TimePoint now) const
+std::vector<ServerLimitReport> ServerLimits::newestReports(std::size_t count) const
 {
     std::vector<ServerLimitReport> reports;
-    for (const auto &[id, entry] : entries_) {
-        if (entry.requestsPerSecond || now - entry.observedAt <= kEndedLifetime)
-            reports.push_back({ .serverId = id,
-                                .requestsPerSecond = entry.requestsPerSecond,
-                                .observedAt = entry.observedAt });
-    }
+    for (const auto &[id, entry] : entries_)
+        reports.push_back({ .serverId = id,
+                            .requestsPerSecond = entry.requestsPerSecond,
+                            .observedAt = entry.observedAt });
     const std::size_t kept = std::min(count, reports.size());
     std::partial_sort(
             reports.begin(), reports.begin() + static_cast<std::ptrdiff_t>(kept), reports.end(),
