--- a/packages/mesh/src/marktables.cpp
+++ b/packages/mesh/src/marktables.cpp
@@ -1,6 +1,7 @@
 #include "marktables.h"
 
 #include "auburn/core/hash.h"
+#include "unsignedmilliseconds.h"
 
 #include <algorithm>
 #include <array>
@@ -15,11 +16,6 @@
 constexpr std::size_t kMaxBackendServerName = 256;
 constexpr unsigned kMaxCrashCount = 1000;
 
-std::uint64_t toUnsignedMilliseconds(std::chrono::milliseconds value)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(value.count(), 0));
-}
-
 std::uint64_t hashWords(const std::array<std::uint64_t, 4> &words)
 {
     return stableHash(
