--- a/packages/routing/include/auburn/routing/speedestimator.h
+++ b/packages/routing/include/auburn/routing/speedestimator.h
@@ -67,8 +67,9 @@
     // Mean of the reports before the newest one, which is added when the next one arrives: a common
     // change is noticed only after several servers have shown it.
     double mean_ = 1;
-    // Time for which the newest report counts in the mean.
-    TimePoint::duration covered_{ 0 };
+    // Weights of the newest report in the mean if it is above or below the mean.
+    double risingGain_ = 0;
+    double fallingGain_ = 0;
     ConcurrencyCurve curve_;
     // Number of requests that may be in progress after a rejection.
     double rejectionLimit_ = 0;
--- a/packages/routing/src/commonworktime.cpp
+++ b/packages/routing/src/commonworktime.cpp
@@ -26,6 +26,8 @@
 constexpr double kDeviation = 1.15;
 // Weight of one report in the share of deviating ones.
 constexpr double kDeviatingShareGain = 0.05;
+// Time between two changes that are followed, which bounds the number of steps.
+constexpr milliseconds kChangeInterval{ 20 };
 // Smaller changes in one update are left to the means of the servers.
 constexpr double kIgnoredChange = 0.01;
 // Reports up to this age are related to the work time that was common at their time.
@@ -47,7 +49,8 @@
         entries_.erase(replaced);
     }
     entries_.push_back({ .server = server, .change = change, .at = now });
-    update(now);
+    if (!lastChange_ || now - lastChange_->at >= kChangeInterval)
+        update(now);
 }
 
 // An entry is counted when it is dropped. Until then, a common change that it has shown has been
--- a/packages/routing/src/speedestimator.cpp
+++ b/packages/routing/src/speedestimator.cpp
@@ -41,9 +41,11 @@
     if (newest_)
         mean_ = meanWith(workTimeOf(*newest_) / commonWorkTime);
     // A report counts for the time since the previous one, up to the time for which it can stand.
-    covered_ = newest_ ? std::min<TimePoint::duration>(report.measuredAt - newest_->measuredAt,
-                                                       kSpeedReportLifetime)
-                       : kSpeedReportLifetime;
+    const auto covered = newest_ ? std::min<TimePoint::duration>(
+                                 report.measuredAt - newest_->measuredAt, kSpeedReportLifetime)
+                                 : kSpeedReportLifetime;
+    risingGain_ = 1 - exponentialDecay(covered, kRisingHalfLife);
+    fallingGain_ = 1 - exponentialDecay(covered, kFallingHalfLife);
     const double measured = workTimeOf(report);
     curve_.record(report.running, report.slots, measured, report.measuredAt);
     newest_ = report;
@@ -59,8 +61,7 @@
 
 double SpeedEstimator::meanWith(double newest) const
 {
-    const milliseconds halfLife = newest > mean_ ? kRisingHalfLife : kFallingHalfLife;
-    return mean_ + (newest - mean_) * (1 - exponentialDecay(covered_, halfLife));
+    return mean_ + (newest - mean_) * (newest > mean_ ? risingGain_ : fallingGain_);
 }
 
 double SpeedEstimator::newestWorkTime(const CommonWorkTime &common) const
