Stand-ins: the programs of the backend server stand-ins share their start

Cause: standin_engine and standin_service start several servers on consecutive ports and report errors of the command line with the same code, which stood twice. Change: the code is in serverprogram.h. Result: both programs print the same addresses and exit with the same codes as before; path_test passes.

--- a/tests/standins/enginemain.cpp
+++ b/tests/standins/enginemain.cpp
@@ -1,13 +1,11 @@
 // standin_engine: one or many stand-in engines in one process.
 #include "listenflag.h"
+#include "serverprogram.h"
 #include "standinengine.h"
 
-#include "auburn/core/lasterror.h"
-
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
-#include <iostream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -70,18 +68,11 @@
     std::vector<std::unique_ptr<asio::io_context>> contexts;
     for (unsigned i = 0; i < settings.threads; ++i)
         contexts.push_back(std::make_unique<asio::io_context>(1));
-    std::vector<std::unique_ptr<StandinEngine>> engines;
-    for (unsigned i = 0; i < settings.count; ++i) {
-        EngineOptions options = settings.engine;
-        if (options.port != 0)
-            options.port = static_cast<std::uint16_t>(options.port + i);
-        engines.push_back(StandinEngine::make(*contexts[i % contexts.size()], options));
-        if (!engines.back()) {
-            std::cerr << auburn::lastError() << '\n';
-            return 1;
-        }
-        printListening(options.address, engines.back()->port());
-    }
+    const auto engines = startServers<StandinEngine>(
+            settings.engine, settings.count,
+            [&](unsigned i) -> asio::io_context & { return *contexts[i % contexts.size()]; });
+    if (engines.size() < settings.count)
+        return 1;
     std::vector<std::thread> threads;
     threads.reserve(contexts.size());
     for (const auto &context : contexts)
@@ -95,10 +86,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return run(parseSettings(argc, argv));
-    } catch (const TCLAP::ArgException &error) {
-        std::cerr << error.argId() << ": " << error.error() << '\n';
-        return 2;
-    }
+    return runProgram(parseSettings, run, argc, argv);
 }
--- a/tests/standins/servicemain.cpp
+++ b/tests/standins/servicemain.cpp
@@ -1,16 +1,12 @@
 // standin_service: one or many stand-in plain services in one process.
 #include "listenflag.h"
+#include "serverprogram.h"
 #include "standinservice.h"
 
-#include "auburn/core/lasterror.h"
-
 #include <tclap/CmdLine.h>
 
-#include <iostream>
-#include <memory>
 #include <string>
 #include <unistd.h>
-#include <vector>
 
 namespace {
 
@@ -44,18 +40,11 @@
 int run(const Settings &settings)
 {
     boost::asio::io_context context(1);
-    std::vector<std::unique_ptr<StandinService>> services;
-    for (unsigned i = 0; i < settings.count; ++i) {
-        ServiceOptions options = settings.service;
-        if (options.port != 0)
-            options.port = static_cast<std::uint16_t>(options.port + i);
-        services.push_back(StandinService::make(context, options));
-        if (!services.back()) {
-            std::cerr << auburn::lastError() << '\n';
-            return 1;
-        }
-        printListening(options.address, services.back()->port());
-    }
+    const auto services = startServers<StandinService>(
+            settings.service, settings.count,
+            [&](unsigned) -> boost::asio::io_context & { return context; });
+    if (services.size() < settings.count)
+        return 1;
     context.run();
     return 0;
 }
@@ -64,10 +53,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return run(parseSettings(argc, argv));
-    } catch (const TCLAP::ArgException &error) {
-        std::cerr << error.argId() << ": " << error.error() << '\n';
-        return 2;
-    }
+    return runProgram(parseSettings, run, argc, argv);
 }
