--- a/packages/config/tests/logclient_test.cpp
+++ b/packages/config/tests/logclient_test.cpp
@@ -5,6 +5,7 @@
 
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <boost/test/unit_test.hpp>
 
@@ -139,6 +140,39 @@
     BOOST_TEST(readAndWait(*log, 0).has_value());
 }
 
+// Guards against a late copy of the response to an earlier append that is taken for that to the
+// next one, which then has an offset that belongs to another record.
+BOOST_AUTO_TEST_CASE(append_copyOfAnEarlierResponseComesLate_isNotBelieved)
+{
+    const auto answer = [](int offset) {
+        const QByteArray body = "{\"offset\":" + QByteArray::number(offset) + "}";
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n"
+               + body;
+    };
+    QTcpServer server;
+    server.listen(QHostAddress::LocalHost);
+    int connections = 0;
+    int requests = 0;
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+        ++connections;
+        QTcpSocket *socket = server.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [&, socket] {
+            // Header and body may arrive apart.
+            if (!socket->peek(4096).endsWith("record"))
+                return;
+            socket->readAll();
+            if (++requests == 2 && connections == 1)
+                socket->write(answer(1));
+            QTimer::singleShot(20ms, socket,
+                               [socket, bytes = answer(requests)] { socket->write(bytes); });
+        });
+    });
+    const auto log = LogClient::make(
+            { .baseUrl = "http://127.0.0.1:" + std::to_string(server.serverPort()) });
+    BOOST_TEST(std::get<Appended>(appendAndWait(*log, "s", "record")).offset == 1U);
+    BOOST_TEST(std::get<Appended>(appendAndWait(*log, "s", "record")).offset == 2U);
+}
+
 // Guards against an outage answer (503) that is taken for a certain refusal: a gateway sends it
 // after the effect as well.
 BOOST_AUTO_TEST_CASE(append_outage_resultIsUnknown)
