Config: each call to the log or the membership list uses its own connection

An append could be reported with the offset of an earlier one, and a read or a listing with earlier content. Cause: PlatformHttp kept connections in QNetworkAccessManager. The responses carry no request id, so a copy of an earlier response that arrives after the next request was sent is taken for the response to it. Change: each call has a manager, and so a connection, of its own; channels, which grouped the kept connections, are gone. Two tests silenced idle kept connections, which no call uses any more. append_connectionSilent_... and read_connectionSilent_... are replaced by ..._connectionsGoSilent_... and ..._connectionGoesSilent_..., which silence the connections of calls in progress, two appends and a read with and without a long poll, and check that later calls work.

--- a/packages/config/src/httplogclient.cpp
+++ b/packages/config/src/httplogclient.cpp
@@ -122,7 +122,7 @@
 
 void HttpLogClient::append(const std::string &stream, std::string bytes, AppendCallback callback)
 {
-    http_.post("append/" + stream, recordsPath(stream), bytes, options_.appendTimeout,
+    http_.post(recordsPath(stream), bytes, options_.appendTimeout,
                [callback = std::move(callback)](const HttpResult &result) {
                    callback(appendResultOf(result));
                });
@@ -135,7 +135,7 @@
                                   .arg(from)
                                   .arg(max)
                                   .arg(static_cast<qint64>(wait.count()));
-    http_.get("read/" + stream, recordsPath(stream) + query, wait + options_.readMargin,
+    http_.get(recordsPath(stream) + query, wait + options_.readMargin,
               [callback = std::move(callback)](const HttpResult &result) {
                   callback(batchOf(result));
               });
--- a/packages/config/src/membershiplistclient.cpp
+++ b/packages/config/src/membershiplistclient.cpp
@@ -69,7 +69,7 @@
 
     void list(Callback callback) override
     {
-        http_.get("members", QStringLiteral("/v1/members"), timeout_,
+        http_.get(QStringLiteral("/v1/members"), timeout_,
                   [callback = std::move(callback)](const HttpResult &result) {
                       callback(membersOf(result));
                   });
--- a/packages/config/src/platformhttp.cpp
+++ b/packages/config/src/platformhttp.cpp
@@ -49,16 +49,12 @@
     return url;
 }
 
-PlatformHttp::Manager PlatformHttp::manager(const std::string &channel)
+PlatformHttp::Manager PlatformHttp::makeManager()
 {
-    Manager &manager = managers_[channel];
-    if (!manager) {
-        // Deleted later because the last reference can go away inside one of its own signals.
-        manager = Manager(new QNetworkAccessManager,
-                          [](QObject *object) { object->deleteLater(); });
-        manager->setProxy(QNetworkProxy::NoProxy);
-        manager->setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
-    }
+    // Deleted later because the last reference can go away inside one of its own signals.
+    Manager manager(new QNetworkAccessManager, [](QObject *object) { object->deleteLater(); });
+    manager->setProxy(QNetworkProxy::NoProxy);
+    manager->setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
     return manager;
 }
 
@@ -74,24 +70,24 @@
     return request;
 }
 
-void PlatformHttp::get(const std::string &channel, const QString &pathAndQuery,
-                       std::chrono::milliseconds timeout, Callback callback)
+void PlatformHttp::get(const QString &pathAndQuery, std::chrono::milliseconds timeout,
+                       Callback callback)
 {
-    const Manager used = manager(channel);
-    watch(channel, used, used->get(request(pathAndQuery)), timeout, std::move(callback));
+    const Manager manager = makeManager();
+    watch(manager, manager->get(request(pathAndQuery)), timeout, std::move(callback));
 }
 
-void PlatformHttp::post(const std::string &channel, const QString &path, const std::string &body,
+void PlatformHttp::post(const QString &path, const std::string &body,
                         std::chrono::milliseconds timeout, Callback callback)
 {
-    const Manager used = manager(channel);
+    const Manager manager = makeManager();
     QNetworkRequest post = request(path);
     post.setHeader(QNetworkRequest::ContentTypeHeader, QByteArray("application/octet-stream"));
-    watch(channel, used, used->post(post, QByteArray::fromStdString(body)), timeout,
+    watch(manager, manager->post(post, QByteArray::fromStdString(body)), timeout,
           std::move(callback));
 }
 
-void PlatformHttp::watch(const std::string &channel, const Manager &manager, QNetworkReply *reply,
+void PlatformHttp::watch(const Manager &manager, QNetworkReply *reply,
                          std::chrono::milliseconds timeout, Callback callback)
 {
     const auto progress = std::make_shared<Progress>();
@@ -108,23 +104,15 @@
                          if (received > static_cast<qint64>(maxAnswerBytes_))
                              abort("answer is too long");
                      });
+    // The connection holds the manager until the reply is deleted.
     QObject::connect(reply, &QNetworkReply::finished, &context_,
-                     [this, channel, manager, reply, progress, callback = std::move(callback)]() {
+                     [manager, reply, progress, callback = std::move(callback)]() {
                          const HttpResult result = resultOf(*reply, *progress);
                          reply->deleteLater();
-                         if (std::holds_alternative<HttpFailure>(result))
-                             abandon(channel, manager);
                          callback(result);
                      });
     // The whole call is bounded: Qt's transfer timeout starts again with every byte received.
     QTimer::singleShot(timeout, reply, [abort]() { abort("no answer in time"); });
 }
 
-void PlatformHttp::abandon(const std::string &channel, const Manager &manager)
-{
-    const auto found = managers_.find(channel);
-    if (found != managers_.end() && found->second == manager)
-        managers_.erase(found);
-}
-
 } // namespace auburn
--- a/packages/config/src/platformhttp.h
+++ b/packages/config/src/platformhttp.h
@@ -10,7 +10,6 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,8 +36,9 @@
 
 using HttpResult = std::variant<HttpAnswer, HttpFailure>;
 
-// Requests of one channel share connections; a failure gives the channel new ones. Qt queues
-// requests beyond six to one host without reporting it, so long polls need channels of their own.
+// Each request uses a manager, and so a connection, of its own. The responses carry no request id,
+// so on a connection that has carried another request a late copy of an earlier response could not
+// be told from the response to this one.
 class PlatformHttp
 {
 public:
@@ -50,23 +50,20 @@
     static std::optional<QUrl> parseBaseUrl(const std::string &text);
 
     // pathAndQuery is percent-encoded and starts with a slash.
-    void get(const std::string &channel, const QString &pathAndQuery,
-             std::chrono::milliseconds timeout, Callback callback);
-    void post(const std::string &channel, const QString &path, const std::string &body,
-              std::chrono::milliseconds timeout, Callback callback);
+    void get(const QString &pathAndQuery, std::chrono::milliseconds timeout, Callback callback);
+    void post(const QString &path, const std::string &body, std::chrono::milliseconds timeout,
+              Callback callback);
 
 private:
     using Manager = std::shared_ptr<QNetworkAccessManager>;
 
-    Manager manager(const std::string &channel);
+    static Manager makeManager();
     QNetworkRequest request(const QString &pathAndQuery) const;
-    void watch(const std::string &channel, const Manager &manager, QNetworkReply *reply,
-               std::chrono::milliseconds timeout, Callback callback);
-    void abandon(const std::string &channel, const Manager &manager);
+    void watch(const Manager &manager, QNetworkReply *reply, std::chrono::milliseconds timeout,
+               Callback callback);
 
     QUrl baseUrl_;
     std::size_t maxAnswerBytes_;
-    std::map<std::string, Manager> managers_;
     QObject context_;
 };
 
--- a/packages/config/tests/logclient_test.cpp
+++ b/packages/config/tests/logclient_test.cpp
@@ -110,34 +110,47 @@
     BOOST_CHECK(std::holds_alternative<AppendUnknown>(result));
 }
 
-// Guards against a client that keeps using connections that have gone silent; two are in its pool.
-BOOST_AUTO_TEST_CASE(append_connectionSilent_timesOutThenUsesNewConnection)
+// Guards against calls that hang on connections that go silent, and against a client that keeps
+// using these connections.
+BOOST_AUTO_TEST_CASE(append_connectionsGoSilent_timesOutThenUsesNewConnection)
 {
-    const auto log = makeLogClient(200ms);
-    unsigned appended = 0;
-    const auto count = [&appended](const AppendResult &result) {
-        appended += std::holds_alternative<Appended>(result) ? 1 : 0;
+    const auto log = makeLogClient(400ms);
+    unsigned unknown = 0;
+    unsigned ended = 0;
+    const auto count = [&](const AppendResult &result) {
+        unknown += std::holds_alternative<AppendUnknown>(result) ? 1 : 0;
+        ++ended;
     };
-    logProcess.control({ { QStringLiteral("delay_ms"), 20 } });
+    logProcess.control({ { QStringLiteral("delay_ms"), 150 } });
     log->append("s", "a", count);
     log->append("s", "b", count);
-    waitUntil([&appended]() { return appended == 2; });
-    logProcess.control({ { QStringLiteral("delay_ms"), 0 } });
+    runFor(50ms);
     logProcess.control({ { QStringLiteral("silence_connections"), true } });
-    BOOST_CHECK(std::holds_alternative<AppendUnknown>(appendAndWait(*log, "s", "b")));
+    logProcess.control({ { QStringLiteral("delay_ms"), 0 } });
+    waitUntil([&ended]() { return ended == 2; });
+    BOOST_TEST(unknown == 2U);
     BOOST_CHECK(std::holds_alternative<Appended>(appendAndWait(*log, "s", "c")));
 }
 
 // Guards against a read that hangs on a silent connection, long poll or not.
-BOOST_AUTO_TEST_CASE(read_connectionSilent_failsThenUsesNewConnection)
+BOOST_AUTO_TEST_CASE(read_connectionGoesSilent_failsThenUsesNewConnection)
 {
     const auto log = LogClient::make({ .baseUrl = logProcess.baseUrl(), .readMargin = 200ms });
     appendAndWait(*log, "s", "a");
     BOOST_REQUIRE(readAndWait(*log, 0).has_value());
-    logProcess.control({ { QStringLiteral("silence_connections"), true } });
-    BOOST_TEST(!readAndWait(*log, 1, 100ms).has_value());
-    BOOST_TEST(!lastError().empty());
-    BOOST_TEST(readAndWait(*log, 0).has_value());
+    for (const auto wait : { 300ms, 0ms }) {
+        logProcess.control({ { QStringLiteral("delay_ms"), wait == 0ms ? 150 : 0 } });
+        std::optional<bool> succeeded;
+        log->read("s", 1, 100, wait,
+                  [&](const std::optional<LogBatch> &batch) { succeeded = batch.has_value(); });
+        runFor(50ms);
+        logProcess.control({ { QStringLiteral("silence_connections"), true } });
+        logProcess.control({ { QStringLiteral("delay_ms"), 0 } });
+        waitUntil([&]() { return succeeded.has_value(); });
+        BOOST_TEST(!*succeeded);
+        BOOST_TEST(!lastError().empty());
+        BOOST_TEST(readAndWait(*log, 0).has_value());
+    }
 }
 
 // Guards against a late copy of the response to an earlier append that is taken for that to the
