Tests: remove a counter that nothing reads, describe the limits of the simulated fleet

Change: refusalCopies counted copies and checked nothing by it; a comment of LimitedFleet described another variable.

--- a/packages/gateway/tests/refusalcopies_test.cpp
+++ b/packages/gateway/tests/refusalcopies_test.cpp
@@ -84,7 +84,6 @@
     }
 
     std::map<std::string, IdHistory> history;
-    unsigned copies = 0;
     // Called once, when a server runs a request.
     std::function<void()> onExecution;
 
@@ -108,7 +107,6 @@
                                               : sealed(200, "done", idField(received));
         if (connections != copy.connections)
             return { { { response } } };
-        ++copies;
         return { { { copy.bytes }, { response, kRunTime } } };
     }
 
--- a/packages/peers/tests/limitedfleet.h
+++ b/packages/peers/tests/limitedfleet.h
@@ -9,8 +9,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -89,7 +87,7 @@
     TimePoint now_{ std::chrono::hours(1) };
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::optional<double> limit_;
-    // The largest limit named within a window; a lower one that was just named binds later.
+    // All limits that the server has named. In a window with several the highest one counts.
     std::vector<std::pair<TimePoint, double>> named_;
     std::optional<TimePoint> firstNamedAt_;
     std::vector<Arrival> arrivals_;
