--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -81,6 +81,8 @@
     void readBody(Message &message, bool isRequest, milliseconds timeout);
     std::optional<Message> readRequest(milliseconds timeout);
     std::optional<Message> readResponse(milliseconds timeout);
+    // Bytes that were received and not read as part of a message.
+    const std::string &buffered() const { return buffer_; }
     // True if the peer has closed the connection, or does so within the timeout.
     bool waitForClose(milliseconds timeout);
     void close();
