--- a/review/10/scenario.cpp
+++ b/review/10/scenario.cpp
@@ -1,125 +1,129 @@
-// A client asks for the head of a stream and then places an order on the same connection. Nothing
-// may arrive between the two responses.
+// The operator takes the last tenant out of the configuration. No key is valid then, so no request
+// of a route that is not public may run.
 #include "../standins-2/standins.h"
 
-#include <poll.h>
-#include <sys/socket.h>
+#include <algorithm>
+#include <set>
 
 namespace {
 
 using namespace review;
 
-constexpr int kRepetitions = 10;
-constexpr milliseconds kTimeout{ 2000 };
-// Time in which bytes that follow the first response arrive.
-constexpr milliseconds kPause{ 200 };
-constexpr const char *kEvents = "id: 1\ndata: a quote\n\nid: 2\ndata: its end\n\n";
+constexpr int kRequests = 10;
+constexpr milliseconds kTimeout{ 3000 };
+// More than config_apply_ms, 2,500.
+constexpr milliseconds kApplyTime{ 5000 };
 
-constexpr const char *kConfig =
-        R"({"version":3,"routes":[{"name":"r-1","host":"shop.example","path_prefix":"/quotes/",)"
-        R"("kind":"streaming","timeout_ms":6000,"slo_ms":600,"priority":1,"service":"desk",)"
-        R"("max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_target_ms":300},)"
-        R"({"name":"r-2","host":"shop.example","path_prefix":"/orders/","kind":"unsafe",)"
-        R"("timeout_ms":2500,"slo_ms":400,"priority":2,"service":"desk","max_attempts":1,)"
-        R"("public":false,"sticky":false,"resumable":false}],"services":[{"name":"desk",)"
-        R"("health_path":"/healthz","max_conns":96,"protocol":"h1","tls":false}],"limits":)"
-        R"({"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
-        R"("idle_timeout_ms":15000},"tenants":[{"name":"t-1","keys":["key-1"],"priority":1}]})";
-
-std::string makeRequest(const std::string &method, const std::string &path, const std::string &id)
+std::string makeConfig(int version, const std::string &tenants)
 {
-    std::string text = method;
-    text.append(" ").append(path).append(" HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ");
-    text.append(id).append("\r\nApi-Key: key-1\r\nDeadline-Ms: 2500\r\n");
-    text.append(method == "POST" ? "Content-Length: 5\r\n\r\norder" : "\r\n");
-    return text;
+    return R"({"version":)" + std::to_string(version)
+           + R"(,"routes":[{"name":"r-1","host":"shop.example","path_prefix":"/orders/",)"
+             R"("kind":"unsafe","timeout_ms":2500,"slo_ms":400,"priority":0,"service":"desk",)"
+             R"("max_attempts":1,"public":false,"sticky":false,"resumable":false}],"services":[)"
+             R"({"name":"desk","health_path":"/healthz","max_conns":96,"protocol":"h1",)"
+             R"("tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+             R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":)"
+           + tenants + "}";
 }
 
-std::string escaped(const std::string &bytes)
+class Case
 {
-    std::string text;
-    for (const char byte : bytes) {
-        if (byte == '\r')
-            text += "\\r";
-        else if (byte == '\n')
-            text += "\\n";
-        else
-            text += byte;
+public:
+    explicit Case(const std::string &recordPath)
+        : scenario_(recordPath)
+        , store_(scenario_.ip(2))
+        , server_(store_, { .id = "i-1", .service = "desk", .ip = scenario_.ip(3) },
+                  [this](Message &request, Connection &connection) {
+                      return answer(request, connection);
+                  })
+        , daemon_({ .name = "edge-1",
+                    .ip = scenario_.ip(10),
+                    .storeAddress = store_.address(),
+                    .seeds = { scenario_.ip(10) + ":8748" } },
+                  scenario_.folder() + "/edge-1")
+    {}
+
+    int run()
+    {
+        store_.append("keyed.op", "config",
+                      makeConfig(3, R"([{"name":"t-1","keys":["key-1"],"priority":1}])"));
+        daemon_.start();
+        if (!daemon_.waitUntilReady(milliseconds(20000)))
+            return kNotRun;
+        sendRequests("before, key of t-1", "key-1");
+        sendRequests("before, key of nobody", "key-2");
+        if (ranWith("key-1") != kRequests || ranWith("key-2") != 0)
+            return kNotRun;
+        const std::string tenants = scenario_.hasTrouble()
+                                            ? "[]"
+                                            : R"([{"name":"t-1","keys":[],"priority":1}])";
+        store_.append("keyed.op", "config", makeConfig(7, tenants));
+        scenario_.record().write("operator: version 7 with tenants " + tenants);
+        sleepFor(kApplyTime);
+        sendRequests("after, key of nobody", "key-2");
+        sendRequests("after, key that was taken away", "key-1");
+        const int foreign = ranWith("key-2");
+        const int revoked = ranWith("key-1") - kRequests;
+        scenario_.record().write(std::to_string(foreign)
+                                 + " requests ran whose key no configuration ever held, "
+                                 + std::to_string(revoked) + " with the dropped key");
+        return foreign + revoked > 0 ? kRuleBroken : kRuleHeld;
     }
-    return text;
-}
 
-// Bytes that have arrived and belong to no response: no request is waiting.
-std::string unrequestedBytes(const Connection &connection)
-{
-    char bytes[256];
-    pollfd entry{ .fd = connection.descriptor(), .events = POLLIN, .revents = 0 };
-    if (::poll(&entry, 1, static_cast<int>(kPause.count())) != 1)
-        return {};
-    const ssize_t size = ::recv(connection.descriptor(), bytes, sizeof(bytes), MSG_PEEK);
-    return size > 0 ? std::string(bytes, static_cast<std::size_t>(size)) : std::string();
-}
+private:
+    bool answer(Message &request, Connection &connection)
+    {
+        connection.readBody(request, true, kTimeout);
+        const std::string id = request.field("Attempt-Id");
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            ran_.insert(id);
+        }
+        scenario_.record().write("server: runs " + id + ", Tenant '" + request.field("Tenant")
+                                 + "'");
+        return connection.send(sealedResponse(request, "ordered\n"));
+    }
 
-int run(const std::string &recordPath)
-{
-    Scenario scenario(recordPath);
-    Store store(scenario.ip(2));
-    store.append("keyed.op", "config", kConfig);
-    std::atomic<int> orders{ 0 };
-    BackendServer server(
-            store, { .id = "i-1", .service = "desk", .ip = scenario.ip(3) },
-            [&](Message &request, Connection &connection) {
-                connection.readBody(request, true, kTimeout);
-                const bool isStream = request.target().rfind("/quotes/", 0) == 0;
-                orders += isStream ? 0 : 1;
-                scenario.record().write("server: runs " + request.startLine);
-                const std::string response = sealedResponse(request,
-                                                            isStream ? kEvents : "ordered\n");
-                const bool isHead = request.method() == "HEAD";
-                return connection.send(isHead ? response.substr(0, response.find("\r\n\r\n") + 4)
-                                              : response);
-            });
-    Daemon daemon({ .name = "edge-1",
-                    .ip = scenario.ip(10),
-                    .storeAddress = store.address(),
-                    .seeds = { scenario.ip(10) + ":8748" } },
-                  scenario.folder() + "/edge-1");
-    daemon.start();
-    if (!daemon.waitUntilReady(milliseconds(20000)))
-        return kNotRun;
-    int unrequested = 0;
-    int unreadable = 0;
-    for (int i = 0; i < kRepetitions; ++i) {
-        const std::string number = std::to_string(i);
-        Connection connection = Connection::open(daemon.caller());
-        const std::string method = scenario.hasTrouble() ? "HEAD" : "POST";
-        connection.send(makeRequest(method, "/quotes/" + number, "q" + number));
-        // A response to HEAD ends with its head.
-        const auto first = method == "HEAD" ? connection.readHead(kTimeout)
-                                            : connection.readResponse(kTimeout);
-        if (!first || first->status() != 200)
-            return kNotRun;
-        const std::string bytes = connection.buffered() + unrequestedBytes(connection);
-        unrequested += bytes.empty() ? 0 : 1;
-        connection.send(makeRequest("POST", "/orders/" + number, "o" + number));
-        const auto second = connection.readResponse(kTimeout);
-        const bool readable = second && second->startLine.rfind("HTTP/1.1 ", 0) == 0;
-        unreadable += readable ? 0 : 1;
-        std::string line = "client: after the response to ";
-        line.append(method).append(" '").append(escaped(bytes)).append("'; start of the response ");
-        line.append("to the order: '").append(second ? second->startLine : "").append("'");
-        scenario.record().write(line);
+    void sendRequests(const std::string &label, const std::string &key)
+    {
+        for (int i = 0; i < kRequests; ++i) {
+            const std::string id = key + "-" + std::to_string(++count_);
+            Connection connection = Connection::open(daemon_.caller());
+            std::string text =
+                    "POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\nDeadline-Ms: 2500\r\n";
+            text.append("Attempt-Id: ").append(id).append("\r\nApi-Key: ").append(key);
+            text.append("\r\nContent-Length: 5\r\n\r\norder");
+            connection.send(text);
+            const auto response = connection.readResponse(kTimeout);
+            std::string line = "client: ";
+            line.append(label).append(": ").append(id).append(" got ");
+            line.append(response ? std::to_string(response->status()) : "no response");
+            scenario_.record().write(line);
+        }
     }
-    scenario.record().write(std::to_string(unrequested) + " of " + std::to_string(kRepetitions)
-                            + " responses were followed by bytes that are no answer; "
-                            + std::to_string(orders) + " orders ran, the answers to "
-                            + std::to_string(unreadable) + " of them could not be read");
-    return unrequested > 0 ? kRuleBroken : kRuleHeld;
-}
+
+    int ranWith(const std::string &key)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return static_cast<int>(
+                std::count_if(ran_.begin(), ran_.end(), [&key](const std::string &id) {
+                    return id.rfind(key + "-", 0) == 0;
+                }));
+    }
+
+    Scenario scenario_;
+    std::mutex mutex_;
+    // Ids of the requests that ran.
+    std::set<std::string> ran_;
+    int count_ = 0;
+    Store store_;
+    BackendServer server_;
+    Daemon daemon_;
+};
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    return argc == 2 ? run(argv[1]) : kNotRun;
+    return argc == 2 ? Case(argv[1]).run() : kNotRun;
 }
--- a/review/6/scenario.cpp
+++ b/review/6/scenario.cpp
@@ -1,5 +1,6 @@
 // A server answers before it has read a long body. Its answer has no length, and the connection is
-// reset halfway through it. The caller must not get the first half as a complete response.
+// reset halfway through it, or the server reads the rest of the body only some seconds later. The
+// caller must not get the first half as a complete response.
 #include "../standins-2/standins.h"
 
 namespace {
@@ -8,10 +9,13 @@
 
 constexpr std::size_t kRequestBytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr std::size_t kAnswerBytes = 4000;
-constexpr int kRequests = 12;
+constexpr int kRequests = 10;
+// The other connections are not reset; the server reads on late.
+constexpr int kResets = 6;
 constexpr milliseconds kTimeout{ 6000 };
-// Time between the first half of the answer and the reset.
+// Time between the first half of the answer and the reset, or the rest.
 constexpr milliseconds kHalfwayPause{ 100 };
+constexpr milliseconds kLongPause{ 3500 };
 
 constexpr const char *kConfig =
         R"({"version":3,"routes":[{"name":"r-1","host":"shop.example","path_prefix":"/orders/",)"
@@ -29,24 +33,29 @@
     return body.substr(0, kAnswerBytes);
 }
 
-// Reads all that has arrived, so that the close of the connection is no reset.
+// Sends the answer in two halves. After the first one the connection is reset, or the request is
+// read to its end, so that the close of the connection is no reset.
 bool answer(Message &request, Connection &connection, Scenario &scenario)
 {
     const std::string body = answerBody();
-    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id")
-                             + "\r\nResponse-Seal: s1\r\nConnection: close\r\n\r\n";
-    connection.send(head + body.substr(0, kAnswerBytes / 2));
-    sleepFor(kHalfwayPause);
-    if (scenario.hasTrouble()) {
-        scenario.record().write("server: " + request.field("Attempt-Id")
-                                + " half of the answer sent, connection reset");
+    const std::string id = request.field("Attempt-Id");
+    const bool resets = scenario.hasTrouble() && std::stoi(id.substr(1)) < kResets;
+    const bool readsLate = scenario.hasTrouble() && !resets;
+    connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id
+                    + "\r\nResponse-Seal: s1\r\nConnection: close\r\n\r\n"
+                    + body.substr(0, kAnswerBytes / 2));
+    sleepFor(readsLate ? kLongPause : kHalfwayPause);
+    if (resets) {
+        scenario.record().write("server: " + id + " half of the answer sent, connection reset");
         connection.reset();
         return false;
     }
     connection.readBody(request, true, kTimeout);
-    connection.send(body.substr(kAnswerBytes / 2));
-    scenario.record().write("server: " + request.field("Attempt-Id")
-                            + " whole answer sent, connection closed");
+    const bool sent = request.complete && connection.send(body.substr(kAnswerBytes / 2));
+    scenario.record().write("server: " + id
+                            + (sent ? " whole answer sent, connection closed"
+                                    : " half of the answer sent, the daemon has ended the "
+                                      "connection"));
     return false;
 }
 
@@ -72,7 +81,7 @@
     int truncated = 0;
     int whole = 0;
     for (int i = 0; i < kRequests; ++i) {
-        const std::string id = "a" + std::to_string(1000 + i);
+        const std::string id = "a" + std::to_string(i);
         Connection connection = Connection::open(daemon.caller());
         connection.send("POST /orders/" + std::to_string(i)
                         + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id
