--- a/review/standins-2/standins.cpp
+++ b/review/standins-2/standins.cpp
@@ -322,6 +322,8 @@
     ::shutdown(descriptor_, SHUT_RDWR);
     thread_.join();
     ::close(descriptor_);
+    while (running_ > 0)
+        sleepFor(milliseconds(5));
 }
 
 void Server::run()
@@ -332,7 +334,11 @@
             continue;
         const int on = 1;
         ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        std::thread([handler = handler_, descriptor] { handler(Connection(descriptor)); }).detach();
+        ++running_;
+        std::thread([this, descriptor] {
+            handler_(Connection(descriptor));
+            --running_;
+        }).detach();
     }
 }
 
@@ -341,6 +347,16 @@
             ip, [this](Connection connection) { serve(std::move(connection)); }))
 {}
 
+Store::~Store()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    server_.reset();
+}
+
 void Store::append(const std::string &topic, const std::string &key, const std::string &value)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -395,7 +411,7 @@
 {
     std::unique_lock<std::mutex> lock(mutex_);
     const std::vector<Entry> &entries = topics_[topic];
-    changed_.wait_for(lock, wait, [&] { return entries.size() > from; });
+    changed_.wait_for(lock, wait, [&] { return stopping_ || entries.size() > from; });
     std::string body = bigEndian(entries.size(), 8) + bigEndian(0, 8);
     for (std::size_t i = from; i < entries.size(); ++i) {
         const Entry &entry = entries[i];
@@ -457,6 +473,7 @@
 {
     stopping_ = true;
     heartbeat_.join();
+    server_.reset();
 }
 
 void BackendServer::setState(const std::string &state)
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -108,6 +108,7 @@
 
     // receiveBuffer: size of the receive buffer in bytes; 0 for the default.
     Server(const std::string &ip, Handler handler, int receiveBuffer = 0);
+    // Waits for the handlers to return. Their peers must have closed their connections by then.
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
@@ -121,6 +122,8 @@
     std::string address_;
     int descriptor_ = -1;
     std::atomic<bool> stopping_{ false };
+    // Number of handlers that run.
+    std::atomic<int> running_{ 0 };
     std::thread thread_;
 };
 
@@ -129,6 +132,9 @@
 {
 public:
     explicit Store(const std::string &ip);
+    ~Store();
+    Store(const Store &) = delete;
+    Store &operator=(const Store &) = delete;
 
     const std::string &address() const { return server_->address(); }
     // Appends a record; an empty value removes the key.
@@ -154,6 +160,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::vector<Entry>> topics_;
+    bool stopping_ = false;
     std::unique_ptr<Server> server_;
 };
 
