Routing: an empty list of organisations asks for a key that nobody has

Cause: the configuration kept the organisations as a plain list and took an empty one for a missing one, but only a version without the list asks for no key.

Public routes stay open, and a version without the list still asks for no key.

--- a/packages/gateway/tests/badinput_test.cpp
+++ b/packages/gateway/tests/badinput_test.cpp
@@ -19,6 +19,16 @@
         }))
     {}
 
+    using Organisations = decltype(routing::TrafficConfigData::organisations);
+
+    // Puts a configuration with these organisations in force.
+    void setOrganisations(Organisations organisations)
+    {
+        routing::TrafficConfigData data = testConfig();
+        data.organisations = std::move(organisations);
+        state.config = std::make_shared<const routing::TrafficConfig>(std::move(data));
+    }
+
     ScriptedServer &server;
 };
 
@@ -34,6 +44,33 @@
     BOOST_TEST(server.requests().empty());
 }
 
+// Guards against requests with any key, a dropped one or none that run once the operator has
+// removed the last organisation.
+BOOST_AUTO_TEST_CASE(key_emptyListOfOrganisations_isRequiredButNeverValid)
+{
+    setOrganisations(std::vector<routing::Organisation>());
+    for (const std::string key : { "X-Key: key\r\n", "X-Key: no\r\n", "X-Key: \r\n", "" }) {
+        for (const std::string start : { "GET /read/x", "POST /order/x" })
+            BOOST_TEST(
+                    statusOf(exchange(start + " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n" + key + "\r\n"))
+                    == 401);
+    }
+    BOOST_TEST(server.requests().empty());
+    BOOST_TEST(statusOf(exchange("GET /open/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")) == 200);
+    const routing::Organisation next{ .name = "next", .keys = { "new" } };
+    setOrganisations(std::vector{ next });
+    BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 401);
+    BOOST_TEST(
+            statusOf(exchange("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: new\r\n\r\n"))
+            == 200);
+}
+
+BOOST_AUTO_TEST_CASE(key_noListOfOrganisations_isNotRequired)
+{
+    setOrganisations({});
+    BOOST_TEST(statusOf(exchange("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")) == 200);
+}
+
 BOOST_AUTO_TEST_CASE(publicRoute_withoutKey_isServed)
 {
     BOOST_TEST(statusOf(exchange("GET /open/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")) == 200);
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -97,7 +97,7 @@
     data.limits.bodyBytes = 10000;
     data.limits.headerTimeout = milliseconds(300);
     data.limits.idleTimeout = milliseconds(5000);
-    data.organisations = { { .name = "org", .keys = { "key" } } };
+    data.organisations = std::vector<routing::Organisation>{ { .name = "org", .keys = { "key" } } };
     return data;
 }
 
--- a/packages/routing/include/auburn/routing/trafficconfig.h
+++ b/packages/routing/include/auburn/routing/trafficconfig.h
@@ -133,7 +133,8 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     TrafficLimits limits;
-    std::vector<Organisation> organisations;
+    // Without a list no request needs an API key. With an empty one no key is valid.
+    std::optional<std::vector<Organisation>> organisations;
 };
 
 class TrafficConfig
@@ -147,9 +148,11 @@
     const TrafficLimits &limits() const { return data_.limits; }
     const std::vector<Service> &services() const { return data_.services; }
     const std::vector<Route> &routes() const { return data_.routes; }
-    const std::vector<Organisation> &organisations() const { return data_.organisations; }
-    // Returns false if there are no organisations.
-    bool requiresApiKeys() const { return !data_.organisations.empty(); }
+    // Empty if there is no list of organisations.
+    const std::vector<Organisation> &organisations() const;
+    // Returns true if there is a list of organisations, even an empty one. Public routes need no
+    // key in either case.
+    bool requiresApiKeys() const { return data_.organisations.has_value(); }
 
     // Returns the route for the host with the longest matching path prefix; null if none matches. A
     // port in the host is ignored.
--- a/packages/routing/src/trafficconfig.cpp
+++ b/packages/routing/src/trafficconfig.cpp
@@ -60,7 +60,7 @@
         routesByHost_[toLowerCase(route.host)].push_back(&route);
     for (auto &entry : routesByHost_)
         std::stable_sort(entry.second.begin(), entry.second.end(), hasLongerPrefix);
-    for (const Organisation &organisation : data_.organisations) {
+    for (const Organisation &organisation : organisations()) {
         for (const std::string &key : organisation.keys)
             organisationsByKey_.emplace(key, &organisation);
     }
@@ -70,7 +70,7 @@
         for (const WeightedService &choice : route.services) {
             std::vector<Rank> &ranks = ranks_[choice.service];
             ranks.push_back(rank(route, nullptr));
-            for (const Organisation &organisation : data_.organisations)
+            for (const Organisation &organisation : organisations())
                 ranks.push_back(rank(route, &organisation));
         }
     }
@@ -81,6 +81,12 @@
     }
 }
 
+const std::vector<Organisation> &TrafficConfig::organisations() const
+{
+    static const std::vector<Organisation> kNone;
+    return data_.organisations ? *data_.organisations : kNone;
+}
+
 // A request without an organisation, or whose organisation has no priority, ranks with the most
 // urgent organisations.
 TrafficConfig::Rank TrafficConfig::rank(const Route &route, const Organisation *organisation)
--- a/tests/fuzz/gatewaydecoders.cpp
+++ b/tests/fuzz/gatewaydecoders.cpp
@@ -72,7 +72,7 @@
     data.services = { { .name = "desk" },
                       { .name = "engines",
                         .engine = routing::EngineModel{ .slots = 8, .cacheTokens = 10000 } } };
-    data.organisations = { { .name = "org", .keys = { "key" } } };
+    data.organisations = std::vector<routing::Organisation>{ { .name = "org", .keys = { "key" } } };
     return data;
 }
 
