Gateway: the end of the input after a failed send is not the end of a response

Cause: the kernel reports the failure of a connection once. The pending write is performed before the pending read and took the error, and its handler dropped it; the read then ended like after an orderly close, which ends a response without a length.

Change: the error of a partial write is kept, and the end of the input after it is a broken connection.

Ruled out: a server that closes its side in an orderly way and reads on still ends its response (responseWithoutLength_serverClosesAndReadsOn_isForwarded, passed before and now).

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -111,6 +111,9 @@
 // head of the response to the next request. Neither the status nor the fields of a joined head can
 // be attributed, so the call fails as one whose request may have run.
 //
+// A server may respond before it has read the whole request. If sending then fails, the connection
+// is broken, and its end is not the end of a response without a length.
+//
 // The kernel closes the connections of a process that crashes, too. So a response without a length
 // that ends with its connection is complete only if the server then accepts another connection,
 // which replaces the closed one.
@@ -166,6 +169,7 @@
     void connect(std::chrono::milliseconds timeout);
     void connected(ErrorCode error);
     void send();
+    void requestSent(ErrorCode error, std::size_t bytes);
     void read();
     // Handles bytes or the close of an idle connection.
     void becameReadable();
@@ -206,6 +210,9 @@
     bool closed_ = false;
     bool inCall_ = false;
     bool sent_ = false;
+    // Why a part of the request could not be sent, if so. The kernel reports the failure of a
+    // connection to one operation only; reading then ends as if the server had closed it.
+    ErrorCode sendError_;
     bool reading_ = false;
     bool paused_ = false;
     bool headerDone_ = false;
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -93,6 +93,7 @@
     ++callCount_;
     reusable_ = false;
     sent_ = false;
+    sendError_ = {};
     bytesReceived_ = false;
     headerDone_ = false;
     discarding_ = false;
@@ -161,16 +162,22 @@
                       [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
                           if (self->closed_ || !self->inCall_)
                               return;
-                          if (error && bytes == 0)
-                              self->finishCall(CallOutcome::NotSent, "send: " + error.message());
-                          else
-                              self->sent_ = !error;
-                          // After a partial write a response may still arrive, so reading
-                          // continues.
+                          self->requestSent(error, bytes);
                       });
     read();
 }
 
+void OutboundConnection::requestSent(ErrorCode error, std::size_t bytes)
+{
+    if (error && bytes == 0) {
+        finishCall(CallOutcome::NotSent, "send: " + error.message());
+        return;
+    }
+    // After a partial write a response may still arrive, so reading continues.
+    sent_ = !error;
+    sendError_ = error;
+}
+
 void OutboundConnection::read()
 {
     if (reading_ || paused_ || closed_)
@@ -226,7 +233,9 @@
 void OutboundConnection::readFailed(ErrorCode error)
 {
     const bool closed = error == asio::error::eof;
-    if (closed && headerDone_ && !discarding_ && parser_->response.need_eof())
+    if (closed && sendError_)
+        finishCall(CallOutcome::Broken, "send: " + sendError_.message());
+    else if (closed && headerDone_ && !discarding_ && parser_->response.need_eof())
         closedByServer();
     else
         finishCall(CallOutcome::Broken,
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -154,6 +154,13 @@
     asio::write(state_->socket, asio::buffer(bytes));
 }
 
+void ScriptedClient::sendLong(std::string bytes)
+{
+    const auto sent = std::make_shared<const std::string>(std::move(bytes));
+    asio::async_write(state_->socket, asio::buffer(*sent),
+                      [state = state_, sent](ErrorCode, std::size_t) {});
+}
+
 void ScriptedClient::close()
 {
     ErrorCode ignored;
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -86,6 +86,9 @@
     ScriptedClient(boost::asio::io_context &io, const std::string &address);
 
     void send(const std::string &bytes);
+    // Sends while the context runs. For more bytes than the sockets buffer, if the context that
+    // receives them is the client's own.
+    void sendLong(std::string bytes);
     void close();
     const std::string &received() const { return state_->received; }
     bool isClosed() const { return state_->closed; }
