Gateway: log and count what an examined server showed

The event broken_connection_examined and the counter auburn_examined_servers_total say so. No logic is changed.

--- a/packages/gateway/src/crashguard.cpp
+++ b/packages/gateway/src/crashguard.cpp
@@ -82,12 +82,29 @@
     probe->socket.async_connect(*endpoint,
                                 [guard = weak_from_this(), probe, suspects](ErrorCode error) {
                                     probe->timer.cancel();
-                                    const auto self = guard.lock();
-                                    if (self && error)
-                                        self->recordCrash(suspects);
+                                    if (const auto self = guard.lock())
+                                        self->probeEnded(suspects, error);
                                 });
 }
 
+void CrashGuard::probeEnded(const CrashSuspects &suspects, ErrorCode error)
+{
+    const std::string_view result = error ? "crashed" : "accepts";
+    if (options_.metrics)
+        options_.metrics
+                ->counter("auburn_examined_servers_total",
+                          "Servers that were connected to because a reused connection broke",
+                          { { "result", std::string(result) } })
+                .add();
+    logEvent(LogLevel::Info, "broken_connection_examined",
+             { { "id", suspects.requestId },
+               { "fingerprint", toHexadecimal(suspects.fingerprint) },
+               { "result", result },
+               { "reason", error ? error.message() : std::string() } });
+    if (error)
+        recordCrash(suspects);
+}
+
 void CrashGuard::recordSuccess(const CrashSuspects &suspects)
 {
     recordSoundPrompt(suspects);
--- a/packages/gateway/src/crashguard.h
+++ b/packages/gateway/src/crashguard.h
@@ -37,6 +37,8 @@
     struct Options
     {
         RoutingState *state = nullptr;
+        // May be null.
+        Metrics *metrics = nullptr;
         // See Gateway::Options.
         std::function<void()> serverDisconnected;
         std::function<void()> requestUnblocked;
@@ -60,6 +62,8 @@
     void recordSoundPrompt(const CrashSuspects &suspects);
 
 private:
+    void probeEnded(const CrashSuspects &suspects, boost::system::error_code error);
+
     boost::asio::io_context &io_;
     const Options options_;
 };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -39,6 +39,7 @@
                             io,
                             CrashGuard::Options{
                                     .state = &context_.state,
+                                    .metrics = context_.options.metrics,
                                     .serverDisconnected = context_.options.serverDisconnected,
                                     .requestUnblocked = context_.options.requestUnblocked }),
                     .startupQueue = StartupQueue(io) }
