Gateway: a server that still accepts a connection may have crashed nevertheless

Cause: when a reused connection broke, the daemon connected to the server once, and an accepted connection passed for proof that it lives. The sockets of a process that ends are not closed at one moment, so on a busy machine the listening socket accepts one more connection. Trials of a blocked request were not counted either, so several daemons made one each.

Ruled out: crashes without a look, and counts cleared by a success.

Change: the probe watches its connection for 100 ms and decides by a second one if it ends; what it does not prove stays a suspicion for 20 s and counts once the registry names a later process under the server's id or at its address. Connections that break meanwhile share one probe.

Why it works: the registration does not depend on when sockets are closed, and the probe finds most crashes before it.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -105,9 +105,10 @@
     // Closes connections to backend servers that have been idle for too long. Must be called about
     // once a second.
     virtual void closeExpiredConnections() = 0;
-    // Closes the idle connections to an address that may have been reassigned to another backend
-    // server.
-    virtual void closeIdleConnectionsTo(const std::string &address) = 0;
+    // To be called after the directory has got a new backend server at the address, or one that was
+    // restarted. Closes the idle connections to the address, which may be those of another server,
+    // and counts the crashes of predecessors that only this shows.
+    virtual void serverStarted(const std::string &address) = 0;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/crashguard.cpp
+++ b/packages/gateway/src/crashguard.cpp
@@ -4,35 +4,12 @@
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <utility>
 
 namespace auburn::gateway {
 
 using boost::asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
-using ErrorCode = boost::system::error_code;
-
-namespace {
-
-// A server whose VM has failed does not respond at all.
-constexpr std::chrono::milliseconds kProbeTimeout{ 300 };
-
-// A connection that only shows whether a server accepts connections.
-struct Probe
-{
-    explicit Probe(boost::asio::io_context &io)
-        : socket(io)
-        , timer(io)
-    {}
-
-    tcp::socket socket;
-    boost::asio::steady_timer timer;
-};
-
-} // namespace
 
 CrashGuard::CrashGuard(boost::asio::io_context &io, Options options)
     : io_(io)
@@ -66,48 +43,82 @@
         options_.serverDisconnected();
 }
 
-void CrashGuard::recordCrashUnlessAccepting(const std::string &address,
-                                            const CrashSuspects &suspects)
+void CrashGuard::examine(const BrokenConnection &connection)
 {
-    const auto endpoint = parseEndpoint(address);
+    const auto endpoint = parseEndpoint(connection.address);
     if (!endpoint)
         return;
-    const auto probe = std::make_shared<Probe>(io_);
-    probe->timer.expires_after(kProbeTimeout);
-    probe->timer.async_wait([probe](ErrorCode error) {
-        ErrorCode ignored;
-        if (!error)
-            probe->socket.close(ignored);
-    });
-    probe->socket.async_connect(*endpoint,
-                                [guard = weak_from_this(), probe, suspects](ErrorCode error) {
-                                    probe->timer.cancel();
-                                    if (const auto self = guard.lock())
-                                        self->probeEnded(suspects, error);
-                                });
+    const SuspectedCrashes::Number number = suspected_.add(connection, Clock::now());
+    Examination &examination = examinations_[connection.address];
+    examination.suspicions.push_back(number);
+    if (examination.probe)
+        examination.probe->extend();
+    else
+        startProbe(connection.address, *endpoint);
+}
+
+void CrashGuard::startProbe(const std::string &address, tcp::endpoint endpoint)
+{
+    const auto probe = std::make_shared<ServerProbe>(
+            io_, std::move(endpoint),
+            [guard = weak_from_this(), address](const std::string &reason) {
+                if (const auto self = guard.lock())
+                    self->probeEnded(address, reason);
+            });
+    examinations_[address].probe = probe;
+    probe->start();
 }
 
-void CrashGuard::probeEnded(const CrashSuspects &suspects, ErrorCode error)
+void CrashGuard::probeEnded(const std::string &address, const std::string &reason)
+{
+    const auto node = examinations_.extract(address);
+    for (const SuspectedCrashes::Number number : node.mapped().suspicions) {
+        const auto connection = reason.empty() ? std::nullopt : suspected_.confirm(number);
+        if (connection) {
+            recordExamination(*connection, "accepts_no_connection", reason);
+            recordCrash(connection->suspects);
+        } else if (const BrokenConnection *suspicion = suspected_.find(number)) {
+            // The connection may have been accepted by the server's successor, so the suspicion
+            // stays.
+            recordExamination(*suspicion, "accepts", {});
+        }
+    }
+    // The server may have been registered again before its connection broke.
+    serverStarted();
+}
+
+void CrashGuard::serverStarted()
+{
+    if (suspected_.size() == 0)
+        return;
+    for (const BrokenConnection &connection :
+         suspected_.confirmRestarted(options_.state->directory, Clock::now())) {
+        recordExamination(connection, "restarted", {});
+        recordCrash(connection.suspects);
+    }
+}
+
+void CrashGuard::recordExamination(const BrokenConnection &connection, std::string_view result,
+                                   const std::string &reason)
 {
-    const std::string_view result = error ? "crashed" : "accepts";
     if (options_.metrics)
         options_.metrics
                 ->counter("auburn_examined_servers_total",
-                          "Servers that were connected to because a reused connection broke",
+                          "Servers that were examined because a reused connection broke",
                           { { "result", std::string(result) } })
                 .add();
     logEvent(LogLevel::Info, "broken_connection_examined",
-             { { "id", suspects.requestId },
-               { "fingerprint", toHexadecimal(suspects.fingerprint) },
+             { { "id", connection.suspects.requestId },
+               { "server", connection.serverId },
+               { "fingerprint", toHexadecimal(connection.suspects.fingerprint) },
                { "result", result },
-               { "reason", error ? error.message() : std::string() } });
-    if (error)
-        recordCrash(suspects);
+               { "reason", reason } });
 }
 
 void CrashGuard::recordSuccess(const CrashSuspects &suspects)
 {
     recordSoundPrompt(suspects);
+    suspected_.dropEqualRequests(suspects.fingerprint);
     routing::CrashRegistry &crashes = options_.state->crashes;
     if (crashes.recordSuccess({ suspects.fingerprint }, Clock::now()) && options_.requestUnblocked)
         options_.requestUnblocked();
--- a/packages/gateway/src/crashguard.h
+++ b/packages/gateway/src/crashguard.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "serverprobe.h"
+#include "suspectedcrashes.h"
+
 #include "auburn/gateway/gateway.h"
 #include "auburn/routing/crashregistry.h"
 
@@ -8,29 +11,21 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace auburn::gateway {
 
-// What a crash under a request may be blamed on.
-struct CrashSuspects
-{
-    // The request that was in progress, for log lines.
-    std::string requestId;
-    // Identifies equal requests.
-    std::uint64_t fingerprint = 0;
-    // The parts of the prompt that other requests may have as well.
-    std::vector<std::uint64_t> promptParts;
-};
-
 // CrashGuard rejects requests that crash backend servers, and decides which broken connections are
 // crashes.
 //
 // A connection that breaks under a request is one, unless it had carried other requests and broke
 // before any byte of the response: servers close connections that were idle. Such a server is
-// connected to again, and has crashed if it does not accept.
+// examined, and has crashed if it accepts no other connection, or if the registry later names
+// another process in its place.
 class CrashGuard : public std::enable_shared_from_this<CrashGuard>
 {
 public:
@@ -53,8 +48,10 @@
                          std::chrono::steady_clock::time_point since) const;
     // Records that a server crashed while it ran a request with these suspects.
     void recordCrash(const CrashSuspects &suspects);
-    // Records a crash if the server at the address does not accept a connection.
-    void recordCrashUnlessAccepting(const std::string &address, const CrashSuspects &suspects);
+    // Records a crash if the server turns out to have crashed.
+    void examine(const BrokenConnection &connection);
+    // To be called after the directory has got a new or restarted server.
+    void serverStarted();
     // Records that a server ran a request with these suspects to its end.
     void recordSuccess(const CrashSuspects &suspects);
     // Records that the parts of the prompt are sound, because a server that has read them goes on.
@@ -62,10 +59,24 @@
     void recordSoundPrompt(const CrashSuspects &suspects);
 
 private:
-    void probeEnded(const CrashSuspects &suspects, boost::system::error_code error);
+    // The examination of one address, on behalf of all connections to it that broke meanwhile.
+    struct Examination
+    {
+        std::shared_ptr<ServerProbe> probe;
+        std::vector<SuspectedCrashes::Number> suspicions;
+    };
+
+    void startProbe(const std::string &address, boost::asio::ip::tcp::endpoint endpoint);
+    // The reason tells why the server accepts no connections; empty if it does.
+    void probeEnded(const std::string &address, const std::string &reason);
+    // Logs and counts what the examination of a server has shown.
+    void recordExamination(const BrokenConnection &connection, std::string_view result,
+                           const std::string &reason);
 
     boost::asio::io_context &io_;
     const Options options_;
+    SuspectedCrashes suspected_;
+    std::map<std::string, Examination> examinations_;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -197,6 +197,8 @@
     attempt_ = choice;
     attemptStart_ = Clock::now();
     attemptSentAt_ = std::chrono::steady_clock::now();
+    const routing::BackendServer *server = context_.state.directory.find(choice.serverId);
+    serverStartedAtUnixMs_ = server ? server->startedAtUnixMs : 0;
     progressed_ = false;
     response_ = {};
     stream_.attemptStarted();
@@ -621,7 +623,10 @@
     if (progressed_ && Clock::now() - progressedAt_ >= kSoundProgress)
         suspects.promptParts.clear();
     if (wasIdle)
-        context_.crashes->recordCrashUnlessAccepting(attempt_->address, suspects);
+        context_.crashes->examine({ .serverId = attempt_->serverId,
+                                    .address = attempt_->address,
+                                    .serverStartedAtUnixMs = serverStartedAtUnixMs_,
+                                    .suspects = suspects });
     else
         context_.crashes->recordCrash(suspects);
 }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -158,6 +158,8 @@
     Clock::time_point attemptStart_;
     // The start of the attempt on the clock of the routing state.
     std::chrono::steady_clock::time_point attemptSentAt_;
+    // The start time of the attempt's server when the attempt began.
+    std::int64_t serverStartedAtUnixMs_ = 0;
     // The connection of the attempt had carried other requests.
     bool reusesConnection_ = false;
     // An idle connection to the server had carried a request with the same id and was not used.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -78,9 +78,10 @@
 
     void closeExpiredConnections() override { context_.pool->closeExpired(); }
 
-    void closeIdleConnectionsTo(const std::string &address) override
+    void serverStarted(const std::string &address) override
     {
         context_.pool->closeIdleTo(address);
+        context_.crashes->serverStarted();
     }
 
 private:
--- a/packages/gateway/tests/equalrequestcrashes_test.cpp
+++ b/packages/gateway/tests/equalrequestcrashes_test.cpp
@@ -8,6 +8,7 @@
 namespace auburn::gateway {
 
 using End = ScriptedReply::End;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -21,7 +22,7 @@
             state.placement.removeServer(serverId);
         }
         serverId = "s" + std::to_string(++started);
-        addServer(serverId, "desk", [this](const ScriptedRequest &received) {
+        server = &addServer(serverId, "desk", [this](const ScriptedRequest &received) {
             const std::string id = "X-Id: " + std::string(received["X-Id"]) + "\r\n";
             const bool isSuspect = received.target() == "/order/suspect";
             arrivals += isSuspect ? 1 : 0;
@@ -32,6 +33,19 @@
         BOOST_TEST(statusOf(exchange(request("POST", "/order/other", {}, serverId))) == 200);
     }
 
+    // Registers the server at the address of the last one, with this start time.
+    void registerServer(std::int64_t startedAtUnixMs)
+    {
+        state.directory.update({ .id = serverId,
+                                 .service = "desk",
+                                 .address = server->address(),
+                                 .failureDomain = "a",
+                                 .slots = 8,
+                                 .startedAtUnixMs = startedAtUnixMs },
+                               ++logPosition);
+        gateway->serverStarted(server->address());
+    }
+
     // Sends the request that is equal each time.
     int sendSuspect() { return statusOf(exchange(request("POST", "/order/suspect", {}, "same"))); }
 
@@ -40,6 +54,7 @@
     unsigned arrivals = 0;
     unsigned started = 0;
     std::string serverId;
+    const ScriptedServer *server = nullptr;
 };
 
 } // namespace
@@ -58,6 +73,51 @@
     BOOST_TEST(sendSuspect() == 503);
 }
 
+// Guards against crashes that are not counted because the listening socket of the process that ends
+// accepts one more connection: on a busy VM its sockets are not closed at the same moment.
+BOOST_AUTO_TEST_CASE(crashes_listenerOutlivesTheConnections_areCounted)
+{
+    suspectEnd = End::CrashSlowly;
+    for (unsigned i = 0; i < 2 * routing::kCrashLimit; ++i) {
+        startServer();
+        sendSuspect();
+        wait(milliseconds(200));
+    }
+    BOOST_TEST(arrivals == routing::kCrashLimit);
+    BOOST_TEST(sendSuspect() == 503);
+}
+
+// Guards against crashes that are not counted because the server listens again before anybody
+// looks: only its registration shows that it is another process.
+BOOST_AUTO_TEST_CASE(crashes_serverListensAgainAtOnce_areCounted)
+{
+    suspectEnd = End::Close;
+    startServer();
+    for (unsigned i = 0; i < 2 * routing::kCrashLimit; ++i) {
+        registerServer(1000 + i);
+        BOOST_TEST(statusOf(exchange(request("POST", "/order/other", {}, "b"))) == 200);
+        sendSuspect();
+        wait(milliseconds(200));
+    }
+    BOOST_TEST(arrivals == routing::kCrashLimit);
+}
+
+// Guards against the same if the server comes back under another id.
+BOOST_AUTO_TEST_CASE(crashes_anotherServerAtTheAddress_areCounted)
+{
+    suspectEnd = End::Close;
+    startServer();
+    for (unsigned i = 0; i < 2 * routing::kCrashLimit; ++i) {
+        state.directory.removeImmediately(serverId, ++logPosition);
+        serverId = "t" + std::to_string(i);
+        registerServer(1000 + i);
+        BOOST_TEST(statusOf(exchange(request("POST", "/order/other", {}, "b"))) == 200);
+        sendSuspect();
+        wait(milliseconds(200));
+    }
+    BOOST_TEST(arrivals == routing::kCrashLimit);
+}
+
 // Guards against sound requests that are rejected because their server closed connections that were
 // idle.
 BOOST_AUTO_TEST_CASE(closedConnections_serverGoesOn_areNotCounted)
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -83,11 +83,28 @@
         }
         if (reply_.end == ScriptedReply::End::Crash)
             state_->acceptor.close(ignored);
+        if (reply_.end == ScriptedReply::End::CrashSlowly)
+            stopListeningLater();
         if (reply_.end == ScriptedReply::End::Reset)
             socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
     }
 
+    void stopListeningLater()
+    {
+        constexpr std::chrono::milliseconds kListenerOutlives{ 20 };
+        state_->ending = true;
+        timer_.expires_after(kListenerOutlives);
+        timer_.async_wait([self = shared_from_this()](ErrorCode) {
+            ErrorCode ignored;
+            self->state_->acceptor.close(ignored);
+            for (tcp::socket &socket : self->state_->acceptedAtEnd) {
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                socket.close(ignored);
+            }
+        });
+    }
+
     tcp::socket socket_;
     asio::steady_timer timer_;
     std::shared_ptr<State> state_;
@@ -126,6 +143,11 @@
         if (error)
             return;
         ++state_->connections;
+        if (state_->ending) {
+            state_->acceptedAtEnd.push_back(std::move(socket));
+            accept();
+            return;
+        }
         std::make_shared<Connection>(io_, std::move(socket), state_)->read();
         accept();
     });
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -31,8 +31,9 @@
 {
     std::vector<ScriptedPart> parts;
     // What happens after the last part. A server that crashes closes the connection in an orderly
-    // way, as the kernel does for a process that ends, and stops listening.
-    enum class End { KeepOpen, Close, Reset, Crash } end = End::KeepOpen;
+    // way, as the kernel does for a process that ends, and stops listening. One that crashes slowly
+    // stops listening only after some time, and resets the connections of that time.
+    enum class End { KeepOpen, Close, Reset, Crash, CrashSlowly } end = End::KeepOpen;
 };
 
 // A whole answer with a length; the fields end with "\r\n" each.
@@ -69,6 +70,9 @@
         std::vector<ScriptedRequest> requests;
         unsigned connections = 0;
         unsigned closedByPeer = 0;
+        // The server crashes slowly; the connections accepted since.
+        bool ending = false;
+        std::vector<boost::asio::ip::tcp::socket> acceptedAtEnd;
     };
     class Connection;
 
