Gateway: a response whose status is not one of 100 to 599 is invalid

Cause: the parser accepts any three digits, and nothing between it and the caller looked at the status. HttpClient took the status 0 of a response for no response.

Change: such a response is invalid like one that cannot be parsed; the request may have run.

--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -8,6 +8,7 @@
 #include "auburn/core/hash.h"
 #include "auburn/core/joinedhead.h"
 #include "auburn/core/lasterror.h"
+#include "auburn/core/responsestatus.h"
 #include "auburn/core/socketstate.h"
 
 #include <boost/asio/post.hpp>
@@ -354,6 +355,11 @@
                    "the response head contains the start of another response");
         return false;
     }
+    if (!isResponseStatus(header.result_int())) {
+        finishCall(CallOutcome::Invalid,
+                   "the response has the status " + std::to_string(header.result_int()));
+        return false;
+    }
     const bool interim = header.result_int() / 100 == 1;
     const ResponseMatch match = interim ? ResponseMatch::Unidentified
                                         : handler_->matchResponse(header);
--- a/packages/gateway/tests/httpclient_test.cpp
+++ b/packages/gateway/tests/httpclient_test.cpp
@@ -107,6 +107,24 @@
     BOOST_TEST(server.requests().size() == 1U);
 }
 
+// Guards against a response whose status means nothing and that is taken for the store's word.
+BOOST_AUTO_TEST_CASE(get_statusOutsideTheProtocol_isInvalid)
+{
+    for (const int status : { 0, 99, 600 }) {
+        std::string text = wholeAnswer(100 + status, "", "odd");
+        const std::string code = std::to_string(1000 + status).substr(1);
+        text.replace(text.find(' ') + 1, 3, code);
+        ScriptedServer server(io, [text](const ScriptedRequest &) {
+            return ScriptedReply{ .parts = { { text } } };
+        });
+        HttpClient client(io, server.address());
+        const HttpResponse response = get(client);
+        BOOST_TEST(response.status == 0, code);
+        BOOST_TEST(response.isInvalid, code);
+        BOOST_TEST(!response.error.empty(), code);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(get_serverSilent_failsAtTheTimeout)
 {
     ScriptedServer server(io, [](const ScriptedRequest &) {
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -128,6 +128,26 @@
     BOOST_TEST(statusOf(exchange(request("GET", "/read/x"))) == 502);
 }
 
+// Guards against a status that no response in the protocol has and that reaches the caller as an
+// answer.
+BOOST_AUTO_TEST_CASE(status_outsideTheProtocol_isNotPassedOn)
+{
+    std::string head;
+    const auto respond = [&head](const ScriptedRequest &) {
+        return ScriptedReply{ .parts = { { head + "\r\nno" } }, .end = End::Close };
+    };
+    addServer("s1", "desk", respond);
+    addServer("e1", "engines", respond);
+    for (const std::string status : { "000", "007", "099", "600", "999" }) {
+        for (const std::string length : { "Content-Length: 2\r\n", "" }) {
+            head = "HTTP/1.1 " + status + " Odd\r\nX-Seal: s\r\n" + length;
+            for (const char *target : { "/order/x", "/read/x", "/chat/x", "/digest/x" })
+                BOOST_TEST(statusOf(exchange(request("POST", target, {}, status + length))) == 502,
+                           head << target);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(safe_answerIsCutOff_isNotPassedOn)
 {
     addServer("s1", "desk",
