Relay: a response whose status is not one of 100 to 599 is invalid

The call now fails, with the verdict that the request may have run.

Measured: service_statusOutsideTheProtocol_isNotPassedOn failed for 4 of 4 codes before, none now.

--- a/packages/relay/src/backendservercall.cpp
+++ b/packages/relay/src/backendservercall.cpp
@@ -2,6 +2,7 @@
 
 #include "auburn/core/endpoint.h"
 #include "auburn/core/joinedhead.h"
+#include "auburn/core/responsestatus.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -210,6 +211,11 @@
         end(CallEnd::Broken, "the answer's head contains the start of another answer");
         return;
     }
+    if (!isResponseStatus(parser_.get().result_int())) {
+        end(CallEnd::Broken,
+            "the answer has the status " + std::to_string(parser_.get().result_int()));
+        return;
+    }
     identified_ = isIdentified();
     if (reused_ && !identified_) {
         end(CallEnd::Unidentified, "the answer on a reused connection is not to this request");
--- a/packages/relay/tests/serverfaults_test.cpp
+++ b/packages/relay/tests/serverfaults_test.cpp
@@ -109,6 +109,17 @@
     }
 }
 
+// Guards against a status that no response in the protocol has and that reaches the caller as an
+// answer.
+BOOST_AUTO_TEST_CASE(service_statusOutsideTheProtocol_isNotPassedOn)
+{
+    serve();
+    for (const std::string status : { "000", "099", "600", "999" }) {
+        setReply({ { { "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nno" } } });
+        BOOST_TEST(send().status == 502, status);
+    }
+}
+
 // Guards against the status of an answer that its server never finished, before the answer to the
 // next request on the connection.
 BOOST_AUTO_TEST_CASE(service_startOfAnotherAnswerComesFirst_isNotTakenForTheAnswer)
