Gateway: a request that is refused for its framing ends its connection

Cause: a refusal closed the connection only if the parser was not done, but the parser takes a request with an unknown coding and without a length for one without a body.

Change: after such a refusal the connection always ends.

--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -260,6 +260,8 @@
     headRequest_ = header.method() == http::verb::head;
     readDeadline_.setAfter(kBodyTimeout);
     if (!hasUnambiguousFraming(header)) {
+        // The parser may have found an end of the request, but it is not certain.
+        keepAlive_ = false;
         reject(400, "ambiguous_framing");
         return false;
     }
--- a/packages/gateway/tests/badinput_test.cpp
+++ b/packages/gateway/tests/badinput_test.cpp
@@ -94,6 +94,12 @@
                 + "0\r\n\r\n" + hidden,
         request("POST", "/order/x", "Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n" + hidden,
         "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id : 1\r\n\r\n" + hidden,
+        // The parser takes these for requests without a body.
+        request("POST", "/order/x", "Transfer-Encoding: identity\r\n") + hidden,
+        request("POST", "/order/x", "Transfer-Encoding: gzip\r\n") + hidden,
+        request("POST", "/order/x", "Transfer-Encoding: chunked, identity\r\n") + hidden,
+        request("POST", "/order/x", "Content-Length: 0\r\nContent-Length: 0\r\n") + hidden,
+        request("GET", "/read/x", "Host: other\r\n") + hidden,
     };
     for (const std::string &text : texts) {
         ScriptedClient client(io, address);
