--- a/packages/relay/src/callerconnection.cpp
+++ b/packages/relay/src/callerconnection.cpp
@@ -307,6 +307,8 @@
     phase_ = Phase::Body;
     readDeadline_.setAfter(worker_.shared.options.limits.bodyTime);
     if (const std::optional<Refusal> refusal = checkFraming(header)) {
+        // The parser may have found an end of the request, but it is not certain.
+        keepAlive_ = false;
         reject(*refusal);
         return;
     }
--- a/packages/relay/tests/badinput_test.cpp
+++ b/packages/relay/tests/badinput_test.cpp
@@ -111,6 +111,26 @@
         checkRefused(head + rest, 400, "invalid_request");
 }
 
+// Guards against a request in the body of a refused one that runs: the parser takes a request of an
+// unknown transfer coding for one without a body.
+BOOST_AUTO_TEST_CASE(framing_unknownCoding_connectionEnds)
+{
+    const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer "
+                             + std::string(kToken) + "\r\n";
+    for (const std::string fields :
+         { "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
+           "Transfer-Encoding: chunked, identity\r\n",
+           "Content-Length: 0\r\nContent-Length: 0\r\n" }) {
+        if (!server)
+            serve();
+        Client client(server->port());
+        client.send(head + fields + "\r\n" + chatRequest("p", false, 1));
+        checkRefusal(client.receive(), 400, "invalid_request");
+        BOOST_TEST(client.waitClosed(), fields);
+        BOOST_TEST(engineRecord(0).empty(), fields);
+    }
+}
+
 // Guards against an endless header that fills memory.
 BOOST_AUTO_TEST_CASE(header_tooLarge_refused)
 {
