--- a/packages/routing/tests/trafficconfig_test.cpp
+++ b/packages/routing/tests/trafficconfig_test.cpp
@@ -98,8 +98,8 @@
     TrafficConfigData data = TrafficConfigFixture::data();
     for (int priority = 2; priority < 20; ++priority)
         data.organisations->push_back({ .name = "o" + std::to_string(priority),
-                                       .keys = { "x" + std::to_string(priority) },
-                                       .priority = priority });
+                                        .keys = { "x" + std::to_string(priority) },
+                                        .priority = priority });
     const TrafficConfig many(std::move(data));
     int previous = 0;
     for (int priority = 2; priority < 20; ++priority) {
