Gateway: a server that has begun to respond may read the request late

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges every probe and only does not open its window.

Change: the timeout is off from the start of the response to its end, for requests with a body that may be unread; not for requests under a condition, which must not be transmitted after its time.

--- a/packages/gateway/include/auburn/gateway/outboundconnection.h
+++ b/packages/gateway/include/auburn/gateway/outboundconnection.h
@@ -178,6 +178,9 @@
     bool parse();
     // Decides whether the response is discarded. Returns false once the call has ended.
     bool processHeader();
+    // Keeps the connection open although the server does not read the rest of the request, because
+    // it has begun to respond and so lives.
+    void allowLateReading();
     void deliverBody();
     void responseComplete();
     // Ends the call with success.
@@ -218,6 +221,7 @@
     bool headerDone_ = false;
     bool discarding_ = false;
     bool bytesReceived_ = false;
+    bool hasUserTimeout_ = true;
     bool reusable_ = false;
     // True if a response on this connection carried the id of its request.
     bool echoesRequestId_ = false;
--- a/packages/gateway/src/outboundconnection.cpp
+++ b/packages/gateway/src/outboundconnection.cpp
@@ -40,6 +40,8 @@
 // Bounds the memory for the ids of a connection. A copy comes where one of the next responses is
 // due.
 constexpr std::size_t kMaxCarriedIds = 512;
+// A body up to this size fits into the receive buffer of any server.
+constexpr std::size_t kBufferedBodyBytes = std::size_t{ 4 } * 1024;
 // Limit of the bytes of responses to other requests that are discarded in one call.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1024 } * 1024;
 
@@ -280,6 +282,7 @@
     }
     socket_ = std::move(replacement);
     setTcpOptions(socket_);
+    hasUserTimeout_ = true;
     input_.clear();
     responseCount_ = 0;
     carriedIds_.clear();
@@ -379,10 +382,21 @@
     }
     echoesRequestId_ = echoesRequestId_ || match == ResponseMatch::ThisCall;
     parseKeepAlive(header);
+    allowLateReading();
     handler_->responseStarted(header);
     return inCall_ && !closed_;
 }
 
+void OutboundConnection::allowLateReading()
+{
+    const bool mayBeUnread = request_.body && request_.body->size() > kBufferedBodyBytes;
+    // What is sent under a condition must not be transmitted after its time.
+    if (!mayBeUnread || request_.sendCondition)
+        return;
+    setUserTimeout(socket_, std::chrono::milliseconds(0));
+    hasUserTimeout_ = false;
+}
+
 void OutboundConnection::deliverBody()
 {
     std::vector<std::string_view> &data = parser_->response.get().body();
@@ -398,6 +412,10 @@
     // If the response arrived before the request was sent completely, the rest of the request is
     // still being written.
     reusable_ = sent_ && parser_->response.keep_alive() && input_.size() == 0;
+    if (reusable_ && !hasUserTimeout_) {
+        setUserTimeout(socket_, kDefaultUserTimeout);
+        hasUserTimeout_ = true;
+    }
     callComplete();
 }
 
--- a/packages/gateway/src/socketoptions.cpp
+++ b/packages/gateway/src/socketoptions.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// The connection fails if sent data stays unacknowledged for this long.
-constexpr std::chrono::milliseconds kUserTimeout{ 2500 };
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
@@ -30,7 +28,7 @@
 {
     const int descriptor = socket.native_handle();
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setUserTimeout(socket, kUserTimeout);
+    setUserTimeout(socket, kDefaultUserTimeout);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
--- a/packages/gateway/tests/earlyresponses_test.cpp
+++ b/packages/gateway/tests/earlyresponses_test.cpp
@@ -39,11 +39,14 @@
         ReadNothing,
         // Closes its side, and reads the request to its end.
         Close,
+        // Reads the rest of the request late, and then sends the rest of the response.
+        ReadLate,
     };
 
-    EarlyServer(asio::io_context &io, std::string response, End end)
+    EarlyServer(asio::io_context &io, std::string response, End end, std::string rest = {})
         : acceptor_(io)
         , response_(std::move(response))
+        , rest_(std::move(rest))
         , end_(end)
     {
         constexpr int kReceiveBufferBytes = 16384;
@@ -88,7 +91,10 @@
         // Gives the client the time to read the response.
         void endLater()
         {
-            timer.expires_after(milliseconds(100));
+            constexpr milliseconds kReadingTime{ 100 };
+            // Longer than the time after which a connection without progress is given up.
+            constexpr milliseconds kLateReadingTime{ 3000 };
+            timer.expires_after(server.end_ == End::ReadLate ? kLateReadingTime : kReadingTime);
             timer.async_wait([self = shared_from_this()](ErrorCode) { self->finish(); });
         }
 
@@ -100,6 +106,10 @@
             } else if (server.end_ == End::Close) {
                 socket.shutdown(tcp::socket::shutdown_send);
                 drain();
+            } else if (server.end_ == End::ReadLate) {
+                drain();
+                asio::async_write(socket, asio::buffer(server.rest_),
+                                  [self = shared_from_this()](ErrorCode, std::size_t) {});
             } else {
                 keepOpen();
             }
@@ -139,6 +149,7 @@
 
     tcp::acceptor acceptor_;
     const std::string response_;
+    const std::string rest_;
     const End end_;
 };
 
@@ -154,9 +165,9 @@
     }
 
     void addEarlyServer(const std::string &service, const std::string &response,
-                        EarlyServer::End end)
+                        EarlyServer::End end, const std::string &rest = {})
     {
-        server.emplace(io, response, end);
+        server.emplace(io, response, end, rest);
         state.directory.update({ .id = "early",
                                  .service = service,
                                  .address = server->address(),
@@ -219,6 +230,24 @@
     BOOST_TEST(!isComplete(response));
 }
 
+// Guards against a sound server that loses its connection in the middle of its response because it
+// reads a long request late.
+BOOST_AUTO_TEST_CASE(stream_serverReadsTheRequestLate_isNotCut)
+{
+    addEarlyServer("engines", streamHead() + chunk(event(1)), EarlyServer::End::ReadLate,
+                   chunk(event(2)) + "0\r\n\r\n");
+    const std::string response = exchangeLongBody("/digest/x");
+    BOOST_TEST(isComplete(response));
+    BOOST_TEST(chunkedBody(response) == eventsUpTo(2));
+}
+
+BOOST_AUTO_TEST_CASE(response_serverReadsTheRequestLate_isNotCut)
+{
+    addEarlyServer("desk", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 6\r\n\r\nabc",
+                   EarlyServer::End::ReadLate, "def");
+    BOOST_TEST(exchangeLongBody("/order/x").ends_with("abcdef"));
+}
+
 // Guards against whole responses that are lost: the close of a connection before the request is
 // sent is the end of a response without a length as long as nothing has broken the connection.
 BOOST_AUTO_TEST_CASE(responseWithoutLength_serverClosesAndReadsOn_isForwarded)
