Routing: a prompt part takes at least one block of an engine's cache

Cause: the estimate of an engine's cache evicted parts by their tokens only. Parts of one token reached 310,000 entries for each engine, and parts without tokens were never evicted.

Measured: touch_tinyParts_areEvicted failed 3 checks before, none now.

--- a/packages/routing/include/auburn/routing/enginecache.h
+++ b/packages/routing/include/auburn/routing/enginecache.h
@@ -27,7 +27,8 @@
 private:
     struct Entry
     {
-        std::uint64_t tokens = 0;
+        // At least one block.
+        std::uint64_t heldTokens = 0;
         std::list<std::uint64_t>::iterator recency;
     };
 
--- a/packages/routing/src/enginecache.cpp
+++ b/packages/routing/src/enginecache.cpp
@@ -1,7 +1,17 @@
 #include "auburn/routing/enginecache.h"
 
+#include <algorithm>
+
 namespace auburn::routing {
 
+namespace {
+
+// Engines hold prompts in blocks. Callers choose the sizes of parts, so this also bounds the number
+// of parts in this estimate.
+constexpr std::uint64_t kBlockTokens = 32;
+
+} // namespace
+
 EngineCache::EngineCache(std::uint64_t capacityTokens)
     : capacityTokens_(capacityTokens)
 {}
@@ -33,15 +43,16 @@
         return;
     }
     recency_.push_front(part.id);
-    entries_.emplace(part.id, Entry{ .tokens = part.tokens, .recency = recency_.begin() });
-    usedTokens_ += part.tokens;
+    const std::uint64_t heldTokens = std::max(part.tokens, kBlockTokens);
+    entries_.emplace(part.id, Entry{ .heldTokens = heldTokens, .recency = recency_.begin() });
+    usedTokens_ += heldTokens;
 }
 
 void EngineCache::evict()
 {
     while (usedTokens_ > capacityTokens_ && !recency_.empty()) {
         const auto oldest = entries_.find(recency_.back());
-        usedTokens_ -= oldest->second.tokens;
+        usedTokens_ -= oldest->second.heldTokens;
         entries_.erase(oldest);
         recency_.pop_back();
     }
--- a/packages/routing/tests/enginecache_test.cpp
+++ b/packages/routing/tests/enginecache_test.cpp
@@ -36,6 +36,24 @@
     BOOST_TEST(!cache.contains(9));
 }
 
+// Guards against memory that grows with the number of parts in callers' prompts: parts of few or no
+// tokens would hardly ever be evicted.
+BOOST_AUTO_TEST_CASE(touch_tinyParts_areEvicted)
+{
+    constexpr std::uint64_t kCapacityTokens = 400000;
+    constexpr std::uint64_t kParts = 50000;
+    for (const std::uint64_t tokens : { 0, 1 }) {
+        EngineCache cache(kCapacityTokens);
+        for (std::uint64_t id = 0; id < kParts; ++id)
+            cache.touch({ { .id = id, .tokens = tokens } });
+        BOOST_TEST(!cache.contains(0));
+        BOOST_TEST(cache.contains(kParts - 1));
+        EngineCache none(0);
+        none.touch({ { .id = 1, .tokens = tokens } });
+        BOOST_TEST(!none.contains(1));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
