Routing: remember a bounded number of successes

Cause: the registry of crashes remembered a success for each part of each prompt for at least 30 s, whatever their number, and walked over all of them at each success above the limit.

--- a/packages/routing/include/auburn/routing/crashregistry.h
+++ b/packages/routing/include/auburn/routing/crashregistry.h
@@ -8,6 +8,8 @@
 // that crashes every server is never cleared and is blocked after a few crashes.
 #pragma once
 
+#include "auburn/routing/recentsuccesses.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -85,6 +87,8 @@
     unsigned crashes(std::uint64_t cause, TimePoint now) const;
     // Number of causes that are blocked now.
     std::size_t blockedCauses(TimePoint now) const;
+    // Number of causes of which a success is remembered.
+    std::size_t rememberedSuccesses() const { return successes_.size(); }
 
 private:
     struct Counts
@@ -93,14 +97,6 @@
         std::uint64_t successes = 0;
     };
 
-    struct Success
-    {
-        TimePoint at;
-        // The success has cleared crashes that another daemon blamed on the cause. It does so only
-        // once, so that it cannot hide a cause that has begun to crash servers.
-        bool used = false;
-    };
-
     struct Entry
     {
         Counts own;
@@ -130,7 +126,6 @@
     // Returns the causes that may have caused a crash of a request with these causes.
     Causes suspects(const Causes &causes, TimePoint now) const;
     bool isKnownSound(std::uint64_t cause, TimePoint now) const;
-    void rememberSuccess(const Causes &causes, TimePoint now);
     // Tells the other daemons that a request has succeeded with the cause, which clears it.
     void reportSuccess(std::uint64_t cause, Entry &entry, TimePoint now);
     bool isBlocked(const Entry &entry) const { return entry.crashes >= options_.crashLimit; }
@@ -146,8 +141,8 @@
 
     Options options_;
     std::unordered_map<std::uint64_t, Entry> entries_;
-    // The last known success with each cause.
-    std::unordered_map<std::uint64_t, Success> successes_;
+    // The last known successes of causes.
+    RecentSuccesses successes_;
     unsigned daemons_ = 1;
     std::uint64_t successCount_ = 0;
     std::mt19937_64 random_{ std::random_device{}() };
--- a/packages/routing/src/crashregistry.cpp
+++ b/packages/routing/src/crashregistry.cpp
@@ -119,8 +119,8 @@
 
 bool CrashRegistry::isKnownSound(std::uint64_t cause, TimePoint now) const
 {
-    const auto found = successes_.find(cause);
-    return found != successes_.end() && now - found->second.at <= kEntryLifetime;
+    const RecentSuccesses::Success *success = successes_.find(cause);
+    return success && now - success->at <= kEntryLifetime;
 }
 
 CrashRegistry::Causes CrashRegistry::suspects(const Causes &causes, TimePoint now) const
@@ -155,9 +155,9 @@
 bool CrashRegistry::recordSuccess(const Causes &causes, TimePoint now)
 {
     bool unblocked = false;
-    if (options_.remembersSuccesses)
-        rememberSuccess(causes, now);
     for (const std::uint64_t cause : causes) {
+        if (options_.remembersSuccesses)
+            successes_.record({ .cause = cause, .at = now });
         Entry *entry = find(cause, now);
         // Without crashes there is nothing to clear, here or elsewhere. Reporting each success
         // would keep the entries of all popular causes in the heartbeats.
@@ -169,17 +169,6 @@
     return unblocked;
 }
 
-void CrashRegistry::rememberSuccess(const Causes &causes, TimePoint now)
-{
-    if (successes_.size() >= kMaxEntries) {
-        std::erase_if(successes_, [now](const auto &item) {
-            return now - item.second.at > kEntryLifetime / 2;
-        });
-    }
-    for (const std::uint64_t cause : causes)
-        successes_[cause] = { .at = now };
-}
-
 void CrashRegistry::reportSuccess(std::uint64_t cause, Entry &entry, TimePoint now)
 {
     entry.own = { .crashes = 0, .successes = ++successCount_ };
@@ -208,7 +197,7 @@
         entry.peers[peer] = { .crashes = report.crashes, .successes = report.successes };
     if (report.successes > previous.successes) {
         if (options_.remembersSuccesses)
-            successes_[report.cause] = { .at = now, .used = true };
+            successes_.record({ .cause = report.cause, .at = now, .used = true });
         clear(report.cause, entry);
         if (report.crashes > 0)
             addCrashes(report.cause, entry, report.crashes, now);
@@ -220,7 +209,7 @@
     if (isNewBlock && !isBlocked(entry))
         addCrashes(report.cause, entry, options_.crashLimit + 1, now);
     if (entry.crashes > 0 && isKnownSound(report.cause, now)
-        && !std::exchange(successes_[report.cause].used, true))
+        && !std::exchange(successes_.find(report.cause)->used, true))
         reportSuccess(report.cause, entry, now);
 }
 
--- a/packages/routing/tests/promptcrashregistry_test.cpp
+++ b/packages/routing/tests/promptcrashregistry_test.cpp
@@ -221,6 +221,22 @@
     BOOST_TEST(daemons[0].ownReports(24, now).empty());
 }
 
+// Guards against memory, and time for each request, that grow with the number of parts in callers'
+// prompts.
+BOOST_AUTO_TEST_CASE(successes_ofManyParts_areBounded)
+{
+    constexpr std::size_t kBound = 40000;
+    CrashRegistry registry(kPromptPartCrashOptions);
+    for (std::uint64_t request = 0; request < 200; ++request) {
+        CrashRegistry::Causes parts;
+        for (std::uint64_t part = 0; part < 1000; ++part)
+            parts.push_back(request * 1000 + part);
+        registry.recordSuccess(parts, now);
+    }
+    BOOST_TEST(registry.rememberedSuccesses() <= kBound);
+    BOOST_TEST(registry.rememberedSuccesses() > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
