Gateway: the signals of backend servers are read in a module of their own

What a response says of its server (load, limit, leaving, back-off) needs nothing of the exchange but the attempt's server, service, request id and start.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -4,6 +4,7 @@
 #include "requestrecord.h"
 #include "retryafter.h"
 #include "serverrequest.h"
+#include "serversignals.h"
 
 #include "auburn/core/hash.h"
 #include "auburn/core/log.h"
@@ -46,8 +47,6 @@
 // A stream with an incomplete event larger than this is aborted.
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
-constexpr unsigned kMisdirectedRequest = 421;
-constexpr unsigned kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
 milliseconds timeLimit(const CallerRequest &request)
@@ -344,68 +343,15 @@
     return ResponseMatch::AnotherCall;
 }
 
-void Exchange::reportLoad(const ResponseHeader &header)
-{
-    const auto report = parseLoadReport(
-            toStringView(header[context_.options.headerNames.serverLoad]));
-    if (report)
-        context_.state.placement.recordLoadReport(attempt_->serverId, *report,
-                                                  std::chrono::steady_clock::now());
-}
-
-void Exchange::obeyServerSignals(const ResponseHeader &header)
-{
-    routing::ServerDirectory &directory = context_.state.directory;
-    const bool isLeaving = !header[context_.options.headerNames.serverLeaving].empty();
-    if (isLeaving && directory.withdraw(attempt_->serverId))
-        logEvent(LogLevel::Info, "server_withdrawn",
-                 { { "server", attempt_->serverId },
-                   { "service", service_->name },
-                   { "id", request_.id } });
-    const auto wait = header.result_int() == kServiceUnavailable
-                              ? parseRetryAfter(toStringView(header["Retry-After"]))
-                              : std::nullopt;
-    if (!wait)
-        return;
-    const auto now = std::chrono::steady_clock::now();
-    directory.backOff(attempt_->serverId, now + *wait, now);
-    logEvent(LogLevel::Info, "server_backoff",
-             { { "server", attempt_->serverId },
-               { "service", service_->name },
-               { "id", request_.id },
-               { "ms", static_cast<long long>(wait->count()) } });
-}
-
-void Exchange::recordServerLimit(const ResponseHeader &header)
-{
-    // Another server responds at the address.
-    if (header.result_int() == kMisdirectedRequest)
-        return;
-    const std::string &server = attempt_->serverId;
-    routing::ServerLimits &limits = context_.state.limits;
-    const auto text = toStringView(header[context_.options.headerNames.serverLimit]);
-    const auto limit = routing::parseServerLimit(text);
-    // A field that cannot be read says neither that there is a limit nor that there is none.
-    if (!limit && !text.empty())
-        return;
-    const auto before = limits.limitOf(server);
-    const bool changed = limit ? limits.recordLimit(server, *limit,
-                                                    std::chrono::steady_clock::now())
-                               : limits.recordNoLimit(server, attemptSentAt_);
-    if (changed)
-        recordLimitChange({ .server = server,
-                            .service = service_->name,
-                            .requestId = request_.id,
-                            .before = before,
-                            .now = limits.limitOf(server) });
-}
-
 void Exchange::responseStarted(const ResponseHeader &header)
 {
     response_ = readAttemptResponse(header, context_.options.headerNames, isStreamRoute());
-    reportLoad(header);
-    recordServerLimit(header);
-    obeyServerSignals(header);
+    recordServerSignals(header, context_.options.headerNames,
+                        { .server = attempt_->serverId,
+                          .service = service_->name,
+                          .requestId = request_.id,
+                          .sentAt = attemptSentAt_ },
+                        context_.state);
     if (!response_.notExecuted) {
         verdict_ = Verdict::Ran;
         // A server that gave up a stream at its deadline had produced no event of it, so the
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -93,13 +93,6 @@
     const char *incompleteReason() const override;
     void callEnded(const CallResult &result) override;
 
-    // Reports the load that the server states in its response header.
-    void reportLoad(const ResponseHeader &header);
-    // Stops sending requests to the server if its response says that it is leaving, or for as long
-    // as it asks for.
-    void obeyServerSignals(const ResponseHeader &header);
-    // Records the limit on requests that the server names in its response, or that it names none.
-    void recordServerLimit(const ResponseHeader &header);
     // Reports the first progress of the attempt to the placement source.
     void reportProgress();
     // Returns why the response is too large to be held, or null if it is not.
