--- a/packages/gateway/tests/badinput_test.cpp
+++ b/packages/gateway/tests/badinput_test.cpp
@@ -29,6 +29,12 @@
         state.config = std::make_shared<const routing::TrafficConfig>(std::move(data));
     }
 
+    // The key field is empty or ends with "\r\n".
+    static std::string requestWithKeyField(const std::string &start, const std::string &keyField)
+    {
+        return start + " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n" + keyField + "\r\n";
+    }
+
     ScriptedServer &server;
 };
 
@@ -50,10 +56,8 @@
 {
     setOrganisations(std::vector<routing::Organisation>());
     for (const std::string key : { "X-Key: key\r\n", "X-Key: no\r\n", "X-Key: \r\n", "" }) {
-        for (const std::string start : { "GET /read/x", "POST /order/x" })
-            BOOST_TEST(
-                    statusOf(exchange(start + " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n" + key + "\r\n"))
-                    == 401);
+        for (const char *start : { "GET /read/x", "POST /order/x" })
+            BOOST_TEST(statusOf(exchange(requestWithKeyField(start, key))) == 401);
     }
     BOOST_TEST(server.requests().empty());
     BOOST_TEST(statusOf(exchange("GET /open/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")) == 200);
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -19,6 +19,11 @@
     };
 }
 
+std::string sealedHead(const std::string &status, const std::string &fields)
+{
+    return "HTTP/1.1 " + status + " Odd\r\nX-Seal: s\r\n" + fields;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(plainRequests, GatewayFixture)
@@ -140,9 +145,9 @@
     addServer("e1", "engines", respond);
     for (const std::string status : { "000", "007", "099", "600", "999" }) {
         for (const std::string length : { "Content-Length: 2\r\n", "" }) {
-            head = "HTTP/1.1 " + status + " Odd\r\nX-Seal: s\r\n" + length;
+            head = sealedHead(status, length);
             for (const char *target : { "/order/x", "/read/x", "/chat/x", "/digest/x" })
-                BOOST_TEST(statusOf(exchange(request("POST", target, {}, status + length))) == 502,
+                BOOST_TEST(statusOf(exchange(request("POST", target, {}, head))) == 502,
                            head << target);
         }
     }
--- a/packages/relay/tests/badinput_test.cpp
+++ b/packages/relay/tests/badinput_test.cpp
@@ -124,7 +124,10 @@
         if (!server)
             serve();
         Client client(server->port());
-        client.send(head + fields + "\r\n" + chatRequest("p", false, 1));
+        client.send(head);
+        client.send(fields);
+        client.send("\r\n");
+        client.send(chatRequest("p", false, 1));
         checkRefusal(client.receive(), 400, "invalid_request");
         BOOST_TEST(client.waitClosed(), fields);
         BOOST_TEST(engineRecord(0).empty(), fields);
--- a/packages/relay/tests/serverfaults_test.cpp
+++ b/packages/relay/tests/serverfaults_test.cpp
@@ -115,7 +115,9 @@
 {
     serve();
     for (const std::string status : { "000", "099", "600", "999" }) {
-        setReply({ { { "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nno" } } });
+        std::string text = wholeAnswer(200, "", "no");
+        text.replace(text.find(' ') + 1, status.size(), status);
+        setReply({ { { text } } });
         BOOST_TEST(send().status == 502, status);
     }
 }
