--- a/packages/gateway/include/auburn/gateway/httpclient.h
+++ b/packages/gateway/include/auburn/gateway/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "auburn/core/headerfield.h"
 #include "auburn/gateway/outboundconnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,8 @@
 {
     // The HTTP status, or 0 if no complete response arrived.
     int status = 0;
+    // The end-to-end header fields.
+    std::vector<HeaderField> fields;
     std::string body;
     // The reason for the failure if no complete response arrived; empty otherwise.
     std::string error;
--- a/packages/gateway/src/httpclient.cpp
+++ b/packages/gateway/src/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "auburn/gateway/httpclient.h"
 
+#include "callerrequest.h"
+
 #include "auburn/core/lazydeadline.h"
 
 #include <algorithm>
@@ -60,6 +62,7 @@
     void responseStarted(const ResponseHeader &header) override
     {
         response_.status = static_cast<int>(header.result_int());
+        response_.fields = endToEndFields(header);
     }
 
     void responseData(const std::vector<std::string_view> &data) override
