Platform: records of a restored store are not compared by their offsets

What callers saw: after the store came back from an older copy, all daemons kept the version that they had, for as many versions as the copy lacked. New routes got 404, dropped ones ran, and servers that announced their departure got requests until the offsets had passed those of before.

Cause: offsets were used as time. The follower, the documents, the directory of servers and the daemons among themselves took a lower offset for an older record, but a restored log gives out offsets again. The class of fault: a number is compared beyond the life of whoever gave it out.

Positions combine era and offset (core/logposition.h), so comparisons between daemons stay right whoever notices the restore first.

--- a/packages/peers/include/auburn/peers/documenttopic.h
+++ b/packages/peers/include/auburn/peers/documenttopic.h
@@ -6,6 +6,8 @@
 // and daemons with equal digests do not read from each other at all.
 #pragma once
 
+#include "auburn/core/logposition.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -19,48 +21,48 @@
 struct Document
 {
     std::string value;
-    // Offset of the newest record in the topic, and of the first record with the current
+    // Position of the newest record in the topic, and of the first record with the current
     // fingerprint.
-    std::uint64_t offset = 0;
-    std::uint64_t changedOffset = 0;
+    LogPosition position = 0;
+    LogPosition changedPosition = 0;
     std::uint64_t fingerprint = 0;
 };
 
-// A key that was removed, and the offset of its removal.
+// A key that was removed, and the position of its removal.
 struct RemovedDocument
 {
     std::string key;
-    std::uint64_t offset = 0;
+    LogPosition position = 0;
 };
 
 class DocumentTopic
 {
 public:
-    // Stores the document unless a record with the same or a higher offset is known; returns false
-    // in that case.
-    bool put(std::string_view key, std::string_view value, std::uint64_t offset,
+    // Stores the document unless a record with the same or a higher position is known; returns
+    // false in that case.
+    bool put(std::string_view key, std::string_view value, LogPosition position,
              std::uint64_t fingerprint);
-    void erase(std::string_view key, std::uint64_t offset);
-    // Records that all records before nextOffset were read. A lower offset than before has no
-    // effect. Removals before the nextOffset of the first call are unknown.
-    void advance(std::uint64_t nextOffset);
+    void erase(std::string_view key, LogPosition position);
+    // Records that all records before nextPosition were read. A lower position than before has no
+    // effect. Removals before the nextPosition of the first call are unknown.
+    void advance(LogPosition nextPosition);
 
     // 0 until the topic was read completely for the first time.
-    std::uint64_t nextOffset() const { return nextOffset_; }
+    LogPosition nextPosition() const { return next_; }
     // Equal for topics with the same keys and fingerprints.
     std::uint64_t digest() const { return digest_; }
     const std::map<std::string, Document, std::less<>> &documents() const { return documents_; }
 
-    // Returns true if all changes at or after the offset are known, including removals.
-    bool hasHistorySince(std::uint64_t offset) const;
+    // Returns true if all changes at or after the position are known, including removals.
+    bool hasHistorySince(LogPosition position) const;
     // Oldest first.
     const std::deque<RemovedDocument> &removals() const { return removals_; }
 
 private:
     std::map<std::string, Document, std::less<>> documents_;
     std::deque<RemovedDocument> removals_;
-    std::uint64_t historyStart_ = 0;
-    std::uint64_t nextOffset_ = 0;
+    LogPosition historyStart_ = 0;
+    LogPosition next_ = 0;
     std::uint64_t digest_ = 0;
 };
 
--- a/packages/peers/src/documenttopic.cpp
+++ b/packages/peers/src/documenttopic.cpp
@@ -13,49 +13,49 @@
 
 } // namespace
 
-bool DocumentTopic::put(std::string_view key, std::string_view value, std::uint64_t offset,
+bool DocumentTopic::put(std::string_view key, std::string_view value, LogPosition position,
                         std::uint64_t fingerprint)
 {
     const auto [found, isNew] = documents_.try_emplace(std::string(key));
     Document &document = found->second;
-    if (!isNew && document.offset >= offset)
+    if (!isNew && document.position >= position)
         return false;
     if (isNew || document.fingerprint != fingerprint) {
         if (!isNew)
             digest_ ^= stableHash(key, document.fingerprint);
         digest_ ^= stableHash(key, fingerprint);
-        document.changedOffset = offset;
+        document.changedPosition = position;
         document.fingerprint = fingerprint;
     }
     document.value = value;
-    document.offset = offset;
+    document.position = position;
     return true;
 }
 
-void DocumentTopic::erase(std::string_view key, std::uint64_t offset)
+void DocumentTopic::erase(std::string_view key, LogPosition position)
 {
     const auto found = documents_.find(key);
     if (found == documents_.end())
         return;
     digest_ ^= stableHash(key, found->second.fingerprint);
     documents_.erase(found);
-    removals_.push_back({ .key = std::string(key), .offset = offset });
+    removals_.push_back({ .key = std::string(key), .position = position });
     if (removals_.size() <= kMaxRemovals)
         return;
-    historyStart_ = std::max(historyStart_, removals_.front().offset + 1);
+    historyStart_ = std::max(historyStart_, removals_.front().position + 1);
     removals_.pop_front();
 }
 
-void DocumentTopic::advance(std::uint64_t nextOffset)
+void DocumentTopic::advance(LogPosition nextPosition)
 {
-    if (nextOffset_ == 0)
-        historyStart_ = nextOffset;
-    nextOffset_ = std::max(nextOffset_, nextOffset);
+    if (next_ == 0)
+        historyStart_ = nextPosition;
+    next_ = std::max(next_, nextPosition);
 }
 
-bool DocumentTopic::hasHistorySince(std::uint64_t offset) const
+bool DocumentTopic::hasHistorySince(LogPosition position) const
 {
-    return offset > 0 && offset >= historyStart_;
+    return position > 0 && position >= historyStart_;
 }
 
 } // namespace auburn::peers
--- a/packages/peers/tests/documenttopic_test.cpp
+++ b/packages/peers/tests/documenttopic_test.cpp
@@ -14,26 +14,26 @@
     BOOST_TEST(topic.documents().find("k")->second.value == "new");
 }
 
-BOOST_AUTO_TEST_CASE(advance_lowerOffset_isIgnored)
+BOOST_AUTO_TEST_CASE(advance_lowerPosition_isIgnored)
 {
     DocumentTopic topic;
     topic.advance(9);
     topic.advance(3);
-    BOOST_TEST(topic.nextOffset() == 9U);
+    BOOST_TEST(topic.nextPosition() == 9U);
 }
 
 // Guards against a republished document that looks changed, so that every daemon reads it again.
-BOOST_AUTO_TEST_CASE(put_sameFingerprint_keepsChangedOffset)
+BOOST_AUTO_TEST_CASE(put_sameFingerprint_keepsChangedPosition)
 {
     DocumentTopic topic;
     topic.put("k", "first", 5, 1);
     const std::uint64_t digest = topic.digest();
     topic.put("k", "renewed", 6, 1);
     BOOST_TEST(topic.documents().find("k")->second.value == "renewed");
-    BOOST_TEST(topic.documents().find("k")->second.changedOffset == 5U);
+    BOOST_TEST(topic.documents().find("k")->second.changedPosition == 5U);
     BOOST_TEST(topic.digest() == digest);
     topic.put("k", "changed", 7, 2);
-    BOOST_TEST(topic.documents().find("k")->second.changedOffset == 7U);
+    BOOST_TEST(topic.documents().find("k")->second.changedPosition == 7U);
     BOOST_TEST(topic.digest() != digest);
 }
 
@@ -70,9 +70,9 @@
 {
     DocumentTopic topic;
     topic.advance(1);
-    for (std::uint64_t offset = 1; offset <= 5000; ++offset) {
-        topic.put("k", "1", 2 * offset, 1);
-        topic.erase("k", 2 * offset + 1);
+    for (LogPosition position = 1; position <= 5000; ++position) {
+        topic.put("k", "1", 2 * position, 1);
+        topic.erase("k", 2 * position + 1);
     }
     BOOST_TEST(!topic.hasHistorySince(10));
     BOOST_TEST(topic.hasHistorySince(9999));
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -6,6 +6,7 @@
 // registry is available takes effect at once, because some servers leave without announcing it.
 #pragma once
 
+#include "auburn/core/logposition.h"
 #include "auburn/routing/serveravailability.h"
 
 #include <chrono>
@@ -72,14 +73,15 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    // Applies one record of the registry. The position orders the records of one key; a record that
-    // is not newer than the known one is ignored.
-    DirectoryChange update(BackendServer server, std::uint64_t position);
+    // Applies one record of the registry. A record that is not newer than the known one is ignored,
+    // by its position and by the server's start time and sequence. Positions of a later era say
+    // nothing on that: a registry that was restored from an older copy repeats old records there.
+    DirectoryChange update(BackendServer server, LogPosition position);
     // Applies the removal of an id, or a newest record that names no usable server.
-    DirectoryChange remove(std::string_view id, std::uint64_t position, TimePoint now);
+    DirectoryChange remove(std::string_view id, LogPosition position, TimePoint now);
     // Like remove(), for a source that knows that the server will not be listed again: the removal
     // is never deferred.
-    DirectoryChange removeImmediately(std::string_view id, std::uint64_t position);
+    DirectoryChange removeImmediately(std::string_view id, LogPosition position);
 
     // The registry did not answer or cannot serve. remove() defers removals until the relist period
     // after the registry's recovery ends.
@@ -122,19 +124,30 @@
     struct Entry
     {
         BackendServer server;
-        std::uint64_t position = 0;
+        LogPosition position = 0;
         // Set while a removal is deferred.
         std::optional<TimePoint> removeAt;
     };
 
+    // The last entry of a server that was removed, and the position of its removal.
+    struct Removal
+    {
+        LogPosition position = 0;
+        std::int64_t startedAtUnixMs = 0;
+        std::int64_t sequence = 0;
+    };
+
     void erase(const std::string &id);
+    // Returns true if the record was written before the server was removed.
+    static bool isBeforeRemoval(const BackendServer &server, LogPosition position,
+                                const Removal &removal);
     // Returns true while live servers may be missing from the registry, so that removals are
     // deferred.
     bool isRelisting(TimePoint now) const;
 
     std::map<std::string, Entry, std::less<>> entries_;
-    // Positions of removed ids, so that a delayed older record does not add one again.
-    std::map<std::string, std::uint64_t, std::less<>> removedPositions_;
+    // By id, so that a delayed older record does not add a removed server again.
+    std::map<std::string, Removal, std::less<>> removals_;
     ServerAvailability availability_;
     bool registryAvailable_ = true;
     std::optional<TimePoint> registryRecoveredAt_;
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -1,6 +1,7 @@
 #include "auburn/routing/serverdirectory.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace auburn::routing {
@@ -58,13 +59,22 @@
     return "unknown";
 }
 
-DirectoryChange ServerDirectory::update(BackendServer server, std::uint64_t position)
+bool ServerDirectory::isBeforeRemoval(const BackendServer &server, LogPosition position,
+                                      const Removal &removal)
 {
-    const auto removed = removedPositions_.find(server.id);
-    if (removed != removedPositions_.end()) {
-        if (position <= removed->second)
+    if (eraOf(position) <= eraOf(removal.position))
+        return position <= removal.position;
+    return std::tie(server.startedAtUnixMs, server.sequence)
+           <= std::tie(removal.startedAtUnixMs, removal.sequence);
+}
+
+DirectoryChange ServerDirectory::update(BackendServer server, LogPosition position)
+{
+    const auto removed = removals_.find(server.id);
+    if (removed != removals_.end()) {
+        if (isBeforeRemoval(server, position, removed->second))
             return DirectoryChange::Stale;
-        removedPositions_.erase(removed);
+        removals_.erase(removed);
     }
     const auto found = entries_.find(server.id);
     if (found == entries_.end()) {
@@ -86,7 +96,7 @@
     return unchanged ? DirectoryChange::Refreshed : DirectoryChange::Changed;
 }
 
-DirectoryChange ServerDirectory::remove(std::string_view id, std::uint64_t position, TimePoint now)
+DirectoryChange ServerDirectory::remove(std::string_view id, LogPosition position, TimePoint now)
 {
     const auto found = entries_.find(id);
     if (found == entries_.end())
@@ -103,7 +113,7 @@
     return DirectoryChange::RemovalPending;
 }
 
-DirectoryChange ServerDirectory::removeImmediately(std::string_view id, std::uint64_t position)
+DirectoryChange ServerDirectory::removeImmediately(std::string_view id, LogPosition position)
 {
     const auto found = entries_.find(id);
     if (found == entries_.end())
@@ -118,9 +128,12 @@
 void ServerDirectory::erase(const std::string &id)
 {
     const auto found = entries_.find(id);
-    if (removedPositions_.size() >= kMaxRememberedRemovals)
-        removedPositions_.clear();
-    removedPositions_.insert_or_assign(id, found->second.position);
+    if (removals_.size() >= kMaxRememberedRemovals)
+        removals_.clear();
+    const Entry &entry = found->second;
+    removals_.insert_or_assign(id, Removal{ .position = entry.position,
+                                            .startedAtUnixMs = entry.server.startedAtUnixMs,
+                                            .sequence = entry.server.sequence });
     entries_.erase(found);
 }
 
