Gateway: log the software version of a server and who resumes a stream

The logs could not tell a caller's take-up from a resume within one response, nor at which software version either went on. The registry's version is read, and a change of it is a change of the server. request_placed has three new fields: version, last_event (the last event that the caller has) and resumes (the attempt that began the stream, as the caller names it).

No placement changes.

--- a/packages/gateway/include/auburn/gateway/headernames.h
+++ b/packages/gateway/include/auburn/gateway/headernames.h
@@ -27,6 +27,8 @@
     std::string promptParts;
     // The id of the last event that the caller has received of a resumed stream.
     std::string lastEventId;
+    // The id of the caller's attempt that brought the first event of a resumed stream.
+    std::string resumedRequest;
     // Present in every response that a backend server produced by running the request.
     std::string responseSeal;
     // Present if the server did not run the request.
--- a/packages/gateway/src/callerrequest.cpp
+++ b/packages/gateway/src/callerrequest.cpp
@@ -140,6 +140,7 @@
     request.host = std::string(toStringView(header[http::field::host]));
     request.apiKey = std::string(toStringView(header[headerNames.apiKey]));
     request.lastEventId = std::string(toStringView(header[headerNames.lastEventId]));
+    request.resumedId = std::string(toStringView(header[headerNames.resumedRequest]));
     request.prompt = parsePromptParts(toStringView(header[headerNames.promptParts]));
     request.deadline = parseMilliseconds(toStringView(header[headerNames.deadline]));
     for (HeaderField &field : endToEndFields(header)) {
--- a/packages/gateway/src/callerrequest.h
+++ b/packages/gateway/src/callerrequest.h
@@ -37,6 +37,8 @@
     std::shared_ptr<const std::string> body;
     std::string apiKey;
     std::string lastEventId;
+    // The id of the attempt that brought the first event of the stream that the caller resumes.
+    std::string resumedId;
     routing::PromptParts prompt;
     // The time at which the first byte arrived.
     BootClock::time_point received;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -214,6 +214,8 @@
                       .attempt = attempts_,
                       .reusesConnection = reusesConnection_,
                       .repeatsId = repeatsId_,
+                      .softwareVersion = server ? server->softwareVersion : std::string_view(),
+                      .lastEventId = stream_.lastEventId(),
                       .timeLeft = timeLeft() });
     startStallTimer();
     connection_->call(buildRequest(choice), std::min(kConnectTimeout, timeLeft()), this);
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -101,6 +101,9 @@
                { "config", static_cast<long long>(record.request.config->version()) },
                { "connection", connectionName(record.reusesConnection) },
                { "id_repeated", yesOrNo(record.repeatsId) },
+               { "version", record.softwareVersion },
+               { "last_event", record.lastEventId },
+               { "resumes", record.request.resumedId },
                { "left_ms", static_cast<long long>(record.timeLeft.count()) } });
 }
 
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -26,6 +26,11 @@
     bool reusesConnection = false;
     // An idle connection to the server had carried a request with the same id and was not used.
     bool repeatsId = false;
+    // The software version of the server.
+    std::string_view softwareVersion;
+    // The id of the last event that the caller has got, from this or an earlier attempt of it;
+    // empty before the first one.
+    std::string_view lastEventId;
     std::chrono::milliseconds timeLeft{ 0 };
 };
 
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -40,6 +40,9 @@
     // Start time as reported by the server; 0 if unknown. A server that restarts under its old id
     // has a later one.
     std::int64_t startedAtUnixMs = 0;
+    // Version of the server's software; empty if the server names none. Servers of different
+    // versions cannot continue each other's streams.
+    std::string softwareVersion = {};
     // Number of commands or heartbeats since the start.
     std::int64_t sequence = 0;
     // The platform may reclaim the server at any time, with little notice.
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -23,8 +23,8 @@
 {
     return left.service == right.service && left.address == right.address
            && left.failureDomain == right.failureDomain && left.slots == right.slots
-           && left.state == right.state && left.spot == right.spot
-           && left.leavesAt.has_value() == right.leavesAt.has_value();
+           && left.softwareVersion == right.softwareVersion && left.state == right.state
+           && left.spot == right.spot && left.leavesAt.has_value() == right.leavesAt.has_value();
 }
 
 // Keeps the earlier of two announced times: a copy of an entry that is read late states the time
