Streams: a stream goes on only at the software version that began it

What callers saw: with servers of two versions in a service, a stream that was taken up, or resumed within one response, went on at any of them; its text was joined from two versions, with nothing to show it.

Cause: nothing read a server's version or the header that names the attempt that began a stream. The class of fault: state that outlives its process was assumed to fit any successor.

Change: servers of the version that began the stream are the only candidates, in the daemon's own placement and in that of a cell's owner. A daemon that did not begin the stream finds the version in the store: package streams records each stream that another version than the service's baseline began, before the caller sees its first event, so a stream without a record was begun by the baseline. Without a server of the version, or if the version is unknown, the request is refused with 503 and has not run.

--- a/packages/gateway/include/auburn/gateway/gateway.h
+++ b/packages/gateway/include/auburn/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "auburn/routing/retrybudget.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/serverlimits.h"
+#include "auburn/routing/streamorigins.h"
 #include "auburn/routing/trafficconfig.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,6 +57,8 @@
         HeaderNames headerNames;
         RoutingState *state = nullptr;
         routing::PlacementSource *placement = nullptr;
+        // Null if servers of all software versions may resume each other's streams.
+        routing::StreamOrigins *streamOrigins = nullptr;
         Metrics *metrics = nullptr;
         // Caller connections beyond this number are closed immediately.
         std::size_t maxConnections = 2000;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -47,6 +47,11 @@
 // A stream with an incomplete event larger than this is aborted.
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
 
+// Time limit for finding the software version that began a stream: this share of the time left, at
+// most kMaxFindTime. The caller can still retry then.
+constexpr int kFindTimeDivisor = 4;
+constexpr milliseconds kMaxFindTime{ 2000 };
+
 constexpr int kGatewayTimeout = 504;
 
 milliseconds timeLimit(const CallerRequest &request)
@@ -84,7 +89,11 @@
 {
     self_ = shared_from_this();
     startedAt_ = std::chrono::steady_clock::now();
-    const std::string &name = routing::pickService(*request_.route, stableHash(request_.id));
+    // A stream is resumed at the service that began it.
+    const std::string &serviceKey = resumesStream() && !request_.resumedId.empty()
+                                            ? request_.resumedId
+                                            : request_.id;
+    const std::string &name = routing::pickService(*request_.route, stableHash(serviceKey));
     service_ = request_.config->findService(name);
     if (!service_) {
         refuse("unknown_service");
@@ -100,7 +109,33 @@
         return;
     }
     deadlineTimer_.setAfter(timeLeft());
-    requestPlacement();
+    const bool isResumable = isStreamRoute() && request_.route->resumable;
+    streamVersion_.emplace(isResumable ? context_.options.streamOrigins : nullptr, request_.id,
+                           name);
+    if (context_.options.streamOrigins && resumesStream())
+        findStreamVersion();
+    else
+        requestPlacement();
+}
+
+bool Exchange::resumesStream() const
+{
+    return isStreamRoute() && request_.route->resumable && !request_.lastEventId.empty();
+}
+
+void Exchange::findStreamVersion()
+{
+    const milliseconds limit = std::min(timeLeft() / kFindTimeDivisor, kMaxFindTime);
+    streamVersion_->find(request_.resumedId, limit, [self = shared_from_this()](bool found) {
+        if (self->finished_ || !self->writer_)
+            return;
+        recordStreamVersion(self->request_, self->service_->name,
+                            found ? self->streamVersion_->required() : std::nullopt);
+        if (found)
+            self->requestPlacement();
+        else
+            self->refuse("unknown_stream_version");
+    });
 }
 
 bool Exchange::isRepeatable() const
@@ -120,6 +155,7 @@
         .timeToTarget = duration_cast<milliseconds>(request_.received
                                                     + request_.route->latencyTarget - Clock::now()),
         .excluded = excluded_,
+        .softwareVersion = streamVersion_->required(),
         .gapSensitiveStream = service_->engine
                               && routing::isGapSensitive(*request_.route, *service_->engine,
                                                          routing::totalTokens(request_.prompt)),
@@ -162,17 +198,26 @@
     } else if (choice && context_.crashes->wasBlockedSince(crashSuspects_, startedAt_)) {
         releasePlacement(*choice);
         refuse("crashes_servers");
-    } else if (choice
-               && !context_.state.directory.isAvailable(choice->serverId,
-                                                        std::chrono::steady_clock::now())) {
+    } else if (choice && !isUsable(*choice)) {
         replacePlacement(*choice);
     } else if (choice) {
         startAttempt(*choice);
+    } else if (streamVersion_->dropPreference()) {
+        requestPlacement();
     } else {
         refuse("no_server");
     }
 }
 
+bool Exchange::isUsable(const routing::PlacementChoice &choice) const
+{
+    const routing::BackendServer *server = context_.state.directory.find(choice.serverId);
+    const std::optional<std::string> version = streamVersion_->required();
+    return server && (!version || *version == server->softwareVersion)
+           && context_.state.directory.isAvailable(choice.serverId,
+                                                   std::chrono::steady_clock::now());
+}
+
 void Exchange::replacePlacement(const routing::PlacementChoice &choice)
 {
     releasePlacement(choice);
@@ -198,6 +243,7 @@
     attemptSentAt_ = std::chrono::steady_clock::now();
     const routing::BackendServer *server = context_.state.directory.find(choice.serverId);
     serverStartedAtUnixMs_ = server ? server->startedAtUnixMs : 0;
+    streamVersion_->attemptStarted(server ? server->softwareVersion : std::string());
     progressed_ = false;
     response_ = {};
     stream_.attemptStarted();
@@ -396,7 +442,8 @@
 {
     if (stream_.remainder().size() > kMaxEventBytes || response_.body.size() > kMaxResponseBytes)
         return "the response is too large";
-    if (!heldMemory_.tryResize(stream_.heldBytes() + response_.body.capacity()))
+    if (!heldMemory_.tryResize(stream_.heldBytes() + streamVersion_->heldBytes()
+                               + response_.body.capacity()))
         return "the responses in progress exceed the memory limit";
     return nullptr;
 }
@@ -412,14 +459,33 @@
         if (Clock::now() - progressedAt_ >= kSoundProgress)
             context_.crashes->recordSoundPrompt(crashSuspects_);
         startStallTimer();
+        streamVersion_->eventReceived([self = shared_from_this()] { self->sendHeldEvents(); });
     }
     beginStream();
-    if (writer_)
-        writer_->sendStreamData(events);
+    sendEvents(events);
     if (writer_ && writer_->isCongested() && connection_)
         connection_->pause();
 }
 
+void Exchange::sendEvents(std::string_view events)
+{
+    if (streamVersion_->isHeld())
+        streamVersion_->hold(events);
+    else if (writer_)
+        writer_->sendStreamData(events);
+}
+
+void Exchange::sendHeldEvents()
+{
+    if (finished_ || !writer_)
+        return;
+    const std::string events = streamVersion_->takeHeld();
+    if (!events.empty())
+        writer_->sendStreamData(events);
+    if (heldEnd_)
+        endStream(heldEnd_->complete, heldEnd_->reason);
+}
+
 void Exchange::beginStream()
 {
     if (stream_.isHeadSent() || !writer_)
@@ -466,13 +532,22 @@
     beginStream();
     // The body is complete, so the bytes after the last empty line are not a truncated event and
     // are forwarded as they are.
-    if (writer_ && !stream_.remainder().empty())
-        writer_->sendStreamData(stream_.remainder());
+    if (!stream_.remainder().empty())
+        sendEvents(stream_.remainder());
     context_.crashes->recordSuccess(crashSuspects_);
     endAttempt(AttemptOutcome::Succeeded, {});
+    endStream(true, "served");
+}
+
+void Exchange::endStream(bool complete, const char *reason)
+{
+    if (streamVersion_->isHeld() && writer_) {
+        heldEnd_ = { .complete = complete, .reason = reason };
+        return;
+    }
     if (writer_)
-        writer_->endStream(true);
-    finish({ .status = response_.status, .reason = "served" });
+        writer_->endStream(complete);
+    finish({ .status = response_.status, .reason = reason });
 }
 
 void Exchange::responseComplete()
@@ -600,12 +675,12 @@
 {
     constexpr int kBadGateway = 502;
     if (stream_.isHeadSent()) {
-        if (writer_)
-            writer_->endStream(false);
-    } else if (writer_) {
-        writer_->sendResponse({ .status = kBadGateway }, {});
+        endStream(false, reason);
+        return;
     }
-    finish({ .status = stream_.isHeadSent() ? response_.status : kBadGateway, .reason = reason });
+    if (writer_)
+        writer_->sendResponse({ .status = kBadGateway }, {});
+    finish({ .status = kBadGateway, .reason = reason });
 }
 
 void Exchange::recordPossibleExecution()
@@ -649,6 +724,7 @@
         return;
     }
     if (stream_.isHeadSent()) {
+        streamVersion_->dropHeld();
         failWithUnknownOutcome("deadline");
         return;
     }
@@ -698,6 +774,8 @@
     const auto guard = shared_from_this();
     recordPossibleExecution();
     endAttempt(AttemptOutcome::Abandoned, "stopping");
+    if (streamVersion_)
+        streamVersion_->dropHeld();
     refuse("stopping");
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -6,6 +6,7 @@
 #include "eventstream.h"
 #include "gatewaycontext.h"
 #include "responsewriter.h"
+#include "streamversion.h"
 
 #include "auburn/core/bootclock.h"
 #include "auburn/core/lazydeadline.h"
@@ -59,10 +60,23 @@
         const char *reason = "";
     };
 
+    // True if the caller resumes a stream of an earlier attempt.
+    bool resumesStream() const;
+    // Requests the first placement once the software version that began the stream is found.
+    void findStreamVersion();
+    // The end of a stream that has to wait for the events before it.
+    struct HeldEnd
+    {
+        bool complete = false;
+        const char *reason = "";
+    };
+
     // Requests a backend server for the next attempt, or ends the exchange if too little time is
     // left.
     void requestPlacement();
     void placementReceived(const std::optional<routing::PlacementChoice> &choice);
+    // True if the server still takes requests and has the software version that the stream needs.
+    bool isUsable(const routing::PlacementChoice &choice) const;
     // Releases a placement on a server that receives no more requests, and requests another.
     void replacePlacement(const routing::PlacementChoice &choice);
     // True if the placement took so long that its choice is no longer valid.
@@ -98,9 +112,15 @@
     // Returns why the response is too large to be held, or null if it is not.
     const char *sizeError();
     void forwardEvents();
+    // Sends events to the caller, or holds them until they may be sent.
+    void sendEvents(std::string_view events);
+    // Sends the events that were held, and the end of the stream if it has come meanwhile.
+    void sendHeldEvents();
     // Sends the head of the response to the caller, once, before the first event.
     void beginStream();
     void streamComplete();
+    // Ends the stream, as complete or as broken off, once no event is held any more.
+    void endStream(bool complete, const char *reason);
     void responseComplete();
     // Forwards the complete response, unless its status would wrongly say that the request did not
     // run.
@@ -182,6 +202,10 @@
 
     // The event stream that is sent to the caller.
     EventStream stream_;
+    // Set once the service is known.
+    std::optional<StreamVersion> streamVersion_;
+    // Set if the stream has ended while its events were held.
+    std::optional<HeldEnd> heldEnd_;
 };
 
 } // namespace auburn::gateway
--- a/packages/gateway/src/requestrecord.cpp
+++ b/packages/gateway/src/requestrecord.cpp
@@ -161,6 +161,17 @@
                { "daemons", static_cast<long long>(record.daemons.value_or(0)) } });
 }
 
+void recordStreamVersion(const CallerRequest &request, std::string_view service,
+                         const std::optional<std::string> &version)
+{
+    logEvent(LogLevel::Info, "stream_resumed",
+             { { "id", request.id },
+               { "resumes", request.resumedId },
+               { "service", service },
+               { "last_event", request.lastEventId },
+               { "version", version.value_or("unknown") } });
+}
+
 void recordLimitChange(const LimitChangeRecord &record)
 {
     logEvent(LogLevel::Info, "server_limit_changed",
--- a/packages/gateway/src/requestrecord.h
+++ b/packages/gateway/src/requestrecord.h
@@ -124,6 +124,9 @@
 void recordUnframedEnd(const UnframedEndRecord &record, Metrics *metrics);
 // Logs and counts a decision of the retry budget. The metrics may be null.
 void recordRetry(const RetryRecord &record, Metrics *metrics);
+// Logs which software version may resume a stream of the caller; empty if it is unknown.
+void recordStreamVersion(const CallerRequest &request, std::string_view service,
+                         const std::optional<std::string> &version);
 // Logs a changed limit.
 void recordLimitChange(const LimitChangeRecord &record);
 // Logs and counts the end of a request. The metrics may be null.
--- a/packages/gateway/tests/gatewayfixture.cpp
+++ b/packages/gateway/tests/gatewayfixture.cpp
@@ -22,6 +22,7 @@
              .copySource = "X-Copy-Source",
              .promptParts = "X-Parts",
              .lastEventId = "X-Last",
+             .resumedRequest = "X-Resumes",
              .responseSeal = "X-Seal",
              .notExecuted = "X-Not-Executed",
              .serverLoad = "X-Load",
@@ -126,6 +127,7 @@
                   .headerNames = testHeaderNames(),
                   .state = &state,
                   .placement = &placement,
+                  .streamOrigins = streamOrigins,
                   .maxConnections = maxConnections,
                   .memoryLimit = memoryLimit,
                   .requestBegan = [this](const std::string &organisation, milliseconds ago) {
--- a/packages/gateway/tests/gatewayfixture.h
+++ b/packages/gateway/tests/gatewayfixture.h
@@ -67,6 +67,8 @@
     std::size_t memoryLimit = std::size_t{ 64 } * 1024 * 1024;
     // The limit of caller connections, for the next startGateway().
     std::size_t maxConnections = 2000;
+    // For the next startGateway().
+    routing::StreamOrigins *streamOrigins = nullptr;
     std::uint64_t logPosition = 0;
     std::vector<BegunRequest> begunRequests;
 };
--- /dev/null
+++ b/packages/gateway/tests/streamversion_test.cpp
@@ -0,0 +1,289 @@
+// Tests that a stream goes on only at servers of the software version that began it.
+
+#include "gatewayfixture.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace auburn::gateway {
+
+using std::chrono::milliseconds;
+using End = ScriptedReply::End;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+// Knows the origins that the test sets, and lets the test decide when a stream is findable.
+class FakeOrigins : public routing::StreamOrigins
+{
+public:
+    void find(const std::string &requestId, const std::string & /*service*/,
+              milliseconds /*timeLimit*/, VersionHandler handler) override
+    {
+        const auto found = versions.find(requestId);
+        handler(found == versions.end() ? std::nullopt : std::optional(found->second));
+    }
+
+    std::optional<std::string> preferredVersion(const std::string & /*service*/) const override
+    {
+        return preferred;
+    }
+
+    void streamSent(const routing::StreamOrigin &origin) override
+    {
+        versions[origin.requestId] = origin.softwareVersion;
+        sent.push_back(origin);
+    }
+
+    void whenFindable(const std::string & /*requestId*/, std::function<void()> handler) override
+    {
+        if (holds)
+            held.push_back(std::move(handler));
+        else
+            handler();
+    }
+
+    void release()
+    {
+        for (const auto &handler : std::exchange(held, {}))
+            handler();
+    }
+
+    std::map<std::string, std::string> versions;
+    std::optional<std::string> preferred;
+    std::vector<routing::StreamOrigin> sent;
+    bool holds = false;
+    std::vector<std::function<void()>> held;
+};
+
+struct StreamVersionFixture : GatewayFixture
+{
+    StreamVersionFixture()
+    {
+        streamOrigins = &origins;
+        gateway.reset();
+        startGateway(placementSource);
+    }
+
+    // Its gateway refers to the origins.
+    ~StreamVersionFixture() { gateway.reset(); }
+
+    // Adds an engine whose events name its version. It breaks off streams after this event.
+    ScriptedServer &addEngine(const std::string &id, const std::string &version,
+                              unsigned breaksOffAfter = 100)
+    {
+        ScriptedServer &server = addServer(
+                id, "engines", [this, version, breaksOffAfter](const ScriptedRequest &received) {
+                    const auto last = received["X-Last"];
+                    const unsigned first = last.empty() ? 1 : std::stoul(std::string(last)) + 1;
+                    return events(version, first, breaksOffAfter);
+                });
+        routing::BackendServer entry = *state.directory.find(id);
+        entry.softwareVersion = version;
+        entry.sequence = ++sequence_;
+        state.directory.update(entry, ++logPosition);
+        return server;
+    }
+
+    static std::string event(unsigned id, const std::string &version)
+    {
+        return "id: " + std::to_string(id) + "\ndata: " + version + "\n\n";
+    }
+
+    ScriptedReply events(const std::string &version, unsigned first, unsigned breaksOffAfter) const
+    {
+        ScriptedReply reply{ .parts = { { streamHead() } } };
+        for (unsigned id = first; id <= std::min(lastEvent, breaksOffAfter); ++id)
+            reply.parts.push_back({ chunk(event(id, version)), milliseconds(2) });
+        if (breaksOffAfter < lastEvent)
+            reply.end = End::Reset;
+        else
+            reply.parts.push_back({ "0\r\n\r\n" });
+        return reply;
+    }
+
+    std::string resume(const std::string &request, const std::string &last = "2")
+    {
+        return exchange(GatewayFixture::request(
+                "POST", "/chat/x", "X-Last: " + last + "\r\nX-Resumes: " + request + "\r\n", "b"));
+    }
+
+    FakeOrigins origins;
+    unsigned lastEvent = 4;
+
+private:
+    std::int64_t sequence_ = 10;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(streamVersion, StreamVersionFixture)
+
+// Guards against a caller's stream that goes on at a server of another version.
+BOOST_AUTO_TEST_CASE(stream_isResumed_goesToTheVersionThatBeganIt)
+{
+    const ScriptedServer &older = addEngine("e1", "v1");
+    const ScriptedServer &newer = addEngine("e2", "v2");
+    origins.versions["first"] = "v2";
+    for (unsigned i = 0; i < 10; ++i) {
+        const std::string response = resume("first");
+        BOOST_TEST(statusOf(response) == kOk);
+        BOOST_TEST(chunkedBody(response) == event(3, "v2") + event(4, "v2"));
+    }
+    BOOST_TEST(older.requests().empty());
+    BOOST_TEST(newer.requests().size() == 10U);
+    // A resumed stream keeps its origin.
+    BOOST_TEST(origins.sent.empty());
+}
+
+// Guards against a guess: the caller is told that the request has not run.
+BOOST_AUTO_TEST_CASE(stream_versionIsUnknown_isRefused)
+{
+    const ScriptedServer &server = addEngine("e1", "v1");
+    const std::string response = resume("unknown");
+    BOOST_TEST(statusOf(response) == kUnavailable);
+    BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
+    BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_versionHasNoServer_isRefused)
+{
+    const ScriptedServer &server = addEngine("e1", "v2");
+    origins.versions["first"] = "v1";
+    BOOST_TEST(statusOf(resume("first")) == kUnavailable);
+    BOOST_TEST(server.requests().empty());
+}
+
+// Guards against joined versions within one response.
+BOOST_AUTO_TEST_CASE(server_breaksOff_streamGoesOnAtItsVersion)
+{
+    addEngine("e1", "v1", 2);
+    addEngine("e2", "v2", 2);
+    addEngine("e3", "v1", 2);
+    addEngine("e4", "v2", 2);
+    for (unsigned i = 0; i < 12; ++i) {
+        // Equal requests would be blocked because they seem to crash servers.
+        const std::string body = chunkedBody(
+                exchange(request("POST", "/chat/" + std::to_string(i), {}, "b")));
+        const std::string first = body.find("v1") < body.find("v2") ? "v1" : "v2";
+        BOOST_TEST(body.find(first == "v1" ? "v2" : "v1") == std::string::npos, body);
+        BOOST_TEST(body.find(event(2, first)) != std::string::npos, body);
+    }
+}
+
+// Guards against a request that fails although a server of another version could run it: without an
+// event, nothing is joined.
+BOOST_AUTO_TEST_CASE(server_failsBeforeTheFirstEvent_anyVersionServes)
+{
+    addEngine("e1", "v1", 0);
+    const ScriptedServer &newer = addEngine("e2", "v2");
+    unsigned served = 0;
+    for (unsigned i = 0; i < 6; ++i)
+        served += isComplete(exchange(request("POST", "/chat/x", {}, "b"))) ? 1 : 0;
+    BOOST_TEST(served == 6U);
+    BOOST_TEST(newer.requests().size() == 6U);
+    BOOST_TEST(origins.sent.back().softwareVersion == "v2");
+}
+
+// Guards against an event that reaches the caller before other daemons can find its stream.
+BOOST_AUTO_TEST_CASE(firstEvents_originIsNotFindable_areHeld)
+{
+    addEngine("e1", "v1");
+    origins.holds = true;
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/chat/x", "Connection: close\r\n", "b"));
+    wait(milliseconds(150));
+    BOOST_TEST(origins.held.size() == 1U);
+    BOOST_TEST(chunkedBody(client.received()).empty());
+    origins.release();
+    BOOST_TEST(runUntil(io, [&client] { return isComplete(client.received()); }));
+    BOOST_TEST(chunkedBody(client.received())
+               == event(1, "v1") + event(2, "v1") + event(3, "v1") + event(4, "v1"));
+}
+
+// Guards against events that are lost, or sent out of order, when their server fails while they are
+// held.
+BOOST_AUTO_TEST_CASE(server_breaksOffWhileEventsAreHeld_streamGoesOnAtItsVersion)
+{
+    addEngine("e1", "v1", 2);
+    addEngine("e2", "v2", 2);
+    addEngine("e3", "v1", 100);
+    addEngine("e4", "v2", 100);
+    origins.holds = true;
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/chat/x", "Connection: close\r\n", "b"));
+    wait(milliseconds(200));
+    BOOST_TEST(chunkedBody(client.received()).empty());
+    origins.release();
+    BOOST_TEST(runUntil(io, [&client] { return isComplete(client.received()); }));
+    const std::string body = chunkedBody(client.received());
+    const std::string version = body.find("v1") == std::string::npos ? "v2" : "v1";
+    BOOST_TEST(body
+               == event(1, version) + event(2, version) + event(3, version) + event(4, version));
+}
+
+// Guards against dropping events that the caller can use to resume, when the only server breaks off
+// while they are held.
+BOOST_AUTO_TEST_CASE(onlyServer_breaksOffWhileEventsAreHeld_eventsArrive)
+{
+    addEngine("e1", "v1", 2);
+    origins.holds = true;
+    ScriptedClient client(io, address);
+    client.send(request("POST", "/chat/x", "Connection: close\r\n", "b"));
+    wait(milliseconds(200));
+    BOOST_TEST(chunkedBody(client.received()).empty());
+    origins.release();
+    BOOST_TEST(runUntil(io, [&client] { return client.isClosed(); }));
+    BOOST_TEST(chunkedBody(client.received()) == event(1, "v1") + event(2, "v1"));
+    BOOST_TEST(!isComplete(client.received()));
+}
+
+// Guards against a caller that leaves while its events are held.
+BOOST_AUTO_TEST_CASE(caller_leavesWhileEventsAreHeld_endsTheRequest)
+{
+    addEngine("e1", "v1");
+    origins.holds = true;
+    {
+        ScriptedClient client(io, address);
+        client.send(request("POST", "/chat/x", {}, "b"));
+        wait(milliseconds(100));
+        client.close();
+    }
+    wait(milliseconds(50));
+    origins.release();
+    wait(milliseconds(50));
+    BOOST_TEST(gateway->requestsInProgress() == 0U);
+}
+
+// Guards against new streams at a version that other daemons do not know, and against refusing them
+// for it.
+BOOST_AUTO_TEST_CASE(newStream_versionIsPreferred_goesElsewhereOnlyWithoutIt)
+{
+    const ScriptedServer &newer = addEngine("e2", "v2");
+    origins.preferred = "v1";
+    BOOST_TEST(isComplete(exchange(request("POST", "/chat/x", {}, "b"))));
+    BOOST_TEST(newer.requests().size() == 1U);
+    const ScriptedServer &older = addEngine("e1", "v1");
+    for (unsigned i = 0; i < 5; ++i)
+        BOOST_TEST(isComplete(exchange(request("POST", "/chat/x", {}, "b"))));
+    BOOST_TEST(newer.requests().size() == 1U);
+    BOOST_TEST(older.requests().size() == 5U);
+}
+
+// Guards against holding or recording streams that cannot be resumed.
+BOOST_AUTO_TEST_CASE(stream_notResumable_isNotRecorded)
+{
+    addEngine("e1", "v1");
+    origins.holds = true;
+    BOOST_TEST(isComplete(exchange(request("POST", "/digest/x", {}, "b"))));
+    BOOST_TEST(origins.sent.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::gateway
--- a/packages/peers/src/cellplacement.cpp
+++ b/packages/peers/src/cellplacement.cpp
@@ -141,8 +141,13 @@
         localSource_.place(query, timeLeft, handler);
         return;
     }
-    const Cell cell = cellForQuery(options_.directory->readyServers(query.service->name), query,
-                                   options_.failureDomain);
+    std::vector<const BackendServer *> servers = options_.directory->readyServers(
+            query.service->name);
+    if (query.softwareVersion)
+        std::erase_if(servers, [&query](const BackendServer *server) {
+            return server->softwareVersion != *query.softwareVersion;
+        });
+    const Cell cell = cellForQuery(servers, query, options_.failureDomain);
     const std::optional<std::string> owner = ownerOf(cell);
     if (!owner) {
         localSource_.place(query, timeLeft, handler);
@@ -189,6 +194,8 @@
     }
     for (const std::string &server : query.excluded)
         request.add_excluded(server);
+    if (query.softwareVersion)
+        request.set_software_version(*query.softwareVersion);
     for (const std::string &server : options_.localPlacement->avoidedServers(Clock::now()))
         request.add_excluded(server);
     PendingRequest pending{ .query = query,
@@ -249,7 +256,7 @@
     const BackendServer *server = options_.directory->find(reply.server());
     const bool usable = server && options_.directory->isAvailable(server->id, Clock::now())
                         && server->service == pending.query.service->name
-                        && !isExcluded(pending.query, server->id);
+                        && !isExcluded(pending.query, *server);
     PlacementChoice choice{ .serverId = reply.server(),
                             .predicted = std::chrono::microseconds(reply.predicted_us()),
                             .uncachedTokens = reply.uncached_tokens(),
@@ -311,6 +318,8 @@
         for (const proto::PlacePromptPart &part : request.prompt())
             query.prompt.push_back({ .id = part.id(), .tokens = part.tokens() });
         query.excluded.assign(request.excluded().begin(), request.excluded().end());
+        if (request.has_software_version())
+            query.softwareVersion = request.software_version();
         const Cell cell{ .failureDomain = options_.failureDomain,
                          .part = request.part(),
                          .parts = request.parts() };
--- a/packages/routing/include/auburn/routing/attempt.h
+++ b/packages/routing/include/auburn/routing/attempt.h
@@ -14,6 +14,8 @@
 
 namespace auburn::routing {
 
+struct BackendServer;
+
 // Describes a request for which a server is to be selected.
 struct PlacementQuery
 {
@@ -27,6 +29,9 @@
     // Ids of servers that must not be used, because an attempt of this request there did not
     // succeed or because they are avoided.
     std::vector<std::string> excluded;
+    // If set, only servers of this software version may be used, because the request resumes a
+    // stream that one of them began.
+    std::optional<std::string> softwareVersion = std::nullopt;
     // A stream whose token gaps grow too long on engines that prefill prompts; see
     // isGapSensitive().
     bool gapSensitiveStream = false;
@@ -34,8 +39,10 @@
     bool repeatable = false;
 };
 
-// Returns true if the query excludes the server.
+// Returns true if the query excludes the server by its id.
 bool isExcluded(const PlacementQuery &query, const std::string &serverId);
+// Returns true if the query excludes the server by its id or by its software version.
+bool isExcluded(const PlacementQuery &query, const BackendServer &server);
 
 // The server selected for one attempt, and what the selection was based on. It is passed back with
 // every report about the attempt.
--- a/packages/routing/include/auburn/routing/streamorigins.h
+++ b/packages/routing/include/auburn/routing/streamorigins.h
@@ -30,6 +30,9 @@
     // either immediately or later on the same thread, at the latest after the time limit.
     virtual void find(const std::string &requestId, const std::string &service,
                       std::chrono::milliseconds timeLimit, VersionHandler handler) = 0;
+    // The version whose servers should begin a new stream of the service: another one has appeared
+    // so recently that some daemons may not know it. Empty if any server may.
+    virtual std::optional<std::string> preferredVersion(const std::string &service) const = 0;
     // A new stream was sent to a server of this version, or was sent again to another one before
     // its first event.
     virtual void streamSent(const StreamOrigin &origin) = 0;
--- a/packages/routing/src/attempt.cpp
+++ b/packages/routing/src/attempt.cpp
@@ -1,5 +1,7 @@
 #include "auburn/routing/attempt.h"
 
+#include "auburn/routing/serverdirectory.h"
+
 #include <algorithm>
 
 namespace auburn::routing {
@@ -10,6 +12,12 @@
            != query.excluded.end();
 }
 
+bool isExcluded(const PlacementQuery &query, const BackendServer &server)
+{
+    return isExcluded(query, server.id)
+           || (query.softwareVersion && *query.softwareVersion != server.softwareVersion);
+}
+
 std::string_view attemptOutcomeName(AttemptOutcome outcome)
 {
     switch (outcome) {
--- a/packages/routing/src/placement.cpp
+++ b/packages/routing/src/placement.cpp
@@ -142,7 +142,7 @@
         const Assessment assessment = assess(candidates, i, location, query, urgency, now);
         const BackendServer &server = *candidates.all[i].server;
         ExplainedServer explained = describe(server, now);
-        explained.excluded = isExcluded(query, server.id) ? "excluded_by_query" : "";
+        explained.excluded = isExcluded(query, server) ? "excluded_by_query" : "";
         explained.cost = assessment.cost;
         explained.uncachedTokens = assessment.uncachedTokens;
         explained.slowness = assessment.slowness;
@@ -338,7 +338,7 @@
     microseconds lowest{ 0 };
     for (std::size_t i = 0; i < candidates.all.size(); ++i) {
         const Candidate &candidate = candidates.all[i];
-        if (isExcluded(query, candidate.server->id))
+        if (isExcluded(query, *candidate.server))
             continue;
         const Assessment assessment = assess(candidates, i, location, query, urgency, now);
         const microseconds cost = assessment.cost.sum();
--- a/packages/routing/src/promptaffinity.cpp
+++ b/packages/routing/src/promptaffinity.cpp
@@ -66,7 +66,7 @@
     const BackendServer *expected = nullptr;
     for (const Candidate &candidate : candidates) {
         const BackendServer *server = candidate.server;
-        if (candidate.view->isAvoided(now) || isExcluded(query, server->id))
+        if (candidate.view->isAvoided(now) || isExcluded(query, *server))
             continue;
         if (server == primary_)
             expected = server;
--- /dev/null
+++ b/packages/streams/include/auburn/streams/versionhistory.h
@@ -0,0 +1,77 @@
+// VersionHistory remembers which software versions the servers of each service had recently.
+#pragma once
+
+#include "auburn/routing/serverdirectory.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace auburn::streams {
+
+// Time after its start within which a stream may be resumed. Streams end with the deadlines of
+// their callers, which are shorter.
+constexpr std::chrono::milliseconds kStreamLifetime{ 30000 };
+
+// Time after its first server within which a version is known to every daemon that can reach the
+// store or another daemon.
+constexpr std::chrono::milliseconds kVersionSettleTime{ 2500 };
+
+class VersionHistory
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    // Records the versions of the servers that are listed now.
+    void observe(const routing::ServerDirectory &directory, TimePoint now);
+
+    // True if no server had another version than this one for the lifetime of a stream, as far as
+    // this daemon has seen. A daemon that was just started has seen too little.
+    bool isOnlyVersion(std::string_view service, const std::string &version, TimePoint now) const;
+    // True if servers of the version are listed now.
+    bool isListed(std::string_view service, const std::string &version) const;
+    // True if a version other than the given one was first seen so recently that other daemons may
+    // not know it.
+    bool hasUnsettledVersion(std::string_view service, const std::string &known,
+                             TimePoint now) const;
+    // True if servers are listed and none of them names a version.
+    bool namesNoVersion(std::string_view service) const;
+    // Returns the only version that this daemon has seen lately, if one of its servers has run for
+    // longer than the lifetime of a stream by the wall clock. That is no proof that it began a
+    // stream: servers of another version may have left before this daemon started.
+    std::optional<std::string> establishedVersion(std::string_view service,
+                                                  std::int64_t unixNow) const;
+    // Returns the version that most servers of the service have, if none had the given one for the
+    // lifetime of a stream; empty otherwise.
+    std::optional<std::string> successorOf(std::string_view service, const std::string &version,
+                                           TimePoint now) const;
+    // Returns the version of the listed server that was started first; empty if none is listed or
+    // if it names no version.
+    std::optional<std::string> oldestVersion(std::string_view service) const;
+
+private:
+    struct Version
+    {
+        TimePoint firstSeenAt;
+        TimePoint lastSeenAt;
+        // Number of servers at the last observation.
+        unsigned servers = 0;
+        // Start time of the oldest server at the last observation.
+        std::int64_t oldestStartUnixMs = 0;
+    };
+    struct Service
+    {
+        TimePoint firstObservedAt;
+        std::map<std::string, Version> versions;
+    };
+
+    const Service *find(std::string_view service) const;
+
+    std::map<std::string, Service, std::less<>> services_;
+};
+
+} // namespace auburn::streams
--- /dev/null
+++ b/packages/streams/src/originregistry.cpp
@@ -0,0 +1,476 @@
+#include "auburn/streams/originregistry.h"
+
+#include "auburn.pb.h"
+#include "auburn/core/hash.h"
+#include "auburn/core/log.h"
+#include "auburn/proto/parsemessage.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace auburn::streams {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kExpiryInterval{ 50 };
+
+milliseconds randomDelay(milliseconds limit)
+{
+    static std::minstd_rand random{ std::random_device{}() };
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(0, limit.count())(random));
+}
+
+} // namespace
+
+OriginRegistry::OriginRegistry(boost::asio::io_context &io, Options options)
+    : options_(std::move(options))
+    , batchTimer_(io)
+    , expiryTimer_(io)
+    , listTimer_(io)
+{}
+
+std::optional<std::string> OriginRegistry::baselineOf(const std::string &service) const
+{
+    const auto found = baselines_.find(service);
+    return found == baselines_.end() ? std::nullopt : std::optional(found->second.version);
+}
+
+std::set<std::string> OriginRegistry::resumableServices() const
+{
+    std::set<std::string> services;
+    const auto config = *options_.config;
+    if (!config)
+        return services;
+    for (const routing::Route &route : config->routes()) {
+        if (route.kind != routing::RequestKind::Stream || !route.resumable)
+            continue;
+        for (const routing::WeightedService &entry : route.services)
+            services.insert(entry.service);
+    }
+    return services;
+}
+
+void OriginRegistry::update()
+{
+    const auto now = options_.now();
+    history_.observe(*options_.directory, now);
+    expireStreams();
+    const std::set<std::string> services = resumableServices();
+    const bool isNeeded = std::any_of(services.begin(), services.end(), [this](const auto &name) {
+        return history_.oldestVersion(name).has_value();
+    });
+    if (isNeeded && !areBaselinesListed_)
+        listBaselines();
+    else if (isNeeded)
+        proposeBaselines();
+}
+
+std::optional<std::string> OriginRegistry::knownVersion(std::uint64_t stream,
+                                                        const std::string &service) const
+{
+    const auto found = streams_.find(stream);
+    if (found != streams_.end() && found->second.service == service)
+        return found->second.version;
+    if (history_.namesNoVersion(service))
+        return std::string();
+    const std::optional<std::string> baseline = baselineOf(service);
+    if (baseline && history_.isOnlyVersion(service, *baseline, options_.now()))
+        return baseline;
+    return std::nullopt;
+}
+
+void OriginRegistry::find(const std::string &requestId, const std::string &service,
+                          milliseconds timeLimit, VersionHandler handler)
+{
+    const std::uint64_t stream = stableHash(requestId);
+    if (std::optional<std::string> version = knownVersion(stream, service)) {
+        handler(std::move(version));
+        return;
+    }
+    ++counters_.lookups;
+    nextQueries_.push_back({ .stream = stream,
+                             .service = service,
+                             .deadline = options_.now() + timeLimit,
+                             .handler = std::move(handler) });
+    scheduleExpiry();
+    startLookup();
+}
+
+// A query is answered only by reads that began after it: a stream is recorded before its caller can
+// ask for it, so such a read finds it.
+void OriginRegistry::startLookup()
+{
+    if (lookupSteps_ > 0 || nextQueries_.empty())
+        return;
+    currentQueries_ = std::exchange(nextQueries_, {});
+    hasLookupFailed_ = false;
+    lookupSteps_ = 2;
+    options_.baselines->list([this](const std::optional<duties::LogListing> &listing) {
+        if (listing)
+            baselinesListed(listing);
+        lookupStepEnded(listing.has_value());
+    });
+    options_.records->readNew([this](const std::optional<std::vector<OriginRecord>> &records) {
+        recordsRead(records);
+        lookupStepEnded(records.has_value());
+    });
+}
+
+void OriginRegistry::recordsRead(const std::optional<std::vector<OriginRecord>> &records)
+{
+    if (!records)
+        return;
+    const auto now = options_.now();
+    for (const OriginRecord &record : *records) {
+        for (const std::uint64_t id : record.streams) {
+            Stream &stream = streams_[id];
+            // This daemon's own records are older than what it knows.
+            if (stream.isOwn)
+                continue;
+            stream = { .service = record.service,
+                       .version = record.softwareVersion,
+                       .knownAt = now,
+                       .hasRecord = true };
+        }
+    }
+}
+
+void OriginRegistry::lookupStepEnded(bool succeeded)
+{
+    hasLookupFailed_ = hasLookupFailed_ || !succeeded;
+    if (--lookupSteps_ > 0)
+        return;
+    std::list<Query> queries = std::exchange(currentQueries_, {});
+    if (hasLookupFailed_) {
+        // They are asked again until their time is over.
+        nextQueries_.splice(nextQueries_.begin(), queries);
+        listTimer_.expires_after(options_.retryDelay);
+        listTimer_.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                startLookup();
+        });
+        return;
+    }
+    for (const Query &query : queries)
+        answer(query, true);
+    startLookup();
+}
+
+void OriginRegistry::answer(const Query &query, bool isComplete)
+{
+    std::optional<std::string> version = knownVersion(query.stream, query.service);
+    if (!version)
+        version = isComplete ? baselineOf(query.service)
+                             : history_.establishedVersion(query.service, options_.unixNow());
+    if (!version)
+        ++counters_.unknown;
+    query.handler(std::move(version));
+}
+
+std::optional<std::string> OriginRegistry::preferredVersion(const std::string &service) const
+{
+    std::optional<std::string> baseline = baselineOf(service);
+    const bool isPreferred = baseline && history_.isListed(service, *baseline)
+                             && history_.hasUnsettledVersion(service, *baseline, options_.now());
+    return isPreferred ? baseline : std::nullopt;
+}
+
+void OriginRegistry::streamSent(const routing::StreamOrigin &origin)
+{
+    if (origin.softwareVersion.empty())
+        return;
+    const std::uint64_t id = stableHash(origin.requestId);
+    Stream &stream = streams_[id];
+    const bool sentBefore = stream.hasRecord || stream.isPending;
+    const bool sameVersion = stream.version == origin.softwareVersion;
+    stream.service = origin.service;
+    stream.version = origin.softwareVersion;
+    stream.knownAt = options_.now();
+    stream.isOwn = true;
+    // A record of a version that the stream was sent to before has to be replaced, also by one of
+    // the baseline version.
+    const bool isBaseline = baselineOf(origin.service) == origin.softwareVersion;
+    if (sentBefore ? !sameVersion : !isBaseline)
+        setPending(id, stream);
+}
+
+void OriginRegistry::setPending(std::uint64_t id, Stream &stream)
+{
+    if (!std::exchange(stream.isPending, true))
+        pending_.push_back(id);
+    scheduleBatch(options_.batchTime);
+}
+
+void OriginRegistry::whenFindable(const std::string &requestId, std::function<void()> handler)
+{
+    const std::uint64_t id = stableHash(requestId);
+    const auto found = streams_.find(id);
+    const bool waits = found != streams_.end()
+                       && (found->second.isPending || appending_.contains(id));
+    if (!waits) {
+        handler();
+        return;
+    }
+    if (isLogLost_) {
+        ++counters_.unrecorded;
+        handler();
+        return;
+    }
+    waiters_.push_back({ .stream = id,
+                         .deadline = options_.now() + options_.maxRecordWait,
+                         .handler = std::move(handler) });
+    scheduleExpiry();
+}
+
+void OriginRegistry::scheduleBatch(milliseconds delay)
+{
+    if (isAppending_ || pending_.empty() || std::exchange(isBatchScheduled_, true))
+        return;
+    batchTimer_.expires_after(delay);
+    batchTimer_.async_wait([this](boost::system::error_code error) {
+        isBatchScheduled_ = false;
+        if (!error)
+            appendBatch();
+    });
+}
+
+void OriginRegistry::appendBatch()
+{
+    const std::vector<std::uint64_t> ids = std::exchange(pending_, {});
+    std::map<std::pair<std::string, std::string>, OriginRecord> groups;
+    for (const std::uint64_t id : ids) {
+        const auto found = streams_.find(id);
+        if (found == streams_.end())
+            continue;
+        Stream &stream = found->second;
+        // The stream may be sent to another version before the append ends.
+        stream.isPending = false;
+        stream.hasRecord = true;
+        OriginRecord &group = groups[{ stream.service, stream.version }];
+        group.service = stream.service;
+        group.softwareVersion = stream.version;
+        group.streams.push_back(id);
+    }
+    if (groups.empty())
+        return;
+    std::vector<OriginRecord> records;
+    for (auto &[key, group] : groups)
+        records.push_back(std::move(group));
+    isAppending_ = true;
+    appending_ = { ids.begin(), ids.end() };
+    options_.records->append(records, [this, ids](bool appended) { batchAppended(ids, appended); });
+}
+
+void OriginRegistry::batchAppended(const std::vector<std::uint64_t> &ids, bool appended)
+{
+    isAppending_ = false;
+    appending_.clear();
+    if (appended != !isLogLost_)
+        logEvent(appended ? LogLevel::Info : LogLevel::Warning, "stream_record_log",
+                 { { "available", appended ? "yes" : "no" },
+                   { "pending", static_cast<long long>(pending_.size() + ids.size()) } });
+    isLogLost_ = !appended;
+    if (appended)
+        counters_.recorded += ids.size();
+    for (const std::uint64_t id : ids) {
+        const auto found = streams_.find(id);
+        if (!appended && found != streams_.end() && !std::exchange(found->second.isPending, true))
+            pending_.push_back(id);
+    }
+    releaseWaiters();
+    scheduleBatch(appended ? options_.batchTime : options_.retryDelay);
+}
+
+void OriginRegistry::releaseWaiters()
+{
+    const auto now = options_.now();
+    std::list<Waiter> released;
+    for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
+        const auto next = std::next(waiter);
+        const auto found = streams_.find(waiter->stream);
+        const bool waits = found != streams_.end()
+                           && (found->second.isPending || appending_.contains(waiter->stream));
+        const bool givesUp = waits && (isLogLost_ || waiter->deadline <= now);
+        if (givesUp)
+            ++counters_.unrecorded;
+        if (!waits || givesUp)
+            released.splice(released.end(), waiters_, waiter);
+        waiter = next;
+    }
+    for (const Waiter &waiter : released)
+        waiter.handler();
+}
+
+void OriginRegistry::expireQueries()
+{
+    const auto now = options_.now();
+    std::list<Query> expired;
+    for (std::list<Query> *queries : { &currentQueries_, &nextQueries_ }) {
+        for (auto query = queries->begin(); query != queries->end();) {
+            const auto next = std::next(query);
+            if (query->deadline <= now)
+                expired.splice(expired.end(), *queries, query);
+            query = next;
+        }
+    }
+    for (const Query &query : expired)
+        answer(query, false);
+}
+
+void OriginRegistry::scheduleExpiry()
+{
+    if (std::exchange(isExpiryScheduled_, true))
+        return;
+    expiryTimer_.expires_after(kExpiryInterval);
+    expiryTimer_.async_wait([this](boost::system::error_code error) {
+        isExpiryScheduled_ = false;
+        if (error)
+            return;
+        releaseWaiters();
+        expireQueries();
+        if (!waiters_.empty() || !currentQueries_.empty() || !nextQueries_.empty())
+            scheduleExpiry();
+    });
+}
+
+void OriginRegistry::expireStreams()
+{
+    const auto now = options_.now();
+    std::erase_if(streams_, [now](const auto &entry) {
+        return now - entry.second.knownAt > kStreamLifetime;
+    });
+}
+
+void OriginRegistry::listBaselines()
+{
+    if (std::exchange(isListing_, true))
+        return;
+    options_.baselines->list([this](const std::optional<duties::LogListing> &listing) {
+        isListing_ = false;
+        // update() lists again after a failure.
+        if (listing)
+            baselinesListed(listing);
+        if (std::exchange(appendsAfterListing_, false) && listing)
+            appendDueBaseline();
+    });
+}
+
+void OriginRegistry::baselinesListed(const std::optional<duties::LogListing> &listing)
+{
+    areBaselinesListed_ = true;
+    baselinesEnd_ = listing->end;
+    for (auto &[service, baseline] : baselines_)
+        baseline.listedGeneration = 0;
+    for (const duties::LogItem &item : listing->items) {
+        proto::StreamBaseline record;
+        if (proto::parseMessage(item.value, record) && record.generation() > 0)
+            recordBaseline(item.key, { .version = record.software_version(),
+                                       .generation = record.generation(),
+                                       .listedGeneration = record.generation() });
+    }
+}
+
+void OriginRegistry::recordBaseline(const std::string &service, const Baseline &baseline)
+{
+    Baseline &known = baselines_[service];
+    known.listedGeneration = baseline.generation;
+    // A store that was restored lists an earlier one.
+    if (baseline.generation <= known.generation)
+        return;
+    known = baseline;
+    proposalTimes_.erase(service);
+    logEvent(LogLevel::Info, "stream_baseline",
+             { { "service", service },
+               { "version", baseline.version },
+               { "generation", static_cast<long long>(baseline.generation) } });
+}
+
+std::optional<OriginRegistry::Baseline> OriginRegistry::dueBaseline(const std::string &service,
+                                                                    Clock::time_point now) const
+{
+    const auto known = baselines_.find(service);
+    std::optional<std::string> version;
+    std::uint64_t generation = 1;
+    if (known == baselines_.end()) {
+        version = history_.oldestVersion(service);
+    } else if (known->second.listedGeneration < known->second.generation) {
+        version = known->second.version;
+        generation = known->second.generation;
+    } else {
+        version = history_.successorOf(service, known->second.version, now);
+        generation = known->second.generation + 1;
+    }
+    if (!version)
+        return std::nullopt;
+    return Baseline{ .version = *version, .generation = generation };
+}
+
+void OriginRegistry::proposeBaselines()
+{
+    if (!options_.mayMoveBaselines() || isAppendingBaseline_)
+        return;
+    const auto now = options_.now();
+    bool isDue = false;
+    for (const std::string &service : resumableServices()) {
+        if (!dueBaseline(service, now)) {
+            proposalTimes_.erase(service);
+            continue;
+        }
+        const auto [time, isNew] = proposalTimes_.try_emplace(service, now);
+        if (isNew)
+            time->second += randomDelay(options_.baselineSpread);
+        isDue = isDue || now >= time->second;
+    }
+    if (!isDue)
+        return;
+    appendsAfterListing_ = true;
+    listBaselines();
+}
+
+void OriginRegistry::appendDueBaseline()
+{
+    const auto now = options_.now();
+    for (const std::string &service : resumableServices()) {
+        const std::optional<Baseline> due = dueBaseline(service, now);
+        const auto time = proposalTimes_.find(service);
+        if (!due || time == proposalTimes_.end() || now < time->second)
+            continue;
+        proto::StreamBaseline record;
+        record.set_software_version(due->version);
+        record.set_generation(due->generation);
+        isAppendingBaseline_ = true;
+        options_.baselines->append(service, record.SerializeAsString(), baselinesEnd_,
+                                   [this, service, baseline = *due](const auto &result) {
+                                       baselineAppended(service, baseline, result);
+                                   });
+        return;
+    }
+}
+
+void OriginRegistry::baselineAppended(const std::string &service, const Baseline &baseline,
+                                      const duties::AppendResult &result)
+{
+    isAppendingBaseline_ = false;
+    proposalTimes_.erase(service);
+    if (result.status != duties::AppendStatus::Appended) {
+        areBaselinesListed_ = false;
+        return;
+    }
+    baselinesEnd_ = result.end;
+    recordBaseline(service, baseline);
+}
+
+void OriginRegistry::onStoreRestored()
+{
+    options_.records->restart();
+    areBaselinesListed_ = false;
+    for (auto &[id, stream] : streams_) {
+        if (stream.isOwn && stream.hasRecord)
+            setPending(id, stream);
+    }
+}
+
+} // namespace auburn::streams
--- /dev/null
+++ b/packages/streams/tests/versionhistory_test.cpp
@@ -0,0 +1,143 @@
+// Tests what VersionHistory concludes from the servers that were listed over time.
+
+#include "auburn/streams/versionhistory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <string>
+
+namespace auburn::streams {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+struct VersionHistoryFixture
+{
+    void add(const std::string &id, const std::string &version, std::int64_t startedAt = 0)
+    {
+        directory.update({ .id = id,
+                           .service = "s",
+                           .startedAtUnixMs = startedAt,
+                           .softwareVersion = version },
+                         ++position);
+    }
+
+    void remove(const std::string &id) { directory.removeImmediately(id, ++position); }
+
+    // Observes the directory after this time.
+    void observeAfter(milliseconds time)
+    {
+        now += time;
+        history.observe(directory, now);
+    }
+
+    routing::ServerDirectory directory;
+    VersionHistory history;
+    VersionHistory::TimePoint now{ std::chrono::hours(1) };
+    LogPosition position = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(versionHistory, VersionHistoryFixture)
+
+// Guards against a daemon that has just started and takes the versions that it sees for all that
+// there were.
+BOOST_AUTO_TEST_CASE(onlyVersion_observedTooShortly_isUnknown)
+{
+    add("i-1", "v1");
+    observeAfter(milliseconds(0));
+    BOOST_TEST(!history.isOnlyVersion("s", "v1", now));
+    observeAfter(kStreamLifetime);
+    BOOST_TEST(history.isOnlyVersion("s", "v1", now));
+    BOOST_TEST(!history.isOnlyVersion("s", "v2", now));
+}
+
+// Guards against forgetting a version whose streams may still be resumed.
+BOOST_AUTO_TEST_CASE(onlyVersion_otherLeft_holdsAfterTheLifetimeOfItsStreams)
+{
+    add("i-1", "v1");
+    observeAfter(milliseconds(0));
+    observeAfter(kStreamLifetime);
+    add("i-2", "v2");
+    observeAfter(milliseconds(1000));
+    BOOST_TEST(!history.isOnlyVersion("s", "v1", now));
+    remove("i-2");
+    observeAfter(kStreamLifetime - milliseconds(1));
+    BOOST_TEST(!history.isOnlyVersion("s", "v1", now));
+    observeAfter(milliseconds(2));
+    BOOST_TEST(history.isOnlyVersion("s", "v1", now));
+}
+
+// Guards against a baseline that moves while streams of the earlier one may be alive.
+BOOST_AUTO_TEST_CASE(successor_versionLeft_isFoundAfterTheLifetimeOfItsStreams)
+{
+    add("i-1", "v1");
+    add("i-2", "v2");
+    add("i-3", "v3");
+    add("i-4", "v3");
+    observeAfter(milliseconds(0));
+    observeAfter(kStreamLifetime);
+    BOOST_TEST(!history.successorOf("s", "v1", now));
+    remove("i-1");
+    observeAfter(kStreamLifetime - milliseconds(1));
+    BOOST_TEST(!history.successorOf("s", "v1", now));
+    observeAfter(milliseconds(2));
+    BOOST_TEST(history.successorOf("s", "v1", now).value_or("") == "v3");
+}
+
+// Guards against streams at a version that other daemons do not know yet.
+BOOST_AUTO_TEST_CASE(unsettledVersion_isOneThatWasFirstSeenLately)
+{
+    add("i-1", "v1");
+    observeAfter(milliseconds(0));
+    observeAfter(kVersionSettleTime);
+    add("i-2", "v2");
+    observeAfter(milliseconds(100));
+    BOOST_TEST(history.hasUnsettledVersion("s", "v1", now));
+    observeAfter(kVersionSettleTime);
+    BOOST_TEST(!history.hasUnsettledVersion("s", "v1", now));
+}
+
+BOOST_AUTO_TEST_CASE(oldestVersion_isThatOfTheServerStartedFirst)
+{
+    BOOST_TEST(!history.oldestVersion("s"));
+    add("i-1", "v2", 2000);
+    add("i-2", "v1", 1000);
+    add("i-3", "v2", 500);
+    observeAfter(milliseconds(0));
+    BOOST_TEST(history.oldestVersion("s").value_or("") == "v2");
+    remove("i-3");
+    observeAfter(milliseconds(0));
+    BOOST_TEST(history.oldestVersion("s").value_or("") == "v1");
+}
+
+// Guards against refusing streams in deployments whose servers name no version.
+BOOST_AUTO_TEST_CASE(namesNoVersion_onlyIfNoListedServerNamesOne)
+{
+    BOOST_TEST(!history.namesNoVersion("s"));
+    add("i-1", "");
+    observeAfter(milliseconds(0));
+    BOOST_TEST(history.namesNoVersion("s"));
+    add("i-2", "v1");
+    observeAfter(milliseconds(0));
+    BOOST_TEST(!history.namesNoVersion("s"));
+}
+
+BOOST_AUTO_TEST_CASE(establishedVersion_hasServerOlderThanAnyStream)
+{
+    const std::int64_t unixNow = 1000000;
+    add("i-1", "v1", unixNow - kStreamLifetime.count());
+    observeAfter(milliseconds(0));
+    BOOST_TEST(!history.establishedVersion("s", unixNow));
+    BOOST_TEST(history.establishedVersion("s", unixNow + 1).value_or("") == "v1");
+    add("i-2", "v2", unixNow);
+    observeAfter(milliseconds(0));
+    BOOST_TEST(!history.establishedVersion("s", unixNow + 1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace auburn::streams
