Streams: a daemon lists the baselines again until it knows them

A daemon that does not read the store itself listed the baselines before a reader had written the one of the service, and never again.

Baselines are now listed again every 2 s while one is missing. When the whole system starts for the first time, daemons other than the readers wait 4 s, and nobody looks up streams that cannot exist.

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -45,6 +45,8 @@
         OriginLog *records = nullptr;
         // The baselines, by service.
         duties::ConditionalLog *baselines = nullptr;
+        // The whole system is starting for the first time.
+        bool isFirstStart = false;
         // Returns true if this daemon reads the store, so that its view of the servers is a basis
         // for a new baseline.
         std::function<bool()> mayMoveBaselines;
@@ -135,6 +137,8 @@
     // The services whose streams may be resumed.
     std::set<std::string> resumableServices() const;
 
+    // True if the baseline of a service whose streams may be resumed is not known.
+    bool lacksBaseline(const std::set<std::string> &services) const;
     void listBaselines();
     void baselinesListed(const std::optional<duties::LogListing> &listing);
     void recordBaseline(const std::string &service, const Baseline &baseline);
@@ -172,6 +176,8 @@
     std::uint64_t baselinesEnd_ = 0;
     bool areBaselinesListed_ = false;
     bool isListing_ = false;
+    // The time from which the baselines may be listed again.
+    Clock::time_point nextListing_;
     // When this daemon may propose a baseline, by service.
     std::map<std::string, Clock::time_point> proposalTimes_;
     bool appendsAfterListing_ = false;
--- a/packages/streams/include/auburn/streams/versionhistory.h
+++ b/packages/streams/include/auburn/streams/versionhistory.h
@@ -26,11 +26,17 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    // No stream is older than this daemon if the whole system has started with it.
+    explicit VersionHistory(bool isFirstStart = false)
+        : isFirstStart_(isFirstStart)
+    {}
+
     // Records the versions of the servers that are listed now.
     void observe(const routing::ServerDirectory &directory, TimePoint now);
 
     // True if no server had another version than this one for the lifetime of a stream, as far as
-    // this daemon has seen. A daemon that was just started has seen too little.
+    // this daemon has seen. A daemon that was just started has seen too little, unless the whole
+    // system has started with it.
     bool isOnlyVersion(std::string_view service, const std::string &version, TimePoint now) const;
     // True if servers of the version are listed now.
     bool isListed(std::string_view service, const std::string &version) const;
@@ -71,6 +77,8 @@
 
     const Service *find(std::string_view service) const;
 
+    const bool isFirstStart_;
+
     std::map<std::string, Service, std::less<>> services_;
 };
 
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr milliseconds kExpiryInterval{ 50 };
+constexpr milliseconds kListInterval{ 2000 };
+// When the whole system starts, another daemon writes the baselines within this time.
+constexpr milliseconds kFirstListingDelay{ 4000 };
 
 milliseconds randomDelay(milliseconds limit)
 {
@@ -27,10 +30,14 @@
 
 OriginRegistry::OriginRegistry(boost::asio::io_context &io, Options options)
     : options_(std::move(options))
+    , history_(options_.isFirstStart)
     , batchTimer_(io)
     , expiryTimer_(io)
     , listTimer_(io)
-{}
+{
+    if (options_.isFirstStart)
+        nextListing_ = options_.now() + kFirstListingDelay;
+}
 
 std::optional<std::string> OriginRegistry::baselineOf(const std::string &service) const
 {
@@ -62,10 +69,18 @@
     const bool isNeeded = std::any_of(services.begin(), services.end(), [this](const auto &name) {
         return history_.oldestVersion(name).has_value();
     });
-    if (isNeeded && !areBaselinesListed_)
+    if (!isNeeded)
+        return;
+    proposeBaselines();
+    if ((!areBaselinesListed_ || lacksBaseline(services)) && now >= nextListing_)
         listBaselines();
-    else if (isNeeded)
-        proposeBaselines();
+}
+
+bool OriginRegistry::lacksBaseline(const std::set<std::string> &services) const
+{
+    return std::any_of(services.begin(), services.end(), [this](const auto &name) {
+        return !baselines_.contains(name) && history_.oldestVersion(name);
+    });
 }
 
 std::optional<std::string> OriginRegistry::knownVersion(std::uint64_t stream,
@@ -348,6 +363,7 @@
 {
     if (std::exchange(isListing_, true))
         return;
+    nextListing_ = options_.now() + kListInterval;
     options_.baselines->list([this](const std::optional<duties::LogListing> &listing) {
         isListing_ = false;
         // update() lists again after a failure.
@@ -467,6 +483,7 @@
 {
     options_.records->restart();
     areBaselinesListed_ = false;
+    nextListing_ = options_.now();
     for (auto &[id, stream] : streams_) {
         if (stream.isOwn && stream.hasRecord)
             setPending(id, stream);
--- a/packages/streams/src/versionhistory.cpp
+++ b/packages/streams/src/versionhistory.cpp
@@ -40,9 +40,11 @@
                                    TimePoint now) const
 {
     const Service *state = find(service);
-    if (!state || now - state->firstObservedAt < kStreamLifetime)
-        return false;
-    return state->versions.size() == 1 && state->versions.begin()->first == version;
+    const bool hasSeenEnough = state
+                               && (isFirstStart_
+                                   || now - state->firstObservedAt >= kStreamLifetime);
+    return hasSeenEnough && state->versions.size() == 1
+           && state->versions.begin()->first == version;
 }
 
 bool VersionHistory::isListed(std::string_view service, const std::string &version) const
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -149,14 +149,14 @@
 {
     Daemon(boost::asio::io_context &io, Store &store, Clocks &clocks,
            routing::ServerDirectory &directory,
-           std::shared_ptr<const routing::TrafficConfig> &config)
+           std::shared_ptr<const routing::TrafficConfig> &config, bool readsStore = true)
         : records(store)
         , baselines(store)
         , registry(io, { .directory = &directory,
                          .config = &config,
                          .records = &records,
                          .baselines = &baselines,
-                         .mayMoveBaselines = [] { return true; },
+                         .mayMoveBaselines = [readsStore] { return readsStore; },
                          .batchTime = milliseconds(5),
                          .maxRecordWait = milliseconds(100),
                          .retryDelay = milliseconds(5),
@@ -279,6 +279,28 @@
     BOOST_TEST(find(*started, "y") == "v1");
 }
 
+// Guards against recording every stream at a daemon that has listed the baselines before another
+// one wrote that of the service.
+BOOST_AUTO_TEST_CASE(stream_baselineIsWrittenAfterTheListing_isNotRecorded)
+{
+    const auto written = std::exchange(store.baselines, {});
+    Daemon late(io, store, clocks, directory, config, false);
+    late.registry.update();
+    store.baselines = written;
+    clocks.advance(milliseconds(1000));
+    late.registry.update();
+    BOOST_TEST(!late.registry.baselineOf("s"));
+    clocks.advance(milliseconds(1000));
+    late.registry.update();
+    BOOST_TEST(late.registry.baselineOf("s").value_or("") == "v1");
+    const unsigned calls = store.calls;
+    clocks.advance(milliseconds(5000));
+    late.registry.update();
+    begin(late, "x", "v1");
+    BOOST_TEST(store.appends == 0U);
+    BOOST_TEST(store.calls == calls);
+}
+
 // Guards against a first event that reaches the caller before its stream can be found.
 BOOST_AUTO_TEST_CASE(firstEvent_recordIsNotAcknowledged_isHeld)
 {
--- a/packages/streams/tests/versionhistory_test.cpp
+++ b/packages/streams/tests/versionhistory_test.cpp
@@ -55,6 +55,19 @@
     BOOST_TEST(!history.isOnlyVersion("s", "v2", now));
 }
 
+// Guards against look-ups in the first seconds of the whole system, when no stream can be older
+// than its daemons.
+BOOST_AUTO_TEST_CASE(onlyVersion_systemStartsForTheFirstTime_isKnownAtOnce)
+{
+    VersionHistory first(true);
+    add("i-1", "v1");
+    first.observe(directory, now);
+    BOOST_TEST(first.isOnlyVersion("s", "v1", now));
+    add("i-2", "v2");
+    first.observe(directory, now);
+    BOOST_TEST(!first.isOnlyVersion("s", "v1", now));
+}
+
 // Guards against forgetting a version whose streams may still be resumed.
 BOOST_AUTO_TEST_CASE(onlyVersion_otherLeft_holdsAfterTheLifetimeOfItsStreams)
 {
