Platform: servers that a restored store lacks are kept by all daemons

A daemon that started while the store came back from an older copy dropped servers that it had just learned from a peer: its first response named the later era already, so it noticed no restore, and the servers that the copy lacked were removed at once. The same happened at a daemon that took the complete state of one that had started from the copy. Callers got 503 until the servers had written their entries again.

The directory now defers the removal of a server that it knows from an earlier era only, whoever reports that it is missing: for the relist period, unless daemons that read the restored store still lack it. So the rule no longer depends on who noticed the restore.

Found in review.

--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -104,11 +104,14 @@
     Entry &entry = found->second;
     if (position <= entry.position)
         return DirectoryChange::Stale;
-    if (!isRelisting(now))
+    const bool isPending = entry.removeAt && now < *entry.removeAt;
+    const bool isFromEarlierEra = eraOf(position) > eraOf(entry.position);
+    const bool isRelisted = isRelisting(now);
+    if (!isRelisted && !isPending && !isFromEarlierEra)
         return removeImmediately(id, position);
     entry.position = position;
     if (!entry.removeAt)
-        entry.removeAt = (registryAvailable_ && registryRecoveredAt_ ? *registryRecoveredAt_ : now)
+        entry.removeAt = (isRelisted && registryAvailable_ ? *registryRecoveredAt_ : now)
                          + kRelistPeriod;
     return DirectoryChange::RemovalPending;
 }
@@ -118,7 +121,9 @@
     const auto found = entries_.find(id);
     if (found == entries_.end())
         return DirectoryChange::Unknown;
-    if (position <= found->second.position)
+    // A deferred removal has set the position, so the same position confirms it.
+    const Entry &entry = found->second;
+    if (position < entry.position || (position == entry.position && !entry.removeAt))
         return DirectoryChange::Stale;
     found->second.position = position;
     erase(found->first);
