--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -91,7 +91,7 @@
         return found->second.version;
     if (history_.namesNoVersion(service))
         return std::string();
-    const std::optional<std::string> baseline = baselineOf(service);
+    std::optional<std::string> baseline = baselineOf(service);
     if (baseline && history_.isOnlyVersion(service, *baseline, options_.now()))
         return baseline;
     return std::nullopt;
@@ -272,6 +272,7 @@
     if (groups.empty())
         return;
     std::vector<OriginRecord> records;
+    records.reserve(groups.size());
     for (auto &[key, group] : groups)
         records.push_back(std::move(group));
     isAppending_ = true;
