Streams: no other version is assumed for a stream of a known baseline

While the store did not respond, a daemon that had just started assumed the only version that it saw, if one of its servers was old enough. It did so although it knew that the baseline of the service was another one, whose servers had left: streams of the baseline went on at the version that had replaced it.

The version is assumed only if it is the known baseline, or if none is known. The new test of OriginRegistry fails on (v2 in place of unknown) and passes now.

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -164,6 +164,8 @@
     // Counts one of the two reads of a lookup; the second one answers the queries.
     void lookupStepEnded(bool succeeded);
     void answer(const Query &query, bool isComplete);
+    // The version that is assumed if the store does not respond; empty if none can be.
+    std::optional<std::string> assumedVersion(const std::string &service) const;
     // Answers the queries whose time is over.
     void expireQueries();
     void scheduleExpiry();
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -178,13 +178,19 @@
 {
     std::optional<std::string> version = knownVersion(query.stream, query.service);
     if (!version)
-        version = isComplete ? baselineOf(query.service)
-                             : history_.establishedVersion(query.service, options_.unixNow());
+        version = isComplete ? baselineOf(query.service) : assumedVersion(query.service);
     if (!version)
         ++counters_.unknown;
     query.handler(std::move(version));
 }
 
+std::optional<std::string> OriginRegistry::assumedVersion(const std::string &service) const
+{
+    const std::optional<std::string> baseline = baselineOf(service);
+    std::optional<std::string> version = history_.establishedVersion(service, options_.unixNow());
+    return !baseline || baseline == version ? version : std::nullopt;
+}
+
 std::optional<std::string> OriginRegistry::preferredVersion(const std::string &service) const
 {
     std::optional<std::string> baseline = baselineOf(service);
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -458,6 +458,20 @@
     BOOST_TEST(find(*started, "y") == "v1");
 }
 
+// Guards against joining a stream of the baseline version to another one that alone has servers
+// while the store does not respond.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayAndOnlyAnotherVersionServes_isUnknown)
+{
+    add("i-2", "v2", 2000);
+    directory.removeImmediately("i-1", ++position);
+    clocks.unixNow += 1000 * kStreamLifetime.count();
+    const auto started = startDaemon();
+    started->registry.update();
+    BOOST_REQUIRE(started->registry.baselineOf("s").value_or("") == "v1");
+    store.isAvailable = false;
+    BOOST_TEST(find(*started, "x") == "unknown");
+}
+
 // Guards against refusing streams in deployments whose servers name no version.
 BOOST_AUTO_TEST_CASE(find_serversNameNoVersion_isEmptyWithoutACall)
 {
