Streams: a baseline is listed again when its version comes back

A daemon lists the baselines when it starts and keeps them. Another daemon moves the baseline of a service once its version has had no server for 30 s. When that version came back, for example by a rollback, a daemon that had started less than 30 s ago still took it for the baseline and recorded none of its streams; the others took these for streams of the new baseline and joined the two versions.

A daemon that has seen the version of a baseline without servers now relies on it only after it has listed the baselines again; until then it records the streams. The new test of OriginRegistry fails on (v2 in place of v1) and passes now.

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -104,6 +104,9 @@
         std::uint64_t generation = 0;
         // The generation that the store lists.
         std::uint64_t listedGeneration = 0;
+        // No server has had the version at some time since the baseline was listed, so another
+        // daemon may have moved it.
+        bool mayHaveMoved = false;
     };
     // A stream whose version this daemon knows.
     struct Stream
@@ -137,8 +140,13 @@
     // The services whose streams may be resumed.
     std::set<std::string> resumableServices() const;
 
-    // True if the baseline of a service whose streams may be resumed is not known.
-    bool lacksBaseline(const std::set<std::string> &services) const;
+    // The baseline of a service, if no other daemon can have moved it; empty otherwise.
+    std::optional<std::string> currentBaseline(const std::string &service) const;
+    // Notes the baselines whose versions have no server.
+    void markBaselinesWithoutServer();
+    // True if the baseline of a service whose streams may be resumed is not known, or may have moved
+    // although its version has servers.
+    bool needsListing(const std::set<std::string> &services) const;
     void listBaselines();
     void baselinesListed(const std::optional<duties::LogListing> &listing);
     void recordBaseline(const std::string &service, const Baseline &baseline);
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -64,6 +64,7 @@
 {
     const auto now = options_.now();
     history_.observe(*options_.directory, now);
+    markBaselinesWithoutServer();
     expireStreams();
     const std::set<std::string> services = resumableServices();
     const bool isNeeded = std::any_of(services.begin(), services.end(), [this](const auto &name) {
@@ -72,17 +73,34 @@
     if (!isNeeded)
         return;
     proposeBaselines();
-    if ((!areBaselinesListed_ || lacksBaseline(services)) && now >= nextListing_)
+    if ((!areBaselinesListed_ || needsListing(services)) && now >= nextListing_)
         listBaselines();
 }
 
-bool OriginRegistry::lacksBaseline(const std::set<std::string> &services) const
+bool OriginRegistry::needsListing(const std::set<std::string> &services) const
 {
     return std::any_of(services.begin(), services.end(), [this](const auto &name) {
-        return !baselines_.contains(name) && history_.oldestVersion(name);
+        const auto found = baselines_.find(name);
+        if (found == baselines_.end())
+            return history_.oldestVersion(name).has_value();
+        return found->second.mayHaveMoved && history_.isListed(name, found->second.version);
     });
 }
 
+void OriginRegistry::markBaselinesWithoutServer()
+{
+    for (auto &[service, baseline] : baselines_)
+        baseline.mayHaveMoved = baseline.mayHaveMoved
+                                || !history_.isListed(service, baseline.version);
+}
+
+std::optional<std::string> OriginRegistry::currentBaseline(const std::string &service) const
+{
+    const auto found = baselines_.find(service);
+    const bool isCurrent = found != baselines_.end() && !found->second.mayHaveMoved;
+    return isCurrent ? std::optional(found->second.version) : std::nullopt;
+}
+
 std::optional<std::string> OriginRegistry::knownVersion(std::uint64_t stream,
                                                         const std::string &service) const
 {
@@ -91,7 +109,7 @@
         return found->second.version;
     if (history_.namesNoVersion(service))
         return std::string();
-    std::optional<std::string> baseline = baselineOf(service);
+    std::optional<std::string> baseline = currentBaseline(service);
     if (baseline && history_.isOnlyVersion(service, *baseline, options_.now()))
         return baseline;
     return std::nullopt;
@@ -213,7 +231,7 @@
     stream.isOwn = true;
     // A record of a version that the stream was sent to before has to be replaced, also by one of
     // the baseline version.
-    const bool isBaseline = baselineOf(origin.service) == origin.softwareVersion;
+    const bool isBaseline = currentBaseline(origin.service) == origin.softwareVersion;
     if (sentBefore ? !sameVersion : !isBaseline)
         setPending(id, stream);
 }
@@ -400,10 +418,13 @@
 {
     Baseline &known = baselines_[service];
     known.listedGeneration = baseline.generation;
+    if (baseline.generation == known.generation)
+        known.mayHaveMoved = !history_.isListed(service, known.version);
     // A store that was restored lists an earlier one.
     if (baseline.generation <= known.generation)
         return;
     known = baseline;
+    known.mayHaveMoved = !history_.isListed(service, known.version);
     proposalTimes_.erase(service);
     logEvent(LogLevel::Info, "stream_baseline",
              { { "service", service },
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -472,6 +472,26 @@
     BOOST_TEST(find(*started, "x") == "unknown");
 }
 
+// Guards against a daemon that started lately and takes streams of a version that has come back for
+// streams of the baseline, although another daemon has moved the baseline meanwhile.
+BOOST_AUTO_TEST_CASE(stream_ofFormerBaselineVersionThatReturns_isRecorded)
+{
+    add("i-2", "v2", 2000);
+    directory.removeImmediately("i-1", ++position);
+    updateAfter(kStreamLifetime - milliseconds(1000));
+    const auto started = startDaemon();
+    started->registry.update();
+    BOOST_REQUIRE(started->registry.baselineOf("s").value_or("") == "v1");
+    for (int i = 0; i < 4; ++i)
+        updateAfter(milliseconds(1000));
+    BOOST_REQUIRE(first->registry.baselineOf("s").value_or("") == "v2");
+    add("i-3", "v1", 3000);
+    started->registry.update();
+    updateAfter(milliseconds(0));
+    begin(*started, "x", "v1");
+    BOOST_TEST(find(*first, "x") == "v1");
+}
+
 // Guards against refusing streams in deployments whose servers name no version.
 BOOST_AUTO_TEST_CASE(find_serversNameNoVersion_isEmptyWithoutACall)
 {
