Streams: a missing record proves nothing just after a restore of the store

The records of streams are written again by the daemons that began them, once these notice that the store came back from an older copy. A take-up that was looked up before found no record, and the stream was taken for one of the baseline version. A daemon that does not read the store noticed the restore only with its next call to it, if there was one.

For 2.5 s after a daemon has noticed a restore, a stream whose record is missing is unknown to it: the look-up is repeated until the time of the query is over, and then the request is refused with 503 and has not run.

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -59,6 +59,9 @@
         // Other daemons that see the same need for a baseline write it at other times within this
         // time.
         std::chrono::milliseconds baselineSpread{ 1500 };
+        // Within this time after a restore of the store, every daemon has noticed it and has written
+        // its lost records again.
+        std::chrono::milliseconds rewriteTime{ 2500 };
         std::function<Clock::time_point()> now = [] { return Clock::now(); };
         // The wall clock, in milliseconds since the Unix epoch.
         std::function<std::int64_t()> unixNow = [] {
@@ -90,8 +93,10 @@
     // To be called after the configuration or the directory of servers has changed, and at least
     // once a second.
     void update();
-    // The store was restored from an older copy: what it has lost is written again.
-    void onStoreRestored();
+    // Reports the newest era of the store's log that this daemon knows; 0 if none. A later era than
+    // the known one means that the store was restored from an older copy: what it has lost is
+    // written again.
+    void observeEra(std::uint64_t era);
 
     const Counters &counters() const { return counters_; }
     // The baseline of a service; empty if none is known.
@@ -174,6 +179,7 @@
     void answer(const Query &query, bool isComplete);
     // The version that is assumed if the store does not respond; empty if none can be.
     std::optional<std::string> assumedVersion(const std::string &service) const;
+    void onStoreRestored();
     // Answers the queries whose time is over.
     void expireQueries();
     void scheduleExpiry();
@@ -209,6 +215,9 @@
     // Reads of the lookup in progress that have not ended.
     unsigned lookupSteps_ = 0;
     bool hasLookupFailed_ = false;
+    std::uint64_t era_ = 0;
+    // Until then a stream whose record is missing may have lost it with the restored store.
+    Clock::time_point completeFrom_;
 
     Counters counters_;
     boost::asio::steady_timer batchTimer_;
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -177,19 +177,25 @@
     if (--lookupSteps_ > 0)
         return;
     std::list<Query> queries = std::exchange(currentQueries_, {});
-    if (hasLookupFailed_) {
-        // They are asked again until their time is over.
-        nextQueries_.splice(nextQueries_.begin(), queries);
+    const bool isComplete = !hasLookupFailed_ && options_.now() >= completeFrom_;
+    for (auto query = queries.begin(); query != queries.end();) {
+        const auto next = std::next(query);
+        // The others are asked again until their time is over.
+        if (!isComplete && !knownVersion(query->stream, query->service))
+            nextQueries_.splice(nextQueries_.begin(), queries, query);
+        query = next;
+    }
+    if (!isComplete && !nextQueries_.empty()) {
         listTimer_.expires_after(options_.retryDelay);
         listTimer_.async_wait([this](boost::system::error_code error) {
             if (!error)
                 startLookup();
         });
-        return;
     }
     for (const Query &query : queries)
-        answer(query, true);
-    startLookup();
+        answer(query, isComplete);
+    if (isComplete)
+        startLookup();
 }
 
 void OriginRegistry::answer(const Query &query, bool isComplete)
@@ -204,6 +210,9 @@
 
 std::optional<std::string> OriginRegistry::assumedVersion(const std::string &service) const
 {
+    // The lost record of a stream may name any version.
+    if (options_.now() < completeFrom_)
+        return std::nullopt;
     const std::optional<std::string> baseline = baselineOf(service);
     std::optional<std::string> version = history_.establishedVersion(service, options_.unixNow());
     return !baseline || baseline == version ? version : std::nullopt;
@@ -507,8 +516,16 @@
     recordBaseline(service, baseline);
 }
 
+void OriginRegistry::observeEra(std::uint64_t era)
+{
+    const std::uint64_t previous = std::exchange(era_, std::max(era_, era));
+    if (previous > 0 && era > previous)
+        onStoreRestored();
+}
+
 void OriginRegistry::onStoreRestored()
 {
+    completeFrom_ = options_.now() + options_.rewriteTime;
     options_.records->restart();
     areBaselinesListed_ = false;
     nextListing_ = options_.now();
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -182,6 +182,7 @@
         BOOST_REQUIRE(first->registry.baselineOf("s").value_or("") == "v1");
         second = startDaemon();
         second->registry.update();
+        observeEra(1);
     }
 
     std::unique_ptr<Daemon> startDaemon()
@@ -207,6 +208,12 @@
             daemon->registry.update();
     }
 
+    void observeEra(std::uint64_t era)
+    {
+        for (Daemon *daemon : { first.get(), second.get() })
+            daemon->registry.observeEra(era);
+    }
+
     // Returns the version that the daemon finds within the time limit, or "unknown".
     std::string find(Daemon &daemon, const std::string &request)
     {
@@ -447,8 +454,7 @@
     begin(*first, "x", "v2");
     store.records.clear();
     store.baselines.clear();
-    for (Daemon *daemon : { first.get(), second.get() })
-        daemon->registry.onStoreRestored();
+    observeEra(2);
     updateAfter(milliseconds(100));
     updateAfter(milliseconds(100));
     BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
@@ -458,18 +464,22 @@
     BOOST_TEST(find(*started, "y") == "v1");
 }
 
-// Guards against joining a stream of the baseline version to another one that alone has servers
-// while the store does not respond.
-BOOST_AUTO_TEST_CASE(find_storeIsAwayAndOnlyAnotherVersionServes_isUnknown)
+// Guards against taking a stream for one of the baseline version because the restored store has lost
+// its record: the daemon that began it may not have written it again yet.
+BOOST_AUTO_TEST_CASE(find_storeHasLostTheRecord_isUnknownUntilItIsWrittenAgain)
 {
     add("i-2", "v2", 2000);
-    directory.removeImmediately("i-1", ++position);
-    clocks.unixNow += 1000 * kStreamLifetime.count();
-    const auto started = startDaemon();
-    started->registry.update();
-    BOOST_REQUIRE(started->registry.baselineOf("s").value_or("") == "v1");
-    store.isAvailable = false;
-    BOOST_TEST(find(*started, "x") == "unknown");
+    updateAfter(milliseconds(100));
+    begin(*first, "x", "v2");
+    store.records.clear();
+    second->registry.observeEra(2);
+    BOOST_TEST(find(*second, "x") == "unknown");
+    first->registry.observeEra(2);
+    BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
+    BOOST_TEST(find(*second, "x") == "v2");
+    BOOST_TEST(find(*second, "y") == "unknown");
+    clocks.advance(milliseconds(2500));
+    BOOST_TEST(find(*second, "y") == "v1");
 }
 
 // Guards against a daemon that started lately and takes streams of a version that has come back for
@@ -492,6 +502,20 @@
     BOOST_TEST(find(*first, "x") == "v1");
 }
 
+// Guards against joining a stream of the baseline version to another one that alone has servers
+// while the store does not respond.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayAndOnlyAnotherVersionServes_isUnknown)
+{
+    add("i-2", "v2", 2000);
+    directory.removeImmediately("i-1", ++position);
+    clocks.unixNow += 1000 * kStreamLifetime.count();
+    const auto started = startDaemon();
+    started->registry.update();
+    BOOST_REQUIRE(started->registry.baselineOf("s").value_or("") == "v1");
+    store.isAvailable = false;
+    BOOST_TEST(find(*started, "x") == "unknown");
+}
+
 // Guards against refusing streams in deployments whose servers name no version.
 BOOST_AUTO_TEST_CASE(find_serversNameNoVersion_isEmptyWithoutACall)
 {
