Tests: a stream without its record is not taken for the baseline (known red)

The store did not respond, so the first event of a stream was passed on without its record, and the daemon was killed before it could write it. Another daemon takes the stream for one of the baseline version. Holding the event until the store is back would stop all streams of the version for as long; not decided.

--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -516,6 +516,19 @@
     BOOST_TEST(find(*started, "x") == "unknown");
 }
 
+// Guards against joining a stream whose first event was passed on without a record: the store did
+// not respond, and the daemon that began the stream was killed before it could write the record.
+BOOST_AUTO_TEST_CASE(stream_passedOnWithoutItsRecord_isNotTakenForTheBaseline)
+{
+    add("i-2", "v2", 2000);
+    updateAfter(milliseconds(100));
+    store.isAvailable = false;
+    begin(*first, "x", "v2");
+    first.reset();
+    store.isAvailable = true;
+    BOOST_TEST(find(*second, "x") != "v1");
+}
+
 // Guards against refusing streams in deployments whose servers name no version.
 BOOST_AUTO_TEST_CASE(find_serversNameNoVersion_isEmptyWithoutACall)
 {
