Streams: a stream that the caller does not name is not taken for the baseline

A take-up without Resumes was looked up under the empty id, found no record and counted as a stream of the baseline version, also while two versions served.

The new test fails on (v1 in place of unknown) and passes now.

--- a/packages/routing/include/auburn/routing/streamorigins.h
+++ b/packages/routing/include/auburn/routing/streamorigins.h
@@ -26,8 +26,9 @@
 
     virtual ~StreamOrigins() = default;
 
-    // Finds the version that began the stream of this request. Calls the handler exactly once,
-    // either immediately or later on the same thread, at the latest after the time limit.
+    // Finds the version that began the stream of this request; the id is empty if the caller names
+    // none. Calls the handler exactly once, either immediately or later on the same thread, at the
+    // latest after the time limit.
     virtual void find(const std::string &requestId, const std::string &service,
                       std::chrono::milliseconds timeLimit, VersionHandler handler) = 0;
     // The version whose servers should begin a new stream of the service: another one has appeared
--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -59,8 +59,8 @@
         // Other daemons that see the same need for a baseline write it at other times within this
         // time.
         std::chrono::milliseconds baselineSpread{ 1500 };
-        // Within this time after a restore of the store, every daemon has noticed it and has written
-        // its lost records again.
+        // Within this time after a restore of the store, every daemon has noticed it and has
+        // written its lost records again.
         std::chrono::milliseconds rewriteTime{ 2500 };
         std::function<Clock::time_point()> now = [] { return Clock::now(); };
         // The wall clock, in milliseconds since the Unix epoch.
@@ -149,8 +149,8 @@
     std::optional<std::string> currentBaseline(const std::string &service) const;
     // Notes the baselines whose versions have no server.
     void markBaselinesWithoutServer();
-    // True if the baseline of a service whose streams may be resumed is not known, or may have moved
-    // although its version has servers.
+    // True if the baseline of a service whose streams may be resumed is not known, or may have
+    // moved although its version has servers.
     bool needsListing(const std::set<std::string> &services) const;
     void listBaselines();
     void baselinesListed(const std::optional<duties::LogListing> &listing);
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -123,6 +123,12 @@
         handler(std::move(version));
         return;
     }
+    // A caller that does not name the stream may resume it only if one version has served.
+    if (requestId.empty()) {
+        ++counters_.unknown;
+        handler(std::nullopt);
+        return;
+    }
     ++counters_.lookups;
     nextQueries_.push_back({ .stream = stream,
                              .service = service,
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -464,8 +464,8 @@
     BOOST_TEST(find(*started, "y") == "v1");
 }
 
-// Guards against taking a stream for one of the baseline version because the restored store has lost
-// its record: the daemon that began it may not have written it again yet.
+// Guards against taking a stream for one of the baseline version because the restored store has
+// lost its record: the daemon that began it may not have written it again yet.
 BOOST_AUTO_TEST_CASE(find_storeHasLostTheRecord_isUnknownUntilItIsWrittenAgain)
 {
     add("i-2", "v2", 2000);
@@ -516,6 +516,16 @@
     BOOST_TEST(find(*started, "x") == "unknown");
 }
 
+// Guards against taking a stream that the caller does not name for one of the baseline version.
+BOOST_AUTO_TEST_CASE(find_callerNamesNoStream_isKnownOnlyIfOneVersionServes)
+{
+    updateAfter(kStreamLifetime);
+    BOOST_TEST(find(*first, "") == "v1");
+    add("i-2", "v2", 2000);
+    updateAfter(milliseconds(100));
+    BOOST_TEST(find(*first, "") == "unknown");
+}
+
 // Guards against joining a stream whose first event was passed on without a record: the store did
 // not respond, and the daemon that began the stream was killed before it could write the record.
 BOOST_AUTO_TEST_CASE(stream_passedOnWithoutItsRecord_isNotTakenForTheBaseline)
