--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -80,8 +80,8 @@
     // by its position and by the server's start time and sequence. Positions of a later era say
     // nothing on that: a registry that was restored from an older copy repeats old records there.
     DirectoryChange update(BackendServer server, LogPosition position);
-    // Applies the removal of an id, or a newest record that names no usable server. The removal of a
-    // server that is known from an earlier era only is deferred: the registry may have lost the
+    // Applies the removal of an id, or a newest record that names no usable server. The removal of
+    // a server that is known from an earlier era only is deferred: the registry may have lost the
     // entry when it was restored.
     DirectoryChange remove(std::string_view id, LogPosition position, TimePoint now);
     // Like remove(), for a source that knows that the server will not be listed again: the removal
