Routing: entries and lists of servers are compared within one era

Review of found cases in which positions of two eras still decided what is newer, or in which the new rule went too far.

- A removal that the registry states was deferred after the relist period too, if the server was known from an earlier era: requests went to a server that was gone.
- A deferred removal never ended at a daemon without the store.
- A daemon that had learned of the later era from a peer dropped live servers when it took the complete state of one that had started from the copy, and such a state ended a deferral early.
- An entry with a higher sequence lost to the one that the copy repeats, if its position was of an earlier era: a draining server got requests.
- An empty restored topic: the position before offset 0 belongs to the era before.

What a list lacks is now a call of its own, which knows whose list it is, and a deferred removal keeps its position and source apart from the entry. Between eras start and sequence decide, in both directions.

--- a/packages/peers/include/auburn/peers/documenttopic.h
+++ b/packages/peers/include/auburn/peers/documenttopic.h
@@ -38,8 +38,8 @@
 class DocumentTopic
 {
 public:
-    // Stores the document unless a record with the same or a higher position is known; returns
-    // false in that case.
+    // Stores the document unless a record with a higher position is known; returns false in that
+    // case.
     bool put(std::string_view key, std::string_view value, LogPosition position,
              std::uint64_t fingerprint);
     void erase(std::string_view key, LogPosition position);
--- a/packages/peers/src/documenttopic.cpp
+++ b/packages/peers/src/documenttopic.cpp
@@ -18,7 +18,7 @@
 {
     const auto [found, isNew] = documents_.try_emplace(std::string(key));
     Document &document = found->second;
-    if (!isNew && document.position >= position)
+    if (!isNew && document.position > position)
         return false;
     if (isNew || document.fingerprint != fingerprint) {
         if (!isNew)
--- a/packages/routing/include/auburn/routing/serverdirectory.h
+++ b/packages/routing/include/auburn/routing/serverdirectory.h
@@ -2,8 +2,9 @@
 // registry.
 //
 // While the registry is unavailable it drops the entries of live servers, and it lists them again
-// shortly after it recovers. Until then such a server keeps receiving requests. A removal while the
-// registry is available takes effect at once, because some servers leave without announcing it.
+// shortly after it recovers. Until then such a server keeps receiving requests. So does one that is
+// missing from a registry that was restored from an older copy. Any other removal takes effect at
+// once, because some servers leave without announcing it.
 #pragma once
 
 #include "auburn/core/logposition.h"
@@ -71,22 +72,32 @@
 
 std::string_view directoryChangeName(DirectoryChange change);
 
+// Who has listed all servers that it knows.
+enum class ServerListSource { Registry, Peer };
+
 class ServerDirectory
 {
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
     // Applies one record of the registry. A record that is not newer than the known one is ignored,
-    // by its position and by the server's start time and sequence. Positions of a later era say
-    // nothing on that: a registry that was restored from an older copy repeats old records there.
+    // by its position and by the server's start time and sequence. Positions of another era say
+    // nothing on that: a registry that was restored from an older copy repeats old records.
     DirectoryChange update(BackendServer server, LogPosition position);
-    // Applies the removal of an id, or a newest record that names no usable server. The removal of
-    // a server that is known from an earlier era only is deferred: the registry may have lost the
-    // entry when it was restored.
+    // Applies the removal of an id, or a newest record that names no usable server.
     DirectoryChange remove(std::string_view id, LogPosition position, TimePoint now);
+    // Applies that a complete list of the records before `end` lacks the id. The removal is
+    // deferred if the server is known from an earlier era only, because a restored registry has
+    // lost the newest entries. A peer keeps servers that the registry may list again, so its list
+    // is not doubted otherwise.
+    DirectoryChange removeMissing(std::string_view id, LogPosition end, ServerListSource source,
+                                  TimePoint now);
     // Like remove(), for a source that knows that the server will not be listed again: the removal
     // is never deferred.
     DirectoryChange removeImmediately(std::string_view id, LogPosition position);
+    // Ends the deferred removals of servers that a peer's list lacked: another peer that is as far
+    // lists them.
+    void keepMissingFromPeers();
 
     // The registry did not answer or cannot serve. remove() defers removals until the relist period
     // after the registry's recovery ends.
@@ -126,12 +137,19 @@
     std::size_t size() const { return entries_.size(); }
 
 private:
+    // A removal that waits for the server to be listed again.
+    struct DeferredRemoval
+    {
+        LogPosition position = 0;
+        TimePoint dueAt;
+        ServerListSource source = ServerListSource::Registry;
+    };
+
     struct Entry
     {
         BackendServer server;
         LogPosition position = 0;
-        // Set while a removal is deferred.
-        std::optional<TimePoint> removeAt;
+        std::optional<DeferredRemoval> removal;
     };
 
     // The last entry of a server that was removed, and the position of its removal.
@@ -143,6 +161,10 @@
     };
 
     void erase(const std::string &id);
+    // Returns true if the record is no newer than the entry, or than the deferred removal.
+    static bool isStale(const BackendServer &server, LogPosition position, const Entry &entry);
+    void deferRemoval(Entry &entry, LogPosition position, ServerListSource source,
+                      TimePoint now) const;
     // Returns true if the record was written before the server was removed.
     static bool isBeforeRemoval(const BackendServer &server, LogPosition position,
                                 const Removal &removal);
--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -12,11 +12,10 @@
 // a day.
 constexpr std::size_t kMaxRememberedRemovals = 10000;
 
-bool isOlder(const BackendServer &update, const BackendServer &known)
+bool isOlder(const BackendServer &left, const BackendServer &right)
 {
-    if (update.startedAtUnixMs != known.startedAtUnixMs)
-        return update.startedAtUnixMs < known.startedAtUnixMs;
-    return update.sequence < known.sequence;
+    return std::tie(left.startedAtUnixMs, left.sequence)
+           < std::tie(right.startedAtUnixMs, right.sequence);
 }
 
 bool hasSameRouting(const BackendServer &left, const BackendServer &right)
@@ -62,12 +61,21 @@
 bool ServerDirectory::isBeforeRemoval(const BackendServer &server, LogPosition position,
                                       const Removal &removal)
 {
-    if (eraOf(position) <= eraOf(removal.position))
+    if (eraOf(position) == eraOf(removal.position))
         return position <= removal.position;
     return std::tie(server.startedAtUnixMs, server.sequence)
            <= std::tie(removal.startedAtUnixMs, removal.sequence);
 }
 
+bool ServerDirectory::isStale(const BackendServer &server, LogPosition position, const Entry &entry)
+{
+    const LogPosition known = entry.removal ? std::max(entry.position, entry.removal->position)
+                                            : entry.position;
+    if (eraOf(position) == eraOf(known))
+        return position <= known || isOlder(server, entry.server);
+    return position < known ? !isOlder(entry.server, server) : isOlder(server, entry.server);
+}
+
 DirectoryChange ServerDirectory::update(BackendServer server, LogPosition position)
 {
     const auto removed = removals_.find(server.id);
@@ -83,14 +91,14 @@
         return DirectoryChange::Added;
     }
     Entry &entry = found->second;
-    if (position <= entry.position || isOlder(server, entry.server))
+    if (isStale(server, position, entry))
         return DirectoryChange::Stale;
     const bool restarted = server.startedAtUnixMs > entry.server.startedAtUnixMs;
-    const bool unchanged = hasSameRouting(server, entry.server) && !entry.removeAt;
+    const bool unchanged = hasSameRouting(server, entry.server) && !entry.removal;
     keepEarlierLeaving(server, entry.server);
     entry.server = std::move(server);
-    entry.position = position;
-    entry.removeAt.reset();
+    entry.position = std::max(entry.position, position);
+    entry.removal.reset();
     if (restarted)
         return DirectoryChange::Added;
     return unchanged ? DirectoryChange::Refreshed : DirectoryChange::Changed;
@@ -104,39 +112,74 @@
     Entry &entry = found->second;
     if (position <= entry.position)
         return DirectoryChange::Stale;
-    const bool isPending = entry.removeAt && now < *entry.removeAt;
-    const bool isFromEarlierEra = eraOf(position) > eraOf(entry.position);
-    const bool isRelisted = isRelisting(now);
-    if (!isRelisted && !isPending && !isFromEarlierEra)
+    if (!isRelisting(now))
         return removeImmediately(id, position);
     entry.position = position;
-    if (!entry.removeAt)
-        entry.removeAt = (isRelisted && registryAvailable_ ? *registryRecoveredAt_ : now)
-                         + kRelistPeriod;
+    deferRemoval(entry, position, ServerListSource::Registry, now);
+    return DirectoryChange::RemovalPending;
+}
+
+DirectoryChange ServerDirectory::removeMissing(std::string_view id, LogPosition end,
+                                               ServerListSource source, TimePoint now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return DirectoryChange::Unknown;
+    Entry &entry = found->second;
+    if (end <= entry.position)
+        return DirectoryChange::Stale;
+    const LogPosition last = end - 1;
+    const bool isPending = entry.removal && now < entry.removal->dueAt;
+    const bool isFromEarlierEra = eraOf(end) > eraOf(entry.position);
+    const bool isDeferred = source == ServerListSource::Registry && isRelisting(now);
+    if (!isPending && !isFromEarlierEra && !isDeferred)
+        return removeImmediately(id, last);
+    deferRemoval(entry, last, source, now);
     return DirectoryChange::RemovalPending;
 }
 
+void ServerDirectory::deferRemoval(Entry &entry, LogPosition position, ServerListSource source,
+                                   TimePoint now) const
+{
+    if (entry.removal) {
+        entry.removal->position = std::max(entry.removal->position, position);
+        return;
+    }
+    const bool inRelistPeriod = registryAvailable_ && isRelisting(now);
+    entry.removal = DeferredRemoval{ .position = position,
+                                     .dueAt = (inRelistPeriod ? *registryRecoveredAt_ : now)
+                                              + kRelistPeriod,
+                                     .source = source };
+}
+
 DirectoryChange ServerDirectory::removeImmediately(std::string_view id, LogPosition position)
 {
     const auto found = entries_.find(id);
     if (found == entries_.end())
         return DirectoryChange::Unknown;
-    // A deferred removal has set the position, so the same position confirms it.
-    const Entry &entry = found->second;
-    if (position < entry.position || (position == entry.position && !entry.removeAt))
+    if (position <= found->second.position)
         return DirectoryChange::Stale;
     found->second.position = position;
     erase(found->first);
     return DirectoryChange::Removed;
 }
 
+void ServerDirectory::keepMissingFromPeers()
+{
+    for (auto &[id, entry] : entries_) {
+        if (entry.removal && entry.removal->source == ServerListSource::Peer)
+            entry.removal.reset();
+    }
+}
+
 void ServerDirectory::erase(const std::string &id)
 {
     const auto found = entries_.find(id);
     if (removals_.size() >= kMaxRememberedRemovals)
         removals_.clear();
     const Entry &entry = found->second;
-    removals_.insert_or_assign(id, Removal{ .position = entry.position,
+    const LogPosition removalPosition = entry.removal ? entry.removal->position : 0;
+    removals_.insert_or_assign(id, Removal{ .position = std::max(entry.position, removalPosition),
                                             .startedAtUnixMs = entry.server.startedAtUnixMs,
                                             .sequence = entry.server.sequence });
     entries_.erase(found);
@@ -162,8 +205,8 @@
     registryAvailable_ = true;
     registryRecoveredAt_ = now;
     for (auto &[id, entry] : entries_) {
-        if (entry.removeAt)
-            entry.removeAt = now + kRelistPeriod;
+        if (entry.removal)
+            entry.removal->dueAt = now + kRelistPeriod;
     }
 }
 
@@ -173,8 +216,8 @@
         return;
     registryRecoveredAt_.reset();
     for (auto &[id, entry] : entries_) {
-        if (entry.removeAt)
-            entry.removeAt = now;
+        if (entry.removal)
+            entry.removal->dueAt = now;
     }
 }
 
@@ -187,10 +230,11 @@
 std::vector<std::string> ServerDirectory::removeExpired(TimePoint now)
 {
     std::vector<std::string> expired;
-    if (!registryAvailable_)
-        return expired;
     for (const auto &[id, entry] : entries_) {
-        if (entry.removeAt && *entry.removeAt <= now)
+        const bool isAwaited = entry.removal
+                               && (registryAvailable_
+                                   || entry.removal->source == ServerListSource::Peer);
+        if (isAwaited && entry.removal->dueAt <= now)
             expired.push_back(id);
     }
     for (const std::string &id : expired)
--- a/packages/routing/tests/serverdirectory_test.cpp
+++ b/packages/routing/tests/serverdirectory_test.cpp
@@ -113,6 +113,29 @@
     BOOST_TEST(ready() == 0U);
 }
 
+// Guards against a draining server that is used because the copy lists its earlier entry and
+// the newer one is known at a position of the earlier era only.
+BOOST_AUTO_TEST_CASE(update_newerSequenceAtPositionOfEarlierEra_isChanged)
+{
+    directory.update(server("s", 9), logPosition(2, 40));
+    BackendServer draining = server("s", 10);
+    draining.state = ServerState::Draining;
+    BOOST_TEST((directory.update(draining, logPosition(1, 90)) == DirectoryChange::Changed));
+    BOOST_TEST(ready() == 0U);
+}
+
+// Guards against a restarted server that is not added because a daemon has recorded its
+// removal at a position of a later era.
+BOOST_AUTO_TEST_CASE(update_restartedServerAtPositionOfEarlierEra_isAdded)
+{
+    directory.update(server("s", 9), logPosition(1, 40));
+    directory.remove("s", logPosition(2, 5), now);
+    directory.removeImmediately("s", logPosition(2, 6));
+    BackendServer restarted = server("s", 0);
+    restarted.startedAtUnixMs = 2000;
+    BOOST_TEST((directory.update(restarted, logPosition(1, 90)) == DirectoryChange::Added));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
