Tests: streams at their service, and held events at the deadline and at shutdown

Four pieces of Exchange that keep a resumable stream at one version had no test that failed without them.

No change outside the tests.

--- a/packages/gateway/tests/streamversion_test.cpp
+++ b/packages/gateway/tests/streamversion_test.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace auburn::gateway {
@@ -17,6 +19,8 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
+// More events than any stream of these tests has.
+constexpr unsigned kNeverBreaksOff = 10000;
 
 // Knows the origins that the test sets, and lets the test decide when a stream is findable.
 class FakeOrigins : public routing::StreamOrigins
@@ -61,24 +65,72 @@
     std::vector<std::function<void()>> held;
 };
 
+// Names one server whatever version the query requires, like an owner that does not know the new
+// version of a restarted server yet. Without it, and once it is excluded, the local source chooses.
+class OutdatedPlacementSource : public routing::PlacementSource
+{
+public:
+    OutdatedPlacementSource(const routing::ServerDirectory &directory,
+                            routing::PlacementSource &local)
+        : directory_(directory)
+        , local_(local)
+    {}
+
+    void place(const routing::PlacementQuery &query, milliseconds timeLeft,
+               ChoiceHandler handler) override
+    {
+        if (outdatedServer.empty() || routing::isExcluded(query, outdatedServer)) {
+            local_.place(query, timeLeft, std::move(handler));
+            return;
+        }
+        handler(routing::PlacementChoice{ .serverId = outdatedServer,
+                                          .address = directory_.find(outdatedServer)->address });
+    }
+
+    void attemptProgressed(const routing::PlacementChoice &choice,
+                           std::chrono::microseconds sinceStart) override
+    {
+        if (choice.serverId != outdatedServer)
+            local_.attemptProgressed(choice, sinceStart);
+    }
+
+    void attemptEnded(const routing::PlacementChoice &choice, bool progressed,
+                      routing::AttemptOutcome outcome) override
+    {
+        if (choice.serverId != outdatedServer)
+            local_.attemptEnded(choice, progressed, outcome);
+        else if (outcome == routing::AttemptOutcome::Abandoned)
+            ++releasedCount;
+    }
+
+    std::string outdatedServer;
+    // Attempts at the outdated server that were given back.
+    unsigned releasedCount = 0;
+
+private:
+    const routing::ServerDirectory &directory_;
+    routing::PlacementSource &local_;
+};
+
 struct StreamVersionFixture : GatewayFixture
 {
     StreamVersionFixture()
     {
         streamOrigins = &origins;
         gateway.reset();
-        startGateway(placementSource);
+        startGateway(placement);
     }
 
-    // Its gateway refers to the origins.
+    // Its gateway refers to the origins and the placement source.
     ~StreamVersionFixture() { gateway.reset(); }
 
     // Adds an engine whose events name its version. It breaks off streams after this event.
     ScriptedServer &addEngine(const std::string &id, const std::string &version,
-                              unsigned breaksOffAfter = 100)
+                              unsigned breaksOffAfter = kNeverBreaksOff,
+                              const std::string &service = "engines")
     {
         ScriptedServer &server = addServer(
-                id, "engines", [this, version, breaksOffAfter](const ScriptedRequest &received) {
+                id, service, [this, version, breaksOffAfter](const ScriptedRequest &received) {
                     const auto last = received["X-Last"];
                     const unsigned first = last.empty() ? 1 : std::stoul(std::string(last)) + 1;
                     return events(version, first, breaksOffAfter);
@@ -113,7 +165,22 @@
                 "POST", "/chat/x", "X-Last: " + last + "\r\nX-Resumes: " + request + "\r\n", "b"));
     }
 
+    // Expects that the caller's stream, whose origin is not findable, is broken off soon without an
+    // event, and that nothing of it is left once the origin is findable.
+    void expectBrokenOffWithoutEvents(const ScriptedClient &client)
+    {
+        BOOST_TEST(runUntil(
+                io, [&client] { return client.isClosed(); }, milliseconds(2500)));
+        BOOST_TEST(statusOf(client.received()) == kOk);
+        origins.release();
+        wait(milliseconds(50));
+        BOOST_TEST(chunkedBody(client.received()).empty());
+        BOOST_TEST(!isComplete(client.received()));
+        BOOST_TEST(gateway->requestsInProgress() == 0U);
+    }
+
     FakeOrigins origins;
+    OutdatedPlacementSource placement{ state.directory, placementSource };
     unsigned lastEvent = 4;
 
 private:
@@ -159,6 +226,50 @@
     BOOST_TEST(server.requests().empty());
 }
 
+// Guards against a stream that goes on at a server that was restarted with another version.
+BOOST_AUTO_TEST_CASE(placement_namesAServerOfAnotherVersion_anotherIsTaken)
+{
+    const ScriptedServer &older = addEngine("e1", "v1");
+    const ScriptedServer &newer = addEngine("e2", "v2");
+    origins.versions["first"] = "v2";
+    placement.outdatedServer = "e1";
+    const std::string response = resume("first");
+    BOOST_TEST(chunkedBody(response) == event(3, "v2") + event(4, "v2"));
+    BOOST_TEST(older.requests().empty());
+    BOOST_TEST(newer.requests().size() == 1U);
+    BOOST_TEST(placement.releasedCount == 1U);
+}
+
+// Guards against a stream that goes on at another service of its route, because the id of the
+// request that resumes it belongs to that one.
+BOOST_AUTO_TEST_CASE(stream_routeIsSplit_isResumedAtItsService)
+{
+    routing::TrafficConfigData data = testConfig();
+    const auto chat = std::find_if(data.routes.begin(), data.routes.end(),
+                                   [](const auto &route) { return route.name == "chat"; });
+    BOOST_REQUIRE((chat != data.routes.end()));
+    chat->services = { { .service = "engines" }, { .service = "others" } };
+    data.services.push_back({ .name = "others",
+                              .engine = routing::EngineModel{ .slots = 8, .cacheTokens = 10000 } });
+    state.config = std::make_shared<const routing::TrafficConfig>(std::move(data));
+    const std::map<std::string, const ScriptedServer *> engines{
+        { "engines", &addEngine("e1", "v1") },
+        { "others", &addEngine("e2", "v1", kNeverBreaksOff, "others") }
+    };
+    std::set<std::string> services;
+    for (unsigned i = 0; i < 16; ++i) {
+        BOOST_REQUIRE(isComplete(exchange(request("POST", "/chat/x", {}, "b"))));
+        const routing::StreamOrigin origin = origins.sent.back();
+        services.insert(origin.service);
+        const ScriptedServer &engine = *engines.at(origin.service);
+        const std::size_t before = engine.requests().size();
+        for (unsigned resumes = 0; resumes < 2; ++resumes)
+            BOOST_TEST(isComplete(resume(origin.requestId)));
+        BOOST_TEST(engine.requests().size() == before + 2U);
+    }
+    BOOST_TEST(services.size() == 2U);
+}
+
 // Guards against joined versions within one response.
 BOOST_AUTO_TEST_CASE(server_breaksOff_streamGoesOnAtItsVersion)
 {
@@ -260,6 +371,41 @@
     BOOST_TEST(gateway->requestsInProgress() == 0U);
 }
 
+// Guards against a caller that waits past its deadline for events that are held, both while the
+// server still sends and after it has sent the whole stream.
+BOOST_AUTO_TEST_CASE(deadline_passesWhileEventsAreHeld_breaksOffTheStream)
+{
+    addEngine("e1", "v1");
+    origins.holds = true;
+    for (const unsigned count : { 4U, 1000U }) {
+        lastEvent = count;
+        ScriptedClient client(io, address);
+        client.send(request("POST", "/chat/x", "X-Deadline: 1000\r\n", "b"));
+        wait(milliseconds(200));
+        BOOST_TEST(origins.held.size() == 1U);
+        BOOST_TEST(!client.isClosed());
+        expectBrokenOffWithoutEvents(client);
+    }
+}
+
+// Guards against a request that does not end at the daemon's shutdown because its events are held,
+// both while the server still sends and after it has sent the whole stream.
+BOOST_AUTO_TEST_CASE(daemon_stopsWhileEventsAreHeld_breaksOffTheStream)
+{
+    addEngine("e1", "v1");
+    origins.holds = true;
+    for (const unsigned count : { 4U, 1000U }) {
+        lastEvent = count;
+        ScriptedClient client(io, address);
+        client.send(request("POST", "/chat/x", {}, "b"));
+        wait(milliseconds(200));
+        BOOST_TEST(origins.held.size() == 1U);
+        BOOST_TEST(!client.isClosed());
+        gateway->endRequests();
+        expectBrokenOffWithoutEvents(client);
+    }
+}
+
 // Guards against new streams at a version that other daemons do not know, and against refusing them
 // for it.
 BOOST_AUTO_TEST_CASE(newStream_versionIsPreferred_goesElsewhereOnlyWithoutIt)
