Tests: owners of cells place streams at the version that the query names

Nothing failed when the owner of a cell or its requester ignored the software version of a query. Three new tests of cellPlacement pass, and fail with these mutations of cellplacement.cpp, which no other test of the suite noticed:

- the owner does not read software_version, or the requester does not send it: query_hasAVersion_ownerNamesServersOfIt (the reply is not usable, and the requester places the stream by itself);
- the reply is checked by the server's id only: owner_namesAServerOfAnotherVersion_anotherIsTaken (e6 at v2 in place of e0);
- the cell is chosen among the servers of all versions: query_versionIsInOneDomain_itsOwnerPlaces (the owner of the other domain was asked).

The mutations ran against the suite cellPlacement only. Unmutated, it passed ten times in a row, and peers_test once. No change outside the tests.

--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -142,6 +142,15 @@
         network.daemons[name] = daemons[name].get();
     }
 
+    // Restarts the engine with this software version.
+    void setVersion(const std::string &id, const std::string &version)
+    {
+        routing::BackendServer server = *directory.find(id);
+        server.softwareVersion = version;
+        server.sequence += 1;
+        directory.update(server, ++logPosition);
+    }
+
     // Lets the requester measure a response with a load header and reports its first token.
     void progress(const std::string &daemon, const PlacementChoice &choice, unsigned workTime)
     {
@@ -184,6 +193,8 @@
     std::vector<std::unique_ptr<FakeExchange>> exchanges;
     std::map<std::string, std::unique_ptr<CellPlacement>> daemons;
     std::uint64_t requests = 0;
+    // Above the positions of the servers that the fixture adds.
+    std::uint64_t logPosition = 100;
 };
 
 } // namespace
@@ -381,6 +392,85 @@
         BOOST_TEST(directory.find(place("a2", prompt(session)).serverId)->failureDomain == "a");
 }
 
+// Guards against an owner that names servers of any version for a stream of one. Its requester
+// would not use them, and would place the stream without the owner's knowledge of the loads.
+BOOST_AUTO_TEST_CASE(query_hasAVersion_ownerNamesServersOfIt)
+{
+    for (int i = 0; i < 12; ++i)
+        setVersion("e" + std::to_string(i), i % 4 < 2 ? "v1" : "v2");
+    std::vector<std::string> named;
+    network.drops = [&named](const proto::PeerDatagram &datagram) {
+        if (datagram.has_place_reply())
+            named.push_back(datagram.place_reply().server());
+        return false;
+    };
+    for (std::uint64_t session = 0; session < 20; ++session) {
+        // "a1" is the owner of domain "a", so it asks itself or "b1".
+        for (const std::string requester : { "a1", "a2" }) {
+            PlacementQuery query = prompt(session);
+            query.softwareVersion = "v2";
+            const PlacementChoice choice = place(requester, query);
+            BOOST_TEST(choice.ownerNumber != 0U);
+            BOOST_TEST(directory.find(choice.serverId)->softwareVersion == "v2");
+        }
+    }
+    BOOST_TEST(named.size() >= 20U);
+    for (const std::string &server : named) {
+        BOOST_REQUIRE(directory.find(server));
+        BOOST_TEST(directory.find(server)->softwareVersion == "v2", server);
+    }
+}
+
+// Guards against a request to the owner of a cell without servers of the version.
+BOOST_AUTO_TEST_CASE(query_versionIsInOneDomain_itsOwnerPlaces)
+{
+    for (int i = 0; i < 12; ++i)
+        setVersion("e" + std::to_string(i), i % 2 == 0 ? "v1" : "v2");
+    for (std::uint64_t session = 0; session < 20; ++session) {
+        PlacementQuery query = prompt(session);
+        query.softwareVersion = "v2";
+        BOOST_TEST(place("a2", query).owner == "b1");
+    }
+}
+
+// Guards against a stream that goes on at a server that the requester already knows to have been
+// restarted with another version, and against an attempt there that its owner keeps counting.
+BOOST_AUTO_TEST_CASE(owner_namesAServerOfAnotherVersion_anotherIsTaken)
+{
+    for (int i = 0; i < 12; ++i)
+        setVersion("e" + std::to_string(i), "v1");
+    routing::ServerDirectory stale;
+    for (const std::string &id : directory.ids())
+        stale.update(*directory.find(id), 1);
+    CellPlacement owner(io, { .vm = "a1",
+                              .failureDomain = "a",
+                              .regions = { { "a", "r" }, { "b", "r" } },
+                              .directory = &stale,
+                              .config = &config,
+                              .localPlacement = views[0].get() });
+    owner.setExchange(exchanges[0].get());
+    network.daemons["a1"] = &owner;
+    // Only "e0" is left, so all requests go to the owner of its domain.
+    for (int i = 1; i < 12; ++i)
+        setVersion("e" + std::to_string(i), "v2");
+    unsigned namedOthers = 0;
+    unsigned abandoned = 0;
+    network.drops = [&](const proto::PeerDatagram &datagram) {
+        if (datagram.has_place_reply() && datagram.place_reply().server() != "e0")
+            ++namedOthers;
+        if (datagram.place_update().outcome() == proto::PLACE_OUTCOME_ABANDONED)
+            ++abandoned;
+        return false;
+    };
+    for (std::uint64_t session = 0; session < 20; ++session) {
+        PlacementQuery query = prompt(session);
+        query.softwareVersion = "v1";
+        BOOST_TEST(place("a2", query).serverId == "e0");
+    }
+    BOOST_TEST(namedOthers > 0U);
+    BOOST_TEST(abandoned == namedOthers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::peers
