--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -8,6 +8,7 @@
 // that were weighed are in docs/design/stream-versions.md.
 #pragma once
 
+#include "auburn/core/bootclock.h"
 #include "auburn/duties/conditionallog.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/streamorigins.h"
@@ -36,7 +37,8 @@
 class OriginRegistry : public routing::StreamOrigins
 {
 public:
-    using Clock = std::chrono::steady_clock;
+    // Counts the time for which the VM is suspended.
+    using Clock = BootClock;
 
     struct Options
     {
@@ -93,10 +95,12 @@
     // To be called after the configuration or the directory of servers has changed, and at least
     // once a second.
     void update();
-    // Reports the newest era of the store's log that this daemon knows; 0 if none. A later era than
-    // the known one means that the store was restored from an older copy: what it has lost is
-    // written again.
+    // Reports the newest era of the store's log that this daemon knows. A later era than the known
+    // one means that the store was restored from an older copy: what it has lost is written again.
     void observeEra(std::uint64_t era);
+    // Reports that another daemon noticed a restore of the store this long ago: records may be
+    // missing that have not been written again yet.
+    void observeRestore(std::chrono::milliseconds ago);
 
     const Counters &counters() const { return counters_; }
     // The baseline of a service; empty if none is known.
@@ -112,6 +116,8 @@
         // No server has had the version at some time since the baseline was listed, so another
         // daemon may have moved it.
         bool mayHaveMoved = false;
+        // Since when the version has had servers; empty if it has none.
+        std::optional<Clock::time_point> servedSince = {};
     };
     // A stream whose version this daemon knows.
     struct Stream
@@ -140,6 +146,9 @@
         std::function<void()> handler;
     };
 
+    // True if the stream is known to belong to another service. Servers of different services
+    // cannot continue each other's streams either.
+    bool isOfOtherService(std::uint64_t stream, const std::string &service) const;
     // The version of a stream as far as this daemon knows it without a call; empty if it does not.
     std::optional<std::string> knownVersion(std::uint64_t stream, const std::string &service) const;
     // The services whose streams may be resumed.
@@ -147,8 +156,10 @@
 
     // The baseline of a service, if no other daemon can have moved it; empty otherwise.
     std::optional<std::string> currentBaseline(const std::string &service) const;
-    // Notes the baselines whose versions have no server.
-    void markBaselinesWithoutServer();
+    // Notes which baselines have servers.
+    void observeBaselines();
+    // True if every daemon knows that the baseline's version has servers, so that none moves it.
+    bool isServedForLong(const std::string &service, const Baseline &baseline) const;
     // True if the baseline of a service whose streams may be resumed is not known, or may have
     // moved although its version has servers.
     bool needsListing(const std::set<std::string> &services) const;
@@ -215,9 +226,12 @@
     // Reads of the lookup in progress that have not ended.
     unsigned lookupSteps_ = 0;
     bool hasLookupFailed_ = false;
-    std::uint64_t era_ = 0;
-    // Until then a stream whose record is missing may have lost it with the restored store.
-    Clock::time_point completeFrom_;
+    Clock::time_point lookupStartedAt_;
+    // Empty until the era is known.
+    std::optional<std::uint64_t> era_;
+    // When all records that the restored store has lost are written again. Until then a missing
+    // record proves nothing.
+    Clock::time_point recordsCompleteAt_;
 
     Counters counters_;
     boost::asio::steady_timer batchTimer_;
--- a/packages/streams/include/auburn/streams/versionhistory.h
+++ b/packages/streams/include/auburn/streams/versionhistory.h
@@ -1,6 +1,7 @@
 // VersionHistory remembers which software versions the servers of each service had recently.
 #pragma once
 
+#include "auburn/core/bootclock.h"
 #include "auburn/routing/serverdirectory.h"
 
 #include <chrono>
@@ -21,10 +22,19 @@
 // store or another daemon.
 constexpr std::chrono::milliseconds kVersionSettleTime{ 2500 };
 
+// A version with a server that has run for this long is known to every daemon, also if this daemon
+// has only just seen it.
+constexpr std::chrono::milliseconds kSettledServerAge{ 10000 };
+
+// Longest time between two observations. After a longer one, for example of a VM that was
+// suspended, servers may have come and gone unseen, and the history begins anew.
+constexpr std::chrono::milliseconds kMaxObservationGap{ 5000 };
+
 class VersionHistory
 {
 public:
-    using TimePoint = std::chrono::steady_clock::time_point;
+    // Counts the time for which the VM is suspended.
+    using TimePoint = BootClock::time_point;
 
     // No stream is older than this daemon if the whole system has started with it.
     explicit VersionHistory(bool isFirstStart = false)
@@ -34,17 +44,19 @@
     // Records the versions of the servers that are listed now.
     void observe(const routing::ServerDirectory &directory, TimePoint now);
 
-    // True if no server had another version than this one for the lifetime of a stream, as far as
-    // this daemon has seen. A daemon that was just started has seen too little, unless the whole
-    // system has started with it.
-    bool isOnlyVersion(std::string_view service, const std::string &version, TimePoint now) const;
+    // Returns the only version that servers had for the lifetime of a stream, as far as this daemon
+    // has seen; empty if there were several. A daemon that was just started has seen too little,
+    // unless the whole system has started with it.
+    std::optional<std::string> onlyVersion(std::string_view service, TimePoint now) const;
     // True if servers of the version are listed now.
     bool isListed(std::string_view service, const std::string &version) const;
-    // True if a version other than the given one was first seen so recently that other daemons may
-    // not know it.
-    bool hasUnsettledVersion(std::string_view service, const std::string &known,
-                             TimePoint now) const;
-    // True if servers are listed and none of them names a version.
+    // Returns the version that new streams should have because another one is so new that other
+    // daemons may not know it: of the older versions that with the most servers, the baseline if
+    // equal. Empty if all versions are known, or only new ones have servers.
+    std::optional<std::string> preferredVersion(std::string_view service,
+                                                const std::string &baseline, TimePoint now,
+                                                std::int64_t unixNow) const;
+    // True if servers are listed and none named a version for the lifetime of a stream.
     bool namesNoVersion(std::string_view service) const;
     // Returns the only version that this daemon has seen lately, if one of its servers has run for
     // longer than the lifetime of a stream by the wall clock. That is no proof that it began a
@@ -66,8 +78,8 @@
         TimePoint lastSeenAt;
         // Number of servers at the last observation.
         unsigned servers = 0;
-        // Start time of the oldest server at the last observation.
-        std::int64_t oldestStartUnixMs = 0;
+        // Start time of the oldest server at the last observation; empty if no server names one.
+        std::optional<std::int64_t> oldestStartUnixMs;
     };
     struct Service
     {
@@ -76,9 +88,10 @@
     };
 
     const Service *find(std::string_view service) const;
+    static bool isSettled(const Version &version, TimePoint now, std::int64_t unixNow);
 
-    const bool isFirstStart_;
-
+    bool isFirstStart_;
+    std::optional<TimePoint> observedAt_;
     std::map<std::string, Service, std::less<>> services_;
 };
 
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -64,7 +64,7 @@
 {
     const auto now = options_.now();
     history_.observe(*options_.directory, now);
-    markBaselinesWithoutServer();
+    observeBaselines();
     expireStreams();
     const std::set<std::string> services = resumableServices();
     const bool isNeeded = std::any_of(services.begin(), services.end(), [this](const auto &name) {
@@ -83,15 +83,26 @@
         const auto found = baselines_.find(name);
         if (found == baselines_.end())
             return history_.oldestVersion(name).has_value();
-        return found->second.mayHaveMoved && history_.isListed(name, found->second.version);
+        return found->second.mayHaveMoved && isServedForLong(name, found->second);
     });
 }
 
-void OriginRegistry::markBaselinesWithoutServer()
+bool OriginRegistry::isServedForLong(const std::string &service, const Baseline &baseline) const
 {
-    for (auto &[service, baseline] : baselines_)
-        baseline.mayHaveMoved = baseline.mayHaveMoved
-                                || !history_.isListed(service, baseline.version);
+    return history_.isListed(service, baseline.version) && baseline.servedSince
+           && options_.now() - *baseline.servedSince >= kVersionSettleTime;
+}
+
+void OriginRegistry::observeBaselines()
+{
+    for (auto &[service, baseline] : baselines_) {
+        if (!history_.isListed(service, baseline.version)) {
+            baseline.mayHaveMoved = true;
+            baseline.servedSince.reset();
+        } else if (!baseline.servedSince) {
+            baseline.servedSince = options_.now();
+        }
+    }
 }
 
 std::optional<std::string> OriginRegistry::currentBaseline(const std::string &service) const
@@ -101,6 +112,12 @@
     return isCurrent ? std::optional(found->second.version) : std::nullopt;
 }
 
+bool OriginRegistry::isOfOtherService(std::uint64_t stream, const std::string &service) const
+{
+    const auto found = streams_.find(stream);
+    return found != streams_.end() && found->second.service != service;
+}
+
 std::optional<std::string> OriginRegistry::knownVersion(std::uint64_t stream,
                                                         const std::string &service) const
 {
@@ -110,7 +127,7 @@
     if (history_.namesNoVersion(service))
         return std::string();
     std::optional<std::string> baseline = currentBaseline(service);
-    if (baseline && history_.isOnlyVersion(service, *baseline, options_.now()))
+    if (baseline && history_.onlyVersion(service, options_.now()) == baseline)
         return baseline;
     return std::nullopt;
 }
@@ -119,6 +136,11 @@
                           milliseconds timeLimit, VersionHandler handler)
 {
     const std::uint64_t stream = stableHash(requestId);
+    if (isOfOtherService(stream, service)) {
+        ++counters_.unknown;
+        handler(std::nullopt);
+        return;
+    }
     if (std::optional<std::string> version = knownVersion(stream, service)) {
         handler(std::move(version));
         return;
@@ -146,6 +168,7 @@
         return;
     currentQueries_ = std::exchange(nextQueries_, {});
     hasLookupFailed_ = false;
+    lookupStartedAt_ = options_.now();
     lookupSteps_ = 2;
     options_.baselines->list([this](const std::optional<duties::LogListing> &listing) {
         if (listing)
@@ -183,7 +206,7 @@
     if (--lookupSteps_ > 0)
         return;
     std::list<Query> queries = std::exchange(currentQueries_, {});
-    const bool isComplete = !hasLookupFailed_ && options_.now() >= completeFrom_;
+    const bool isComplete = !hasLookupFailed_ && lookupStartedAt_ >= recordsCompleteAt_;
     for (auto query = queries.begin(); query != queries.end();) {
         const auto next = std::next(query);
         // The others are asked again until their time is over.
@@ -207,7 +230,7 @@
 void OriginRegistry::answer(const Query &query, bool isComplete)
 {
     std::optional<std::string> version = knownVersion(query.stream, query.service);
-    if (!version)
+    if (!version && !isOfOtherService(query.stream, query.service))
         version = isComplete ? baselineOf(query.service) : assumedVersion(query.service);
     if (!version)
         ++counters_.unknown;
@@ -216,8 +239,10 @@
 
 std::optional<std::string> OriginRegistry::assumedVersion(const std::string &service) const
 {
+    if (std::optional<std::string> only = history_.onlyVersion(service, options_.now()))
+        return only;
     // The lost record of a stream may name any version.
-    if (options_.now() < completeFrom_)
+    if (options_.now() < recordsCompleteAt_)
         return std::nullopt;
     const std::optional<std::string> baseline = baselineOf(service);
     std::optional<std::string> version = history_.establishedVersion(service, options_.unixNow());
@@ -227,14 +252,16 @@
 std::optional<std::string> OriginRegistry::preferredVersion(const std::string &service) const
 {
     std::optional<std::string> baseline = baselineOf(service);
-    const bool isPreferred = baseline && history_.isListed(service, *baseline)
-                             && history_.hasUnsettledVersion(service, *baseline, options_.now());
-    return isPreferred ? baseline : std::nullopt;
+    if (!baseline)
+        baseline = history_.oldestVersion(service);
+    if (!baseline)
+        return std::nullopt;
+    return history_.preferredVersion(service, *baseline, options_.now(), options_.unixNow());
 }
 
 void OriginRegistry::streamSent(const routing::StreamOrigin &origin)
 {
-    if (origin.softwareVersion.empty())
+    if (history_.namesNoVersion(origin.service))
         return;
     const std::uint64_t id = stableHash(origin.requestId);
     Stream &stream = streams_[id];
@@ -308,8 +335,11 @@
         group.softwareVersion = stream.version;
         group.streams.push_back(id);
     }
-    if (groups.empty())
+    // All of them have expired, so no append tells whether the store is available.
+    if (groups.empty()) {
+        isLogLost_ = false;
         return;
+    }
     std::vector<OriginRecord> records;
     records.reserve(groups.size());
     for (auto &[key, group] : groups)
@@ -433,8 +463,8 @@
 {
     Baseline &known = baselines_[service];
     known.listedGeneration = baseline.generation;
-    if (baseline.generation == known.generation)
-        known.mayHaveMoved = !history_.isListed(service, known.version);
+    if (baseline.generation == known.generation && isServedForLong(service, known))
+        known.mayHaveMoved = false;
     // A store that was restored lists an earlier one.
     if (baseline.generation <= known.generation)
         return;
@@ -524,14 +554,19 @@
 
 void OriginRegistry::observeEra(std::uint64_t era)
 {
-    const std::uint64_t previous = std::exchange(era_, std::max(era_, era));
-    if (previous > 0 && era > previous)
+    if (era_ && era > *era_)
         onStoreRestored();
+    era_ = std::max(era_.value_or(0), era);
+}
+
+void OriginRegistry::observeRestore(milliseconds ago)
+{
+    recordsCompleteAt_ = std::max(recordsCompleteAt_, options_.now() - ago + options_.rewriteTime);
 }
 
 void OriginRegistry::onStoreRestored()
 {
-    completeFrom_ = options_.now() + options_.rewriteTime;
+    observeRestore(milliseconds(0));
     options_.records->restart();
     areBaselinesListed_ = false;
     nextListing_ = options_.now();
--- a/packages/streams/src/versionhistory.cpp
+++ b/packages/streams/src/versionhistory.cpp
@@ -1,17 +1,25 @@
 #include "auburn/streams/versionhistory.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace auburn::streams {
 
 void VersionHistory::observe(const routing::ServerDirectory &directory, TimePoint now)
 {
+    if (observedAt_ && now - *observedAt_ > kMaxObservationGap) {
+        services_.clear();
+        isFirstStart_ = false;
+    }
+    observedAt_ = now;
     for (auto &[name, service] : services_) {
         std::erase_if(service.versions, [now](const auto &entry) {
             return now - entry.second.lastSeenAt > kStreamLifetime;
         });
-        for (auto &[version, state] : service.versions)
+        for (auto &[version, state] : service.versions) {
             state.servers = 0;
+            state.oldestStartUnixMs.reset();
+        }
     }
     directory.visit([&](const routing::BackendServer &server) {
         Service &service = services_
@@ -22,11 +30,12 @@
                                    .try_emplace(server.softwareVersion,
                                                 Version{ .firstSeenAt = now })
                                    .first->second;
-        const bool isFirst = version.servers++ == 0;
+        ++version.servers;
         version.lastSeenAt = now;
-        version.oldestStartUnixMs = isFirst ? server.startedAtUnixMs
-                                            : std::min(version.oldestStartUnixMs,
-                                                       server.startedAtUnixMs);
+        if (server.startedAtUnixMs > 0)
+            version.oldestStartUnixMs = std::min(
+                    server.startedAtUnixMs,
+                    version.oldestStartUnixMs.value_or(server.startedAtUnixMs));
     });
 }
 
@@ -36,15 +45,14 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
-bool VersionHistory::isOnlyVersion(std::string_view service, const std::string &version,
-                                   TimePoint now) const
+std::optional<std::string> VersionHistory::onlyVersion(std::string_view service,
+                                                       TimePoint now) const
 {
     const Service *state = find(service);
-    const bool hasSeenEnough = state
-                               && (isFirstStart_
-                                   || now - state->firstObservedAt >= kStreamLifetime);
-    return hasSeenEnough && state->versions.size() == 1
-           && state->versions.begin()->first == version;
+    if (!state || state->versions.size() != 1 || now - *observedAt_ > kMaxObservationGap)
+        return std::nullopt;
+    const bool hasSeenEnough = isFirstStart_ || now - state->firstObservedAt >= kStreamLifetime;
+    return hasSeenEnough ? std::optional(state->versions.begin()->first) : std::nullopt;
 }
 
 bool VersionHistory::isListed(std::string_view service, const std::string &version) const
@@ -56,24 +64,41 @@
     return found != state->versions.end() && found->second.servers > 0;
 }
 
-bool VersionHistory::hasUnsettledVersion(std::string_view service, const std::string &known,
-                                         TimePoint now) const
+bool VersionHistory::isSettled(const Version &version, TimePoint now, std::int64_t unixNow)
+{
+    const bool hasOldServer = version.oldestStartUnixMs
+                              && unixNow - *version.oldestStartUnixMs >= kSettledServerAge.count();
+    return hasOldServer || now - version.firstSeenAt >= kVersionSettleTime;
+}
+
+std::optional<std::string> VersionHistory::preferredVersion(std::string_view service,
+                                                            const std::string &baseline,
+                                                            TimePoint now,
+                                                            std::int64_t unixNow) const
 {
     const Service *state = find(service);
-    return state
-           && std::any_of(state->versions.begin(), state->versions.end(), [&](const auto &entry) {
-                  return entry.first != known
-                         && now - entry.second.firstSeenAt < kVersionSettleTime;
-              });
+    if (!state)
+        return std::nullopt;
+    const std::pair<const std::string, Version> *preferred = nullptr;
+    bool hasNewVersion = false;
+    for (const auto &entry : state->versions) {
+        const bool isBaseline = entry.first == baseline;
+        if (!isBaseline && !isSettled(entry.second, now, unixNow)) {
+            hasNewVersion = true;
+            continue;
+        }
+        const unsigned most = preferred ? preferred->second.servers : 0;
+        const bool hasMore = entry.second.servers > most;
+        if (hasMore || (isBaseline && entry.second.servers > 0 && entry.second.servers == most))
+            preferred = &entry;
+    }
+    return hasNewVersion && preferred ? std::optional(preferred->first) : std::nullopt;
 }
 
 bool VersionHistory::namesNoVersion(std::string_view service) const
 {
     const Service *state = find(service);
-    return state && isListed(service, {})
-           && std::all_of(state->versions.begin(), state->versions.end(), [](const auto &entry) {
-                  return entry.first.empty() || entry.second.servers == 0;
-              });
+    return state && isListed(service, {}) && state->versions.size() == 1;
 }
 
 std::optional<std::string> VersionHistory::establishedVersion(std::string_view service,
@@ -83,8 +108,9 @@
     if (!state || state->versions.size() != 1)
         return std::nullopt;
     const auto &[name, version] = *state->versions.begin();
-    const std::int64_t age = unixNow - version.oldestStartUnixMs;
-    return age > kStreamLifetime.count() ? std::optional(name) : std::nullopt;
+    const bool isOld = version.oldestStartUnixMs
+                       && unixNow - *version.oldestStartUnixMs > kStreamLifetime.count();
+    return isOld ? std::optional(name) : std::nullopt;
 }
 
 std::optional<std::string> VersionHistory::successorOf(std::string_view service,
@@ -111,11 +137,13 @@
     const Service *state = find(service);
     if (!state)
         return std::nullopt;
+    constexpr std::int64_t kUnknown = std::numeric_limits<std::int64_t>::max();
     const std::pair<const std::string, Version> *oldest = nullptr;
     for (const auto &entry : state->versions) {
-        const bool isListed = entry.second.servers > 0;
-        if (isListed
-            && (!oldest || entry.second.oldestStartUnixMs < oldest->second.oldestStartUnixMs))
+        const bool isOlder = !oldest
+                             || entry.second.oldestStartUnixMs.value_or(kUnknown)
+                                        < oldest->second.oldestStartUnixMs.value_or(kUnknown);
+        if (entry.second.servers > 0 && isOlder)
             oldest = &entry;
     }
     if (!oldest || oldest->first.empty())
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -29,6 +29,9 @@
     std::vector<OriginRecord> records;
     std::vector<duties::LogItem> baselines;
     std::vector<std::function<void()>> heldAppends;
+    // Listings of baselines wait until this is false.
+    bool holdsListings = false;
+    std::vector<std::function<void()>> heldListings;
     unsigned appends = 0;
     unsigned calls = 0;
 
@@ -95,7 +98,12 @@
             handler(std::nullopt);
             return;
         }
-        handler(duties::LogListing{ .items = store_.baselines, .end = store_.baselines.size() });
+        const duties::LogListing listing{ .items = store_.baselines,
+                                          .end = store_.baselines.size() };
+        if (store_.holdsListings)
+            store_.heldListings.emplace_back([handler, listing] { handler(listing); });
+        else
+            handler(listing);
     }
 
     void append(std::string key, std::string value, std::uint64_t expectedEnd,
@@ -192,20 +200,27 @@
         return daemon;
     }
 
-    void add(const std::string &id, const std::string &version, std::int64_t startedAt)
+    // The server starts now unless a time is given; 0 is an unknown time.
+    void add(const std::string &id, const std::string &version,
+             std::optional<std::int64_t> startedAt = std::nullopt)
     {
         directory.update({ .id = id,
                            .service = "s",
-                           .startedAtUnixMs = startedAt,
+                           .startedAtUnixMs = startedAt.value_or(clocks.unixNow),
                            .softwareVersion = version },
                          ++position);
     }
 
+    // Advances the clocks; daemons update once a second.
     void updateAfter(milliseconds time)
     {
-        clocks.advance(time);
-        for (Daemon *daemon : { first.get(), second.get() })
-            daemon->registry.update();
+        do {
+            const milliseconds step = std::min(time, milliseconds(1000));
+            clocks.advance(step);
+            for (Daemon *daemon : { first.get(), second.get() })
+                daemon->registry.update();
+            time -= step;
+        } while (time > milliseconds(0));
     }
 
     void observeEra(std::uint64_t era)
@@ -274,7 +289,7 @@
 // Guards against joined streams when the daemon that began the stream is gone.
 BOOST_AUTO_TEST_CASE(stream_ofOtherVersion_isFoundByAnyDaemon)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     begin(*first, "x", "v2");
     begin(*first, "y", "v1");
@@ -347,7 +362,7 @@
     store.isAvailable = true;
     BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
     runFor(io, milliseconds(30));
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     BOOST_TEST(find(*second, "x") == "v2");
     BOOST_TEST(find(*second, "y") == "v2");
 }
@@ -355,7 +370,7 @@
 // Guards against guessing a version while the store cannot be read.
 BOOST_AUTO_TEST_CASE(find_storeIsAwayAndTwoVersionsServe_isUnknown)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     store.isAvailable = false;
     BOOST_TEST(find(*second, "x") == "unknown");
@@ -373,7 +388,7 @@
 // Guards against an answer from a read that began before the stream was recorded.
 BOOST_AUTO_TEST_CASE(find_severalAtOnce_areAnsweredByLaterReads)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     BOOST_TEST(find(*second, "x") == "v1");
     begin(*first, "z", "v2");
@@ -384,7 +399,7 @@
 // event.
 BOOST_AUTO_TEST_CASE(stream_sentAgainToTheBaselineVersion_isFoundThere)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     begin(*first, "x", "v2");
     begin(*first, "x", "v1");
@@ -394,8 +409,8 @@
 // Guards against a stream that is sent elsewhere while its record is being appended.
 BOOST_AUTO_TEST_CASE(stream_sentAgainWhileItsRecordIsAppended_isRecordedAgain)
 {
-    add("i-2", "v2", 2000);
-    add("i-3", "v3", 3000);
+    add("i-2", "v2");
+    add("i-3", "v3");
     updateAfter(milliseconds(100));
     store.holdsAppends = true;
     send(*first, "x", "v2");
@@ -420,7 +435,7 @@
 // Guards against streams of the earlier version that are taken for those of the new baseline.
 BOOST_AUTO_TEST_CASE(baseline_itsVersionHasLeft_movesAfterTheLifetimeOfItsStreams)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     directory.removeImmediately("i-1", ++position);
     updateAfter(kStreamLifetime - milliseconds(1000));
@@ -438,7 +453,7 @@
 {
     updateAfter(kVersionSettleTime);
     BOOST_TEST(!first->registry.preferredVersion("s"));
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     BOOST_TEST(first->registry.preferredVersion("s").value_or("") == "v1");
     updateAfter(kVersionSettleTime);
@@ -449,7 +464,7 @@
 // copy.
 BOOST_AUTO_TEST_CASE(store_restoredFromOlderCopy_getsRecordsAndBaselinesAgain)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     begin(*first, "x", "v2");
     store.records.clear();
@@ -468,7 +483,7 @@
 // lost its record: the daemon that began it may not have written it again yet.
 BOOST_AUTO_TEST_CASE(find_storeHasLostTheRecord_isUnknownUntilItIsWrittenAgain)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     begin(*first, "x", "v2");
     store.records.clear();
@@ -486,7 +501,7 @@
 // streams of the baseline, although another daemon has moved the baseline meanwhile.
 BOOST_AUTO_TEST_CASE(stream_ofFormerBaselineVersionThatReturns_isRecorded)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     directory.removeImmediately("i-1", ++position);
     updateAfter(kStreamLifetime - milliseconds(1000));
     const auto started = startDaemon();
@@ -495,7 +510,7 @@
     for (int i = 0; i < 4; ++i)
         updateAfter(milliseconds(1000));
     BOOST_REQUIRE(first->registry.baselineOf("s").value_or("") == "v2");
-    add("i-3", "v1", 3000);
+    add("i-3", "v1");
     started->registry.update();
     updateAfter(milliseconds(0));
     begin(*started, "x", "v1");
@@ -506,7 +521,7 @@
 // while the store does not respond.
 BOOST_AUTO_TEST_CASE(find_storeIsAwayAndOnlyAnotherVersionServes_isUnknown)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     directory.removeImmediately("i-1", ++position);
     clocks.unixNow += 1000 * kStreamLifetime.count();
     const auto started = startDaemon();
@@ -521,7 +536,7 @@
 {
     updateAfter(kStreamLifetime);
     BOOST_TEST(find(*first, "") == "v1");
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     BOOST_TEST(find(*first, "") == "unknown");
 }
@@ -530,7 +545,7 @@
 // not respond, and the daemon that began the stream was killed before it could write the record.
 BOOST_AUTO_TEST_CASE(stream_passedOnWithoutItsRecord_isNotTakenForTheBaseline)
 {
-    add("i-2", "v2", 2000);
+    add("i-2", "v2");
     updateAfter(milliseconds(100));
     store.isAvailable = false;
     begin(*first, "x", "v2");
@@ -551,6 +566,299 @@
     BOOST_TEST(store.calls == calls);
 }
 
+// Guards against a daemon that starts just after a restore: its first response names the later era,
+// so it notices no restore, and must not take a lost record for a proof of the baseline version.
+BOOST_AUTO_TEST_CASE(find_daemonStartedAfterTheRestore_isUnknownUntilRecordsAreWrittenAgain)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(100));
+    begin(*first, "x", "v2");
+    store.records.clear();
+    const auto started = startDaemon();
+    started->registry.observeEra(2);
+    // A heartbeat says so.
+    started->registry.observeRestore(milliseconds(500));
+    BOOST_TEST(find(*started, "x") != "v1");
+    observeEra(2);
+    BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
+    clocks.advance(milliseconds(2500));
+    BOOST_TEST(find(*started, "x") == "v2");
+}
+
+// Guards against streams of a former baseline version that are not recorded: the version returned
+// at one daemon directly before another daemon, which did not know that yet, moved the baseline.
+BOOST_AUTO_TEST_CASE(stream_ofBaselineVersionThatReturnsDuringTheMove_isRecorded)
+{
+    add("i-2", "v2");
+    directory.removeImmediately("i-1", ++position);
+    routing::ServerDirectory aheadDirectory = directory;
+    Daemon ahead(io, store, clocks, aheadDirectory, config, false);
+    ahead.registry.update();
+    updateAfter(kStreamLifetime - milliseconds(500));
+    ahead.registry.update();
+    BOOST_REQUIRE(ahead.registry.baselineOf("s").value_or("") == "v1");
+    aheadDirectory.update({ .id = "i-3",
+                            .service = "s",
+                            .startedAtUnixMs = clocks.unixNow,
+                            .softwareVersion = "v1" },
+                          position + 1);
+    clocks.advance(milliseconds(2500));
+    ahead.registry.update();
+    // The others learn of the server a moment later.
+    for (int i = 0; i < 3; ++i)
+        first->registry.update();
+    BOOST_REQUIRE(first->registry.baselineOf("s").value_or("") == "v2");
+    add("i-3", "v1");
+    for (int i = 0; i < 10; ++i) {
+        updateAfter(milliseconds(1000));
+        ahead.registry.update();
+    }
+    begin(ahead, "x", "v1");
+    BOOST_TEST(find(*first, "x") == "v1");
+}
+
+// Guards against joining a stream of a server without a version to the baseline version.
+BOOST_AUTO_TEST_CASE(stream_ofServerWithoutVersion_isNotTakenForTheBaseline)
+{
+    add("i-5", "");
+    updateAfter(milliseconds(3000));
+    begin(*first, "x", "");
+    BOOST_TEST(find(*first, "x") != "v1");
+    BOOST_TEST(find(*second, "x") != "v1");
+}
+
+// Guards against joining a stream of a named version to servers without a version.
+BOOST_AUTO_TEST_CASE(stream_ofNamedVersion_isNotResumedWithoutAVersion)
+{
+    updateAfter(milliseconds(3000));
+    begin(*first, "x", "v1");
+    add("i-5", "");
+    directory.removeImmediately("i-1", ++position);
+    updateAfter(milliseconds(100));
+    BOOST_TEST(!find(*second, "x").empty());
+    add("i-6", "v2");
+    updateAfter(milliseconds(3000));
+    begin(*first, "y", "v2");
+    directory.removeImmediately("i-6", ++position);
+    updateAfter(milliseconds(100));
+    BOOST_TEST(!find(*second, "y").empty());
+}
+
+// Guards against a read that began before all records were written again after a restore.
+BOOST_AUTO_TEST_CASE(find_readBeganBeforeRecordsWereWrittenAgain_provesNothing)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(100));
+    begin(*first, "x", "v2");
+    store.records.clear();
+    second->registry.observeEra(2);
+    clocks.advance(milliseconds(2400));
+    store.holdsListings = true;
+    std::string found;
+    second->registry.find("x", "s", milliseconds(2000),
+                          [&found](const std::optional<std::string> &version) {
+                              found = version.value_or("unknown");
+                          });
+    first->registry.observeEra(2);
+    BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
+    clocks.advance(milliseconds(150));
+    store.holdsListings = false;
+    for (const auto &listing : std::exchange(store.heldListings, {}))
+        listing();
+    BOOST_TEST(runUntil(io, [&found] { return !found.empty(); }));
+    BOOST_TEST(found == "v2");
+}
+
+// Guards against refusing a stream although the daemon has seen its only possible version for the
+// lifetime of a stream: the baseline cannot move while the store is away.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayAndOneVersionWasSeenForLong_isThatVersion)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(100));
+    directory.removeImmediately("i-1", ++position);
+    store.isAvailable = false;
+    for (int i = 0; i < 61; ++i)
+        updateAfter(milliseconds(1000));
+    BOOST_TEST(find(*second, "x") == "v2");
+}
+
+// Guards against a server without a start time that counts as older than every stream.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayAndStartTimesAreUnknown_isUnknown)
+{
+    store.isAvailable = false;
+    directory.removeImmediately("i-1", ++position);
+    add("i-2", "v2", 0);
+    const auto started = startDaemon();
+    BOOST_TEST(find(*started, "x") == "unknown");
+}
+
+// Guards against a daemon that was paused and answers the take-ups that have queued up by a view of
+// the servers from before the pause.
+BOOST_AUTO_TEST_CASE(find_daemonWasPaused_isNotTheOnlyVersionItKnew)
+{
+    routing::ServerDirectory staleDirectory = directory;
+    Daemon paused(io, store, clocks, staleDirectory, config);
+    paused.registry.update();
+    paused.registry.update();
+    for (int i = 0; i < 31; ++i) {
+        updateAfter(milliseconds(1000));
+        paused.registry.update();
+    }
+    add("i-2", "v2");
+    for (int i = 0; i < 10; ++i)
+        updateAfter(milliseconds(1000));
+    BOOST_REQUIRE(!first->registry.preferredVersion("s"));
+    begin(*first, "x", "v2");
+    BOOST_REQUIRE(!store.records.empty());
+    BOOST_TEST(find(paused, "x") == "v2");
+}
+
+// Guards against a daemon that was paused and moves the baseline although its version had servers
+// during the pause.
+BOOST_AUTO_TEST_CASE(baseline_daemonWasPaused_isNotMovedEarly)
+{
+    routing::ServerDirectory pausedDirectory = directory;
+    const auto addEverywhere = [&](const std::string &id, const std::string &version) {
+        add(id, version, 2000);
+        pausedDirectory.update({ .id = id,
+                                 .service = "s",
+                                 .startedAtUnixMs = clocks.unixNow,
+                                 .softwareVersion = version },
+                               position);
+    };
+    Daemon paused(io, store, clocks, pausedDirectory, config);
+    paused.registry.update();
+    paused.registry.update();
+    addEverywhere("i-2", "v2");
+    for (int i = 0; i < 31; ++i) {
+        updateAfter(milliseconds(1000));
+        paused.registry.update();
+    }
+    for (int i = 0; i < 31; ++i)
+        updateAfter(milliseconds(1000));
+    begin(*first, "x", "v1");
+    directory.removeImmediately("i-1", ++position);
+    // The paused daemon goes on and reads that the last server of the version has left.
+    pausedDirectory.removeImmediately("i-1", position);
+    for (int i = 0; i < 4; ++i)
+        paused.registry.update();
+    BOOST_TEST(paused.registry.baselineOf("s").value_or("") == "v1");
+    add("i-3", "v1");
+    for (int i = 0; i < 2; ++i)
+        updateAfter(milliseconds(1000));
+    BOOST_TEST(find(*second, "x") == "v1");
+}
+
+// Guards against sending all new streams to the few servers that are left of the baseline version,
+// while another version that all daemons know has servers.
+BOOST_AUTO_TEST_CASE(preferredVersion_thirdVersionIsNew_doesNotExcludeTheSecondOne)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(100));
+    updateAfter(kVersionSettleTime);
+    BOOST_REQUIRE(!first->registry.preferredVersion("s"));
+    add("i-3", "v2");
+    add("i-4", "v3");
+    updateAfter(milliseconds(100));
+    BOOST_TEST(first->registry.preferredVersion("s").value_or("") == "v2");
+}
+
+// Guards against sending all new streams to the servers of the baseline version for some seconds
+// after each start of a daemon, although the other version has served for long.
+BOOST_AUTO_TEST_CASE(preferredVersion_daemonHasJustStarted_isNoneForAnOldSecondVersion)
+{
+    add("i-2", "v2");
+    for (int i = 0; i < 20; ++i)
+        updateAfter(milliseconds(1000));
+    clocks.unixNow += 100000;
+    const auto started = startDaemon();
+    started->registry.update();
+    BOOST_TEST(!started->registry.preferredVersion("s"));
+}
+
+// Guards against a stream that is taken up at another service because the shares of a split route
+// have changed.
+BOOST_AUTO_TEST_CASE(find_streamOfAnotherService_isUnknown)
+{
+    auto data = resumableConfig();
+    data.routes[0].services.push_back({ .service = "t" });
+    data.services.push_back({ .name = "t" });
+    config = std::make_shared<const routing::TrafficConfig>(data);
+    directory.update(
+            { .id = "i-8", .service = "t", .startedAtUnixMs = 1000, .softwareVersion = "v1" },
+            ++position);
+    for (int i = 0; i < 35; ++i)
+        updateAfter(milliseconds(1000));
+    BOOST_REQUIRE(first->registry.baselineOf("t").value_or("") == "v1");
+    begin(*first, "x", "v1");
+    std::string found;
+    first->registry.find("x", "t", milliseconds(100),
+                         [&found](const std::optional<std::string> &version) {
+                             found = version.value_or("unknown");
+                         });
+    BOOST_TEST(runUntil(io, [&found] { return !found.empty(); }));
+    BOOST_TEST(found == "unknown");
+}
+
+// Guards against a stream at a version that another daemon does not know yet, begun by a daemon
+// that has not listed the baselines yet.
+BOOST_AUTO_TEST_CASE(stream_atANewVersionWhileTheBaselineIsNotListed_isNotTakenForTheBaseline)
+{
+    routing::ServerDirectory laggingDirectory = directory;
+    Daemon lagging(io, store, clocks, laggingDirectory, config);
+    lagging.registry.update();
+    for (int i = 0; i < 31; ++i) {
+        updateAfter(milliseconds(1000));
+        lagging.registry.update();
+    }
+    store.isAvailable = false;
+    Daemon started(io, store, clocks, directory, config, false);
+    started.registry.update();
+    store.isAvailable = true;
+    clocks.advance(milliseconds(1000));
+    add("i-2", "v2");
+    started.registry.update();
+    if (started.registry.preferredVersion("s").value_or("v2") == "v2") {
+        begin(started, "x", "v2");
+        BOOST_TEST(find(lagging, "x") != "v1");
+    }
+}
+
+// Guards against a restore that is missed because the log's first era is 0, or because the store
+// named none before.
+BOOST_AUTO_TEST_CASE(store_restoredFromEraZero_getsRecordsAgain)
+{
+    const auto daemon = startDaemon();
+    daemon->registry.observeEra(0);
+    add("i-2", "v2");
+    clocks.advance(milliseconds(3000));
+    daemon->registry.update();
+    begin(*daemon, "x", "v2");
+    BOOST_REQUIRE(!store.records.empty());
+    store.records.clear();
+    daemon->registry.observeEra(1);
+    BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
+}
+
+// Guards against a first event that is passed on without its record although the store is back: an
+// append failed long ago, and its streams have expired since.
+BOOST_AUTO_TEST_CASE(firstEvent_appendFailedLongAgo_isHeld)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(3000));
+    store.isAvailable = false;
+    begin(*first, "x", "v2");
+    updateAfter(kStreamLifetime + milliseconds(1000));
+    runFor(io, milliseconds(50));
+    store.isAvailable = true;
+    runFor(io, milliseconds(50));
+    store.holdsAppends = true;
+    send(*first, "y", "v2");
+    bool released = false;
+    first->registry.whenFindable("y", [&released] { released = true; });
+    BOOST_TEST(!released);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::streams
