Duties: the lease goes on after a restore of the store

After the store came back from an older copy, nobody performed the duties any more: usage was not reported and servers were not scaled. The holder's next renewal met another end of the log; the listing showed a record older than the known one, which counted as a stale listing for the holder and for all candidates, for good.

A lease record states its token, which before was derived from the offset of the record. In a log of a later era the holder writes its record again, and a candidate takes over once the holder has not renewed for the time that it always waits. A daemon that knows no holder waits too if the log was restored.

In deployments whose store names no era nothing changes, tokens included. Not run with real daemons.

--- a/packages/duties/include/auburn/duties/conditionallog.h
+++ b/packages/duties/include/auburn/duties/conditionallog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "auburn/core/logposition.h"
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -13,19 +15,19 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t offset = 0;
+    LogPosition position = 0;
 };
 
 struct LogListing
 {
     std::vector<LogItem> items;
-    // Offset one past the newest record of the partition.
-    std::uint64_t end = 0;
+    // Position one past the newest record of the partition.
+    LogPosition end = 0;
 };
 
 enum class AppendStatus {
     Appended,
-    // The partition did not end at the expected offset.
+    // The partition did not end at the expected position, or was restored since.
     Conflict,
     // The store certainly did not append the record.
     NotAppended,
@@ -36,13 +38,14 @@
 struct AppendResult
 {
     AppendStatus status = AppendStatus::Unknown;
-    // Offset of the record; set if it was appended.
-    std::uint64_t offset = 0;
-    // End of the partition; set after Appended and Conflict.
-    std::uint64_t end = 0;
+    // Position of the record; set if it was appended.
+    LogPosition position = 0;
+    // End of the partition; set if the record was appended.
+    LogPosition end = 0;
 };
 
-// ConditionalLog is one partition of a keyed topic in the platform's store.
+// ConditionalLog is one partition of a keyed topic in the platform's store. The store may be
+// restored from an older copy; positions of a later era are higher.
 //
 // An append succeeds only if the partition ends where the caller expects it to, so of two daemons
 // that append on the basis of the same listing only one succeeds.
@@ -56,7 +59,7 @@
 
     // Lists the newest record of every key. Passes nullopt and sets lastError() if that failed.
     virtual void list(ListHandler handler) = 0;
-    virtual void append(std::string key, std::string value, std::uint64_t expectedEnd,
+    virtual void append(std::string key, std::string value, LogPosition expectedEnd,
                         AppendHandler handler) = 0;
 };
 
--- a/packages/duties/include/auburn/duties/lease.h
+++ b/packages/duties/include/auburn/duties/lease.h
@@ -87,19 +87,25 @@
     struct PendingAppend
     {
         TimePoint sentAt;
-        std::uint64_t expectedEnd = 0;
+        LogPosition expectedEnd = 0;
     };
 
     void list();
     void listed(const std::optional<LogListing> &listing);
     // Evaluates the newest record of a listing.
-    void recordNewest(const LogItem &item, std::uint64_t end);
-    void append(std::uint64_t expectedEnd, bool released);
-    // Processes the result of the append of this daemon's record; its token is 0 if the append
-    // acquires the lease.
-    void appended(DutyHolder holder, const AppendResult &result);
+    void recordNewest(const LogItem &item, LogPosition end);
+    // True while a log without a record, which ends at this position, may have lost that of a
+    // holder whose permit has not ended.
+    bool mayHaveLostHolder(LogPosition end) const;
+    // Appends this daemon's record to a log that ends at this position and was restored without the
+    // newest known one: as its holder, or as a candidate if the holder has not written it again in
+    // time. Returns false if the log was not restored, or if it is not this daemon's turn.
+    bool writeAgain(LogPosition end);
+    void append(LogPosition expectedEnd, bool released);
+    // Processes the result of the append of this daemon's record.
+    void appended(const DutyHolder &holder, const AppendResult &result);
     // Records that the newest record is this daemon's own.
-    void holdRecord(const DutyHolder &holder, std::uint64_t end);
+    void holdRecord(const DutyHolder &holder, LogPosition end);
     bool isOwn(const proto::LeaseRecord &record) const;
     void stepDown();
     // Returns true if the holder was not known yet.
@@ -126,7 +132,7 @@
     bool reportedHeld_ = false;
     std::uint64_t token_ = 0;
     // The end of the log after this daemon's newest record.
-    std::uint64_t end_ = 0;
+    LogPosition end_ = 0;
     TimePoint permitEnd_;
     TimePoint renewAt_;
     // When this daemon learned that it has acquired the lease.
--- a/packages/duties/src/lease.cpp
+++ b/packages/duties/src/lease.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr const char *kKey = "duties";
+// A log of a later era was restored at least once.
+constexpr std::uint64_t kFirstEra = 1;
 // The holder renews this many times in each leaseTime, so two renewals in succession may fail.
 constexpr int kRenewalsPerLease = 3;
 // Candidates call the store at different times after a holder has failed.
@@ -161,30 +163,54 @@
                                    [](const LogItem &entry) { return entry.key == kKey; });
     if (item != listing->items.end())
         recordNewest(*item, listing->end);
-    else if (newest_.token == 0 && isTakeoverDue())
+    else if (newest_.token == 0 && isTakeoverDue() && !mayHaveLostHolder(listing->end))
         append(listing->end, false);
-    else
+    else if (newest_.token == 0 || !writeAgain(listing->end))
         retryAfterFailure();
     tick();
 }
 
-void Lease::recordNewest(const LogItem &item, std::uint64_t end)
+bool Lease::mayHaveLostHolder(LogPosition end) const
+{
+    return eraOf(end) > kFirstEra
+           && options_.now() < *candidateSince_ + options_.leaseTime + kLeaseMargin;
+}
+
+bool Lease::writeAgain(LogPosition end)
+{
+    if (eraOf(end) <= eraOf(newest_.token))
+        return false;
+    if (isHolder_ && (releasing_ || !stopped_)) {
+        logEvent(LogLevel::Info, "lease_written_again",
+                 { tokenField(token_), { "era", static_cast<long long>(eraOf(end)) } });
+        append(end, releasing_);
+    } else if (isTakeoverDue()) {
+        append(end, false);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void Lease::recordNewest(const LogItem &item, LogPosition end)
 {
     proto::LeaseRecord record;
     // An unreadable record counts as one of an unknown holder.
     if (!proto::parseMessage(item.value, record))
         record.Clear();
-    // The token is the offset of an earlier record plus 1. A higher one would make all that follow
-    // look outdated.
-    const bool hasToken = record.token() > 0 && record.token() <= item.offset;
-    const DutyHolder holder{ .token = hasToken ? record.token() : item.offset + 1,
+    // The token is the position after the record that acquired the lease. A higher one would make
+    // all that follow look outdated.
+    const bool hasToken = record.token() > 0 && record.token() <= item.position + 1;
+    const DutyHolder holder{ .token = hasToken ? record.token() : item.position + 1,
                              .renewal = record.renewal(),
                              .udpAddress = record.udp_address(),
                              .released = record.released() };
     // A listing that is older than what other daemons know is no basis for an append.
     if (isNewer(newest_, holder)) {
-        needsListing_ = isHolder_;
-        retryAfterFailure();
+        if (!writeAgain(end)) {
+            needsListing_ = isHolder_;
+            retryAfterFailure();
+        }
         return;
     }
     if (isOwn(record)) {
@@ -207,14 +233,15 @@
     return record.vm() == options_.vm && record.incarnation() == options_.incarnation;
 }
 
-void Lease::append(std::uint64_t expectedEnd, bool released)
+void Lease::append(LogPosition expectedEnd, bool released)
 {
     const std::uint64_t renewal = ++appendCount_;
     const TimePoint now = options_.now();
     proto::LeaseRecord record;
     record.set_vm(options_.vm);
     record.set_incarnation(options_.incarnation);
-    record.set_token(isHolder_ ? token_ : 0);
+    // The position of a record is another one after a restore, so the record states its token.
+    record.set_token(isHolder_ ? token_ : expectedEnd + 1);
     record.set_renewal(renewal);
     record.set_released(released);
     record.set_udp_address(options_.udpAddress);
@@ -231,16 +258,14 @@
                          [this, holder](const AppendResult &result) { appended(holder, result); });
 }
 
-void Lease::appended(DutyHolder holder, const AppendResult &result)
+void Lease::appended(const DutyHolder &holder, const AppendResult &result)
 {
     busy_ = false;
     switch (result.status) {
     case AppendStatus::Appended:
         failures_ = 0;
-        if (holder.token > 0 && !holder.released)
+        if (holder.token == token_ && !holder.released)
             ++renewals_;
-        if (holder.token == 0)
-            holder.token = result.offset + 1;
         // The response may arrive long after the lease was lost.
         if (holder.token >= newest_.token)
             holdRecord(holder, result.end);
@@ -263,7 +288,7 @@
     tick();
 }
 
-void Lease::holdRecord(const DutyHolder &holder, std::uint64_t end)
+void Lease::holdRecord(const DutyHolder &holder, LogPosition end)
 {
     if (holder.token != token_)
         acquiredAt_ = options_.now();
--- a/packages/duties/tests/lease_test.cpp
+++ b/packages/duties/tests/lease_test.cpp
@@ -28,16 +28,24 @@
 
 struct Store
 {
-    AppendResult append(const std::string &key, const std::string &value, std::uint64_t expectedEnd)
+    AppendResult append(const std::string &key, const std::string &value, LogPosition expectedEnd)
     {
-        if (expectedEnd != records.size())
-            return { .status = AppendStatus::Conflict, .end = records.size() };
-        records.push_back({ .key = key, .value = value, .offset = records.size() });
-        return { .status = AppendStatus::Appended,
-                 .offset = records.size() - 1,
-                 .end = records.size() };
+        if (expectedEnd != end())
+            return { .status = AppendStatus::Conflict };
+        records.push_back({ .key = key, .value = value });
+        return { .status = AppendStatus::Appended, .position = expectedEnd, .end = end() };
     }
 
+    LogPosition end() const { return logPosition(era, records.size()); }
+
+    // Restores the log from a copy with this many records.
+    void restore(std::size_t count)
+    {
+        records.resize(count);
+        ++era;
+    }
+
+    std::uint64_t era = 0;
     std::vector<LogItem> records;
 };
 
@@ -55,13 +63,15 @@
             handler(std::nullopt);
             return;
         }
-        LogListing listing{ .end = store_.records.size() };
-        if (!store_.records.empty())
+        LogListing listing{ .end = store_.end() };
+        if (!store_.records.empty()) {
             listing.items.push_back(store_.records.back());
+            listing.items.back().position = listing.end - 1;
+        }
         handler(listing);
     }
 
-    void append(std::string key, std::string value, std::uint64_t expectedEnd,
+    void append(std::string key, std::string value, LogPosition expectedEnd,
                 AppendHandler handler) override
     {
         ++calls;
@@ -222,7 +232,7 @@
     proto::LeaseRecord record;
     record.set_vm("x");
     record.set_token(std::uint64_t{ 1 } << 63);
-    store.append("duties", record.SerializeAsString(), 0);
+    store.append("duties", record.SerializeAsString(), store.end());
     const Daemon &daemon = add("a");
     run(2 * kTakeoverTime + kDelays);
     BOOST_TEST(daemon.lease.isHeld());
@@ -340,6 +350,68 @@
     BOOST_TEST(a.heldReports.size() == 1U);
 }
 
+// Guards against duties that nobody performs after the store was restored: the holder's renewal is
+// gone, and what the copy lists is older than what all daemons know.
+BOOST_AUTO_TEST_CASE(store_restored_holderKeepsTheLease)
+{
+    run(milliseconds(5000));
+    for (const std::size_t count :
+         { store.records.size() - 3, std::size_t{ 1 }, std::size_t{ 0 } }) {
+        store.restore(count);
+        run(milliseconds(10000));
+        BOOST_TEST(a.lease.isHeld());
+        BOOST_TEST(a.lease.token() == firstToken);
+        BOOST_TEST(a.heldReports.size() == 1U);
+        BOOST_TEST(store.records.size() >= count + 8);
+    }
+}
+
+// Guards against candidates that wait for a holder that was killed through the restore, because the
+// listed record is older than the one that they know.
+BOOST_AUTO_TEST_CASE(store_restoredAndHolderKilled_isTakenOver)
+{
+    run(milliseconds(5000));
+    for (const std::size_t count : { std::size_t{ 2 }, std::size_t{ 0 } }) {
+        Daemon &holder = count > 0 ? a : b;
+        Daemon &successor = count > 0 ? b : add("c");
+        holder.frozen = true;
+        store.restore(count);
+        run(kLeaseTime);
+        BOOST_TEST(!successor.lease.isHeld());
+        run(kLeaseMargin + kDelays);
+        BOOST_TEST(successor.lease.isHeld());
+        BOOST_TEST(successor.lease.token() > holder.lease.token());
+    }
+}
+
+// Guards against two holders: the one that was cut off through the restore comes back.
+BOOST_AUTO_TEST_CASE(store_restoredWhileHolderIsCutOff_hasOneHolder)
+{
+    run(milliseconds(5000));
+    a.log.link = Link::Down;
+    a.connected = false;
+    store.restore(2);
+    run(kTakeoverTime + kDelays);
+    checkTakenOver();
+    a.log.link = Link::Sound;
+    a.connected = true;
+    run(milliseconds(10000));
+    checkTakenOver();
+}
+
+// Guards against a daemon that starts from the copy, hears of no other, and takes the lease from a
+// holder that renews it.
+BOOST_AUTO_TEST_CASE(store_restoredAndDaemonStartsFromTheCopy_holderKeepsTheLease)
+{
+    run(milliseconds(5000));
+    store.restore(2);
+    Daemon &started = add("c");
+    started.connected = false;
+    run(milliseconds(20000));
+    BOOST_TEST(a.lease.isHeld());
+    BOOST_TEST(!started.lease.isHeld());
+}
+
 // Guards against a late renewal that displaces a successor or extends the permit.
 BOOST_AUTO_TEST_CASE(renewing_executedLate_doesNotDisplaceTheSuccessor)
 {
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -116,9 +116,9 @@
             return;
         }
         store_.baselines.push_back(
-                { .key = std::move(key), .value = std::move(value), .offset = expectedEnd });
+                { .key = std::move(key), .value = std::move(value), .position = expectedEnd });
         handler({ .status = duties::AppendStatus::Appended,
-                  .offset = expectedEnd,
+                  .position = expectedEnd,
                   .end = expectedEnd + 1 });
     }
 
--- a/packages/usage/bench/collectorbench.cpp
+++ b/packages/usage/bench/collectorbench.cpp
@@ -59,9 +59,9 @@
     void append(std::string key, std::string value, std::uint64_t /*expectedEnd*/,
                 AppendHandler handler) override
     {
-        items_[key] = { .key = key, .value = std::move(value), .offset = end_ };
+        items_[key] = { .key = key, .value = std::move(value), .position = end_ };
         ++end_;
-        handler({ .status = duties::AppendStatus::Appended, .offset = end_ - 1, .end = end_ });
+        handler({ .status = duties::AppendStatus::Appended, .position = end_ - 1, .end = end_ });
     }
 
     std::size_t listingBytes() const
--- a/packages/usage/src/figurerecord.cpp
+++ b/packages/usage/src/figurerecord.cpp
@@ -24,7 +24,7 @@
 // One part of a figure, as found in a listing.
 struct Part
 {
-    std::uint64_t offset = 0;
+    LogPosition position = 0;
     proto::UsageRecord record;
 };
 
@@ -58,9 +58,9 @@
 {
     if (parts.size() != expected)
         return false;
-    const std::uint64_t first = parts.begin()->second.offset;
+    const LogPosition first = parts.begin()->second.position;
     return std::all_of(parts.begin(), parts.end(), [first](const auto &item) {
-        return item.second.offset == first + item.first - 1;
+        return item.second.position == first + item.first - 1;
     });
 }
 
@@ -104,7 +104,7 @@
     Parts found;
     for (const duties::LogItem &item : listing.items) {
         const auto number = parseKey(item.key);
-        Part part{ .offset = item.offset };
+        Part part{ .position = item.position };
         if (!number || !proto::parseMessage(item.value, part.record))
             continue;
         const std::uint64_t window = part.record.window();
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -365,13 +365,13 @@
     log.executeDelayed();
     const std::string firstPart = keyOf(first) + "-1-2";
     BOOST_REQUIRE(log.items.contains(firstPart));
-    const std::uint64_t offset = log.items.at(firstPart).offset;
+    const std::uint64_t offset = log.items.at(firstPart).position;
     kill("a");
     start("d");
     count("d", "huka0", 1, seconds(4));
     giveDuties("d");
     run(seconds(4));
-    BOOST_TEST(log.items.at(firstPart).offset > offset);
+    BOOST_TEST(log.items.at(firstPart).position > offset);
     BOOST_TEST(reported(first).size() == kOrganisations);
     BOOST_TEST(reported(first)["huka0"] == 2U);
 }
--- a/packages/usage/tests/usagefixture.h
+++ b/packages/usage/tests/usagefixture.h
@@ -73,9 +73,9 @@
     {
         if (expectedEnd != end)
             return { .status = duties::AppendStatus::Conflict, .end = end };
-        items[key] = { .key = key, .value = value, .offset = end };
+        items[key] = { .key = key, .value = value, .position = end };
         ++end;
-        return { .status = duties::AppendStatus::Appended, .offset = end - 1, .end = end };
+        return { .status = duties::AppendStatus::Appended, .position = end - 1, .end = end };
     }
 
     Mode mode = Mode::Works;
--- a/tests/fuzz/dutydecoders.cpp
+++ b/tests/fuzz/dutydecoders.cpp
@@ -38,7 +38,7 @@
             return;
         for (const platform::KeyedRecord &record : page->records)
             listing_.items.push_back(
-                    { .key = record.key, .value = record.value, .offset = record.offset });
+                    { .key = record.key, .value = record.value, .position = record.offset });
         listing_.end = page->end;
     }
 
@@ -53,9 +53,9 @@
         const std::uint64_t offset = listing_.end++;
         std::erase_if(listing_.items, [&key](const auto &item) { return item.key == key; });
         listing_.items.push_back(
-                { .key = std::move(key), .value = std::move(value), .offset = offset });
+                { .key = std::move(key), .value = std::move(value), .position = offset });
         handler({ .status = duties::AppendStatus::Appended,
-                  .offset = offset,
+                  .position = offset,
                   .end = listing_.end });
     }
 
--- a/tests/fuzz/peerdecoders.cpp
+++ b/tests/fuzz/peerdecoders.cpp
@@ -34,7 +34,7 @@
                 AppendHandler handler) override
     {
         handler({ .status = duties::AppendStatus::Appended,
-                  .offset = expectedEnd,
+                  .position = expectedEnd,
                   .end = expectedEnd + 1 });
     }
 };
