Usage: a process that replaces a mirror gets the counts that its predecessor kept

What operators saw: after several daemons were replaced within the time for which a usage window is open (up to 14 s with a takeover of the lease), the figure of the window was too low, and no log line said so.

Cause: the counts of a killed process are kept by the holder of the duties and by its mirrors, and nobody noticed when these were replaced. The reporter compared mirrors by their address, so a process that was started again at the same address, within the time for which its predecessor counts as live, got only what was counted from then on. The counts of dead processes were passed on to a new holder only. Replacing the daemons one after another thus lost them, although there was never more than one down.

Change: mirrors acknowledge complete reports and name their process. If another process acknowledges than the one that has received everything, everything is sent again, and each daemon passes the counts of silent processes on to new processes among its own mirrors. Counts that another daemon forwards do not make a silent process look alive.

--- a/packages/usage/include/auburn/usage/usagecollector.h
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -34,6 +34,8 @@
 
     struct Options
     {
+        // Distinguishes processes of this VM.
+        std::uint64_t incarnation = 0;
         std::chrono::milliseconds windowLength = kDefaultWindowLength;
         SendDatagram send;
         // May be null.
@@ -58,14 +60,16 @@
     // received from daemon processes that are silent.
     void setHolder(const duties::DutyHolder &holder, TimePoint now);
     // Merges a report, also while the permit is not held: this daemon may be a mirror of the
-    // sender, or hold the permit again later. The sender (IP:PORT) gets an acknowledgement from the
-    // holder.
+    // sender, or hold the permit again later. The sender (IP:PORT) gets an acknowledgement of a
+    // complete report.
     void handleReport(const proto::UsageReport &report, const std::string &sender, TimePoint now);
     // Forgets the counts of windows that the holder, which may be this daemon, has closed.
     void handleAck(const proto::UsageAck &ack);
     // Performs what is due; to be called about every 100 ms on every daemon. The live daemons,
-    // this one included, are those whose reports a window waits for.
-    void tick(TimePoint now, const std::vector<LiveDaemon> &live);
+    // this one included, are those whose reports a window waits for. New ones of this daemon's
+    // mirrors get the counts of silent processes.
+    void tick(TimePoint now, const std::vector<LiveDaemon> &live,
+              const std::vector<MirrorProcess> &mirrors);
     // Returns what this daemon has reported; only meaningful while it holds the duties.
     ReportStatus status(TimePoint now) const;
 
--- a/packages/usage/include/auburn/usage/usagereporter.h
+++ b/packages/usage/include/auburn/usage/usagereporter.h
@@ -2,7 +2,8 @@
 //
 // The mirrors are up to three other daemons, preferably of other failure domains. They keep the
 // counts in case this daemon and the holder are killed at about the same time, and pass those of a
-// silent daemon on to a new holder (UsageCollector).
+// silent daemon on to a new holder (UsageCollector). A mirror acknowledges complete reports; if
+// another process acknowledges than the one that received everything, everything is sent again.
 //
 // Reports are cumulative, so duplicates and losses are harmless. Changes are sent several times a
 // second, because a daemon that is killed loses what it has counted since its last report. Once a
@@ -18,6 +19,7 @@
 #include "auburn/usage/usageledger.h"
 
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -31,6 +33,14 @@
 using SendDatagram =
         std::function<void(const std::string &udpAddress, const proto::PeerDatagram &datagram)>;
 
+// A process that keeps the counts of another daemon.
+struct MirrorProcess
+{
+    std::string udpAddress;
+    std::uint64_t incarnation = 0;
+    auto operator<=>(const MirrorProcess &) const = default;
+};
+
 class UsageReporter
 {
 public:
@@ -51,19 +61,33 @@
     // Takes note of the newest known holder, which may be this daemon. Everything is reported to a
     // new one with the next tick.
     void setHolder(const duties::DutyHolder &holder);
-    void handleAck(const proto::UsageAck &ack);
+    // The sender is IP:PORT.
+    void handleAck(const proto::UsageAck &ack, const std::string &sender);
     // Sends what is due; to be called about every 100 ms with all live daemons, this one included.
     // Their number determines how often changes are sent.
     void tick(TimePoint now, const std::vector<LiveDaemon> &live);
     // Sends everything at once, before the process ends.
     void flush(TimePoint now);
+    // The mirrors that have acknowledged a report.
+    std::vector<MirrorProcess> mirrors() const;
 
 private:
+    struct Mirror
+    {
+        std::string udpAddress;
+        // The process that acknowledged last; 0 if none has.
+        std::uint64_t incarnation = 0;
+        // The process that acknowledged the newest report of everything; 0 if none has.
+        std::uint64_t completeIncarnation = 0;
+    };
+
     bool hasHolder() const { return holder_.token > 0 && !holder_.released; }
     // True once in each second, at a time that differs between the daemons of a large fleet.
     bool takeCompleteReportDue(std::chrono::milliseconds unixTime, std::size_t liveDaemons);
     // Returns true if the mirrors have changed.
     bool chooseMirrors(const std::vector<LiveDaemon> &live);
+    std::vector<std::string> selectMirrors(const std::vector<LiveDaemon> &live) const;
+    void handleMirrorAck(const proto::UsageAck &ack, Mirror &mirror);
     void queueChanges(std::chrono::milliseconds unixTime);
     void queueCompleteReport(UsageLedger::Scope scope, std::chrono::milliseconds unixTime);
     std::vector<proto::UsageReport> makeReports(UsageLedger::Scope scope,
@@ -76,8 +100,10 @@
     duties::DutyHolder holder_;
     // A receiver is new, so it needs everything.
     bool isReceiverNew_ = false;
-    // Addresses.
-    std::vector<std::string> mirrors_;
+    // Sorted by address.
+    std::vector<Mirror> mirrors_;
+    // The number of the newest report of everything.
+    std::uint64_t fullReport_ = 0;
     std::int64_t lastCompleteSecond_ = 0;
     TimePoint nextChangesAt_;
     std::deque<proto::UsageReport> queue_;
--- a/packages/usage/src/silentforwarder.cpp
+++ b/packages/usage/src/silentforwarder.cpp
@@ -2,14 +2,15 @@
 
 #include "reportsplitter.h"
 
+#include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace auburn::usage {
 
 namespace {
 
-// A holder closes the windows that were open when it took over within about 3 s.
+// A holder closes the windows that were open when it took over within about 3 s. A new mirror gets
+// the counts of the processes that were killed before their reports reached it.
 constexpr std::chrono::seconds kForwardTime{ 5 };
 // A process that has not reported for this time has probably ended, because it reports once a
 // second; its VM may be live again with another process. A new holder closes windows 1.5 s after it
@@ -27,23 +28,51 @@
     if (holder.token <= holder_.token)
         return;
     holder_ = holder;
-    endsAt_ = now + kForwardTime;
-    forwarded_.clear();
+    holderReceiver_ = { .udpAddress = holder.udpAddress, .endsAt = now + kForwardTime };
+    if (holder.released)
+        skipHolder();
+}
+
+void SilentForwarder::setMirrors(const std::vector<MirrorProcess> &mirrors, TimePoint now)
+{
+    std::erase_if(mirrors_, [&mirrors](const auto &item) {
+        return std::find(mirrors.begin(), mirrors.end(), item.first) == mirrors.end();
+    });
+    for (const MirrorProcess &mirror : mirrors)
+        mirrors_.try_emplace(
+                mirror, Receiver{ .udpAddress = mirror.udpAddress, .endsAt = now + kForwardTime });
 }
 
 void SilentForwarder::tick(const UsageTable &table, std::chrono::milliseconds unixTime,
                            TimePoint now)
 {
-    if (now >= endsAt_ || holder_.released)
+    std::vector<Receiver *> receivers;
+    if (now < holderReceiver_.endsAt)
+        receivers.push_back(&holderReceiver_);
+    for (auto &[process, receiver] : mirrors_) {
+        if (now < receiver.endsAt)
+            receivers.push_back(&receiver);
+    }
+    if (receivers.empty())
         return;
-    for (const UsageTable::Process &process : table.processesSilentSince(unixTime - kSilence)) {
+    const std::vector<UsageTable::Process> silent = table.processesSilentSince(unixTime - kSilence);
+    for (Receiver *receiver : receivers)
+        forwardNext(*receiver, table, silent);
+}
+
+void SilentForwarder::forwardNext(Receiver &receiver, const UsageTable &table,
+                                  const std::vector<UsageTable::Process> &silent) const
+{
+    for (const UsageTable::Process &process : silent) {
         // One process a tick bounds the datagrams that are sent at once.
-        if (forwarded_.insert(process).second && forward(table, process))
+        if (receiver.forwarded.insert(process).second
+            && forward(receiver.udpAddress, table, process))
             return;
     }
 }
 
-bool SilentForwarder::forward(const UsageTable &table, const UsageTable::Process &process) const
+bool SilentForwarder::forward(const std::string &udpAddress, const UsageTable &table,
+                              const UsageTable::Process &process) const
 {
     const std::vector<proto::UsageWindow> counts = table.countsOf(process);
     if (counts.empty())
@@ -54,7 +83,7 @@
     proto::PeerDatagram datagram;
     for (proto::UsageReport &report : splitReport(header, counts)) {
         *datagram.mutable_usage_report() = std::move(report);
-        send_(holder_.udpAddress, datagram);
+        send_(udpAddress, datagram);
     }
     return true;
 }
--- a/packages/usage/src/silentforwarder.h
+++ b/packages/usage/src/silentforwarder.h
@@ -1,7 +1,9 @@
-// SilentForwarder passes the counts of silent daemon processes on to a new holder.
+// SilentForwarder passes the counts of silent daemon processes on to a new holder and to new
+// mirrors of this daemon.
 //
-// A daemon that was killed together with the holder cannot report its counts again; its mirrors
-// can.
+// A daemon that was killed cannot report its counts again. If the holder was killed together with
+// it, its mirrors pass its counts on to the next one. A process that replaces one of this daemon's
+// mirrors gets them as well, so that replacing the daemons one after another loses nothing.
 #pragma once
 
 #include "usagetable.h"
@@ -11,7 +13,10 @@
 #include "auburn/usage/usagereporter.h"
 
 #include <chrono>
+#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace auburn::usage {
 
@@ -24,17 +29,32 @@
 
     // Starts forwarding to a holder with a newer token.
     void setHolder(const duties::DutyHolder &holder, TimePoint now);
-    // Forwards the counts of at most one silent process.
+    // This daemon is the holder.
+    void skipHolder() { holderReceiver_.endsAt = {}; }
+    // Starts forwarding to the mirrors that were not among those of the last call.
+    void setMirrors(const std::vector<MirrorProcess> &mirrors, TimePoint now);
+    // Forwards the counts of at most one silent process to each receiver.
     void tick(const UsageTable &table, std::chrono::milliseconds unixTime, TimePoint now);
 
 private:
+    struct Receiver
+    {
+        std::string udpAddress;
+        TimePoint endsAt;
+        std::set<UsageTable::Process> forwarded;
+    };
+
+    // Forwards the counts of the first of these processes that has any and was not forwarded yet.
+    void forwardNext(Receiver &receiver, const UsageTable &table,
+                     const std::vector<UsageTable::Process> &silent) const;
     // Returns false if there is nothing to forward.
-    bool forward(const UsageTable &table, const UsageTable::Process &process) const;
+    bool forward(const std::string &udpAddress, const UsageTable &table,
+                 const UsageTable::Process &process) const;
 
     const SendDatagram send_;
     duties::DutyHolder holder_;
-    TimePoint endsAt_;
-    std::set<UsageTable::Process> forwarded_;
+    Receiver holderReceiver_;
+    std::map<MirrorProcess, Receiver> mirrors_;
 };
 
 } // namespace auburn::usage
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -76,14 +76,17 @@
         const std::uint64_t late = table_.merge(report, clock_.unixTime(now));
         if (lateRequests_)
             lateRequests_->add(late);
-        if (!table_.hasAllParts(report) || !isOperating() || !permit_.isHeld())
+        if (!table_.hasAllParts(report))
             return;
         proto::PeerDatagram datagram;
         proto::UsageAck &ack = *datagram.mutable_usage_ack();
-        ack.set_token(token_);
-        ack.set_closed_through(nextWindow_ > 0 ? nextWindow_ - 1 : 0);
+        if (isOperating() && permit_.isHeld()) {
+            ack.set_token(token_);
+            ack.set_closed_through(nextWindow_ > 0 ? nextWindow_ - 1 : 0);
+        }
         ack.set_incarnation(report.incarnation());
         ack.set_number(report.number());
+        ack.set_receiver_incarnation(options_.incarnation);
         options_.send(sender, datagram);
     }
 
@@ -100,13 +103,16 @@
             table_.dropWindowsBefore(ack.closed_through() - kClosedWindowsKept);
     }
 
-    void tick(TimePoint now, const std::vector<LiveDaemon> &live)
+    void tick(TimePoint now, const std::vector<LiveDaemon> &live,
+              const std::vector<MirrorProcess> &mirrors)
     {
         table_.dropExpired(clock_.unixTime(now));
-        if (permit_.isHeld())
+        forwarder_.setMirrors(mirrors, now);
+        if (permit_.isHeld()) {
+            forwarder_.skipHolder();
             performDuty(now, live);
-        else
-            forwarder_.tick(table_, clock_.unixTime(now), now);
+        }
+        forwarder_.tick(table_, clock_.unixTime(now), now);
     }
 
 private:
@@ -287,9 +293,10 @@
     state_->handleAck(ack);
 }
 
-void UsageCollector::tick(TimePoint now, const std::vector<LiveDaemon> &live)
+void UsageCollector::tick(TimePoint now, const std::vector<LiveDaemon> &live,
+                          const std::vector<MirrorProcess> &mirrors)
 {
-    state_->tick(now, live);
+    state_->tick(now, live, mirrors);
 }
 
 ReportStatus UsageCollector::status(TimePoint now) const
--- a/packages/usage/src/usagemetering.cpp
+++ b/packages/usage/src/usagemetering.cpp
@@ -24,7 +24,8 @@
                 .send = [this](const std::string &address,
                                const proto::PeerDatagram &datagram) { send(address, datagram); } },
               clock_, ledger_)
-    , collector_({ .windowLength = options_.windowLength,
+    , collector_({ .incarnation = options_.incarnation,
+                   .windowLength = options_.windowLength,
                    .send = [this](const std::string &address,
                                   const proto::PeerDatagram &datagram) { send(address, datagram); },
                    .metrics = options_.metrics },
@@ -61,7 +62,7 @@
         collector_.handleReport(datagram.usage_report(), sender, now);
     if (!datagram.has_usage_ack())
         return;
-    reporter_.handleAck(datagram.usage_ack());
+    reporter_.handleAck(datagram.usage_ack(), sender);
     collector_.handleAck(datagram.usage_ack());
 }
 
@@ -71,7 +72,7 @@
     clock_.recordClock(options_.self.vm, wallClock, now);
     refreshLiveDaemons(now);
     reporter_.tick(now, live_);
-    collector_.tick(now, live_);
+    collector_.tick(now, live_, reporter_.mirrors());
 }
 
 void UsageMetering::flush(TimePoint now)
--- a/packages/usage/src/usagereporter.cpp
+++ b/packages/usage/src/usagereporter.cpp
@@ -55,12 +55,38 @@
     holder_ = holder;
 }
 
-void UsageReporter::handleAck(const proto::UsageAck &ack)
+void UsageReporter::handleAck(const proto::UsageAck &ack, const std::string &sender)
 {
     // A window that any holder has closed has a final figure, whatever the token of that holder.
     ledger_.closeThrough(ack.closed_through());
-    if (ack.token() == holder_.token && ack.incarnation() == options_.incarnation)
+    if (ack.incarnation() != options_.incarnation)
+        return;
+    if (ack.token() > 0 && ack.token() == holder_.token)
         ledger_.acknowledge(ack.number());
+    const auto mirror = std::find_if(mirrors_.begin(), mirrors_.end(), [&](const Mirror &known) {
+        return known.udpAddress == sender;
+    });
+    if (mirror != mirrors_.end())
+        handleMirrorAck(ack, *mirror);
+}
+
+void UsageReporter::handleMirrorAck(const proto::UsageAck &ack, Mirror &mirror)
+{
+    mirror.incarnation = ack.receiver_incarnation();
+    if (ack.number() == fullReport_)
+        mirror.completeIncarnation = ack.receiver_incarnation();
+    else if (ack.number() > fullReport_ && ack.receiver_incarnation() != mirror.completeIncarnation)
+        isReceiverNew_ = true;
+}
+
+std::vector<MirrorProcess> UsageReporter::mirrors() const
+{
+    std::vector<MirrorProcess> processes;
+    for (const Mirror &mirror : mirrors_) {
+        if (mirror.incarnation != 0)
+            processes.push_back({ mirror.udpAddress, mirror.incarnation });
+    }
+    return processes;
 }
 
 void UsageReporter::tick(TimePoint now, const std::vector<LiveDaemon> &live)
@@ -101,6 +127,21 @@
 }
 
 bool UsageReporter::chooseMirrors(const std::vector<LiveDaemon> &live)
+{
+    const std::vector<std::string> addresses = selectMirrors(live);
+    const auto hasAddress = [](const Mirror &mirror, const std::string &address) {
+        return mirror.udpAddress == address;
+    };
+    if (std::equal(mirrors_.begin(), mirrors_.end(), addresses.begin(), addresses.end(),
+                   hasAddress))
+        return false;
+    mirrors_.clear();
+    for (const std::string &address : addresses)
+        mirrors_.push_back({ .udpAddress = address });
+    return true;
+}
+
+std::vector<std::string> UsageReporter::selectMirrors(const std::vector<LiveDaemon> &live) const
 {
     // Rendezvous hashing, so that few daemons change their mirrors when one comes or goes. Daemons
     // of this failure domain come last, because they may be killed together with this one.
@@ -117,11 +158,11 @@
                                        candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
                       candidates.end());
-    std::vector<std::string> mirrors;
+    std::vector<std::string> addresses;
     for (std::size_t i = 0; i < count; ++i)
-        mirrors.push_back(candidates[i].second->udpAddress);
-    std::sort(mirrors.begin(), mirrors.end());
-    return std::exchange(mirrors_, mirrors) != mirrors;
+        addresses.push_back(candidates[i].second->udpAddress);
+    std::sort(addresses.begin(), addresses.end());
+    return addresses;
 }
 
 std::vector<proto::UsageReport> UsageReporter::makeReports(UsageLedger::Scope scope,
@@ -133,6 +174,8 @@
     header.set_fleet_ms(static_cast<std::uint64_t>(unixTime.count()));
     const UsageLedger::Report report = ledger_.takeReport(scope);
     header.set_number(report.number);
+    if (scope == UsageLedger::Scope::Everything)
+        fullReport_ = report.number;
     return splitReport(header, report.windows);
 }
 
@@ -162,8 +205,8 @@
         queue_.pop_front();
         if (hasHolder())
             options_.send(holder_.udpAddress, datagram);
-        for (const std::string &mirror : mirrors_)
-            options_.send(mirror, datagram);
+        for (const Mirror &mirror : mirrors_)
+            options_.send(mirror.udpAddress, datagram);
     }
 }
 
--- a/packages/usage/src/usagetable.cpp
+++ b/packages/usage/src/usagetable.cpp
@@ -27,7 +27,10 @@
     ProcessState *state = findProcess(report);
     if (!state)
         return 0;
-    state->lastReport = unixTime;
+    state->lastMerge = unixTime;
+    // Another daemon that forwards the counts of a process states no time of it.
+    if (report.fleet_ms() > 0)
+        state->lastReport = unixTime;
     std::uint64_t late = 0;
     for (const proto::UsageWindow &counts : report.windows()) {
         if (!isInRange(counts.window(), unixTime))
@@ -148,7 +151,7 @@
     dropWindowsBefore(firstKept);
     // A process is kept for longer than any window that it reported.
     std::erase_if(processes_, [&](const auto &item) {
-        return item.second.lastReport < oldest - kWindowRetention;
+        return item.second.lastMerge < oldest - kWindowRetention;
     });
     std::erase_if(completeThrough_, [&](const auto &item) {
         return milliseconds(item.second) < oldest - kWindowRetention;
--- a/packages/usage/src/usagetable.h
+++ b/packages/usage/src/usagetable.h
@@ -47,7 +47,7 @@
     // A daemon process: its VM's name and its incarnation.
     using Process = std::pair<std::string, std::uint64_t>;
 
-    // The processes that have not reported since a time.
+    // The processes that have not reported themselves since a time.
     std::vector<Process> processesSilentSince(std::chrono::milliseconds unixTime) const;
     // All counts that a process has reported.
     std::vector<proto::UsageWindow> countsOf(const Process &process) const;
@@ -56,7 +56,11 @@
     struct ProcessState
     {
         std::uint32_t number = 0;
+        // When the process itself last reported; 0 if its counts are known from another daemon
+        // only.
         std::chrono::milliseconds lastReport{ 0 };
+        // When counts of the process last arrived.
+        std::chrono::milliseconds lastMerge{ 0 };
         // The number of the newest complete report, and which of its parts have arrived.
         std::uint64_t report = 0;
         std::vector<bool> parts;
--- a/packages/usage/tests/randomfaults_test.cpp
+++ b/packages/usage/tests/randomfaults_test.cpp
@@ -4,7 +4,6 @@
 
 #include "usagefixture.h"
 
-#include <array>
 #include <iterator>
 #include <random>
 #include <set>
@@ -43,13 +42,13 @@
         }
     }
 
-    // Kills a daemon, but not more than two within 15 s: of more, all mirrors of a daemon could be
-    // killed with it. The requests that it counted directly before may be lost.
+    // Kills a daemon, but not before the counts that were lost with the one before are replicated
+    // again. The requests that it counted directly before may be lost.
     void killSome()
     {
-        if (now - lastKillsAt[0] < seconds(15))
+        if (now - lastKillAt < kReplicationTime)
             return;
-        lastKillsAt = { lastKillsAt[1], now };
+        lastKillAt = now;
         const std::string vm = nameOf(pick(kDaemons));
         for (const auto &[time, organisation] : recent[vm]) {
             if (trueTime() - time <= milliseconds(200))
@@ -85,7 +84,7 @@
     void step()
     {
         countSome();
-        if (happens(4))
+        if (happens(kKillsPerThousand))
             killSome();
         restartKilled();
         // A restarted daemon does not hold the duties that its predecessor held.
@@ -105,13 +104,15 @@
     }
 
     static constexpr unsigned kDaemons = 6;
+    static constexpr milliseconds kReplicationTime{ 2500 };
+    static constexpr unsigned kKillsPerThousand = 200;
     std::mt19937_64 random;
     using Key = std::pair<std::uint64_t, std::string>;
     std::map<Key, std::uint64_t> truth;
     std::map<Key, std::uint64_t> mayBeLost;
     std::map<std::string, std::vector<std::pair<milliseconds, std::string>>> recent;
     std::map<std::string, TimePoint> killedAt;
-    std::array<TimePoint, 2> lastKillsAt;
+    TimePoint lastKillAt;
     TimePoint nextHolderAt;
 };
 
--- a/tests/fuzz/dutydecoders.cpp
+++ b/tests/fuzz/dutydecoders.cpp
@@ -110,7 +110,8 @@
     for (TimePoint now = kStart; now < kStart + std::chrono::seconds(10); now += kTick) {
         clock.recordClock("vm", kUnixTime + std::chrono::duration_cast<milliseconds>(now - kStart),
                           now);
-        collector.tick(now, { { .vm = "vm", .udpAddress = "127.0.0.1:1", .failureDomain = "a" } });
+        collector.tick(now, { { .vm = "vm", .udpAddress = "127.0.0.1:1", .failureDomain = "a" } },
+                       {});
     }
 }
 
