Usage: committed figures are written again after a restore of the store

The copy that a store comes back from may lack committed usage figures. A new holder then closed the windows again and sent a second figure, which differed if it had received late reports in the meantime; figures that the platform had not accepted yet were lost. FigureLog took the log for one that only grows.

The holder lists the log once its era has risen and appends the figures that it knows and the listing lacks, before any other. A new holder does not close windows that it knows to be closed from acknowledgements of an earlier era. ConditionalLog tells the era of the newest response.

FakeLog has an era and can be restored from a copy. Not run with real daemons yet.

--- a/packages/duties/include/auburn/duties/conditionallog.h
+++ b/packages/duties/include/auburn/duties/conditionallog.h
@@ -61,6 +61,8 @@
     virtual void list(ListHandler handler) = 0;
     virtual void append(std::string key, std::string value, LogPosition expectedEnd,
                         AppendHandler handler) = 0;
+    // The era that the newest response of the store names; 0 if it names none.
+    virtual std::uint64_t era() const { return 0; }
 };
 
 } // namespace auburn::duties
--- a/packages/usage/src/figurelog.cpp
+++ b/packages/usage/src/figurelog.cpp
@@ -4,6 +4,7 @@
 #include "auburn/core/log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace auburn::usage {
@@ -34,17 +35,22 @@
     isListed_ = false;
     isBusy_ = false;
     committed_.clear();
-    pending_.reset();
+    pending_.clear();
     retry_.reset();
 }
 
 void FigureLog::commit(duties::UsageFigure figure, TimePoint now)
+{
+    pending_.push_back(makePending(std::move(figure)));
+    tick(now, lastWindow_);
+}
+
+FigureLog::Pending FigureLog::makePending(duties::UsageFigure figure) const
 {
     Pending pending;
     pending.records = encodeFigure(figure, keyCount_);
     pending.figure = std::move(figure);
-    pending_ = std::move(pending);
-    tick(now, lastWindow_);
+    return pending;
 }
 
 void FigureLog::tick(TimePoint now, std::uint64_t lastWindow)
@@ -53,9 +59,11 @@
     lastWindow_ = lastWindow;
     if (isBusy_ || !retry_.isOver(now))
         return;
+    if (log_.era() > eraOf(end_))
+        isListed_ = false;
     if (!isListed_)
         list();
-    else if (pending_)
+    else if (!pending_.empty())
         appendNext();
 }
 
@@ -73,24 +81,50 @@
         return;
     }
     CommittedFigures listed = decodeFigures(*listing, firstWindow_, lastWindow_);
+    end_ = listing->end;
+    std::erase_if(pending_, [&listed](const Pending &pending) {
+        return listed.nextWindow > pending.figure.window;
+    });
+    for (Pending &pending : pending_)
+        pending.appended = 0;
+    restoreLost(listed);
+    nextWindow_ = std::max(nextWindow_, listed.nextWindow);
     for (auto &[window, figure] : listed.figures)
         addCommitted(std::move(figure));
-    nextWindow_ = std::max(nextWindow_, listed.nextWindow);
-    end_ = listing->end;
     isOpen_ = true;
     isListed_ = true;
-    if (!pending_)
+}
+
+void FigureLog::restoreLost(const CommittedFigures &listed)
+{
+    std::deque<Pending> lost;
+    for (const auto &[window, known] : known_) {
+        // The log does not hold a figure whose key a later window has.
+        const bool isReplaced = window + keyCount_ < listed.nextWindow;
+        if (known.era >= eraOf(end_) || window < firstWindow_ || isReplaced
+            || listed.figures.contains(window))
+            continue;
+        nextWindow_ = std::max(nextWindow_, window + 1);
+        lost.push_back(makePending(known.figure));
+    }
+    if (lost.empty())
         return;
-    if (nextWindow_ > pending_->figure.window)
-        pending_.reset();
-    else
-        pending_->appended = 0;
+    logEvent(LogLevel::Warning, "usage_figures_written_again",
+             { { "first", static_cast<long long>(lost.front().figure.window) },
+               { "last", static_cast<long long>(lost.back().figure.window) },
+               { "era", static_cast<long long>(eraOf(end_)) } });
+    std::erase_if(pending_, [this](const Pending &pending) {
+        return known_.contains(pending.figure.window);
+    });
+    std::move(pending_.begin(), pending_.end(), std::back_inserter(lost));
+    pending_ = std::move(lost);
 }
 
 void FigureLog::appendNext()
 {
     isBusy_ = true;
-    const FigureRecord &record = pending_->records[pending_->appended];
+    const Pending &pending = pending_.front();
+    const FigureRecord &record = pending.records[pending.appended];
     log_.append(record.key, record.value, end_, handler(&FigureLog::appended));
 }
 
@@ -99,18 +133,19 @@
     if (result.status == duties::AppendStatus::Appended) {
         end_ = result.end;
         retry_.reset();
-        if (++pending_->appended < pending_->records.size()) {
-            appendNext();
-            return;
+        Pending &pending = pending_.front();
+        if (++pending.appended == pending.records.size()) {
+            addCommitted(std::move(pending.figure));
+            pending_.pop_front();
         }
-        addCommitted(std::move(pending_->figure));
-        pending_.reset();
+        if (!pending_.empty())
+            appendNext();
         return;
     }
     // Only a record that was certainly not appended leaves the end of the log known.
     isListed_ = result.status == duties::AppendStatus::NotAppended;
     logEvent(LogLevel::Warning, "usage_commit_unconfirmed",
-             { { "window", static_cast<long long>(pending_->figure.window) },
+             { { "window", static_cast<long long>(pending_.front().figure.window) },
                { "result", result.status == duties::AppendStatus::Conflict      ? "conflict"
                            : result.status == duties::AppendStatus::NotAppended ? "not_appended"
                                                                                 : "unknown" } });
@@ -121,6 +156,9 @@
 {
     const std::uint64_t window = figure.window;
     nextWindow_ = std::max(nextWindow_, window + 1);
+    known_[window] = { .figure = figure, .era = eraOf(end_) };
+    if (known_.size() > keyCount_)
+        known_.erase(known_.begin());
     if (found_.insert(window).second)
         committed_[window] = std::move(figure);
     // The log does not hold older ones either.
--- a/packages/usage/src/figurelog.h
+++ b/packages/usage/src/figurelog.h
@@ -3,18 +3,24 @@
 // Every append is conditional on the end of the log as it was listed, and a figure is appended only
 // if the listing has none of its window. So the log holds at most one figure for each window, also
 // if an append is executed late, if its response is lost, or if another daemon appends as well.
+//
+// If the log is restored from an older copy, the figures that it has lost and that are known here
+// are appended again, before any other.
 #pragma once
 
 #include "figurerecord.h"
 #include "retrydelay.h"
 
 #include "auburn/core/bootclock.h"
+#include "auburn/core/logposition.h"
 #include "auburn/duties/conditionallog.h"
 #include "auburn/duties/dutyapi.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -31,8 +37,8 @@
     // The log must outlive this object.
     FigureLog(duties::ConditionalLog &log, std::chrono::milliseconds windowLength);
 
-    // Forgets everything and lists the log with the next tick. Figures are read from this window
-    // on.
+    // Lists the log with the next tick, and forgets everything but the figures that a restored log
+    // may lack. Figures are read from this window on.
     void reopen(std::uint64_t firstWindow);
     // True if the log has been listed since reopen().
     bool isOpen() const { return isOpen_; }
@@ -40,10 +46,13 @@
     std::uint64_t nextWindow() const { return nextWindow_; }
     // The figures that have been found or committed since the last call.
     Figures takeCommitted() { return std::exchange(committed_, {}); }
+    // The era of the log at its newest response, and when it was listed or appended to last.
+    std::uint64_t currentEra() const { return log_.era(); }
+    std::uint64_t listedEra() const { return eraOf(end_); }
     // Commits a figure, unless the log turns out to hold one of this window or of a later one;
     // isCommitting() is true until then. Only while the log is open and nothing is being committed.
     void commit(duties::UsageFigure figure, TimePoint now);
-    bool isCommitting() const { return pending_.has_value(); }
+    bool isCommitting() const { return !pending_.empty(); }
     // Continues after failures; to be called about every 100 ms. Later windows than the last one
     // are ignored in the log.
     void tick(TimePoint now, std::uint64_t lastWindow);
@@ -55,11 +64,20 @@
         std::vector<FigureRecord> records;
         std::size_t appended = 0;
     };
+    struct Known
+    {
+        duties::UsageFigure figure;
+        // The newest era in which the log held it.
+        std::uint64_t era = 0;
+    };
 
     void list();
     void listed(const std::optional<duties::LogListing> &listing);
     void appendNext();
     void appended(const duties::AppendResult &result);
+    Pending makePending(duties::UsageFigure figure) const;
+    // Appends the known figures again that the listing of a later era lacks.
+    void restoreLost(const CommittedFigures &listed);
     void addCommitted(duties::UsageFigure figure);
     // Wraps a handler so that it does nothing after reopen() or destruction.
     template<class Result>
@@ -71,14 +89,17 @@
     // The end of the log is known.
     bool isListed_ = false;
     bool isBusy_ = false;
-    std::uint64_t end_ = 0;
+    LogPosition end_ = 0;
     std::uint64_t firstWindow_ = 0;
     std::uint64_t lastWindow_ = 0;
     std::uint64_t nextWindow_ = 0;
     Figures committed_;
     // The windows whose figures have been in committed_.
     std::set<std::uint64_t> found_;
-    std::optional<Pending> pending_;
+    // Committed one after another.
+    std::deque<Pending> pending_;
+    // The newest keyCount_ figures that were committed, by window; kept by reopen().
+    std::map<std::uint64_t, Known> known_;
     RetryDelay retry_;
     // Time of the last tick.
     TimePoint now_;
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -98,6 +98,10 @@
     {
         if (ack.closed_through() > kClosedWindowsKept)
             table_.dropWindowsBefore(ack.closed_through() - kClosedWindowsKept);
+        if (ack.closed_through() > closedThrough_) {
+            closedThrough_ = ack.closed_through();
+            closedEra_ = log_.currentEra();
+        }
     }
 
     void tick(TimePoint now, const std::vector<LiveDaemon> &live)
@@ -143,10 +147,24 @@
     {
         resumed_ = true;
         nextWindow_ = log_.nextWindow();
+        skipLost();
         logEvent(LogLevel::Info, "usage_taken_over",
                  { { "token", toLogNumber(token_) }, { "next_window", toLogNumber(nextWindow_) } });
     }
 
+    // Does not close windows again that a former holder has closed, if the log was restored without
+    // their figures: a second figure might differ from the one that was sent.
+    void skipLost()
+    {
+        if (nextWindow_ > closedThrough_ || log_.listedEra() <= closedEra_)
+            return;
+        logEvent(LogLevel::Warning, "usage_windows_lost",
+                 { { "first", toLogNumber(nextWindow_) },
+                   { "last", toLogNumber(closedThrough_) },
+                   { "era", toLogNumber(log_.listedEra()) } });
+        nextWindow_ = closedThrough_ + 1;
+    }
+
     // Sends the figures that were found in the log or committed: those of previous holders, those
     // of this daemon, and any whose append was executed late.
     void sendCommitted(TimePoint now)
@@ -263,6 +281,10 @@
     bool resumed_ = false;
     // The oldest window that is neither committed nor given up.
     std::uint64_t nextWindow_ = 0;
+    // The newest window that a holder is known to have closed, and the era of the log when this
+    // daemon learned of it.
+    std::uint64_t closedThrough_ = 0;
+    std::uint64_t closedEra_ = 0;
 };
 
 UsageCollector::UsageCollector(Options options, const Dependencies &dependencies)
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -434,6 +434,67 @@
         BOOST_TEST(figure.window != first);
 }
 
+// Guards against windows that nobody reports after the log was restored without their figures: the
+// platform had not accepted them yet.
+BOOST_AUTO_TEST_CASE(logIsRestored_figuresNotAccepted_areWrittenAgainAndSentByTheNextHolder)
+{
+    log.keepCopy();
+    api.received = false;
+    api.status = duties::CallStatus::NotSent;
+    count("b", "huka", 3);
+    runToWindow(first + 1, seconds(3));
+    BOOST_REQUIRE(log.items.contains(keyOf(first)));
+    log.restoreCopy();
+    run(seconds(1));
+    BOOST_TEST(log.items.contains(keyOf(first)));
+    kill("a");
+    api.received = true;
+    api.status = duties::CallStatus::Accepted;
+    giveDuties("b");
+    run(seconds(4));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+}
+
+// Guards against figures that are written again more than once, or changed.
+BOOST_AUTO_TEST_CASE(logIsRestored_severalFigures_areWrittenAgainEachOnce)
+{
+    log.keepCopy();
+    count("b", "huka", 3);
+    runToWindow(first + 1, seconds(1));
+    count("b", "huka", 4);
+    runToWindow(first + 2, seconds(3));
+    const std::uint64_t end = log.end;
+    const std::string value = log.items.at(keyOf(first)).value;
+    log.restoreCopy();
+    run(seconds(1));
+    BOOST_TEST(log.end == end);
+    BOOST_REQUIRE(log.items.contains(keyOf(first)));
+    BOOST_TEST((log.items.at(keyOf(first)).value == value));
+    BOOST_TEST(log.items.contains(keyOf(first + 1)));
+    runToWindow(first + 4, seconds(3));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+    BOOST_TEST(reported(first + 1)["huka"] == 4U);
+}
+
+// Guards against a second figure for a window: the copy lacks the one that was sent, its holder is
+// gone, and the next holder has received more counts in the meantime.
+BOOST_AUTO_TEST_CASE(logIsRestored_holderIsKilled_closedWindowHasOneFigure)
+{
+    log.keepCopy();
+    silenced = "c";
+    count("b", "huka", 3);
+    count("c", "huka", 2);
+    runToWindow(first + 1, milliseconds(4500));
+    BOOST_REQUIRE(reported(first)["huka"] == 3U);
+    silenced.clear();
+    run(milliseconds(1200));
+    log.restoreCopy();
+    kill("a");
+    giveDuties("b");
+    run(seconds(15));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::usage
--- a/packages/usage/tests/usagefixture.h
+++ b/packages/usage/tests/usagefixture.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -41,9 +42,11 @@
             handler(std::nullopt);
             return;
         }
-        duties::LogListing listing{ .end = end };
+        duties::LogListing listing{ .end = logPosition(currentEra, end) };
         for (const auto &[key, item] : items)
-            listing.items.push_back(item);
+            listing.items.push_back({ .key = key,
+                                      .value = item.value,
+                                      .position = logPosition(currentEra, item.position) });
         handler(std::move(listing));
     }
 
@@ -62,6 +65,8 @@
         }
     }
 
+    std::uint64_t era() const override { return currentEra; }
+
     void executeDelayed()
     {
         for (const auto &append : std::exchange(delayed, {}))
@@ -71,16 +76,32 @@
     duties::AppendResult execute(const std::string &key, const std::string &value,
                                  std::uint64_t expectedEnd)
     {
-        if (expectedEnd != end)
-            return { .status = duties::AppendStatus::Conflict, .end = end };
+        if (expectedEnd != logPosition(currentEra, end))
+            return { .status = duties::AppendStatus::Conflict };
         items[key] = { .key = key, .value = value, .position = end };
         ++end;
-        return { .status = duties::AppendStatus::Appended, .position = end - 1, .end = end };
+        return { .status = duties::AppendStatus::Appended,
+                 .position = expectedEnd,
+                 .end = logPosition(currentEra, end) };
+    }
+
+    // Keeps a copy in place of an earlier one.
+    void keepCopy() { copy = { items, end }; }
+
+    // Replaces the records by the copy, in the next era.
+    void restoreCopy()
+    {
+        std::tie(items, end) = copy;
+        ++currentEra;
     }
 
     Mode mode = Mode::Works;
+    // Offsets are valid in this era.
+    std::uint64_t currentEra = 1;
+    // The positions are offsets.
     std::map<std::string, duties::LogItem> items;
     std::uint64_t end = 7;
+    std::pair<std::map<std::string, duties::LogItem>, std::uint64_t> copy{ {}, 7 };
     std::vector<std::function<void()>> delayed;
 };
 
