Routing: a draining server stays draining after a restore of the store

A server may write two entries with one sequence number, if it gets no response to the first. Of such entries the log's position tells the later one, but not across a restore: the copy lists the first one, at a position of a later era, and a server that was known to be draining became ready.

Across eras the state now follows start and sequence: a server that has announced its departure does not become ready again.

--- a/packages/routing/src/serverdirectory.cpp
+++ b/packages/routing/src/serverdirectory.cpp
@@ -18,6 +18,18 @@
            < std::tie(right.startedAtUnixMs, right.sequence);
 }
 
+// As isOlder(), for entries of different eras, whose positions say nothing. A server that announces
+// its departure does not become ready again, so of two entries with one sequence number that one is
+// the newer.
+bool isOlderAcrossEras(const BackendServer &left, const BackendServer &right)
+{
+    const auto rank = [](const BackendServer &server) {
+        return std::tuple(server.startedAtUnixMs, server.sequence,
+                          server.state == ServerState::Draining);
+    };
+    return rank(left) < rank(right);
+}
+
 bool hasSameRouting(const BackendServer &left, const BackendServer &right)
 {
     return left.service == right.service && left.address == right.address
@@ -73,7 +85,8 @@
                                             : entry.position;
     if (eraOf(position) == eraOf(known))
         return position <= known || isOlder(server, entry.server);
-    return position < known ? !isOlder(entry.server, server) : isOlder(server, entry.server);
+    return position < known ? !isOlderAcrossEras(entry.server, server)
+                            : isOlderAcrossEras(server, entry.server);
 }
 
 DirectoryChange ServerDirectory::update(BackendServer server, LogPosition position)
--- a/packages/routing/tests/serverdirectory_test.cpp
+++ b/packages/routing/tests/serverdirectory_test.cpp
@@ -136,6 +136,45 @@
     BOOST_TEST((directory.update(restarted, logPosition(1, 90)) == DirectoryChange::Added));
 }
 
+// Guards against a draining server that is used again: it has written two entries with one sequence
+// number, and the copy lists the first of them.
+BOOST_AUTO_TEST_CASE(update_equalSequenceInLaterEra_drainingServerStaysDraining)
+{
+    BackendServer draining = server("s", 7);
+    draining.state = ServerState::Draining;
+    directory.update(draining, logPosition(1, 90));
+    BOOST_TEST((directory.update(server("s", 7), logPosition(2, 10)) == DirectoryChange::Stale));
+    BOOST_TEST(ready() == 0U);
+    draining.sequence = 8;
+    BOOST_TEST((directory.update(draining, logPosition(2, 20)) == DirectoryChange::Refreshed));
+    BOOST_TEST(ready() == 0U);
+}
+
+// Guards against the same, if this daemon has read the copy and learns of the later entry by a
+// peer.
+BOOST_AUTO_TEST_CASE(update_equalSequenceAtPositionOfEarlierEra_drainingCounts)
+{
+    directory.update(server("s", 7), logPosition(2, 10));
+    BackendServer draining = server("s", 7);
+    draining.state = ServerState::Draining;
+    BOOST_TEST((directory.update(draining, logPosition(1, 90)) == DirectoryChange::Changed));
+    BOOST_TEST(ready() == 0U);
+    BOOST_TEST((directory.update(server("s", 7), logPosition(1, 80)) == DirectoryChange::Stale));
+}
+
+// Guards against an entry with equal start and sequence that is ignored, although the log of one
+// era tells which of two was written later.
+BOOST_AUTO_TEST_CASE(update_equalSequenceAndOtherContent_laterPositionOfTheEraCounts)
+{
+    directory.update(server("s", 7), logPosition(1, 90));
+    BackendServer other = server("s", 7);
+    other.address = "10.0.0.2:80";
+    BOOST_TEST((directory.update(other, logPosition(2, 10)) == DirectoryChange::Changed));
+    other.slots = 5;
+    BOOST_TEST((directory.update(other, logPosition(2, 11)) == DirectoryChange::Changed));
+    BOOST_TEST((directory.update(server("s", 7), logPosition(1, 95)) == DirectoryChange::Stale));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::routing
