Usage: counts of many silent processes are forwarded in time and in bounded work

(3) A mirror that loses some datagrams never acknowledged a large report completely, and everything was sent again each second, to the holder too.

The table knows which processes have counts. Four processes or 32 datagrams are forwarded to each receiver in a tick. Everything is sent again after 1, 2, 4, ... 32 further acknowledgements of an incomplete mirror.

--- a/packages/usage/include/auburn/usage/usagereporter.h
+++ b/packages/usage/include/auburn/usage/usagereporter.h
@@ -79,6 +79,10 @@
         std::uint64_t incarnation = 0;
         // The process that acknowledged the newest report of everything; 0 if none has.
         std::uint64_t completeIncarnation = 0;
+        // Acknowledgements to skip before everything is sent again, and how many are skipped after
+        // the next time. A mirror that loses datagrams never receives a large report completely.
+        unsigned acksToSkip = 0;
+        unsigned nextSkip = 1;
     };
 
     bool hasHolder() const { return holder_.token > 0 && !holder_.released; }
--- a/packages/usage/src/silentforwarder.cpp
+++ b/packages/usage/src/silentforwarder.cpp
@@ -16,6 +16,11 @@
 // second; its VM may be live again with another process. A new holder closes windows 1.5 s after it
 // took over, so the counts of a process that was killed just before must be forwarded until then.
 constexpr std::chrono::milliseconds kSilence{ 1300 };
+// For each receiver. A new holder closes windows 1.5 s after it took over, which is 15 ticks; the
+// counts of a process are found by a search of the whole table.
+constexpr std::size_t kMaxProcessesPerTick = 4;
+// The receive buffer of a daemon holds about 100 datagrams.
+constexpr std::size_t kMaxDatagramsPerTick = 32;
 
 } // namespace
 
@@ -63,29 +68,31 @@
 void SilentForwarder::forwardNext(Receiver &receiver, const UsageTable &table,
                                   const std::vector<UsageTable::Process> &silent) const
 {
+    std::size_t processes = 0;
+    std::size_t datagrams = 0;
     for (const UsageTable::Process &process : silent) {
-        // One process a tick bounds the datagrams that are sent at once.
-        if (receiver.forwarded.insert(process).second
-            && forward(receiver.udpAddress, table, process))
+        if (processes == kMaxProcessesPerTick || datagrams >= kMaxDatagramsPerTick)
             return;
+        if (!receiver.forwarded.insert(process).second)
+            continue;
+        ++processes;
+        datagrams += forward(receiver.udpAddress, table, process);
     }
 }
 
-bool SilentForwarder::forward(const std::string &udpAddress, const UsageTable &table,
-                              const UsageTable::Process &process) const
+std::size_t SilentForwarder::forward(const std::string &udpAddress, const UsageTable &table,
+                                     const UsageTable::Process &process) const
 {
-    const std::vector<proto::UsageWindow> counts = table.countsOf(process);
-    if (counts.empty())
-        return false;
     proto::UsageReport header;
     header.set_vm(process.first);
     header.set_incarnation(process.second);
+    std::vector<proto::UsageReport> reports = splitReport(header, table.countsOf(process));
     proto::PeerDatagram datagram;
-    for (proto::UsageReport &report : splitReport(header, counts)) {
+    for (proto::UsageReport &report : reports) {
         *datagram.mutable_usage_report() = std::move(report);
         send_(udpAddress, datagram);
     }
-    return true;
+    return reports.size();
 }
 
 } // namespace auburn::usage
--- a/packages/usage/src/silentforwarder.h
+++ b/packages/usage/src/silentforwarder.h
@@ -13,6 +13,7 @@
 #include "auburn/usage/usagereporter.h"
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -29,11 +30,11 @@
 
     // Starts forwarding to a holder with a newer token.
     void setHolder(const duties::DutyHolder &holder, TimePoint now);
-    // This daemon is the holder.
+    // Stops forwarding to the holder, because it is this daemon.
     void skipHolder() { holderReceiver_.endsAt = {}; }
     // Starts forwarding to the mirrors that were not among those of the last call.
     void setMirrors(const std::vector<MirrorProcess> &mirrors, TimePoint now);
-    // Forwards the counts of at most one silent process to each receiver.
+    // Forwards the counts of some silent processes to each receiver.
     void tick(const UsageTable &table, std::chrono::milliseconds unixTime, TimePoint now);
 
 private:
@@ -44,12 +45,12 @@
         std::set<UsageTable::Process> forwarded;
     };
 
-    // Forwards the counts of the first of these processes that has any and was not forwarded yet.
+    // Forwards the counts of the first of these processes that were not forwarded yet.
     void forwardNext(Receiver &receiver, const UsageTable &table,
                      const std::vector<UsageTable::Process> &silent) const;
-    // Returns false if there is nothing to forward.
-    bool forward(const std::string &udpAddress, const UsageTable &table,
-                 const UsageTable::Process &process) const;
+    // Returns the number of datagrams.
+    std::size_t forward(const std::string &udpAddress, const UsageTable &table,
+                        const UsageTable::Process &process) const;
 
     const SendDatagram send_;
     duties::DutyHolder holder_;
--- a/packages/usage/src/usagereporter.cpp
+++ b/packages/usage/src/usagereporter.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t kMirrors = 3;
 constexpr std::size_t kLargeFleetMirrors = 2;
 constexpr std::size_t kLargeFleet = 13;
+// A mirror acknowledges once a second.
+constexpr unsigned kMaxAcksSkipped = 32;
 
 } // namespace
 
@@ -72,11 +74,24 @@
 
 void UsageReporter::handleMirrorAck(const proto::UsageAck &ack, Mirror &mirror)
 {
-    mirror.incarnation = ack.receiver_incarnation();
+    if (std::exchange(mirror.incarnation, ack.receiver_incarnation()) != ack.receiver_incarnation())
+        mirror.acksToSkip = 0;
     if (ack.number() == fullReport_)
         mirror.completeIncarnation = ack.receiver_incarnation();
-    else if (ack.number() > fullReport_ && ack.receiver_incarnation() != mirror.completeIncarnation)
-        isReceiverNew_ = true;
+    if (ack.receiver_incarnation() == mirror.completeIncarnation) {
+        mirror.acksToSkip = 0;
+        mirror.nextSkip = 1;
+        return;
+    }
+    if (ack.number() <= fullReport_)
+        return;
+    if (mirror.acksToSkip > 0) {
+        --mirror.acksToSkip;
+        return;
+    }
+    isReceiverNew_ = true;
+    mirror.acksToSkip = mirror.nextSkip;
+    mirror.nextSkip = std::min(2 * mirror.nextSkip, kMaxAcksSkipped);
 }
 
 std::vector<MirrorProcess> UsageReporter::mirrors() const
--- a/packages/usage/src/usagetable.cpp
+++ b/packages/usage/src/usagetable.cpp
@@ -37,8 +37,10 @@
             continue;
         Window &window = windows_[counts.window()];
         const std::uint64_t added = mergeWindow(window, counts, state->number);
-        if (counts.counts_size() > 0)
+        if (counts.counts_size() > 0) {
             window.reporters.insert(report.vm());
+            window.processes.insert(state->number);
+        }
         late += window.closed ? added : 0;
     }
     recordPart(report, *state);
@@ -167,12 +169,19 @@
 {
     std::vector<Process> result;
     for (const auto &[process, state] : processes_) {
-        if (state.lastReport < unixTime)
+        if (state.lastReport < unixTime && hasCounts(state))
             result.push_back(process);
     }
     return result;
 }
 
+bool UsageTable::hasCounts(const ProcessState &state) const
+{
+    return std::any_of(windows_.begin(), windows_.end(), [&state](const auto &item) {
+        return item.second.processes.contains(state.number);
+    });
+}
+
 std::vector<proto::UsageWindow> UsageTable::countsOf(const Process &process) const
 {
     std::vector<proto::UsageWindow> result;
--- a/packages/usage/src/usagetable.h
+++ b/packages/usage/src/usagetable.h
@@ -47,7 +47,7 @@
     // A daemon process: its VM's name and its incarnation.
     using Process = std::pair<std::string, std::uint64_t>;
 
-    // The processes that have not reported themselves since a time.
+    // The processes with counts that have not reported themselves since a time.
     std::vector<Process> processesSilentSince(std::chrono::milliseconds unixTime) const;
     // All counts that a process has reported.
     std::vector<proto::UsageWindow> countsOf(const Process &process) const;
@@ -82,10 +82,14 @@
         std::pmr::unordered_map<std::uint64_t, std::uint64_t> counts{ &memory };
         // VMs.
         std::unordered_set<std::string> reporters;
+        // The numbers of the processes that have counts.
+        std::unordered_set<std::uint32_t> processes;
     };
 
     ProcessState *findProcess(const proto::UsageReport &report);
     bool isInRange(std::uint64_t window, std::chrono::milliseconds unixTime) const;
+    // True if a window that is kept has counts of the process.
+    bool hasCounts(const ProcessState &state) const;
     // Returns the number of requests that the counts add to the window.
     static std::uint64_t mergeWindow(Window &window, const proto::UsageWindow &report,
                                      std::uint32_t process);
--- a/packages/usage/tests/randomfaults_test.cpp
+++ b/packages/usage/tests/randomfaults_test.cpp
@@ -4,6 +4,7 @@
 
 #include "usagefixture.h"
 
+#include <deque>
 #include <iterator>
 #include <random>
 #include <set>
@@ -15,10 +16,28 @@
 
 namespace {
 
+// At most this many daemons are killed in the period.
+struct KillPattern
+{
+    unsigned perThousandSteps = 0;
+    std::size_t kills = 0;
+    milliseconds period{ 0 };
+};
+
+// Two daemons may be down together. Of more, all mirrors of a daemon could be killed with it.
+constexpr KillPattern kPairs{ .perThousandSteps = 4, .kills = 2, .period = seconds(15) };
+// Daemons are replaced one after another, just slowly enough for the counts that a killed one kept
+// to be copied to other daemons.
+constexpr KillPattern kReplacements{ .perThousandSteps = 200,
+                                     .kills = 1,
+                                     .period = milliseconds(2500) };
+
 struct RandomFixture : UsageFixture
 {
-    explicit RandomFixture(std::uint64_t seed)
+    RandomFixture(std::uint64_t seed, const KillPattern &pattern)
         : random(seed)
+        , pattern(pattern)
+        , lastKillsAt(pattern.kills)
     {
         for (unsigned i = 0; i < kDaemons; ++i)
             start(nameOf(i));
@@ -42,13 +61,14 @@
         }
     }
 
-    // Kills a daemon, but not before the counts that were lost with the one before are replicated
-    // again. The requests that it counted directly before may be lost.
+    // Kills a daemon if the pattern permits it. The requests that it counted directly before may be
+    // lost.
     void killSome()
     {
-        if (now - lastKillAt < kReplicationTime)
+        if (now - lastKillsAt.front() < pattern.period)
             return;
-        lastKillAt = now;
+        lastKillsAt.pop_front();
+        lastKillsAt.push_back(now);
         const std::string vm = nameOf(pick(kDaemons));
         for (const auto &[time, organisation] : recent[vm]) {
             if (trueTime() - time <= milliseconds(200))
@@ -84,7 +104,7 @@
     void step()
     {
         countSome();
-        if (happens(kKillsPerThousand))
+        if (happens(pattern.perThousandSteps))
             killSome();
         restartKilled();
         // A restarted daemon does not hold the duties that its predecessor held.
@@ -104,26 +124,23 @@
     }
 
     static constexpr unsigned kDaemons = 6;
-    static constexpr milliseconds kReplicationTime{ 2500 };
-    static constexpr unsigned kKillsPerThousand = 200;
     std::mt19937_64 random;
+    const KillPattern pattern;
+    std::deque<TimePoint> lastKillsAt;
     using Key = std::pair<std::uint64_t, std::string>;
     std::map<Key, std::uint64_t> truth;
     std::map<Key, std::uint64_t> mayBeLost;
     std::map<std::string, std::vector<std::pair<milliseconds, std::string>>> recent;
     std::map<std::string, TimePoint> killedAt;
-    TimePoint lastKillAt;
     TimePoint nextHolderAt;
 };
 
-} // namespace
-
-BOOST_AUTO_TEST_CASE(randomFaults_manyWindows_figuresAreUniqueAndRight)
+void checkFigures(const KillPattern &pattern)
 {
     constexpr std::uint64_t kSeeds = 4;
     constexpr unsigned kSteps = 10000;
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        RandomFixture fixture(seed);
+        RandomFixture fixture(seed, pattern);
         for (unsigned i = 0; i < kSteps; ++i)
             fixture.step();
         std::set<std::uint64_t> windows;
@@ -142,4 +159,16 @@
     }
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_CASE(randomFaults_pairsOfDaemonsKilled_figuresAreUniqueAndRight)
+{
+    checkFigures(kPairs);
+}
+
+BOOST_AUTO_TEST_CASE(randomFaults_daemonsReplacedOneAfterAnother_figuresAreUniqueAndRight)
+{
+    checkFigures(kReplacements);
+}
+
 } // namespace auburn::usage
--- a/packages/usage/tests/silentforwarder_test.cpp
+++ b/packages/usage/tests/silentforwarder_test.cpp
@@ -50,13 +50,13 @@
 {
     addSilentProcess("a", 0);
     addSilentProcess("b", 0);
-    addSilentProcess("c", 3);
-    addSilentProcess("d", 4);
+    for (const char *vm : { "c", "d", "e", "f", "g" })
+        addSilentProcess(vm, 3);
     forwarder.setHolder({ .token = 1, .udpAddress = "h" }, now);
     forwarder.tick(table, unixTime, now);
-    BOOST_TEST((forwarded == std::vector<std::string>{ "c" }));
+    BOOST_TEST((forwarded == std::vector<std::string>{ "c", "d", "e", "f" }));
     forwarder.tick(table, unixTime, now);
-    BOOST_TEST((forwarded == std::vector<std::string>{ "c", "d" }));
+    BOOST_TEST((forwarded == std::vector<std::string>{ "c", "d", "e", "f", "g" }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/usage/tests/usagefixture.cpp
+++ b/packages/usage/tests/usagefixture.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr milliseconds kTick{ 100 };
+// Every 49th datagram to a lossy address is lost; three receivers take turns.
+constexpr unsigned kLossyPeriod = 49;
 // Difference between true time and the simulated BootClock. Windows begin at full seconds of both.
 constexpr std::chrono::seconds kEpochOffset{ 1'700'000'000 };
 
@@ -83,7 +85,8 @@
     BOOST_TEST(datagram.ByteSizeLong() <= 1200U);
     ++datagrams;
     const auto receiver = daemons.find(address);
-    const bool isLost = sender == silenced || (lossPeriod > 0 && datagrams % lossPeriod == 0);
+    const bool isLost = sender == silenced || (lossPeriod > 0 && datagrams % lossPeriod == 0)
+                        || (address == lossyAddress && datagrams % kLossyPeriod == 0);
     if (receiver == daemons.end() || isLost)
         return;
     if (address == holder.udpAddress) {
--- a/packages/usage/tests/usagefixture.h
+++ b/packages/usage/tests/usagefixture.h
@@ -186,6 +186,8 @@
     std::uint64_t countsReceived = 0;
     // The datagrams of this daemon are lost.
     std::string silenced;
+    // Some datagrams to this address are lost.
+    std::string lossyAddress;
 };
 
 } // namespace auburn::usage
--- a/packages/usage/tests/usagereplicas_test.cpp
+++ b/packages/usage/tests/usagereplicas_test.cpp
@@ -83,6 +83,50 @@
     BOOST_TEST((reported(first) == Counts{ { "x", 5 } }));
 }
 
+// Guards against a new holder that closes windows before the counts of many replaced processes have
+// arrived.
+BOOST_AUTO_TEST_CASE(takeover_manyReplacedProcesses_countsOfAllAreReported)
+{
+    constexpr unsigned kReplacements = 18;
+    log.mode = FakeLog::Mode::Down;
+    for (unsigned i = 0; i < kReplacements; ++i) {
+        count("d", "x", 5);
+        run(milliseconds(300));
+        replace("d");
+        run(milliseconds(800));
+    }
+    run(seconds(2));
+    kill("a");
+    run(seconds(4));
+    start("a");
+    run(seconds(2));
+    log.mode = FakeLog::Mode::Works;
+    giveDuties("a");
+    run(seconds(6));
+    std::uint64_t sum = 0;
+    for (std::uint64_t window = first; window < this->window(); ++window) {
+        Counts counts = reported(window);
+        sum += counts["x"];
+    }
+    BOOST_TEST(sum == 5U * kReplacements);
+}
+
+// Guards against a mirror that loses some datagrams and so makes all counts be sent to the holder
+// again every second.
+BOOST_AUTO_TEST_CASE(mirror_losesSomeDatagrams_holderGetsEachCountAFewTimes)
+{
+    constexpr unsigned kOrganisations = 10000;
+    for (unsigned i = 0; i < kOrganisations; ++i)
+        count("b", "organisation-" + std::to_string(i));
+    run(milliseconds(1500));
+    kill("c");
+    start("c");
+    lossyAddress = "c";
+    log.mode = FakeLog::Mode::Down;
+    run(seconds(10));
+    BOOST_TEST(countsReceived <= 5U * kOrganisations);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::usage
