--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -495,6 +495,25 @@
     BOOST_TEST(reported(first)["huka"] == 3U);
 }
 
+// Guards against figures that are lost because their holder, which still knows them, has got
+// another token after the restore.
+BOOST_AUTO_TEST_CASE(logIsRestored_holderGetsANewToken_figureIsWrittenAgainAndSent)
+{
+    log.keepCopy();
+    api.received = false;
+    api.status = duties::CallStatus::NotSent;
+    count("b", "huka", 3);
+    runToWindow(first + 1, seconds(3));
+    BOOST_REQUIRE(log.items.contains(keyOf(first)));
+    log.restoreCopy();
+    api.received = true;
+    api.status = duties::CallStatus::Accepted;
+    giveDuties("a");
+    run(seconds(4));
+    BOOST_TEST(log.items.contains(keyOf(first)));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::usage
