--- a/tests/fuzz/platformdecoders.cpp
+++ b/tests/fuzz/platformdecoders.cpp
@@ -132,7 +132,7 @@
                       R"({"key":"b","value":"","offset":4}],"has_more":true,"end":5})" },
           .decode = [](std::string_view input) { platform::parseLogNewest(input); } },
         { .name = "store-server",
-          .corpus = { R"({"service":"s","addr":"10.0.0.9:80","zone":"a","slots":6,"state":"ready",)"
+          .corpus = { R"({"service":"s","addr":"10.0.0.9:80","zone":"a","version":"v1","slots":6,"state":"ready",)"
                       R"("cold_left_ms":0,"seq":4,"born":1700000000123,"use_spot":true,)"
                       R"("leaves_ms":2500})" },
           .decode = decodeServer },
