Daemon: a revision is announced once the cells apply it

A request in between was sent to the drained server.

CellOwner::tick() now publishes the revision after it has configured the cells, and the daemon announces that one. The subscription that announced it before is removed.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -153,9 +153,6 @@
         follower_ = ConfigFollower::make({}, *logClient_, *bus_, store_);
         publisher_ = ConfigPublisher::make({}, *logClient_, *follower_, store_);
         snapshotWriter_ = SnapshotWriter::make({}, *logClient_, *follower_);
-        subscription_ = store_.subscribe([this](const std::shared_ptr<const ConfigState> &state) {
-            membership_->setConfigRevision(state->revision());
-        });
         membership_->onHigherRevision([this](const HigherRevision &higherRevision) {
             follower_->onPeerRevision(higherRevision.peer, higherRevision.revision);
         });
@@ -174,6 +171,12 @@
                           [this](const std::vector<CellLoad> &loads) {
                               membership_->setCellLoads(loads);
                           },
+                  // Operators take the announced revision for the one in force, so it is announced
+                  // only after the cells apply it.
+                  .publishRevision =
+                          [this](std::uint64_t revision) {
+                              membership_->setConfigRevision(revision);
+                          },
                   .poisonRequests = { .crashCount =
                                               [this](std::uint64_t fingerprint) {
                                                   return membership_->crashCount(fingerprint);
@@ -413,7 +416,6 @@
     std::unique_ptr<ConfigFollower> follower_;
     std::unique_ptr<ConfigPublisher> publisher_;
     std::unique_ptr<SnapshotWriter> snapshotWriter_;
-    ConfigStore::Subscription subscription_;
     std::unique_ptr<CellOwner> cellOwner_;
     std::unique_ptr<SlotClient> slotClient_;
     std::unique_ptr<SlotGateway> slotGateway_;
--- a/packages/schedule/include/auburn/schedule/cellowner.h
+++ b/packages/schedule/include/auburn/schedule/cellowner.h
@@ -6,6 +6,7 @@
 #include "auburn/schedule/cellscheduler.h"
 #include "auburn/schedule/poisonrequestguard.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -41,6 +42,9 @@
         // Called by tick() with the loads of the cells that this daemon owns in its own view; may
         // be empty.
         std::function<void(std::vector<CellLoad>)> publishLoads;
+        // Called by tick() with the revision of the configuration that all cells use from then on;
+        // may be empty.
+        std::function<void(std::uint64_t)> publishRevision;
         TierQueue::Options queue;
         BackendServerTable::Options backendServers;
         PoisonRequestGuard::Options poisonRequests;
@@ -66,8 +70,8 @@
     // Passes a backend server's load report, as polled by this daemon, to the cells.
     void reportLoad(const std::string &backendServer, BackendServerLoad load);
 
-    // Applies changes of configuration and view, expires leases and publishes loads; call every 50
-    // ms.
+    // Applies changes of configuration and view, expires leases and publishes the revision and
+    // loads; call every 50 ms.
     void tick(TimePoint now);
 
     // Returns the loads of all cells that this daemon currently serves, owned or not.
--- a/packages/schedule/src/cellowner.cpp
+++ b/packages/schedule/src/cellowner.cpp
@@ -85,6 +85,8 @@
         return;
     if (config != lastConfig_ || view != lastView_)
         reconfigure(*config, *view, now);
+    if (config != lastConfig_ && options_.publishRevision)
+        options_.publishRevision(config->revision());
     lastConfig_ = config;
     lastView_ = view;
 
--- a/packages/schedule/tests/slotexchange_test.cpp
+++ b/packages/schedule/tests/slotexchange_test.cpp
@@ -19,12 +19,23 @@
 
 struct Node
 {
+    // Returns the number of slots of the backend servers that receive requests from this daemon.
+    unsigned slotCount() const
+    {
+        unsigned count = 0;
+        for (const CellLoad &load : owner->loads())
+            count += load.totalSlots;
+        return count;
+    }
+
     std::string id;
     std::string failureDomain;
     FakeViews views;
     std::unique_ptr<CellOwner> owner;
     std::unique_ptr<SlotClient> client;
     std::unique_ptr<SlotGateway> gateway;
+    std::uint64_t publishedRevision = 0;
+    unsigned slotsAtPublication = 0;
 };
 
 struct Job
@@ -61,6 +72,19 @@
         config = ConfigState::make(items, ++revision);
     }
 
+    void drainBackendServer(const std::string &name)
+    {
+        for (auto &[key, item] : items) {
+            ItemValue value = item->value;
+            auto *backendServer = std::get_if<BackendServer>(&value);
+            if (backendServer == nullptr || backendServer->name != name)
+                continue;
+            backendServer->draining = true;
+            item = std::make_shared<const Item>(Item{ .value = value });
+        }
+        config = ConfigState::make(items, ++revision);
+    }
+
     void addFailureDomain(const std::string &failureDomain, const std::vector<std::string> &ids)
     {
         for (const std::string &id : ids) {
@@ -75,6 +99,11 @@
                                            .views = &node.views,
                                            .config = configNow,
                                            .clock = clock,
+                                           .publishRevision =
+                                                   [&node](std::uint64_t published) {
+                                                       node.publishedRevision = published;
+                                                       node.slotsAtPublication = node.slotCount();
+                                                   },
                                            .queue = { .sharedCapacity = 12 } });
             node.client = SlotClient::make(
                     { .selfId = id,
@@ -275,6 +304,25 @@
     }
 }
 
+// Guards against a revision that is announced as in force while a cell still grants slots of a
+// backend server that the revision drains.
+BOOST_AUTO_TEST_CASE(revision_withDrainedBackendServer_isPublishedAfterCellsApplyIt)
+{
+    OneFailureDomain cluster;
+    cluster.tickAll();
+    Node &owner = cluster.ownerNode();
+    BOOST_TEST(owner.publishedRevision == cluster.revision);
+    BOOST_TEST(owner.slotsAtPublication == 8U);
+    const std::uint64_t before = cluster.revision;
+    cluster.drainBackendServer("p-r0");
+    BOOST_TEST(owner.publishedRevision == before);
+    BOOST_TEST(owner.slotCount() == 8U);
+    cluster.tickAll();
+    for (const auto &[id, node] : cluster.nodes)
+        BOOST_TEST(node.publishedRevision == cluster.revision, id);
+    BOOST_TEST(owner.slotsAtPublication == 6U);
+}
+
 // Guards against unanswered requests and leaked slots when messages are lost.
 BOOST_AUTO_TEST_CASE(request_tenthOfMessagesLost_answeredOnceAndSlotsAreFreed)
 {
