Gateway: a response to HEAD on a streaming route ends with its header

After a response to HEAD on a route of the kind `streaming`, the caller received the end of a chunked body ("0\r\n\r\n") on a connection that stayed open, so the next response on it could not be read.

Cause: only responses of a known length dropped the body for HEAD. Streams now send neither data nor the last chunk to a HEAD request; the header keeps `Transfer-Encoding: chunked`, which a response to HEAD may have.

The test failed before the change: the bytes before the next response were "0\r\n\r\n".

--- a/packages/gateway/src/callerconnection.cpp
+++ b/packages/gateway/src/callerconnection.cpp
@@ -546,7 +546,7 @@
 
 void CallerConnection::sendStreamData(std::string_view data)
 {
-    if (data.empty())
+    if (data.empty() || headRequest_)
         return;
     if (!chunked_) {
         write(data);
@@ -560,7 +560,7 @@
 
 void CallerConnection::endStream(bool complete)
 {
-    if (complete && chunked_)
+    if (complete && chunked_ && !headRequest_)
         pendingOutput_.append("0\r\n\r\n");
     abortResponse_ = !complete;
     if (!complete)
--- a/packages/gateway/tests/surplusresponses_test.cpp
+++ b/packages/gateway/tests/surplusresponses_test.cpp
@@ -116,6 +116,30 @@
     BOOST_TEST(statusOf(response) == 503, response);
 }
 
+// Guards against the end of a chunked body that follows a response to HEAD: the next response on
+// the connection could not be read.
+BOOST_AUTO_TEST_CASE(head_streamingRoute_nextResponseFollowsTheHeader)
+{
+    addServer("e1", "engines", [](const ScriptedRequest &received) {
+        return ScriptedReply{ { { "HTTP/1.1 200 OK\r\nX-Seal: s\r\n" + idField(received)
+                                  + "Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n" } } };
+    });
+    ScriptedClient client(io, address);
+    client.send(request("HEAD", "/chat/x"));
+    const std::string headerEnd("\r\n\r\n");
+    const auto headSize = [&] {
+        const std::size_t at = client.received().find(headerEnd);
+        return at == std::string::npos ? at : at + headerEnd.size();
+    };
+    BOOST_REQUIRE(runUntil(io, [&] { return headSize() != std::string::npos; }));
+    BOOST_TEST(statusOf(client.received()) == 200, client.received());
+    client.send(request("GET", "/none/x"));
+    BOOST_REQUIRE(runUntil(io, [&] { return client.received().size() > headSize() + 8; }));
+    const std::string next = client.received().substr(headSize());
+    BOOST_TEST(next.starts_with("HTTP/1.1 404"), next);
+}
+
 // Guards against an unknown outcome because of the second connection that a repeated id takes: the
 // first one stays open and idle, and the server resets those beyond its limit.
 BOOST_AUTO_TEST_CASE(serverAcceptsOneConnection_callerRepeatsAnId_requestIsServed)
