Gateway: a Connection field cannot remove a request's id

A request with a Connection field that lists the header of the request's id was sent to the server without its id. A server rejects such a request, and a response to it can't be identified.

Cause: all fields that Connection lists counted as hop-by-hop. The id of a request is end-to-end and is now kept; other listed fields are still removed.

Fields behind a chunked body are still passed on as header fields.

--- a/packages/gateway/src/callerrequest.cpp
+++ b/packages/gateway/src/callerrequest.cpp
@@ -95,7 +95,7 @@
 
 } // namespace
 
-std::vector<HeaderField> endToEndFields(const http::fields &fields)
+std::vector<HeaderField> endToEndFields(const http::fields &fields, std::string_view keptName)
 {
     std::vector<HeaderField> result;
     const auto connection = fields[http::field::connection];
@@ -105,7 +105,7 @@
             continue;
         const bool listed = !connection.empty()
                             && http::token_list(connection).exists(field.name_string());
-        if (!listed)
+        if (!listed || iequals(field.name_string(), { keptName.data(), keptName.size() }))
             result.push_back({ .name = std::string(toStringView(field.name_string())),
                                .value = std::string(toStringView(field.value())) });
     }
@@ -143,7 +143,7 @@
     request.resumedId = std::string(toStringView(header[headerNames.resumedRequest]));
     request.prompt = parsePromptParts(toStringView(header[headerNames.promptParts]));
     request.deadline = parseMilliseconds(toStringView(header[headerNames.deadline]));
-    for (HeaderField &field : endToEndFields(header)) {
+    for (HeaderField &field : endToEndFields(header, headerNames.requestId)) {
         const bool setByDaemon = iequals(field.name, "Host") || iequals(field.name, "Expect");
         if (!setByDaemon && !isReserved(field.name, headerNames))
             request.fields.push_back(std::move(field));
--- a/packages/gateway/src/callerrequest.h
+++ b/packages/gateway/src/callerrequest.h
@@ -67,7 +67,9 @@
 // Hashes organisation, method, target and body. Repetitions of a request have equal fingerprints.
 std::uint64_t requestFingerprint(const CallerRequest &request);
 
-// Returns the header fields of a request or response without the hop-by-hop ones.
-std::vector<HeaderField> endToEndFields(const boost::beast::http::fields &fields);
+// Returns the header fields of a request or response without the hop-by-hop ones. A field with the
+// kept name is end-to-end even if the Connection field lists it.
+std::vector<HeaderField> endToEndFields(const boost::beast::http::fields &fields,
+                                        std::string_view keptName = {});
 
 } // namespace auburn::gateway
--- a/packages/gateway/tests/plainrequests_test.cpp
+++ b/packages/gateway/tests/plainrequests_test.cpp
@@ -48,6 +48,17 @@
     BOOST_TEST(remaining > 700);
 }
 
+// Guards against a request without its id at the server, which then can't identify its response.
+BOOST_AUTO_TEST_CASE(request_connectionFieldNamesTheId_idIsForwarded)
+{
+    ScriptedServer &server = addServer("s1", "desk", respondWith(sealed(200, "done")));
+    exchange(request("POST", "/order/x", "Connection: x-id, X-Extra\r\nX-Extra: 1\r\n", "body"));
+    BOOST_REQUIRE(server.requests().size() == 1U);
+    const ScriptedRequest &received = server.requests()[0];
+    BOOST_TEST(received.count("X-Id") == 1U);
+    BOOST_TEST(received.count("X-Extra") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(request_withoutDeadline_getsTheRoutesTimeout)
 {
     ScriptedServer &server = addServer("s1", "desk", respondWith(sealed(200, "done")));
