Streams: begin anew what cannot be recorded

Callers saw joined texts: while the store took no records, the first event of a stream at another version than the baseline was passed on without its record, after 0.3 s or at once. If its daemon was then killed, a take-up at another daemon went to the baseline version.

Cause: only the record tells such a stream from one of the baseline version, and the gateway went on without it.

Change: while appends fail or are late, new streams prefer the baseline version while it has servers that keep the latency target. A stream whose first event waits in vain has not reached its caller: it is sent again to the baseline version, within max_attempts, the retry budget and the deadline, and its events are dropped. If it may not be sent again, a running stream is passed on as before, and one that has broken off ends without an event.

--- a/packages/gateway/src/eventstream.cpp
+++ b/packages/gateway/src/eventstream.cpp
@@ -13,6 +13,13 @@
     , lastEventNumber_(numericEventId(lastEventId_))
 {}
 
+void EventStream::beginAnew(std::string lastEventId)
+{
+    const bool headSent = headSent_;
+    *this = EventStream(std::move(lastEventId));
+    headSent_ = headSent;
+}
+
 std::string_view EventStream::takeEvents(TimePoint now)
 {
     newEvents_.clear();
--- a/packages/gateway/src/eventstream.h
+++ b/packages/gateway/src/eventstream.h
@@ -34,6 +34,8 @@
         splitter_.reset();
         attemptEventCount_ = 0;
     }
+    // Forgets all events: none of them was forwarded. lastEventId is that of the constructor.
+    void beginAnew(std::string lastEventId);
     void feed(std::string_view bytes) { splitter_.feed(bytes); }
     // Returns the complete new events received so far. The text is valid until the next call.
     std::string_view takeEvents(TimePoint now);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -200,6 +200,9 @@
         refuse("crashes_servers");
     } else if (choice && !isUsable(*choice)) {
         replacePlacement(*choice);
+    } else if (choice && isPreferenceTooSlow(*choice) && streamVersion_->dropPreference()) {
+        releasePlacement(*choice);
+        requestPlacement();
     } else if (choice) {
         startAttempt(*choice);
     } else if (streamVersion_->dropPreference()) {
@@ -218,6 +221,12 @@
                                                    std::chrono::steady_clock::now());
 }
 
+bool Exchange::isPreferenceTooSlow(const routing::PlacementChoice &choice) const
+{
+    return streamVersion_->preferenceYieldsToLatency()
+           && choice.predicted > request_.route->latencyTarget;
+}
+
 void Exchange::replacePlacement(const routing::PlacementChoice &choice)
 {
     releasePlacement(choice);
@@ -459,7 +468,13 @@
         if (Clock::now() - progressedAt_ >= kSoundProgress)
             context_.crashes->recordSoundPrompt(crashSuspects_);
         startStallTimer();
-        streamVersion_->eventReceived([self = shared_from_this()] { self->sendHeldEvents(); });
+        const unsigned attempt = attempts_;
+        streamVersion_->eventReceived([self = shared_from_this()](bool isFindable) {
+            self->releaseHeldEvents(isFindable);
+        });
+        // The stream begins anew elsewhere.
+        if (!attempt_ || attempts_ != attempt)
+            return;
     }
     beginStream();
     sendEvents(events);
@@ -475,10 +490,58 @@
         writer_->sendStreamData(events);
 }
 
-void Exchange::sendHeldEvents()
+void Exchange::releaseHeldEvents(bool isFindable)
 {
     if (finished_ || !writer_)
         return;
+    if (isFindable || !beginAnew())
+        sendHeldEvents();
+}
+
+bool Exchange::canBeginAt(const std::string &version) const
+{
+    routing::PlacementQuery query = placementQuery();
+    query.softwareVersion = version;
+    const auto now = std::chrono::steady_clock::now();
+    const auto choice = context_.state.placement.choose(context_.state.directory, query, now);
+    return choice && !context_.state.placement.isAvoided(choice->serverId, now)
+           && choice->predicted <= std::min<std::chrono::microseconds>(
+                      request_.route->latencyTarget, timeLeft());
+}
+
+bool Exchange::beginAnew()
+{
+    const std::optional<std::string> version = streamVersion_->replacement();
+    if (!version)
+        return false;
+    const bool hasRun = attempt_ || (heldEnd_ && heldEnd_->complete);
+    const unsigned executions = possibleExecutions_ + (hasRun ? 1 : 0);
+    // A further attempt has been granted, and its server is being chosen.
+    const bool isPlacing = !attempt_ && !heldEnd_;
+    const bool isAllowed = canBeginAt(*version)
+                           && (isPlacing
+                               || (executions < request_.route->maxAttempts
+                                   && takeRetry("version_not_recorded")));
+    if (!isAllowed && !(heldEnd_ && !heldEnd_->complete))
+        return false;
+    streamVersion_->beginAnew();
+    if (!isAllowed) {
+        // The caller has to send its request again anyway, and without an event it can begin anew
+        // at any version.
+        sendHeldEvents();
+        return true;
+    }
+    possibleExecutions_ = executions;
+    heldEnd_.reset();
+    stream_.beginAnew(request_.lastEventId);
+    endAttempt(AttemptOutcome::Abandoned, "version_not_recorded");
+    if (!isPlacing)
+        requestPlacement();
+    return true;
+}
+
+void Exchange::sendHeldEvents()
+{
     const std::string events = streamVersion_->takeHeld();
     if (!events.empty())
         writer_->sendStreamData(events);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -114,8 +114,17 @@
     void forwardEvents();
     // Sends events to the caller, or holds them until they may be sent.
     void sendEvents(std::string_view events);
-    // Sends the events that were held, and the end of the stream if it has come meanwhile.
+    // Sends the events that were held, and the end of the stream if it has come meanwhile. If other
+    // daemons may not find the version of the stream, it begins anew if it can.
+    void releaseHeldEvents(bool isFindable);
     void sendHeldEvents();
+    // Begins a stream anew, of which no event was passed on, at the version that daemons find.
+    // Returns false if the events that are held have to be passed on instead.
+    bool beginAnew();
+    // True if a server of the version can begin the stream within the latency target.
+    bool canBeginAt(const std::string &version) const;
+    // True if the choice would miss the latency target only to keep to a version that is preferred.
+    bool isPreferenceTooSlow(const routing::PlacementChoice &choice) const;
     // Sends the head of the response to the caller, once, before the first event.
     void beginStream();
     void streamComplete();
--- a/packages/gateway/src/streamversion.cpp
+++ b/packages/gateway/src/streamversion.cpp
@@ -28,6 +28,25 @@
     return !std::exchange(ignoresPreference_, true);
 }
 
+bool StreamVersion::preferenceYieldsToLatency() const
+{
+    return !version_ && origins_ && origins_->preferenceYieldsToLatency(service_);
+}
+
+std::optional<std::string> StreamVersion::replacement() const
+{
+    if (!origins_ || ignoresPreference_)
+        return std::nullopt;
+    std::optional<std::string> preferred = origins_->preferredVersion(service_);
+    return preferred && preferred != version_ ? preferred : std::nullopt;
+}
+
+void StreamVersion::beginAnew()
+{
+    version_.reset();
+    dropHeld();
+}
+
 void StreamVersion::attemptStarted(const std::string &version)
 {
     attemptVersion_ = version;
@@ -36,15 +55,15 @@
                 { .requestId = requestId_, .service = service_, .softwareVersion = version });
 }
 
-void StreamVersion::eventReceived(const std::function<void()> &released)
+void StreamVersion::eventReceived(const std::function<void(bool findable)> &released)
 {
     if (!origins_ || version_)
         return;
     version_ = attemptVersion_;
     isHeld_ = true;
-    origins_->whenFindable(requestId_, [this, released] {
+    origins_->whenFindable(requestId_, [this, released](bool findable) {
         isHeld_ = false;
-        released();
+        released(findable);
     });
 }
 
--- a/packages/gateway/src/streamversion.h
+++ b/packages/gateway/src/streamversion.h
@@ -37,12 +37,21 @@
     // Allows any version for the next attempt if only a preference for one excludes servers;
     // returns false if it does not.
     bool dropPreference();
+    // True if a server of another version may be used where the preferred ones would miss the
+    // latency target.
+    bool preferenceYieldsToLatency() const;
 
     // The request is sent to a server of this version.
     void attemptStarted(const std::string &version);
-    // The current attempt has brought an event. The first time, calls the handler as soon as events
-    // may be passed on, also before it returns.
-    void eventReceived(const std::function<void()> &released);
+    // The current attempt has brought an event. The first time, calls the handler once, also before
+    // it returns: with true as soon as every daemon can find the version, or with false after a
+    // limited time. Events are not held any more then.
+    void eventReceived(const std::function<void(bool findable)> &released);
+    // The version at which the stream should begin anew because its own one is not findable; empty
+    // if it should go on.
+    std::optional<std::string> replacement() const;
+    // Forgets the version and the events of it, none of which was passed on.
+    void beginAnew();
 
     // True if events have to be held.
     bool isHeld() const { return isHeld_; }
--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -77,7 +77,7 @@
     struct Counters
     {
         std::uint64_t recorded = 0;
-        // Streams whose first event was passed on before their record was acknowledged.
+        // Streams whose record was not acknowledged before the limit of the wait.
         std::uint64_t unrecorded = 0;
         std::uint64_t lookups = 0;
         // Lookups that did not find the version.
@@ -89,8 +89,9 @@
     void find(const std::string &requestId, const std::string &service,
               std::chrono::milliseconds timeLimit, VersionHandler handler) override;
     std::optional<std::string> preferredVersion(const std::string &service) const override;
+    bool preferenceYieldsToLatency(const std::string &service) const override;
     void streamSent(const routing::StreamOrigin &origin) override;
-    void whenFindable(const std::string &requestId, std::function<void()> handler) override;
+    void whenFindable(const std::string &requestId, FindableHandler handler) override;
 
     // To be called after the configuration or the directory of servers has changed, and at least
     // once a second.
@@ -143,7 +144,7 @@
     {
         std::uint64_t stream = 0;
         Clock::time_point deadline;
-        std::function<void()> handler;
+        FindableHandler handler;
     };
 
     // True if the stream is known to belong to another service. Servers of different services
@@ -179,6 +180,14 @@
     void setPending(std::uint64_t id, Stream &stream);
     void appendBatch();
     void batchAppended(const std::vector<std::uint64_t> &ids, bool appended);
+    void setLogLost(bool isLost);
+    // The version whose streams need no record, if the log takes none now and the version has
+    // servers; empty otherwise.
+    std::optional<std::string> versionWithoutRecords(const std::string &service) const;
+    // The version that should begin new streams because another one is new.
+    std::optional<std::string> settledVersion(const std::string &service) const;
+    // True if the stream has a record that is not acknowledged.
+    bool awaitsRecord(std::uint64_t stream) const;
     // Calls the handlers of the waiters that need not wait any longer.
     void releaseWaiters();
 
@@ -216,7 +225,7 @@
     // The streams of the append in progress.
     std::unordered_set<std::uint64_t> appending_;
     bool isBatchScheduled_ = false;
-    // The last append failed, so first events do not wait for their records.
+    // The last append failed or takes too long, so first events do not wait for their records.
     bool isLogLost_ = false;
     std::list<Waiter> waiters_;
 
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -249,7 +249,27 @@
     return !baseline || baseline == version ? version : std::nullopt;
 }
 
+std::optional<std::string> OriginRegistry::versionWithoutRecords(const std::string &service) const
+{
+    if (!isLogLost_)
+        return std::nullopt;
+    std::optional<std::string> baseline = currentBaseline(service);
+    return baseline && history_.isListed(service, *baseline) ? baseline : std::nullopt;
+}
+
 std::optional<std::string> OriginRegistry::preferredVersion(const std::string &service) const
+{
+    if (std::optional<std::string> version = versionWithoutRecords(service))
+        return version;
+    return settledVersion(service);
+}
+
+bool OriginRegistry::preferenceYieldsToLatency(const std::string &service) const
+{
+    return versionWithoutRecords(service) && !settledVersion(service);
+}
+
+std::optional<std::string> OriginRegistry::settledVersion(const std::string &service) const
 {
     std::optional<std::string> baseline = baselineOf(service);
     if (!baseline)
@@ -274,7 +294,9 @@
     // A record of a version that the stream was sent to before has to be replaced, also by one of
     // the baseline version.
     const bool isBaseline = currentBaseline(origin.service) == origin.softwareVersion;
-    if (sentBefore ? !sameVersion : !isBaseline)
+    if (isBaseline && !stream.hasRecord)
+        stream.isPending = false;
+    else if (sentBefore ? !sameVersion : !isBaseline)
         setPending(id, stream);
 }
 
@@ -285,19 +307,22 @@
     scheduleBatch(options_.batchTime);
 }
 
-void OriginRegistry::whenFindable(const std::string &requestId, std::function<void()> handler)
+bool OriginRegistry::awaitsRecord(std::uint64_t stream) const
+{
+    const auto found = streams_.find(stream);
+    return found != streams_.end() && (found->second.isPending || appending_.contains(stream));
+}
+
+void OriginRegistry::whenFindable(const std::string &requestId, FindableHandler handler)
 {
     const std::uint64_t id = stableHash(requestId);
-    const auto found = streams_.find(id);
-    const bool waits = found != streams_.end()
-                       && (found->second.isPending || appending_.contains(id));
-    if (!waits) {
-        handler();
+    if (!awaitsRecord(id)) {
+        handler(true);
         return;
     }
     if (isLogLost_) {
         ++counters_.unrecorded;
-        handler();
+        handler(false);
         return;
     }
     waiters_.push_back({ .stream = id,
@@ -320,12 +345,14 @@
 
 void OriginRegistry::appendBatch()
 {
-    const std::vector<std::uint64_t> ids = std::exchange(pending_, {});
+    std::vector<std::uint64_t> ids;
     std::map<std::pair<std::string, std::string>, OriginRecord> groups;
-    for (const std::uint64_t id : ids) {
+    for (const std::uint64_t id : std::exchange(pending_, {})) {
         const auto found = streams_.find(id);
-        if (found == streams_.end())
+        // A stream that was sent again to the baseline version needs no record any more.
+        if (found == streams_.end() || !found->second.isPending)
             continue;
+        ids.push_back(id);
         Stream &stream = found->second;
         // The stream may be sent to another version before the append ends.
         stream.isPending = false;
@@ -337,7 +364,7 @@
     }
     // All of them have expired, so no append tells whether the store is available.
     if (groups.empty()) {
-        isLogLost_ = false;
+        setLogLost(false);
         return;
     }
     std::vector<OriginRecord> records;
@@ -352,12 +379,8 @@
 void OriginRegistry::batchAppended(const std::vector<std::uint64_t> &ids, bool appended)
 {
     isAppending_ = false;
+    setLogLost(!appended);
     appending_.clear();
-    if (appended != !isLogLost_)
-        logEvent(appended ? LogLevel::Info : LogLevel::Warning, "stream_record_log",
-                 { { "available", appended ? "yes" : "no" },
-                   { "pending", static_cast<long long>(pending_.size() + ids.size()) } });
-    isLogLost_ = !appended;
     if (appended)
         counters_.recorded += ids.size();
     for (const std::uint64_t id : ids) {
@@ -369,24 +392,36 @@
     scheduleBatch(appended ? options_.batchTime : options_.retryDelay);
 }
 
+void OriginRegistry::setLogLost(bool isLost)
+{
+    if (std::exchange(isLogLost_, isLost) == isLost)
+        return;
+    logEvent(isLost ? LogLevel::Warning : LogLevel::Info, "stream_record_log",
+             { { "available", isLost ? "no" : "yes" },
+               { "pending", static_cast<long long>(pending_.size() + appending_.size()) } });
+}
+
 void OriginRegistry::releaseWaiters()
 {
     const auto now = options_.now();
-    std::list<Waiter> released;
+    std::list<Waiter> findable;
+    std::list<Waiter> expired;
     for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
         const auto next = std::next(waiter);
-        const auto found = streams_.find(waiter->stream);
-        const bool waits = found != streams_.end()
-                           && (found->second.isPending || appending_.contains(waiter->stream));
-        const bool givesUp = waits && (isLogLost_ || waiter->deadline <= now);
-        if (givesUp)
-            ++counters_.unrecorded;
-        if (!waits || givesUp)
-            released.splice(released.end(), waiters_, waiter);
+        if (!awaitsRecord(waiter->stream))
+            findable.splice(findable.end(), waiters_, waiter);
+        else if (isLogLost_ || waiter->deadline <= now)
+            expired.splice(expired.end(), waiters_, waiter);
         waiter = next;
     }
-    for (const Waiter &waiter : released)
-        waiter.handler();
+    counters_.unrecorded += expired.size();
+    // The handlers ask for the preferred version, which depends on the state of the log.
+    if (!expired.empty())
+        setLogLost(true);
+    for (const Waiter &waiter : findable)
+        waiter.handler(true);
+    for (const Waiter &waiter : expired)
+        waiter.handler(false);
 }
 
 void OriginRegistry::expireQueries()
