Streams: one baseline for all daemons after a restore

Callers saw joined texts if the baseline moved twice around a restore of the store: some daemons knew the one that the store had lost, others wrote another one of the same generation, and each kept its own.

Cause: a daemon ignored a listed baseline whose generation was not higher than that of its own.

Change: of two baselines of one generation, the listed one is in force. Until the store lists a daemon's baseline again, the daemon relies on none, records its streams, also earlier ones, and lists the baselines every 2 s. One that takes over another baseline records its streams of other versions.

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -167,6 +167,10 @@
     void listBaselines();
     void baselinesListed(const std::optional<duties::LogListing> &listing);
     void recordBaseline(const std::string &service, const Baseline &baseline);
+    // Records the streams of this daemon that relied on another baseline than this one, or on one
+    // that the store has lost if none is given.
+    void recordUnlistedStreams(const std::string &service,
+                               const std::optional<std::string> &baseline);
     // The baseline that has to be written for the service; empty if none has to be.
     std::optional<Baseline> dueBaseline(const std::string &service, Clock::time_point now) const;
     // Writes the first baseline of a service, or moves it, if that is due. Lists the baselines
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -83,6 +83,8 @@
         const auto found = baselines_.find(name);
         if (found == baselines_.end())
             return history_.oldestVersion(name).has_value();
+        if (found->second.listedGeneration < found->second.generation)
+            return true;
         return found->second.mayHaveMoved && isServedForLong(name, found->second);
     });
 }
@@ -108,7 +110,9 @@
 std::optional<std::string> OriginRegistry::currentBaseline(const std::string &service) const
 {
     const auto found = baselines_.find(service);
-    const bool isCurrent = found != baselines_.end() && !found->second.mayHaveMoved;
+    // After a restore that has lost the baseline, another daemon may write a different one.
+    const bool isCurrent = found != baselines_.end() && !found->second.mayHaveMoved
+                           && found->second.listedGeneration >= found->second.generation;
     return isCurrent ? std::optional(found->second.version) : std::nullopt;
 }
 
@@ -492,6 +496,20 @@
                                        .generation = record.generation(),
                                        .listedGeneration = record.generation() });
     }
+    for (const auto &[service, baseline] : baselines_) {
+        if (baseline.listedGeneration < baseline.generation)
+            recordUnlistedStreams(service, std::nullopt);
+    }
+}
+
+void OriginRegistry::recordUnlistedStreams(const std::string &service,
+                                           const std::optional<std::string> &baseline)
+{
+    for (auto &[id, stream] : streams_) {
+        if (stream.isOwn && !stream.hasRecord && stream.service == service
+            && stream.version != baseline)
+            setPending(id, stream);
+    }
 }
 
 void OriginRegistry::recordBaseline(const std::string &service, const Baseline &baseline)
@@ -500,9 +518,13 @@
     known.listedGeneration = baseline.generation;
     if (baseline.generation == known.generation && isServedForLong(service, known))
         known.mayHaveMoved = false;
-    // A store that was restored lists an earlier one.
-    if (baseline.generation <= known.generation)
+    // A store that was restored lists an earlier one. If it lists another one of the same
+    // generation, that one was written after the restore, and daemons that start find only that.
+    const bool isReplaced = baseline.generation == known.generation
+                            && baseline.version != known.version;
+    if (baseline.generation <= known.generation && !isReplaced)
         return;
+    recordUnlistedStreams(service, baseline.version);
     known = baseline;
     known.mayHaveMoved = !history_.isListed(service, known.version);
     proposalTimes_.erase(service);
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -648,6 +648,87 @@
     BOOST_TEST(find(*second, "y") == "v1");
 }
 
+// Guards against two baselines of one generation: the store has lost the one that some daemons
+// know, and another daemon moves the baseline of the older copy to another version.
+BOOST_AUTO_TEST_CASE(baseline_movesTwiceAroundARestore_isTheSameForAllDaemons)
+{
+    const auto copy = store.baselines;
+    routing::ServerDirectory otherDirectory = directory;
+    Daemon other(io, store, clocks, otherDirectory, config);
+    const auto updateAll = [&](int seconds) {
+        for (int i = 0; i < seconds; ++i) {
+            updateAfter(milliseconds(1000));
+            other.registry.update();
+            runFor(io, milliseconds(5));
+        }
+    };
+    const auto addEverywhere = [&](const std::string &id, const std::string &version) {
+        add(id, version);
+        otherDirectory.update(*directory.find(id), position);
+    };
+    updateAll(1);
+    BOOST_REQUIRE(other.registry.baselineOf("s").value_or("") == "v1");
+    addEverywhere("i-2", "v2");
+    directory.removeImmediately("i-1", ++position);
+    updateAll(3);
+    otherDirectory.removeImmediately("i-1", position);
+    updateAll(29);
+    BOOST_REQUIRE(first->registry.baselineOf("s").value_or("") == "v2");
+    BOOST_REQUIRE(other.registry.baselineOf("s").value_or("") == "v1");
+    begin(*first, "x", "v2");
+    store.baselines = copy;
+    addEverywhere("i-3", "v3");
+    addEverywhere("i-4", "v3");
+    for (int i = 0; i < 3; ++i) {
+        clocks.advance(milliseconds(1000));
+        other.registry.update();
+    }
+    BOOST_REQUIRE(other.registry.baselineOf("s").value_or("") == "v3");
+    observeEra(2);
+    other.registry.observeEra(2);
+    updateAll(5);
+    BOOST_TEST(find(other, "x") == "v2");
+    begin(*first, "y", "v2");
+    BOOST_TEST(find(other, "y") == "v2");
+    for (const Daemon *daemon : { first.get(), second.get(), &other })
+        BOOST_TEST(daemon->registry.baselineOf("s").value_or("") == "v3");
+}
+
+// Guards against a daemon that does not move baselines and relies on one that the store has lost.
+BOOST_AUTO_TEST_CASE(stream_storeHasLostTheBaseline_isRecordedUntilItIsListedAgain)
+{
+    const auto copy = store.baselines;
+    add("i-2", "v2");
+    directory.removeImmediately("i-1", ++position);
+    updateAfter(kStreamLifetime + milliseconds(3000));
+    const auto moved = store.baselines;
+    Daemon other(io, store, clocks, directory, config, false);
+    other.registry.update();
+    BOOST_REQUIRE(other.registry.baselineOf("s").value_or("") == "v2");
+    other.registry.observeEra(1);
+    begin(other, "x", "v2");
+    BOOST_TEST(store.records.empty());
+    store.baselines = copy;
+    other.registry.observeEra(2);
+    other.registry.update();
+    begin(other, "y", "v2");
+    BOOST_TEST(runUntil(io, [this] { return !store.records.empty(); }));
+    runFor(io, milliseconds(30));
+    std::size_t recorded = 0;
+    for (const OriginRecord &record : store.records)
+        recorded += record.streams.size();
+    BOOST_TEST(recorded == 2U);
+    store.baselines = moved;
+    clocks.advance(milliseconds(2000));
+    other.registry.update();
+    begin(other, "z", "v2");
+    runFor(io, milliseconds(30));
+    std::size_t recordedLater = 0;
+    for (const OriginRecord &record : store.records)
+        recordedLater += record.streams.size();
+    BOOST_TEST(recordedLater == recorded);
+}
+
 // Guards against refusing streams in deployments whose servers name no version.
 BOOST_AUTO_TEST_CASE(find_serversNameNoVersion_isEmptyWithoutACall)
 {
