--- a/review/lab-3/lab.cpp
+++ b/review/lab-3/lab.cpp
@@ -543,7 +543,9 @@
     while (!ended_) {
         sleepMs(10);
         if (crashing_.exchange(false)) {
+            crashing_ = true;
             server_.close();
+            crashing_ = false;
             const long long crashedAt = nowMs();
             while (!ended_ && nowMs() < crashedAt + kRestartMs)
                 sleepMs(10);
@@ -613,8 +615,22 @@
 
 void Runner::crash()
 {
-    ++crashes_;
-    crashing_ = true;
+    const std::lock_guard lock(mutex_);
+    // Several requests at once end the runner once.
+    if (!crashing_.exchange(true))
+        crashTimes_.push_back(nowMs());
+}
+
+std::vector<long long> Runner::crashingArrivals()
+{
+    const std::lock_guard lock(mutex_);
+    return crashingArrivals_;
+}
+
+std::vector<long long> Runner::crashTimes()
+{
+    const std::lock_guard lock(mutex_);
+    return crashTimes_;
 }
 
 bool Runner::handle(const Request &request, Connection &connection)
@@ -645,6 +661,10 @@
     ++runs_;
     if (!options_.crashingPart.empty()
         && request.field("Prompt-Prefix").find(options_.crashingPart + ":") != std::string::npos) {
+        {
+            const std::lock_guard lock(mutex_);
+            crashingArrivals_.push_back(nowMs());
+        }
         sleepMs(options_.firstMs);
         note("runner " + id() + " crashes at " + attempt);
         crash();
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -177,7 +177,9 @@
     void goDark(long long ms);
     void leave();
     unsigned runs() const { return runs_; }
-    unsigned crashes() const { return crashes_; }
+    std::vector<long long> crashTimes();
+    // The times at which requests that crash it have reached the runner.
+    std::vector<long long> crashingArrivals();
 
 private:
     bool handle(const Request &request, Connection &connection);
@@ -204,7 +206,8 @@
     // The entry of the present start has been removed.
     std::atomic<bool> isRemoved_{ false };
     std::atomic<unsigned> runs_{ 0 };
-    std::atomic<unsigned> crashes_{ 0 };
+    std::vector<long long> crashTimes_;
+    std::vector<long long> crashingArrivals_;
     HttpServer server_;
     std::thread beats_;
 };
