Share the stream checks of the review's scripts

The cases include the stand-ins by a relative path, so that the linter reads them, and use loopback networks that the project's tests don't use. Nothing that a case does or counts has changed.

--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,6 +1,6 @@
 // Streams that were begun anew at another software version after another daemon had read their
 // record. See claim.txt.
-#include "lab.h"
+#include "../lab-3/lab.h"
 
 #include <atomic>
 #include <deque>
@@ -18,31 +18,8 @@
 constexpr unsigned kNewRunners = 3;
 constexpr long long kDarkMs = 2500;
 
-// What one client has seen over all its attempts.
-struct Caller
-{
-    std::string firstId;
-    std::vector<std::string> versions;
-    bool isComplete = false;
-};
-
-void addVersions(Caller &caller, const Result &result, const std::string &attempt)
-{
-    std::string seen;
-    for (const auto &[id, data] : result.events) {
-        if (caller.versions.empty() || caller.versions.back() != data) {
-            caller.versions.push_back(data);
-            seen += " " + data + " from event " + id;
-        }
-    }
-    caller.isComplete = result.isComplete && result.status == 200;
-    note("client: " + attempt + " ends, status " + std::to_string(result.status) + ", "
-         + std::to_string(result.events.size()) + " events"
-         + (result.isComplete ? ", complete" : ", broken off") + seen);
-}
-
 // A client as the pages describe it: after a break it takes its stream up at another daemon, once.
-void call(const std::string &front, const std::string &otherFront, Caller &caller)
+void call(const std::string &front, const std::string &otherFront, StreamSeen &caller)
 {
     caller.firstId = newAttemptId();
     const std::string prompt = "Model: m\r\nToken-Count: 300,120\r\nPrompt-Prefix: aa:50,"
@@ -51,7 +28,7 @@
                                 .path = "/chat/" + caller.firstId,
                                 .id = caller.firstId,
                                 .fields = prompt });
-    addVersions(caller, first, caller.firstId + " at " + front);
+    caller.add(first, caller.firstId + " at " + front);
     if (first.isComplete || first.events.empty())
         return;
     const std::string id = newAttemptId();
@@ -62,7 +39,7 @@
                                  .id = id,
                                  .fields = prompt + "Last-Event-Id: " + first.events.back().first
                                            + "\r\nResumes: " + caller.firstId + "\r\n" });
-    addVersions(caller, second, id + " at " + otherFront);
+    caller.add(second, id + " at " + otherFront);
 }
 
 // Lets new clients come at a regular rate until it is told to stop.
@@ -88,13 +65,13 @@
     }
     void pause() { stops_ = true; }
 
-    const std::deque<Caller> &callers() const { return callers_; }
+    const std::deque<StreamSeen> &callers() const { return callers_; }
 
 private:
     void run()
     {
         while (!stops_) {
-            Caller &caller = callers_.emplace_back();
+            StreamSeen &caller = callers_.emplace_back();
             clients_.emplace_back([this, &caller] { call(front_, otherFront_, caller); });
             sleepMs(pauseMs_);
         }
@@ -104,7 +81,7 @@
     const std::string otherFront_;
     const long long pauseMs_;
     std::atomic<bool> stops_{ false };
-    std::deque<Caller> callers_;
+    std::deque<StreamSeen> callers_;
     std::vector<std::thread> clients_;
     std::thread thread_;
 };
@@ -170,7 +147,7 @@
     unsigned complete = 0;
     unsigned all = 0;
     for (const Load *load : { &first, &third }) {
-        for (const Caller &caller : load->callers()) {
+        for (const StreamSeen &caller : load->callers()) {
             ++all;
             complete += caller.isComplete ? 1 : 0;
             if (caller.versions.size() < 2)
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,6 +1,6 @@
 // A prompt part that crashes runners comes again after all daemons were killed at once. See
 // claim.txt.
-#include "lab.h"
+#include "../lab-3/lab.h"
 
 #include <algorithm>
 #include <atomic>
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -1,6 +1,6 @@
 // Streams whose records the store has lost while the daemon that wrote them stands still. See
 // claim.txt.
-#include "lab.h"
+#include "../lab-3/lab.h"
 
 #include <algorithm>
 #include <csignal>
@@ -18,32 +18,14 @@
 constexpr unsigned kNewRunners = 5;
 constexpr unsigned kStreams = 40;
 
-// What one client has seen over all its attempts.
-struct Caller
+std::string takeUpFields(const std::string &lastEvent, const std::string &firstId)
 {
-    std::string firstId;
-    std::vector<std::string> versions;
-    bool isComplete = false;
-};
-
-void addVersions(Caller &caller, const Result &result, const std::string &attempt)
-{
-    std::string seen;
-    for (const auto &[id, data] : result.events) {
-        if (caller.versions.empty() || caller.versions.back() != data) {
-            caller.versions.push_back(data);
-            seen += " " + data + " from event " + id;
-        }
-    }
-    caller.isComplete = result.isComplete && result.status == 200;
-    note("client: " + attempt + " ends, status " + std::to_string(result.status) + ", "
-         + std::to_string(result.events.size()) + " events"
-         + (result.isComplete ? ", complete" : ", broken off") + seen);
+    return "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstId + "\r\n";
 }
 
 // A client as the pages describe it: it leaves a stream after a gap, takes it up at other daemons a
 // few times within its deadline, and honours Retry-After.
-void call(const std::vector<std::string> &fronts, Caller &caller)
+void call(const std::vector<std::string> &fronts, StreamSeen &caller)
 {
     constexpr unsigned kRetries = 3;
     constexpr long long kDeadlineMs = 15000;
@@ -60,10 +42,10 @@
                                      .id = id,
                                      .fields = prompt + taken,
                                      .deadlineMs = deadline - nowMs() });
-        addVersions(caller, result, id + " at " + front);
+        const std::string where = " at " + front;
+        caller.add(result, id + where);
         if (!result.events.empty())
-            taken = "Last-Event-Id: " + result.events.back().first
-                    + "\r\nResumes: " + caller.firstId + "\r\n";
+            taken = takeUpFields(result.events.back().first, caller.firstId);
         const auto wait = static_cast<long long>(result.retryAfterS * 1000);
         sleepMs(std::min(wait, (deadline - nowMs()) / 3));
         id = newAttemptId();
@@ -102,11 +84,11 @@
         addRunner("v2");
     sleepMs(6000);
 
-    std::deque<Caller> callers(kStreams);
+    std::deque<StreamSeen> callers(kStreams);
     std::vector<std::thread> threads;
     const std::vector<std::string> fronts{ daemons[0]->front(), daemons[1]->front(),
                                            daemons[2]->front() };
-    for (Caller &caller : callers) {
+    for (StreamSeen &caller : callers) {
         threads.emplace_back([&] { call(fronts, caller); });
         sleepMs(30);
     }
@@ -125,7 +107,7 @@
 
     unsigned joined = 0;
     unsigned complete = 0;
-    for (const Caller &caller : callers) {
+    for (const StreamSeen &caller : callers) {
         complete += caller.isComplete ? 1 : 0;
         if (caller.versions.size() < 2)
             continue;
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,6 +7,6 @@
 g++ -std=c++20 -O1 -Wall -pthread -c review/lab-3/lab.cpp -o target/review-3/lab.o
 for folder in review/1[1-5]; do
     [ -e "$folder/case.cpp" ] || continue
-    g++ -std=c++20 -O1 -Wall -pthread -I review/lab-3 "$folder/case.cpp" target/review-3/lab.o \
+    g++ -std=c++20 -O1 -Wall -pthread "$folder/case.cpp" target/review-3/lab.o \
         -o "target/review-3/case-$(basename "$folder")"
 done
--- a/review/lab-3/lab.cpp
+++ b/review/lab-3/lab.cpp
@@ -192,7 +192,7 @@
 
 std::string network()
 {
-    static const std::string prefix = "127." + std::to_string(64 + getpid() / 250 % 128) + "."
+    static const std::string prefix = "127." + std::to_string(100 + getpid() / 250 % 100) + "."
                                       + std::to_string(1 + getpid() % 250) + ".";
     return prefix;
 }
@@ -947,6 +947,21 @@
     return result;
 }
 
+void StreamSeen::add(const Result &result, const std::string &attempt)
+{
+    std::string seen;
+    for (const auto &[id, data] : result.events) {
+        if (!versions.empty() && versions.back() == data)
+            continue;
+        versions.push_back(data);
+        seen.append(" ").append(data).append(" from event ").append(id);
+    }
+    isComplete = result.isComplete && result.status == 200;
+    note("client: " + attempt + " ends, status " + std::to_string(result.status) + ", "
+         + std::to_string(result.events.size()) + " events"
+         + (result.isComplete ? ", complete" : ", broken off") + seen);
+}
+
 std::string configuration(unsigned version)
 {
     const auto route = [](const std::string &name, const std::string &kind,
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -271,6 +271,17 @@
 Result send(const Attempt &attempt);
 std::string newAttemptId();
 
+// What one client has seen of a stream over all its attempts. The data of each event names the
+// software version of its runner.
+struct StreamSeen
+{
+    std::string firstId;
+    std::vector<std::string> versions;
+    bool isComplete = false;
+
+    void add(const Result &result, const std::string &attempt);
+};
+
 // The configuration: a resumable streaming route /chat/ of "engines" and an unsafe and a safe
 // route, /order/ and /read/, of "desk".
 std::string configuration(unsigned version);
