Add review case 11: two different usage reports of one window

The holder of the duty is killed when the platform has accepted its report, and the store comes back from a copy without the figure. Its successor closes the window again. The stand-in of a runner can lose answers, and daemons get the settings of the duty.

--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -1,89 +1,76 @@
-// Streams that were begun anew at another software version after another daemon had read their
-// record. See claim.txt.
+// Two different usage reports for one window. See claim.txt.
 #include "../lab-3/lab.h"
 
 #include <atomic>
-#include <deque>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 using namespace lab;
 
 namespace {
 
-constexpr unsigned kOldRunners = 15;
-constexpr unsigned kNewRunners = 3;
-constexpr long long kDarkMs = 2500;
+constexpr unsigned kDaemons = 4;
+constexpr unsigned kRunners = 5;
+constexpr unsigned kFaultyRunners = 3;
+constexpr unsigned kLostPercent = 40;
+constexpr long long kWindowMs = 5000;
 
-// A client as the pages describe it: after a break it takes its stream up at another daemon, once.
-void call(const std::string &front, const std::string &otherFront, StreamSeen &caller)
+struct Report
 {
-    caller.firstId = newAttemptId();
-    const std::string prompt = "Model: m\r\nToken-Count: 300,120\r\nPrompt-Prefix: aa:50,"
-                               + newAttemptId() + ":50," + caller.firstId + ":200\r\n";
-    const Result first = send({ .front = front,
-                                .path = "/chat/" + caller.firstId,
-                                .id = caller.firstId,
-                                .fields = prompt });
-    caller.add(first, caller.firstId + " at " + front);
-    if (first.isComplete || first.events.empty())
-        return;
-    const std::string id = newAttemptId();
-    note("client: " + caller.firstId + " is taken up as " + id + " at " + otherFront
-         + " after event " + first.events.back().first);
-    const Result second = send({ .front = otherFront,
-                                 .path = "/chat/" + caller.firstId,
-                                 .id = id,
-                                 .fields = prompt + "Last-Event-Id: " + first.events.back().first
-                                           + "\r\nResumes: " + caller.firstId + "\r\n" });
-    caller.add(second, id + " at " + otherFront);
-}
+    std::string holder;
+    std::string token;
+    std::string counts;
+};
 
-// Lets new clients come at a regular rate until it is told to stop.
-class Load
+// The platform's interface for duties.
+class Cloud
 {
 public:
-    Load(std::string front, std::string otherFront, double perSecond)
-        : front_(std::move(front))
-        , otherFront_(std::move(otherFront))
-        , pauseMs_(static_cast<long long>(1000 / perSecond))
-        , thread_([this] { run(); })
-    {}
-
-    // Waits for the ends of all requests.
-    void stop()
+    Cloud()
+        : server_(network() + "251", 0, [this](const Request &request, Connection &connection) {
+            return handle(request, connection);
+        })
     {
-        stops_ = true;
-        if (thread_.joinable())
-            thread_.join();
-        for (std::thread &client : clients_)
-            client.join();
-        clients_.clear();
+        server_.open();
     }
-    void pause() { stops_ = true; }
 
-    const std::deque<StreamSeen> &callers() const { return callers_; }
+    std::string address() const { return server_.address(); }
+
+    std::vector<Report> reports(long long window)
+    {
+        const std::lock_guard lock(mutex_);
+        return reports_[window];
+    }
 
 private:
-    void run()
+    bool handle(const Request &request, Connection &connection)
     {
-        while (!stops_) {
-            StreamSeen &caller = callers_.emplace_back();
-            clients_.emplace_back([this, &caller] { call(front_, otherFront_, caller); });
-            sleepMs(pauseMs_);
-        }
+        const std::string windowField = "\"window_id\":";
+        const std::string countsField = "\"counts\":{";
+        const std::size_t window = request.body.find(windowField);
+        const std::size_t counts = request.body.find(countsField);
+        if (window == std::string::npos || counts == std::string::npos)
+            return connection.send(answer(400, ""));
+        const std::size_t begin = counts + countsField.size();
+        const Report report{ .holder = request.field("Duty-Holder"),
+                             .token = request.field("Fence-Token"),
+                             .counts = request.body.substr(begin,
+                                                           request.body.find('}', begin) - begin) };
+        const long long number = std::stoll(request.body.substr(window + windowField.size()));
+        note("platform: usage of window " + std::to_string(number) + " from " + report.holder
+             + ", token " + report.token + ": " + report.counts);
+        const std::lock_guard lock(mutex_);
+        reports_[number].push_back(report);
+        return connection.send(answer(200, "{}"));
     }
 
-    const std::string front_;
-    const std::string otherFront_;
-    const long long pauseMs_;
-    std::atomic<bool> stops_{ false };
-    std::deque<StreamSeen> callers_;
-    std::vector<std::thread> clients_;
-    std::thread thread_;
+    std::mutex mutex_;
+    std::map<long long, std::vector<Report>> reports_;
+    HttpServer server_;
 };
 
 } // namespace
@@ -92,73 +79,79 @@
 {
     openRecord(argc > 1 ? argv[1] : "record.txt");
     Store store;
+    Cloud cloud;
     store.append("keyed.op", "config", configuration(1));
-    Runner desk(store, { .id = "i-desk", .service = "desk", .zone = "zone-a" });
     std::vector<std::unique_ptr<Runner>> runners;
-    const auto addRunner = [&](const std::string &version) {
-        const std::string number = std::to_string(runners.size());
+    for (unsigned i = 0; i < kRunners; ++i)
         runners.push_back(std::make_unique<Runner>(
-                store, Runner::Options{ .id = "i-" + number,
-                                        .service = "engines",
-                                        .zone = std::string("zone-") + "abc"[runners.size() % 3],
-                                        .version = version,
-                                        .events = 45,
-                                        .gapMs = 80 }));
-    };
-    for (unsigned i = 0; i < kOldRunners; ++i)
-        addRunner("v1");
+                store, Runner::Options{ .id = "i-desk-" + std::to_string(i),
+                                        .service = "desk",
+                                        .zone = std::string("zone-") + "abc"[i % 3] }));
     std::vector<std::unique_ptr<Daemon>> daemons;
-    for (unsigned i = 0; i < 3; ++i) {
-        daemons.push_back(std::make_unique<Daemon>(store, i));
+    for (unsigned i = 0; i < kDaemons; ++i) {
+        daemons.push_back(std::make_unique<Daemon>(
+                store, i, 260,
+                "[cloud_api]\naddr = \"" + cloud.address()
+                        + "\"\nrate_per_s = 50.0\nduties = [\"metering\"]\nduty_per_s = 50.0\n"));
         daemons.back()->start(true);
     }
     waitUntilReady(daemons);
-    sleepMs(6000);
-    note("runners of version v2 serve beside those of v1");
-    for (unsigned i = 0; i < kNewRunners; ++i)
-        addRunner("v2");
-    sleepMs(6000);
 
-    // Retries reach other daemons.
-    Load first(daemons[0]->front(), daemons[1]->front(), 120);
-    Load third(daemons[2]->front(), daemons[1]->front(), 15);
-    sleepMs(3000);
+    std::atomic<bool> stops{ false };
+    std::vector<std::thread> callers;
+    for (unsigned i = 0; i < 60; ++i)
+        callers.emplace_back([&, i] {
+            for (unsigned turn = i; !stops; ++turn) {
+                send({ .front = daemons[turn % kDaemons]->front(),
+                       .path = "/order/x",
+                       .id = newAttemptId(),
+                       .body = "order",
+                       .deadlineMs = 2500 });
+                sleepMs(1000);
+            }
+        });
+    // A window in the middle of regular traffic.
+    const long long window = unixMs() / kWindowMs + 3;
+    const long long endsAt = (window + 1) * kWindowMs;
+    sleepMs(endsAt - 1500 - unixMs());
     if (hasTrouble()) {
-        for (unsigned i = kOldRunners; i < runners.size(); ++i)
-            runners[i]->goDark(kDarkMs);
+        note("answers of three runners are lost");
+        for (unsigned i = 0; i < kFaultyRunners; ++i)
+            runners[i]->loseAnswers(kLostPercent);
     }
-    // Shortly after the first new streams at the dark runners are sent elsewhere.
-    sleepMs(950);
-    third.pause();
-    if (hasTrouble()) {
-        note("edge-2 is killed");
-        daemons[2]->kill();
+    sleepMs(2500);
+    for (const auto &runner : runners)
+        runner->loseAnswers(0);
+    note("the answers of all runners arrive again");
+    const long long limit = unixMs() + 10000;
+    while (cloud.reports(window).empty()) {
+        if (unixMs() > limit)
+            giveUp("the window is not reported");
+        sleepMs(2);
     }
-    sleepMs(kDarkMs);
-    first.pause();
     if (hasTrouble()) {
-        note("edge-0 is killed");
-        daemons[0]->kill();
-    }
-    first.stop();
-    third.stop();
-
-    unsigned joined = 0;
-    unsigned complete = 0;
-    unsigned all = 0;
-    for (const Load *load : { &first, &third }) {
-        for (const StreamSeen &caller : load->callers()) {
-            ++all;
-            complete += caller.isComplete ? 1 : 0;
-            if (caller.versions.size() < 2)
+        const std::string holder = cloud.reports(window).front().holder;
+        for (const auto &daemon : daemons) {
+            if (daemon->name() != holder)
                 continue;
-            ++joined;
-            note("ORDER: stream " + caller.firstId + " holds events of v1 and of v2");
+            daemon->kill();
+            note(holder + ", which holds the duty, is killed");
         }
+        store.restore(3000, 200);
+        store.append("keyed.op", "config", configuration(1));
+    }
+    sleepMs(14000);
+    stops = true;
+    for (std::thread &caller : callers)
+        caller.join();
+    const std::vector<Report> reports = cloud.reports(window);
+    bool isBroken = false;
+    for (const Report &report : reports) {
+        isBroken = isBroken || report.counts != reports.front().counts;
+        note("window " + std::to_string(window) + ": " + report.holder + " reported "
+             + report.counts);
     }
-    note(std::to_string(joined) + " streams hold events of two versions (2 are allowed); "
-         + std::to_string(complete) + " of " + std::to_string(all) + " are complete");
-    if (!hasTrouble() && complete < all)
-        giveUp("streams are not complete without trouble");
-    return joined > 2 ? kBroken : kHeld;
+    note(isBroken ? "ONE: the platform accepted two reports with different counts"
+                  : "all reports of the window are equal");
+    return isBroken ? kBroken : kHeld;
 }
--- a/review/lab-3/lab.cpp
+++ b/review/lab-3/lab.cpp
@@ -675,6 +675,12 @@
     if (request.path().starts_with("/chat/"))
         return stream(request, connection, head);
     sleepMs(30);
+    if (runs_ * 37 % 100 < lostPercent_) {
+        note("runner " + id() + " has run " + attempt + ", its answer is lost");
+        while (!connection.isClosed())
+            sleepMs(10);
+        return false;
+    }
     return connection.send(head + "Content-Length: 2\r\n\r\nok");
 }
 
@@ -705,10 +711,11 @@
     return connection.send("0\r\n\r\n");
 }
 
-Daemon::Daemon(const Store &store, unsigned index, unsigned memoryMb)
+Daemon::Daemon(const Store &store, unsigned index, unsigned memoryMb, std::string furtherTables)
     : store_(store)
     , index_(index)
     , memoryMb_(memoryMb)
+    , furtherTables_(std::move(furtherTables))
     , ip_(network() + std::to_string(10 + index))
 {}
 
@@ -738,10 +745,12 @@
          << "config_apply_ms = 2500\nrollback_slack_ms = 250\nouter_ms = 6000\n"
          << "strict_revoke = false\nrevoke_ms = 5000\nretry_budget_ratio = 0.2\n"
          << "budget_window_s = 10\nbudget_extra = 52\nrecover_s = 12\npass_ms = 300\n"
+         << "lease_ms = 3000\nthaw_ms = 300\nreport_window_s = 5\n"
          << "[platform]\naddr = \"" << store_.address() << "\"\nform = \"log\"\n"
          << "writes_per_s = 400\nreads_per_s = 2000\nparts = 12\nappend_ms = 2.0\n"
          << "part_mb_per_s = 20.0\nread_mb_per_s = 80.0\nrecord_bytes = 262144\n"
-         << "call_bytes = 2097152\nkeep_s = 300\npart_mb = 200\nttl_min_ms = 1000\n";
+         << "call_bytes = 2097152\nkeep_s = 300\npart_mb = 200\nttl_min_ms = 1000\n"
+         << furtherTables_;
     file.close();
     const std::string log = temporaryFolder() + "/" + name() + ".log";
     const std::string setting = "AUBURNWORKS_BOOT=" + path;
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -176,6 +176,8 @@
     // The runner falls silent for this time and then starts anew.
     void goDark(long long ms);
     void leave();
+    // From now on the answers of this share of the plain requests that it runs are lost.
+    void loseAnswers(unsigned percent) { lostPercent_ = percent; }
     unsigned runs() const { return runs_; }
     std::vector<long long> crashTimes();
     // The times at which requests that crash it have reached the runner.
@@ -206,6 +208,7 @@
     // The entry of the present start has been removed.
     std::atomic<bool> isRemoved_{ false };
     std::atomic<unsigned> runs_{ 0 };
+    std::atomic<unsigned> lostPercent_{ 0 };
     std::vector<long long> crashTimes_;
     std::vector<long long> crashingArrivals_;
     HttpServer server_;
@@ -216,7 +219,9 @@
 class Daemon
 {
 public:
-    Daemon(const Store &store, unsigned index, unsigned memoryMb = 260);
+    // Tables that the settings have besides those of every deployment.
+    Daemon(const Store &store, unsigned index, unsigned memoryMb = 260,
+           std::string furtherTables = {});
     ~Daemon();
 
     void start(bool isFirstStart);
@@ -235,6 +240,7 @@
     const Store &store_;
     const unsigned index_;
     const unsigned memoryMb_;
+    const std::string furtherTables_;
     const std::string ip_;
     pid_t process_ = -1;
 };
