--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,9 +1,10 @@
-// A prompt part that crashes runners comes again after all daemons were killed at once. See
+// Streams whose records the store has lost while the daemon that wrote them stands still. See
 // claim.txt.
 #include "../lab-3/lab.h"
 
 #include <algorithm>
-#include <atomic>
+#include <csignal>
+#include <deque>
 #include <memory>
 #include <string>
 #include <thread>
@@ -13,15 +14,42 @@
 
 namespace {
 
-constexpr unsigned kDaemons = 6;
-constexpr long long kStableWindowMs = 4000;
-// The requests that the rule allows.
-constexpr long long kAllowed = 3;
+constexpr unsigned kOldRunners = 7;
+constexpr unsigned kNewRunners = 5;
+constexpr unsigned kStreams = 40;
 
-std::string promptField(const std::string &parts)
+std::string takeUpFields(const std::string &lastEvent, const std::string &firstId)
 {
-    return "Model: m\r\nToken-Count: 200,60\r\nPrompt-Prefix: aa:50," + parts + newAttemptId()
-           + ":50\r\n";
+    return "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstId + "\r\n";
+}
+
+// A client as the pages describe it: it leaves a stream after a gap, takes it up at other daemons a
+// few times within its deadline, and honours Retry-After.
+void call(const std::vector<std::string> &fronts, StreamSeen &caller)
+{
+    constexpr unsigned kRetries = 3;
+    constexpr long long kDeadlineMs = 15000;
+    const long long deadline = nowMs() + kDeadlineMs;
+    caller.firstId = newAttemptId();
+    const std::string prompt = "Model: m\r\nToken-Count: 300,120\r\nPrompt-Prefix: aa:50,"
+                               + newAttemptId() + ":50," + caller.firstId + ":200\r\n";
+    std::string id = caller.firstId;
+    std::string taken;
+    for (unsigned attempt = 0; attempt <= kRetries && !caller.isComplete; ++attempt) {
+        const std::string &front = fronts[std::min<std::size_t>(attempt, fronts.size() - 1)];
+        const Result result = send({ .front = front,
+                                     .path = "/chat/" + caller.firstId,
+                                     .id = id,
+                                     .fields = prompt + taken,
+                                     .deadlineMs = deadline - nowMs() });
+        const std::string where = " at " + front;
+        caller.add(result, id + where);
+        if (!result.events.empty())
+            taken = takeUpFields(result.events.back().first, caller.firstId);
+        const auto wait = static_cast<long long>(result.retryAfterS * 1000);
+        sleepMs(std::min(wait, (deadline - nowMs()) / 3));
+        id = newAttemptId();
+    }
 }
 
 } // namespace
@@ -33,104 +61,62 @@
     store.append("keyed.op", "config", configuration(1));
     Runner desk(store, { .id = "i-desk", .service = "desk", .zone = "zone-a" });
     std::vector<std::unique_ptr<Runner>> runners;
-    for (unsigned i = 0; i < 12; ++i)
+    const auto addRunner = [&](const std::string &version) {
         runners.push_back(std::make_unique<Runner>(
-                store, Runner::Options{ .id = "i-" + std::to_string(i),
+                store, Runner::Options{ .id = "i-" + std::to_string(runners.size()),
                                         .service = "engines",
-                                        .zone = std::string("zone-") + "abc"[i % 3],
-                                        .events = 20,
-                                        .gapMs = 80,
-                                        .crashingPart = "bad1" }));
+                                        .zone = std::string("zone-") + "abc"[runners.size() % 3],
+                                        .version = version,
+                                        .events = 97,
+                                        .gapMs = 60 }));
+    };
+    for (unsigned i = 0; i < kOldRunners; ++i)
+        addRunner("v1");
     std::vector<std::unique_ptr<Daemon>> daemons;
-    for (unsigned i = 0; i < kDaemons; ++i) {
+    for (unsigned i = 0; i < 3; ++i) {
         daemons.push_back(std::make_unique<Daemon>(store, i));
         daemons.back()->start(true);
     }
     waitUntilReady(daemons);
-    sleepMs(5000);
+    sleepMs(6000);
+    note("runners of version v2 serve beside those of v1");
+    for (unsigned i = 0; i < kNewRunners; ++i)
+        addRunner("v2");
+    sleepMs(6000);
 
-    // Sound requests, whose streams end with the runners that crash.
-    std::atomic<bool> stops{ false };
-    std::atomic<unsigned> sound{ 0 };
-    std::atomic<unsigned> broken{ 0 };
+    std::deque<StreamSeen> callers(kStreams);
     std::vector<std::thread> threads;
-    for (unsigned i = 0; i < 20; ++i)
-        threads.emplace_back([&, i] {
-            for (unsigned turn = i; !stops; ++turn) {
-                const Result result = send({ .front = daemons[turn % kDaemons]->front(),
-                                             .path = "/chat/sound",
-                                             .id = newAttemptId(),
-                                             .fields = promptField({}) });
-                ++sound;
-                broken += result.isComplete && result.status == 200 ? 0 : 1;
-                sleepMs(100);
-            }
-        });
-    // No two of them are alike but for the part.
-    std::atomic<unsigned> turn{ 0 };
-    const auto sendBad = [&] {
-        const std::string id = newAttemptId();
-        const std::string front = daemons[turn++ % kDaemons]->front();
-        const Result result = send({ .front = front,
-                                     .path = "/chat/" + id,
-                                     .id = id,
-                                     .fields = promptField("bad1:100,") });
-        note("client: " + id + " with the part that crashes runners gets "
-             + std::to_string(result.status) + " at " + front);
-    };
-    const auto waitFor = [&](long long ms) {
-        const long long until = nowMs() + ms;
-        while (nowMs() < until) {
-            sendBad();
-            sleepMs(std::min(5000LL, until - nowMs()));
-        }
-    };
-    // The times at which the part has reached runners, or crashed them.
-    const auto timesOf = [&](std::vector<long long> (Runner::*part)()) {
-        std::vector<long long> times;
-        for (const auto &runner : runners) {
-            const std::vector<long long> own = (runner.get()->*part)();
-            times.insert(times.end(), own.begin(), own.end());
-        }
-        std::sort(times.begin(), times.end());
-        return times;
-    };
-
-    sleepMs(10000);
-    const long long limit = nowMs() + 20000;
-    while (timesOf(&Runner::crashTimes).size() < 5) {
-        if (nowMs() > limit)
-            giveUp("fewer than five crashes");
-        sendBad();
-        sleepMs(400);
+    const std::vector<std::string> fronts{ daemons[0]->front(), daemons[1]->front(),
+                                           daemons[2]->front() };
+    for (StreamSeen &caller : callers) {
+        threads.emplace_back([&] { call(fronts, caller); });
+        sleepMs(30);
     }
-    waitFor(10000);
-    const long long fifthAt = timesOf(&Runner::crashTimes)[4];
-    long long inTouchFrom = 0;
+    sleepMs(800);
     if (hasTrouble()) {
-        note("all daemons are killed at once");
-        for (const auto &daemon : daemons)
-            daemon->kill();
-        sleepMs(2000);
-        for (const auto &daemon : daemons)
-            daemon->start(false);
-        waitUntilReady(daemons);
-        inTouchFrom = nowMs() + kStableWindowMs;
-        sleepMs(kStableWindowMs + 1000);
-        note("all machines are in touch again");
+        note("edge-0 is frozen for 4 s");
+        daemons[0]->signal(SIGSTOP);
+        store.restore(3000, 200);
+        store.append("keyed.op", "config", configuration(1));
+        sleepMs(3800);
+        daemons[0]->signal(SIGCONT);
+        note("edge-0 runs again");
     }
-    waitFor(32000);
-    stops = true;
     for (std::thread &thread : threads)
         thread.join();
-    const std::vector<long long> times = timesOf(&Runner::crashingArrivals);
-    const auto later = std::count_if(times.begin(), times.end(), [&](long long at) {
-        return at > fifthAt + kStableWindowMs && at > inTouchFrom;
-    });
-    note("the fifth crash was at " + std::to_string(fifthAt) + " ms; " + std::to_string(later)
-         + " requests with the part have reached runners later than "
-         + std::to_string(kStableWindowMs) + " ms after it, from machines in touch ("
-         + std::to_string(kAllowed) + " are allowed); " + std::to_string(broken) + " of "
-         + std::to_string(sound) + " sound requests were broken off or refused");
-    return later > kAllowed ? kBroken : kHeld;
+
+    unsigned joined = 0;
+    unsigned complete = 0;
+    for (const StreamSeen &caller : callers) {
+        complete += caller.isComplete ? 1 : 0;
+        if (caller.versions.size() < 2)
+            continue;
+        ++joined;
+        note("ORDER: stream " + caller.firstId + " holds events of v1 and of v2");
+    }
+    note(std::to_string(joined) + " streams hold events of two versions (2 are allowed); "
+         + std::to_string(complete) + " of " + std::to_string(callers.size()) + " are complete");
+    if (!hasTrouble() && complete < callers.size())
+        giveUp("streams are not complete without trouble");
+    return joined > 2 ? kBroken : kHeld;
 }
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -1,57 +1,91 @@
-// Streams whose records the store has lost while the daemon that wrote them stands still. See
-// claim.txt.
+// Streams that were begun anew at another software version after another daemon had read their
+// record. See claim.txt.
 #include "../lab-3/lab.h"
 
-#include <algorithm>
-#include <csignal>
+#include <atomic>
 #include <deque>
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace lab;
 
 namespace {
 
-constexpr unsigned kOldRunners = 7;
-constexpr unsigned kNewRunners = 5;
-constexpr unsigned kStreams = 40;
+constexpr unsigned kOldRunners = 10;
+constexpr unsigned kNewRunners = 2;
+constexpr long long kDarkMs = 2500;
 
-std::string takeUpFields(const std::string &lastEvent, const std::string &firstId)
+// A client as the pages describe it: after a break it takes its stream up at another daemon, once.
+void call(const std::string &front, const std::string &otherFront, StreamSeen &caller)
 {
-    return "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstId + "\r\n";
-}
-
-// A client as the pages describe it: it leaves a stream after a gap, takes it up at other daemons a
-// few times within its deadline, and honours Retry-After.
-void call(const std::vector<std::string> &fronts, StreamSeen &caller)
-{
-    constexpr unsigned kRetries = 3;
-    constexpr long long kDeadlineMs = 15000;
-    const long long deadline = nowMs() + kDeadlineMs;
     caller.firstId = newAttemptId();
     const std::string prompt = "Model: m\r\nToken-Count: 300,120\r\nPrompt-Prefix: aa:50,"
                                + newAttemptId() + ":50," + caller.firstId + ":200\r\n";
-    std::string id = caller.firstId;
-    std::string taken;
-    for (unsigned attempt = 0; attempt <= kRetries && !caller.isComplete; ++attempt) {
-        const std::string &front = fronts[std::min<std::size_t>(attempt, fronts.size() - 1)];
-        const Result result = send({ .front = front,
-                                     .path = "/chat/" + caller.firstId,
-                                     .id = id,
-                                     .fields = prompt + taken,
-                                     .deadlineMs = deadline - nowMs() });
-        const std::string where = " at " + front;
-        caller.add(result, id + where);
-        if (!result.events.empty())
-            taken = takeUpFields(result.events.back().first, caller.firstId);
-        const auto wait = static_cast<long long>(result.retryAfterS * 1000);
-        sleepMs(std::min(wait, (deadline - nowMs()) / 3));
-        id = newAttemptId();
-    }
+    const Result first = send({ .front = front,
+                                .path = "/chat/" + caller.firstId,
+                                .id = caller.firstId,
+                                .fields = prompt });
+    caller.add(first, caller.firstId + " at " + front);
+    if (first.isComplete || first.events.empty())
+        return;
+    const std::string id = newAttemptId();
+    note("client: " + caller.firstId + " is taken up as " + id + " at " + otherFront
+         + " after event " + first.events.back().first);
+    const Result second = send({ .front = otherFront,
+                                 .path = "/chat/" + caller.firstId,
+                                 .id = id,
+                                 .fields = prompt + "Last-Event-Id: " + first.events.back().first
+                                           + "\r\nResumes: " + caller.firstId + "\r\n" });
+    caller.add(second, id + " at " + otherFront);
 }
 
+// Lets new clients come at a regular rate until it is told to stop.
+class Load
+{
+public:
+    Load(std::string front, std::string otherFront, double perSecond)
+        : front_(std::move(front))
+        , otherFront_(std::move(otherFront))
+        , pauseMs_(static_cast<long long>(1000 / perSecond))
+        , thread_([this] { run(); })
+    {}
+
+    // Waits for the ends of all requests.
+    void stop()
+    {
+        stops_ = true;
+        if (thread_.joinable())
+            thread_.join();
+        for (std::thread &client : clients_)
+            client.join();
+        clients_.clear();
+    }
+    void pause() { stops_ = true; }
+
+    const std::deque<StreamSeen> &callers() const { return callers_; }
+
+private:
+    void run()
+    {
+        while (!stops_) {
+            StreamSeen &caller = callers_.emplace_back();
+            clients_.emplace_back([this, &caller] { call(front_, otherFront_, caller); });
+            sleepMs(pauseMs_);
+        }
+    }
+
+    const std::string front_;
+    const std::string otherFront_;
+    const long long pauseMs_;
+    std::atomic<bool> stops_{ false };
+    std::deque<StreamSeen> callers_;
+    std::vector<std::thread> clients_;
+    std::thread thread_;
+};
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -62,13 +96,14 @@
     Runner desk(store, { .id = "i-desk", .service = "desk", .zone = "zone-a" });
     std::vector<std::unique_ptr<Runner>> runners;
     const auto addRunner = [&](const std::string &version) {
+        const std::string number = std::to_string(runners.size());
         runners.push_back(std::make_unique<Runner>(
-                store, Runner::Options{ .id = "i-" + std::to_string(runners.size()),
+                store, Runner::Options{ .id = "i-" + number,
                                         .service = "engines",
                                         .zone = std::string("zone-") + "abc"[runners.size() % 3],
                                         .version = version,
-                                        .events = 97,
-                                        .gapMs = 60 }));
+                                        .events = 45,
+                                        .gapMs = 80 }));
     };
     for (unsigned i = 0; i < kOldRunners; ++i)
         addRunner("v1");
@@ -84,39 +119,46 @@
         addRunner("v2");
     sleepMs(6000);
 
-    std::deque<StreamSeen> callers(kStreams);
-    std::vector<std::thread> threads;
-    const std::vector<std::string> fronts{ daemons[0]->front(), daemons[1]->front(),
-                                           daemons[2]->front() };
-    for (StreamSeen &caller : callers) {
-        threads.emplace_back([&] { call(fronts, caller); });
-        sleepMs(30);
+    // Retries reach other daemons.
+    Load first(daemons[0]->front(), daemons[1]->front(), 120);
+    Load third(daemons[2]->front(), daemons[1]->front(), 15);
+    sleepMs(3000);
+    if (hasTrouble()) {
+        for (unsigned i = kOldRunners; i < runners.size(); ++i)
+            runners[i]->goDark(kDarkMs);
+    }
+    // Shortly after the first new streams at the dark runners are sent elsewhere.
+    sleepMs(950);
+    third.pause();
+    if (hasTrouble()) {
+        note("edge-2 is killed");
+        daemons[2]->kill();
     }
-    sleepMs(800);
+    sleepMs(kDarkMs);
+    first.pause();
     if (hasTrouble()) {
-        note("edge-0 is frozen for 4 s");
-        daemons[0]->signal(SIGSTOP);
-        store.restore(3000, 200);
-        store.append("keyed.op", "config", configuration(1));
-        sleepMs(3800);
-        daemons[0]->signal(SIGCONT);
-        note("edge-0 runs again");
+        note("edge-0 is killed");
+        daemons[0]->kill();
     }
-    for (std::thread &thread : threads)
-        thread.join();
+    first.stop();
+    third.stop();
 
     unsigned joined = 0;
     unsigned complete = 0;
-    for (const StreamSeen &caller : callers) {
-        complete += caller.isComplete ? 1 : 0;
-        if (caller.versions.size() < 2)
-            continue;
-        ++joined;
-        note("ORDER: stream " + caller.firstId + " holds events of v1 and of v2");
+    unsigned all = 0;
+    for (const Load *load : { &first, &third }) {
+        for (const StreamSeen &caller : load->callers()) {
+            ++all;
+            complete += caller.isComplete ? 1 : 0;
+            if (caller.versions.size() < 2)
+                continue;
+            ++joined;
+            note("ORDER: stream " + caller.firstId + " holds events of v1 and of v2");
+        }
     }
     note(std::to_string(joined) + " streams hold events of two versions (2 are allowed); "
-         + std::to_string(complete) + " of " + std::to_string(callers.size()) + " are complete");
-    if (!hasTrouble() && complete < callers.size())
+         + std::to_string(complete) + " of " + std::to_string(all) + " are complete");
+    if (!hasTrouble() && complete < all)
         giveUp("streams are not complete without trouble");
     return joined > 2 ? kBroken : kHeld;
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,3 +10,4 @@
     g++ -std=c++20 -O1 -Wall -pthread "$folder/case.cpp" target/review-3/lab.o \
         -o "target/review-3/case-$(basename "$folder")"
 done
+g++ -std=c++20 -O1 -Wall -pthread review/15/besides.cpp target/review-3/lab.o -o target/review-3/case-15-besides
