--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -101,6 +101,8 @@
     std::vector<std::thread> callers;
     for (unsigned i = 0; i < 60; ++i)
         callers.emplace_back([&, i] {
+            // The callers don't send in step.
+            sleepMs(1000 * i / 60);
             for (unsigned turn = i; !stops; ++turn) {
                 send({ .front = daemons[turn % kDaemons]->front(),
                        .path = "/order/x",
