Tell other daemons of a usage figure before it is sent

Cause: the holder of the duties is killed after the platform has accepted its figure, and the store comes back from a copy without it. The next holder took the missing figure for a window that was never closed; closed_through had reached no other daemon, because it travels with the next acknowledgement, up to a second later.

Change: a figure is announced to other daemons, with its counts if they fit into a datagram, and confirmed by them before it is sent. A new holder writes an announced figure again and sends it unchanged, never closes a window again that any daemon calls closed, and leaves a window out about which nobody can know after a restore. This works because a figure that the platform may have is known to a daemon that survives its holder, and because a window without such a witness is not closed anew.

--- a/packages/usage/bench/collectorbench.cpp
+++ b/packages/usage/bench/collectorbench.cpp
@@ -185,8 +185,9 @@
     {
         if (address == live_[kCollector].udpAddress)
             received_.emplace_back(sender, datagram.SerializeAsString());
-        else if (sender == kCollector && datagram.has_usage_ack())
-            acks_.emplace_back(address, datagram);
+        else if (sender == kCollector
+                 && (datagram.has_usage_ack() || datagram.has_usage_figure_notice()))
+            fromCollector_.emplace_back(address, datagram);
     }
 
     void runCollector()
@@ -202,10 +203,10 @@
         received_.clear();
         daemons_[kCollector]->tick(unixTime(), now_);
         used_ += processorTime() - begin;
-        for (const auto &[address, ack] : std::exchange(acks_, {})) {
+        for (const auto &[address, sent] : std::exchange(fromCollector_, {})) {
             unsigned receiver = 0;
             std::from_chars(address.data(), address.data() + address.size(), receiver);
-            daemons_[receiver]->handleDatagram(ack, live_[kCollector].udpAddress, now_);
+            daemons_[receiver]->handleDatagram(sent, live_[kCollector].udpAddress, now_);
         }
     }
 
@@ -218,7 +219,8 @@
     std::vector<LiveDaemon> live_;
     std::vector<std::unique_ptr<UsageMetering>> daemons_;
     std::vector<std::pair<unsigned, std::string>> received_;
-    std::vector<std::pair<std::string, proto::PeerDatagram>> acks_;
+    // Acknowledgements and notices for the other daemons.
+    std::vector<std::pair<std::string, proto::PeerDatagram>> fromCollector_;
     double datagrams_ = 0;
     double bytes_ = 0;
     std::chrono::nanoseconds used_{ 0 };
--- a/packages/usage/include/auburn/usage/usagecollector.h
+++ b/packages/usage/include/auburn/usage/usagecollector.h
@@ -3,7 +3,8 @@
 // It merges the reports of all daemons, closes a window once they are complete, commits its figure
 // to the log and sends it to the platform. Two different figures are never sent for one window,
 // whichever daemons hold the duties: only figures that are read from the log, or whose append was
-// confirmed, are sent, and the log holds at most one for each window.
+// confirmed, are sent, and the log holds at most one for each window. Other daemons are told of a
+// figure before it is sent, because the log may be restored from a copy that lacks it.
 #pragma once
 
 #include "auburn.pb.h"
@@ -36,6 +37,8 @@
     {
         // Distinguishes processes of this VM.
         std::uint64_t incarnation = 0;
+        // This daemon's IP:PORT for datagrams.
+        std::string udpAddress;
         std::chrono::milliseconds windowLength = kDefaultWindowLength;
         SendDatagram send;
         // May be null.
@@ -64,7 +67,13 @@
     // complete report.
     void handleReport(const proto::UsageReport &report, const std::string &sender, TimePoint now);
     // Forgets the counts of windows that the holder, which may be this daemon, has closed.
-    void handleAck(const proto::UsageAck &ack);
+    void handleAck(const proto::UsageAck &ack, TimePoint now);
+    // Takes note of a figure that the holder is about to send, and confirms that to it (IP:PORT).
+    void handleNotice(const proto::UsageFigureNotice &notice, const std::string &sender,
+                      TimePoint now);
+    void handleNoticeAck(const proto::UsageFigureAck &ack, const std::string &sender);
+    // The newest window that a holder is known to have closed; 0 if none is.
+    std::uint64_t closedThrough() const;
     // Performs what is due; to be called about every 100 ms on every daemon. The live daemons,
     // this one included, are those whose reports a window waits for. New ones of this daemon's
     // mirrors get the counts of silent processes.
--- a/packages/usage/include/auburn/usage/usagereporter.h
+++ b/packages/usage/include/auburn/usage/usagereporter.h
@@ -61,6 +61,9 @@
     // Takes note of the newest known holder, which may be this daemon. Everything is reported to a
     // new one with the next tick.
     void setHolder(const duties::DutyHolder &holder);
+    // The newest window that a holder is known to have closed; reports state it, because a new
+    // holder may not know.
+    void setClosedThrough(std::uint64_t window) { closedThrough_ = window; }
     // The sender is IP:PORT.
     void handleAck(const proto::UsageAck &ack, const std::string &sender);
     // Sends what is due; to be called about every 100 ms with all live daemons, this one included.
@@ -110,6 +113,7 @@
     std::uint64_t fullReport_ = 0;
     std::int64_t lastCompleteSecond_ = 0;
     TimePoint nextChangesAt_;
+    std::uint64_t closedThrough_ = 0;
     std::deque<proto::UsageReport> queue_;
 };
 
--- a/packages/usage/src/figurelog.cpp
+++ b/packages/usage/src/figurelog.cpp
@@ -152,13 +152,25 @@
     retry_.recordFailure(now_);
 }
 
+void FigureLog::remember(const duties::UsageFigure &figure, std::uint64_t era)
+{
+    const auto known = known_.find(figure.window);
+    if (known == known_.end() || known->second.era < era)
+        addKnown(figure, era);
+}
+
+void FigureLog::addKnown(const duties::UsageFigure &figure, std::uint64_t era)
+{
+    known_[figure.window] = { .figure = figure, .era = era };
+    if (known_.size() > keyCount_)
+        known_.erase(known_.begin());
+}
+
 void FigureLog::addCommitted(duties::UsageFigure figure)
 {
     const std::uint64_t window = figure.window;
     nextWindow_ = std::max(nextWindow_, window + 1);
-    known_[window] = { .figure = figure, .era = eraOf(end_) };
-    if (known_.size() > keyCount_)
-        known_.erase(known_.begin());
+    addKnown(figure, eraOf(end_));
     if (found_.insert(window).second)
         committed_[window] = std::move(figure);
     // The log does not hold older ones either.
--- a/packages/usage/src/figurelog.h
+++ b/packages/usage/src/figurelog.h
@@ -4,8 +4,8 @@
 // if the listing has none of its window. So the log holds at most one figure for each window, also
 // if an append is executed late, if its response is lost, or if another daemon appends as well.
 //
-// If the log is restored from an older copy, the figures that it has lost and that are known here
-// are appended again, before any other.
+// If the log is restored from an older copy, the figures that it has lost and that are known here,
+// from the log or from their holder's notice, are appended again, before any other.
 #pragma once
 
 #include "figurerecord.h"
@@ -49,6 +49,8 @@
     // The era of the log at its newest response, and when it was listed or appended to last.
     std::uint64_t currentEra() const { return log_.era(); }
     std::uint64_t listedEra() const { return eraOf(end_); }
+    // Takes note of a figure that another daemon has committed in this era of the log.
+    void remember(const duties::UsageFigure &figure, std::uint64_t era);
     // Commits a figure, unless the log turns out to hold one of this window or of a later one;
     // isCommitting() is true until then. Only while the log is open and nothing is being committed.
     void commit(duties::UsageFigure figure, TimePoint now);
@@ -79,6 +81,7 @@
     // Appends the known figures again that the listing of a later era lacks.
     void restoreLost(const CommittedFigures &listed);
     void addCommitted(duties::UsageFigure figure);
+    void addKnown(const duties::UsageFigure &figure, std::uint64_t era);
     // Wraps a handler so that it does nothing after reopen() or destruction.
     template<class Result>
     auto handler(void (FigureLog::*method)(const Result &));
@@ -98,7 +101,8 @@
     std::set<std::uint64_t> found_;
     // Committed one after another.
     std::deque<Pending> pending_;
-    // The newest keyCount_ figures that were committed, by window; kept by reopen().
+    // The newest keyCount_ figures that were committed, by window, also by other daemons; kept by
+    // reopen().
     std::map<std::uint64_t, Known> known_;
     RetryDelay retry_;
     // Time of the last tick.
--- a/packages/usage/src/usagecollector.cpp
+++ b/packages/usage/src/usagecollector.cpp
@@ -1,5 +1,6 @@
 #include "auburn/usage/usagecollector.h"
 
+#include "figureannouncer.h"
 #include "figurelog.h"
 #include "figuresender.h"
 #include "silentforwarder.h"
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <optional>
 #include <unordered_set>
 #include <utility>
 
@@ -34,6 +36,10 @@
 constexpr milliseconds kResendTime{ 20000 };
 // Late reports about the newest closed windows are still recognised as such.
 constexpr std::uint64_t kClosedWindowsKept = 1;
+// A daemon whose last complete report is older counts as silent; daemons send one each second.
+constexpr milliseconds kMaxReportAge{ 2500 };
+// A log of a later era was restored at least once.
+constexpr std::uint64_t kFirstEra = 1;
 constexpr std::size_t kMaxNamesInLog = 3;
 
 long long toLogNumber(std::uint64_t number)
@@ -60,6 +66,7 @@
         , permit_(dependencies.permit)
         , table_(options_.windowLength)
         , log_(dependencies.log, options_.windowLength)
+        , announcer_({ .incarnation = options_.incarnation, .send = options_.send })
         , sender_({ .windowLength = options_.windowLength, .metrics = options_.metrics },
                   dependencies.clock, dependencies.api)
         , forwarder_(options_.send)
@@ -73,6 +80,7 @@
 
     void handleReport(const proto::UsageReport &report, const std::string &sender, TimePoint now)
     {
+        recordClosed(report.closed_through(), now);
         const std::uint64_t late = table_.merge(report, clock_.unixTime(now));
         if (lateRequests_)
             lateRequests_->add(late);
@@ -95,21 +103,46 @@
     void setHolder(const duties::DutyHolder &holder, TimePoint now)
     {
         forwarder_.setHolder(holder, now);
+        if (holder.token <= holder_.token)
+            return;
+        formerHolderVm_ = std::exchange(holderVm_, {});
+        holder_ = holder;
     }
 
-    void handleAck(const proto::UsageAck &ack)
+    void handleAck(const proto::UsageAck &ack, TimePoint now)
     {
         if (ack.closed_through() > kClosedWindowsKept)
             table_.dropWindowsBefore(ack.closed_through() - kClosedWindowsKept);
-        if (ack.closed_through() > closedThrough_) {
-            closedThrough_ = ack.closed_through();
-            closedEra_ = log_.currentEra();
-        }
+        recordClosed(ack.closed_through(), now);
+    }
+
+    void handleNotice(const proto::UsageFigureNotice &notice, const std::string &sender,
+                      TimePoint now)
+    {
+        if (notice.window() > newestWindow(now))
+            return;
+        recordClosed(notice.window(), now);
+        if (notice.has_counts())
+            log_.remember(figureOfNotice(notice), notice.era());
+        proto::PeerDatagram datagram;
+        proto::UsageFigureAck &ack = *datagram.mutable_usage_figure_ack();
+        ack.set_incarnation(notice.incarnation());
+        ack.set_window(notice.window());
+        options_.send(sender, datagram);
+    }
+
+    void handleNoticeAck(const proto::UsageFigureAck &ack, const std::string &sender)
+    {
+        announcer_.handleAck(ack, sender);
     }
 
+    std::uint64_t closedThrough() const { return closedThrough_; }
+
     void tick(TimePoint now, const std::vector<LiveDaemon> &live,
               const std::vector<MirrorProcess> &mirrors)
     {
+        observeEra(now);
+        observeHolder(live);
         table_.dropExpired(clock_.unixTime(now));
         forwarder_.setMirrors(mirrors, now);
         if (permit_.isHeld()) {
@@ -120,20 +153,71 @@
     }
 
 private:
+    // The newest window that any daemon can know of.
+    std::uint64_t newestWindow(TimePoint now) const
+    {
+        return windowAt(clock_.unixTime(now) + kMaxClockDifference, options_.windowLength);
+    }
+
+    void recordClosed(std::uint64_t window, TimePoint now)
+    {
+        if (window <= newestWindow(now))
+            closedThrough_ = std::max(closedThrough_, window);
+    }
+
+    // Notes since when the log has been in its era. If this daemon has not seen the era begin, the
+    // log may have been restored just before.
+    void observeEra(TimePoint now)
+    {
+        if (!startedUnixTime_)
+            startedUnixTime_ = clock_.unixTime(now);
+        if (log_.currentEra() == era_)
+            return;
+        era_ = log_.currentEra();
+        eraSince_ = era_ > kFirstEra ? clock_.unixTime(now) : milliseconds(0);
+    }
+
+    void observeHolder(const std::vector<LiveDaemon> &live)
+    {
+        for (const LiveDaemon &daemon : live) {
+            if (daemon.udpAddress == holder_.udpAddress)
+                holderVm_ = daemon.vm;
+        }
+    }
+
     void performDuty(TimePoint now, const std::vector<LiveDaemon> &live)
     {
         if (permit_.token() != token_)
             takeOver(now);
-        log_.tick(now, windowAt(clock_.unixTime(now) + kMaxClockDifference, options_.windowLength));
+        log_.tick(now, newestWindow(now));
+        // The call may have shown that the log was restored.
+        observeEra(now);
         if (!log_.isOpen())
             return;
         if (!resumed_)
             resume();
-        sendCommitted(now);
+        announceCommitted(now);
         closeDue(now, live);
+        for (auto &[window, figure] : announcer_.tick(now, noticeReceivers(now, live)))
+            sender_.add(std::move(figure), now);
         sender_.tick(now);
     }
 
+    // The other live daemons.
+    std::vector<NoticeReceiver> noticeReceivers(TimePoint now,
+                                                const std::vector<LiveDaemon> &live) const
+    {
+        const milliseconds reportingSince = clock_.unixTime(now) - kMaxReportAge;
+        std::vector<NoticeReceiver> receivers;
+        for (const LiveDaemon &daemon : live) {
+            if (daemon.udpAddress != options_.udpAddress)
+                receivers.push_back(
+                        { .udpAddress = daemon.udpAddress,
+                          .isReporting = table_.completeThrough(daemon.vm) >= reportingSince });
+        }
+        return receivers;
+    }
+
     bool isOperating() const { return token_ > 0 && resumed_; }
 
     // Starts under a new token. Under the same one nobody else has acted in between.
@@ -144,6 +228,7 @@
         acquiredUnixTime_ = clock_.unixTime(now);
         resumed_ = false;
         // Another holder may have sent these; the log holds the recent ones.
+        announcer_.clear();
         sender_.clear();
         log_.reopen(windowAt(acquiredUnixTime_ - kResendTime, options_.windowLength));
     }
@@ -153,16 +238,15 @@
     {
         resumed_ = true;
         nextWindow_ = log_.nextWindow();
-        skipLost();
         logEvent(LogLevel::Info, "usage_taken_over",
                  { { "token", toLogNumber(token_) }, { "next_window", toLogNumber(nextWindow_) } });
     }
 
-    // Does not close windows again that a former holder has closed, if the log was restored without
+    // Does not close windows again that another holder has closed, if the log was restored without
     // their figures: a second figure might differ from the one that was sent.
     void skipLost()
     {
-        if (nextWindow_ > closedThrough_ || log_.listedEra() <= closedEra_)
+        if (nextWindow_ > closedThrough_)
             return;
         logEvent(LogLevel::Warning, "usage_windows_lost",
                  { { "first", toLogNumber(nextWindow_) },
@@ -171,12 +255,12 @@
         nextWindow_ = closedThrough_ + 1;
     }
 
-    // Sends the figures that were found in the log or committed: those of previous holders, those
-    // of this daemon, and any whose append was executed late.
-    void sendCommitted(TimePoint now)
+    // Announces the figures that were found in the log or committed: those of previous holders,
+    // those of this daemon, and any whose append was executed late. They are sent afterwards.
+    void announceCommitted(TimePoint now)
     {
         for (auto &[window, figure] : log_.takeCommitted())
-            sender_.add(std::move(figure), now);
+            announcer_.add(std::move(figure), log_.listedEra(), now);
         nextWindow_ = std::max(nextWindow_, log_.nextWindow());
     }
 
@@ -197,15 +281,18 @@
     void closeDue(TimePoint now, const std::vector<LiveDaemon> &live)
     {
         skipExpired(clock_.unixTime(now));
+        skipLost();
         while (!log_.isCommitting() && isSettled(now)) {
             const std::vector<std::string> missing = missingReports(live);
             if (!missing.empty() && !isWaitOver(now))
                 return;
             if (isUnknown())
                 ++nextWindow_;
+            else if (mayHaveLostFigure() && !isKnownToBeOpen(missing))
+                leaveOut(missing);
             else
                 close(now, missing);
-            sendCommitted(now);
+            announceCommitted(now);
         }
     }
 
@@ -249,6 +336,37 @@
                && table_.reporters(nextWindow_).empty();
     }
 
+    // True if the figure of the next window may have been committed and sent by another holder,
+    // and lost by a restore of the log: a window can be closed from kSettleTime after its end on.
+    bool mayHaveLostFigure() const
+    {
+        const milliseconds closable = windowEnd(nextWindow_, options_.windowLength) + kSettleTime;
+        return closable <= eraSince_ && closable <= acquiredUnixTime_;
+    }
+
+    // True if no holder has sent a figure of the next window: it would have told another daemon
+    // before, and all of them but the former holder have reported.
+    bool isKnownToBeOpen(const std::vector<std::string> &missing) const
+    {
+        const milliseconds closable = windowEnd(nextWindow_, options_.windowLength) + kSettleTime;
+        const bool wasRunning = startedUnixTime_ && *startedUnixTime_ <= closable;
+        return wasRunning && std::all_of(missing.begin(), missing.end(), [this](const auto &vm) {
+                   return vm == formerHolderVm_;
+               });
+    }
+
+    // A window about which nobody can know is not reported: a missing report is corrected later,
+    // but a second one with other counts contradicts the first.
+    void leaveOut(const std::vector<std::string> &missing)
+    {
+        logEvent(LogLevel::Warning, "usage_window_left_out",
+                 { { "window", toLogNumber(nextWindow_) },
+                   { "era", toLogNumber(era_) },
+                   { "missing", toLogNumber(missing.size()) },
+                   { "missing_vms", joinNames(missing) } });
+        ++nextWindow_;
+    }
+
     void close(TimePoint now, const std::vector<std::string> &missing)
     {
         duties::UsageFigure figure{ .window = nextWindow_, .requests = table_.totals(nextWindow_) };
@@ -275,6 +393,7 @@
     const duties::DutyPermit &permit_;
     UsageTable table_;
     FigureLog log_;
+    FigureAnnouncer announcer_;
     FigureSender sender_;
     SilentForwarder forwarder_;
     Counter *lateRequests_ = nullptr;
@@ -287,10 +406,17 @@
     bool resumed_ = false;
     // The oldest window that is neither committed nor given up.
     std::uint64_t nextWindow_ = 0;
-    // The newest window that a holder is known to have closed, and the era of the log when this
-    // daemon learned of it.
+    // The newest window that a holder is known to have closed.
     std::uint64_t closedThrough_ = 0;
-    std::uint64_t closedEra_ = 0;
+    // The newest known holder, its VM, and the VM of the holder before it; empty if unknown.
+    duties::DutyHolder holder_;
+    std::string holderVm_;
+    std::string formerHolderVm_;
+    // The era of the log, and since when it has been known.
+    std::uint64_t era_ = 0;
+    milliseconds eraSince_{ 0 };
+    // Time of the first tick.
+    std::optional<milliseconds> startedUnixTime_;
 };
 
 UsageCollector::UsageCollector(Options options, const Dependencies &dependencies)
@@ -310,9 +436,25 @@
     state_->setHolder(holder, now);
 }
 
-void UsageCollector::handleAck(const proto::UsageAck &ack)
+void UsageCollector::handleAck(const proto::UsageAck &ack, TimePoint now)
+{
+    state_->handleAck(ack, now);
+}
+
+void UsageCollector::handleNotice(const proto::UsageFigureNotice &notice, const std::string &sender,
+                                  TimePoint now)
+{
+    state_->handleNotice(notice, sender, now);
+}
+
+void UsageCollector::handleNoticeAck(const proto::UsageFigureAck &ack, const std::string &sender)
+{
+    state_->handleNoticeAck(ack, sender);
+}
+
+std::uint64_t UsageCollector::closedThrough() const
 {
-    state_->handleAck(ack);
+    return state_->closedThrough();
 }
 
 void UsageCollector::tick(TimePoint now, const std::vector<LiveDaemon> &live,
--- a/packages/usage/src/usagemetering.cpp
+++ b/packages/usage/src/usagemetering.cpp
@@ -25,6 +25,7 @@
                                const proto::PeerDatagram &datagram) { send(address, datagram); } },
               clock_, ledger_)
     , collector_({ .incarnation = options_.incarnation,
+                   .udpAddress = options_.self.udpAddress,
                    .windowLength = options_.windowLength,
                    .send = [this](const std::string &address,
                                   const proto::PeerDatagram &datagram) { send(address, datagram); },
@@ -60,10 +61,14 @@
     now_ = now;
     if (datagram.has_usage_report())
         collector_.handleReport(datagram.usage_report(), sender, now);
+    if (datagram.has_usage_figure_notice())
+        collector_.handleNotice(datagram.usage_figure_notice(), sender, now);
+    if (datagram.has_usage_figure_ack())
+        collector_.handleNoticeAck(datagram.usage_figure_ack(), sender);
     if (!datagram.has_usage_ack())
         return;
     reporter_.handleAck(datagram.usage_ack(), sender);
-    collector_.handleAck(datagram.usage_ack());
+    collector_.handleAck(datagram.usage_ack(), now);
 }
 
 void UsageMetering::tick(milliseconds wallClock, TimePoint now)
@@ -71,6 +76,7 @@
     now_ = now;
     clock_.recordClock(options_.self.vm, wallClock, now);
     refreshLiveDaemons(now);
+    reporter_.setClosedThrough(collector_.closedThrough());
     reporter_.tick(now, live_);
     collector_.tick(now, live_, reporter_.mirrors());
 }
--- a/packages/usage/src/usagereporter.cpp
+++ b/packages/usage/src/usagereporter.cpp
@@ -186,6 +186,7 @@
     proto::UsageReport header;
     header.set_vm(options_.vm);
     header.set_incarnation(options_.incarnation);
+    header.set_closed_through(closedThrough_);
     header.set_fleet_ms(static_cast<std::uint64_t>(unixTime.count()));
     const UsageLedger::Report report = ledger_.takeReport(scope);
     header.set_number(report.number);
--- a/packages/usage/tests/usagecollector_test.cpp
+++ b/packages/usage/tests/usagecollector_test.cpp
@@ -495,6 +495,91 @@
     BOOST_TEST(reported(first)["huka"] == 3U);
 }
 
+// Guards against a second figure for a window: the holder is killed as soon as the platform has
+// accepted it, no acknowledgement has named the window as closed, and the copy lacks it.
+BOOST_AUTO_TEST_CASE(logIsRestored_holderIsKilledAfterTheCall_closedWindowHasOneFigure)
+{
+    log.keepCopy();
+    count("b", "huka", 3);
+    runToWindow(first + 1, seconds(1));
+    while (reported(first).empty())
+        run(milliseconds(100));
+    log.restoreCopy();
+    kill("a");
+    // Counts that arrive late would be in the second figure.
+    count("b", "huka", 2, trueTime() - windowEnd(first, kDefaultWindowLength) + milliseconds(100));
+    run(seconds(4));
+    giveDuties("b");
+    run(seconds(8));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+}
+
+// Guards against a window that is reported by nobody although it has never been closed: the log is
+// restored while its holder is gone.
+BOOST_AUTO_TEST_CASE(logIsRestored_holderIsKilledBeforeTheWindowIsClosed_windowIsReported)
+{
+    log.keepCopy();
+    count("b", "huka", 3);
+    count("c", "huka", 2);
+    runToWindow(first, seconds(4));
+    kill("a");
+    runToWindow(first + 1, seconds(2));
+    log.restoreCopy();
+    run(seconds(1));
+    giveDuties("b");
+    run(seconds(5));
+    BOOST_TEST(reported(first)["huka"] == 5U);
+}
+
+// Guards against a second figure by a daemon that has just started: those that knew of the first
+// one are gone, and the log has lost it.
+BOOST_AUTO_TEST_CASE(logIsRestored_allDaemonsAreReplaced_closedWindowIsLeftOut)
+{
+    log.keepCopy();
+    count("b", "huka", 3);
+    runToWindow(first + 1, milliseconds(1900));
+    BOOST_REQUIRE(reported(first)["huka"] == 3U);
+    log.restoreCopy();
+    for (const char *vm : { "a", "b", "c" })
+        start(vm);
+    count("c", "huka", 1, seconds(3));
+    run(milliseconds(500));
+    giveDuties("c");
+    run(seconds(8));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+}
+
+// Guards against a figure that is lost because its holder is killed before the platform has
+// accepted it, and the copy lacks it: another daemon knows it from the holder's notice.
+BOOST_AUTO_TEST_CASE(logIsRestored_holderIsKilledBeforeTheCall_nextHolderSendsTheFigure)
+{
+    log.keepCopy();
+    api.received = false;
+    api.status = duties::CallStatus::NotSent;
+    count("b", "huka", 3);
+    runToWindow(first + 1, seconds(2));
+    BOOST_REQUIRE(log.items.contains(keyOf(first)));
+    log.restoreCopy();
+    kill("a");
+    api.received = true;
+    api.status = duties::CallStatus::Accepted;
+    run(seconds(4));
+    giveDuties("c");
+    run(seconds(4));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+    BOOST_TEST(log.items.contains(keyOf(first)));
+}
+
+// Guards against a figure that waits for a daemon that does not reply.
+BOOST_AUTO_TEST_CASE(notice_isNotConfirmedByOneDaemon_figureIsSentSoon)
+{
+    count("b", "huka", 3);
+    runToWindow(first + 1, milliseconds(900));
+    silenced = "c";
+    runToWindow(first + 1, milliseconds(4600));
+    BOOST_TEST(reported(first)["huka"] == 3U);
+}
+
 // Guards against figures that are lost because their holder, which still knows them, has got
 // another token after the restore.
 BOOST_AUTO_TEST_CASE(logIsRestored_holderGetsANewToken_figureIsWrittenAgainAndSent)
--- a/tests/fuzz/peerdecoders.cpp
+++ b/tests/fuzz/peerdecoders.cpp
@@ -224,6 +224,29 @@
     return datagram;
 }
 
+proto::PeerDatagram figureNotice()
+{
+    proto::PeerDatagram datagram;
+    proto::UsageFigureNotice &notice = *datagram.mutable_usage_figure_notice();
+    notice.set_incarnation(1);
+    notice.set_window(kWindow);
+    notice.set_era(2);
+    notice.set_has_counts(true);
+    proto::UsageCount &count = *notice.add_counts();
+    count.set_organisation("x");
+    count.set_requests(12);
+    return datagram;
+}
+
+proto::PeerDatagram figureAck()
+{
+    proto::PeerDatagram datagram;
+    proto::UsageFigureAck &ack = *datagram.mutable_usage_figure_ack();
+    ack.set_incarnation(1);
+    ack.set_window(kWindow);
+    return datagram;
+}
+
 proto::PeerDatagram demandReport()
 {
     proto::PeerDatagram datagram;
@@ -316,7 +339,7 @@
 {
     std::vector<std::string> datagrams;
     for (const proto::PeerDatagram &datagram :
-         { heartbeat(), usageReport(), usageAck(), demandReport() })
+         { heartbeat(), usageReport(), usageAck(), figureNotice(), figureAck(), demandReport() })
         datagrams.push_back(datagram.SerializeAsString());
     return {
         { .name = "peer-datagram",
