Read a record of a stream again unless it is final

Cause: a daemon keeps the records of other daemons' streams that it reads with a lookup, and answered later take-ups from them. The daemon of a stream may send it to another version and replace its record until the first event is passed on, for example when its server stalls.

Change: a record counts without a further read only if the read began after a take-up of its stream. By then the first event had been passed on, so the record can't be replaced any more. Others are read again.

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -128,6 +128,9 @@
         Clock::time_point knownAt;
         // This daemon has sent the stream.
         bool isOwn = false;
+        // The version was read after a caller had resumed the stream. Until then its daemon may
+        // send it to another version and replace the record.
+        bool isFinal = false;
         // The log has a record of the stream, maybe of another version that it was sent to before.
         bool hasRecord = false;
         // The version has to be recorded.
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -126,7 +126,8 @@
                                                         const std::string &service) const
 {
     const auto found = streams_.find(stream);
-    if (found != streams_.end() && found->second.service == service)
+    if (found != streams_.end() && found->second.service == service
+        && (found->second.isOwn || found->second.isFinal))
         return found->second.version;
     if (history_.namesNoVersion(service))
         return std::string();
@@ -193,8 +194,9 @@
     for (const OriginRecord &record : *records) {
         for (const std::uint64_t id : record.streams) {
             Stream &stream = streams_[id];
-            // This daemon's own records are older than what it knows.
-            if (stream.isOwn)
+            // This daemon's own records are older than what it knows, and a restored log may hold
+            // an earlier record.
+            if (stream.isOwn || stream.isFinal)
                 continue;
             stream = { .service = record.service,
                        .version = record.softwareVersion,
@@ -202,6 +204,12 @@
                        .hasRecord = true };
         }
     }
+    // The read began after these streams were resumed, so their first events had been passed on.
+    for (const Query &query : currentQueries_) {
+        const auto found = streams_.find(query.stream);
+        if (found != streams_.end())
+            found->second.isFinal = true;
+    }
 }
 
 void OriginRegistry::lookupStepEnded(bool succeeded)
--- a/packages/streams/tests/originregistry_test.cpp
+++ b/packages/streams/tests/originregistry_test.cpp
@@ -420,6 +420,37 @@
     BOOST_TEST(find(*second, "x") == "v1");
 }
 
+// Guards against a record that another daemon has read before it was replaced: a stream whose
+// server stalls before the first event is sent to another version.
+BOOST_AUTO_TEST_CASE(stream_sentAgainAfterItsRecordWasRead_isFoundAtTheLaterVersion)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(100));
+    begin(*first, "x", "v2");
+    BOOST_TEST(find(*second, "other") == "v1");
+    begin(*first, "x", "v1");
+    BOOST_TEST(find(*second, "x") == "v1");
+    // From then on it is known without a call, also after a restore that repeats the first record.
+    const unsigned calls = store.calls;
+    BOOST_TEST(find(*second, "x") == "v1");
+    BOOST_TEST(store.calls == calls);
+    store.records.resize(1);
+    observeEra(2);
+    BOOST_TEST(find(*second, "other") == "unknown");
+    BOOST_TEST(find(*second, "x") == "v1");
+}
+
+// Guards against using a record that may have been replaced since, while the store cannot be read.
+BOOST_AUTO_TEST_CASE(stream_recordWasReadAndStoreIsAway_isUnknown)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(100));
+    begin(*first, "x", "v2");
+    BOOST_TEST(find(*second, "other") == "v1");
+    store.isAvailable = false;
+    BOOST_TEST(find(*second, "x") == "unknown");
+}
+
 // Guards against a stream that is sent elsewhere while its record is being appended.
 BOOST_AUTO_TEST_CASE(stream_sentAgainWhileItsRecordIsAppended_isRecordedAgain)
 {
