Take a missing record for proof only if every daemon has confirmed it

Cause: after a restore of the store from an older copy a daemon waited for 2.5 s, took that for enough time for all others to write their lost records again, and then took a missing record for a stream of the baseline version. A daemon that stands still for 4 s writes nothing in that time.

Change: each daemon states in its heartbeats in which era of the store its records are complete. Within 30 s of a restore a missing record proves the baseline only if all processes that may have lost records have stated that before the read began. What the store can't tell is asked of the other daemons: one that began the stream names its version, one that runs and does not know the stream has not begun it. So only streams that no daemon in reach knows are refused.

--- a/packages/core/include/auburn/core/confirmations.h
+++ b/packages/core/include/auburn/core/confirmations.h
@@ -44,6 +44,8 @@
     // expected, or if it has already replied in a later era or to a later question.
     void confirm(const std::string &source, std::uint64_t era, TimePoint askedAt);
 
+    // Returns true if all of these sources have confirmed.
+    bool haveConfirmed(const std::vector<std::string> &sources, const Bound &bound) const;
     // Returns true if at least one source is expected and all of them have confirmed.
     bool areComplete(const Bound &bound) const;
     // The sources whose confirmations a decision lacks.
--- a/packages/core/src/confirmations.cpp
+++ b/packages/core/src/confirmations.cpp
@@ -1,5 +1,6 @@
 #include "auburn/core/confirmations.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace auburn {
@@ -20,6 +21,14 @@
            && confirmation->askedAt >= bound.askedSince;
 }
 
+bool Confirmations::haveConfirmed(const std::vector<std::string> &sources, const Bound &bound) const
+{
+    return std::all_of(sources.begin(), sources.end(), [&](const std::string &source) {
+        const auto found = sources_.find(source);
+        return found != sources_.end() && fulfils(found->second, bound);
+    });
+}
+
 bool Confirmations::areComplete(const Bound &bound) const
 {
     return !sources_.empty() && confirmed(bound) == sources_.size();
--- a/packages/core/tests/confirmations_test.cpp
+++ b/packages/core/tests/confirmations_test.cpp
@@ -45,6 +45,9 @@
     BOOST_TEST(confirmations.missing(bound) == std::vector<std::string>{ "b" },
                boost::test_tools::per_element());
     BOOST_TEST(confirmations.confirmed(bound) == 1U);
+    BOOST_TEST(confirmations.haveConfirmed({ "a" }, bound));
+    BOOST_TEST(!confirmations.haveConfirmed({ "a", "b" }, bound));
+    BOOST_TEST(!confirmations.haveConfirmed({ "stranger" }, bound));
     confirmations.confirm("b", 2, start);
     BOOST_TEST(confirmations.areComplete(bound));
 }
--- a/packages/peers/include/auburn/peers/peerexchange.h
+++ b/packages/peers/include/auburn/peers/peerexchange.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -89,6 +90,8 @@
     // store.
     virtual std::vector<PeerInfo> storeReaders() const = 0;
     virtual unsigned ownCpuMillis() const = 0;
+    // Distinguishes processes with the same name; heartbeats state it.
+    virtual std::uint64_t incarnation() const = 0;
     // Returns true if the fleet is too large to send the load of each server to every daemon.
     virtual bool isLargeFleet() const = 0;
     // Sends one datagram; it may be lost.
--- a/packages/peers/src/peerexchange.cpp
+++ b/packages/peers/src/peerexchange.cpp
@@ -140,6 +140,7 @@
     }
 
     unsigned ownCpuMillis() const override { return options_.cpuMillis; }
+    std::uint64_t incarnation() const override { return incarnation_; }
     bool isLargeFleet() const override { return table_.isLargeFleet(Clock::now()); }
     unsigned livePeerCount() const override { return table_.livePeerCount(Clock::now()); }
 
--- a/packages/peers/tests/cellplacement_test.cpp
+++ b/packages/peers/tests/cellplacement_test.cpp
@@ -36,6 +36,7 @@
     unsigned livePeerCount() const override { return 20; }
     bool isLargeFleet() const override { return true; }
     unsigned ownCpuMillis() const override { return 100; }
+    std::uint64_t incarnation() const override { return 1; }
     std::vector<PeerInfo> livePeers() const override { return {}; }
     std::vector<PeerInfo> livePeersIn(const std::string &failureDomain) const override;
     std::vector<PeerInfo> storeReaders() const override { return {}; }
--- a/packages/peers/tests/limitedfleet.cpp
+++ b/packages/peers/tests/limitedfleet.cpp
@@ -71,6 +71,7 @@
     }
     std::vector<PeerInfo> storeReaders() const override { return {}; }
     unsigned ownCpuMillis() const override { return 100; }
+    std::uint64_t incarnation() const override { return 1; }
     bool isLargeFleet() const override { return false; }
     void send(const std::string &udpAddress, const proto::PeerDatagram &datagram) override
     {
--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -9,11 +9,14 @@
 #pragma once
 
 #include "auburn/core/bootclock.h"
+#include "auburn/core/confirmations.h"
 #include "auburn/duties/conditionallog.h"
 #include "auburn/routing/serverdirectory.h"
 #include "auburn/routing/streamorigins.h"
 #include "auburn/routing/trafficconfig.h"
+#include "auburn/streams/daemonprocesses.h"
 #include "auburn/streams/originlog.h"
+#include "auburn/streams/originpeers.h"
 #include "auburn/streams/versionhistory.h"
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +50,11 @@
         OriginLog *records = nullptr;
         // The baselines, by service.
         duties::ConditionalLog *baselines = nullptr;
+        // Null if the other daemons cannot be asked.
+        OriginPeers *peers = nullptr;
+        // The time at which this daemon's list of servers was complete; empty if that is unknown.
+        // If there is no such function, the list always is.
+        std::function<std::optional<Clock::time_point>()> viewConfirmedAt;
         // The whole system is starting for the first time.
         bool isFirstStart = false;
         // Returns true if this daemon reads the store, so that its view of the servers is a basis
@@ -58,11 +66,14 @@
         std::chrono::milliseconds maxRecordWait{ 300 };
         // Delay before an append or a listing that failed is repeated.
         std::chrono::milliseconds retryDelay{ 300 };
+        // The other daemons are asked about a stream that the store has not told of after this
+        // time, and again at this interval.
+        std::chrono::milliseconds questionDelay{ 150 };
         // Other daemons that see the same need for a baseline write it at other times within this
         // time.
         std::chrono::milliseconds baselineSpread{ 1500 };
         // Within this time after a restore of the store, every daemon has noticed it and has
-        // written its lost records again.
+        // written its lost records again, if nothing is known of the other daemons.
         std::chrono::milliseconds rewriteTime{ 2500 };
         std::function<Clock::time_point()> now = [] { return Clock::now(); };
         // The wall clock, in milliseconds since the Unix epoch.
@@ -82,6 +93,8 @@
         std::uint64_t lookups = 0;
         // Lookups that did not find the version.
         std::uint64_t unknown = 0;
+        // Questions to the other daemons; a repeated one counts again.
+        std::uint64_t questions = 0;
     };
 
     OriginRegistry(boost::asio::io_context &io, Options options);
@@ -103,6 +116,17 @@
     // missing that have not been written again yet.
     void observeRestore(std::chrono::milliseconds ago);
 
+    // Records what another daemon has stated in a heartbeat.
+    void observeProcess(const ProcessState &state);
+    // The newest era of the store whose log holds all records of this daemon's streams; 0 if none.
+    std::uint64_t recordsEra() const { return recordsEra_; }
+    // True if this daemon knows of a process whose records the restored store may lack.
+    bool missesRecords() const;
+    // What this daemon knows about the stream that another one asks for. The number and the process
+    // are up to the caller.
+    OriginReply replyTo(const OriginQuestion &question) const;
+    void handleReply(const OriginReply &reply);
+
     const Counters &counters() const { return counters_; }
     // The baseline of a service; empty if none is known.
     std::optional<std::string> baselineOf(const std::string &service) const;
@@ -136,12 +160,43 @@
         // The version has to be recorded.
         bool isPending = false;
     };
+    // What was known when a lookup began.
+    struct Lookup
+    {
+        Clock::time_point startedAt;
+        std::optional<std::uint64_t> era = {};
+        bool isRestoreKnown = false;
+        // The processes whose records the log might lack.
+        std::vector<std::string> unconfirmed = {};
+    };
+    // A take-up that waits for the version of its stream.
     struct Query
     {
-        std::uint64_t stream = 0;
+        // Identifies the query in questions to other daemons.
+        std::uint64_t number = 0;
+        // Empty if the caller does not name the stream.
+        std::optional<std::uint64_t> stream;
         std::string service;
+        Clock::time_point arrivedAt;
         Clock::time_point deadline;
+        Clock::time_point nextQuestionAt;
         VersionHandler handler;
+        // Is part of the lookup in progress.
+        bool isInLookup = false;
+        // The last complete lookup that it was part of.
+        std::optional<Lookup> lookup = {};
+        // The processes that do not know the stream.
+        Confirmations denials = {};
+        // Another daemon knows the stream.
+        std::optional<StreamVersionOfService> origin = {};
+        // The versions that these processes have seen, and whether one of them has for long.
+        std::set<std::string> versions = {};
+        bool hasSeenLifetime = false;
+    };
+    // The version that a query is answered with; empty if no server may resume the stream.
+    struct Answer
+    {
+        std::optional<std::string> version;
     };
     struct Waiter
     {
@@ -155,6 +210,8 @@
     bool isOfOtherService(std::uint64_t stream, const std::string &service) const;
     // The version of a stream as far as this daemon knows it without a call; empty if it does not.
     std::optional<std::string> knownVersion(std::uint64_t stream, const std::string &service) const;
+    // The baseline of a service if no other version can have begun a stream.
+    std::optional<std::string> onlyCurrentVersion(const std::string &service) const;
     // The services whose streams may be resumed.
     std::set<std::string> resumableServices() const;
 
@@ -201,14 +258,36 @@
     // Reads the baselines and the new records for the queries that wait.
     void startLookup();
     void recordsRead(const std::optional<std::vector<OriginRecord>> &records);
-    // Counts one of the two reads of a lookup; the second one answers the queries.
+    // Counts one of the two reads of a lookup; the second one ends it.
     void lookupStepEnded(bool succeeded);
-    void answer(const Query &query, bool isComplete);
+    // Looks up again what is still unknown after a delay.
+    void scheduleLookup();
+
+    // The answer to a query as far as it is certain now; empty if the query has to wait.
+    std::optional<Answer> decide(const Query &query) const;
+    std::optional<Answer> decideByRead(const Query &query) const;
+    // The version that began the stream according to the last read of the records.
+    std::optional<std::string> recordedVersion(std::uint64_t stream,
+                                               const std::string &service) const;
+    // True if a stream without a record was begun by the baseline version: no daemon can have begun
+    // it at another version, written a record, and lost it by a restore of the store.
+    bool isAbsenceProven(const Query &query) const;
+    // The processes whose records the restored log may lack; one without a name stands for those
+    // that only other daemons know of.
+    std::vector<std::string> unconfirmedProcesses() const;
+    bool isRestoreRecent() const;
+    // True if no server of an unknown version can have begun a stream.
+    bool isViewCurrent() const;
+    // The only version that this daemon and all others that might know more have seen.
+    std::optional<std::string> versionConfirmedByPeers(const Query &query) const;
     // The version that is assumed if the store does not respond; empty if none can be.
     std::optional<std::string> assumedVersion(const std::string &service) const;
+
+    // Answers the queries that can be, and those whose time is over.
+    void answerQueries();
+    void askPeers(Query &query);
     void onStoreRestored();
-    // Answers the queries whose time is over.
-    void expireQueries();
+    void updateRecordsEra();
     void scheduleExpiry();
     void expireStreams();
 
@@ -236,24 +315,26 @@
     bool isLogLost_ = false;
     std::list<Waiter> waiters_;
 
-    // Queries that wait for the next lookup, and those of the lookup in progress.
-    std::list<Query> nextQueries_;
-    std::list<Query> currentQueries_;
+    std::list<Query> queries_;
+    std::uint64_t lastQuery_ = 0;
     // Reads of the lookup in progress that have not ended.
     unsigned lookupSteps_ = 0;
     bool hasLookupFailed_ = false;
-    Clock::time_point lookupStartedAt_;
+    Lookup lookup_;
+    bool isLookupScheduled_ = false;
+    DaemonProcesses processes_;
+    const Clock::time_point startedAt_;
     // Empty until the era is known.
     std::optional<std::uint64_t> era_;
-    // When all records that the restored store has lost are written again. Until then a missing
-    // record proves nothing.
-    Clock::time_point recordsCompleteAt_;
+    std::uint64_t recordsEra_ = 0;
+    // When the last known restore of the store was noticed by the first daemon.
+    std::optional<Clock::time_point> restoredAt_;
 
     Counters counters_;
     boost::asio::steady_timer batchTimer_;
     boost::asio::steady_timer expiryTimer_;
     bool isExpiryScheduled_ = false;
-    boost::asio::steady_timer listTimer_;
+    boost::asio::steady_timer lookupTimer_;
 };
 
 } // namespace auburn::streams
--- a/packages/streams/include/auburn/streams/versionhistory.h
+++ b/packages/streams/include/auburn/streams/versionhistory.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace auburn::streams {
 
@@ -19,11 +20,12 @@
 constexpr std::chrono::milliseconds kStreamLifetime{ 30000 };
 
 // Time after its first server within which a version is known to every daemon that can reach the
-// store or another daemon.
+// store or another daemon, and after which it begins streams. A list of servers that was complete
+// within this time proves that no other version has begun any.
 constexpr std::chrono::milliseconds kVersionSettleTime{ 2500 };
 
 // A version with a server that has run for this long is known to every daemon, also if this daemon
-// has only just seen it.
+// has only just started and seen it.
 constexpr std::chrono::milliseconds kSettledServerAge{ 10000 };
 
 // Longest time between two observations. After a longer one, for example of a VM that was
@@ -48,6 +50,12 @@
     // has seen; empty if there were several. A daemon that was just started has seen too little,
     // unless the whole system has started with it.
     std::optional<std::string> onlyVersion(std::string_view service, TimePoint now) const;
+    // The versions that servers of the service had for the lifetime of a stream, as far as this
+    // daemon has seen.
+    std::vector<std::string> versions(std::string_view service) const;
+    // True if this daemon has seen the service for the lifetime of a stream, or if the whole system
+    // has started with it.
+    bool hasSeenLifetime(std::string_view service, TimePoint now) const;
     // True if servers of the version are listed now.
     bool isListed(std::string_view service, const std::string &version) const;
     // Returns the version that new streams should have because another one is so new that other
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -31,9 +31,10 @@
 OriginRegistry::OriginRegistry(boost::asio::io_context &io, Options options)
     : options_(std::move(options))
     , history_(options_.isFirstStart)
+    , startedAt_(options_.now())
     , batchTimer_(io)
     , expiryTimer_(io)
-    , listTimer_(io)
+    , lookupTimer_(io)
 {
     if (options_.isFirstStart)
         nextListing_ = options_.now() + kFirstListingDelay;
@@ -66,6 +67,8 @@
     history_.observe(*options_.directory, now);
     observeBaselines();
     expireStreams();
+    processes_.expire(now);
+    updateRecordsEra();
     const std::set<std::string> services = resumableServices();
     const bool isNeeded = std::any_of(services.begin(), services.end(), [this](const auto &name) {
         return history_.oldestVersion(name).has_value();
@@ -129,10 +132,15 @@
     if (found != streams_.end() && found->second.service == service
         && (found->second.isOwn || found->second.isFinal))
         return found->second.version;
+    return onlyCurrentVersion(service);
+}
+
+std::optional<std::string> OriginRegistry::onlyCurrentVersion(const std::string &service) const
+{
     if (history_.namesNoVersion(service))
         return std::string();
     std::optional<std::string> baseline = currentBaseline(service);
-    if (baseline && history_.onlyVersion(service, options_.now()) == baseline)
+    if (baseline && isViewCurrent() && history_.onlyVersion(service, options_.now()) == baseline)
         return baseline;
     return std::nullopt;
 }
@@ -140,40 +148,48 @@
 void OriginRegistry::find(const std::string &requestId, const std::string &service,
                           milliseconds timeLimit, VersionHandler handler)
 {
-    const std::uint64_t stream = stableHash(requestId);
-    if (isOfOtherService(stream, service)) {
-        ++counters_.unknown;
-        handler(std::nullopt);
-        return;
-    }
-    if (std::optional<std::string> version = knownVersion(stream, service)) {
-        handler(std::move(version));
-        return;
-    }
-    // A caller that does not name the stream may resume it only if one version has served.
-    if (requestId.empty()) {
-        ++counters_.unknown;
-        handler(std::nullopt);
+    const auto now = options_.now();
+    Query query{ .number = ++lastQuery_,
+                 .stream = requestId.empty() ? std::nullopt : std::optional(stableHash(requestId)),
+                 .service = service,
+                 .arrivedAt = now,
+                 .deadline = now + timeLimit,
+                 .nextQuestionAt = now + options_.questionDelay,
+                 .handler = std::move(handler) };
+    if (std::optional<Answer> answer = decide(query)) {
+        if (!answer->version)
+            ++counters_.unknown;
+        query.handler(std::move(answer->version));
         return;
     }
     ++counters_.lookups;
-    nextQueries_.push_back({ .stream = stream,
-                             .service = service,
-                             .deadline = options_.now() + timeLimit,
-                             .handler = std::move(handler) });
+    // The store alone cannot decide these.
+    if (!isViewCurrent() || !unconfirmedProcesses().empty())
+        query.nextQuestionAt = now;
+    queries_.push_back(std::move(query));
+    askPeers(queries_.back());
     scheduleExpiry();
     startLookup();
 }
 
-// A query is answered only by reads that began after it: a stream is recorded before its caller can
-// ask for it, so such a read finds it.
+// A lookup counts only for queries that arrived before it: a stream is recorded before its caller
+// can ask for it, so such a lookup finds it.
 void OriginRegistry::startLookup()
 {
-    if (lookupSteps_ > 0 || nextQueries_.empty())
+    if (lookupSteps_ > 0)
+        return;
+    bool isNeeded = false;
+    for (Query &query : queries_) {
+        query.isInLookup = query.stream.has_value();
+        isNeeded = isNeeded || query.isInLookup;
+    }
+    if (!isNeeded)
         return;
-    currentQueries_ = std::exchange(nextQueries_, {});
     hasLookupFailed_ = false;
-    lookupStartedAt_ = options_.now();
+    lookup_ = { .startedAt = options_.now(),
+                .era = era_,
+                .isRestoreKnown = isRestoreRecent(),
+                .unconfirmed = unconfirmedProcesses() };
     lookupSteps_ = 2;
     options_.baselines->list([this](const std::optional<duties::LogListing> &listing) {
         if (listing)
@@ -205,8 +221,8 @@
         }
     }
     // The read began after these streams were resumed, so their first events had been passed on.
-    for (const Query &query : currentQueries_) {
-        const auto found = streams_.find(query.stream);
+    for (const Query &query : queries_) {
+        const auto found = query.isInLookup ? streams_.find(*query.stream) : streams_.end();
         if (found != streams_.end())
             found->second.isFinal = true;
     }
@@ -217,50 +233,202 @@
     hasLookupFailed_ = hasLookupFailed_ || !succeeded;
     if (--lookupSteps_ > 0)
         return;
-    std::list<Query> queries = std::exchange(currentQueries_, {});
-    const bool isComplete = !hasLookupFailed_ && lookupStartedAt_ >= recordsCompleteAt_;
-    for (auto query = queries.begin(); query != queries.end();) {
-        const auto next = std::next(query);
-        // The others are asked again until their time is over.
-        if (!isComplete && !knownVersion(query->stream, query->service))
-            nextQueries_.splice(nextQueries_.begin(), queries, query);
-        query = next;
-    }
-    if (!isComplete && !nextQueries_.empty()) {
-        listTimer_.expires_after(options_.retryDelay);
-        listTimer_.async_wait([this](boost::system::error_code error) {
-            if (!error)
-                startLookup();
-        });
+    bool hasArrivedMeanwhile = false;
+    for (Query &query : queries_) {
+        hasArrivedMeanwhile = hasArrivedMeanwhile || (query.stream && !query.isInLookup);
+        if (!std::exchange(query.isInLookup, false))
+            continue;
+        if (hasLookupFailed_) {
+            query.nextQuestionAt = options_.now();
+            askPeers(query);
+        } else {
+            query.lookup = lookup_;
+        }
     }
-    for (const Query &query : queries)
-        answer(query, isComplete);
-    if (isComplete)
+    answerQueries();
+    if (hasArrivedMeanwhile && !hasLookupFailed_)
         startLookup();
+    else
+        scheduleLookup();
 }
 
-void OriginRegistry::answer(const Query &query, bool isComplete)
+void OriginRegistry::scheduleLookup()
 {
-    std::optional<std::string> version = knownVersion(query.stream, query.service);
-    if (!version && !isOfOtherService(query.stream, query.service))
-        version = isComplete ? baselineOf(query.service) : assumedVersion(query.service);
-    if (!version)
-        ++counters_.unknown;
-    query.handler(std::move(version));
+    if (queries_.empty() || std::exchange(isLookupScheduled_, true))
+        return;
+    lookupTimer_.expires_after(options_.retryDelay);
+    lookupTimer_.async_wait([this](boost::system::error_code error) {
+        isLookupScheduled_ = false;
+        if (!error)
+            startLookup();
+    });
+}
+
+std::optional<OriginRegistry::Answer> OriginRegistry::decide(const Query &query) const
+{
+    if (query.stream && isOfOtherService(*query.stream, query.service))
+        return Answer{};
+    std::optional<std::string> version = query.stream ? knownVersion(*query.stream, query.service)
+                                                      : onlyCurrentVersion(query.service);
+    if (version)
+        return Answer{ std::move(version) };
+    if (query.origin) {
+        const bool isOfService = query.origin->service == query.service;
+        return Answer{ isOfService ? std::optional(query.origin->softwareVersion) : std::nullopt };
+    }
+    if (query.lookup) {
+        if (std::optional<Answer> answer = decideByRead(query))
+            return answer;
+    }
+    if (std::optional<std::string> only = versionConfirmedByPeers(query))
+        return Answer{ std::move(only) };
+    // A stream that its caller does not name may be resumed only if one version has served.
+    if (!query.stream && isViewCurrent())
+        return Answer{};
+    return std::nullopt;
+}
+
+std::optional<OriginRegistry::Answer> OriginRegistry::decideByRead(const Query &query) const
+{
+    if (std::optional<std::string> version = recordedVersion(*query.stream, query.service))
+        return Answer{ std::move(version) };
+    if (isAbsenceProven(query))
+        return Answer{ baselineOf(query.service) };
+    return std::nullopt;
+}
+
+std::optional<std::string> OriginRegistry::recordedVersion(std::uint64_t stream,
+                                                           const std::string &service) const
+{
+    const auto found = streams_.find(stream);
+    return found != streams_.end() && found->second.service == service
+                   ? std::optional(found->second.version)
+                   : std::nullopt;
+}
+
+bool OriginRegistry::isRestoreRecent() const
+{
+    return restoredAt_ && options_.now() - *restoredAt_ < kStreamLifetime;
+}
+
+std::vector<std::string> OriginRegistry::unconfirmedProcesses() const
+{
+    if (!isRestoreRecent() || !era_)
+        return {};
+    std::vector<std::string> names = processes_.withUnconfirmedRecords(*era_, *restoredAt_);
+    // A daemon that started later does not know the processes that were killed before.
+    if (startedAt_ > *restoredAt_ && processes_.missRecords(options_.now() - kVersionSettleTime))
+        names.emplace_back();
+    return names;
+}
+
+bool OriginRegistry::missesRecords() const
+{
+    return isRestoreRecent() && startedAt_ <= *restoredAt_ && !unconfirmedProcesses().empty();
+}
+
+bool OriginRegistry::isAbsenceProven(const Query &query) const
+{
+    if (!isRestoreRecent())
+        return true;
+    const Lookup &lookup = *query.lookup;
+    if (lookup.era != era_ || !lookup.isRestoreKnown)
+        return false;
+    if (!processes_.areKnown())
+        return lookup.startedAt >= *restoredAt_ + options_.rewriteTime;
+    // A process that does not know the stream has not begun it, whatever its records say.
+    return query.denials.haveConfirmed(lookup.unconfirmed, { .askedSince = query.arrivedAt });
+}
+
+bool OriginRegistry::isViewCurrent() const
+{
+    if (!options_.viewConfirmedAt)
+        return true;
+    const std::optional<Clock::time_point> confirmedAt = options_.viewConfirmedAt();
+    return confirmedAt && options_.now() - *confirmedAt <= kVersionSettleTime;
+}
+
+std::optional<std::string> OriginRegistry::versionConfirmedByPeers(const Query &query) const
+{
+    const auto now = options_.now();
+    // A process that agreed later cannot have begun a stream of a version that is new since.
+    const std::vector<std::string> ahead = processes_.withUnknownServers(now - kVersionSettleTime);
+    if (!options_.peers || query.denials.confirmed({}) == 0
+        || !query.denials.haveConfirmed(ahead, { .askedSince = query.arrivedAt }))
+        return std::nullopt;
+    std::set<std::string> versions = query.versions;
+    for (std::string &version : history_.versions(query.service))
+        versions.insert(std::move(version));
+    const bool hasSeenLifetime = query.hasSeenLifetime
+                                 || history_.hasSeenLifetime(query.service, now);
+    if (versions.size() != 1 || !hasSeenLifetime)
+        return std::nullopt;
+    const std::optional<std::string> baseline = baselineOf(query.service);
+    return !baseline || *baseline == *versions.begin() ? std::optional(*versions.begin())
+                                                       : std::nullopt;
 }
 
 std::optional<std::string> OriginRegistry::assumedVersion(const std::string &service) const
 {
+    if (!isViewCurrent())
+        return std::nullopt;
     if (std::optional<std::string> only = history_.onlyVersion(service, options_.now()))
         return only;
     // The lost record of a stream may name any version.
-    if (options_.now() < recordsCompleteAt_)
+    if (isRestoreRecent())
         return std::nullopt;
     const std::optional<std::string> baseline = baselineOf(service);
     std::optional<std::string> version = history_.establishedVersion(service, options_.unixNow());
     return !baseline || baseline == version ? version : std::nullopt;
 }
 
+void OriginRegistry::observeProcess(const ProcessState &state)
+{
+    processes_.observe(state, options_.now());
+}
+
+OriginReply OriginRegistry::replyTo(const OriginQuestion &question) const
+{
+    OriginReply reply{ .versions = history_.versions(question.service),
+                       .hasSeenLifetime = history_.hasSeenLifetime(question.service,
+                                                                   options_.now()) };
+    const auto found = question.stream ? streams_.find(*question.stream) : streams_.end();
+    if (found != streams_.end() && (found->second.isOwn || found->second.isFinal))
+        reply.origin = { .service = found->second.service,
+                         .softwareVersion = found->second.version };
+    return reply;
+}
+
+void OriginRegistry::handleReply(const OriginReply &reply)
+{
+    const auto query = std::find_if(queries_.begin(), queries_.end(), [&](const Query &waiting) {
+        return waiting.number == reply.number;
+    });
+    if (query == queries_.end())
+        return;
+    if (reply.origin) {
+        query->origin = reply.origin;
+    } else {
+        const std::string name = reply.process.name();
+        query->denials.expect(name);
+        query->denials.confirm(name, 0, query->arrivedAt);
+        query->versions.insert(reply.versions.begin(), reply.versions.end());
+        query->hasSeenLifetime = query->hasSeenLifetime || reply.hasSeenLifetime;
+    }
+    answerQueries();
+}
+
+void OriginRegistry::askPeers(Query &query)
+{
+    const auto now = options_.now();
+    if (!options_.peers || now < query.nextQuestionAt)
+        return;
+    query.nextQuestionAt = now + options_.questionDelay;
+    ++counters_.questions;
+    options_.peers->ask(
+            { .number = query.number, .stream = query.stream, .service = query.service });
+}
+
 std::optional<std::string> OriginRegistry::versionWithoutRecords(const std::string &service) const
 {
     if (!isLogLost_)
@@ -400,6 +568,7 @@
         if (!appended && found != streams_.end() && !std::exchange(found->second.isPending, true))
             pending_.push_back(id);
     }
+    updateRecordsEra();
     releaseWaiters();
     scheduleBatch(appended ? options_.batchTime : options_.retryDelay);
 }
@@ -436,20 +605,26 @@
         waiter.handler(false);
 }
 
-void OriginRegistry::expireQueries()
+void OriginRegistry::answerQueries()
 {
     const auto now = options_.now();
-    std::list<Query> expired;
-    for (std::list<Query> *queries : { &currentQueries_, &nextQueries_ }) {
-        for (auto query = queries->begin(); query != queries->end();) {
-            const auto next = std::next(query);
-            if (query->deadline <= now)
-                expired.splice(expired.end(), *queries, query);
-            query = next;
+    std::list<std::pair<VersionHandler, Answer>> answered;
+    for (auto query = queries_.begin(); query != queries_.end();) {
+        std::optional<Answer> answer = decide(*query);
+        if (!answer && query->deadline <= now)
+            answer = Answer{ query->stream ? assumedVersion(query->service) : std::nullopt };
+        if (!answer) {
+            ++query;
+            continue;
         }
+        if (!answer->version)
+            ++counters_.unknown;
+        answered.emplace_back(std::move(query->handler), std::move(*answer));
+        query = queries_.erase(query);
     }
-    for (const Query &query : expired)
-        answer(query, false);
+    // The handlers may begin further queries.
+    for (auto &[handler, answer] : answered)
+        handler(std::move(answer.version));
 }
 
 void OriginRegistry::scheduleExpiry()
@@ -462,8 +637,10 @@
         if (error)
             return;
         releaseWaiters();
-        expireQueries();
-        if (!waiters_.empty() || !currentQueries_.empty() || !nextQueries_.empty())
+        for (Query &query : queries_)
+            askPeers(query);
+        answerQueries();
+        if (!waiters_.empty() || !queries_.empty())
             scheduleExpiry();
     });
 }
@@ -619,14 +796,17 @@
 
 void OriginRegistry::observeEra(std::uint64_t era)
 {
-    if (era_ && era > *era_)
-        onStoreRestored();
+    const bool isRestored = era_ && era > *era_;
     era_ = std::max(era_.value_or(0), era);
+    if (isRestored)
+        onStoreRestored();
+    updateRecordsEra();
 }
 
 void OriginRegistry::observeRestore(milliseconds ago)
 {
-    recordsCompleteAt_ = std::max(recordsCompleteAt_, options_.now() - ago + options_.rewriteTime);
+    const auto at = options_.now() - ago;
+    restoredAt_ = std::max(restoredAt_.value_or(at), at);
 }
 
 void OriginRegistry::onStoreRestored()
@@ -641,4 +821,10 @@
     }
 }
 
+void OriginRegistry::updateRecordsEra()
+{
+    if (era_ && areBaselinesListed_ && pending_.empty() && !isAppending_)
+        recordsEra_ = *era_;
+}
+
 } // namespace auburn::streams
--- a/packages/streams/src/versionhistory.cpp
+++ b/packages/streams/src/versionhistory.cpp
@@ -45,14 +45,31 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
+bool VersionHistory::hasSeenLifetime(std::string_view service, TimePoint now) const
+{
+    const Service *state = find(service);
+    if (!state || now - *observedAt_ > kMaxObservationGap)
+        return false;
+    return isFirstStart_ || now - state->firstObservedAt >= kStreamLifetime;
+}
+
+std::vector<std::string> VersionHistory::versions(std::string_view service) const
+{
+    std::vector<std::string> names;
+    if (const Service *state = find(service)) {
+        for (const auto &[name, version] : state->versions)
+            names.push_back(name);
+    }
+    return names;
+}
+
 std::optional<std::string> VersionHistory::onlyVersion(std::string_view service,
                                                        TimePoint now) const
 {
     const Service *state = find(service);
-    if (!state || state->versions.size() != 1 || now - *observedAt_ > kMaxObservationGap)
+    if (!state || state->versions.size() != 1 || !hasSeenLifetime(service, now))
         return std::nullopt;
-    const bool hasSeenEnough = isFirstStart_ || now - state->firstObservedAt >= kStreamLifetime;
-    return hasSeenEnough ? std::optional(state->versions.begin()->first) : std::nullopt;
+    return state->versions.begin()->first;
 }
 
 bool VersionHistory::isListed(std::string_view service, const std::string &version) const
