Conclude from the list of servers only what its age allows

A version counts as known by the age of its server only if the server was there when the daemon started: a server may register long after its start.

--- a/packages/streams/include/auburn/streams/versionhistory.h
+++ b/packages/streams/include/auburn/streams/versionhistory.h
@@ -96,7 +96,8 @@
     };
 
     const Service *find(std::string_view service) const;
-    static bool isSettled(const Version &version, TimePoint now, std::int64_t unixNow);
+    static bool isSettled(const Service &service, const Version &version, TimePoint now,
+                          std::int64_t unixNow);
 
     bool isFirstStart_;
     std::optional<TimePoint> observedAt_;
--- a/packages/streams/src/versionhistory.cpp
+++ b/packages/streams/src/versionhistory.cpp
@@ -81,11 +81,15 @@
     return found != state->versions.end() && found->second.servers > 0;
 }
 
-bool VersionHistory::isSettled(const Version &version, TimePoint now, std::int64_t unixNow)
+bool VersionHistory::isSettled(const Service &service, const Version &version, TimePoint now,
+                               std::int64_t unixNow)
 {
+    // A server may register long after its start. Its age proves something only if it was there
+    // when this daemon began to observe the service.
+    const bool wasListedFirst = version.firstSeenAt == service.firstObservedAt;
     const bool hasOldServer = version.oldestStartUnixMs
                               && unixNow - *version.oldestStartUnixMs >= kSettledServerAge.count();
-    return hasOldServer || now - version.firstSeenAt >= kVersionSettleTime;
+    return (wasListedFirst && hasOldServer) || now - version.firstSeenAt >= kVersionSettleTime;
 }
 
 std::optional<std::string> VersionHistory::preferredVersion(std::string_view service,
@@ -100,7 +104,7 @@
     bool hasNewVersion = false;
     for (const auto &entry : state->versions) {
         const bool isBaseline = entry.first == baseline;
-        if (!isBaseline && !isSettled(entry.second, now, unixNow)) {
+        if (!isBaseline && !isSettled(*state, entry.second, now, unixNow)) {
             hasNewVersion = true;
             continue;
         }
--- a/packages/streams/tests/absence_test.cpp
+++ b/packages/streams/tests/absence_test.cpp
@@ -1,5 +1,5 @@
 // Tests what OriginRegistry concludes from what it does not find: a stream without a record after a
-// restore of the store.
+// restore of the store, and versions that it has not seen while it was out of contact.
 
 #include "originregistryfixture.h"
 
@@ -43,6 +43,25 @@
     }
 };
 
+// One version has served for long, so that daemons need no call.
+struct OneVersionFixture : OriginRegistryFixture
+{
+    OneVersionFixture()
+    {
+        updateAfter(kStreamLifetime);
+        connect({ first.get(), second.get() });
+    }
+
+    // The list of servers of the second daemon was confirmed for the last time; its contact to the
+    // store and to the first daemon ends.
+    void cutOffSecond()
+    {
+        second->viewConfirmedAt = clocks.now;
+        second->isSilent = true;
+        store.isAvailable = false;
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(absenceOfRecords, RestoredFixture)
@@ -139,4 +158,107 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(absenceOfVersions, OneVersionFixture)
+
+// Guards against a daemon that is cut off from the store and from all others, and takes the only
+// version that it knows for the only one, while a newer one has begun streams elsewhere.
+BOOST_AUTO_TEST_CASE(find_daemonIsCutOff_isUnknownOnceAnotherVersionMayServe)
+{
+    cutOffSecond();
+    clocks.advance(kVersionSettleTime - milliseconds(200));
+    BOOST_TEST(find(*second, "x") == "v1");
+    clocks.advance(milliseconds(300));
+    BOOST_TEST(find(*second, "x") == "unknown");
+    BOOST_TEST(find(*second, "") == "unknown");
+}
+
+// Guards against a daemon that has stood still for less than its history allows, and answers from
+// the servers that it knew before: the records tell.
+BOOST_AUTO_TEST_CASE(find_daemonHasStoodStill_readsTheRecords)
+{
+    second->viewConfirmedAt = clocks.now;
+    clocks.advance(milliseconds(4000));
+    add("i-2", "v2", clocks.unixNow - 4000);
+    first->registry.update();
+    begin(*first, "x", "v2");
+    BOOST_TEST(find(*second, "x") == "v2");
+    BOOST_TEST(find(*second, "y") == "v1");
+}
+
+// Guards against refusing every stream while the store is away from all daemons: they ask each
+// other.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayFromAll_isTheOnlyVersionThatAllKnow)
+{
+    for (Daemon *daemon : { first.get(), second.get() })
+        daemon->viewConfirmedAt = clocks.now;
+    store.isAvailable = false;
+    clocks.advance(milliseconds(4000));
+    exchangeHeartbeats();
+    BOOST_TEST(find(*second, "x") == "v1");
+    BOOST_TEST(find(*second, "") == "v1");
+}
+
+// Guards against an answer without a daemon that is silent for so long that it may have begun
+// streams of another version.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayAndADaemonIsSilent_isUnknown)
+{
+    const auto third = startDaemon();
+    connect({ first.get(), second.get(), third.get() });
+    second->viewConfirmedAt = clocks.now;
+    store.isAvailable = false;
+    third->isSilent = true;
+    clocks.advance(milliseconds(2000));
+    exchangeHeartbeats();
+    BOOST_TEST(find(*second, "x") == "v1");
+    clocks.advance(milliseconds(1000));
+    exchangeHeartbeats();
+    BOOST_TEST(find(*second, "x") == "unknown");
+}
+
+// Guards against an answer at the end of a cut: the first daemon that replies was cut off as well,
+// and those that know another version have only just been heard again.
+BOOST_AUTO_TEST_CASE(find_cutEndsAndOthersKnowMore_isNotTheVersionOfTheCutOffDaemons)
+{
+    routing::ServerDirectory aheadDirectory = directory;
+    Daemon ahead(io, store, clocks, aheadDirectory, config);
+    ahead.registry.update();
+    connect({ first.get(), second.get(), &ahead });
+    second->viewConfirmedAt = clocks.now;
+    store.isAvailable = false;
+    ahead.isSilent = true;
+    clocks.advance(milliseconds(4000));
+    aheadDirectory.update({ .id = "i-2", .service = "s", .softwareVersion = "v2" }, position + 1);
+    ahead.registry.update();
+    ahead.isSilent = false;
+    exchangeHeartbeats();
+    ahead.isSilent = true;
+    BOOST_TEST(find(*second, "x") == "unknown");
+    ahead.isSilent = false;
+    BOOST_TEST(find(*second, "x") == "unknown");
+}
+
+// Guards against refusing a stream that a daemon in reach has begun, while two versions serve and
+// the store is away.
+BOOST_AUTO_TEST_CASE(find_storeIsAwayAndItsDaemonIsInReach_isTheVersionThatItKnows)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(3000));
+    begin(*first, "x", "v2");
+    store.isAvailable = false;
+    BOOST_TEST(find(*second, "x") == "v2");
+    BOOST_TEST(find(*second, "y") == "unknown");
+}
+
+// Guards against questions to other daemons on days on which the store tells everything.
+BOOST_AUTO_TEST_CASE(find_storeResponds_noDaemonIsAsked)
+{
+    BOOST_TEST(find(*second, "x") == "v1");
+    add("i-2", "v2");
+    updateAfter(milliseconds(3000));
+    BOOST_TEST(find(*second, "y") == "v1");
+    BOOST_TEST(second->peers.questions == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace auburn::streams
--- a/packages/streams/tests/versionhistory_test.cpp
+++ b/packages/streams/tests/versionhistory_test.cpp
@@ -194,6 +194,19 @@
     BOOST_TEST(!history.establishedVersion("s", unixNow + 1));
 }
 
+// Guards against a version that begins streams as soon as its first server registers, because that
+// server was started long before: other daemons do not know it yet.
+BOOST_AUTO_TEST_CASE(preferredVersion_oldServerRegistersLate_isTheKnownVersion)
+{
+    add("i-1", "v1");
+    observeAfter(milliseconds(1000));
+    add("i-2", "v2", kUnixNow - 60000);
+    observeAfter(milliseconds(100));
+    BOOST_TEST(preferred() == "v1");
+    observeAfter(kVersionSettleTime);
+    BOOST_TEST(preferred().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace auburn::streams
