Do not wait for confirmations of daemons that a grown fleet rarely hears

Daemons that were heard while the fleet had at most 13 daemons stayed among those whose records have to be confirmed after a restore, although their heartbeats arrive rarely in a larger one. For 30 s after a restore, streams without a record would have been refused.

--- a/packages/streams/include/auburn/streams/daemonprocesses.h
+++ b/packages/streams/include/auburn/streams/daemonprocesses.h
@@ -39,6 +39,8 @@
 
     void observe(const ProcessState &state, TimePoint now);
     void expire(TimePoint now);
+    // Forgets all processes, because heartbeats of each one do not arrive any more.
+    void clear();
 
     bool areKnown() const { return !processes_.empty(); }
     // The processes whose records may be missing in the log of this era, which was restored at this
--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -118,6 +118,8 @@
 
     // Records what another daemon has stated in a heartbeat.
     void observeProcess(const ProcessState &state);
+    // The fleet has become so large that the silence of a daemon says nothing.
+    void forgetProcesses() { processes_.clear(); }
     // The newest era of the store whose log holds all records of this daemon's streams; 0 if none.
     std::uint64_t recordsEra() const { return recordsEra_; }
     // True if this daemon knows of a process whose records the restored store may lack.
--- a/packages/streams/src/daemonprocesses.cpp
+++ b/packages/streams/src/daemonprocesses.cpp
@@ -37,6 +37,12 @@
     });
 }
 
+void DaemonProcesses::clear()
+{
+    processes_.clear();
+    records_ = {};
+}
+
 std::vector<std::string> DaemonProcesses::withUnconfirmedRecords(std::uint64_t era,
                                                                  TimePoint restoredAt) const
 {
--- a/packages/streams/src/originexchange.cpp
+++ b/packages/streams/src/originexchange.cpp
@@ -88,13 +88,16 @@
     if (hasSameServers && heartbeat.servers_age_ms() > 0)
         options_.view->recordSameServers(milliseconds(heartbeat.servers_age_ms() - 1), now);
     // In a large fleet few heartbeats of each daemon arrive, so silence says nothing.
-    if (options_.hearsAll())
-        options_.registry->observeProcess(
-                { .process = { .vm = heartbeat.vm(), .incarnation = heartbeat.incarnation() },
-                  .isServing = heartbeat.serving(),
-                  .recordsEra = heartbeat.stream_records_era(),
-                  .missesRecords = heartbeat.stream_records_missing(),
-                  .hasSameServers = hasSameServers });
+    if (!options_.hearsAll()) {
+        options_.registry->forgetProcesses();
+        return;
+    }
+    options_.registry->observeProcess(
+            { .process = { .vm = heartbeat.vm(), .incarnation = heartbeat.incarnation() },
+              .isServing = heartbeat.serving(),
+              .recordsEra = heartbeat.stream_records_era(),
+              .missesRecords = heartbeat.stream_records_missing(),
+              .hasSameServers = hasSameServers });
 }
 
 std::optional<OriginExchange::TimePoint> OriginExchange::viewConfirmedAt(TimePoint now) const
--- a/packages/streams/tests/originexchange_test.cpp
+++ b/packages/streams/tests/originexchange_test.cpp
@@ -138,6 +138,25 @@
     BOOST_TEST(viewAge().count() >= 4000);
 }
 
+// Guards against refusals in a fleet that has grown: daemons that were heard while it was small are
+// not heard often enough to confirm anything.
+BOOST_AUTO_TEST_CASE(processes_fleetBecomesLarge_areNotAwaited)
+{
+    add("i-2", "v2");
+    updateAfter(milliseconds(3000));
+    own->handleHeartbeat(heartbeat(), true, clocks.now);
+    second->registry.observeEra(2);
+    second->registry.update();
+    clocks.advance(milliseconds(3000));
+    own->handleHeartbeat(heartbeat(), true, clocks.now);
+    BOOST_TEST(second->registry.missesRecords());
+    hearsAll = false;
+    clocks.advance(milliseconds(400));
+    own->handleHeartbeat(heartbeat(), true, clocks.now);
+    BOOST_TEST(!second->registry.missesRecords());
+    BOOST_TEST(find(*second, "x") == "v1");
+}
+
 // Guards against refusals in a large fleet while the store is away from all of it, and against an
 // answer of a daemon that hears nobody or has just stood still.
 BOOST_AUTO_TEST_CASE(view_ofALargeFleet_isCurrentWhileMostOfItIsHeard)
