--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -4,8 +4,12 @@
 // Each service has a baseline: the version that began every stream without a record. A stream that
 // a server of another version begins is recorded before its caller sees its first event, so a
 // missing record proves that the baseline version began the stream. The baseline moves to another
-// version once no server has had the old one for the lifetime of a stream. The design and the ways
-// that were weighed are in docs/design/stream-versions.md.
+// version once no server has had the old one for the lifetime of a stream.
+//
+// After a restore of the store, and while this daemon cannot read it, a missing record and a single
+// known version prove something only if all other daemons that may know more have confirmed it;
+// they are asked then. The design and the ways that were weighed are in
+// docs/design/stream-versions.md.
 #pragma once
 
 #include "auburn/core/bootclock.h"
