Name the process that asks beside the number of a question

A reply to a question about a stream was matched by its number alone. A daemon that is restarted numbers its questions from 1 again, so a delayed reply to its predecessor could name the version of another stream. Questions and replies now contain the incarnation of the process that asks, and replies to another one are ignored. reply_toAnEarlierProcess_isIgnored fails without the check.

--- a/packages/streams/src/originexchange.cpp
+++ b/packages/streams/src/originexchange.cpp
@@ -20,6 +20,7 @@
     if (question.stream)
         message.set_stream(*question.stream);
     message.set_service(question.service);
+    message.set_incarnation(options_.self().incarnation);
     for (const std::string &address : options_.addresses())
         options_.send(address, datagram);
 }
@@ -33,6 +34,9 @@
     if (!datagram.has_stream_reply())
         return;
     const proto::StreamReply &message = datagram.stream_reply();
+    // A reply to an earlier process at this address may have the number of another question.
+    if (message.asker_incarnation() != options_.self().incarnation)
+        return;
     OriginReply reply{ .number = message.number(),
                        .process = { .vm = message.vm(), .incarnation = message.incarnation() },
                        .versions = { message.versions().begin(), message.versions().end() },
@@ -53,6 +57,7 @@
     proto::PeerDatagram datagram;
     proto::StreamReply &message = *datagram.mutable_stream_reply();
     message.set_number(question.number());
+    message.set_asker_incarnation(question.incarnation());
     message.set_vm(self.vm);
     message.set_incarnation(self.incarnation);
     if (known.origin) {
--- a/packages/streams/tests/originexchange_test.cpp
+++ b/packages/streams/tests/originexchange_test.cpp
@@ -32,7 +32,10 @@
                         [incarnation] {
                             return DaemonProcess{ .vm = "vm", .incarnation = incarnation };
                         },
-                .addresses = [] { return std::vector<std::string>{ kOtherAddress }; },
+                .addresses =
+                        [this] {
+                            return std::vector<std::string>(hasOthers ? 1 : 0, kOtherAddress);
+                        },
                 .hearsAll = [this] { return hearsAll; },
                 .isInMajority = [this] { return isInMajority; },
                 .send =
@@ -69,6 +72,7 @@
                   : std::chrono::hours(24);
     }
 
+    bool hasOthers = true;
     bool hearsAll = true;
     bool isInMajority = false;
     ServerView view;
@@ -92,6 +96,34 @@
     BOOST_TEST(find(*second, "y") == "unknown");
 }
 
+// Guards against a reply to an earlier process at the same address, whose question had the number
+// that this process gives to another stream.
+BOOST_AUTO_TEST_CASE(reply_toAnEarlierProcess_isIgnored)
+{
+    store.isAvailable = false;
+    add("i-2", "v2");
+    updateAfter(milliseconds(3000));
+    hasOthers = false;
+    std::string found;
+    second->registry.find("x", "s", milliseconds(1000),
+                          [&found](const std::optional<std::string> &version) {
+                              found = version.value_or("unknown");
+                          });
+    proto::PeerDatagram datagram;
+    proto::StreamReply &reply = *datagram.mutable_stream_reply();
+    reply.set_number(1);
+    reply.set_vm("vm");
+    reply.set_incarnation(1);
+    reply.set_service("s");
+    reply.set_software_version("v2");
+    reply.set_asker_incarnation(7);
+    own->handleDatagram(datagram, kOtherAddress);
+    BOOST_TEST(found.empty());
+    reply.set_asker_incarnation(2);
+    own->handleDatagram(datagram, kOtherAddress);
+    BOOST_TEST(found == "v2");
+}
+
 // Guards against a daemon in contact with one that reads the store, whose view counts as old.
 BOOST_AUTO_TEST_CASE(view_confirmedByAHeartbeat_isAsOldAsThatOfItsSender)
 {
