Move a baseline only by a recent list of servers

A daemon moved the baseline of a service when its own list had lacked the version for 30 s, however old the list was. The version may have returned meanwhile and begun streams, which have no record; they would have been taken for streams of the new baseline (rule ORDER). A baseline is now moved only with a list that was complete within the last 2.5 s, like the other conclusions from it. baseline_daemonHasStoodStill_isNotMovedByAnOldList fails before (2 baselines instead of 1).

--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -741,7 +741,8 @@
 
 void OriginRegistry::proposeBaselines()
 {
-    if (!options_.mayMoveBaselines() || isAppendingBaseline_)
+    // Other daemons may have seen servers return that an old list lacks.
+    if (!options_.mayMoveBaselines() || !isViewCurrent() || isAppendingBaseline_)
         return;
     const auto now = options_.now();
     bool isDue = false;
@@ -763,6 +764,8 @@
 
 void OriginRegistry::appendDueBaseline()
 {
+    if (!isViewCurrent())
+        return;
     const auto now = options_.now();
     for (const std::string &service : resumableServices()) {
         const std::optional<Baseline> due = dueBaseline(service, now);
--- a/packages/streams/tests/absence_test.cpp
+++ b/packages/streams/tests/absence_test.cpp
@@ -185,6 +185,27 @@
     BOOST_TEST(find(*second, "y") == "v1");
 }
 
+// Guards against a baseline that a daemon moves by an old list of servers: its version may have
+// returned since, and begun streams without records.
+BOOST_AUTO_TEST_CASE(baseline_daemonHasStoodStill_isNotMovedByAnOldList)
+{
+    add("i-2", "v2");
+    directory.removeImmediately("i-1", ++position);
+    first.reset();
+    second->viewConfirmedAt = clocks.now;
+    for (int i = 0; i < 35; ++i) {
+        clocks.advance(milliseconds(1000));
+        second->registry.update();
+    }
+    BOOST_TEST(store.baselines.size() == 1U);
+    second->viewConfirmedAt.reset();
+    for (int i = 0; i < 3; ++i) {
+        clocks.advance(milliseconds(1000));
+        second->registry.update();
+    }
+    BOOST_TEST(store.baselines.size() == 2U);
+}
+
 // Guards against refusing every stream while the store is away from all daemons: they ask each
 // other.
 BOOST_AUTO_TEST_CASE(find_storeIsAwayFromAll_isTheOnlyVersionThatAllKnow)
