Keep a record of a restored log only once the log is complete

After a restore a lookup took the record that it found for final and kept it for 30 s. If the daemon of the stream had replaced the record, and the copy lacked the later one, streams went on at the earlier version (rule ORDER) also after the daemon had written its records again. A record is final only if the log was complete when the lookup began; until then each take-up reads again. find_restoredLogHoldsAReplacedRecord_laterOneCountsOnceItIsWrittenAgain fails before (v2 instead of v1).

--- a/packages/streams/include/auburn/streams/originregistry.h
+++ b/packages/streams/include/auburn/streams/originregistry.h
@@ -275,6 +275,10 @@
     // The version that began the stream according to the last read of the records.
     std::optional<std::string> recordedVersion(std::uint64_t stream,
                                                const std::string &service) const;
+    // True if the lookup read the log of the present era and began after the restore was known.
+    bool knowsRestore(const Lookup &lookup) const;
+    // True if the log had all records, and the newest of each stream, when the lookup began.
+    bool isLogComplete(const Lookup &lookup) const;
     // True if a stream without a record was begun by the baseline version: no daemon can have begun
     // it at another version, written a record, and lost it by a restore of the store.
     bool isAbsenceProven(const Query &query) const;
--- a/packages/streams/src/originregistry.cpp
+++ b/packages/streams/src/originregistry.cpp
@@ -220,6 +220,10 @@
                        .hasRecord = true };
         }
     }
+    // A restored log may hold a record that was replaced since, until all daemons have written
+    // again.
+    if (!isLogComplete(lookup_))
+        return;
     // The read began after these streams were resumed, so their first events had been passed on.
     for (const Query &query : queries_) {
         const auto found = query.isInLookup ? streams_.find(*query.stream) : streams_.end();
@@ -327,17 +331,29 @@
     return isRestoreRecent() && startedAt_ <= *restoredAt_ && !unconfirmedProcesses().empty();
 }
 
-bool OriginRegistry::isAbsenceProven(const Query &query) const
+bool OriginRegistry::knowsRestore(const Lookup &lookup) const
+{
+    return !isRestoreRecent() || (lookup.era == era_ && lookup.isRestoreKnown);
+}
+
+bool OriginRegistry::isLogComplete(const Lookup &lookup) const
 {
+    if (!knowsRestore(lookup))
+        return false;
     if (!isRestoreRecent())
         return true;
+    return processes_.areKnown() ? lookup.unconfirmed.empty()
+                                 : lookup.startedAt >= *restoredAt_ + options_.rewriteTime;
+}
+
+bool OriginRegistry::isAbsenceProven(const Query &query) const
+{
     const Lookup &lookup = *query.lookup;
-    if (lookup.era != era_ || !lookup.isRestoreKnown)
-        return false;
-    if (!processes_.areKnown())
-        return lookup.startedAt >= *restoredAt_ + options_.rewriteTime;
+    if (isLogComplete(lookup))
+        return true;
     // A process that does not know the stream has not begun it, whatever its records say.
-    return query.denials.haveConfirmed(lookup.unconfirmed, { .askedSince = query.arrivedAt });
+    return knowsRestore(lookup) && processes_.areKnown()
+           && query.denials.haveConfirmed(lookup.unconfirmed, { .askedSince = query.arrivedAt });
 }
 
 bool OriginRegistry::isViewCurrent() const
--- a/packages/streams/tests/absence_test.cpp
+++ b/packages/streams/tests/absence_test.cpp
@@ -134,6 +134,21 @@
     BOOST_TEST(found == "unknown");
 }
 
+// Guards against keeping a record of the restored log for good, which a daemon that stood still had
+// replaced: the later record is lost until it runs again.
+BOOST_AUTO_TEST_CASE(find_restoredLogHoldsAReplacedRecord_laterOneCountsOnceItIsWrittenAgain)
+{
+    begin(*first, "replaced", "v2");
+    const std::vector<OriginRecord> copy = store.records;
+    begin(*first, "replaced", "v1");
+    store.records = copy;
+    first->isSilent = true;
+    restoreUnnoticedByFirst();
+    find(*second, "replaced");
+    wakeFirst();
+    BOOST_TEST(find(*second, "replaced") == "v1");
+}
+
 // Guards against a daemon that has started after the restore and does not know that another one
 // was killed before it could write its records again.
 BOOST_AUTO_TEST_CASE(find_daemonStartedAfterAKill_isUnknown)
